Build the thin path from a caller to an engine

Cause: nothing existed. Change: ASGI caller side, rule placement, byte relay with end-marker check, etcd JSON client, stand-ins of engine and store, demo, checks.

--- /dev/null
+++ b/primrosepier/asgi.py
@@ -0,0 +1,163 @@
+"""Small helpers over ASGI, shared by the router and the stand-ins."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+
+from .errors import RequestError
+
+__all__ = [
+    "App",
+    "Headers",
+    "Receive",
+    "Scope",
+    "Send",
+    "find_header",
+    "open_server",
+    "read_body",
+    "read_json",
+    "send_bytes",
+    "send_chunk",
+    "send_json",
+    "start_response",
+    "wait_for_disconnect",
+]
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+Headers = Sequence[tuple[str, str]]
+
+POLL_S = 0.005
+JSON_TYPE = ("content-type", "application/json")
+
+
+def find_header(scope: Scope, name: str) -> str:
+    """Return the first value of a request header, or an empty text."""
+    wanted = name.lower().encode()
+    for key, value in scope.get("headers", []):
+        if key == wanted:
+            return value.decode("latin-1")
+    return ""
+
+
+async def read_body(receive: Receive, limit_bytes: int) -> bytes:
+    """Read a request body.
+
+    Raises
+    ------
+    RequestError
+        The body is larger than the limit, or the caller left.
+    """
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise RequestError(400, "incomplete_body", "The body ended early.")
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit_bytes:
+            text = f"The body is larger than {limit_bytes} bytes."
+            raise RequestError(413, "body_too_large", text)
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def read_json(receive: Receive, limit_bytes: int) -> dict[str, Any]:
+    """Read a request body that holds a JSON object."""
+    body = await read_body(receive, limit_bytes)
+    try:
+        return msgspec.json.decode(body or b"{}", type=dict[str, Any])
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        text = f"The body is not a JSON object: {cause}"
+        raise RequestError(400, "invalid_json", text) from cause
+
+
+async def wait_for_disconnect(receive: Receive) -> None:
+    """Return when the caller has left."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+async def start_response(send: Send, status: int, headers: Headers = ()) -> None:
+    """Send the status line and headers."""
+    raw = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+    await send({"type": "http.response.start", "status": status, "headers": raw})
+
+
+async def send_chunk(send: Send, data: bytes, more: bool = True) -> None:
+    """Send a part of the body."""
+    await send({"type": "http.response.body", "body": data, "more_body": more})
+
+
+async def send_bytes(
+    send: Send, status: int, data: bytes, headers: Headers = ()
+) -> None:
+    """Send a whole response."""
+    length = ("content-length", str(len(data)))
+    await start_response(send, status, [*headers, length])
+    await send_chunk(send, data, more=False)
+
+
+async def send_json(send: Send, status: int, value: Any, headers: Headers = ()) -> None:
+    """Send a whole response that holds JSON."""
+    await send_bytes(send, status, msgspec.json.encode(value), [JSON_TYPE, *headers])
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+@contextlib.asynccontextmanager
+async def open_server(app: App, address: str) -> AsyncIterator[str]:
+    """Serve an app while the context is open.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``; port 0 takes a free one.
+
+    Yields
+    ------
+    str
+        The address that is listened on.
+    """
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        log_level="error",
+        access_log=False,
+        lifespan="off",
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        timeout_graceful_shutdown=1,
+        timeout_keep_alive=30,
+    )
+    server = _EmbeddedServer(config)
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        while not server.started:
+            if server.should_exit:
+                raise OSError(f"cannot listen on {address}")
+            await anyio.sleep(POLL_S)
+        bound = server.servers[0].sockets[0].getsockname()
+        try:
+            yield f"{bound[0]}:{bound[1]}"
+        finally:
+            server.should_exit = True
--- /dev/null
+++ b/primrosepier/cli.py
@@ -0,0 +1,32 @@
+"""The command line."""
+
+from cleo.application import Application
+
+from . import __version__
+from .commands_demo import DemoCommand
+from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
+from .commands_standin import StandinEngineCommand, StandinStoreCommand
+
+__all__ = ["main", "make_application"]
+
+COMMANDS = (
+    ApplyCommand,
+    CheckCommand,
+    DemoCommand,
+    RouterCommand,
+    StandinEngineCommand,
+    StandinStoreCommand,
+)
+
+
+def make_application() -> Application:
+    """Return the command line with all commands."""
+    application = Application("primrosepier", __version__)
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> int:
+    """Run the command line and return its exit code."""
+    return make_application().run()
--- /dev/null
+++ b/primrosepier/commands_demo.py
@@ -0,0 +1,80 @@
+"""The demo command."""
+
+from dataclasses import asdict
+
+import anyio
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from .demo import DEMO_REQUESTS, DEMO_SEED, Demo, open_demo, run_demo_trace
+from .replay import ReplayReport
+
+__all__ = ["DemoCommand"]
+
+
+class DemoCommand(Command):
+    """Run the main job with embedded stand-ins."""
+
+    name = "demo"
+    description = "Run the main job with embedded stand-ins."
+    options = [
+        option("serve", None, "Keep running; print one JSON line first."),
+        option("seed", None, "Seed of the trace.", flag=False, default=DEMO_SEED),
+        option("json", None, "Print the measures as JSON."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        if self.option("serve"):
+            anyio.run(self._serve)
+            return 0
+        report = anyio.run(self._replay)
+        self._print_report(report)
+        return 0 if report.correct == report.requests else 1
+
+    async def _serve(self) -> None:
+        async with open_demo() as demo:
+            self.line(msgspec.json.encode(describe_demo(demo)).decode())
+            await anyio.sleep_forever()
+
+    async def _replay(self) -> ReplayReport:
+        quiet = bool(self.option("json"))
+        progress = self.progress_bar(DEMO_REQUESTS)
+        async with open_demo() as demo:
+
+            def show(count: int) -> None:
+                if not quiet:
+                    progress.set_progress(count)
+
+            seed = int(self.option("seed"))
+            report = await run_demo_trace(demo, seed, DEMO_REQUESTS, show)
+        if not quiet:
+            progress.finish()
+            self.line("")
+        return report
+
+    def _print_report(self, report: ReplayReport) -> None:
+        if self.option("json"):
+            self.line(msgspec.json.encode(asdict(report)).decode())
+            return
+        rows = [
+            ["requests", str(report.requests)],
+            ["complete streams", str(report.complete)],
+            ["correct answers", str(report.correct)],
+            ["hit rate", f"{report.hit_rate:.3f}"],
+            ["recomputed tokens", str(report.recomputed_tokens)],
+            ["TTFT p50 (ms)", f"{report.ttft_p50_s * 1000:.1f}"],
+            ["TTFT p99 (ms)", f"{report.ttft_p99_s * 1000:.1f}"],
+        ]
+        self.render_table(["measure", "value"], rows)  # type: ignore[arg-type]
+
+
+def describe_demo(demo: Demo) -> dict[str, object]:
+    """Return what a client needs to use a running demo."""
+    return {
+        "base_urls": demo.list_urls(),
+        "store_url": f"http://{demo.store_address}",
+        "workspaces": demo.keys,
+        "models": sorted(demo.configuration.models),
+    }
--- /dev/null
+++ b/primrosepier/commands_operate.py
@@ -0,0 +1,92 @@
+"""Commands for operators: check, apply and router."""
+
+from pathlib import Path
+
+import anyio
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from .configuration import Configuration, load_configuration
+from .errors import SettingsError
+from .etcd import make_etcd_store
+from .revisions import ApplyOutcome, ApplyResult, apply_configuration
+from .router import open_router
+from .settings import RouterSettings, load_settings
+
+__all__ = ["ApplyCommand", "CheckCommand", "RouterCommand"]
+
+FILES = argument("files", "Operators' files.", multiple=True)
+
+
+class CheckCommand(Command):
+    """Validate operators' files without the platform."""
+
+    name = "check"
+    description = "Validate operators' files without the platform."
+    arguments = [FILES]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            found = load_configuration([Path(f) for f in self.argument("files")])
+        except SettingsError as error:
+            self.line_error(str(error))
+            return 1
+        self.line(
+            f"valid: {len(found.workspaces)} workspaces, {len(found.models)} models, "
+            f"{len(found.services)} services, {len(found.endpoints)} endpoints"
+        )
+        return 0
+
+
+async def _apply(address: str, configuration: Configuration) -> ApplyOutcome:
+    store = make_etcd_store(address)
+    try:
+        return await apply_configuration(store, configuration)
+    finally:
+        await store.close()
+
+
+class ApplyCommand(Command):
+    """Put operators' files in force, all or nothing."""
+
+    name = "apply"
+    description = "Put operators' files in force, all or nothing."
+    arguments = [FILES]
+    options = [option("store", None, "Address of the key-value service.", flag=False)]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            found = load_configuration([Path(f) for f in self.argument("files")])
+        except SettingsError as error:
+            self.line_error(str(error))
+            return 1
+        outcome = anyio.run(_apply, self.option("store"), found)
+        self.line(f"{outcome.result.value} at revision {outcome.revision}")
+        if outcome.reason:
+            self.line_error(outcome.reason)
+        return 0 if outcome.result is ApplyResult.APPLIED else 1
+
+
+async def _run_router(settings: RouterSettings) -> None:
+    async with open_router(settings):
+        await anyio.sleep_forever()
+
+
+class RouterCommand(Command):
+    """Run one router."""
+
+    name = "router"
+    description = "Run one router."
+    options = [option("settings", "s", "Settings file.", flag=False)]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            settings = load_settings(Path(self.option("settings") or ""))
+        except SettingsError as error:
+            self.line_error(str(error))
+            return 1
+        anyio.run(_run_router, settings)
+        return 0
--- /dev/null
+++ b/primrosepier/demo.py
@@ -0,0 +1,134 @@
+"""The main job on one machine with embedded stand-ins."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, replace
+from importlib import resources
+from pathlib import Path
+
+import anyio
+
+from .asgi import open_server
+from .configuration import (
+    Configuration,
+    Endpoint,
+    ServiceKind,
+    load_configuration,
+)
+from .errors import ConfigurationError
+from .etcd import make_etcd_store
+from .ids import EndpointId, FailureDomain, HostId
+from .replay import ReplayReport, replay_trace
+from .revisions import ApplyResult, apply_configuration
+from .router import Router, open_router
+from .settings import RouterSettings
+from .standin_engine import EngineStandin
+from .standin_store import StoreStandin
+from .traces import generate_trace
+
+__all__ = ["Demo", "find_example", "open_demo", "run_demo_trace", "wait_until_ready"]
+
+DEMO_SEED = 7
+DEMO_REQUESTS = 600
+DEMO_RATE_PER_S = 80.0
+READY_POLL_S = 0.01
+LOOPBACK = "127.0.0.1:0"
+
+
+@dataclass(slots=True)
+class Demo:
+    """A running demo.
+
+    Parameters
+    ----------
+    routers : list of Router
+    engines : dict of EndpointId to EngineStandin
+    keys : dict of str to str
+        Callers' key of each workspace.
+    """
+
+    store: StoreStandin
+    store_address: str
+    routers: list[Router]
+    engines: dict[EndpointId, EngineStandin]
+    configuration: Configuration
+    keys: dict[str, str]
+
+    def list_urls(self) -> list[str]:
+        """Return the routers' base addresses."""
+        return [f"http://{router.callers_address}" for router in self.routers]
+
+
+def find_example(name: str) -> Path:
+    """Return the operators' file of an example deployment."""
+    root = Path(str(resources.files(__package__))).parent
+    return root / "examples" / name / f"{name}.ini"
+
+
+@contextlib.asynccontextmanager
+async def open_demo(deployment: str = "keranvel") -> AsyncIterator[Demo]:
+    """Run stand-ins and three routers while the context is open."""
+    declared = load_configuration([find_example(deployment)])
+    async with contextlib.AsyncExitStack() as stack:
+        standin = StoreStandin()
+        address = await stack.enter_async_context(open_server(standin, LOOPBACK))
+        engines, endpoints = await _open_engines(stack, declared)
+        configuration = replace(declared, endpoints=endpoints)
+        store = make_etcd_store(address)
+        stack.push_async_callback(store.close)
+        outcome = await apply_configuration(store, configuration)
+        if outcome.result is not ApplyResult.APPLIED:
+            raise ConfigurationError(deployment, "-", "-", outcome.reason)
+        domains = sorted({e.failure_domain for e in endpoints.values()})
+        routers = []
+        for number, domain in enumerate(domains, start=1):
+            settings = _make_settings(number, domain, address)
+            routers.append(await stack.enter_async_context(open_router(settings)))
+        keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
+        demo = Demo(standin, address, routers, engines, configuration, keys)
+        await wait_until_ready(demo)
+        yield demo
+
+
+async def _open_engines(
+    stack: contextlib.AsyncExitStack, declared: Configuration
+) -> tuple[dict[EndpointId, EngineStandin], dict[EndpointId, Endpoint]]:
+    engines = {}
+    endpoints = {}
+    for endpoint in declared.endpoints.values():
+        kind = declared.services[endpoint.service].kind
+        if kind is not ServiceKind.ENGINE:
+            continue
+        engine = EngineStandin()
+        address = await stack.enter_async_context(open_server(engine, LOOPBACK))
+        engines[endpoint.id] = engine
+        endpoints[endpoint.id] = replace(endpoint, address=address)
+    return engines, endpoints
+
+
+def _make_settings(
+    number: int, domain: FailureDomain, store_address: str
+) -> RouterSettings:
+    return RouterSettings(
+        host=HostId(f"entry-{number}"),
+        failure_domain=domain,
+        callers_address=LOOPBACK,
+        peers_address=LOOPBACK,
+        store_address=store_address,
+    )
+
+
+async def wait_until_ready(demo: Demo) -> None:
+    """Return when every router has a configuration."""
+    while not all(router.app.is_ready() for router in demo.routers):
+        await anyio.sleep(READY_POLL_S)
+
+
+async def run_demo_trace(
+    demo: Demo, seed: int, count: int, on_sample: Callable[[int], None]
+) -> ReplayReport:
+    """Replay a seeded trace of nested prompts over the demo's routers."""
+    model = next(iter(demo.configuration.models))
+    workspaces = sorted(demo.keys)
+    trace = generate_trace(seed, count, DEMO_RATE_PER_S, workspaces, model)
+    return await replay_trace(trace, demo.list_urls(), demo.keys, True, on_sample)
--- /dev/null
+++ b/primrosepier/etcd.py
@@ -0,0 +1,237 @@
+"""The key-value service over the etcd v3 API in its JSON form."""
+
+import base64
+import ssl
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from .ids import Revision
+from .outcomes import Step
+from .store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    Item,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    Snapshot,
+    Unavailable,
+    WatchEvent,
+)
+
+__all__ = ["EtcdStore", "decode_item", "encode_bytes", "make_etcd_store"]
+
+CALL_TIMEOUT_S = 2.0
+HTTP_OK = 200
+
+NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    ssl.SSLError,
+)
+LOST_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    msgspec.DecodeError,
+)
+
+
+def encode_bytes(data: bytes | str) -> str:
+    """Return bytes or text as base64 text."""
+    raw = data.encode() if isinstance(data, str) else data
+    return base64.b64encode(raw).decode()
+
+
+def decode_item(entry: dict[str, Any]) -> Item:
+    """Return the item that one JSON key-value holds."""
+    return Item(
+        key=base64.b64decode(entry.get("key", "")).decode(),
+        value=base64.b64decode(entry.get("value", "")),
+        mod_revision=Revision(int(entry.get("mod_revision", 0))),
+        lease=int(entry.get("lease", 0)),
+    )
+
+
+def compute_range_end(prefix: str) -> bytes:
+    """Return the first key after all keys with a prefix."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _read_revision(answer: dict[str, Any]) -> Revision:
+    return Revision(int(answer.get("header", {}).get("revision", 0)))
+
+
+def _encode_compare(compare: Compare) -> dict[str, Any]:
+    return {
+        "key": encode_bytes(compare.key),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(compare.mod_revision),
+    }
+
+
+def _encode_put(put: Put) -> dict[str, Any]:
+    key = encode_bytes(put.key)
+    if put.value is None:
+        return {"request_delete_range": {"key": key}}
+    body = {"key": key, "value": encode_bytes(put.value), "lease": str(put.lease)}
+    return {"request_put": body}
+
+
+class EtcdStore:
+    """Client of the key-value service.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the service.
+    timeout_s : float
+        Bound on each call but watches, seconds.
+    """
+
+    def __init__(self, address: str, timeout_s: float = CALL_TIMEOUT_S):
+        self.address = address
+        self.timeout_s = timeout_s
+        self.pool = httpcore.AsyncConnectionPool(max_connections=16)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.pool.aclose()
+
+    async def _call(
+        self, path: str, body: dict[str, Any]
+    ) -> dict[str, Any] | Ambiguous | Unavailable:
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), self.timeout_s)
+        try:
+            with anyio.fail_after(self.timeout_s):
+                response = await self.pool.request(
+                    "POST",
+                    f"http://{self.address}{path}",
+                    headers={"Content-Type": "application/json"},
+                    content=msgspec.json.encode(body),
+                    extensions={"timeout": limits},
+                )
+                if response.status != HTTP_OK:
+                    reason = f"status {response.status}"
+                    return Ambiguous(Step.HEADERS, self.address, reason)
+                return msgspec.json.decode(response.content, type=dict[str, Any])
+        except NOT_SENT_ERRORS as error:
+            return Unavailable(Step.CONNECT, self.address, repr(error))
+        except (*LOST_ERRORS, TimeoutError) as error:
+            return Ambiguous(Step.HEADERS, self.address, repr(error))
+
+    async def read(self, prefix: str) -> Snapshot | Unavailable:
+        """Return the items whose keys start with a prefix."""
+        body = {
+            "key": encode_bytes(prefix),
+            "range_end": encode_bytes(compute_range_end(prefix)),
+        }
+        answer = await self._call("/v3/kv/range", body)
+        if isinstance(answer, Ambiguous):
+            return Unavailable(answer.step, answer.peer, answer.reason)
+        if isinstance(answer, Unavailable):
+            return answer
+        items = [decode_item(entry) for entry in answer.get("kvs", [])]
+        return Snapshot(_read_revision(answer), {item.key: item for item in items})
+
+    async def transact(
+        self, compares: Sequence[Compare], puts: Sequence[Put]
+    ) -> Applied | Conflict | Ambiguous | Unavailable:
+        """Write all or nothing, if every condition holds."""
+        ranges = [{"request_range": {"key": encode_bytes(c.key)}} for c in compares]
+        body = {
+            "compare": [_encode_compare(compare) for compare in compares],
+            "success": [_encode_put(put) for put in puts],
+            "failure": ranges,
+        }
+        answer = await self._call("/v3/kv/txn", body)
+        if isinstance(answer, Ambiguous | Unavailable):
+            return answer
+        if answer.get("succeeded"):
+            return Applied(_read_revision(answer))
+        items = {}
+        for response in answer.get("responses", []):
+            for entry in response.get("response_range", {}).get("kvs", []):
+                item = decode_item(entry)
+                items[item.key] = item
+        return Conflict(_read_revision(answer), items)
+
+    async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
+        """Yield the changes from a revision on; end when the service fails."""
+        request = {
+            "create_request": {
+                "key": encode_bytes(prefix),
+                "range_end": encode_bytes(compute_range_end(prefix)),
+                "start_revision": str(revision),
+            }
+        }
+        timeout = {"connect": self.timeout_s, "pool": self.timeout_s}
+        try:
+            async with self.pool.stream(
+                "POST",
+                f"http://{self.address}/v3/watch",
+                content=msgspec.json.encode(request),
+                extensions={"timeout": timeout},
+            ) as response:
+                rest = b""
+                async for chunk in response.aiter_stream():
+                    *lines, rest = (rest + chunk).split(b"\n")
+                    for line in lines:
+                        event = _decode_watch_line(line)
+                        if event is not None:
+                            yield event
+        except (*NOT_SENT_ERRORS, *LOST_ERRORS):
+            return
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
+        """Return a new lease."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(round(ttl_s))})
+        if isinstance(answer, Ambiguous | Unavailable):
+            return Unavailable(answer.step, answer.peer, answer.reason)
+        return LeaseGranted(int(answer.get("ID", 0)), float(answer.get("TTL", 0)))
+
+    async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
+        """Extend a lease."""
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
+        if isinstance(answer, Ambiguous | Unavailable):
+            return Unavailable(answer.step, answer.peer, answer.reason)
+        ttl_s = float(answer.get("result", {}).get("TTL", 0))
+        return LeaseGranted(lease, ttl_s) if ttl_s > 0 else LeaseLost(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys, if the service answers."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease)})
+
+
+def _decode_watch_line(line: bytes) -> WatchEvent | None:
+    if not line.strip():
+        return None
+    result = msgspec.json.decode(line, type=dict[str, Any]).get("result", {})
+    revision = _read_revision(result)
+    if result.get("canceled") or int(result.get("compact_revision", 0)):
+        return WatchEvent(revision, compacted=True)
+    items = []
+    deleted = []
+    for event in result.get("events", []):
+        item = decode_item(event.get("kv", {}))
+        if event.get("type") == "DELETE":
+            deleted.append(item.key)
+        else:
+            items.append(item)
+    if not items and not deleted:
+        return None
+    return WatchEvent(revision, tuple(items), tuple(deleted))
+
+
+def make_etcd_store(address: str) -> EtcdStore:
+    """Return a client of the service at an address."""
+    return EtcdStore(address)
--- /dev/null
+++ b/primrosepier/ids.py
@@ -0,0 +1,50 @@
+"""Identifier types shared by all modules."""
+
+import secrets
+from typing import NewType
+
+__all__ = [
+    "AdapterId",
+    "AttemptId",
+    "BlockHash",
+    "EndpointId",
+    "FailureDomain",
+    "FencingNumber",
+    "HostId",
+    "Incarnation",
+    "ModelId",
+    "RequestId",
+    "Revision",
+    "ServiceId",
+    "WeightsVersion",
+    "WorkspaceId",
+    "make_attempt_id",
+    "make_request_id",
+]
+
+AdapterId = NewType("AdapterId", str)
+AttemptId = NewType("AttemptId", str)
+BlockHash = NewType("BlockHash", int)
+EndpointId = NewType("EndpointId", str)
+FailureDomain = NewType("FailureDomain", str)
+FencingNumber = NewType("FencingNumber", int)
+HostId = NewType("HostId", str)
+Incarnation = NewType("Incarnation", str)
+ModelId = NewType("ModelId", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+ServiceId = NewType("ServiceId", str)
+WeightsVersion = NewType("WeightsVersion", str)
+WorkspaceId = NewType("WorkspaceId", str)
+
+ID_BYTES = 12
+
+
+def make_request_id() -> RequestId:
+    """Return a new unguessable request id."""
+    return RequestId("req-" + secrets.token_hex(ID_BYTES))
+
+
+def make_attempt_id() -> AttemptId:
+    """Return a new unguessable attempt id."""
+    return AttemptId("att-" + secrets.token_hex(ID_BYTES))
--- /dev/null
+++ b/primrosepier/ini.py
@@ -0,0 +1,120 @@
+"""Typed reading of INI sections."""
+
+import configparser
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from .errors import ConfigurationError, SettingsError
+
+__all__ = ["SectionReader", "parse_ini"]
+
+TRUE_WORDS = frozenset({"yes", "true", "on"})
+FALSE_WORDS = frozenset({"no", "false", "off"})
+
+
+def parse_ini(
+    text: str, file: str, error: type[SettingsError] = SettingsError
+) -> configparser.ConfigParser:
+    """Parse INI text.
+
+    Raises
+    ------
+    SettingsError
+        The text is not INI.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as cause:
+        line = " ".join(str(cause).split())
+        raise error(file, "-", "-", f"not valid INI: {line}") from cause
+    return parser
+
+
+@dataclass(slots=True)
+class SectionReader:
+    """Reads the keys of one section and knows which were read.
+
+    Parameters
+    ----------
+    file, section : str
+        Where the values stand, for error messages.
+    values : Mapping of str to str
+    error : type
+        Exception that is raised for a wrong value.
+    """
+
+    file: str
+    section: str
+    values: Mapping[str, str]
+    error: type[SettingsError] = ConfigurationError
+    seen: set[str] = field(default_factory=set)
+
+    def fail(self, key: str, allowed: str) -> SettingsError:
+        """Return the error for a key."""
+        return self.error(self.file, self.section, key, allowed)
+
+    def read_text(self, key: str, default: str | None = None) -> str:
+        """Return a value as text; without a default the key is required."""
+        self.seen.add(key)
+        if key in self.values:
+            return self.values[key].strip()
+        if default is None:
+            raise self.fail(key, "is missing")
+        return default
+
+    def read_int(self, key: str, default: int, low: int = 0) -> int:
+        """Return a whole number that is at least ``low``."""
+        text = self.read_text(key, str(default))
+        if not text.lstrip("-").isdigit() or int(text) < low:
+            raise self.fail(key, f"{text!r} is not a whole number of {low} or more")
+        return int(text)
+
+    def read_float(self, key: str, default: float, low: float = 0.0) -> float:
+        """Return a finite number that is at least ``low``."""
+        text = self.read_text(key, str(default))
+        try:
+            number = float(text)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number) or number < low:
+            raise self.fail(key, f"{text!r} is not a number of {low} or more")
+        return number
+
+    def read_bool(self, key: str, default: bool) -> bool:
+        """Return yes or no."""
+        text = self.read_text(key, "yes" if default else "no").lower()
+        if text in TRUE_WORDS:
+            return True
+        if text in FALSE_WORDS:
+            return False
+        raise self.fail(key, f"{text!r} is neither yes nor no")
+
+    def read_list(self, key: str, default: str | None = "") -> tuple[str, ...]:
+        """Return the comma-separated items of a value."""
+        items = self.read_text(key, default).split(",")
+        return tuple(item.strip() for item in items if item.strip())
+
+    def read_choice(self, key: str, choices: Iterable[str], default: str) -> str:
+        """Return one of the allowed words."""
+        text = self.read_text(key, default)
+        allowed = sorted(choices)
+        if text not in allowed:
+            raise self.fail(key, f"{text!r} is not one of {', '.join(allowed)}")
+        return text
+
+    def read_address(self, key: str, default: str | None = None) -> str:
+        """Return an address of the form ``IP:PORT``."""
+        text = self.read_text(key, default)
+        host, separator, port = text.rpartition(":")
+        if not host or not separator or not port.isdigit() or int(port) > 65535:
+            raise self.fail(key, f"{text!r} is not an address of the form IP:PORT")
+        return text
+
+    def check_unknown(self) -> None:
+        """Raise for the first key that was never read."""
+        for key in self.values:
+            if key not in self.seen:
+                allowed = ", ".join(sorted(self.seen))
+                raise self.fail(key, f"is unknown; allowed are {allowed}")
--- /dev/null
+++ b/primrosepier/prompts.py
@@ -0,0 +1,86 @@
+"""Prompts as chains of block hashes."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import xxhash
+
+from .ids import AdapterId, BlockHash, ModelId, WeightsVersion, WorkspaceId
+
+__all__ = [
+    "BLOCK_TOKENS",
+    "BYTES_PER_TOKEN",
+    "CacheScope",
+    "Prompt",
+    "count_tokens",
+    "hash_blocks",
+    "make_prompt",
+    "render_messages",
+]
+
+BLOCK_TOKENS = 512
+BYTES_PER_TOKEN = 4
+BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+@dataclass(frozen=True, slots=True)
+class CacheScope:
+    """What two prompts must share before cached blocks may serve both."""
+
+    workspace: WorkspaceId
+    model: ModelId
+    adapter: AdapterId
+    version: WeightsVersion
+
+    def compute_seed(self) -> int:
+        """Return the hash seed of this scope."""
+        parts = (self.workspace, self.model, self.adapter, self.version)
+        return xxhash.xxh64_intdigest("\x00".join(parts).encode())
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """A prompt as routing sees it.
+
+    Parameters
+    ----------
+    blocks : tuple of BlockHash, shape (n,)
+        Chained hashes; entry ``i`` stands for the first ``i + 1`` blocks.
+    tokens : int
+        Estimated length.
+    """
+
+    scope: CacheScope
+    blocks: tuple[BlockHash, ...]
+    tokens: int
+
+
+def render_messages(messages: Sequence[Mapping[str, Any]]) -> str:
+    """Return chat messages as one text whose prefixes follow the messages."""
+    parts = []
+    for message in messages:
+        parts.append(f"<{message.get('role', '')}>\n{message.get('content', '')}\n")
+    return "".join(parts)
+
+
+def count_tokens(text: str) -> int:
+    """Return the estimated number of tokens of a text."""
+    size = len(text.encode("utf-8", "surrogatepass"))
+    return max(1, -(-size // BYTES_PER_TOKEN))
+
+
+def hash_blocks(text: str, seed: int) -> tuple[BlockHash, ...]:
+    """Return the chained hashes of a text's whole blocks of 512 tokens."""
+    data = text.encode("utf-8", "surrogatepass")
+    chain = seed
+    blocks = []
+    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        chain = xxhash.xxh64_intdigest(data[start : start + BLOCK_BYTES], seed=chain)
+        blocks.append(BlockHash(chain))
+    return tuple(blocks)
+
+
+def make_prompt(scope: CacheScope, text: str) -> Prompt:
+    """Return the prompt of a rendered text."""
+    return Prompt(scope, hash_blocks(text, scope.compute_seed()), count_tokens(text))
--- /dev/null
+++ b/primrosepier/replay.py
@@ -0,0 +1,165 @@
+"""Replay of traces against an OpenAI-compatible address."""
+
+import math
+import re
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+import httpcore
+import msgspec
+
+from .relay import Tail
+from .standin_engine import make_answer
+from .traces import TraceRequest, render_prompt
+
+__all__ = ["ReplayReport", "Sample", "replay_trace", "summarize_samples"]
+
+TEXT = re.compile(rb'"text":"([^"]*)"')
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """What one replayed request showed."""
+
+    status: int
+    ttft_s: float
+    prompt_tokens: int
+    cached_tokens: int
+    complete: bool
+    correct: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayReport:
+    """The measures of one replay."""
+
+    requests: int
+    complete: int
+    correct: int
+    failed: int
+    hit_rate: float
+    recomputed_tokens: int
+    ttft_p50_s: float
+    ttft_p99_s: float
+
+
+@dataclass(slots=True)
+class Replay:
+    """A replay in progress."""
+
+    urls: Sequence[str]
+    keys: Mapping[str, str]
+    check: bool
+    pool: httpcore.AsyncConnectionPool
+    on_sample: Callable[[int], None]
+    samples: list[Sample] = field(default_factory=list)
+
+    async def send(self, number: int, request: TraceRequest) -> None:
+        """Send one request and keep its sample."""
+        text = render_prompt(request)
+        body = {
+            "model": request.model,
+            "prompt": text,
+            "max_tokens": request.output_length,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        key = self.keys.get(request.workspace) or next(iter(self.keys.values()))
+        started = time.monotonic()
+        first = math.nan
+        status = 0
+        parts = []
+        try:
+            async with self.pool.stream(
+                "POST",
+                self.urls[number % len(self.urls)] + "/v1/completions",
+                headers={"Authorization": f"Bearer {key}"},
+                content=msgspec.json.encode(body),
+            ) as response:
+                status = response.status
+                async for chunk in response.aiter_stream():
+                    if math.isnan(first):
+                        first = time.monotonic() - started
+                    parts.append(chunk)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            pass
+        self.keep(request, text, status, first, b"".join(parts))
+
+    def keep(
+        self, request: TraceRequest, text: str, status: int, first: float, data: bytes
+    ) -> None:
+        """Keep the sample of one answer."""
+        tail = Tail()
+        tail.add(data)
+        complete = status == HTTP_OK and tail.has_end_marker()
+        answer = b"".join(TEXT.findall(data)).decode()
+        expected = "".join(make_answer(text, request.output_length))
+        self.samples.append(
+            Sample(
+                status=status,
+                ttft_s=first,
+                prompt_tokens=request.input_length,
+                cached_tokens=tail.read_cached_tokens(),
+                complete=complete,
+                correct=complete and (not self.check or answer == expected),
+            )
+        )
+        self.on_sample(len(self.samples))
+
+
+async def replay_trace(
+    requests: Sequence[TraceRequest],
+    urls: Sequence[str],
+    keys: Mapping[str, str],
+    check: bool = False,
+    on_sample: Callable[[int], None] = lambda count: None,
+) -> ReplayReport:
+    """Send a trace in its own time and report the measures.
+
+    Parameters
+    ----------
+    urls : sequence of str
+        Base addresses, taken in turn.
+    keys : Mapping of str to str
+        Callers' key of each workspace.
+    check : bool
+        Compare each answer with the engine stand-in's.
+    on_sample : callable
+        Called with the number of requests that are done.
+    """
+    async with httpcore.AsyncConnectionPool(max_connections=4096) as pool:
+        replay = Replay(urls, keys, check, pool, on_sample)
+        started = time.monotonic()
+        async with anyio.create_task_group() as group:
+            for number, request in enumerate(requests):
+                due = started + request.timestamp / 1000
+                await anyio.sleep(max(0.0, due - time.monotonic()))
+                group.start_soon(replay.send, number, request)
+    return summarize_samples(replay.samples)
+
+
+def summarize_samples(samples: Sequence[Sample]) -> ReplayReport:
+    """Return the measures over samples."""
+    complete = [sample for sample in samples if sample.complete]
+    prompt = sum(sample.prompt_tokens for sample in complete)
+    cached = sum(sample.cached_tokens for sample in complete)
+    times = sorted(s.ttft_s for s in complete if not math.isnan(s.ttft_s))
+    return ReplayReport(
+        requests=len(samples),
+        complete=len(complete),
+        correct=sum(sample.correct for sample in samples),
+        failed=len(samples) - len(complete),
+        hit_rate=cached / prompt if prompt else 0.0,
+        recomputed_tokens=prompt - cached,
+        ttft_p50_s=_take_quantile(times, 0.50),
+        ttft_p99_s=_take_quantile(times, 0.99),
+    )
+
+
+def _take_quantile(ordered: Sequence[float], share: float) -> float:
+    if not ordered:
+        return math.nan
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/primrosepier/router.py
@@ -0,0 +1,100 @@
+"""The router process: its controllers and its servers."""
+
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import anyio
+
+from .asgi import open_server
+from .board import Board, SectionWriter, make_board
+from .callers import CallersApp
+from .configuration import Configuration
+from .dispatch import Dispatcher
+from .engines import HttpEndpointClient, make_endpoint_client
+from .etcd import make_etcd_store
+from .ids import Revision
+from .placement import make_placement
+from .revisions import CONFIGURATION_KEY, decode_revision
+from .settings import RouterSettings
+from .store import Item, Store, Unavailable
+
+__all__ = ["ConfigurationController", "Router", "make_router", "open_router"]
+
+RETRY_S = 0.2
+
+
+@dataclass(slots=True)
+class ConfigurationController:
+    """Keeps the configuration on the board at the newest revision."""
+
+    store: Store
+    writer: SectionWriter[Configuration | None]
+    revision: Revision = Revision(0)
+
+    async def run(self) -> None:
+        """Read and watch the configuration until cancelled."""
+        while True:
+            snapshot = await self.store.read(CONFIGURATION_KEY)
+            if not isinstance(snapshot, Unavailable):
+                for item in snapshot.items.values():
+                    self.accept(item)
+                await self._watch(Revision(snapshot.revision + 1))
+            await anyio.sleep(RETRY_S)
+
+    async def _watch(self, revision: Revision) -> None:
+        async for event in self.store.watch(CONFIGURATION_KEY, revision):
+            if event.compacted:
+                return
+            for item in event.items:
+                self.accept(item)
+
+    def accept(self, item: Item) -> bool:
+        """Take a stored value if it is newer than the one in force."""
+        if item.mod_revision <= self.revision:
+            return False
+        configuration = decode_revision(item.value)
+        if configuration is None:
+            return False
+        self.revision = item.mod_revision
+        self.writer.write(configuration, time.monotonic())
+        return True
+
+
+@dataclass(slots=True)
+class Router:
+    """The parts of one router."""
+
+    settings: RouterSettings
+    board: Board
+    store: Store
+    client: HttpEndpointClient
+    app: CallersApp
+    configuration: ConfigurationController
+    callers_address: str = ""
+
+
+def make_router(settings: RouterSettings) -> Router:
+    """Return a router that serves nothing yet."""
+    board = make_board()
+    store = make_etcd_store(settings.store_address)
+    client = make_endpoint_client()
+    dispatcher = Dispatcher(board, client, make_placement(), settings.limits)
+    app = CallersApp(board, dispatcher, settings.limits)
+    writer = board.configuration.take_writer("configuration")
+    controller = ConfigurationController(store, writer)
+    return Router(settings, board, store, client, app, controller)
+
+
+@contextlib.asynccontextmanager
+async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
+    """Run a router while the context is open."""
+    router = make_router(settings)
+    async with anyio.create_task_group() as group:
+        group.start_soon(router.configuration.run)
+        async with open_server(router.app, settings.callers_address) as address:
+            router.callers_address = address
+            yield router
+        group.cancel_scope.cancel()
+    await router.client.close()
--- /dev/null
+++ b/primrosepier/settings.py
@@ -0,0 +1,135 @@
+"""Settings of one router process."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from .errors import SettingsError
+from .ids import FailureDomain, HostId
+from .ini import SectionReader, parse_ini
+
+__all__ = ["Limits", "RouterSettings", "load_settings", "parse_settings"]
+
+MIB = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what a caller may send and hold.
+
+    Parameters
+    ----------
+    body_bytes, header_bytes : int
+    streams : int
+        Requests in progress at this router.
+    request_s : float
+        Longest time of a request, seconds.
+    connect_s : float
+        Longest time to connect to an endpoint, seconds.
+    """
+
+    body_bytes: int = 4 * MIB
+    header_bytes: int = 32 * 1024
+    streams: int = 4000
+    request_s: float = 600.0
+    connect_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouterSettings:
+    """Checked settings of one router.
+
+    Parameters
+    ----------
+    callers_address, peers_address, store_address : str
+        ``IP:PORT``.
+    peers : tuple of str
+        Addresses of other routers to join, ``IP:PORT``.
+    hosts_url : str
+        Where the host list is read; empty when there is none.
+    stop_wait_s : float
+        Time between "not ready" and the end of listening, seconds.
+    stop_streams_s : float
+        Longest wait for streams in progress at a planned stop, seconds.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    callers_address: str
+    peers_address: str
+    store_address: str
+    peers: tuple[str, ...] = ()
+    hosts_url: str = ""
+    peer_key: str = ""
+    stop_wait_s: float = 2.0
+    stop_streams_s: float = 3600.0
+    limits: Limits = Limits()
+
+
+def load_settings(path: Path) -> RouterSettings:
+    """Read a settings file.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or a value in it is wrong.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as cause:
+        raise SettingsError(str(path), "-", "-", str(cause)) from cause
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, file: str) -> RouterSettings:
+    """Return the settings that INI text holds."""
+    parser = parse_ini(text, file)
+    readers = {}
+    for section in parser.sections():
+        readers[section] = SectionReader(file, section, parser[section], SettingsError)
+    for name in ("router", "platform", "peers", "limits"):
+        readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
+    settings = _read_settings(readers)
+    for reader in readers.values():
+        if not reader.seen:
+            raise reader.fail("-", "section is unknown")
+        reader.check_unknown()
+    return settings
+
+
+def _read_settings(readers: dict[str, SectionReader]) -> RouterSettings:
+    router = readers["router"]
+    platform = readers["platform"]
+    return RouterSettings(
+        host=HostId(router.read_text("host")),
+        failure_domain=FailureDomain(router.read_text("failure_domain")),
+        callers_address=router.read_address("callers_address"),
+        peers_address=router.read_address("peers_address"),
+        stop_wait_s=router.read_float("stop_wait_s", 2.0),
+        stop_streams_s=router.read_float("stop_streams_s", 3600.0),
+        store_address=platform.read_address("store_address"),
+        hosts_url=platform.read_text("hosts_url", ""),
+        peers=readers["peers"].read_list("addresses"),
+        peer_key=_read_key(readers["peers"]),
+        limits=_read_limits(readers["limits"]),
+    )
+
+
+def _read_key(reader: SectionReader) -> str:
+    file = reader.read_text("key_file", "")
+    if not file:
+        return ""
+    try:
+        return Path(file).read_text(encoding="utf-8").strip()
+    except OSError as cause:
+        raise reader.fail("key_file", str(cause)) from cause
+
+
+def _read_limits(reader: SectionReader) -> Limits:
+    usual = Limits()
+    return Limits(
+        body_bytes=reader.read_int("body_bytes", usual.body_bytes, low=1),
+        header_bytes=reader.read_int("header_bytes", usual.header_bytes, low=1),
+        streams=reader.read_int("streams", usual.streams, low=1),
+        request_s=reader.read_float("request_s", usual.request_s, low=0.1),
+        connect_s=reader.read_float("connect_s", usual.connect_s, low=0.01),
+    )
--- /dev/null
+++ b/primrosepier/traces.py
@@ -0,0 +1,118 @@
+"""Traces of requests in the Mooncake form, and a seeded generator of them."""
+
+import random
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from .errors import TraceError
+from .prompts import BLOCK_BYTES, BLOCK_TOKENS
+
+__all__ = [
+    "TraceRequest",
+    "format_trace",
+    "generate_trace",
+    "parse_trace",
+    "render_prompt",
+]
+
+ROOT_BLOCKS = 2
+GROUP_BLOCKS = 4
+GROUPS = 12
+ZIPF_EXPONENT = 1.1
+
+
+class TraceRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One line of a trace.
+
+    Parameters
+    ----------
+    timestamp : float
+        Milliseconds since the start.
+    input_length, output_length : int
+        Tokens.
+    hash_ids : tuple of int
+        One number for each block of 512 prompt tokens.
+    """
+
+    timestamp: float
+    input_length: int
+    output_length: int
+    hash_ids: tuple[int, ...]
+    workspace: str = ""
+    model: str = ""
+    priority: int = 0
+    repeatable: bool = True
+
+
+def parse_trace(lines: Iterable[str]) -> Iterator[TraceRequest]:
+    """Yield the requests of a trace.
+
+    Raises
+    ------
+    TraceError
+        A line is malformed; the message has its number.
+    """
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        try:
+            yield msgspec.json.decode(line, type=TraceRequest)
+        except msgspec.DecodeError as cause:
+            raise TraceError(f"line {number} is malformed: {cause}") from cause
+
+
+def format_trace(requests: Iterable[TraceRequest]) -> Iterator[str]:
+    """Yield the lines of a trace."""
+    for request in requests:
+        yield msgspec.json.encode(request).decode()
+
+
+def generate_trace(
+    seed: int, count: int, rate: float, workspaces: list[str], model: str
+) -> list[TraceRequest]:
+    """Return a seeded trace of nested prompts.
+
+    Parameters
+    ----------
+    seed : int
+    count : int
+        Requests.
+    rate : float
+        Requests a second.
+    workspaces : list of str
+    model : str
+    """
+    source = random.Random(seed)
+    weights = [1 / (rank + 1) ** ZIPF_EXPONENT for rank in range(GROUPS)]
+    now_ms = 0.0
+    requests = []
+    for number in range(count):
+        now_ms += source.expovariate(rate) * 1000
+        index = source.randrange(len(workspaces))
+        group = source.choices(range(GROUPS), weights)[0]
+        base = (index + 1) * 1_000_000
+        root = [base + block for block in range(ROOT_BLOCKS)]
+        nested = [base + 1000 * (group + 1) + block for block in range(GROUP_BLOCKS)]
+        ids = (*root, *nested, 100_000_000 + number)
+        requests.append(
+            TraceRequest(
+                timestamp=round(now_ms, 3),
+                input_length=len(ids) * BLOCK_TOKENS,
+                output_length=source.randint(8, 24),
+                hash_ids=ids,
+                workspace=workspaces[index],
+                model=model,
+            )
+        )
+    return requests
+
+
+def render_prompt(request: TraceRequest) -> str:
+    """Return a prompt text whose blocks repeat exactly where hash ids do."""
+    parts = []
+    for number in request.hash_ids:
+        word = f"block {number} "
+        repeated = word * (BLOCK_BYTES // len(word) + 1)
+        parts.append(repeated[:BLOCK_BYTES])
+    return "".join(parts)[: request.input_length * 4]
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,40 @@
+from pathlib import Path
+
+import pytest
+
+from primrosepier.configuration import (
+    decode_configuration,
+    encode_configuration,
+    load_configuration,
+    parse_configuration,
+)
+from primrosepier.errors import ConfigurationError
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+@pytest.mark.parametrize("name", ["keranvel", "registry"])
+def test_examples_are_valid(name):
+    found = load_configuration([EXAMPLES / name / f"{name}.ini"])
+    assert len(found.workspaces) == 8
+    assert decode_configuration(encode_configuration(found)) == found
+
+
+@pytest.mark.parametrize(
+    ("text", "key", "allowed"),
+    [
+        ("[model m]\nversion = 1\ncolour = red\n", "colour", "unknown"),
+        ("[model m]\n", "version", "missing"),
+        ("[workspace w]\nkey_sha256 = short\n", "key_sha256", "SHA-256"),
+        ("[endpoint e]\nservice = s\naddress = here\n", "address", "IP:PORT"),
+        ("[garden g]\n", "-", "sections are"),
+        ("[service s]\nkind = engine\nmodels = m\n", "models", "not a declared"),
+        ("no section", "-", "not valid INI"),
+    ],
+)
+def test_wrong_files_name_the_place(text, key, allowed):
+    with pytest.raises(ConfigurationError) as caught:
+        parse_configuration({"a.ini": text})
+    assert caught.value.file == "a.ini"
+    assert caught.value.key == key
+    assert allowed in caught.value.allowed
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,16 @@
+from primrosepier.placement import EndpointView, RulePlacement
+from primrosepier.prompts import CacheScope, make_prompt
+
+SCOPE = CacheScope("w", "m", "", "1")
+
+
+def test_same_prefix_goes_to_the_same_endpoint():
+    views = [EndpointView(f"e{n}", "d") for n in range(9)]
+    prompts = [make_prompt(SCOPE, "x" * 9000 + str(n) * 4000) for n in range(9)]
+    chosen = {RulePlacement().choose(p, views, 0.0).endpoint for p in prompts}
+    assert len(chosen) == 1
+
+
+def test_full_endpoints_are_passed_over():
+    views = [EndpointView("a", "d", outstanding=4, capacity=4)]
+    assert RulePlacement().choose(make_prompt(SCOPE, "x"), views, 0.0) is None
