--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -21,6 +21,7 @@
     LeaseLost,
     Put,
     Snapshot,
+    TransactOutcome,
     Unavailable,
     WatchEvent,
 )
@@ -29,6 +30,9 @@
 
 CALL_TIMEOUT_S = 2.0
 HTTP_OK = 200
+FINAL_STATUSES = frozenset({400, 401, 403, 404, 413, 429})
+ERROR_BYTES = 200
+LEASE_NOT_FOUND = "requested lease not found"
 
 NOT_SENT_ERRORS = (
     httpcore.ConnectError,
@@ -121,14 +125,20 @@
                     extensions={"timeout": limits},
                 )
                 if response.status != HTTP_OK:
-                    reason = f"status {response.status}"
-                    return Ambiguous(Step.HEADERS, self.address, reason)
+                    return self._classify(response)
                 return msgspec.json.decode(response.content, type=dict[str, Any])
         except NOT_SENT_ERRORS as error:
             return Unavailable(Step.CONNECT, self.address, repr(error))
         except (*LOST_ERRORS, TimeoutError) as error:
             return Ambiguous(Step.HEADERS, self.address, repr(error))
 
+    def _classify(self, response: httpcore.Response) -> Ambiguous | Unavailable:
+        text = response.content[:ERROR_BYTES].decode("utf-8", "replace")
+        reason = f"status {response.status}: {text}"
+        if response.status in FINAL_STATUSES:
+            return Unavailable(Step.HEADERS, self.address, reason)
+        return Ambiguous(Step.HEADERS, self.address, reason)
+
     async def read(self, prefix: str) -> Snapshot | Unavailable:
         """Return the items whose keys start with a prefix."""
         body = {
@@ -145,7 +155,7 @@
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
-    ) -> Applied | Conflict | Ambiguous | Unavailable:
+    ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
         ranges = [{"request_range": {"key": encode_bytes(c.key)}} for c in compares]
         body = {
@@ -154,6 +164,8 @@
             "failure": ranges,
         }
         answer = await self._call("/v3/kv/txn", body)
+        if isinstance(answer, Unavailable) and LEASE_NOT_FOUND in answer.reason:
+            return LeaseLost(next(put.lease for put in puts if put.lease))
         if isinstance(answer, Ambiguous | Unavailable):
             return answer
         if answer.get("succeeded"):
--- a/primrosepier/revisions.py
+++ b/primrosepier/revisions.py
@@ -66,4 +66,5 @@
         return ApplyOutcome(ApplyResult.CONFLICT, outcome.revision, reason)
     if isinstance(outcome, Ambiguous):
         return ApplyOutcome(ApplyResult.UNKNOWN, last, outcome.reason)
-    return ApplyOutcome(ApplyResult.UNAVAILABLE, last, outcome.reason)
+    reason = getattr(outcome, "reason", "the lease is lost")
+    return ApplyOutcome(ApplyResult.UNAVAILABLE, last, reason)
--- a/primrosepier/standin_store.py
+++ b/primrosepier/standin_store.py
@@ -20,7 +20,16 @@
 from .errors import RequestError
 from .etcd import encode_bytes
 from .ids import Revision
-from .store import Applied, Compare, Item, MemoryStore, Put, WatchEvent
+from .store import (
+    Applied,
+    Compare,
+    Item,
+    LeaseLost,
+    MemoryStore,
+    Put,
+    TransactOutcome,
+    WatchEvent,
+)
 
 __all__ = ["StoreFaults", "StoreStandin"]
 
@@ -140,13 +149,19 @@
 
     def answer_put(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer a put call."""
-        self.store.commit([], [self._decode_put(body)])
+        self._check(self.store.commit([], [self._decode_put(body)]))
         return {"header": self.make_header()}
 
     def _decode_put(self, body: dict[str, Any]) -> Put:
         value = base64.b64decode(body.get("value", ""))
         return Put(_decode(body.get("key")), value, int(body.get("lease", 0)))
 
+    def _check(self, outcome: TransactOutcome) -> TransactOutcome:
+        if isinstance(outcome, LeaseLost):
+            text = "etcdserver: requested lease not found"
+            raise RequestError(404, "not_found", text)
+        return outcome
+
     def answer_delete(self, body: dict[str, Any]) -> dict[str, Any]:
         """Answer a delete call."""
         items = self.select(body)
@@ -166,7 +181,7 @@
             elif "request_delete_range" in entry:
                 items = self.select(entry["request_delete_range"])
                 puts.extend(Put(item.key, None) for item in items)
-        outcome = self.store.commit(compares, puts)
+        outcome = self._check(self.store.commit(compares, puts))
         succeeded = isinstance(outcome, Applied)
         branch = body.get("success" if succeeded else "failure", [])
         responses = [
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -21,6 +21,7 @@
     "Put",
     "Snapshot",
     "Store",
+    "TransactOutcome",
     "Unavailable",
     "WatchEvent",
 ]
@@ -109,6 +110,9 @@
     lease: int
 
 
+TransactOutcome = Applied | Conflict | Ambiguous | LeaseLost | Unavailable
+
+
 @dataclass(frozen=True, slots=True)
 class WatchEvent:
     """Changes below a prefix that became visible together.
@@ -133,7 +137,7 @@
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
-    ) -> Applied | Conflict | Ambiguous | Unavailable:
+    ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
 
     def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
@@ -170,14 +174,17 @@
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
-    ) -> Applied | Conflict | Ambiguous | Unavailable:
+    ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
         return self.commit(compares, puts)
 
     def commit(
         self, compares: Sequence[Compare], puts: Sequence[Put]
-    ) -> Applied | Conflict:
+    ) -> Applied | Conflict | LeaseLost:
         """Write all or nothing at once."""
+        for put in puts:
+            if put.lease and put.lease not in self.leases:
+                return LeaseLost(put.lease)
         if not all(self._holds(compare) for compare in compares):
             keys = [c.key for c in compares if c.key in self.items]
             return Conflict(self.revision, {key: self.items[key] for key in keys})
