Split the attempt from the dispatcher

Cause: admission, retries and the attempt itself grew in one module, so that changes to one touched the others. Change: attempt.py runs one attempt against one endpoint and keeps what the caller has got (Delivery); requests.py holds the checked request; an interrupted outcome says whether another endpoint may go on.

--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -20,10 +20,11 @@
 )
 from .board import Board
 from .configuration import Configuration, Workspace, find_workspace
-from .dispatch import Dispatcher, ModelRequest, build_prompt
+from .dispatch import Dispatcher
 from .errors import RequestError
 from .ids import ModelId, RequestId, make_request_id
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
+from .requests import ModelRequest, build_prompt
 from .settings import Limits
 
 __all__ = ["CallersApp", "make_error_body"]
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -4,69 +4,21 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import Any
 
-import msgspec
-
-from .asgi import Send, send_bytes, start_response
+from .asgi import Send
+from .attempt import Attempts, Delivery, can_continue, make_delivery
 from .board import Board
-from .configuration import Configuration, Endpoint, Model, Service, Workspace
-from .engines import (
-    CONNECT_ERRORS,
-    RELAY_ERRORS,
-    EndpointCall,
-    EndpointClient,
-    EndpointResponse,
-    classify_error,
-)
-from .ids import AdapterId, EndpointId, RequestId, make_attempt_id
+from .configuration import Configuration, Endpoint, Service
+from .ids import EndpointId
 from .loads import EndpointLoad
-from .outcomes import Completed, NotRun, Outcome, Refused, Step, UnknownOutcome
+from .outcomes import Completed, NotRun, Outcome, Step
 from .placement import Decision, EndpointView, Feedback, Placement
-from .prompts import CacheScope, Prompt, make_prompt, render_messages
-from .relay import Tail, relay_stream
+from .requests import ModelRequest
 from .settings import Limits
 
-__all__ = ["Dispatcher", "ModelRequest", "build_prompt"]
+__all__ = ["Dispatcher"]
 
 MAX_ATTEMPTS = 3
-HTTP_OK = 200
-HTTP_TOO_MANY = 429
-HTTP_UNAVAILABLE = 503
-EVENT_STREAM = ("content-type", "text/event-stream")
-
-
-@dataclass(frozen=True, slots=True)
-class ModelRequest:
-    """A checked request of a caller.
-
-    Parameters
-    ----------
-    path : str
-        Path of the API that was called.
-    body : dict
-        The JSON body.
-    streamed : bool
-        Whether the answer is an event stream.
-    """
-
-    id: RequestId
-    workspace: Workspace
-    model: Model
-    service: Service
-    path: str
-    body: dict[str, Any]
-    streamed: bool
-    prompt: Prompt
-
-
-def build_prompt(workspace: Workspace, model: Model, body: dict[str, Any]) -> Prompt:
-    """Return the prompt that a request's body holds."""
-    adapter = AdapterId(str(body.get("adapter", "")))
-    scope = CacheScope(workspace.id, model.id, adapter, model.version)
-    messages = body.get("messages")
-    text = render_messages(messages) if messages else str(body.get("prompt", ""))
-    return make_prompt(scope, text)
 
 
 @dataclass(slots=True)
@@ -76,13 +28,13 @@
     Parameters
     ----------
     board : Board
-    client : EndpointClient
+    attempts : Attempts
     placement : Placement
     limits : Limits
     """
 
     board: Board
-    client: EndpointClient
+    attempts: Attempts
     placement: Placement
     limits: Limits
     outstanding: Counter[EndpointId] = field(default_factory=Counter)
@@ -97,6 +49,7 @@
         Outcome
             ``NotRun`` and ``UnknownOutcome`` have sent nothing to the caller.
         """
+        delivery = make_delivery(request, send)
         tried: set[EndpointId] = set()
         outcome: Outcome = NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
         for _ in range(MAX_ATTEMPTS):
@@ -104,8 +57,8 @@
             if decision is None:
                 return outcome
             tried.add(decision.endpoint)
-            outcome = await self._attempt(request, decision, send)
-            if not isinstance(outcome, NotRun):
+            outcome = await self._attempt(request, decision, delivery)
+            if not isinstance(outcome, NotRun) and not can_continue(outcome):
                 self._observe(request, decision, outcome, now_s)
                 return outcome
         return outcome
@@ -171,65 +124,11 @@
             self.outstanding[endpoint] -= 1
 
     async def _attempt(
-        self, request: ModelRequest, decision: Decision, send: Send
+        self, request: ModelRequest, decision: Decision, delivery: Delivery
     ) -> Outcome:
         configuration = self.board.configuration.value
         if configuration is None or decision.endpoint not in configuration.endpoints:
             return NotRun(Step.PLACE, decision.endpoint, "the endpoint is gone")
         endpoint = configuration.endpoints[decision.endpoint]
-        call = self._make_call(request, endpoint)
         with self._count(endpoint.id):
-            try:
-                async with self.client.open(call) as response:
-                    return await self._relay(request, endpoint, response, send)
-            except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
-                return classify_error(error, endpoint.id)
-
-    def _make_call(self, request: ModelRequest, endpoint: Endpoint) -> EndpointCall:
-        body = dict(request.body)
-        body["cache_salt"] = request.workspace.id
-        if request.streamed:
-            body["stream_options"] = {"include_usage": True}
-        headers = (
-            ("content-type", "application/json"),
-            ("x-request-id", request.id),
-            ("x-attempt-id", make_attempt_id()),
-        )
-        return EndpointCall(
-            address=endpoint.address,
-            method="POST",
-            path=request.path,
-            headers=headers,
-            body=msgspec.json.encode(body),
-            connect_s=self.limits.connect_s,
-            request_s=self.limits.request_s,
-        )
-
-    async def _relay(
-        self,
-        request: ModelRequest,
-        endpoint: Endpoint,
-        response: EndpointResponse,
-        send: Send,
-    ) -> Outcome:
-        if response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
-            reason = f"the endpoint refused with status {response.status}"
-            return NotRun(Step.HEADERS, endpoint.id, reason, retry_after_s=1.0)
-        identity = ("x-request-id", request.id)
-        if request.streamed and response.status == HTTP_OK:
-            await start_response(send, HTTP_OK, [EVENT_STREAM, identity])
-            return await relay_stream(response, send, endpoint.id)
-        parts = [part async for part in response.aiter_stream()]
-        data = b"".join(parts)
-        if response.status != HTTP_OK:
-            return Refused(Step.HEADERS, endpoint.id, response.status, data)
-        tail = Tail()
-        tail.add(data)
-        try:
-            msgspec.json.decode(data)
-        except msgspec.DecodeError:
-            return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is not JSON")
-        await send_bytes(
-            send, HTTP_OK, data, [("content-type", "application/json"), identity]
-        )
-        return Completed(Step.RELAY, endpoint.id, tail.read_cached_tokens())
+            return await self.attempts.run(request, endpoint, delivery)
--- a/primrosepier/outcomes.py
+++ b/primrosepier/outcomes.py
@@ -85,11 +85,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Interrupted:
-    """The answer began and ended without its end marker."""
+    """The answer began and ended without its end marker.
+
+    Parameters
+    ----------
+    resumable : bool
+        Another endpoint may go on after what the caller has got.
+    """
 
     step: Step
     peer: str
     reason: str
+    resumable: bool = False
 
 
 Outcome = Completed | NotRun | Refused | UnknownOutcome | Interrupted
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -8,6 +8,7 @@
 import anyio
 
 from .asgi import open_server
+from .attempt import Attempts
 from .board import Board, SectionWriter, make_board
 from .callers import CallersApp
 from .configuration import Configuration
@@ -80,7 +81,8 @@
     board = make_board()
     store = make_etcd_store(settings.store_address)
     client = make_endpoint_client()
-    dispatcher = Dispatcher(board, client, make_placement(), settings.limits)
+    attempts = Attempts(client, settings.limits)
+    dispatcher = Dispatcher(board, attempts, make_placement(), settings.limits)
     app = CallersApp(board, dispatcher, settings.limits)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(store, writer)
