Look at one connection, not at all, for each request to an endpoint

Cause: a profile of the demo showed that httpcore's pool asks every connection whether it is idle, for every connection, at every request's start and end: 1.0 million calls for 300 requests. Reads through anyio's sockets add and remove the reader in the selector each time.

--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import anyio
 import httpcore
 
 from .outcomes import NotRun, Step, UnknownOutcome
+from .transport import TcpBackend
 
 __all__ = [
     "CONNECT_ERRORS",
@@ -32,8 +34,7 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-MAX_CONNECTIONS = 8192
-KEEPALIVE_CONNECTIONS = 512
+IDLE_CONNECTIONS = 64
 KEEPALIVE_S = 20.0
 
 
@@ -70,14 +71,16 @@
 
 
 class HttpEndpointClient:
-    """Pooled HTTP connections to endpoints."""
+    """HTTP connections to endpoints, kept open and used again.
+
+    A pool of httpcore looks at every connection for every request, so its cost
+    grows with the square of the open streams; here each address has a list of
+    idle connections of its own.
+    """
 
     def __init__(self) -> None:
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=KEEPALIVE_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_S,
-        )
+        self.idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        self.backend = TcpBackend()
 
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[EndpointResponse]:
@@ -88,18 +91,52 @@
             "read": call.request_s,
             "write": call.request_s,
         }
-        async with self.pool.stream(
-            call.method,
-            f"http://{call.address}{call.path}",
-            headers=list(call.headers),
-            content=call.body,
-            extensions={"timeout": timeout},
-        ) as response:
-            yield response
+        connection = self._take(call.address) or self._connect(call.address)
+        try:
+            async with connection.stream(
+                call.method,
+                f"http://{call.address}{call.path}",
+                headers=list(call.headers),
+                content=call.body,
+                extensions={"timeout": timeout},
+            ) as response:
+                yield response
+        finally:
+            await self._give_back(call.address, connection)
+
+    def _take(self, address: str) -> httpcore.AsyncHTTPConnection | None:
+        idle = self.idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_available() and not connection.has_expired():
+                return connection
+        return None
+
+    def _connect(self, address: str) -> httpcore.AsyncHTTPConnection:
+        host, _, port = address.rpartition(":")
+        return httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b"http", host.encode("ascii"), int(port)),
+            keepalive_expiry=KEEPALIVE_S,
+            network_backend=self.backend,
+        )
+
+    async def _give_back(
+        self, address: str, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        idle = self.idle.setdefault(address, [])
+        reusable = connection.is_available() and not connection.is_closed()
+        if reusable and len(idle) < IDLE_CONNECTIONS:
+            idle.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self.pool.aclose()
+        """Close all idle connections."""
+        for idle in self.idle.values():
+            for connection in idle:
+                await connection.aclose()
+        self.idle.clear()
 
 
 def classify_error(error: Exception, peer: str) -> NotRun | UnknownOutcome:
--- a/primrosepier/replay.py
+++ b/primrosepier/replay.py
@@ -5,19 +5,35 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from urllib.parse import urlsplit
 
 import anyio
-import httpcore
 import msgspec
 
+from .engines import (
+    CONNECT_ERRORS,
+    RELAY_ERRORS,
+    EndpointCall,
+    EndpointClient,
+    make_endpoint_client,
+)
+from .errors import TraceError
 from .relay import Tail
 from .standin_engine import make_answer
 from .traces import TraceRequest, render_prompt
 
-__all__ = ["ReplayReport", "Sample", "replay_trace", "summarize_samples"]
+__all__ = [
+    "ReplayReport",
+    "Sample",
+    "parse_address",
+    "replay_trace",
+    "summarize_samples",
+]
 
 TEXT = re.compile(rb'"text":"([^"]*)"')
 HTTP_OK = 200
+CONNECT_S = 5.0
+REQUEST_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,42 +68,54 @@
 
     urls: Sequence[str]
     keys: Mapping[str, str]
+    model: str
     check: bool
-    pool: httpcore.AsyncConnectionPool
+    client: EndpointClient
     on_sample: Callable[[int], None]
     samples: list[Sample] = field(default_factory=list)
 
     async def send(self, number: int, request: TraceRequest) -> None:
         """Send one request and keep its sample."""
         text = render_prompt(request)
-        body = {
-            "model": request.model,
-            "prompt": text,
-            "max_tokens": request.output_length,
-            "stream": True,
-            "stream_options": {"include_usage": True},
-        }
-        key = self.keys.get(request.workspace) or next(iter(self.keys.values()))
+        call = self._make_call(self.urls[number % len(self.urls)], request, text)
         started = time.monotonic()
         first = math.nan
         status = 0
         parts = []
         try:
-            async with self.pool.stream(
-                "POST",
-                self.urls[number % len(self.urls)] + "/v1/completions",
-                headers={"Authorization": f"Bearer {key}"},
-                content=msgspec.json.encode(body),
-            ) as response:
+            async with self.client.open(call) as response:
                 status = response.status
                 async for chunk in response.aiter_stream():
                     if math.isnan(first):
                         first = time.monotonic() - started
                     parts.append(chunk)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+        except (*CONNECT_ERRORS, *RELAY_ERRORS):
             pass
         self.keep(request, text, status, first, b"".join(parts))
 
+    def _make_call(self, url: str, request: TraceRequest, text: str) -> EndpointCall:
+        body = {
+            "model": request.model or self.model,
+            "prompt": text,
+            "max_tokens": request.output_length,
+            "priority": request.priority,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        key = self.keys.get(request.workspace) or next(iter(self.keys.values()))
+        return EndpointCall(
+            address=parse_address(url),
+            method="POST",
+            path="/v1/completions",
+            headers=(
+                ("authorization", f"Bearer {key}"),
+                ("content-type", "application/json"),
+            ),
+            body=msgspec.json.encode(body),
+            connect_s=CONNECT_S,
+            request_s=REQUEST_S,
+        )
+
     def keep(
         self, request: TraceRequest, text: str, status: int, first: float, data: bytes
     ) -> None:
@@ -116,6 +144,7 @@
     keys: Mapping[str, str],
     check: bool = False,
     on_sample: Callable[[int], None] = lambda count: None,
+    model: str = "",
 ) -> ReplayReport:
     """Send a trace in its own time and report the measures.
 
@@ -129,18 +158,35 @@
         Compare each answer with the engine stand-in's.
     on_sample : callable
         Called with the number of requests that are done.
+    model : str
+        Model of requests that name none.
     """
-    async with httpcore.AsyncConnectionPool(max_connections=4096) as pool:
-        replay = Replay(urls, keys, check, pool, on_sample)
-        started = time.monotonic()
-        async with anyio.create_task_group() as group:
-            for number, request in enumerate(requests):
-                due = started + request.timestamp / 1000
-                await anyio.sleep(max(0.0, due - time.monotonic()))
-                group.start_soon(replay.send, number, request)
+    client = make_endpoint_client()
+    replay = Replay(urls, keys, model, check, client, on_sample)
+    started = time.monotonic()
+    async with anyio.create_task_group() as group:
+        for number, request in enumerate(requests):
+            due = started + request.timestamp / 1000
+            await anyio.sleep(max(0.0, due - time.monotonic()))
+            group.start_soon(replay.send, number, request)
+    await client.close()
     return summarize_samples(replay.samples)
 
 
+def parse_address(url: str) -> str:
+    """Return the ``IP:PORT`` of a base address.
+
+    Raises
+    ------
+    TraceError
+        The address is not of the form ``http://IP:PORT``.
+    """
+    parts = urlsplit(url)
+    if parts.scheme != "http" or not parts.port or parts.path not in ("", "/"):
+        raise TraceError(f"{url!r} is not of the form http://IP:PORT")
+    return parts.netloc
+
+
 def summarize_samples(samples: Sequence[Sample]) -> ReplayReport:
     """Return the measures over samples."""
     complete = [sample for sample in samples if sample.complete]
--- /dev/null
+++ b/primrosepier/transport.py
@@ -0,0 +1,156 @@
+"""TCP streams for httpcore that cost little for each read."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+import httpcore
+
+__all__ = ["TcpBackend", "TcpStream"]
+
+HIGH_WATER_BYTES = 256 * 1024
+
+
+class _Buffer(asyncio.Protocol):
+    """Received bytes that nobody has read yet."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parts = bytearray()
+        self.ended = False
+        self.error: Exception | None = None
+        self.paused = False
+        self.readable: asyncio.Future[None] | None = None
+        self.writable: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        self.parts += data
+        if len(self.parts) > HIGH_WATER_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+            self.paused = True
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        self.ended = True
+        self._wake_reader()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+        self.error = self.error or exc
+        self._wake_reader()
+        self.resume_writing()
+
+    def resume_writing(self) -> None:
+        waiter, self.writable = self.writable, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def pause_writing(self) -> None:
+        if self.writable is None:
+            self.writable = asyncio.get_running_loop().create_future()
+
+    def _wake_reader(self) -> None:
+        if self.readable is not None and not self.readable.done():
+            self.readable.set_result(None)
+
+    async def wait(self, timeout_s: float | None) -> None:
+        """Return when there is something to read, or the stream ended."""
+        loop = asyncio.get_running_loop()
+        waiter = self.readable = loop.create_future()
+        timer = None
+        if timeout_s is not None:
+            timer = loop.call_later(timeout_s, _fail_waiter, waiter)
+        try:
+            await waiter
+        finally:
+            self.readable = None
+            if timer is not None:
+                timer.cancel()
+
+    def take(self, max_bytes: int) -> bytes:
+        """Remove and return what was received."""
+        data = bytes(self.parts[:max_bytes])
+        del self.parts[:max_bytes]
+        if self.paused and not self.parts and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+        return data
+
+
+def _fail_waiter(waiter: "asyncio.Future[None]") -> None:
+    if not waiter.done():
+        waiter.set_exception(httpcore.ReadTimeout("no byte in time"))
+
+
+class TcpStream(httpcore.AsyncNetworkStream):
+    """One TCP connection over an asyncio transport."""
+
+    def __init__(self, buffer: _Buffer):
+        self.buffer = buffer
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return bytes as soon as there are any; none at the end."""
+        buffer = self.buffer
+        if not buffer.parts and not buffer.ended:
+            await buffer.wait(timeout)
+        if not buffer.parts and buffer.error is not None:
+            raise httpcore.ReadError(repr(buffer.error))
+        return buffer.take(max_bytes)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes, waiting while the peer reads too slowly."""
+        state = self.buffer
+        if state.transport is None or state.transport.is_closing():
+            raise httpcore.WriteError("the connection is closed")
+        if not buffer:
+            return
+        state.transport.write(buffer)
+        if state.writable is not None:
+            try:
+                await asyncio.wait_for(asyncio.shield(state.writable), timeout)
+            except TimeoutError as cause:
+                raise httpcore.WriteTimeout("the peer does not read") from cause
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        if self.buffer.transport is not None:
+            self.buffer.transport.abort()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return whether an idle connection was closed by its peer."""
+        if info == "is_readable":
+            return self.buffer.ended or bool(self.buffer.parts)
+        if info == "socket" and self.buffer.transport is not None:
+            return self.buffer.transport.get_extra_info("socket")
+        return None
+
+
+class TcpBackend(httpcore.AsyncNetworkBackend):
+    """Opens TCP connections."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Return a new connection."""
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_connection(_Buffer, host, port)
+        try:
+            _, buffer = await asyncio.wait_for(connecting, timeout)
+        except TimeoutError as cause:
+            raise httpcore.ConnectTimeout(f"{host}:{port}") from cause
+        except OSError as cause:
+            raise httpcore.ConnectError(str(cause)) from cause
+        return TcpStream(buffer)
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait."""
+        await asyncio.sleep(seconds)
