Complete the stand-ins of engines, plain services, hosts, weights and KV cache

Cause: the engine's stand-in knew neither priorities, resume, orders, cache events nor crashes, and plain services, the host list, the weight store and the services that keep KV cache had no stand-in, so that no promise could be tested on them. Change: standin_engine with standin_cache, standin_batch, standin_orders, standin_answers and standin_control; standin_plain, standin_hosts, standin_weights and standin_kvcache; a command for each. The modules' docstrings hold the calls.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -16,6 +16,7 @@
     "Receive",
     "Scope",
     "Send",
+    "abort_connection",
     "find_header",
     "open_server",
     "read_body",
@@ -113,6 +114,20 @@
     await send_bytes(send, status, msgspec.json.encode(value), [JSON_TYPE, *headers])
 
 
+def abort_connection(send: Send) -> None:
+    """Cut the caller's connection as a crash of this process would.
+
+    Parameters
+    ----------
+    send : callable
+        As uvicorn gave it to the app.
+    """
+    cycle = getattr(send, "__self__", None)
+    transport = getattr(cycle, "transport", None)
+    if transport is not None:
+        transport.abort()
+
+
 class _EmbeddedServer(uvicorn.Server):
     """A server that leaves the process's signals alone."""
 
@@ -140,7 +155,7 @@
         app,
         host=host,
         port=int(port),
-        log_level="error",
+        log_level="critical",
         access_log=False,
         lifespan="off",
         loop="asyncio",
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -5,7 +5,14 @@
 from . import __version__
 from .commands_demo import DemoCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
-from .commands_standin import StandinEngineCommand, StandinStoreCommand
+from .commands_standin import (
+    StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
+    StandinStoreCommand,
+    StandinWeightsCommand,
+)
 
 __all__ = ["main", "make_application"]
 
@@ -15,7 +22,11 @@
     DemoCommand,
     RouterCommand,
     StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
     StandinStoreCommand,
+    StandinWeightsCommand,
 )
 
 
--- a/primrosepier/commands_standin.py
+++ b/primrosepier/commands_standin.py
@@ -2,15 +2,29 @@
 
 import anyio
 from cleo.commands.command import Command
-from cleo.helpers import option
+from cleo.helpers import argument, option
 
 from .asgi import App, open_server
-from .standin_engine import EngineStandin
+from .standin_engine import EngineRates, make_engine_standin
+from .standin_hosts import HostEntry, HostsStandin
+from .standin_kvcache import KvCacheStandin
+from .standin_plain import PlainStandin
 from .standin_store import StoreStandin
+from .standin_weights import ByteBudget, WeightsStandin
 
-__all__ = ["StandinEngineCommand", "StandinStoreCommand"]
+__all__ = [
+    "StandinEngineCommand",
+    "StandinHostsCommand",
+    "StandinKvCacheCommand",
+    "StandinServiceCommand",
+    "StandinStoreCommand",
+    "StandinWeightsCommand",
+]
 
-ADDRESS = option("address", None, "IP:PORT to listen on.", flag=False)
+ADDRESS = option(
+    "address", None, "IP:PORT to listen on.", flag=False, default="127.0.0.1:0"
+)
+MIB = 1024 * 1024
 
 
 async def _serve(app: App, address: str) -> None:
@@ -19,27 +33,135 @@
         await anyio.sleep_forever()
 
 
-class StandinEngineCommand(Command):
-    """Run a model engine's stand-in."""
+class _StandinCommand(Command):
+    """Runs an app until it is stopped; prints its address."""
 
-    name = "standin engine"
-    description = "Run a model engine's stand-in."
     options = [ADDRESS]
 
+    def make_app(self) -> App:
+        """Return the app."""
+        raise NotImplementedError
+
     def handle(self) -> int:
         """Run the command."""
-        anyio.run(_serve, EngineStandin(), self.option("address") or "127.0.0.1:0")
+        try:
+            app = self.make_app()
+        except ValueError as error:
+            self.line_error(f"wrong option: {error}")
+            return 1
+        try:
+            anyio.run(_serve, app, self.option("address"))
+        except (OSError, ValueError) as error:
+            self.line_error(f"cannot listen on {self.option('address')}: {error}")
+            return 1
+        except KeyboardInterrupt:
+            return 0
         return 0
 
 
-class StandinStoreCommand(Command):
+class StandinEngineCommand(_StandinCommand):
+    """Run a model engine's stand-in."""
+
+    name = "standin engine"
+    description = "Run a model engine's stand-in."
+    options = [
+        ADDRESS,
+        option("token-ms", None, "Time between tokens.", flag=False, default="2"),
+        option("slots", None, "Requests in the batch.", flag=False, default="32"),
+        option("blocks", None, "Blocks in the cache.", flag=False, default="256"),
+        option("load-ms", None, "Time to load weights.", flag=False, default="1000"),
+        option("lag-ms", None, "Age of the reported load.", flag=False, default="0"),
+        option("event-loss", None, "Share of lost events.", flag=False, default="0"),
+        option("no-fencing", None, "Take orders with old fencing numbers."),
+        option("no-resume", None, "Refuse to go on after other output."),
+        option("no-priorities", None, "Serve in the order of arrival."),
+    ]
+
+    def make_app(self) -> App:
+        """Return an engine with an empty cache."""
+        rates = EngineRates(
+            token_s=float(self.option("token-ms")) / 1000,
+            slots=int(self.option("slots")),
+            cache_blocks=int(self.option("blocks")),
+            load_s=float(self.option("load-ms")) / 1000,
+            load_lag_s=float(self.option("lag-ms")) / 1000,
+        )
+        return make_engine_standin(
+            rates,
+            fencing=not self.option("no-fencing"),
+            priorities=not self.option("no-priorities"),
+            resume=not self.option("no-resume"),
+            event_loss=float(self.option("event-loss")),
+        )
+
+
+class StandinServiceCommand(_StandinCommand):
+    """Run a plain service's stand-in."""
+
+    name = "standin service"
+    description = "Run a plain service's stand-in."
+
+    def make_app(self) -> App:
+        """Return a service that has run nothing."""
+        return PlainStandin()
+
+
+class StandinStoreCommand(_StandinCommand):
     """Run a key-value service's stand-in."""
 
     name = "standin store"
     description = "Run a key-value service's stand-in."
-    options = [ADDRESS]
 
-    def handle(self) -> int:
-        """Run the command."""
-        anyio.run(_serve, StoreStandin(), self.option("address") or "127.0.0.1:0")
-        return 0
+    def make_app(self) -> App:
+        """Return an empty store."""
+        return StoreStandin()
+
+
+class StandinHostsCommand(_StandinCommand):
+    """Run a host list's stand-in."""
+
+    name = "standin hosts"
+    description = "Run a host list's stand-in."
+    arguments = [
+        argument("hosts", "NAME=IP:PORT@FAILURE_DOMAIN", optional=True, multiple=True)
+    ]
+
+    def make_app(self) -> App:
+        """Return a list of the hosts that are given."""
+        app = HostsStandin()
+        for text in self.argument("hosts") or []:
+            name, _, rest = text.partition("=")
+            address, separator, domain = rest.partition("@")
+            if not name or not address or not separator:
+                raise ValueError(f"{text!r} is not NAME=IP:PORT@FAILURE_DOMAIN")
+            app.set_host(HostEntry(name, address, domain))
+        return app
+
+
+class StandinWeightsCommand(_StandinCommand):
+    """Run a weight store's stand-in."""
+
+    name = "standin weights"
+    description = "Run a weight store's stand-in."
+    options = [
+        ADDRESS,
+        option("rate-mib", None, "MiB a second.", flag=False, default="64"),
+        option("size-mib", None, "MiB of each file.", flag=False, default="8"),
+    ]
+
+    def make_app(self) -> App:
+        """Return a store with its rate."""
+        rate = float(self.option("rate-mib")) * MIB
+        size = int(float(self.option("size-mib")) * MIB)
+        return WeightsStandin(size, ByteBudget(rate))
+
+
+class StandinKvCacheCommand(_StandinCommand):
+    """Run the stand-in of a service that keeps KV cache."""
+
+    name = "standin kvcache"
+    description = "Run the stand-in of a service that keeps KV cache."
+
+    def make_app(self) -> App:
+        """Return an empty cache."""
+        return KvCacheStandin()
--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -22,7 +22,7 @@
 from .revisions import ApplyResult, apply_configuration
 from .router import Router, open_router
 from .settings import RouterSettings
-from .standin_engine import EngineStandin
+from .standin_engine import EngineRates, EngineStandin, make_engine_standin
 from .standin_store import StoreStandin
 from .traces import generate_trace
 
@@ -32,6 +32,7 @@
 DEMO_REQUESTS = 600
 DEMO_RATE_PER_S = 80.0
 READY_POLL_S = 0.01
+DEMO_RATES = EngineRates(flush_s=0.01)
 LOOPBACK = "127.0.0.1:0"
 
 
@@ -99,7 +100,7 @@
         kind = declared.services[endpoint.service].kind
         if kind is not ServiceKind.ENGINE:
             continue
-        engine = EngineStandin()
+        engine = make_engine_standin(DEMO_RATES)
         address = await stack.enter_async_context(open_server(engine, LOOPBACK))
         engines[endpoint.id] = engine
         endpoints[endpoint.id] = replace(endpoint, address=address)
--- a/primrosepier/standin_engine.py
+++ b/primrosepier/standin_engine.py
@@ -1,18 +1,39 @@
-"""Stand-in of a model engine: batching, a prefix cache and token streams."""
+"""Stand-in of a model engine.
 
-import hashlib
-from collections import OrderedDict
-from collections.abc import AsyncIterator
+It speaks the OpenAI HTTP API on ``/v1/chat/completions`` and
+``/v1/completions``, and besides:
+
+- ``GET /metrics``: load as Prometheus text, reported with a lag.
+- ``GET /cache/events?after=N``: cache events of this incarnation after sequence
+  number N, late and with gaps, as ``{"incarnation", "version", "events"}``.
+- ``POST /kv/export`` with ``{"blocks": [...]}``: the leading blocks that are
+  cached, as ``{"incarnation", "version", "blocks"}``.
+- ``POST /kv/import`` with ``{"version", "blocks"}``: caches blocks; 409 for
+  another weights version.
+- ``POST /orders`` and ``GET /orders``: see ``standin_orders``.
+- ``POST /standin/crash`` with ``{"down_s"}``: crash, come back empty.
+
+Fields of a request's body besides OpenAI's: ``cache_salt`` and ``adapter`` are
+part of the cache's key; ``priority`` orders the queue, the lowest first;
+``resume`` with ``{"text", "tokens"}`` goes on after output that another engine
+gave already, and is refused with 400 by an engine that does not honour it. An
+engine that loads weights refuses requests with 503. ``x-attempt-id`` is echoed
+and names the answer. A prompt that holds ``CRASH-ENGINE`` crashes the engine.
+"""
+
+import random
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
-import msgspec
 
 from .asgi import (
     Receive,
     Scope,
     Send,
+    abort_connection,
+    find_header,
     read_json,
     send_bytes,
     send_chunk,
@@ -21,13 +42,30 @@
     wait_for_disconnect,
 )
 from .errors import RequestError
-from .ids import BlockHash
+from .ids import make_attempt_id
 from .prompts import BLOCK_TOKENS, count_tokens, hash_blocks, render_messages
+from .standin_answers import Answer, make_answer
+from .standin_batch import LoadHistory, PriorityLimiter
+from .standin_cache import BlockCache, CacheEvents
+from .standin_control import EngineControl, derive_seed
+from .standin_orders import Orders, OrderState
 
-__all__ = ["BlockCache", "EngineRates", "EngineStandin", "make_answer"]
+__all__ = [
+    "CRASH_MARKER",
+    "EngineCounts",
+    "EngineFaults",
+    "EngineRates",
+    "EngineStandin",
+    "make_answer",
+    "make_engine_standin",
+]
 
 BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_OUTPUT_TOKENS = 16
+MAX_OUTPUT_TOKENS = 100_000
+CRASH_MARKER = "CRASH-ENGINE"
+EVENT_STREAM = ("content-type", "text/event-stream")
+JSON_TYPE = ("content-type", "application/json")
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,178 +77,332 @@
     prefill_tokens_per_s : float
     token_s : float
         Time between output tokens, seconds.
-    slots : int
-        Requests in the batch.
+    flush_s : float
+        Tokens that are due within this time go out in one write, seconds.
+    slots, prefills : int
+        Requests in the batch, and prompts that are computed at once.
     cache_blocks : int
         Blocks of 512 tokens that the cache holds.
+    load_s : float
+        Time to load weights, seconds.
+    load_lag_s, event_lag_s : float
+        Age of the load and of the cache events that are published, seconds.
     """
 
     prefill_tokens_per_s: float = 200_000.0
     token_s: float = 0.002
+    flush_s: float = 0.0
     slots: int = 32
+    prefills: int = 4
     cache_blocks: int = 256
+    load_s: float = 1.0
+    load_lag_s: float = 0.0
+    event_lag_s: float = 0.05
 
 
-class BlockCache:
-    """Cached prompt blocks in limited memory, the least recently used evicted."""
+@dataclass(slots=True)
+class EngineFaults:
+    """Faults on demand; each number is of the next requests that show it.
 
-    def __init__(self, capacity: int):
-        self.capacity = capacity
-        self.blocks: OrderedDict[BlockHash, None] = OrderedDict()
+    Parameters
+    ----------
+    crash_after_tokens : int or None
+        Crash when the next stream has sent this many tokens.
+    cut_streams : int
+        End without the end marker.
+    crossed_events : int
+        Send an event of another answer in the stream.
+    crossed_answers : int
+        Answer with another attempt's id.
+    refuse : int
+        Refuse with 503 before running.
+    """
 
-    def count_cached(self, blocks: tuple[BlockHash, ...]) -> int:
-        """Return the number of leading blocks that are cached."""
-        for index, block in enumerate(blocks):
-            if block not in self.blocks:
-                return index
-        return len(blocks)
+    crash_after_tokens: int | None = None
+    cut_streams: int = 0
+    crossed_events: int = 0
+    crossed_answers: int = 0
+    refuse: int = 0
 
-    def add(self, blocks: tuple[BlockHash, ...]) -> None:
-        """Cache a chain of blocks, its root as the most recently used."""
-        for block in reversed(blocks):
-            self.blocks[block] = None
-            self.blocks.move_to_end(block)
-        while len(self.blocks) > self.capacity:
-            self.blocks.popitem(last=False)
+    def take(self, name: str) -> bool:
+        """Return whether a fault is due, and count it down."""
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return bool(left)
 
 
-def make_answer(text: str, tokens: int) -> list[str]:
-    """Return the output tokens that the stand-in gives for a prompt text."""
-    digest = hashlib.sha256(text.encode()).hexdigest()[:8]
-    return [f"{digest}-{index} " for index in range(tokens)]
+@dataclass(slots=True)
+class EngineCounts:
+    """What the engine did since it was made."""
+
+    started: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    resumed: int = 0
+    crashes: int = 0
+    sent_tokens: int = 0
 
 
 @dataclass(slots=True)
 class EngineStandin:
-    """ASGI app that answers as a model engine does."""
+    """ASGI app that answers as a model engine does.
 
-    rates: EngineRates = EngineRates()
-    cache: BlockCache = field(init=False)
-    slots: anyio.CapacityLimiter = field(init=False)
-    waiting: int = 0
+    Parameters
+    ----------
+    models : tuple of str
+        Models that it serves; empty for any.
+    """
 
-    def __post_init__(self) -> None:
-        self.cache = BlockCache(self.rates.cache_blocks)
-        self.slots = anyio.CapacityLimiter(self.rates.slots)
+    rates: EngineRates
+    cache: BlockCache
+    batch: PriorityLimiter
+    prefill: PriorityLimiter
+    orders: Orders
+    load: LoadHistory
+    models: tuple[str, ...] = ()
+    honours_resume: bool = True
+    faults: EngineFaults = field(default_factory=EngineFaults)
+    counts: EngineCounts = field(default_factory=EngineCounts)
+    down_until_s: float = 0.0
+    scopes: set[anyio.CancelScope] = field(default_factory=set)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call."""
+        if time.monotonic() < self.down_until_s:
+            abort_connection(send)
+            return
         path = scope["path"]
-        if path == "/metrics":
-            await send_bytes(send, 200, self.render_metrics())
-        elif path in ("/v1/chat/completions", "/v1/completions"):
-            await self._serve(path, receive, send)
-        else:
-            await send_json(send, 404, {"error": {"message": "unknown path"}})
-
-    def render_metrics(self) -> bytes:
-        """Return the load as Prometheus text."""
-        running = self.slots.borrowed_tokens
-        lines = [
-            f"num_requests_running {running}",
-            f"num_requests_waiting {self.waiting}",
-        ]
-        return ("\n".join(lines) + "\n").encode()
-
-    async def _serve(self, path: str, receive: Receive, send: Send) -> None:
         try:
-            body = await read_json(receive, BODY_BYTES)
+            if path in ("/v1/chat/completions", "/v1/completions"):
+                await self._serve(scope, receive, send)
+            else:
+                await EngineControl(self).answer(scope, receive, send)
         except RequestError as error:
-            await send_json(send, error.status, {"error": {"message": error.message}})
-            return
+            body = {"error": {"message": error.message, "code": error.code}}
+            await send_json(send, error.status, body)
+
+    def crash(self, down_s: float = 0.0) -> None:
+        """Lose the cache and all requests, and come back after a time."""
+        self.counts.crashes += 1
+        self.down_until_s = time.monotonic() + down_s
+        self.orders.state.incarnation = make_attempt_id()
+        self.orders.state.loading = ""
+        self.cache.clear()
+        self.cache.events.reset()
+        for scope in list(self.scopes):
+            scope.cancel()
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        body = await read_json(receive, BODY_BYTES)
+        self._check_body(body)
+        incarnation = self.orders.state.incarnation
 
         async def watch_caller() -> None:
             await wait_for_disconnect(receive)
             group.cancel_scope.cancel()
 
+        finished = False
+        refusal: RequestError | None = None
         async with anyio.create_task_group() as group:
-            group.start_soon(watch_caller)
-            await self._answer(path, body, send)
-            group.cancel_scope.cancel()
+            self.scopes.add(group.cancel_scope)
+            try:
+                group.start_soon(watch_caller)
+                await self._answer(scope, body, send)
+                finished = True
+            except RequestError as error:
+                refusal = error
+            finally:
+                self.scopes.discard(group.cancel_scope)
+                group.cancel_scope.cancel()
+        if refusal is not None:
+            raise refusal
+        if finished:
+            return
+        if incarnation != self.orders.state.incarnation:
+            abort_connection(send)
+        else:
+            self.counts.cancelled += 1
 
-    async def _answer(self, path: str, body: dict[str, Any], send: Send) -> None:
-        chat = path.endswith("/chat/completions")
+    async def _answer(self, scope: Scope, body: dict[str, Any], send: Send) -> None:
+        chat = scope["path"].endswith("/chat/completions")
         text = render_messages(body["messages"]) if chat else str(body["prompt"])
-        wanted = int(body.get("max_tokens") or DEFAULT_OUTPUT_TOKENS)
-        seed = int.from_bytes(
-            hashlib.sha256(str(body.get("cache_salt")).encode()).digest()[:8], "big"
-        )
-        blocks = hash_blocks(text, seed)
-        self.waiting += 1
-        try:
-            await self.slots.acquire()
-        finally:
-            self.waiting -= 1
-        try:
-            cached = self.cache.count_cached(blocks) * BLOCK_TOKENS
-            prompt_tokens = count_tokens(text)
-            uncached = prompt_tokens - cached
-            await anyio.sleep(uncached / self.rates.prefill_tokens_per_s)
-            self.cache.add(blocks)
-            usage = {
-                "prompt_tokens": prompt_tokens,
-                "completion_tokens": wanted,
-                "total_tokens": prompt_tokens + wanted,
-                "prompt_tokens_details": {"cached_tokens": cached},
-            }
-            tokens = make_answer(text, wanted)
+        self.counts.started += 1
+        if CRASH_MARKER in text:
+            self.crash()
+            await anyio.sleep_forever()
+        async with self._place(int(body.get("priority") or 0)):
+            cached = await self._prefill(body, text)
+            answer = self._make_answer(scope, body, text, cached)
+            start = self._find_start(body, answer)
             if body.get("stream"):
-                await self._stream(chat, body, tokens, usage, send)
+                await self._stream(body, answer, start, send)
             else:
-                await anyio.sleep(self.rates.token_s * wanted)
-                whole = self._make_whole(chat, body, tokens, usage)
-                await send_json(send, 200, whole)
-        finally:
-            self.slots.release()
-
-    def _make_whole(
-        self, chat: bool, body: dict[str, Any], tokens: list[str], usage: dict[str, Any]
-    ) -> dict[str, Any]:
-        text = "".join(tokens)
-        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
-        if chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        kind = "chat.completion" if chat else "text_completion"
-        return {
-            "id": "cmpl-standin",
-            "object": kind,
-            "created": 0,
-            "model": body.get("model"),
-            "choices": [choice],
-            "usage": usage,
-        }
+                await anyio.sleep(self.rates.token_s * len(answer.tokens))
+                await self._send_whole(answer, send)
+        self.counts.finished += 1
+
+    def _check_body(self, body: dict[str, Any]) -> None:
+        if self.faults.take("refuse") or self.orders.state.loading:
+            raise RequestError(503, "unavailable", "The engine takes no requests now.")
+        if self.models and body.get("model") not in self.models:
+            raise RequestError(404, "model_not_found", "The model is not loaded.")
+        adapter = body.get("adapter")
+        if adapter and adapter not in self.orders.state.adapters:
+            raise RequestError(404, "adapter_not_found", "The adapter is not loaded.")
+        if not body.get("messages") and body.get("prompt") is None:
+            raise RequestError(400, "invalid_request", "There is no prompt.")
+        if body.get("resume") and not self.honours_resume:
+            raise RequestError(400, "unknown_field", "resume is not supported.")
+
+    def _place(self, priority: int) -> "_Place":
+        return _Place(self, priority)
+
+    async def _prefill(self, body: dict[str, Any], text: str) -> int:
+        """Compute the prompt and return its cached tokens."""
+        resumed = body.get("resume") or {}
+        blocks = hash_blocks(text, derive_seed(body, self.orders.state.version))
+        cached = self.cache.count_cached(blocks) * BLOCK_TOKENS
+        tokens = count_tokens(text) + int(resumed.get("tokens", 0))
+        if tokens > cached:
+            await self.prefill.acquire(int(body.get("priority") or 0))
+            try:
+                await anyio.sleep((tokens - cached) / self.rates.prefill_tokens_per_s)
+            finally:
+                self.prefill.release()
+        self.cache.add(blocks, time.monotonic())
+        return cached
+
+    def _make_answer(
+        self, scope: Scope, body: dict[str, Any], text: str, cached: int
+    ) -> Answer:
+        attempt = find_header(scope, "x-attempt-id") or make_attempt_id()
+        if self.faults.take("crossed_answers"):
+            attempt = make_attempt_id()
+        limit = body.get("max_completion_tokens") or body.get("max_tokens")
+        wanted = min(int(limit or DEFAULT_OUTPUT_TOKENS), MAX_OUTPUT_TOKENS)
+        state = self.orders.state
+        return Answer(
+            id=attempt,
+            chat=scope["path"].endswith("/chat/completions"),
+            model=str(body.get("model")),
+            fingerprint=f"{state.incarnation}/{state.version}",
+            tokens=make_answer(text, wanted, state.version),
+            prompt_tokens=count_tokens(text),
+            cached_tokens=cached,
+        )
+
+    def _find_start(self, body: dict[str, Any], answer: Answer) -> int:
+        resumed = body.get("resume")
+        if not resumed:
+            return 0
+        start = int(resumed.get("tokens", 0))
+        if "".join(answer.tokens[:start]) != resumed.get("text"):
+            raise RequestError(409, "resume_mismatch", "The output was not so far.")
+        self.counts.resumed += 1
+        return start
+
+    def _make_headers(self, answer: Answer) -> list[tuple[str, str]]:
+        state = self.orders.state
+        return [
+            ("x-attempt-id", answer.id),
+            ("x-incarnation", state.incarnation),
+            ("x-weights-version", state.version),
+        ]
+
+    async def _send_whole(self, answer: Answer, send: Send) -> None:
+        headers = [JSON_TYPE, *self._make_headers(answer)]
+        await send_bytes(send, 200, answer.render_whole(), headers)
 
     async def _stream(
-        self,
-        chat: bool,
-        body: dict[str, Any],
-        tokens: list[str],
-        usage: dict[str, Any],
-        send: Send,
+        self, body: dict[str, Any], answer: Answer, start: int, send: Send
     ) -> None:
-        await start_response(send, 200, [("content-type", "text/event-stream")])
-        async for event in self._make_events(chat, body, tokens, usage):
-            data = b"data: " + msgspec.json.encode(event) + b"\n\n"
-            await send_chunk(send, data)
-        await send_chunk(send, b"data: [DONE]\n\n", more=False)
-
-    async def _make_events(
-        self, chat: bool, body: dict[str, Any], tokens: list[str], usage: dict[str, Any]
-    ) -> AsyncIterator[dict[str, Any]]:
-        kind = "chat.completion.chunk" if chat else "text_completion"
-        base = {"id": "cmpl-standin", "object": kind, "created": 0}
-        base["model"] = body.get("model")
-        for index, token in enumerate(tokens):
-            if index:
-                await anyio.sleep(self.rates.token_s)
-            last = index == len(tokens) - 1
-            choice: dict[str, Any] = {
-                "index": 0,
-                "finish_reason": "stop" if last else None,
-            }
-            choice.update({"delta": {"content": token}} if chat else {"text": token})
-            yield {**base, "choices": [choice]}
+        await start_response(send, 200, [EVENT_STREAM, *self._make_headers(answer)])
+        pending: list[bytes] = []
+        wait_s = 0.0
+        for index, event in enumerate(answer.render_events(start), start=start):
+            pending.append(event)
+            self.counts.sent_tokens += 1
+            wait_s += self.rates.token_s
+            if wait_s >= self.rates.flush_s:
+                await self._flush(answer, pending, send)
+                await self._crash_if_due(index + 1)
+                await anyio.sleep(wait_s)
+                wait_s = 0.0
+        await self._flush(answer, pending, send)
+        if self.faults.take("cut_streams"):
+            await send_chunk(send, b"", more=False)
+            return
+        ending = b"data: [DONE]\n\n"
         if (body.get("stream_options") or {}).get("include_usage"):
-            yield {**base, "choices": [], "usage": usage}
+            ending = answer.render_usage_event() + ending
+        await send_chunk(send, ending, more=False)
+
+    async def _flush(self, answer: Answer, pending: list[bytes], send: Send) -> None:
+        if pending and self.faults.take("crossed_events"):
+            other = pending[0].replace(answer.id.encode(), make_attempt_id().encode())
+            pending.append(other)
+        if pending:
+            await send_chunk(send, b"".join(pending))
+            pending.clear()
+
+    async def _crash_if_due(self, sent: int) -> None:
+        due = self.faults.crash_after_tokens
+        if due is not None and sent >= due:
+            self.faults.crash_after_tokens = None
+            self.crash()
+            await anyio.sleep_forever()
+
+
+class _Place:
+    """A place in the batch while the context is open."""
+
+    def __init__(self, engine: EngineStandin, priority: int):
+        self.engine = engine
+        self.priority = priority
+
+    async def __aenter__(self) -> None:
+        await self.engine.batch.acquire(self.priority)
+        self._record()
+
+    async def __aexit__(self, *_: object) -> None:
+        self.engine.batch.release()
+        self._record()
+
+    def _record(self) -> None:
+        batch = self.engine.batch
+        self.engine.load.record(time.monotonic(), batch.running, batch.waiting)
+
+
+def make_engine_standin(
+    rates: EngineRates | None = None,
+    *,
+    models: tuple[str, ...] = (),
+    fencing: bool = True,
+    priorities: bool = True,
+    resume: bool = True,
+    event_loss: float = 0.0,
+    seed: int = 0,
+) -> EngineStandin:
+    """Return an engine with an empty cache.
+
+    Parameters
+    ----------
+    fencing, priorities, resume : bool
+        What the engine honours.
+    event_loss : float
+        Share of its cache events that are lost.
+    """
+    speeds = rates or EngineRates()
+    events = CacheEvents(speeds.event_lag_s, event_loss, random.Random(seed))
+    state = OrderState(incarnation=make_attempt_id())
+    return EngineStandin(
+        rates=speeds,
+        cache=BlockCache(speeds.cache_blocks, events),
+        batch=PriorityLimiter(speeds.slots, priorities),
+        prefill=PriorityLimiter(speeds.prefills, priorities),
+        orders=Orders(state, fencing, speeds.load_s),
+        load=LoadHistory(speeds.load_lag_s),
+        models=models,
+        honours_resume=resume,
+    )
--- /dev/null
+++ b/primrosepier/standin_hosts.py
@@ -0,0 +1,143 @@
+"""Stand-in of the host list: the Prometheus HTTP service-discovery form.
+
+``GET /`` returns ``[{"targets": ["IP:PORT"], "labels": {"endpoint": NAME,
+"failure_domain": D, "state": "live"}}]``; a host that is leaving has the state
+``leaving``, and one that is gone is not listed. What it shows lags.
+``POST /standin/hosts`` with ``{"endpoint", "state"}`` changes a host's state
+(``live``, ``leaving`` or ``gone``), and ``POST /standin/faults`` with ``{"down",
+"lag_s", "empty"}`` makes it fail, lag, or show no host at all.
+"""
+
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from .asgi import Receive, Scope, Send, read_json, send_json
+from .errors import RequestError
+
+__all__ = ["HostEntry", "HostState", "HostsFaults", "HostsStandin"]
+
+BODY_BYTES = 64 * 1024
+
+
+class HostState(Enum):
+    """State of a host in the list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One host of the list."""
+
+    endpoint: str
+    address: str
+    failure_domain: str
+    state: HostState = HostState.LIVE
+
+
+@dataclass(slots=True)
+class HostsFaults:
+    """Faults on demand.
+
+    Parameters
+    ----------
+    lag_s : float
+        Age of what is shown, seconds.
+    down : bool
+        Refuse every call.
+    empty : bool
+        Show no host.
+    """
+
+    lag_s: float = 0.0
+    down: bool = False
+    empty: bool = False
+
+
+@dataclass(slots=True)
+class HostsStandin:
+    """ASGI app that serves the list of hosts.
+
+    Parameters
+    ----------
+    changes : list of tuple
+        Time of each change, monotonic seconds, with the hosts after it.
+    """
+
+    changes: list[tuple[float, dict[str, HostEntry]]] = field(
+        default_factory=lambda: [(float("-inf"), {})]
+    )
+    faults: HostsFaults = field(default_factory=HostsFaults)
+
+    def set_host(self, entry: HostEntry) -> None:
+        """Add a host or change it."""
+        hosts = dict(self.changes[-1][1])
+        hosts[entry.endpoint] = entry
+        self.changes.append((time.monotonic(), hosts))
+
+    def set_state(self, endpoint: str, state: HostState) -> None:
+        """Change the state of a host.
+
+        Raises
+        ------
+        KeyError
+            The host is not in the list.
+        """
+        old = self.changes[-1][1][endpoint]
+        entry = HostEntry(endpoint, old.address, old.failure_domain, state)
+        self.set_host(entry)
+
+    def list_hosts(self, now_s: float) -> list[HostEntry]:
+        """Return the hosts that the list shows."""
+        if self.faults.empty:
+            return []
+        shown: dict[str, HostEntry] = {}
+        for changed_at_s, hosts in self.changes:
+            if changed_at_s <= now_s - self.faults.lag_s:
+                shown = hosts
+        return [host for host in shown.values() if host.state is not HostState.GONE]
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        try:
+            await self._route(scope, receive, send)
+        except RequestError as error:
+            await send_json(send, error.status, {"error": error.message})
+
+    async def _route(self, scope: Scope, receive: Receive, send: Send) -> None:
+        path = scope["path"]
+        if path == "/standin/hosts":
+            self._change(await read_json(receive, BODY_BYTES))
+            await send_json(send, 200, {})
+        elif path == "/standin/faults":
+            self._set_faults(await read_json(receive, BODY_BYTES))
+            await send_json(send, 200, {})
+        elif self.faults.down:
+            raise RequestError(503, "unavailable", "The list is down.")
+        else:
+            hosts = self.list_hosts(time.monotonic())
+            await send_json(send, 200, [_encode_host(host) for host in hosts])
+
+    def _change(self, body: dict[str, Any]) -> None:
+        try:
+            self.set_state(str(body.get("endpoint")), HostState(body.get("state")))
+        except (KeyError, ValueError) as cause:
+            raise RequestError(400, "invalid_request", repr(cause)) from cause
+
+    def _set_faults(self, body: dict[str, Any]) -> None:
+        self.faults.down = bool(body.get("down", self.faults.down))
+        self.faults.empty = bool(body.get("empty", self.faults.empty))
+        self.faults.lag_s = float(body.get("lag_s", self.faults.lag_s))
+
+
+def _encode_host(host: HostEntry) -> dict[str, Any]:
+    labels = {
+        "endpoint": host.endpoint,
+        "failure_domain": host.failure_domain,
+        "state": host.state.value,
+    }
+    return {"targets": [host.address], "labels": labels}
