--- /dev/null
+++ b/primrosepier/concurrency.py
@@ -0,0 +1,71 @@
+"""Concurrency limits of endpoints that adapt to what the endpoints can carry."""
+
+from dataclasses import dataclass, field
+
+from .ids import EndpointId
+
+__all__ = ["ConcurrencyLimit", "ConcurrencyLimits"]
+
+DECREASE = 0.8
+SLOW_FACTOR = 4.0
+BASELINE_GAIN = 0.02
+DECREASE_PAUSE_S = 1.0
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease of one endpoint's limit.
+
+    Parameters
+    ----------
+    capacity : int
+        Upper bound from the configuration.
+    value : float
+        The limit now.
+    baseline_s : float
+        Slowly following time to first token, seconds; 0 before the first answer.
+    """
+
+    capacity: int
+    value: float
+    baseline_s: float = 0.0
+    decreased_at_s: float = float("-inf")
+
+    def record_answer(self, ttft_s: float, outstanding: int, now_s: float) -> None:
+        """Take in the time to first token of an answer."""
+        if self.baseline_s == 0.0:
+            self.baseline_s = ttft_s
+        slow = ttft_s > SLOW_FACTOR * self.baseline_s
+        self.baseline_s += BASELINE_GAIN * (ttft_s - self.baseline_s)
+        if slow and outstanding >= 0.5 * self.value:
+            self.record_overload(now_s)
+        elif outstanding >= 0.5 * self.value:
+            self.value = min(float(self.capacity), self.value + 1 / self.value)
+
+    def record_overload(self, now_s: float) -> None:
+        """Take in a refusal or a time-out."""
+        if now_s - self.decreased_at_s < DECREASE_PAUSE_S:
+            return
+        self.decreased_at_s = now_s
+        self.value = max(1.0, self.value * DECREASE)
+
+
+@dataclass(slots=True)
+class ConcurrencyLimits:
+    """The limits of all endpoints that this router uses."""
+
+    limits: dict[EndpointId, ConcurrencyLimit] = field(default_factory=dict)
+
+    def get(self, endpoint: EndpointId, capacity: int) -> ConcurrencyLimit:
+        """Return the limit of an endpoint, at its capacity in the beginning."""
+        limit = self.limits.get(endpoint)
+        if limit is None or limit.capacity != capacity:
+            limit = ConcurrencyLimit(capacity, float(capacity))
+            self.limits[endpoint] = limit
+        return limit
+
+    def forget(self, known: set[EndpointId]) -> None:
+        """Drop the limits of endpoints that are no longer known."""
+        for endpoint in list(self.limits):
+            if endpoint not in known:
+                del self.limits[endpoint]
--- /dev/null
+++ b/primrosepier/ejection.py
@@ -0,0 +1,107 @@
+"""Ejection of endpoints that fail or are much slower than the others."""
+
+import statistics
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from .ids import EndpointId
+
+__all__ = ["Ejections", "Health"]
+
+FAILURES_TO_EJECT = 3
+SLOW_FACTOR = 5.0
+SLOW_ANSWERS = 8
+LATENCY_GAIN = 0.2
+EJECT_BASE_S = 2.0
+EJECT_CAP_S = 60.0
+MAX_EJECTED_SHARE = 0.34
+MIN_PEERS = 3
+
+
+@dataclass(slots=True)
+class Health:
+    """What this router saw of one endpoint.
+
+    Parameters
+    ----------
+    failures : int
+        Failures without a success between them.
+    latency_s : float
+        Moving average of the time to first token per prefilled token, seconds.
+    ejected_until_s : float
+    ejections : int
+        Ejections without a good probe between them.
+    """
+
+    failures: int = 0
+    latency_s: float = 0.0
+    answers: int = 0
+    ejected_until_s: float = float("-inf")
+    ejections: int = 0
+    probing: bool = False
+
+
+@dataclass(slots=True)
+class Ejections:
+    """Decides which endpoints are passed over for a while."""
+
+    health: dict[EndpointId, Health] = field(default_factory=dict)
+
+    def record_success(
+        self, endpoint: EndpointId, latency_s: float, now_s: float
+    ) -> None:
+        """Take in an answer and how long its first token took."""
+        health = self.health.setdefault(endpoint, Health())
+        health.failures = 0
+        health.answers += 1
+        if health.latency_s == 0.0:
+            health.latency_s = latency_s
+        health.latency_s += LATENCY_GAIN * (latency_s - health.latency_s)
+        if health.probing:
+            health.probing = False
+            health.ejections = 0
+        if self._is_slow(health):
+            self._eject(health, now_s)
+            health.answers = 0
+            health.latency_s = 0.0
+
+    def _is_slow(self, health: Health) -> bool:
+        known = [h.latency_s for h in self.health.values() if h.answers >= SLOW_ANSWERS]
+        if health.answers < SLOW_ANSWERS or len(known) < MIN_PEERS:
+            return False
+        return health.latency_s > SLOW_FACTOR * statistics.median(known)
+
+    def record_failure(self, endpoint: EndpointId, now_s: float) -> None:
+        """Take in a failed attempt."""
+        health = self.health.setdefault(endpoint, Health())
+        health.failures += 1
+        if health.probing or health.failures >= FAILURES_TO_EJECT:
+            self._eject(health, now_s)
+
+    def _eject(self, health: Health, now_s: float) -> None:
+        period_s = min(EJECT_CAP_S, EJECT_BASE_S * 2**health.ejections)
+        health.ejected_until_s = now_s + period_s
+        health.ejections += 1
+        health.probing = False
+        health.failures = 0
+
+    def list_ejected(
+        self, endpoints: Collection[EndpointId], now_s: float
+    ) -> frozenset[EndpointId]:
+        """Return the endpoints to pass over now.
+
+        At most a third of the endpoints are ejected, those with the longest time
+        left first. An endpoint whose time is over gets requests as a probe.
+        """
+        ejected = []
+        for endpoint in endpoints:
+            health = self.health.get(endpoint)
+            if health is None:
+                continue
+            if health.ejected_until_s > now_s:
+                ejected.append(endpoint)
+            elif health.ejections:
+                health.probing = True
+        allowed = int(MAX_EJECTED_SHARE * len(endpoints))
+        ejected.sort(key=lambda name: self.health[name].ejected_until_s, reverse=True)
+        return frozenset(ejected[:allowed])
