Add admission, limits, retries, ejection and suspects to the dispatcher

Cause: the thin path sent every request on, retried three times whatever happened and knew no limit of a workspace. Change: fair queue with deadlines and priorities, shares of workspace limits by demand, adaptive endpoint limits, retry budget with jitter, bounded ejection, quarantine of crashing requests; all decided without I/O. Conclusion: suspicion is told to other routers before a retry through a hook that membership fills in.

--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -1,5 +1,6 @@
 """One attempt at one endpoint, and what the caller has got so far."""
 
+import time
 from dataclasses import dataclass
 
 import msgspec
@@ -38,9 +39,17 @@
 
 @dataclass(slots=True)
 class Delivery:
-    """What one request's caller has got over all attempts."""
+    """What one request's caller has got over all attempts.
+
+    Parameters
+    ----------
+    send : Send
+    headers_at_s : float
+        Monotonic time at which the last attempt's answer began, seconds.
+    """
 
     send: Send
+    headers_at_s: float = 0.0
 
 
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
@@ -73,6 +82,7 @@
         call = self._make_call(request, endpoint)
         try:
             async with self.client.open(call) as response:
+                delivery.headers_at_s = time.monotonic()
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
--- a/primrosepier/board.py
+++ b/primrosepier/board.py
@@ -5,8 +5,10 @@
 
 from .configuration import Configuration
 from .errors import WriterTakenError
-from .ids import EndpointId, HostId
+from .ids import EndpointId, HostId, WorkspaceId
+from .limits import Demand
 from .loads import EndpointLoad
+from .suspects import Suspicion
 
 __all__ = ["Board", "Section", "SectionWriter", "make_board"]
 
@@ -79,8 +81,11 @@
     peers: Section[frozenset[HostId]] = field(
         default_factory=lambda: Section("peers", frozenset())
     )
-    suspects: Section[frozenset[int]] = field(
-        default_factory=lambda: Section("suspects", frozenset())
+    suspects: Section[tuple[Suspicion, ...]] = field(
+        default_factory=lambda: Section("suspects", ())
+    )
+    usage: Section[dict[WorkspaceId, Demand]] = field(
+        default_factory=lambda: Section("usage", {})
     )
 
 
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -1,5 +1,6 @@
 """The callers' side: the OpenAI HTTP API over ASGI."""
 
+import math
 import time
 from dataclasses import dataclass
 from typing import Any
@@ -193,8 +194,10 @@
         headers: list[tuple[str, str]] = [("x-request-id", request.id)]
         code, status = "unknown_outcome", 502
         if isinstance(outcome, NotRun):
-            code, status = "not_run", 503
-            headers.append(("retry-after", str(max(1, round(outcome.retry_after_s)))))
+            code, status = "not_run", 429 if outcome.limited else 503
+            headers.append(
+                ("retry-after", str(max(1, math.ceil(outcome.retry_after_s))))
+            )
         body = make_error_body(
             code, outcome.reason, request.id, outcome.step.value, outcome.peer
         )
--- /dev/null
+++ b/primrosepier/clocks.py
@@ -0,0 +1,27 @@
+"""Sources of the monotonic time."""
+
+from typing import Protocol
+
+__all__ = ["Clock", "ManualClock"]
+
+
+class Clock(Protocol):
+    """A monotonic clock such as ``time.monotonic``."""
+
+    def __call__(self) -> float:
+        """Return the time, seconds."""
+
+
+class ManualClock:
+    """A clock that moves when it is told to."""
+
+    def __init__(self, now_s: float = 0.0):
+        self.now_s = now_s
+
+    def __call__(self) -> float:
+        """Return the time, seconds."""
+        return self.now_s
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward."""
+        self.now_s += seconds
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -1,24 +1,46 @@
 """The path of one model request from admission to its outcome."""
 
-import contextlib
-from collections import Counter
-from collections.abc import Iterator
+import random
+import time
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
+import anyio
+import msgspec
+
+from .admission import Shed
 from .asgi import Send
 from .attempt import Attempts, Delivery, can_continue, make_delivery
 from .board import Board
-from .configuration import Configuration, Endpoint, Service
-from .ids import EndpointId
-from .loads import EndpointLoad
-from .outcomes import Completed, NotRun, Outcome, Step
-from .placement import Decision, EndpointView, Feedback, Placement
+from .candidates import Candidates
+from .clocks import Clock
+from .configuration import Endpoint
+from .gate import Gate, make_gate
+from .ids import EndpointId, ServiceId
+from .limits import Demand, WorkspaceLimiter
+from .outcomes import (
+    Completed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Refused,
+    Step,
+    UnknownOutcome,
+)
+from .placement import Decision, Feedback, Placement
+from .prompts import BLOCK_TOKENS
 from .requests import ModelRequest
+from .retries import GiveUp, RetryBudget, decide_retry
 from .settings import Limits
+from .suspects import Quarantined, Suspicion, compute_fingerprint
+
+__all__ = ["Dispatcher", "ShareSuspicions", "make_dispatcher"]
 
-__all__ = ["Dispatcher"]
+ShareSuspicions = Callable[[Sequence[Suspicion]], Awaitable[None]]
 
-MAX_ATTEMPTS = 3
+
+async def share_with_nobody(suspicions: Sequence[Suspicion]) -> None:
+    """Tell no other router; used by a router without peers."""
 
 
 @dataclass(slots=True)
@@ -31,13 +53,22 @@
     attempts : Attempts
     placement : Placement
     limits : Limits
+    candidates : Candidates
+    share : callable
+        Tells all routers of suspicions; returns when they know, or after a bound.
     """
 
     board: Board
     attempts: Attempts
     placement: Placement
     limits: Limits
-    outstanding: Counter[EndpointId] = field(default_factory=Counter)
+    candidates: Candidates
+    clock: Clock = time.monotonic
+    source: random.Random = field(default_factory=random.Random)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    workspaces: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    gates: dict[ServiceId, Gate] = field(default_factory=dict)
+    share: ShareSuspicions = share_with_nobody
 
     async def dispatch(
         self, request: ModelRequest, send: Send, now_s: float
@@ -49,86 +80,174 @@
         Outcome
             ``NotRun`` and ``UnknownOutcome`` have sent nothing to the caller.
         """
-        delivery = make_delivery(request, send)
+        workspace = request.workspace
+        others = self.board.usage.value.get(workspace.id, self._assume_demand())
+        limited = self.workspaces.admit(
+            workspace.id,
+            workspace.requests_per_s,
+            workspace.concurrent,
+            others,
+            now_s,
+        )
+        if limited is not None:
+            reason = f"the limit of workspace {workspace.id} is reached"
+            return NotRun(Step.ADMIT, "-", reason, limited.retry_after_s, limited=True)
+        try:
+            return await self._wait_and_run(request, send)
+        finally:
+            self.workspaces.release(workspace.id)
+
+    def _assume_demand(self) -> Demand:
+        return Demand(routers=1 + len(self.board.peers.value))
+
+    async def _wait_and_run(self, request: ModelRequest, send: Send) -> Outcome:
+        gate = self._get_gate(request.service.id)
+
+        def read_room() -> int:
+            return self.candidates.compute_room(request.service, self.clock())
+
+        entered = await gate.enter(
+            request.workspace, request.priority, self.limits.queue_s, read_room
+        )
+        if isinstance(entered, Shed):
+            return NotRun(Step.QUEUE, "-", entered.reason, entered.retry_after_s)
+        try:
+            return await self._run(request, make_delivery(request, send))
+        finally:
+            gate.leave(entered, read_room)
+
+    def _get_gate(self, service: ServiceId) -> Gate:
+        if service not in self.gates:
+            self.gates[service] = make_gate(self.limits.queue_requests, self.clock)
+        return self.gates[service]
+
+    async def _run(self, request: ModelRequest, delivery: Delivery) -> Outcome:
+        fingerprint = _compute_request_fingerprint(request)
+        self.budget.deposit()
         tried: set[EndpointId] = set()
         outcome: Outcome = NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
-        for _ in range(MAX_ATTEMPTS):
-            decision = self.choose(request, tried, now_s)
-            if decision is None:
+        while True:
+            now_s = self.clock()
+            chosen = self.choose(request, fingerprint, tried, now_s)
+            if isinstance(chosen, NotRun):
+                return outcome if tried else chosen
+            tried.add(chosen.endpoint)
+            outcome = await self._attempt(request, fingerprint, chosen, delivery)
+            if isinstance(outcome, Completed | Refused):
                 return outcome
-            tried.add(decision.endpoint)
-            outcome = await self._attempt(request, decision, delivery)
-            if not isinstance(outcome, NotRun) and not can_continue(outcome):
-                self._observe(request, decision, outcome, now_s)
+            if can_continue(outcome) and self.budget.withdraw():
+                continue
+            verdict = decide_retry(
+                outcome, len(tried), request.idempotent, self.budget, self.source
+            )
+            if isinstance(verdict, GiveUp):
                 return outcome
-        return outcome
+            await anyio.sleep(verdict.delay_s)
 
     def choose(
-        self, request: ModelRequest, tried: set[EndpointId], now_s: float
-    ) -> Decision | None:
-        """Choose among the endpoints that were not tried."""
-        configuration = self.board.configuration.value
-        if configuration is None:
-            return None
-        views = self._make_views(configuration, request.service, tried, now_s)
-        return self.placement.choose(request.prompt, views, now_s)
-
-    def _make_views(
         self,
-        configuration: Configuration,
-        service: Service,
+        request: ModelRequest,
+        fingerprint: int,
         tried: set[EndpointId],
         now_s: float,
-    ) -> list[EndpointView]:
-        load = self.board.load.value
-        leaving = self.board.leaving.value
-        views = []
-        for endpoint in configuration.list_endpoints(service.id):
-            if endpoint.id in tried or endpoint.id in leaving:
-                continue
-            views.append(self._make_view(endpoint, load.get(endpoint.id), now_s))
-        return views
-
-    def _make_view(
-        self, endpoint: Endpoint, report: EndpointLoad | None, now_s: float
-    ) -> EndpointView:
-        return EndpointView(
-            id=endpoint.id,
-            failure_domain=endpoint.failure_domain,
-            outstanding=self.outstanding[endpoint.id],
-            reported=report.running + report.waiting if report else 0,
-            report_age_s=now_s - report.reported_at_s if report else float("inf"),
-            capacity=endpoint.concurrent,
+    ) -> Decision | NotRun:
+        """Choose among the endpoints that were not tried."""
+        suspects = self.candidates.suspects
+        allowed = suspects.check(fingerprint, now_s)
+        if isinstance(allowed, Quarantined):
+            reason = "the request crashed the endpoints that ran it"
+            return NotRun(Step.PLACE, "-", reason, allowed.retry_after_s)
+        suspected = suspects.is_suspect(fingerprint, now_s)
+        views = self.candidates.make_views(
+            request.service, tried, allowed, suspected, now_s
         )
-
-    def _observe(
-        self, request: ModelRequest, decision: Decision, outcome: Outcome, now_s: float
-    ) -> None:
-        if isinstance(outcome, Completed):
-            self.placement.observe(
-                Feedback(
-                    endpoint=decision.endpoint,
-                    prompt=request.prompt,
-                    cached_tokens=outcome.cached_tokens,
-                    expected_cached_tokens=decision.expected_cached_tokens,
-                    now_s=now_s,
-                )
-            )
-
-    @contextlib.contextmanager
-    def _count(self, endpoint: EndpointId) -> Iterator[None]:
-        self.outstanding[endpoint] += 1
-        try:
-            yield
-        finally:
-            self.outstanding[endpoint] -= 1
+        decision = self.placement.choose(request.prompt, views, now_s)
+        if decision is None:
+            return NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
+        return decision
 
     async def _attempt(
-        self, request: ModelRequest, decision: Decision, delivery: Delivery
+        self,
+        request: ModelRequest,
+        fingerprint: int,
+        decision: Decision,
+        delivery: Delivery,
     ) -> Outcome:
         configuration = self.board.configuration.value
         if configuration is None or decision.endpoint not in configuration.endpoints:
             return NotRun(Step.PLACE, decision.endpoint, "the endpoint is gone")
         endpoint = configuration.endpoints[decision.endpoint]
-        with self._count(endpoint.id):
-            return await self.attempts.run(request, endpoint, delivery)
+        suspects = self.candidates.suspects
+        outcome: Outcome | None = None
+        suspects.record_start(fingerprint, endpoint.id)
+        self.candidates.outstanding[endpoint.id] += 1
+        started_s = self.clock()
+        try:
+            outcome = await self.attempts.run(request, endpoint, delivery)
+            await self._record(fingerprint, endpoint, outcome)
+        finally:
+            self.candidates.outstanding[endpoint.id] -= 1
+            completed = isinstance(outcome, Completed | Refused)
+            suspects.record_end(fingerprint, endpoint.id, completed)
+        if isinstance(outcome, Completed):
+            self._observe(request, decision, outcome, delivery, started_s)
+        return outcome
+
+    async def _record(
+        self, fingerprint: int, endpoint: Endpoint, outcome: Outcome
+    ) -> None:
+        """Take in a failure, and tell other routers before anything is retried."""
+        now_s = self.clock()
+        if isinstance(outcome, Completed | Refused):
+            return
+        if isinstance(outcome, NotRun) and outcome.step is Step.HEADERS:
+            limit = self.candidates.limits.get(endpoint.id, endpoint.concurrent)
+            limit.record_overload(now_s)
+            return
+        self.candidates.ejections.record_failure(endpoint.id, now_s)
+        if isinstance(outcome, UnknownOutcome | Interrupted) and outcome.lost:
+            raised = self.candidates.suspects.record_loss(
+                fingerprint, endpoint.id, endpoint.failure_domain, now_s
+            )
+            if raised:
+                await self.share(raised)
+
+    def _observe(
+        self,
+        request: ModelRequest,
+        decision: Decision,
+        outcome: Completed,
+        delivery: Delivery,
+        started_s: float,
+    ) -> None:
+        now_s = self.clock()
+        endpoint = decision.endpoint
+        ttft_s = max(0.0, delivery.headers_at_s - started_s)
+        computed = max(0, request.prompt.tokens - outcome.cached_tokens)
+        per_token_s = ttft_s / (computed + BLOCK_TOKENS)
+        self.candidates.ejections.record_success(endpoint, per_token_s, now_s)
+        limits = self.candidates.limits.limits
+        if endpoint in limits:
+            outstanding = self.candidates.outstanding[endpoint]
+            limits[endpoint].record_answer(ttft_s, outstanding, now_s)
+        self.placement.observe(
+            Feedback(
+                endpoint=endpoint,
+                prompt=request.prompt,
+                cached_tokens=outcome.cached_tokens,
+                expected_cached_tokens=decision.expected_cached_tokens,
+                now_s=now_s,
+            )
+        )
+
+
+def _compute_request_fingerprint(request: ModelRequest) -> int:
+    body = msgspec.json.encode(request.body, order="deterministic")
+    return compute_fingerprint(request.workspace.id, body)
+
+
+def make_dispatcher(
+    board: Board, attempts: Attempts, placement: Placement, limits: Limits
+) -> Dispatcher:
+    """Return a dispatcher without peers."""
+    return Dispatcher(board, attempts, placement, limits, Candidates(board))
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -18,6 +18,7 @@
     "HttpEndpointClient",
     "RELAY_ERRORS",
     "classify_error",
+    "is_connection_lost",
     "make_endpoint_client",
 ]
 
@@ -106,7 +107,13 @@
     """Return what an error before the first byte of the answer means."""
     if isinstance(error, CONNECT_ERRORS):
         return NotRun(Step.CONNECT, peer, repr(error), retry_after_s=1.0)
-    return UnknownOutcome(Step.HEADERS, peer, repr(error))
+    lost = is_connection_lost(error)
+    return UnknownOutcome(Step.HEADERS, peer, repr(error), lost)
+
+
+def is_connection_lost(error: Exception) -> bool:
+    """Return whether an error means that the peer closed the connection."""
+    return not isinstance(error, httpcore.TimeoutException)
 
 
 def make_endpoint_client() -> HttpEndpointClient:
--- a/primrosepier/outcomes.py
+++ b/primrosepier/outcomes.py
@@ -56,12 +56,15 @@
     reason : str
     retry_after_s : float
         When the caller may come back, seconds; 0 when it should not.
+    limited : bool
+        A limit of the caller's workspace is the reason.
     """
 
     step: Step
     peer: str
     reason: str
     retry_after_s: float = 0.0
+    limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +79,18 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownOutcome:
-    """The request may have run."""
+    """The request may have run.
+
+    Parameters
+    ----------
+    lost : bool
+        The connection broke, as it does when the peer crashes.
+    """
 
     step: Step
     peer: str
     reason: str
+    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +99,8 @@
 
     Parameters
     ----------
+    lost : bool
+        The connection broke, as it does when the peer crashes.
     resumable : bool
         Another endpoint may go on after what the caller has got.
     """
@@ -97,6 +109,7 @@
     peer: str
     reason: str
     resumable: bool = False
+    lost: bool = False
 
 
 Outcome = Completed | NotRun | Refused | UnknownOutcome | Interrupted
--- a/primrosepier/relay.py
+++ b/primrosepier/relay.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from .asgi import Send, send_chunk
-from .engines import RELAY_ERRORS, EndpointResponse
+from .engines import RELAY_ERRORS, EndpointResponse, is_connection_lost
 from .outcomes import Completed, Interrupted, Outcome, Step
 
 __all__ = ["END_MARKER", "Tail", "relay_stream"]
@@ -42,7 +42,8 @@
             tail.add(chunk)
             await send_chunk(send, chunk)
     except RELAY_ERRORS as error:
-        return Interrupted(Step.RELAY, peer, repr(error))
+        lost = is_connection_lost(error)
+        return Interrupted(Step.RELAY, peer, repr(error), lost=lost)
     if not tail.has_end_marker():
         return Interrupted(Step.RELAY, peer, "the stream has no end marker")
     return Completed(Step.RELAY, peer, tail.read_cached_tokens())
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -22,6 +22,10 @@
         The JSON body.
     streamed : bool
         Whether the answer is an event stream.
+    priority : int
+        Smaller is served earlier within the workspace.
+    idempotent : bool
+        Whether the request may run more than once.
     """
 
     id: RequestId
@@ -32,6 +36,8 @@
     body: dict[str, Any]
     streamed: bool
     prompt: Prompt
+    priority: int = 0
+    idempotent: bool = True
 
 
 def build_prompt(workspace: Workspace, model: Model, body: dict[str, Any]) -> Prompt:
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -12,7 +12,7 @@
 from .board import Board, SectionWriter, make_board
 from .callers import CallersApp
 from .configuration import Configuration
-from .dispatch import Dispatcher
+from .dispatch import make_dispatcher
 from .engines import HttpEndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .ids import Revision
@@ -82,7 +82,7 @@
     store = make_etcd_store(settings.store_address)
     client = make_endpoint_client()
     attempts = Attempts(client, settings.limits)
-    dispatcher = Dispatcher(board, attempts, make_placement(), settings.limits)
+    dispatcher = make_dispatcher(board, attempts, make_placement(), settings.limits)
     app = CallersApp(board, dispatcher, settings.limits)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(store, writer)
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -25,6 +25,10 @@
         Longest time of a request, seconds.
     connect_s : float
         Longest time to connect to an endpoint, seconds.
+    queue_s : float
+        Longest time that a request waits for an endpoint, seconds.
+    queue_requests : int
+        Requests that wait for one service at this router.
     """
 
     body_bytes: int = 4 * MIB
@@ -32,6 +36,8 @@
     streams: int = 4000
     request_s: float = 600.0
     connect_s: float = 2.0
+    queue_s: float = 5.0
+    queue_requests: int = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,4 +138,6 @@
         streams=reader.read_int("streams", usual.streams, low=1),
         request_s=reader.read_float("request_s", usual.request_s, low=0.1),
         connect_s=reader.read_float("connect_s", usual.connect_s, low=0.01),
+        queue_s=reader.read_float("queue_s", usual.queue_s),
+        queue_requests=reader.read_int("queue_requests", usual.queue_requests, low=1),
     )
--- a/primrosepier/suspects.py
+++ b/primrosepier/suspects.py
@@ -82,6 +82,9 @@
     fingerprints: frozenset[int]
     at_s: float
 
+    def covers(self, fingerprint: int, endpoint: EndpointId) -> bool:
+        return endpoint == self.endpoint and fingerprint in self.fingerprints
+
 
 @dataclass(slots=True)
 class SuspectLedger:
@@ -160,12 +163,22 @@
             del self.suspicions[fingerprint]
 
     def record_loss(
-        self, endpoint: EndpointId, failure_domain: FailureDomain, now_s: float
+        self,
+        fingerprint: int,
+        endpoint: EndpointId,
+        failure_domain: FailureDomain,
+        now_s: float,
     ) -> list[Suspicion]:
-        """Take in that an endpoint crashed, and return the suspicions to share.
+        """Take in that an endpoint crashed under a request.
+
+        All requests that run there become suspects. Endpoints of one failure
+        domain that are lost together without a request in common are lost to
+        something else, and raise no suspicion.
 
-        Endpoints of one failure domain that are lost together without a request
-        in common are lost to something else, and raise no suspicion.
+        Returns
+        -------
+        list of Suspicion
+            What other routers are to be told before a retry.
         """
         present = frozenset(
             fingerprint
@@ -174,6 +187,8 @@
         )
         loss = _Loss(endpoint, failure_domain, present, now_s)
         self.losses = [x for x in self.losses if now_s - x.at_s <= CORRELATION_S]
+        if any(x.covers(fingerprint, endpoint) for x in self.losses):
+            return []
         unrelated = [x for x in self.losses if self._is_unrelated(x, loss)]
         self.losses.append(loss)
         if unrelated:
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,166 @@
+import random
+
+import anyio
+import pytest
+
+from primrosepier.board import make_board
+from primrosepier.configuration import parse_configuration
+from primrosepier.dispatch import make_dispatcher
+from primrosepier.outcomes import Completed, NotRun, Step, UnknownOutcome
+from primrosepier.placement import RulePlacement
+from primrosepier.requests import ModelRequest, build_prompt
+from primrosepier.settings import Limits
+
+TEXT = "\n".join(
+    [
+        "[workspace w]",
+        "key_sha256 = " + "0" * 64,
+        "[model m]",
+        "version = 1",
+        "[service s]",
+        "models = m",
+    ]
+    + [
+        f"[endpoint e{n}]\nservice = s\naddress = 10.0.0.{n}:80\n"
+        f"failure_domain = d{n}\nconcurrent = 2"
+        for n in range(4)
+    ]
+)
+CONFIGURATION = parse_configuration({"a.ini": TEXT})
+
+
+class ScriptedAttempts:
+    """Plays one outcome per attempt; the last one repeats."""
+
+    def __init__(self, *outcomes, hold=None):
+        self.outcomes = list(outcomes)
+        self.hold = hold
+        self.endpoints = []
+
+    async def run(self, request, endpoint, delivery):
+        self.endpoints.append(endpoint.id)
+        if self.hold is not None:
+            await self.hold.wait()
+        index = min(len(self.endpoints), len(self.outcomes)) - 1
+        return self.outcomes[index](endpoint.id)
+
+
+def done(peer):
+    return Completed(Step.RELAY, peer)
+
+
+def refused(peer):
+    return NotRun(Step.CONNECT, peer, "refused")
+
+
+def crashed(peer):
+    return UnknownOutcome(Step.HEADERS, peer, "lost", lost=True)
+
+
+def make(attempts, **limits):
+    board = make_board()
+    board.configuration.take_writer("test").write(CONFIGURATION, 0.0)
+    dispatcher = make_dispatcher(board, attempts, RulePlacement(), Limits(**limits))
+    dispatcher.source = random.Random(1)
+    return dispatcher
+
+
+def make_request(prompt="hello", idempotent=True):
+    workspace = CONFIGURATION.workspaces["w"]
+    model = CONFIGURATION.models["m"]
+    body = {"model": "m", "prompt": prompt}
+    return ModelRequest(
+        id="req-1",
+        workspace=workspace,
+        model=model,
+        service=CONFIGURATION.services["s"],
+        path="/v1/completions",
+        body=body,
+        streamed=False,
+        prompt=build_prompt(workspace, model, body),
+        idempotent=idempotent,
+    )
+
+
+def run(dispatcher, request):
+    async def send(message):
+        pytest.fail("nothing is sent by the dispatcher itself")
+
+    return anyio.run(dispatcher.dispatch, request, send, 0.0)
+
+
+def test_a_refused_connection_is_tried_elsewhere():
+    attempts = ScriptedAttempts(refused, done)
+    assert isinstance(run(make(attempts), make_request()), Completed)
+    assert len(set(attempts.endpoints)) == 2
+
+
+def test_what_may_have_run_is_sent_once_when_it_may_not_be_repeated():
+    attempts = ScriptedAttempts(crashed, done)
+    outcome = run(make(attempts), make_request(idempotent=False))
+    assert isinstance(outcome, UnknownOutcome)
+    assert len(attempts.endpoints) == 1
+
+
+def test_a_crashing_request_takes_two_endpoints_however_often_it_is_sent():
+    attempts = ScriptedAttempts(crashed)
+    dispatcher = make(attempts)
+    told = []
+
+    async def share(suspicions):
+        told.append((len(attempts.endpoints), len(suspicions)))
+
+    dispatcher.share = share
+    for _ in range(5):
+        outcome = run(dispatcher, make_request())
+    assert isinstance(outcome, NotRun)
+    assert outcome.retry_after_s > 0
+    assert len(set(attempts.endpoints)) == 2
+    assert told == [(1, 1), (2, 1)]
+    assert isinstance(run(dispatcher, make_request("other")), UnknownOutcome)
+
+
+def test_a_full_service_answers_not_run_by_the_queues_deadline():
+    async def check():
+        hold = anyio.Event()
+        attempts = ScriptedAttempts(done, hold=hold)
+        dispatcher = make(attempts, queue_s=0.05)
+        outcomes = []
+
+        async def call(number):
+            request = make_request(str(number))
+            outcomes.append(await dispatcher.dispatch(request, None, 0.0))
+
+        async with anyio.create_task_group() as group:
+            for number in range(8):
+                group.start_soon(call, number)
+            await anyio.wait_all_tasks_blocked()
+            last = await dispatcher.dispatch(make_request("late"), None, 0.0)
+            hold.set()
+        assert isinstance(last, NotRun)
+        assert last.step is Step.QUEUE
+        assert last.retry_after_s >= 1
+        assert all(isinstance(outcome, Completed) for outcome in outcomes)
+        assert max(attempts.endpoints.count(f"e{n}") for n in range(4)) == 2
+
+    anyio.run(check)
+
+
+def test_a_caller_who_leaves_the_queue_gives_its_place_back():
+    async def check():
+        hold = anyio.Event()
+        dispatcher = make(ScriptedAttempts(done, hold=hold))
+        async with anyio.create_task_group() as group:
+            for number in range(8):
+                request = make_request(str(number))
+                group.start_soon(dispatcher.dispatch, request, None, 0.0)
+            await anyio.wait_all_tasks_blocked()
+            with anyio.move_on_after(0.01):
+                await dispatcher.dispatch(make_request("leaves"), None, 0.0)
+            queue = dispatcher.gates["s"].queue
+            assert (queue.waiting, queue.running) == (0, 8)
+            hold.set()
+        assert queue.running == 0
+        assert not +dispatcher.candidates.outstanding
+
+    anyio.run(check)
