Pass a router its platform: store, client and clock

Cause: a router could only be made with real sockets and the real clock. Change: make_router takes a Platform; every time on the request path comes from its clock. Conclusion: the whole request path can run in virtual time.

--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .asgi import Send, send_bytes, start_response
+from .clocks import Clock
 from .configuration import Endpoint
 from .engines import (
     CONNECT_ERRORS,
@@ -70,10 +71,12 @@
     ----------
     client : EndpointClient
     limits : Limits
+    clock : Clock
     """
 
     client: EndpointClient
     limits: Limits
+    clock: Clock = time.monotonic
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
@@ -82,7 +85,7 @@
         call = self._make_call(request, endpoint)
         try:
             async with self.client.open(call) as response:
-                delivery.headers_at_s = time.monotonic()
+                delivery.headers_at_s = self.clock()
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -1,7 +1,6 @@
 """The callers' side: the OpenAI HTTP API over ASGI."""
 
 import math
-import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -166,7 +165,7 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            now_s = time.monotonic()
+            now_s = self.dispatcher.clock()
             outcome = await self.dispatcher.dispatch(request, send, now_s)
             group.cancel_scope.cancel()
         return outcome
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -247,7 +247,11 @@
 
 
 def make_dispatcher(
-    board: Board, attempts: Attempts, placement: Placement, limits: Limits
+    board: Board,
+    attempts: Attempts,
+    placement: Placement,
+    limits: Limits,
+    clock: Clock = time.monotonic,
 ) -> Dispatcher:
     """Return a dispatcher without peers."""
-    return Dispatcher(board, attempts, placement, limits, Candidates(board))
+    return Dispatcher(board, attempts, placement, limits, Candidates(board), clock)
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -70,6 +70,9 @@
     ) -> contextlib.AbstractAsyncContextManager[EndpointResponse]:
         """Send a call; leaving the context cancels what is left of it."""
 
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 class HttpEndpointClient:
     """HTTP connections to endpoints, kept open and used again.
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -11,9 +11,10 @@
 from .attempt import Attempts
 from .board import Board, SectionWriter, make_board
 from .callers import CallersApp
+from .clocks import Clock
 from .configuration import Configuration
 from .dispatch import make_dispatcher
-from .engines import HttpEndpointClient, make_endpoint_client
+from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .ids import Revision
 from .placement import make_placement
@@ -21,7 +22,14 @@
 from .settings import RouterSettings
 from .store import Item, Store, Unavailable
 
-__all__ = ["ConfigurationController", "Router", "make_router", "open_router"]
+__all__ = [
+    "ConfigurationController",
+    "Platform",
+    "Router",
+    "make_platform",
+    "make_router",
+    "open_router",
+]
 
 RETRY_S = 0.2
 
@@ -32,6 +40,7 @@
 
     store: Store
     writer: SectionWriter[Configuration | None]
+    clock: Clock = time.monotonic
     revision: Revision = Revision(0)
 
     async def run(self) -> None:
@@ -59,7 +68,7 @@
         if configuration is None:
             return False
         self.revision = item.mod_revision
-        self.writer.write(configuration, time.monotonic())
+        self.writer.write(configuration, self.clock())
         return True
 
 
@@ -69,34 +78,55 @@
 
     settings: RouterSettings
     board: Board
-    store: Store
-    client: HttpEndpointClient
+    platform: Platform
     app: CallersApp
     configuration: ConfigurationController
     callers_address: str = ""
 
 
-def make_router(settings: RouterSettings) -> Router:
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """What a router meets outside its process.
+
+    Parameters
+    ----------
+    store : Store
+    client : EndpointClient
+    clock : Clock
+    """
+
+    store: Store
+    client: EndpointClient
+    clock: Clock = time.monotonic
+
+
+def make_platform(settings: RouterSettings) -> Platform:
+    """Return the platform that the settings name."""
+    return Platform(make_etcd_store(settings.store_address), make_endpoint_client())
+
+
+def make_router(settings: RouterSettings, platform: Platform) -> Router:
     """Return a router that serves nothing yet."""
     board = make_board()
-    store = make_etcd_store(settings.store_address)
-    client = make_endpoint_client()
-    attempts = Attempts(client, settings.limits)
-    dispatcher = make_dispatcher(board, attempts, make_placement(), settings.limits)
-    app = CallersApp(board, dispatcher, settings.limits)
+    limits = settings.limits
+    attempts = Attempts(platform.client, limits, platform.clock)
+    dispatcher = make_dispatcher(
+        board, attempts, make_placement(), limits, platform.clock
+    )
+    app = CallersApp(board, dispatcher, limits)
     writer = board.configuration.take_writer("configuration")
-    controller = ConfigurationController(store, writer)
-    return Router(settings, board, store, client, app, controller)
+    controller = ConfigurationController(platform.store, writer, platform.clock)
+    return Router(settings, board, platform, app, controller)
 
 
 @contextlib.asynccontextmanager
 async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
     """Run a router while the context is open."""
-    router = make_router(settings)
+    router = make_router(settings, make_platform(settings))
     async with anyio.create_task_group() as group:
         group.start_soon(router.configuration.run)
         async with open_server(router.app, settings.callers_address) as address:
             router.callers_address = address
             yield router
         group.cancel_scope.cancel()
-    await router.client.close()
+    await router.platform.client.close()
