--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -72,18 +72,6 @@
         return True
 
 
-@dataclass(slots=True)
-class Router:
-    """The parts of one router."""
-
-    settings: RouterSettings
-    board: Board
-    platform: Platform
-    app: CallersApp
-    configuration: ConfigurationController
-    callers_address: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class Platform:
     """What a router meets outside its process.
@@ -105,6 +93,18 @@
     return Platform(make_etcd_store(settings.store_address), make_endpoint_client())
 
 
+@dataclass(slots=True)
+class Router:
+    """The parts of one router."""
+
+    settings: RouterSettings
+    board: Board
+    platform: Platform
+    app: CallersApp
+    configuration: ConfigurationController
+    callers_address: str = ""
+
+
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
     """Return a router that serves nothing yet."""
     board = make_board()
