--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -1,6 +1,6 @@
 """The callers' side: the OpenAI HTTP API over ASGI."""
 
-import time
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -165,7 +165,7 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            now_s = time.monotonic()
+            now_s = self.dispatcher.clock()
             outcome = await self.dispatcher.dispatch(request, send, now_s)
             group.cancel_scope.cancel()
         return outcome
@@ -193,8 +193,10 @@
         headers: list[tuple[str, str]] = [("x-request-id", request.id)]
         code, status = "unknown_outcome", 502
         if isinstance(outcome, NotRun):
-            code, status = "not_run", 503
-            headers.append(("retry-after", str(max(1, round(outcome.retry_after_s)))))
+            code, status = "not_run", 429 if outcome.limited else 503
+            headers.append(
+                ("retry-after", str(max(1, math.ceil(outcome.retry_after_s))))
+            )
         body = make_error_body(
             code, outcome.reason, request.id, outcome.step.value, outcome.peer
         )
