--- /dev/null
+++ b/primrosepier/log_events.py
@@ -0,0 +1,281 @@
+"""Typed events of the log, each with its part, level and sentence."""
+
+import heapq
+from collections.abc import Sequence
+from enum import IntEnum
+from typing import ClassVar
+
+import msgspec
+
+from .ids import AttemptId, EndpointId, RequestId, ServiceId, WorkspaceId
+from .placement import EndpointView
+
+__all__ = [
+    "AttemptEnded",
+    "AttemptStarted",
+    "ClaimSettled",
+    "DecisionMade",
+    "EngineAnswered",
+    "Event",
+    "EventsDropped",
+    "LogLevel",
+    "RequestEnded",
+    "RequestRefused",
+    "RequestReceived",
+    "RetryChosen",
+    "SeenCandidate",
+    "SectionWritten",
+    "select_candidates",
+]
+
+MAX_CANDIDATES = 4
+
+
+class LogLevel(IntEnum):
+    """How much is logged; a higher level holds the lower ones."""
+
+    OFF = 0
+    ERROR = 1
+    INFO = 2
+    DEBUG = 3
+
+
+class SeenCandidate(msgspec.Struct, frozen=True):
+    """One candidate as the decision saw it.
+
+    Parameters
+    ----------
+    report_age_s : float or None
+        None when the endpoint never reported.
+    """
+
+    id: EndpointId
+    outstanding: int
+    reported: int
+    report_age_s: float | None
+
+
+class Event(msgspec.Struct, frozen=True, tag_field="message_type", tag=True):
+    """Base of all events; its subclasses hold ids, numbers and short reasons."""
+
+    part: ClassVar[str] = ""
+    level: ClassVar[LogLevel] = LogLevel.INFO
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        raise NotImplementedError
+
+
+class RequestReceived(Event, frozen=True):
+    """A caller's request arrived at a router."""
+
+    part: ClassVar[str] = "callers"
+    request: RequestId
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"received {self.request}"
+
+
+class RequestRefused(Event, frozen=True):
+    """A router refused a request before routing it."""
+
+    part: ClassVar[str] = "callers"
+    request: RequestId
+    status: int
+    code: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"refused {self.request} with {self.status} {self.code}"
+
+
+class RequestEnded(Event, frozen=True):
+    """The last event of a request at a router.
+
+    Parameters
+    ----------
+    outcome : str
+        Name of the outcome's class, or ``CallerLeft``.
+    expected_cached_tokens, cached_tokens, prompt_tokens : int
+        Expected and observed reuse, and the prompt's length.
+    duration_s : float
+    """
+
+    part: ClassVar[str] = "callers"
+    request: RequestId
+    workspace: WorkspaceId
+    outcome: str
+    step: str
+    peer: str
+    reason: str
+    prompt_tokens: int
+    cached_tokens: int
+    duration_s: float
+    ttft_s: float | None = None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"ended {self.request} as {self.outcome} at {self.step}"
+
+
+class DecisionMade(Event, frozen=True):
+    """An endpoint was chosen, or none could be.
+
+    Parameters
+    ----------
+    attempt : int
+        1 for the first attempt of the request.
+    endpoint : str
+        Empty when no candidate has room.
+    prefix_blocks, anchor_level : int
+        Whole blocks of the prompt, and the leading ones that chose.
+    views : sequence of EndpointView
+        All candidates; the log keeps the chosen and the least loaded ones.
+    """
+
+    part: ClassVar[str] = "dispatch"
+    request: RequestId
+    workspace: WorkspaceId
+    service: ServiceId
+    attempt: int
+    endpoint: EndpointId
+    prefix_blocks: int
+    anchor_level: int
+    prompt_tokens: int
+    expected_cached_tokens: int
+    reason: str
+    views: Sequence[EndpointView]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if not self.endpoint:
+            return f"found no endpoint for {self.request}"
+        level = f"prefix level {self.anchor_level} of {self.prefix_blocks}"
+        return f"chose {self.endpoint} for {self.request} at {level}"
+
+
+class RetryChosen(Event, frozen=True):
+    """A request goes to another endpoint."""
+
+    part: ClassVar[str] = "dispatch"
+    request: RequestId
+    attempt: int
+    after: str
+    reason: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"retries {self.request} after {self.after}"
+
+
+class AttemptStarted(Event, frozen=True):
+    """A request is about to go to an endpoint.
+
+    Parameters
+    ----------
+    hop : str
+        Trace header that goes with it.
+    """
+
+    part: ClassVar[str] = "attempt"
+    request: RequestId
+    attempt: AttemptId
+    endpoint: EndpointId
+    hop: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"sends {self.request} to {self.endpoint}"
+
+
+class AttemptEnded(Event, frozen=True):
+    """An attempt came to its outcome.
+
+    Parameters
+    ----------
+    headers_s : float or None
+        Time from the start to the answer's headers; None when none came.
+    """
+
+    part: ClassVar[str] = "attempt"
+    request: RequestId
+    attempt: AttemptId
+    endpoint: EndpointId
+    outcome: str
+    step: str
+    reason: str
+    cached_tokens: int
+    headers_s: float | None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"ended at {self.endpoint} as {self.outcome} for {self.request}"
+
+
+class ClaimSettled(Event, frozen=True):
+    """A claim of a non-idempotent call was won, lost or left unknown."""
+
+    part: ClassVar[str] = "claims"
+    request: RequestId
+    workspace: WorkspaceId
+    result: str
+    duration_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"settled the claim of {self.request} as {self.result}"
+
+
+class EngineAnswered(Event, frozen=True):
+    """An engine finished or lost a call."""
+
+    part: ClassVar[str] = "engine"
+    request: str
+    result: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"{self.result} {self.request}"
+
+
+class SectionWritten(Event, frozen=True):
+    """A board section got a new value."""
+
+    part: ClassVar[str] = "board"
+    section: str
+    revision: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"wrote {self.section} at revision {self.revision}"
+
+
+class EventsDropped(Event, frozen=True):
+    """The sink was slower than the events for a while."""
+
+    part: ClassVar[str] = "logs"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    count: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"dropped {self.count} events"
+
+
+def select_candidates(
+    chosen: EndpointId, views: Sequence[EndpointView]
+) -> list[SeenCandidate]:
+    """Return the chosen candidate and the least loaded others."""
+
+    def rank(view: EndpointView) -> tuple[bool, int]:
+        return (view.id != chosen, view.outstanding + view.reported)
+
+    kept = heapq.nsmallest(MAX_CANDIDATES, views, key=rank)
+    return [_make_seen(view) for view in kept]
+
+
+def _make_seen(view: EndpointView) -> SeenCandidate:
+    never = view.report_age_s == float("inf")
+    age_s = None if never else round(view.report_age_s, 3)
+    return SeenCandidate(view.id, view.outstanding, view.reported, age_s)
--- /dev/null
+++ b/primrosepier/logs.py
@@ -0,0 +1,304 @@
+"""Structured logs by eliot, written by a thread beside the request path."""
+
+import contextlib
+import itertools
+import os
+import re
+import secrets
+import sys
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextvars import ContextVar
+from dataclasses import dataclass, field
+from typing import IO, Any
+
+import msgspec
+from eliot import Action, start_action
+
+from .asgi import App, Receive, Scope, Send, find_header
+from .errors import SettingsError
+from .ids import HostId
+from .log_events import (
+    DecisionMade,
+    EngineAnswered,
+    Event,
+    EventsDropped,
+    LogLevel,
+    select_candidates,
+)
+from .settings import LogSettings
+
+__all__ = [
+    "Log",
+    "LoggedEngine",
+    "TRACE_HEADER",
+    "emit",
+    "make_hop",
+    "make_log",
+    "open_action",
+    "render_event",
+]
+
+TRACE_HEADER = "x-trace"
+TRACE_FORM = re.compile(r"[0-9a-f-]{36}@(?:/[0-9]{1,6}){1,12}")
+QUEUE_EVENTS = 20_000
+WRITE_INTERVAL_S = 0.05
+JOIN_S = 2.0
+PROCESS_BYTES = 4
+EVENT_FIELD = "event"
+LOG_MODE = 0o640
+
+Observer = Callable[[Event], None]
+
+
+def render_event(event: Event) -> dict[str, Any]:
+    """Return an event's fields, its part and its sentence."""
+    fields = msgspec.structs.asdict(event)
+    if isinstance(event, DecisionMade):
+        fields["candidates"] = len(event.views)
+        fields["views"] = select_candidates(event.endpoint, event.views)
+    fields["part"] = event.part
+    fields["message"] = f"{event.part}: {event.describe()}"
+    return fields
+
+
+@dataclass(slots=True)
+class _Writer:
+    """Writes queued lines to a stream from its own thread."""
+
+    stream: IO[bytes]
+    owned: bool
+    queue: deque[dict[str, Any]] = field(default_factory=deque)
+    lost: int = 0
+    stopping: threading.Event = field(default_factory=threading.Event)
+    thread: threading.Thread = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.thread = threading.Thread(target=self._run, name="logs", daemon=True)
+        self.thread.start()
+
+    def add(self, line: dict[str, Any]) -> bool:
+        """Queue a line; return False when the queue is full."""
+        if len(self.queue) >= QUEUE_EVENTS:
+            return False
+        self.queue.append(line)
+        return True
+
+    def _run(self) -> None:
+        while not self.stopping.wait(WRITE_INTERVAL_S):
+            self._drain()
+        self._drain()
+
+    def _drain(self) -> None:
+        written = bytearray()
+        count = 0
+        while self.queue:
+            written += _encode_line(self.queue.popleft())
+            count += 1
+        if not written:
+            return
+        try:
+            self.stream.write(written)
+            self.stream.flush()
+        except OSError:
+            self.lost += count
+
+    def close(self) -> None:
+        """Write what is queued and stop, within a bounded time."""
+        self.stopping.set()
+        self.thread.join(JOIN_S)
+        if self.owned and not self.thread.is_alive():
+            self.stream.close()
+
+
+def _encode_line(line: dict[str, Any]) -> bytes:
+    event = line.pop(EVENT_FIELD, None)
+    if event is not None:
+        line.update(render_event(event))
+    return msgspec.json.encode(line) + b"\n"
+
+
+class Log:
+    """Log of one router; eliot's actions write to it.
+
+    Parameters
+    ----------
+    host : HostId
+    settings : LogSettings
+
+    Attributes
+    ----------
+    process : str
+        Unguessable name of this process's run; line numbers count within it.
+    observers : list of callable
+        Called with each event, at every level; they must be quick.
+    dropped : int
+        Events that found the queue full.
+    """
+
+    def __init__(self, host: HostId, settings: LogSettings):
+        self.host = host
+        self.level = LogLevel[settings.level.upper()]
+        self.process = f"{host}.{secrets.token_hex(PROCESS_BYTES)}"
+        self.observers: list[Observer] = []
+        self.dropped = 0
+        self.unreported = 0
+        self.numbers = itertools.count(1)
+        self.writer = _open_writer(settings) if self.level else None
+
+    def write(self, dictionary: dict[str, Any], serializer: object = None) -> None:
+        """Queue one message of eliot's; never wait."""
+        event = dictionary.get(EVENT_FIELD)
+        if self.writer is None or (event is not None and event.level > self.level):
+            return
+        if event is None and self.level < LogLevel.INFO:
+            return
+        if self.unreported and self.writer.add(self._make_drop_report()):
+            self.unreported = 0
+        line = {"host": self.host, "process": self.process, **dictionary}
+        line["number"] = next(self.numbers)
+        if not self.writer.add(line):
+            self.dropped += 1
+            self.unreported += 1
+
+    def _make_drop_report(self) -> dict[str, Any]:
+        report = {"host": self.host, "process": self.process}
+        number = next(self.numbers)
+        event = EventsDropped(self.unreported)
+        return {**report, "timestamp": time.time(), "number": number, "event": event}
+
+    def emit(self, event: Event) -> None:
+        """Log an event that belongs to no request."""
+        for observe in self.observers:
+            observe(event)
+        line = {"timestamp": time.time(), EVENT_FIELD: event}
+        line["message_type"] = type(event).__name__
+        self.write(line)
+
+    def close(self) -> None:
+        """Write what is queued."""
+        if self.writer is not None:
+            self.writer.close()
+
+
+@dataclass(frozen=True, slots=True)
+class _Current:
+    log: Log
+    action: Action | None
+
+
+_CURRENT: ContextVar[_Current | None] = ContextVar("current_log", default=None)
+
+
+def emit(event: Event) -> None:
+    """Log an event below the action in progress, if there is one."""
+    current = _CURRENT.get()
+    if current is None:
+        return
+    for observe in current.log.observers:
+        observe(event)
+    if current.action is not None:
+        current.action.log(type(event).__name__, **{EVENT_FIELD: event})
+
+
+def make_hop() -> str:
+    """Return the trace header value for one call to another process."""
+    current = _CURRENT.get()
+    if current is None or current.action is None:
+        return ""
+    return current.action.serialize_task_id().decode()
+
+
+@contextlib.contextmanager
+def open_action(log: Log, name: str, hop: str = "") -> Iterator[None]:
+    """Log what happens inside as one action.
+
+    Parameters
+    ----------
+    log : Log
+    name : str
+        Name of the action.
+    hop : str
+        Trace header of the process that asked for it; a malformed one is ignored.
+    """
+    if not log.level:
+        with _set_current(_Current(log, None)):
+            yield
+        return
+    action = _start(log, name, hop)
+    error = ""
+    try:
+        with _set_current(_Current(log, action)):
+            yield
+    except BaseException as cause:
+        error = type(cause).__name__
+        raise
+    finally:
+        if error:
+            action.add_success_fields(error=error)
+        action.finish()
+
+
+def _start(log: Log, name: str, hop: str) -> Action:
+    if TRACE_FORM.fullmatch(hop):
+        return Action.continue_task(log, hop, action_type=name)
+    return start_action(log, name)
+
+
+@contextlib.contextmanager
+def _set_current(current: _Current) -> Iterator[None]:
+    token = _CURRENT.set(current)
+    try:
+        yield
+    finally:
+        _CURRENT.reset(token)
+
+
+def _open_writer(settings: LogSettings) -> _Writer | None:
+    if settings.sink == "none":
+        return None
+    if settings.sink == "stderr":
+        return _Writer(sys.stderr.buffer, owned=False)
+    flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+    try:
+        descriptor = os.open(settings.sink, flags, LOG_MODE)
+    except OSError as cause:
+        raise SettingsError("-", "logs", "sink", str(cause)) from cause
+    return _Writer(os.fdopen(descriptor, "ab"), owned=True)
+
+
+def make_log(host: HostId, settings: LogSettings) -> Log:
+    """Return the log of one process."""
+    return Log(host, settings)
+
+
+@dataclass(slots=True)
+class LoggedEngine:
+    """ASGI app that logs the calls of an engine's stand-in.
+
+    Parameters
+    ----------
+    app : App
+    log : Log
+    """
+
+    app: App
+    log: Log
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call inside an action of its sender's tree."""
+        hop = find_header(scope, TRACE_HEADER)
+        if not hop:
+            await self.app(scope, receive, send)
+            return
+        request = find_header(scope, "x-request-id")
+        with open_action(self.log, "engine", hop):
+            emit(EngineAnswered(request, "received"))
+            result = "lost"
+            try:
+                await self.app(scope, receive, send)
+                result = "answered"
+            finally:
+                emit(EngineAnswered(request, result))
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -7,9 +7,16 @@
 from .ids import FailureDomain, HostId
 from .ini import SectionReader, parse_ini
 
-__all__ = ["Limits", "RouterSettings", "load_settings", "parse_settings"]
+__all__ = [
+    "Limits",
+    "LogSettings",
+    "RouterSettings",
+    "load_settings",
+    "parse_settings",
+]
 
 MIB = 1024 * 1024
+LOG_LEVELS = ("off", "error", "info", "debug")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +41,22 @@
     connect_s: float = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged, and where to.
+
+    Parameters
+    ----------
+    level : str
+        ``off``, ``error``, ``info`` or ``debug``.
+    sink : str
+        ``none``, ``stderr`` or the path of a file or named pipe.
+    """
+
+    level: str = "info"
+    sink: str = "none"
+
+
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
     """Checked settings of one router.
@@ -63,6 +86,7 @@
     stop_wait_s: float = 2.0
     stop_streams_s: float = 3600.0
     limits: Limits = Limits()
+    logs: LogSettings = LogSettings()
 
 
 def load_settings(path: Path) -> RouterSettings:
@@ -86,7 +110,7 @@
     readers = {}
     for section in parser.sections():
         readers[section] = SectionReader(file, section, parser[section], SettingsError)
-    for name in ("router", "platform", "peers", "limits"):
+    for name in ("router", "platform", "peers", "limits", "logs"):
         readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
     settings = _read_settings(readers)
     for reader in readers.values():
@@ -111,6 +135,14 @@
         peers=readers["peers"].read_list("addresses"),
         peer_key=_read_key(readers["peers"]),
         limits=_read_limits(readers["limits"]),
+        logs=_read_logs(readers["logs"]),
+    )
+
+
+def _read_logs(reader: SectionReader) -> LogSettings:
+    return LogSettings(
+        level=reader.read_choice("level", LOG_LEVELS, "info"),
+        sink=reader.read_text("sink", "stderr"),
     )
 
 
