--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -14,7 +14,8 @@
     EndpointResponse,
     classify_error,
 )
-from .ids import make_attempt_id
+from .ids import AttemptId, make_attempt_id
+from .logs import TRACE_HEADER
 from .outcomes import (
     Completed,
     Interrupted,
@@ -25,6 +26,7 @@
     UnknownOutcome,
 )
 from .relay import Tail, relay_stream
+from .request_log import AttemptRecord, record_attempt
 from .requests import ModelRequest
 from .settings import Limits
 
@@ -70,14 +72,30 @@
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
     ) -> Outcome:
         """Send a request to an endpoint and relay its answer."""
-        call = self._make_call(request, endpoint)
+        attempt = make_attempt_id()
+        with record_attempt(request, endpoint.id, attempt) as record:
+            call = self._make_call(request, endpoint, attempt, record.hop)
+            record.outcome = await self._send(request, endpoint, call, delivery, record)
+        return record.outcome
+
+    async def _send(
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        delivery: Delivery,
+        record: AttemptRecord,
+    ) -> Outcome:
         try:
             async with self.client.open(call) as response:
+                record.mark_headers()
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
 
-    def _make_call(self, request: ModelRequest, endpoint: Endpoint) -> EndpointCall:
+    def _make_call(
+        self, request: ModelRequest, endpoint: Endpoint, attempt: AttemptId, hop: str
+    ) -> EndpointCall:
         body = dict(request.body)
         body["cache_salt"] = request.workspace.id
         if request.streamed:
@@ -85,7 +103,8 @@
         headers = (
             ("content-type", "application/json"),
             ("x-request-id", request.id),
-            ("x-attempt-id", make_attempt_id()),
+            ("x-attempt-id", attempt),
+            (TRACE_HEADER, hop),
         )
         return EndpointCall(
             address=endpoint.address,
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -23,13 +23,17 @@
 from .dispatch import Dispatcher
 from .errors import RequestError
 from .ids import ModelId, RequestId, make_request_id
+from .log_events import RequestReceived, RequestRefused
+from .logs import TRACE_HEADER, Log, emit, open_action
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
+from .request_log import TimedSend, record_request
 from .requests import ModelRequest, build_prompt
 from .settings import Limits
 
 __all__ = ["CallersApp", "make_error_body"]
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 BEARER = "Bearer "
 
 
@@ -52,20 +56,33 @@
     board : Board
     dispatcher : Dispatcher
     limits : Limits
+    log : Log
     """
 
     board: Board
     dispatcher: Dispatcher
     limits: Limits
+    log: Log
     stopping: bool = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         request = make_request_id()
+        if scope["path"] in QUIET_PATHS:
+            await self._answer(request, scope, receive, send)
+            return
+        with open_action(self.log, "request", find_header(scope, TRACE_HEADER)):
+            emit(RequestReceived(request))
+            await self._answer(request, scope, receive, send)
+
+    async def _answer(
+        self, request: RequestId, scope: Scope, receive: Receive, send: Send
+    ) -> None:
         identity = ("x-request-id", request)
         try:
             await self._route(request, scope, receive, send)
         except RequestError as error:
+            emit(RequestRefused(request, error.status, error.code))
             body = make_error_body(error.code, error.message, request)
             await send_json(send, error.status, body, [identity])
 
@@ -122,9 +139,11 @@
         configuration, workspace = self._authenticate(scope)
         body = await read_json(receive, self.limits.body_bytes)
         checked = self._check_request(request, configuration, workspace, scope, body)
-        outcome = await self._run(checked, receive, send)
-        if outcome is not None:
-            await self._finish(checked, outcome, send)
+        timed = TimedSend(send)
+        with record_request(checked, timed) as record:
+            record.outcome = await self._run(checked, receive, timed)
+            if record.outcome is not None:
+                await self._finish(checked, record.outcome, timed)
 
     def _check_request(
         self,
--- a/primrosepier/commands_demo.py
+++ b/primrosepier/commands_demo.py
@@ -1,6 +1,7 @@
 """The demo command."""
 
 from dataclasses import asdict
+from pathlib import Path
 
 import anyio
 import msgspec
@@ -21,6 +22,7 @@
     options = [
         option("serve", None, "Keep running; print one JSON line first."),
         option("seed", None, "Seed of the trace.", flag=False, default=DEMO_SEED),
+        option("logs", None, "Directory for the logs of all processes.", flag=False),
         option("json", None, "Print the measures as JSON."),
     ]
 
@@ -33,15 +35,22 @@
         self._print_report(report)
         return 0 if report.correct == report.requests else 1
 
+    def _make_logs(self) -> Path | None:
+        if not self.option("logs"):
+            return None
+        logs = Path(self.option("logs"))
+        logs.mkdir(parents=True, exist_ok=True)
+        return logs
+
     async def _serve(self) -> None:
-        async with open_demo() as demo:
+        async with open_demo(logs=self._make_logs()) as demo:
             self.line(msgspec.json.encode(describe_demo(demo)).decode())
             await anyio.sleep_forever()
 
     async def _replay(self) -> ReplayReport:
         quiet = bool(self.option("json"))
         progress = self.progress_bar(DEMO_REQUESTS)
-        async with open_demo() as demo:
+        async with open_demo(logs=self._make_logs()) as demo:
 
             def show(count: int) -> None:
                 if not quiet:
--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from .asgi import open_server
+from .asgi import App, open_server
 from .configuration import (
     Configuration,
     Endpoint,
@@ -18,10 +18,11 @@
 from .errors import ConfigurationError
 from .etcd import make_etcd_store
 from .ids import EndpointId, FailureDomain, HostId
+from .logs import LoggedEngine, make_log
 from .replay import ReplayReport, replay_trace
 from .revisions import ApplyResult, apply_configuration
 from .router import Router, open_router
-from .settings import RouterSettings
+from .settings import LogSettings, RouterSettings
 from .standin_engine import EngineStandin
 from .standin_store import StoreStandin
 from .traces import generate_trace
@@ -66,13 +67,23 @@
 
 
 @contextlib.asynccontextmanager
-async def open_demo(deployment: str = "keranvel") -> AsyncIterator[Demo]:
-    """Run stand-ins and three routers while the context is open."""
+async def open_demo(
+    deployment: str = "keranvel", logs: Path | None = None
+) -> AsyncIterator[Demo]:
+    """Run stand-ins and three routers while the context is open.
+
+    Parameters
+    ----------
+    deployment : str
+        Name of an example.
+    logs : Path or None
+        Directory that gets one log file for each router and engine.
+    """
     declared = load_configuration([find_example(deployment)])
     async with contextlib.AsyncExitStack() as stack:
         standin = StoreStandin()
         address = await stack.enter_async_context(open_server(standin, LOOPBACK))
-        engines, endpoints = await _open_engines(stack, declared)
+        engines, endpoints = await _open_engines(stack, declared, logs)
         configuration = replace(declared, endpoints=endpoints)
         store = make_etcd_store(address)
         stack.push_async_callback(store.close)
@@ -82,7 +93,7 @@
         domains = sorted({e.failure_domain for e in endpoints.values()})
         routers = []
         for number, domain in enumerate(domains, start=1):
-            settings = _make_settings(number, domain, address)
+            settings = _make_settings(number, domain, address, logs)
             routers.append(await stack.enter_async_context(open_router(settings)))
         keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
         demo = Demo(standin, address, routers, engines, configuration, keys)
@@ -91,7 +102,7 @@
 
 
 async def _open_engines(
-    stack: contextlib.AsyncExitStack, declared: Configuration
+    stack: contextlib.AsyncExitStack, declared: Configuration, logs: Path | None
 ) -> tuple[dict[EndpointId, EngineStandin], dict[EndpointId, Endpoint]]:
     engines = {}
     endpoints = {}
@@ -100,14 +111,34 @@
         if kind is not ServiceKind.ENGINE:
             continue
         engine = EngineStandin()
-        address = await stack.enter_async_context(open_server(engine, LOOPBACK))
+        app = _log_engine(stack, engine, endpoint.id, logs)
+        address = await stack.enter_async_context(open_server(app, LOOPBACK))
         engines[endpoint.id] = engine
         endpoints[endpoint.id] = replace(endpoint, address=address)
     return engines, endpoints
 
 
+def _log_engine(
+    stack: contextlib.AsyncExitStack,
+    engine: EngineStandin,
+    endpoint: EndpointId,
+    logs: Path | None,
+) -> App:
+    if logs is None:
+        return engine
+    log = make_log(HostId(endpoint), _make_log_settings(logs, endpoint))
+    stack.callback(log.close)
+    return LoggedEngine(engine, log)
+
+
+def _make_log_settings(logs: Path | None, name: str) -> LogSettings:
+    if logs is None:
+        return LogSettings()
+    return LogSettings("info", str(logs / f"{name}.log"))
+
+
 def _make_settings(
-    number: int, domain: FailureDomain, store_address: str
+    number: int, domain: FailureDomain, store_address: str, logs: Path | None
 ) -> RouterSettings:
     return RouterSettings(
         host=HostId(f"entry-{number}"),
@@ -115,6 +146,7 @@
         callers_address=LOOPBACK,
         peers_address=LOOPBACK,
         store_address=store_address,
+        logs=_make_log_settings(logs, f"entry-{number}"),
     )
 
 
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -13,6 +13,7 @@
 from .loads import EndpointLoad
 from .outcomes import Completed, NotRun, Outcome, Step
 from .placement import Decision, EndpointView, Feedback, Placement
+from .request_log import record_decision, record_reuse
 from .requests import ModelRequest
 from .settings import Limits
 
@@ -53,7 +54,7 @@
         tried: set[EndpointId] = set()
         outcome: Outcome = NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
         for _ in range(MAX_ATTEMPTS):
-            decision = self.choose(request, tried, now_s)
+            decision = self.choose(request, tried, now_s, outcome)
             if decision is None:
                 return outcome
             tried.add(decision.endpoint)
@@ -64,14 +65,20 @@
         return outcome
 
     def choose(
-        self, request: ModelRequest, tried: set[EndpointId], now_s: float
+        self,
+        request: ModelRequest,
+        tried: set[EndpointId],
+        now_s: float,
+        last: Outcome | None = None,
     ) -> Decision | None:
         """Choose among the endpoints that were not tried."""
         configuration = self.board.configuration.value
         if configuration is None:
             return None
         views = self._make_views(configuration, request.service, tried, now_s)
-        return self.placement.choose(request.prompt, views, now_s)
+        decision = self.placement.choose(request.prompt, views, now_s)
+        record_decision(request, decision, views, len(tried), last)
+        return decision
 
     def _make_views(
         self,
@@ -105,6 +112,7 @@
         self, request: ModelRequest, decision: Decision, outcome: Outcome, now_s: float
     ) -> None:
         if isinstance(outcome, Completed):
+            record_reuse(request, decision, outcome)
             self.placement.observe(
                 Feedback(
                     endpoint=decision.endpoint,
--- /dev/null
+++ b/primrosepier/grpc_traces.py
@@ -0,0 +1,40 @@
+"""Trace headers over grpclib, so that one request's path is one tree."""
+
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.server import Server
+
+from .logs import TRACE_HEADER, Log, make_hop, open_action
+
+__all__ = ["trace_channel", "trace_server"]
+
+
+async def _add_hop(event: SendRequest) -> None:
+    hop = make_hop()
+    if hop:
+        event.metadata[TRACE_HEADER] = hop
+
+
+def trace_channel(channel: Channel) -> None:
+    """Send the trace of the action in progress with each call."""
+    listen(channel, SendRequest, _add_hop)
+
+
+def trace_server(server: Server, log: Log) -> None:
+    """Serve each call that has a trace inside an action of its sender's tree."""
+
+    async def open_hop(event: RecvRequest) -> None:
+        hop = str(event.metadata.get(TRACE_HEADER, ""))
+        method = event.method_func
+        name = event.method_name
+
+        async def serve(stream: Any) -> None:
+            with open_action(log, name, hop):
+                await method(stream)
+
+        if hop:
+            event.method_func = serve
+
+    listen(server, RecvRequest, open_hop)
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -23,6 +23,7 @@
     "RequestRefused",
     "RequestReceived",
     "RetryChosen",
+    "ReuseObserved",
     "SeenCandidate",
     "SectionWritten",
     "select_candidates",
@@ -97,14 +98,16 @@
     ----------
     outcome : str
         Name of the outcome's class, or ``CallerLeft``.
-    expected_cached_tokens, cached_tokens, prompt_tokens : int
-        Expected and observed reuse, and the prompt's length.
-    duration_s : float
+    prompt_tokens, cached_tokens : int
+        Length of the prompt, and what the endpoint read of it from its cache.
+    ttft_s : float or None
+        Time to the first byte of the answer; None when none went out.
     """
 
     part: ClassVar[str] = "callers"
     request: RequestId
     workspace: WorkspaceId
+    service: ServiceId
     outcome: str
     step: str
     peer: str
@@ -213,6 +216,24 @@
         return f"ended at {self.endpoint} as {self.outcome} for {self.request}"
 
 
+class ReuseObserved(Event, frozen=True):
+    """What an answer told about reuse, against what was expected."""
+
+    part: ClassVar[str] = "dispatch"
+    request: RequestId
+    workspace: WorkspaceId
+    service: ServiceId
+    endpoint: EndpointId
+    prompt_tokens: int
+    expected_cached_tokens: int
+    cached_tokens: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        reuse = f"{self.cached_tokens} of {self.prompt_tokens} prompt tokens"
+        return f"reused {reuse} at {self.endpoint} for {self.request}"
+
+
 class ClaimSettled(Event, frozen=True):
     """A claim of a non-idempotent call was won, lost or left unknown."""
 
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -44,6 +44,7 @@
 TRACE_HEADER = "x-trace"
 TRACE_FORM = re.compile(r"[0-9a-f-]{36}@(?:/[0-9]{1,6}){1,12}")
 QUEUE_EVENTS = 20_000
+BATCH_LINES = 500
 WRITE_INTERVAL_S = 0.05
 JOIN_S = 2.0
 PROCESS_BYTES = 4
@@ -92,25 +93,22 @@
         self._drain()
 
     def _drain(self) -> None:
-        written = bytearray()
-        count = 0
         while self.queue:
-            written += _encode_line(self.queue.popleft())
-            count += 1
-        if not written:
-            return
-        try:
-            self.stream.write(written)
-            self.stream.flush()
-        except OSError:
-            self.lost += count
+            count = min(len(self.queue), BATCH_LINES)
+            lines = [_encode_line(self.queue.popleft()) for _ in range(count)]
+            try:
+                self.stream.write(b"".join(lines))
+                self.stream.flush()
+            except OSError:
+                self.lost += count
 
     def close(self) -> None:
         """Write what is queued and stop, within a bounded time."""
         self.stopping.set()
         self.thread.join(JOIN_S)
         if self.owned and not self.thread.is_alive():
-            self.stream.close()
+            with contextlib.suppress(OSError):
+                self.stream.close()
 
 
 def _encode_line(line: dict[str, Any]) -> bytes:
--- /dev/null
+++ b/primrosepier/request_log.py
@@ -0,0 +1,185 @@
+"""Events of one request's path, made from the values that the path holds."""
+
+import contextlib
+import re
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from .asgi import Send
+from .ids import AttemptId, EndpointId
+from .log_events import (
+    AttemptEnded,
+    AttemptStarted,
+    DecisionMade,
+    RequestEnded,
+    RetryChosen,
+    ReuseObserved,
+)
+from .logs import emit, make_hop
+from .outcomes import Completed, Outcome, Refused
+from .placement import Decision, EndpointView
+from .requests import ModelRequest
+
+__all__ = [
+    "AttemptRecord",
+    "RequestRecord",
+    "TimedSend",
+    "record_attempt",
+    "record_decision",
+    "record_request",
+    "record_reuse",
+]
+
+CALLER_LEFT = "CallerLeft"
+CUT = "Cut"
+# The arguments of an exception may hold bytes of an endpoint's answer.
+RAISED = re.compile(r"(\w+)\(")
+
+
+class TimedSend:
+    """Sends to the caller and knows when the first byte of a body went out."""
+
+    def __init__(self, send: Send):
+        self.send = send
+        self.started_at_s = time.monotonic()
+        self.first_byte_at_s: float | None = None
+
+    async def __call__(self, message: dict[str, Any]) -> None:
+        """Send one ASGI message."""
+        if self.first_byte_at_s is None and message.get("body"):
+            self.first_byte_at_s = time.monotonic()
+        await self.send(message)
+
+    def compute_ttft(self) -> float | None:
+        """Return the seconds to the first byte, or None when none went out."""
+        if self.first_byte_at_s is None:
+            return None
+        return self.first_byte_at_s - self.started_at_s
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """Outcome of a request in progress; None when the caller left."""
+
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """Trace header, times and outcome of an attempt in progress."""
+
+    hop: str
+    started_at_s: float = field(default_factory=time.monotonic)
+    headers_s: float | None = None
+    outcome: Outcome | None = None
+
+    def mark_headers(self) -> None:
+        """Note that the headers of the answer arrived."""
+        self.headers_s = time.monotonic() - self.started_at_s
+
+
+@contextlib.contextmanager
+def record_request(request: ModelRequest, send: TimedSend) -> Iterator[RequestRecord]:
+    """Log the end of a request, also when it is cut."""
+    record = RequestRecord()
+    name = CUT
+    try:
+        yield record
+        name = CALLER_LEFT
+    finally:
+        outcome = record.outcome
+        event = RequestEnded(
+            request=request.id,
+            workspace=request.workspace.id,
+            service=request.service.id,
+            outcome=type(outcome).__name__ if outcome else name,
+            step=outcome.step.value if outcome else "",
+            peer=outcome.peer if outcome else "",
+            reason=_read_reason(outcome),
+            prompt_tokens=request.prompt.tokens,
+            cached_tokens=_read_cached_tokens(outcome),
+            duration_s=time.monotonic() - send.started_at_s,
+            ttft_s=send.compute_ttft(),
+        )
+        emit(event)
+
+
+@contextlib.contextmanager
+def record_attempt(
+    request: ModelRequest, endpoint: EndpointId, attempt: AttemptId
+) -> Iterator[AttemptRecord]:
+    """Log the start and the end of an attempt, also when it is cut."""
+    record = AttemptRecord(make_hop())
+    emit(AttemptStarted(request.id, attempt, endpoint, record.hop))
+    try:
+        yield record
+    finally:
+        outcome = record.outcome
+        event = AttemptEnded(
+            request=request.id,
+            attempt=attempt,
+            endpoint=endpoint,
+            outcome=type(outcome).__name__ if outcome else CUT,
+            step=outcome.step.value if outcome else "",
+            reason=_read_reason(outcome),
+            cached_tokens=_read_cached_tokens(outcome),
+            headers_s=record.headers_s,
+        )
+        emit(event)
+
+
+def record_decision(
+    request: ModelRequest,
+    decision: Decision | None,
+    views: Sequence[EndpointView],
+    tried: int,
+    last: Outcome | None = None,
+) -> None:
+    """Log a decision, and the retry that it is."""
+    if tried and last is not None and decision is not None:
+        after = type(last).__name__
+        emit(RetryChosen(request.id, tried + 1, after, _read_reason(last)))
+    chosen = decision or Decision(EndpointId(""), 0, 0, "no candidate has room")
+    event = DecisionMade(
+        request=request.id,
+        workspace=request.workspace.id,
+        service=request.service.id,
+        attempt=tried + 1,
+        endpoint=chosen.endpoint,
+        prefix_blocks=len(request.prompt.blocks),
+        anchor_level=chosen.anchor_level,
+        prompt_tokens=request.prompt.tokens,
+        expected_cached_tokens=chosen.expected_cached_tokens,
+        reason=chosen.reason,
+        views=views,
+    )
+    emit(event)
+
+
+def record_reuse(request: ModelRequest, decision: Decision, outcome: Completed) -> None:
+    """Log how much of the prompt was cached against what was expected."""
+    event = ReuseObserved(
+        request=request.id,
+        workspace=request.workspace.id,
+        service=request.service.id,
+        endpoint=decision.endpoint,
+        prompt_tokens=request.prompt.tokens,
+        expected_cached_tokens=decision.expected_cached_tokens,
+        cached_tokens=outcome.cached_tokens,
+    )
+    emit(event)
+
+
+def _read_reason(outcome: Outcome | None) -> str:
+    if isinstance(outcome, Refused):
+        return f"status {outcome.status}"
+    if outcome is None or isinstance(outcome, Completed):
+        return ""
+    raised = RAISED.match(outcome.reason)
+    return raised[1] if raised else outcome.reason
+
+
+def _read_cached_tokens(outcome: Outcome | None) -> int:
+    return outcome.cached_tokens if isinstance(outcome, Completed) else 0
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -16,6 +16,7 @@
 from .engines import HttpEndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .ids import Revision
+from .logs import make_log
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
@@ -83,7 +84,8 @@
     client = make_endpoint_client()
     attempts = Attempts(client, settings.limits)
     dispatcher = Dispatcher(board, attempts, make_placement(), settings.limits)
-    app = CallersApp(board, dispatcher, settings.limits)
+    log = make_log(settings.host, settings.logs)
+    app = CallersApp(board, dispatcher, settings.limits, log)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(store, writer)
     return Router(settings, board, store, client, app, controller)
@@ -100,3 +102,4 @@
             yield router
         group.cancel_scope.cancel()
     await router.client.close()
+    router.app.log.close()
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,178 @@
+import json
+import os
+import threading
+import time
+
+import anyio
+import pytest
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler
+from grpclib.encoding.base import CodecBase
+from grpclib.server import Server
+
+from primrosepier.demo import open_demo, run_demo_trace
+from primrosepier.errors import SettingsError
+from primrosepier.grpc_traces import trace_channel, trace_server
+from primrosepier.log_events import EventsDropped, RequestReceived
+from primrosepier.logs import QUEUE_EVENTS, emit, make_hop, make_log, open_action
+from primrosepier.settings import LogSettings, parse_settings
+
+ROUTER = """
+[router]
+host = entry-1
+failure_domain = Rennes
+callers_address = 127.0.0.1:0
+peers_address = 127.0.0.1:0
+[platform]
+store_address = 127.0.0.1:1
+[logs]
+"""
+
+
+def read_lines(directory):
+    paths = sorted(directory.iterdir())
+    return [json.loads(line) for path in paths for line in path.open()]
+
+
+def make_file_log(directory, name="entry-1", level="info"):
+    return make_log(name, LogSettings(level, str(directory / f"{name}.log")))
+
+
+def test_settings_name_level_and_sink():
+    settings = parse_settings(ROUTER + "level = error\nsink = none\n", "r.ini")
+    assert settings.logs == LogSettings("error", "none")
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(ROUTER + "level = loud\n", "r.ini")
+    assert caught.value.key == "level"
+
+
+@pytest.mark.sockets
+def test_a_demo_logs_no_prompt_and_no_key(tmp_path):
+    async def run():
+        async with open_demo(logs=tmp_path) as demo:
+            await run_demo_trace(demo, 5, 40, lambda count: None)
+            return demo.keys.values()
+
+    keys = anyio.run(run)
+    text = "".join(path.read_text() for path in tmp_path.iterdir())
+    assert text.count('"RequestEnded"') == 40
+    assert not [key for key in keys if key in text]
+    assert "block 1" not in text
+    assert "Bearer" not in text
+
+
+def test_each_sentence_starts_with_its_part(tmp_path):
+    log = make_file_log(tmp_path)
+    log.emit(RequestReceived("req-1"))
+    log.close()
+    (line,) = read_lines(tmp_path)
+    assert line["message"] == "callers: received req-1"
+    assert line["part"] == "callers"
+
+
+def test_levels_leave_out_the_chattier_events(tmp_path):
+    log = make_file_log(tmp_path, level="error")
+    with open_action(log, "request"):
+        emit(RequestReceived("req-1"))
+    log.emit(EventsDropped(3))
+    log.close()
+    assert [line["message_type"] for line in read_lines(tmp_path)] == ["EventsDropped"]
+
+
+def test_observers_see_events_at_every_level():
+    log = make_log("entry-1", LogSettings("off", "none"))
+    seen = []
+    log.observers.append(seen.append)
+    with open_action(log, "request"):
+        emit(RequestReceived("req-1"))
+    assert seen == [RequestReceived("req-1")]
+
+
+@pytest.mark.parametrize(
+    "hop", ["", "x", "a" * 36 + "@/1;rm", "0" * 36 + "@" + "/1" * 99]
+)
+def test_a_malformed_hop_starts_a_new_tree(tmp_path, hop):
+    log = make_file_log(tmp_path)
+    with open_action(log, "request", hop):
+        pass
+    log.close()
+    assert read_lines(tmp_path)[0]["task_level"] == [1]
+
+
+def test_a_blocked_sink_does_not_block_and_drops_are_counted(tmp_path):
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    reader = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+    log = make_log("entry-1", LogSettings("info", str(pipe)))
+    count = 3 * QUEUE_EVENTS
+    done = threading.Event()
+
+    def write():
+        for number in range(count):
+            log.emit(RequestReceived(f"req-{number}"))
+        done.set()
+
+    threading.Thread(target=write, daemon=True).start()
+    assert done.wait(60)
+    assert log.dropped > 0
+    os.close(reader)
+    log.close()
+
+
+class Codec(CodecBase):
+    __content_subtype__ = "raw"
+
+    def encode(self, message, message_type):
+        return message
+
+    def decode(self, data, message_type):
+        return data
+
+
+@pytest.mark.sockets
+def test_a_call_to_a_peer_continues_the_tree(tmp_path):
+    here, there = make_file_log(tmp_path, "entry-1"), make_file_log(tmp_path, "entry-2")
+
+    class Peer:
+        async def answer(self, stream):
+            emit(RequestReceived(f"req-{await stream.recv_message()}"))
+            await stream.send_message(b"")
+
+        def __mapping__(self):
+            handler = Handler(self.answer, Cardinality.UNARY_UNARY, bytes, bytes)
+            return {"/peers.Peers/Answer": handler}
+
+    async def run():
+        server = Server([Peer()], codec=Codec())
+        trace_server(server, there)
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        channel = Channel("127.0.0.1", port, codec=Codec())
+        trace_channel(channel)
+        method = UnaryUnaryMethod(channel, "/peers.Peers/Answer", bytes, bytes)
+        with open_action(here, "request"):
+            await method(b"1")
+            await method(b"2")
+        channel.close()
+        server.close()
+        await server.wait_closed()
+
+    anyio.run(run)
+    here.close()
+    there.close()
+    lines = read_lines(tmp_path)
+    assert len({line["task_uuid"] for line in lines}) == 1
+    received = [line for line in lines if line.get("message_type")]
+    assert [line["task_level"] for line in received] == [[2, 2], [3, 2]]
+
+
+def test_a_request_costs_little_time_on_its_thread(tmp_path):
+    log = make_file_log(tmp_path)
+    count = 500
+    started = time.thread_time()
+    for _ in range(count):
+        with open_action(log, "request"):
+            emit(RequestReceived("req-1"))
+            make_hop()
+    assert (time.thread_time() - started) / count < 0.001
+    log.close()
