--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -29,6 +29,7 @@
     "record_attempt",
     "record_decision",
     "record_request",
+    "record_retry",
     "record_reuse",
 ]
 
@@ -75,9 +76,9 @@
     headers_s: float | None = None
     outcome: Outcome | None = None
 
-    def mark_headers(self) -> None:
+    def mark_headers(self, now_s: float) -> None:
         """Note that the headers of the answer arrived."""
-        self.headers_s = time.monotonic() - self.started_at_s
+        self.headers_s = now_s - self.started_at_s
 
 
 @contextlib.contextmanager
@@ -135,12 +136,8 @@
     decision: Decision | None,
     views: Sequence[EndpointView],
     tried: int,
-    last: Outcome | None = None,
 ) -> None:
-    """Log a decision, and the retry that it is."""
-    if tried and last is not None and decision is not None:
-        after = type(last).__name__
-        emit(RetryChosen(request.id, tried + 1, after, _read_reason(last)))
+    """Log a decision among candidates; None when none has room."""
     chosen = decision or Decision(EndpointId(""), 0, 0, "no candidate has room")
     event = DecisionMade(
         request=request.id,
@@ -158,6 +155,12 @@
     emit(event)
 
 
+def record_retry(request: ModelRequest, tried: int, last: Outcome) -> None:
+    """Log that a request goes on after an attempt's outcome."""
+    after = type(last).__name__
+    emit(RetryChosen(request.id, tried + 1, after, _read_reason(last)))
+
+
 def record_reuse(request: ModelRequest, decision: Decision, outcome: Completed) -> None:
     """Log how much of the prompt was cached against what was expected."""
     event = ReuseObserved(
