--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .asgi import Send, send_bytes, start_response
+from .clocks import Clock
 from .configuration import Endpoint
 from .engines import (
     CONNECT_ERRORS,
@@ -72,10 +73,12 @@
     ----------
     client : EndpointClient
     limits : Limits
+    clock : Clock
     """
 
     client: EndpointClient
     limits: Limits
+    clock: Clock = time.monotonic
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
@@ -97,8 +100,8 @@
     ) -> Outcome:
         try:
             async with self.client.open(call) as response:
-                delivery.headers_at_s = time.monotonic()
-                record.mark_headers(delivery.headers_at_s)
+                delivery.headers_at_s = self.clock()
+                record.mark_headers()
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -76,9 +76,9 @@
     headers_s: float | None = None
     outcome: Outcome | None = None
 
-    def mark_headers(self, now_s: float) -> None:
+    def mark_headers(self) -> None:
         """Note that the headers of the answer arrived."""
-        self.headers_s = now_s - self.started_at_s
+        self.headers_s = time.monotonic() - self.started_at_s
 
 
 @contextlib.contextmanager
