--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -29,6 +29,7 @@
 )
 from .placement import Decision, Feedback, Placement
 from .prompts import BLOCK_TOKENS
+from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest
 from .retries import GiveUp, RetryBudget, decide_retry
 from .settings import Limits
@@ -136,12 +137,14 @@
             if isinstance(outcome, Completed | Refused):
                 return outcome
             if can_continue(outcome) and self.budget.withdraw():
+                record_retry(request, len(tried), outcome)
                 continue
             verdict = decide_retry(
                 outcome, len(tried), request.idempotent, self.budget, self.source
             )
             if isinstance(verdict, GiveUp):
                 return outcome
+            record_retry(request, len(tried), outcome)
             await anyio.sleep(verdict.delay_s)
 
     def choose(
@@ -162,6 +165,7 @@
             request.service, tried, allowed, suspected, now_s
         )
         decision = self.placement.choose(request.prompt, views, now_s)
+        record_decision(request, decision, views, len(tried))
         if decision is None:
             return NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
         return decision
@@ -220,6 +224,7 @@
         delivery: Delivery,
         started_s: float,
     ) -> None:
+        record_reuse(request, decision, outcome)
         now_s = self.clock()
         endpoint = decision.endpoint
         ttft_s = max(0.0, delivery.headers_at_s - started_s)
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -17,6 +17,7 @@
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .ids import Revision
+from .logs import make_log
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
@@ -113,7 +114,8 @@
     dispatcher = make_dispatcher(
         board, attempts, make_placement(), limits, platform.clock
     )
-    app = CallersApp(board, dispatcher, limits)
+    log = make_log(settings.host, settings.logs)
+    app = CallersApp(board, dispatcher, limits, log)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(platform.store, writer, platform.clock)
     return Router(settings, board, platform, app, controller)
@@ -130,3 +132,4 @@
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
+    router.app.log.close()
