--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -1,6 +1,6 @@
 """The callers' side: the OpenAI HTTP API over ASGI."""
 
-import time
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,15 +20,20 @@
 )
 from .board import Board
 from .configuration import Configuration, Workspace, find_workspace
-from .dispatch import Dispatcher, ModelRequest, build_prompt
+from .dispatch import Dispatcher
 from .errors import RequestError
 from .ids import ModelId, RequestId, make_request_id
+from .log_events import RequestReceived, RequestRefused
+from .logs import TRACE_HEADER, Log, emit, open_action
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
+from .request_log import TimedSend, record_request
+from .requests import ModelRequest, build_prompt
 from .settings import Limits
 
 __all__ = ["CallersApp", "make_error_body"]
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 BEARER = "Bearer "
 
 
@@ -51,20 +56,33 @@
     board : Board
     dispatcher : Dispatcher
     limits : Limits
+    log : Log
     """
 
     board: Board
     dispatcher: Dispatcher
     limits: Limits
+    log: Log
     stopping: bool = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         request = make_request_id()
+        if scope["path"] in QUIET_PATHS:
+            await self._answer(request, scope, receive, send)
+            return
+        with open_action(self.log, "request", find_header(scope, TRACE_HEADER)):
+            emit(RequestReceived(request))
+            await self._answer(request, scope, receive, send)
+
+    async def _answer(
+        self, request: RequestId, scope: Scope, receive: Receive, send: Send
+    ) -> None:
         identity = ("x-request-id", request)
         try:
             await self._route(request, scope, receive, send)
         except RequestError as error:
+            emit(RequestRefused(request, error.status, error.code))
             body = make_error_body(error.code, error.message, request)
             await send_json(send, error.status, body, [identity])
 
@@ -121,9 +139,11 @@
         configuration, workspace = self._authenticate(scope)
         body = await read_json(receive, self.limits.body_bytes)
         checked = self._check_request(request, configuration, workspace, scope, body)
-        outcome = await self._run(checked, receive, send)
-        if outcome is not None:
-            await self._finish(checked, outcome, send)
+        timed = TimedSend(send)
+        with record_request(checked, timed) as record:
+            record.outcome = await self._run(checked, receive, timed)
+            if record.outcome is not None:
+                await self._finish(checked, record.outcome, timed)
 
     def _check_request(
         self,
@@ -164,7 +184,7 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            now_s = time.monotonic()
+            now_s = self.dispatcher.clock()
             outcome = await self.dispatcher.dispatch(request, send, now_s)
             group.cancel_scope.cancel()
         return outcome
@@ -192,8 +212,10 @@
         headers: list[tuple[str, str]] = [("x-request-id", request.id)]
         code, status = "unknown_outcome", 502
         if isinstance(outcome, NotRun):
-            code, status = "not_run", 503
-            headers.append(("retry-after", str(max(1, round(outcome.retry_after_s)))))
+            code, status = "not_run", 429 if outcome.limited else 503
+            headers.append(
+                ("retry-after", str(max(1, math.ceil(outcome.retry_after_s))))
+            )
         body = make_error_body(
             code, outcome.reason, request.id, outcome.step.value, outcome.peer
         )
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -1,72 +1,47 @@
 """The path of one model request from admission to its outcome."""
 
-import contextlib
-from collections import Counter
-from collections.abc import Iterator
+import random
+import time
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
 
+import anyio
 import msgspec
 
-from .asgi import Send, send_bytes, start_response
+from .admission import Shed
+from .asgi import Send
+from .attempt import Attempts, Delivery, can_continue, make_delivery
 from .board import Board
-from .configuration import Configuration, Endpoint, Model, Service, Workspace
-from .engines import (
-    CONNECT_ERRORS,
-    RELAY_ERRORS,
-    EndpointCall,
-    EndpointClient,
-    EndpointResponse,
-    classify_error,
+from .candidates import Candidates
+from .clocks import Clock
+from .configuration import Endpoint
+from .gate import Gate, make_gate
+from .ids import EndpointId, ServiceId
+from .limits import Demand, WorkspaceLimiter
+from .outcomes import (
+    Completed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Refused,
+    Step,
+    UnknownOutcome,
 )
-from .ids import AdapterId, EndpointId, RequestId, make_attempt_id
-from .loads import EndpointLoad
-from .outcomes import Completed, NotRun, Outcome, Refused, Step, UnknownOutcome
-from .placement import Decision, EndpointView, Feedback, Placement
-from .prompts import CacheScope, Prompt, make_prompt, render_messages
-from .relay import Tail, relay_stream
+from .placement import Decision, Feedback, Placement
+from .prompts import BLOCK_TOKENS
+from .request_log import record_decision, record_retry, record_reuse
+from .requests import ModelRequest
+from .retries import GiveUp, RetryBudget, decide_retry
 from .settings import Limits
+from .suspects import Quarantined, Suspicion, compute_fingerprint
 
-__all__ = ["Dispatcher", "ModelRequest", "build_prompt"]
+__all__ = ["Dispatcher", "ShareSuspicions", "make_dispatcher"]
 
-MAX_ATTEMPTS = 3
-HTTP_OK = 200
-HTTP_TOO_MANY = 429
-HTTP_UNAVAILABLE = 503
-EVENT_STREAM = ("content-type", "text/event-stream")
+ShareSuspicions = Callable[[Sequence[Suspicion]], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class ModelRequest:
-    """A checked request of a caller.
-
-    Parameters
-    ----------
-    path : str
-        Path of the API that was called.
-    body : dict
-        The JSON body.
-    streamed : bool
-        Whether the answer is an event stream.
-    """
-
-    id: RequestId
-    workspace: Workspace
-    model: Model
-    service: Service
-    path: str
-    body: dict[str, Any]
-    streamed: bool
-    prompt: Prompt
-
-
-def build_prompt(workspace: Workspace, model: Model, body: dict[str, Any]) -> Prompt:
-    """Return the prompt that a request's body holds."""
-    adapter = AdapterId(str(body.get("adapter", "")))
-    scope = CacheScope(workspace.id, model.id, adapter, model.version)
-    messages = body.get("messages")
-    text = render_messages(messages) if messages else str(body.get("prompt", ""))
-    return make_prompt(scope, text)
+async def share_with_nobody(suspicions: Sequence[Suspicion]) -> None:
+    """Tell no other router; used by a router without peers."""
 
 
 @dataclass(slots=True)
@@ -76,16 +51,25 @@
     Parameters
     ----------
     board : Board
-    client : EndpointClient
+    attempts : Attempts
     placement : Placement
     limits : Limits
+    candidates : Candidates
+    share : callable
+        Tells all routers of suspicions; returns when they know, or after a bound.
     """
 
     board: Board
-    client: EndpointClient
+    attempts: Attempts
     placement: Placement
     limits: Limits
-    outstanding: Counter[EndpointId] = field(default_factory=Counter)
+    candidates: Candidates
+    clock: Clock = time.monotonic
+    source: random.Random = field(default_factory=random.Random)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    workspaces: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    gates: dict[ServiceId, Gate] = field(default_factory=dict)
+    share: ShareSuspicions = share_with_nobody
 
     async def dispatch(
         self, request: ModelRequest, send: Send, now_s: float
@@ -97,139 +81,182 @@
         Outcome
             ``NotRun`` and ``UnknownOutcome`` have sent nothing to the caller.
         """
+        workspace = request.workspace
+        others = self.board.usage.value.get(workspace.id, self._assume_demand())
+        limited = self.workspaces.admit(
+            workspace.id,
+            workspace.requests_per_s,
+            workspace.concurrent,
+            others,
+            now_s,
+        )
+        if limited is not None:
+            reason = f"the limit of workspace {workspace.id} is reached"
+            return NotRun(Step.ADMIT, "-", reason, limited.retry_after_s, limited=True)
+        try:
+            return await self._wait_and_run(request, send)
+        finally:
+            self.workspaces.release(workspace.id)
+
+    def _assume_demand(self) -> Demand:
+        return Demand(routers=1 + len(self.board.peers.value))
+
+    async def _wait_and_run(self, request: ModelRequest, send: Send) -> Outcome:
+        gate = self._get_gate(request.service.id)
+
+        def read_room() -> int:
+            return self.candidates.compute_room(request.service, self.clock())
+
+        entered = await gate.enter(
+            request.workspace, request.priority, self.limits.queue_s, read_room
+        )
+        if isinstance(entered, Shed):
+            return NotRun(Step.QUEUE, "-", entered.reason, entered.retry_after_s)
+        try:
+            return await self._run(request, make_delivery(request, send))
+        finally:
+            gate.leave(entered, read_room)
+
+    def _get_gate(self, service: ServiceId) -> Gate:
+        if service not in self.gates:
+            self.gates[service] = make_gate(self.limits.queue_requests, self.clock)
+        return self.gates[service]
+
+    async def _run(self, request: ModelRequest, delivery: Delivery) -> Outcome:
+        fingerprint = _compute_request_fingerprint(request)
+        self.budget.deposit()
         tried: set[EndpointId] = set()
         outcome: Outcome = NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
-        for _ in range(MAX_ATTEMPTS):
-            decision = self.choose(request, tried, now_s)
-            if decision is None:
+        while True:
+            now_s = self.clock()
+            chosen = self.choose(request, fingerprint, tried, now_s)
+            if isinstance(chosen, NotRun):
+                return outcome if tried else chosen
+            tried.add(chosen.endpoint)
+            outcome = await self._attempt(request, fingerprint, chosen, delivery)
+            if isinstance(outcome, Completed | Refused):
                 return outcome
-            tried.add(decision.endpoint)
-            outcome = await self._attempt(request, decision, send)
-            if not isinstance(outcome, NotRun):
-                self._observe(request, decision, outcome, now_s)
+            if can_continue(outcome) and self.budget.withdraw():
+                record_retry(request, len(tried), outcome)
+                continue
+            verdict = decide_retry(
+                outcome, len(tried), request.idempotent, self.budget, self.source
+            )
+            if isinstance(verdict, GiveUp):
                 return outcome
-        return outcome
+            record_retry(request, len(tried), outcome)
+            await anyio.sleep(verdict.delay_s)
 
     def choose(
-        self, request: ModelRequest, tried: set[EndpointId], now_s: float
-    ) -> Decision | None:
-        """Choose among the endpoints that were not tried."""
-        configuration = self.board.configuration.value
-        if configuration is None:
-            return None
-        views = self._make_views(configuration, request.service, tried, now_s)
-        return self.placement.choose(request.prompt, views, now_s)
-
-    def _make_views(
         self,
-        configuration: Configuration,
-        service: Service,
+        request: ModelRequest,
+        fingerprint: int,
         tried: set[EndpointId],
         now_s: float,
-    ) -> list[EndpointView]:
-        load = self.board.load.value
-        leaving = self.board.leaving.value
-        views = []
-        for endpoint in configuration.list_endpoints(service.id):
-            if endpoint.id in tried or endpoint.id in leaving:
-                continue
-            views.append(self._make_view(endpoint, load.get(endpoint.id), now_s))
-        return views
-
-    def _make_view(
-        self, endpoint: Endpoint, report: EndpointLoad | None, now_s: float
-    ) -> EndpointView:
-        return EndpointView(
-            id=endpoint.id,
-            failure_domain=endpoint.failure_domain,
-            outstanding=self.outstanding[endpoint.id],
-            reported=report.running + report.waiting if report else 0,
-            report_age_s=now_s - report.reported_at_s if report else float("inf"),
-            capacity=endpoint.concurrent,
+    ) -> Decision | NotRun:
+        """Choose among the endpoints that were not tried."""
+        suspects = self.candidates.suspects
+        allowed = suspects.check(fingerprint, now_s)
+        if isinstance(allowed, Quarantined):
+            reason = "the request crashed the endpoints that ran it"
+            return NotRun(Step.PLACE, "-", reason, allowed.retry_after_s)
+        suspected = suspects.is_suspect(fingerprint, now_s)
+        views = self.candidates.make_views(
+            request.service, tried, allowed, suspected, now_s
         )
-
-    def _observe(
-        self, request: ModelRequest, decision: Decision, outcome: Outcome, now_s: float
-    ) -> None:
-        if isinstance(outcome, Completed):
-            self.placement.observe(
-                Feedback(
-                    endpoint=decision.endpoint,
-                    prompt=request.prompt,
-                    cached_tokens=outcome.cached_tokens,
-                    expected_cached_tokens=decision.expected_cached_tokens,
-                    now_s=now_s,
-                )
-            )
-
-    @contextlib.contextmanager
-    def _count(self, endpoint: EndpointId) -> Iterator[None]:
-        self.outstanding[endpoint] += 1
-        try:
-            yield
-        finally:
-            self.outstanding[endpoint] -= 1
+        decision = self.placement.choose(request.prompt, views, now_s)
+        record_decision(request, decision, views, len(tried))
+        if decision is None:
+            return NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
+        return decision
 
     async def _attempt(
-        self, request: ModelRequest, decision: Decision, send: Send
+        self,
+        request: ModelRequest,
+        fingerprint: int,
+        decision: Decision,
+        delivery: Delivery,
     ) -> Outcome:
         configuration = self.board.configuration.value
         if configuration is None or decision.endpoint not in configuration.endpoints:
             return NotRun(Step.PLACE, decision.endpoint, "the endpoint is gone")
         endpoint = configuration.endpoints[decision.endpoint]
-        call = self._make_call(request, endpoint)
-        with self._count(endpoint.id):
-            try:
-                async with self.client.open(call) as response:
-                    return await self._relay(request, endpoint, response, send)
-            except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
-                return classify_error(error, endpoint.id)
-
-    def _make_call(self, request: ModelRequest, endpoint: Endpoint) -> EndpointCall:
-        body = dict(request.body)
-        body["cache_salt"] = request.workspace.id
-        if request.streamed:
-            body["stream_options"] = {"include_usage": True}
-        headers = (
-            ("content-type", "application/json"),
-            ("x-request-id", request.id),
-            ("x-attempt-id", make_attempt_id()),
-        )
-        return EndpointCall(
-            address=endpoint.address,
-            method="POST",
-            path=request.path,
-            headers=headers,
-            body=msgspec.json.encode(body),
-            connect_s=self.limits.connect_s,
-            request_s=self.limits.request_s,
-        )
+        suspects = self.candidates.suspects
+        outcome: Outcome | None = None
+        suspects.record_start(fingerprint, endpoint.id)
+        self.candidates.outstanding[endpoint.id] += 1
+        started_s = self.clock()
+        try:
+            outcome = await self.attempts.run(request, endpoint, delivery)
+            await self._record(fingerprint, endpoint, outcome)
+        finally:
+            self.candidates.outstanding[endpoint.id] -= 1
+            completed = isinstance(outcome, Completed | Refused)
+            suspects.record_end(fingerprint, endpoint.id, completed)
+        if isinstance(outcome, Completed):
+            self._observe(request, decision, outcome, delivery, started_s)
+        return outcome
 
-    async def _relay(
+    async def _record(
+        self, fingerprint: int, endpoint: Endpoint, outcome: Outcome
+    ) -> None:
+        """Take in a failure, and tell other routers before anything is retried."""
+        now_s = self.clock()
+        if isinstance(outcome, Completed | Refused):
+            return
+        if isinstance(outcome, NotRun) and outcome.step is Step.HEADERS:
+            limit = self.candidates.limits.get(endpoint.id, endpoint.concurrent)
+            limit.record_overload(now_s)
+            return
+        self.candidates.ejections.record_failure(endpoint.id, now_s)
+        if isinstance(outcome, UnknownOutcome | Interrupted) and outcome.lost:
+            raised = self.candidates.suspects.record_loss(
+                fingerprint, endpoint.id, endpoint.failure_domain, now_s
+            )
+            if raised:
+                await self.share(raised)
+
+    def _observe(
         self,
         request: ModelRequest,
-        endpoint: Endpoint,
-        response: EndpointResponse,
-        send: Send,
-    ) -> Outcome:
-        if response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
-            reason = f"the endpoint refused with status {response.status}"
-            return NotRun(Step.HEADERS, endpoint.id, reason, retry_after_s=1.0)
-        identity = ("x-request-id", request.id)
-        if request.streamed and response.status == HTTP_OK:
-            await start_response(send, HTTP_OK, [EVENT_STREAM, identity])
-            return await relay_stream(response, send, endpoint.id)
-        parts = [part async for part in response.aiter_stream()]
-        data = b"".join(parts)
-        if response.status != HTTP_OK:
-            return Refused(Step.HEADERS, endpoint.id, response.status, data)
-        tail = Tail()
-        tail.add(data)
-        try:
-            msgspec.json.decode(data)
-        except msgspec.DecodeError:
-            return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is not JSON")
-        await send_bytes(
-            send, HTTP_OK, data, [("content-type", "application/json"), identity]
+        decision: Decision,
+        outcome: Completed,
+        delivery: Delivery,
+        started_s: float,
+    ) -> None:
+        record_reuse(request, decision, outcome)
+        now_s = self.clock()
+        endpoint = decision.endpoint
+        ttft_s = max(0.0, delivery.headers_at_s - started_s)
+        computed = max(0, request.prompt.tokens - outcome.cached_tokens)
+        per_token_s = ttft_s / (computed + BLOCK_TOKENS)
+        self.candidates.ejections.record_success(endpoint, per_token_s, now_s)
+        limits = self.candidates.limits.limits
+        if endpoint in limits:
+            outstanding = self.candidates.outstanding[endpoint]
+            limits[endpoint].record_answer(ttft_s, outstanding, now_s)
+        self.placement.observe(
+            Feedback(
+                endpoint=endpoint,
+                prompt=request.prompt,
+                cached_tokens=outcome.cached_tokens,
+                expected_cached_tokens=decision.expected_cached_tokens,
+                now_s=now_s,
+            )
         )
-        return Completed(Step.RELAY, endpoint.id, tail.read_cached_tokens())
+
+
+def _compute_request_fingerprint(request: ModelRequest) -> int:
+    body = msgspec.json.encode(request.body, order="deterministic")
+    return compute_fingerprint(request.workspace.id, body)
+
+
+def make_dispatcher(
+    board: Board,
+    attempts: Attempts,
+    placement: Placement,
+    limits: Limits,
+    clock: Clock = time.monotonic,
+) -> Dispatcher:
+    """Return a dispatcher without peers."""
+    return Dispatcher(board, attempts, placement, limits, Candidates(board), clock)
--- a/primrosepier/outcomes.py
+++ b/primrosepier/outcomes.py
@@ -56,12 +56,15 @@
     reason : str
     retry_after_s : float
         When the caller may come back, seconds; 0 when it should not.
+    limited : bool
+        A limit of the caller's workspace is the reason.
     """
 
     step: Step
     peer: str
     reason: str
     retry_after_s: float = 0.0
+    limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,20 +79,37 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownOutcome:
-    """The request may have run."""
+    """The request may have run.
+
+    Parameters
+    ----------
+    lost : bool
+        The connection broke, as it does when the peer crashes.
+    """
 
     step: Step
     peer: str
     reason: str
+    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Interrupted:
-    """The answer began and ended without its end marker."""
+    """The answer began and ended without its end marker.
+
+    Parameters
+    ----------
+    lost : bool
+        The connection broke, as it does when the peer crashes.
+    resumable : bool
+        Another endpoint may go on after what the caller has got.
+    """
 
     step: Step
     peer: str
     reason: str
+    resumable: bool = False
+    lost: bool = False
 
 
 Outcome = Completed | NotRun | Refused | UnknownOutcome | Interrupted
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -7,9 +7,16 @@
 from .ids import FailureDomain, HostId
 from .ini import SectionReader, parse_ini
 
-__all__ = ["Limits", "RouterSettings", "load_settings", "parse_settings"]
+__all__ = [
+    "Limits",
+    "LogSettings",
+    "RouterSettings",
+    "load_settings",
+    "parse_settings",
+]
 
 MIB = 1024 * 1024
+LOG_LEVELS = ("off", "error", "info", "debug")
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +32,10 @@
         Longest time of a request, seconds.
     connect_s : float
         Longest time to connect to an endpoint, seconds.
+    queue_s : float
+        Longest time that a request waits for an endpoint, seconds.
+    queue_requests : int
+        Requests that wait for one service at this router.
     """
 
     body_bytes: int = 4 * MIB
@@ -32,6 +43,24 @@
     streams: int = 4000
     request_s: float = 600.0
     connect_s: float = 2.0
+    queue_s: float = 5.0
+    queue_requests: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged, and where to.
+
+    Parameters
+    ----------
+    level : str
+        ``off``, ``error``, ``info`` or ``debug``.
+    sink : str
+        ``none``, ``stderr`` or the path of a file or named pipe.
+    """
+
+    level: str = "info"
+    sink: str = "none"
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +92,7 @@
     stop_wait_s: float = 2.0
     stop_streams_s: float = 3600.0
     limits: Limits = Limits()
+    logs: LogSettings = LogSettings()
 
 
 def load_settings(path: Path) -> RouterSettings:
@@ -86,7 +116,7 @@
     readers = {}
     for section in parser.sections():
         readers[section] = SectionReader(file, section, parser[section], SettingsError)
-    for name in ("router", "platform", "peers", "limits"):
+    for name in ("router", "platform", "peers", "limits", "logs"):
         readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
     settings = _read_settings(readers)
     for reader in readers.values():
@@ -111,6 +141,14 @@
         peers=readers["peers"].read_list("addresses"),
         peer_key=_read_key(readers["peers"]),
         limits=_read_limits(readers["limits"]),
+        logs=_read_logs(readers["logs"]),
+    )
+
+
+def _read_logs(reader: SectionReader) -> LogSettings:
+    return LogSettings(
+        level=reader.read_choice("level", LOG_LEVELS, "info"),
+        sink=reader.read_text("sink", "stderr"),
     )
 
 
@@ -132,4 +170,6 @@
         streams=reader.read_int("streams", usual.streams, low=1),
         request_s=reader.read_float("request_s", usual.request_s, low=0.1),
         connect_s=reader.read_float("connect_s", usual.connect_s, low=0.01),
+        queue_s=reader.read_float("queue_s", usual.queue_s),
+        queue_requests=reader.read_int("queue_requests", usual.queue_requests, low=1),
     )
