--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -1,7 +1,9 @@
 """Exceptions raised by the package."""
 
 __all__ = [
+    "CompactedError",
     "ConfigurationError",
+    "LeaseNotFoundError",
     "PrimrosepierError",
     "RequestError",
     "SettingsError",
@@ -38,6 +40,14 @@
     """An operators' file is not valid."""
 
 
+class CompactedError(PrimrosepierError):
+    """The revision asked for is older than the history that is kept."""
+
+
+class LeaseNotFoundError(PrimrosepierError):
+    """The lease lapsed, was revoked or never was."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -24,6 +24,7 @@
     TransactOutcome,
     Unavailable,
     WatchEvent,
+    compute_range_end,
 )
 
 __all__ = ["EtcdStore", "decode_item", "encode_bytes", "make_etcd_store"]
@@ -64,12 +65,6 @@
     )
 
 
-def compute_range_end(prefix: str) -> bytes:
-    """Return the first key after all keys with a prefix."""
-    raw = prefix.encode()
-    return raw[:-1] + bytes([raw[-1] + 1])
-
-
 def _read_revision(answer: dict[str, Any]) -> Revision:
     return Revision(int(answer.get("header", {}).get("revision", 0)))
 
--- a/primrosepier/standin_store.py
+++ b/primrosepier/standin_store.py
@@ -1,6 +1,8 @@
 """Stand-in of the key-value service: the etcd v3 API in its JSON form."""
 
 import base64
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,214 +19,221 @@
     start_response,
     wait_for_disconnect,
 )
-from .errors import RequestError
-from .etcd import encode_bytes
-from .ids import Revision
-from .store import (
-    Applied,
-    Compare,
-    Item,
-    LeaseLost,
-    MemoryStore,
-    Put,
-    TransactOutcome,
-    WatchEvent,
+from .errors import CompactedError, LeaseNotFoundError, RequestError
+from .keyvalue import Change, KeyValue, is_in_range
+from .standin_store_json import (
+    decode_condition,
+    decode_delete,
+    decode_operation,
+    decode_put,
+    decode_range,
+    encode_change,
+    encode_range_result,
+    encode_result,
 )
+from .store import MemoryStore, StoreFaults
 
 __all__ = ["StoreFaults", "StoreStandin"]
 
-BODY_BYTES = 8 * 1024 * 1024
+BODY_BYTES = 2 * 1024 * 1024
+MAX_OPERATIONS = 128
+WRITES = frozenset({"/v3/kv/put", "/v3/kv/txn", "/v3/kv/deleterange"})
+GRPC_CODES = {404: 5, 400: 3, 503: 14, 504: 4}
 
+Answer = dict[str, Any]
 
-@dataclass(slots=True)
-class StoreFaults:
-    """Faults that the stand-in shows on demand.
-
-    Parameters
-    ----------
-    down : bool
-        Refuse every call.
-    delay_s : float
-        Wait before each call, seconds.
-    lose_answers : int
-        Number of next writes that take effect and whose answer is lost.
-    """
 
-    down: bool = False
-    delay_s: float = 0.0
-    lose_answers: int = 0
-
-
-def _decode(text: str | None) -> str:
-    return base64.b64decode(text or "").decode()
+def _fail(status: int, text: str) -> RequestError:
+    return RequestError(status, "etcdserver", f"etcdserver: {text}")
 
 
 @dataclass(slots=True)
 class StoreStandin:
-    """ASGI app that answers as the key-value service does."""
+    """ASGI app that answers as the key-value service does.
+
+    Parameters
+    ----------
+    store : MemoryStore
+        Holds the state; its leases lapse by its clock.
+    faults : StoreFaults
+    calls : int
+        Number of calls, a waiting watch as one.
+    calls_by_path : Counter
+    """
 
     store: MemoryStore = field(default_factory=MemoryStore)
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
+    calls_by_path: Counter[str] = field(default_factory=Counter)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call."""
+        path = scope["path"]
         self.calls += 1
+        self.calls_by_path[path] += 1
         try:
-            body = await read_json(receive, BODY_BYTES)
             await anyio.sleep(self.faults.delay_s)
             if self.faults.down:
-                raise RequestError(503, "unavailable", "The service is down.")
-            await self._route(scope["path"], body, receive, send)
+                raise _fail(503, "no leader")
+            if path == "/version":
+                version = {"etcdserver": "3.5.0", "etcdcluster": "3.5.0"}
+                await send_json(send, 200, version)
+                return
+            body = await read_json(receive, BODY_BYTES)
+            await self._route(path, body, receive, send)
         except RequestError as error:
-            await send_json(send, error.status, {"error": error.message, "code": 14})
+            code = GRPC_CODES.get(error.status, 2)
+            answer = {"error": error.message, "code": code, "message": error.message}
+            await send_json(send, error.status, answer)
+
+    @property
+    def state(self) -> KeyValue:
+        """The keys, leases and history."""
+        return self.store.state
 
     async def _route(
-        self, path: str, body: dict[str, Any], receive: Receive, send: Send
+        self, path: str, body: Answer, receive: Receive, send: Send
     ) -> None:
         if path == "/v3/watch":
             await self._serve_watch(body.get("create_request", {}), receive, send)
             return
-        answers = {
+        answer = self._answer(path, body)
+        self.store.notify()
+        if path in WRITES and self.faults.take_loss():
+            raise _fail(504, "request timed out")
+        await send_json(send, 200, answer)
+
+    def _answer(self, path: str, body: Answer) -> Answer:
+        answers: dict[str, Callable[[Answer], Answer]] = {
             "/v3/kv/range": self.answer_range,
             "/v3/kv/put": self.answer_put,
             "/v3/kv/deleterange": self.answer_delete,
             "/v3/kv/txn": self.answer_txn,
+            "/v3/kv/compaction": self.answer_compaction,
             "/v3/lease/grant": self.answer_grant,
             "/v3/lease/keepalive": self.answer_keepalive,
             "/v3/lease/revoke": self.answer_revoke,
+            "/v3/kv/lease/revoke": self.answer_revoke,
+            "/v3/lease/timetolive": self.answer_time_to_live,
+            "/v3/kv/lease/timetolive": self.answer_time_to_live,
+            "/v3/lease/leases": self.answer_leases,
+            "/v3/kv/lease/leases": self.answer_leases,
         }
         if path not in answers:
-            raise RequestError(404, "not_found", f"There is nothing at {path}.")
-        answer = answers[path](body)
-        if self.faults.lose_answers and path in ("/v3/kv/put", "/v3/kv/txn"):
-            self.faults.lose_answers -= 1
-            raise RequestError(504, "timeout", "The answer was lost.")
-        await send_json(send, 200, answer)
+            raise RequestError(404, "not_found", "Not Found")
+        try:
+            return answers[path](body)
+        except LeaseNotFoundError as error:
+            raise _fail(404, "requested lease not found") from error
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            raise _fail(400, f"the call can't be read: {error!r}") from error
 
-    def make_header(self) -> dict[str, str]:
+    def make_header(self, revision: int | None = None) -> dict[str, str]:
         """Return the header of every answer."""
-        return {"cluster_id": "1", "member_id": "1", "revision": str(self.revision)}
-
-    @property
-    def revision(self) -> Revision:
-        """Revision of the last write."""
-        return self.store.revision
-
-    def select(self, body: dict[str, Any]) -> list[Item]:
-        """Return the items in the range that a body names."""
-        key = _decode(body.get("key"))
-        end = base64.b64decode(body.get("range_end", ""))
-        if not end:
-            item = self.store.items.get(key)
-            return [item] if item else []
-        items = self.store.select("").values()
-        start = key.encode()
-        to_the_end = end == b"\x00"
-        return [
-            item
-            for item in items
-            if start <= item.key.encode() and (to_the_end or item.key.encode() < end)
-        ]
-
-    def encode_item(self, item: Item) -> dict[str, Any]:
-        """Return an item as JSON."""
+        shown = str(self.state.revision if revision is None else revision)
         return {
-            "key": encode_bytes(item.key),
-            "value": encode_bytes(item.value),
-            "mod_revision": str(item.mod_revision),
-            "create_revision": str(item.mod_revision),
-            "version": "1",
-            "lease": str(item.lease),
+            "cluster_id": "1",
+            "member_id": "1",
+            "revision": shown,
+            "raft_term": "1",
         }
 
-    def answer_range(self, body: dict[str, Any]) -> dict[str, Any]:
+    def answer_range(self, body: Answer) -> Answer:
         """Answer a range call."""
-        items = self.select(body)
-        return {
-            "header": self.make_header(),
-            "kvs": [self.encode_item(item) for item in items],
-            "count": str(len(items)),
-        }
+        result = self.state.read(decode_range(body))
+        return {"header": self.make_header(), **encode_range_result(result)}
 
-    def answer_put(self, body: dict[str, Any]) -> dict[str, Any]:
+    def answer_put(self, body: Answer) -> Answer:
         """Answer a put call."""
-        self._check(self.store.commit([], [self._decode_put(body)]))
-        return {"header": self.make_header()}
-
-    def _decode_put(self, body: dict[str, Any]) -> Put:
-        value = base64.b64decode(body.get("value", ""))
-        return Put(_decode(body.get("key")), value, int(body.get("lease", 0)))
+        operation = decode_put(body)
+        result = self.state.transact([], [operation])
+        answer = encode_result(operation, result.results[0], body)
+        return {"header": self.make_header(), **answer}
 
-    def _check(self, outcome: TransactOutcome) -> TransactOutcome:
-        if isinstance(outcome, LeaseLost):
-            text = "etcdserver: requested lease not found"
-            raise RequestError(404, "not_found", text)
-        return outcome
-
-    def answer_delete(self, body: dict[str, Any]) -> dict[str, Any]:
+    def answer_delete(self, body: Answer) -> Answer:
         """Answer a delete call."""
-        items = self.select(body)
-        self.store.commit([], [Put(item.key, None) for item in items])
-        return {"header": self.make_header(), "deleted": str(len(items))}
-
-    def answer_txn(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Answer a transaction whose conditions compare modification revisions."""
-        compares = []
-        for entry in body.get("compare", []):
-            number = int(entry.get("mod_revision", entry.get("create_revision", 0)))
-            compares.append(Compare(_decode(entry.get("key")), Revision(number)))
-        puts = []
-        for entry in body.get("success", []):
-            if "request_put" in entry:
-                puts.append(self._decode_put(entry["request_put"]))
-            elif "request_delete_range" in entry:
-                items = self.select(entry["request_delete_range"])
-                puts.extend(Put(item.key, None) for item in items)
-        outcome = self._check(self.store.commit(compares, puts))
-        succeeded = isinstance(outcome, Applied)
-        branch = body.get("success" if succeeded else "failure", [])
-        responses = [
-            {"response_range": self.answer_range(entry["request_range"])}
-            for entry in branch
-            if "request_range" in entry
-        ]
-        return {
-            "header": self.make_header(),
-            "succeeded": succeeded,
-            "responses": responses,
-        }
+        operation = decode_delete(body)
+        result = self.state.transact([], [operation])
+        answer = encode_result(operation, result.results[0], body)
+        return {"header": self.make_header(), **answer}
+
+    def answer_txn(self, body: Answer) -> Answer:
+        """Answer a transaction."""
+        branches = [body.get("success", []), body.get("failure", [])]
+        if max(map(len, [*branches, body.get("compare", [])])) > MAX_OPERATIONS:
+            raise _fail(400, "too many operations in txn request")
+        conditions = [decode_condition(entry) for entry in body.get("compare", [])]
+        success, failure = (
+            [decode_operation(entry) for entry in branch] for branch in branches
+        )
+        outcome = self.state.transact(conditions, success, failure)
+        chosen = success if outcome.succeeded else failure
+        entries = branches[0] if outcome.succeeded else branches[1]
+        answer: Answer = {"header": self.make_header()}
+        if outcome.succeeded:
+            answer["succeeded"] = True
+        answer["responses"] = []
+        pairs = zip(entries, chosen, outcome.results, strict=True)
+        for entry, operation, result in pairs:
+            ((name, request),) = entry.items()
+            response = encode_result(operation, result, request)
+            response["header"] = {"revision": str(outcome.revision)}
+            name = name.replace("request_", "response_")
+            answer["responses"].append({name: response})
+        return answer
+
+    def answer_compaction(self, body: Answer) -> Answer:
+        """Answer a compaction."""
+        self.state.compact(int(body.get("revision", 0)))
+        return {"header": self.make_header()}
 
-    def answer_grant(self, body: dict[str, Any]) -> dict[str, Any]:
+    def answer_grant(self, body: Answer) -> Answer:
         """Answer a lease grant."""
-        ttl_s = float(body.get("TTL", 0))
-        lease = len(self.store.leases) + 1
-        self.store.leases[lease] = ttl_s
-        return {"header": self.make_header(), "ID": str(lease), "TTL": str(int(ttl_s))}
-
-    def answer_keepalive(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Answer a keep-alive; a time to live of 0 tells that the lease is gone."""
+        ttl_s = int(body.get("TTL", 0))
+        if ttl_s <= 0:
+            raise _fail(400, "too small lease TTL")
+        lease = self.state.grant_lease(ttl_s, int(body.get("ID", 0)))
+        return {"header": self.make_header(), "ID": str(lease), "TTL": str(ttl_s)}
+
+    def answer_keepalive(self, body: Answer) -> Answer:
+        """Answer a keep-alive; no time to live tells that the lease is gone."""
         lease = int(body.get("ID", 0))
-        ttl_s = int(self.store.leases.get(lease, 0))
-        result = {"header": self.make_header(), "ID": str(lease), "TTL": str(ttl_s)}
+        ttl_s = int(self.state.keep_alive(lease))
+        result = {"header": self.make_header(), "ID": str(lease)}
+        if ttl_s:
+            result["TTL"] = str(ttl_s)
         return {"result": result}
 
-    def answer_revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+    def answer_revoke(self, body: Answer) -> Answer:
         """Answer a lease revocation."""
-        lease = int(body.get("ID", 0))
-        self.store.leases.pop(lease, None)
-        held = [key for key, item in self.store.items.items() if item.lease == lease]
-        self.store.commit([], [Put(key, None) for key in held])
+        self.state.revoke_lease(int(body.get("ID", 0)))
         return {"header": self.make_header()}
 
-    async def _serve_watch(
-        self, request: dict[str, Any], receive: Receive, send: Send
-    ) -> None:
-        prefix = _decode(request.get("key"))
-        start = Revision(int(request.get("start_revision", 0)) or self.revision + 1)
+    def answer_time_to_live(self, body: Answer) -> Answer:
+        """Answer how long a lease has still to live."""
+        lease = int(body.get("ID", 0))
+        answer: Answer = {"header": self.make_header(), "ID": str(lease)}
+        self.state.expire()
+        state = self.state.leases.get(lease)
+        if state is None:
+            return {**answer, "TTL": "-1"}
+        answer["TTL"] = str(int(state.expires_at_s - self.state.clock()))
+        answer["grantedTTL"] = str(int(state.ttl_s))
+        if body.get("keys"):
+            keys = self.state.list_lease_keys(lease)
+            answer["keys"] = [base64.b64encode(key).decode() for key in keys]
+        return answer
+
+    def answer_leases(self, body: Answer) -> Answer:
+        """Answer which leases there are."""
+        self.state.expire()
+        leases = [{"ID": str(lease)} for lease in self.state.leases]
+        return {"header": self.make_header(), "leases": leases}
+
+    async def _serve_watch(self, request: Answer, receive: Receive, send: Send) -> None:
+        start = int(request.get("start_revision", 0)) or self.state.revision + 1
         await start_response(send, 200, [("content-type", "application/json")])
-        created = {"header": self.make_header(), "created": True}
-        await self._send_result(send, created)
+        await self._send_result(send, {"header": self.make_header(), "created": True})
 
         async def watch_caller() -> None:
             await wait_for_disconnect(receive)
@@ -232,22 +241,34 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            async for event in self.store.watch(prefix, start):
-                if self.faults.down:
-                    break
-                await self._send_result(send, self._encode_event(event))
+            await self._send_changes(send, request, start)
             group.cancel_scope.cancel()
 
-    def _encode_event(self, event: WatchEvent) -> dict[str, Any]:
-        events: list[dict[str, Any]] = []
-        for item in event.items:
-            events.append({"type": "PUT", "kv": self.encode_item(item)})
-        for key in event.deleted:
-            kv = {"key": encode_bytes(key), "mod_revision": str(event.revision)}
-            events.append({"type": "DELETE", "kv": kv})
-        header = self.make_header()
-        header["revision"] = str(event.revision)
-        return {"header": header, "events": events}
-
-    async def _send_result(self, send: Send, result: dict[str, Any]) -> None:
+    async def _send_changes(self, send: Send, request: Answer, start: int) -> None:
+        key = base64.b64decode(request.get("key", ""))
+        end = base64.b64decode(request.get("range_end", ""))
+        while not self.faults.down:
+            changed = self.store.changed
+            try:
+                changes = self.state.list_changes(start)
+            except CompactedError:
+                header = self.make_header()
+                lost = {"canceled": True, "compact_revision": str(self.state.compacted)}
+                await self._send_result(send, {"header": header, **lost})
+                return
+            for change in changes:
+                start = change.revision + 1
+                await self._send_change(send, change, key, end)
+            if changed is self.store.changed:
+                await self.store.wait(changed)
+
+    async def _send_change(
+        self, send: Send, change: Change, key: bytes, end: bytes
+    ) -> None:
+        events = encode_change(change, lambda name: is_in_range(name, key, end))
+        if events:
+            header = self.make_header(change.revision)
+            await self._send_result(send, {"header": header, "events": events})
+
+    async def _send_result(self, send: Send, result: Answer) -> None:
         await send_chunk(send, msgspec.json.encode({"result": result}) + b"\n")
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -1,12 +1,26 @@
 """Typed access to the platform's key-value service, and an in-memory variant."""
 
+import time
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 
+from .clocks import Clock
+from .errors import CompactedError, LeaseNotFoundError
 from .ids import Revision
+from .keyvalue import (
+    Change,
+    Condition,
+    DeleteRange,
+    KeyValue,
+    PutKey,
+    Range,
+    RangeResult,
+    Record,
+    Target,
+)
 from .outcomes import Step
 
 __all__ = [
@@ -21,11 +35,15 @@
     "Put",
     "Snapshot",
     "Store",
+    "StoreFaults",
     "TransactOutcome",
     "Unavailable",
     "WatchEvent",
+    "compute_range_end",
 ]
 
+MIN_WAIT_S = 0.01
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -153,103 +171,178 @@
         """End a lease and delete its keys, if the service answers."""
 
 
+@dataclass(slots=True)
+class StoreFaults:
+    """Faults that a store shows on demand.
+
+    Parameters
+    ----------
+    down : bool
+        Refuse every call.
+    delay_s : float
+        Wait before each call, seconds.
+    lose_answers : int
+        Number of next writes that take effect and whose answer is lost.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+
+    def take_loss(self) -> bool:
+        """Return whether the answer of this write is lost."""
+        lost = self.lose_answers > 0
+        self.lose_answers -= lost
+        return lost
+
+
+def make_item(record: Record) -> Item:
+    """Return a record of the state as an item."""
+    revision = Revision(record.mod_revision)
+    return Item(record.key.decode(), record.value, revision, record.lease)
+
+
+def compute_range_end(prefix: str) -> bytes:
+    """Return the first key after all keys with a prefix."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1]) if raw else b"\x00"
+
+
+def select_change(change: Change, prefix: str) -> WatchEvent | None:
+    """Return the part of a change below a prefix, or None when there is none."""
+    start = prefix.encode()
+    written = [r for r in change.written if r.key.startswith(start)]
+    deleted = [r for r in change.deleted if r.key.startswith(start)]
+    if not written and not deleted:
+        return None
+    items = tuple(make_item(record) for record in written)
+    keys = tuple(record.key.decode() for record in deleted)
+    return WatchEvent(Revision(change.revision), items, keys)
+
+
 class MemoryStore:
-    """A store in this process; its leases do not lapse by themselves."""
+    """A store in this process, with faults on demand.
 
-    def __init__(self) -> None:
-        self.revision = Revision(1)
-        self.items: dict[str, Item] = {}
-        self.history: list[WatchEvent] = []
-        self.leases: dict[int, float] = {}
+    Parameters
+    ----------
+    clock : Clock
+        Time by which leases lapse.
+    """
+
+    def __init__(self, clock: Clock = time.monotonic) -> None:
+        self.state = KeyValue(clock)
+        self.faults = StoreFaults()
         self.changed = anyio.Event()
 
+    @property
+    def revision(self) -> Revision:
+        """Revision of the last write."""
+        return Revision(self.state.revision)
+
+    @property
+    def items(self) -> dict[str, Item]:
+        """All items by key."""
+        return self.select("")
+
+    def notify(self) -> None:
+        """Wake the watches after the state was changed."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _check(self) -> Unavailable | None:
+        await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return Unavailable(Step.CONNECT, "memory", "the store is down")
+        return None
+
     async def read(self, prefix: str) -> Snapshot | Unavailable:
         """Return the items whose keys start with a prefix."""
-        return Snapshot(self.revision, self.select(prefix))
+        refused = await self._check()
+        return refused or Snapshot(self.revision, self.select(prefix))
 
     def select(self, prefix: str) -> dict[str, Item]:
         """Return the items whose keys start with a prefix, ordered by key."""
-        keys = sorted(key for key in self.items if key.startswith(prefix))
-        return {key: self.items[key] for key in keys}
+        request = Range(prefix.encode() or b"\x00", compute_range_end(prefix))
+        items = [make_item(record) for record in self.state.read(request).records]
+        return {item.key: item for item in items}
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
     ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
-        return self.commit(compares, puts)
+        refused = await self._check()
+        if refused is not None:
+            return refused
+        outcome = self.commit(compares, puts)
+        if self.faults.take_loss():
+            return Ambiguous(Step.HEADERS, "memory", "the answer was lost")
+        return outcome
 
     def commit(
         self, compares: Sequence[Compare], puts: Sequence[Put]
     ) -> Applied | Conflict | LeaseLost:
         """Write all or nothing at once."""
-        for put in puts:
-            if put.lease and put.lease not in self.leases:
-                return LeaseLost(put.lease)
-        if not all(self._holds(compare) for compare in compares):
-            keys = [c.key for c in compares if c.key in self.items]
-            return Conflict(self.revision, {key: self.items[key] for key in keys})
-        if puts:
-            self._apply(puts)
-        return Applied(self.revision)
-
-    def _holds(self, compare: Compare) -> bool:
-        item = self.items.get(compare.key)
-        return (item.mod_revision if item else 0) == compare.mod_revision
-
-    def _apply(self, puts: Sequence[Put]) -> None:
-        self.revision = Revision(self.revision + 1)
-        written = []
-        deleted = []
-        for put in puts:
-            if put.value is None:
-                self.items.pop(put.key, None)
-                deleted.append(put.key)
-                continue
-            item = Item(put.key, put.value, self.revision, put.lease)
-            self.items[put.key] = item
-            written.append(item)
-        event = WatchEvent(self.revision, tuple(written), tuple(deleted))
-        self.history.append(event)
-        self.changed.set()
-        self.changed = anyio.Event()
-
-    def filter_event(self, event: WatchEvent, prefix: str) -> WatchEvent | None:
-        """Return the part of an event below a prefix, or None when there is none."""
-        items = tuple(item for item in event.items if item.key.startswith(prefix))
-        deleted = tuple(key for key in event.deleted if key.startswith(prefix))
-        if not items and not deleted:
-            return None
-        return WatchEvent(event.revision, items, deleted)
+        conditions = [
+            Condition(c.key.encode(), Target.MOD, c.mod_revision) for c in compares
+        ]
+        reads = [Range(compare.key.encode()) for compare in compares]
+        operations = [_make_operation(put) for put in puts]
+        try:
+            result = self.state.transact(conditions, operations, reads)
+        except LeaseNotFoundError as error:
+            return LeaseLost(error.args[0])
+        self.notify()
+        if result.succeeded:
+            return Applied(self.revision)
+        found = [r for r in result.results if isinstance(r, RangeResult)]
+        items = [make_item(record) for part in found for record in part.records]
+        return Conflict(self.revision, {item.key: item for item in items})
 
     async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
-        """Yield the changes from a revision on, without end."""
-        position = 0
-        while True:
+        """Yield the changes from a revision on, until the store is down."""
+        position = int(revision)
+        while not self.faults.down:
             changed = self.changed
-            while position < len(self.history):
-                event = self.history[position]
-                position += 1
-                part = self.filter_event(event, prefix)
-                if part is not None and event.revision >= revision:
-                    yield part
+            try:
+                changes = self.state.list_changes(position)
+            except CompactedError:
+                yield WatchEvent(self.revision, compacted=True)
+                return
+            for change in changes:
+                event = select_change(change, prefix)
+                position = change.revision + 1
+                if event is not None:
+                    yield event
+            if changed is self.changed:
+                await self.wait(changed)
+
+    async def wait(self, changed: anyio.Event) -> None:
+        """Wait for a change or for the next lease to lapse."""
+        wait_s = self.state.get_next_expiry_s() - self.state.clock()
+        with anyio.move_on_after(max(wait_s, MIN_WAIT_S)):
             await changed.wait()
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Return a new lease."""
-        lease = len(self.leases) + 1
-        self.leases[lease] = ttl_s
-        return LeaseGranted(lease, ttl_s)
+        refused = await self._check()
+        return refused or LeaseGranted(self.state.grant_lease(ttl_s), ttl_s)
 
     async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Extend a lease."""
-        if lease not in self.leases:
-            return LeaseLost(lease)
-        return LeaseGranted(lease, self.leases[lease])
+        refused = await self._check()
+        if refused is not None:
+            return refused
+        ttl_s = self.state.keep_alive(lease)
+        return LeaseGranted(lease, ttl_s) if ttl_s > 0 else LeaseLost(lease)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
-        if self.leases.pop(lease, None) is None:
-            return
-        held = [key for key, item in self.items.items() if item.lease == lease]
-        if held:
-            self._apply([Put(key, None) for key in held])
+        if await self._check() is None and lease in self.state.leases:
+            self.state.revoke_lease(lease)
+            self.notify()
+
+
+def _make_operation(put: Put) -> PutKey | DeleteRange:
+    if put.value is None:
+        return DeleteRange(put.key.encode())
+    return PutKey(put.key.encode(), put.value, put.lease)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -29,7 +29,7 @@
     def __init__(self):
         super().__init__()
         self.store = MemoryStore()
-        self.store.leases[1] = 1e9
+        self.store.state.grant_lease(1e9, 1)
         self.queues = [ClaimQueue("r0", 2), ClaimQueue("r1", 2)]
         self.waiting = {}
         self.granted = {}
