Let routers find and watch each other by gossip

Routers knew nothing of each other: no liveness, no way to share what one of them learns, and no configuration while the store is down.

Membership is a pure decision (probe, indirect probe, suspicion, incarnations) over a ring overlay with log2(n) neighbours; digests are per-host values with an expiry; urgent ones are flooded. grpclib carries MessagePack with a keyed MAC; a wrong key is refused and counted. A router with an older revision fetches the newer one from the peer that showed it.

--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -80,9 +80,10 @@
         if outcome.result is not ApplyResult.APPLIED:
             raise ConfigurationError(deployment, "-", "-", outcome.reason)
         domains = sorted({e.failure_domain for e in endpoints.values()})
-        routers = []
+        routers: list[Router] = []
         for number, domain in enumerate(domains, start=1):
-            settings = _make_settings(number, domain, address)
+            seeds = tuple(router.peers_address for router in routers)
+            settings = _make_settings(number, domain, address, seeds)
             routers.append(await stack.enter_async_context(open_router(settings)))
         keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
         demo = Demo(standin, address, routers, engines, configuration, keys)
@@ -107,7 +108,7 @@
 
 
 def _make_settings(
-    number: int, domain: FailureDomain, store_address: str
+    number: int, domain: FailureDomain, store_address: str, seeds: tuple[str, ...]
 ) -> RouterSettings:
     return RouterSettings(
         host=HostId(f"entry-{number}"),
@@ -115,6 +116,7 @@
         callers_address=LOOPBACK,
         peers_address=LOOPBACK,
         store_address=store_address,
+        peers=seeds,
     )
 
 
--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "ConfigurationError",
+    "MessageError",
     "PrimrosepierError",
     "RequestError",
     "SettingsError",
@@ -38,6 +39,10 @@
     """An operators' file is not valid."""
 
 
+class MessageError(PrimrosepierError):
+    """Bytes from a peer are not a message that may be used."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
--- /dev/null
+++ b/primrosepier/gossip.py
@@ -0,0 +1,262 @@
+"""Runs the membership protocol over a transport."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from . import __version__
+from .board import Board, SectionWriter
+from .ids import HostId, Revision
+from .membership import Membership, MemberState, Round, make_membership
+from .messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Exchange,
+    MemberRecord,
+    ProbeReply,
+    ProbeRequest,
+    StatusReply,
+    StatusRequest,
+)
+from .peers import PeerFailure, PeerTransport
+from .settings import RouterSettings
+
+__all__ = ["ConfigurationSource", "Gossip", "make_gossip"]
+
+MS_PER_S = 1000
+
+PROBE_TIMEOUT_S = 0.5
+PUSH_TIMEOUT_S = 0.5
+JOIN_TIMEOUT_S = 2.0
+FETCH_TIMEOUT_S = 5.0
+WATCH_GRACE_S = 1.0
+
+
+class ConfigurationSource(Protocol):
+    """The configuration that this router holds, for hand-over between routers."""
+
+    revision: Revision
+
+    def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
+        """Return what is newer than a revision, or None when nothing is."""
+
+    def offer(self, revision: Revision, data: bytes) -> bool:
+        """Take what a peer exported, if it is newer and valid."""
+
+
+@dataclass(slots=True)
+class Gossip:
+    """Talks to other routers and answers them.
+
+    Parameters
+    ----------
+    membership : Membership
+    transport : PeerTransport
+    source : ConfigurationSource
+    is_ready, is_stopping : callable
+        State of this router for those who ask.
+    on_round : list of callable
+        Called with the time at the start of each round; publishers of digests.
+    """
+
+    membership: Membership
+    transport: PeerTransport
+    source: ConfigurationSource
+    board: Board
+    writer: SectionWriter[frozenset[HostId]]
+    is_ready: Callable[[], bool]
+    is_stopping: Callable[[], bool]
+    on_round: list[Callable[[float], None]] = field(default_factory=list)
+    group: TaskGroup | None = None
+    fetching: bool = False
+    failures: int = 0
+
+    async def run(self) -> None:
+        """Probe one member each round until cancelled."""
+        round_s = self.membership.rules.round_s
+        async with anyio.create_task_group() as group:
+            self.group = group
+            due_s = time.monotonic()
+            while True:
+                now_s = time.monotonic()
+                self._start_round(now_s, group)
+                due_s = max(due_s + round_s, now_s)
+                await anyio.sleep(due_s - now_s)
+
+    def _start_round(self, now_s: float, group: TaskGroup) -> None:
+        self.membership.revision = self.source.revision
+        for publish in self.on_round:
+            publish(now_s)
+        begun = self.membership.start_round(now_s)
+        if begun.probe is not None:
+            group.start_soon(self._probe, begun, begun.probe)
+        if begun.reconnect:
+            group.start_soon(self._synchronize, begun.reconnect, None)
+        if self.membership.digests.urgent:
+            group.start_soon(self.push)
+        self.writer.write(frozenset(self.membership.list_live()), now_s)
+
+    async def _probe(self, begun: Round, target: MemberRecord) -> None:
+        host = HostId(target.host)
+        if await self._exchange(target.address, host, PROBE_TIMEOUT_S):
+            if self.membership.needs_sync(time.monotonic()):
+                await self._synchronize(target.address, host)
+            return
+        self.failures += 1
+        if not await self._probe_indirectly(target):
+            self.membership.report_unreachable(host, begun, time.monotonic())
+
+    async def _exchange(
+        self, address: str, host: HostId | None, timeout_s: float, whole: bool = False
+    ) -> bool:
+        message = self.membership.make_exchange(host, time.monotonic(), whole)
+        reply = await self.transport.exchange(address, message, timeout_s)
+        if isinstance(reply, PeerFailure):
+            return False
+        self.membership.receive(reply, time.monotonic())
+        self._follow_up(reply)
+        return True
+
+    async def _probe_indirectly(self, target: MemberRecord) -> bool:
+        reached = []
+        message = ProbeRequest(self.membership.own, target)
+
+        async def ask(helper: MemberRecord) -> None:
+            timeout_s = 2 * PROBE_TIMEOUT_S
+            reply = await self.transport.probe(helper.address, message, timeout_s)
+            if isinstance(reply, ProbeReply) and reply.reached:
+                reached.append(helper.host)
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            for helper in self.membership.choose_helpers(HostId(target.host)):
+                group.start_soon(ask, helper)
+        return bool(reached)
+
+    async def _synchronize(self, address: str, host: HostId | None) -> None:
+        await self._exchange(address, host, JOIN_TIMEOUT_S, whole=True)
+
+    def _follow_up(self, message: Exchange) -> None:
+        """Forward what is urgent, and fetch a newer configuration."""
+        if self.group is None:
+            return
+        if self.membership.digests.urgent:
+            self.group.start_soon(self.push)
+        if message.revision > self.source.revision and not self.fetching:
+            self.fetching = True
+            address = message.sender.address
+            self.group.start_soon(self._fetch, address, Revision(message.revision))
+
+    async def _fetch(self, address: str, revision: Revision) -> None:
+        """Take a newer configuration from a peer, unless the store is quicker."""
+        try:
+            if self.source.revision:
+                await anyio.sleep(WATCH_GRACE_S)
+            if self.source.revision >= revision:
+                return
+            request = ConfigurationRequest(self.source.revision)
+            reply = await self.transport.fetch_configuration(
+                address, request, FETCH_TIMEOUT_S
+            )
+            if isinstance(reply, ConfigurationReply) and reply.revision:
+                self.source.offer(Revision(reply.revision), reply.data)
+        finally:
+            self.fetching = False
+
+    async def push(self) -> int:
+        """Send urgent digests to all neighbours at once.
+
+        Returns
+        -------
+        int
+            Neighbours that answered.
+        """
+        now_s = time.monotonic()
+        digests = self.membership.digests.take_urgent(now_s)
+        if not digests and self.membership.own.state != MemberState.LEFT:
+            return 0
+        message = Exchange(
+            sender=self.membership.own,
+            revision=self.source.revision,
+            checksum=self.membership.compute_checksum(),
+            digests=digests,
+        )
+        answered = []
+
+        async def send(neighbour: MemberRecord) -> None:
+            reply = await self.transport.exchange(
+                neighbour.address, message, PUSH_TIMEOUT_S
+            )
+            if isinstance(reply, Exchange):
+                answered.append(neighbour.host)
+                self.membership.receive(reply, time.monotonic())
+
+        async with anyio.create_task_group() as group:
+            for neighbour in self.membership.list_neighbours():
+                group.start_soon(send, neighbour)
+        return len(answered)
+
+    async def leave(self) -> None:
+        """Tell the neighbours that this router is gone."""
+        self.membership.leave()
+        await self.push()
+
+    async def answer_exchange(self, message: Exchange) -> Exchange:
+        """Answer a probe."""
+        self.membership.revision = self.source.revision
+        reply = self.membership.answer(message, time.monotonic())
+        self._follow_up(message)
+        return reply
+
+    async def answer_probe(self, message: ProbeRequest) -> ProbeReply:
+        """Probe a third router for the caller."""
+        target = message.target
+        host = HostId(target.host)
+        return ProbeReply(await self._exchange(target.address, host, PROBE_TIMEOUT_S))
+
+    async def answer_configuration(
+        self, message: ConfigurationRequest
+    ) -> ConfigurationReply:
+        """Hand over a newer configuration."""
+        exported = self.source.export(Revision(message.revision))
+        if exported is None:
+            return ConfigurationReply()
+        return ConfigurationReply(*exported)
+
+    async def answer_status(self, message: StatusRequest) -> StatusReply:
+        """Describe this router."""
+        return StatusReply(
+            member=self.membership.own,
+            version=__version__,
+            revision=self.source.revision,
+            ready=self.is_ready(),
+            stopping=self.is_stopping(),
+            members=self.membership.list_records(),
+            leaving=sorted(self.board.leaving.value),
+        )
+
+
+def make_gossip(
+    settings: RouterSettings,
+    address: str,
+    transport: PeerTransport,
+    source: ConfigurationSource,
+    board: Board,
+    is_ready: Callable[[], bool],
+    is_stopping: Callable[[], bool],
+) -> Gossip:
+    """Return the gossip of a router that is reached at an address.
+
+    Its incarnation is the time of the day in milliseconds, so that a restarted
+    router comes after its earlier process.
+    """
+    incarnation = int(time.time() * MS_PER_S)
+    own = MemberRecord(settings.host, address, settings.failure_domain, incarnation)
+    membership = make_membership(own, random.Random(incarnation), settings.peers)
+    writer = board.peers.take_writer("gossip")
+    return Gossip(membership, transport, source, board, writer, is_ready, is_stopping)
--- /dev/null
+++ b/primrosepier/membership.py
@@ -0,0 +1,396 @@
+"""Which routers are alive: probing, suspicion and incarnations, without I/O.
+
+A member that answers neither a probe nor the probes of helpers is suspected, and
+declared dead when it does not refute the suspicion in time by a higher
+incarnation. What other routers say about a death counts as a suspicion only, so
+that a member is never declared dead on hearsay. A dead member that comes back is
+told of its death in the first answer that it gets, and refutes it.
+"""
+
+import math
+from dataclasses import dataclass, field
+from enum import IntEnum
+from random import Random
+
+import xxhash
+
+from .digests import DigestRegistry
+from .ids import HostId, Revision
+from .messages import Exchange, MemberRecord, encode_message
+from .overlay import choose_neighbours
+from .send_queue import SendQueue
+
+__all__ = [
+    "Member",
+    "MemberState",
+    "Membership",
+    "MembershipRules",
+    "Round",
+    "make_membership",
+]
+
+MAX_MEMBERS = 4096
+
+
+class MemberState(IntEnum):
+    """State of a member; at one incarnation the greater state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipRules:
+    """Times and bounds of the protocol.
+
+    Parameters
+    ----------
+    round_s : float
+        Time between probes, seconds.
+    helpers : int
+        Members that are asked to probe one that did not answer.
+    suspicion_rounds : float
+        Rounds of suspicion per doubling of the fleet.
+    sends : float
+        Sends of one update per doubling of the fleet.
+    budget_bytes : int
+        Bound on the updates in one message.
+    dead_kept_s : float
+        Time until a dead member is forgotten, seconds.
+    sync_s : float
+        Shortest time between whole-table reads, seconds.
+    reconnect_rounds : int
+        Rounds between attempts to reach a dead member or a seed.
+    """
+
+    round_s: float = 1.0
+    helpers: int = 3
+    suspicion_rounds: float = 4.0
+    sends: float = 2.0
+    budget_bytes: int = 600
+    dead_kept_s: float = 24 * 3600.0
+    sync_s: float = 30.0
+    reconnect_rounds: int = 10
+
+
+@dataclass(slots=True)
+class Member:
+    """A member as this router knows it.
+
+    Parameters
+    ----------
+    changed_at_s : float
+        Monotonic time of the last change of state, seconds.
+    """
+
+    record: MemberRecord
+    state: MemberState
+    changed_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Round:
+    """What to do in one round.
+
+    Parameters
+    ----------
+    probe : MemberRecord or None
+        Member to exchange with.
+    reconnect : str
+        Address of a dead member or a seed to try, or empty.
+    """
+
+    started_at_s: float
+    probe: MemberRecord | None
+    reconnect: str = ""
+
+
+def _replace(
+    record: MemberRecord, incarnation: int, state: MemberState
+) -> MemberRecord:
+    return MemberRecord(
+        record.host, record.address, record.failure_domain, incarnation, state
+    )
+
+
+def _hash_live(record: MemberRecord) -> int:
+    """Return the hash of a live member, and 0 for a dead one."""
+    if record.state > MemberState.SUSPECT:
+        return 0
+    text = f"{record.host}/{record.incarnation}"
+    return xxhash.xxh32_intdigest(text.encode())
+
+
+def _read_state(value: int) -> MemberState | None:
+    return MemberState(value) if value <= MemberState.LEFT else None
+
+
+@dataclass(slots=True)
+class Membership:
+    """The member table of one router.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        This router.
+    seeds : tuple of str
+        Addresses of routers to join.
+    """
+
+    own: MemberRecord
+    rules: MembershipRules
+    random: Random
+    digests: DigestRegistry
+    seeds: tuple[str, ...] = ()
+    revision: Revision = Revision(0)
+    members: dict[HostId, Member] = field(default_factory=dict)
+    pending: SendQueue[HostId, MemberRecord] = field(default_factory=SendQueue)
+    suspects: set[HostId] = field(default_factory=set)
+    neighbours: tuple[HostId, ...] = ()
+    schedule: list[HostId] = field(default_factory=list)
+    checksum: int = 0
+    rounds: int = 0
+    refutations: int = 0
+    differing_since_s: float = math.inf
+    synced_at_s: float = -math.inf
+    stale: bool = True
+
+    def list_live(self) -> dict[HostId, MemberRecord]:
+        """Return the other members that are not dead or gone."""
+        return {
+            host: member.record
+            for host, member in self.members.items()
+            if member.state <= MemberState.SUSPECT
+        }
+
+    def list_records(self) -> list[MemberRecord]:
+        """Return all records, this router's own first."""
+        return [self.own, *(member.record for member in self.members.values())]
+
+    def list_neighbours(self) -> list[MemberRecord]:
+        """Return the members that this router probes and forwards to."""
+        self._refresh_neighbours()
+        return [self.members[host].record for host in self.neighbours]
+
+    def _refresh_neighbours(self) -> None:
+        if self.stale:
+            live = self.list_live()
+            self.neighbours = choose_neighbours(HostId(self.own.host), live)
+            self.stale = False
+
+    def compute_spread(self) -> float:
+        """Return the doublings of the fleet, at least 1."""
+        return max(1.0, math.log2(len(self.members) + 2))
+
+    def compute_suspicion_s(self) -> float:
+        """Return the time from suspicion to death, seconds."""
+        rules = self.rules
+        return rules.suspicion_rounds * rules.round_s * self.compute_spread()
+
+    def start_round(self, now_s: float) -> Round:
+        """Apply the timeouts and choose whom to talk to."""
+        self.rounds += 1
+        self._end_suspicions(now_s)
+        self.digests.expire(now_s)
+        reconnect = ""
+        turn = self.rounds % self.rules.reconnect_rounds == 1
+        if turn or not self.list_neighbours():
+            self._forget_dead(now_s)
+            reconnect = self._choose_reconnect()
+        return Round(now_s, self._choose_probe(), reconnect)
+
+    def _choose_probe(self) -> MemberRecord | None:
+        self._refresh_neighbours()
+        allowed = set(self.neighbours)
+        while self.schedule:
+            host = self.schedule.pop()
+            if host in allowed:
+                return self.members[host].record
+        if not allowed:
+            return None
+        self.schedule = list(self.neighbours)
+        self.random.shuffle(self.schedule)
+        return self.members[self.schedule.pop()].record
+
+    def _choose_reconnect(self) -> str:
+        known = {member.record.address for member in self.members.values()}
+        addresses = [
+            member.record.address
+            for member in self.members.values()
+            if member.state is MemberState.DEAD
+        ]
+        known.add(self.own.address)
+        addresses += [seed for seed in self.seeds if seed not in known]
+        return self.random.choice(addresses) if addresses else ""
+
+    def _end_suspicions(self, now_s: float) -> None:
+        limit_s = self.compute_suspicion_s()
+        for host in sorted(self.suspects):
+            member = self.members[host]
+            if now_s - member.changed_at_s >= limit_s:
+                record = member.record
+                dead = _replace(record, record.incarnation, MemberState.DEAD)
+                self._put(dead, MemberState.DEAD, now_s)
+
+    def _forget_dead(self, now_s: float) -> None:
+        for host, member in list(self.members.items()):
+            age_s = now_s - member.changed_at_s
+            gone = member.state > MemberState.SUSPECT
+            if gone and age_s >= self.rules.dead_kept_s:
+                del self.members[host]
+                self.pending.discard(host)
+
+    def choose_helpers(self, target: HostId) -> list[MemberRecord]:
+        """Return members to ask for a probe of one that did not answer."""
+        live = self.list_live()
+        live.pop(target, None)
+        count = min(self.rules.helpers, len(live))
+        return [live[host] for host in self.random.sample(sorted(live), count)]
+
+    def report_unreachable(self, target: HostId, begun: Round, now_s: float) -> bool:
+        """Suspect a member that answered neither this router nor its helpers.
+
+        Returns
+        -------
+        bool
+            False when this router was itself paused, so that nothing is known.
+        """
+        member = self.members.get(target)
+        paused = now_s - begun.started_at_s > 3 * self.rules.round_s
+        if member is None or paused or member.state is not MemberState.ALIVE:
+            return False
+        record = member.record
+        suspect = _replace(record, record.incarnation, MemberState.SUSPECT)
+        self._put(suspect, MemberState.SUSPECT, now_s)
+        return True
+
+    def make_exchange(
+        self, target: HostId | None, now_s: float, wants_all: bool = False
+    ) -> Exchange:
+        """Return the next message to a member, or to one that is not known yet."""
+        members = self._select_members(target)
+        used = sum(len(encode_message(record)) for record in members)
+        budget = self.rules.budget_bytes - used
+        sends = self._compute_sends()
+        return Exchange(
+            sender=self.own,
+            revision=self.revision,
+            checksum=self.compute_checksum(),
+            members=members,
+            digests=self.digests.select(budget, sends, now_s),
+            wants_all=wants_all,
+        )
+
+    def compute_checksum(self) -> int:
+        """Return the checksum of the live members with this router."""
+        return self.checksum ^ _hash_live(self.own)
+
+    def _compute_sends(self) -> int:
+        return math.ceil(self.rules.sends * self.compute_spread())
+
+    def _select_members(self, target: HostId | None) -> list[MemberRecord]:
+        known = self.members.get(target) if target else None
+        first = []
+        if known and known.state is not MemberState.ALIVE:
+            first.append(known.record)
+        rest = self.pending.take(self.rules.budget_bytes, self._compute_sends())
+        return first + rest
+
+    def answer(self, message: Exchange, now_s: float) -> Exchange:
+        """Take in a message and return the answer to it."""
+        self.receive(message, now_s)
+        reply = self.make_exchange(HostId(message.sender.host), now_s)
+        if not message.wants_all:
+            return reply
+        members = [m for m in self.list_records() if m.host != message.sender.host]
+        own = self.members.get(HostId(message.sender.host))
+        if own is not None:
+            members.append(own.record)
+        return Exchange(
+            reply.sender, reply.revision, reply.checksum, members, reply.digests
+        )
+
+    def receive(self, message: Exchange, now_s: float) -> None:
+        """Take in a message or an answer."""
+        self._merge(message.sender, now_s)
+        for record in message.members:
+            self._merge(record, now_s)
+        for digest in message.digests:
+            self.digests.receive(digest, now_s)
+        if message.checksum == self.compute_checksum():
+            self.differing_since_s = math.inf
+        else:
+            self.differing_since_s = min(self.differing_since_s, now_s)
+
+    def needs_sync(self, now_s: float) -> bool:
+        """Return whether to read another router's whole table now."""
+        spread_s = self.compute_suspicion_s()
+        lasting = now_s - self.differing_since_s >= spread_s
+        due = now_s - self.synced_at_s >= max(self.rules.sync_s, spread_s)
+        if lasting and due:
+            self.synced_at_s = now_s
+            return True
+        return False
+
+    def leave(self) -> None:
+        """Declare this router gone."""
+        self.own = _replace(self.own, self.own.incarnation, MemberState.LEFT)
+
+    def _merge(self, record: MemberRecord, now_s: float) -> None:
+        state = _read_state(record.state)
+        if state is None:
+            return
+        if record.host == self.own.host:
+            self._refute(record)
+            return
+        known = self.members.get(HostId(record.host))
+        if known is None:
+            if state <= MemberState.SUSPECT and len(self.members) < MAX_MEMBERS:
+                self._put(record, state, now_s)
+            return
+        rank = (record.incarnation, min(state, MemberState.SUSPECT))
+        if state is MemberState.LEFT:
+            rank = (record.incarnation, MemberState.LEFT)
+        if rank <= (known.record.incarnation, known.state):
+            return
+        if state is MemberState.DEAD:
+            state = MemberState.SUSPECT
+        self._put(_replace(record, record.incarnation, state), state, now_s)
+
+    def _refute(self, record: MemberRecord) -> None:
+        own = self.own
+        if own.state == MemberState.LEFT or record.incarnation < own.incarnation:
+            return
+        claimed = (record.incarnation, record.state)
+        if claimed == (own.incarnation, MemberState.ALIVE):
+            return
+        self.own = _replace(own, record.incarnation + 1, MemberState.ALIVE)
+        self.digests.incarnation = self.own.incarnation
+        self.refutations += 1
+
+    def _put(self, record: MemberRecord, state: MemberState, now_s: float) -> None:
+        host = HostId(record.host)
+        known = self.members.get(host)
+        if known is not None:
+            self.checksum ^= _hash_live(known.record)
+        lived = known is not None and known.state <= MemberState.SUSPECT
+        self.stale |= lived != (state <= MemberState.SUSPECT)
+        self.checksum ^= _hash_live(record)
+        self.members[host] = Member(record, state, now_s)
+        self.pending.put(host, record)
+        self.suspects.discard(host)
+        if state is MemberState.SUSPECT:
+            self.suspects.add(host)
+
+
+def make_membership(
+    own: MemberRecord,
+    random: Random,
+    seeds: tuple[str, ...] = (),
+    rules: MembershipRules | None = None,
+) -> Membership:
+    """Return the table of a router that knows nobody yet."""
+    digests = DigestRegistry(HostId(own.host), own.incarnation)
+    return Membership(own, rules or MembershipRules(), random, digests, seeds)
--- /dev/null
+++ b/primrosepier/messages.py
@@ -0,0 +1,198 @@
+"""Messages between routers and their codec.
+
+Fields are only ever appended. A decoder ignores the fields that it does not know
+and takes the default for those that an older sender left out.
+"""
+
+import hashlib
+import hmac
+from typing import Annotated, Any
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+from .errors import MessageError
+
+__all__ = [
+    "ConfigurationReply",
+    "ConfigurationRequest",
+    "DigestRecord",
+    "Exchange",
+    "MemberRecord",
+    "PeerCodec",
+    "ProbeReply",
+    "ProbeRequest",
+    "StatusReply",
+    "StatusRequest",
+    "decode_message",
+    "encode_message",
+]
+
+MAC_BYTES = 16
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_TTL_MS = 24 * 3600 * 1000
+
+Name = Annotated[str, msgspec.Meta(max_length=128)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+TtlMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TTL_MS)]
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a router claims about one member.
+
+    Parameters
+    ----------
+    state : int
+        Value of a ``MemberState``; records with an unknown one are ignored.
+    """
+
+    host: Name
+    address: Name = ""
+    failure_domain: Name = ""
+    incarnation: Count = 0
+    state: Count = 0
+
+
+class DigestRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One host's latest value under a name.
+
+    Parameters
+    ----------
+    incarnation, counter : int
+        The greater pair is the later value.
+    ttl_ms : int
+        Time until the value expires, milliseconds.
+    urgent : bool
+        Forward at once instead of with the next probe.
+    """
+
+    name: Name
+    host: Name
+    incarnation: Count = 0
+    counter: Count = 0
+    ttl_ms: TtlMs = 0
+    data: bytes = b""
+    urgent: bool = False
+
+
+class Exchange(msgspec.Struct, frozen=True, array_like=True):
+    """A probe or its answer, with what the sender has to tell.
+
+    Parameters
+    ----------
+    revision : int
+        Configuration revision in force at the sender; 0 for none.
+    checksum : int
+        Over the live members that the sender knows.
+    wants_all : bool
+        The answer is to hold the whole member table.
+    """
+
+    sender: MemberRecord
+    revision: Count = 0
+    checksum: Count = 0
+    members: list[MemberRecord] = []
+    digests: list[DigestRecord] = []
+    wants_all: bool = False
+
+
+class ProbeRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a router to probe another."""
+
+    sender: MemberRecord
+    target: MemberRecord
+
+
+class ProbeReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether the other router answered."""
+
+    reached: bool = False
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for a configuration newer than a revision."""
+
+    revision: Count = 0
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True):
+    """A newer configuration, or revision 0 for none."""
+
+    revision: Count = 0
+    data: bytes = b""
+
+
+class StatusRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a router for its state."""
+
+
+class StatusReply(msgspec.Struct, frozen=True, array_like=True):
+    """State of one router as it sees it."""
+
+    member: MemberRecord
+    version: Name = ""
+    revision: Count = 0
+    ready: bool = False
+    stopping: bool = False
+    members: list[MemberRecord] = []
+    leaving: list[Name] = []
+
+
+def encode_message(message: msgspec.Struct) -> bytes:
+    """Return a message as MessagePack."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_message(data: bytes, message_type: type[Any]) -> Any:
+    """Return the message that bytes hold.
+
+    Raises
+    ------
+    MessageError
+        The bytes are too many or no such message.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MessageError(f"the message has {len(data)} bytes")
+    try:
+        return msgspec.msgpack.decode(data, type=message_type)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as cause:
+        raise MessageError(str(cause)) from cause
+
+
+class PeerCodec(CodecBase):
+    """MessagePack with a message authentication code in front.
+
+    Parameters
+    ----------
+    key : str
+        Shared by all routers; empty for none.
+    """
+
+    __content_subtype__ = "msgpack"  # type: ignore[assignment]
+
+    def __init__(self, key: str):
+        self.key = hashlib.sha256(key.encode()).digest()
+        self.refused = 0
+
+    def _compute_mac(self, payload: bytes) -> bytes:
+        mac = hashlib.blake2b(payload, key=self.key, digest_size=MAC_BYTES)
+        return mac.digest()
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return a message with its authentication code."""
+        payload = encode_message(message)
+        return self._compute_mac(payload) + payload
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return a message whose authentication code is right.
+
+        Raises
+        ------
+        MessageError
+            The code is wrong, or the bytes are no such message.
+        """
+        mac, payload = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._compute_mac(payload)):
+            self.refused += 1
+            raise MessageError("the authentication code is wrong")
+        return decode_message(payload, message_type)
--- /dev/null
+++ b/primrosepier/peers.py
@@ -0,0 +1,244 @@
+"""Transport between routers over grpclib."""
+
+import asyncio
+import contextlib
+import socket
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol, TypeVar
+
+import grpclib
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from .errors import MessageError
+from .messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Exchange,
+    PeerCodec,
+    ProbeReply,
+    ProbeRequest,
+    StatusReply,
+    StatusRequest,
+)
+from .outcomes import Step
+
+__all__ = [
+    "GrpcTransport",
+    "PeerFailure",
+    "PeerHandlers",
+    "PeerTransport",
+    "bind_listener",
+    "make_transport",
+    "open_peer_server",
+]
+
+T = TypeVar("T")
+
+MAX_CHANNELS = 32
+SERVICE = "/primrosepier.Peers"
+CALL_ERRORS = (
+    asyncio.TimeoutError,
+    GRPCError,
+    MessageError,
+    OSError,
+    StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """A peer gave no usable answer."""
+
+    step: Step
+    peer: str
+    reason: str
+
+
+class PeerHandlers(Protocol):
+    """Answers the calls of other routers."""
+
+    async def answer_exchange(self, message: Exchange) -> Exchange:
+        """Answer a probe."""
+
+    async def answer_probe(self, message: ProbeRequest) -> ProbeReply:
+        """Probe a third router for the caller."""
+
+    async def answer_configuration(
+        self, message: ConfigurationRequest
+    ) -> ConfigurationReply:
+        """Hand over a newer configuration."""
+
+    async def answer_status(self, message: StatusRequest) -> StatusReply:
+        """Describe this router."""
+
+
+class PeerTransport(Protocol):
+    """Calls to other routers."""
+
+    async def exchange(
+        self, address: str, message: Exchange, timeout_s: float
+    ) -> Exchange | PeerFailure:
+        """Send a probe and return its answer."""
+
+    async def probe(
+        self, address: str, message: ProbeRequest, timeout_s: float
+    ) -> ProbeReply | PeerFailure:
+        """Ask a router to probe another."""
+
+    async def fetch_configuration(
+        self, address: str, message: ConfigurationRequest, timeout_s: float
+    ) -> ConfigurationReply | PeerFailure:
+        """Ask for a newer configuration."""
+
+    async def read_status(
+        self, address: str, timeout_s: float
+    ) -> StatusReply | PeerFailure:
+        """Ask a router to describe itself."""
+
+
+@dataclass(slots=True)
+class GrpcTransport:
+    """Calls over a bounded number of kept connections.
+
+    Parameters
+    ----------
+    codec : PeerCodec
+    channels : OrderedDict of str to Channel
+        By address, the least recently used first.
+    """
+
+    codec: PeerCodec
+    channels: OrderedDict[str, Channel] = field(default_factory=OrderedDict)
+
+    def _open_channel(self, address: str) -> Channel:
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=self.codec)
+        self.channels[address] = channel
+        while len(self.channels) > MAX_CHANNELS:
+            _, eldest = self.channels.popitem(last=False)
+            eldest.close()
+        return channel
+
+    async def _call(
+        self,
+        address: str,
+        name: str,
+        message: msgspec.Struct,
+        reply_type: type[T],
+        timeout_s: float,
+    ) -> T | PeerFailure:
+        try:
+            channel = self._open_channel(address)
+            method = UnaryUnaryMethod[Any, T](
+                channel, f"{SERVICE}/{name}", type(message), reply_type
+            )
+            return await method(message, timeout=timeout_s)
+        except (*CALL_ERRORS, ValueError) as error:
+            return PeerFailure(Step.HEADERS, address, repr(error))
+
+    async def exchange(
+        self, address: str, message: Exchange, timeout_s: float
+    ) -> Exchange | PeerFailure:
+        """Send a probe and return its answer."""
+        return await self._call(address, "Exchange", message, Exchange, timeout_s)
+
+    async def probe(
+        self, address: str, message: ProbeRequest, timeout_s: float
+    ) -> ProbeReply | PeerFailure:
+        """Ask a router to probe another."""
+        return await self._call(address, "Probe", message, ProbeReply, timeout_s)
+
+    async def fetch_configuration(
+        self, address: str, message: ConfigurationRequest, timeout_s: float
+    ) -> ConfigurationReply | PeerFailure:
+        """Ask for a newer configuration."""
+        return await self._call(
+            address, "Configuration", message, ConfigurationReply, timeout_s
+        )
+
+    async def read_status(
+        self, address: str, timeout_s: float
+    ) -> StatusReply | PeerFailure:
+        """Ask a router to describe itself."""
+        return await self._call(
+            address, "Status", StatusRequest(), StatusReply, timeout_s
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self.channels.values():
+            channel.close()
+        self.channels.clear()
+
+
+def make_transport(key: str) -> GrpcTransport:
+    """Return a transport that authenticates by a shared key."""
+    return GrpcTransport(PeerCodec(key))
+
+
+def _make_handler(
+    answer: Callable[[Any], Awaitable[Any]], request_type: type, reply_type: type
+) -> Handler:
+    async def serve(stream: Any) -> None:
+        try:
+            message = await stream.recv_message()
+        except MessageError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        if message is not None:
+            await stream.send_message(await answer(message))
+
+    return Handler(serve, Cardinality.UNARY_UNARY, request_type, reply_type)
+
+
+@dataclass(slots=True)
+class _PeerService:
+    """The calls that a router answers, as grpclib looks them up."""
+
+    handlers: PeerHandlers
+
+    def __mapping__(self) -> dict[str, Handler]:
+        handlers = self.handlers
+        return {
+            f"{SERVICE}/Exchange": _make_handler(
+                handlers.answer_exchange, Exchange, Exchange
+            ),
+            f"{SERVICE}/Probe": _make_handler(
+                handlers.answer_probe, ProbeRequest, ProbeReply
+            ),
+            f"{SERVICE}/Configuration": _make_handler(
+                handlers.answer_configuration, ConfigurationRequest, ConfigurationReply
+            ),
+            f"{SERVICE}/Status": _make_handler(
+                handlers.answer_status, StatusRequest, StatusReply
+            ),
+        }
+
+
+def bind_listener(address: str) -> socket.socket:
+    """Return a socket that listens on ``IP:PORT``; port 0 takes a free one."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host.strip("[]"), int(port)), family=family)
+
+
+@contextlib.asynccontextmanager
+async def open_peer_server(
+    handlers: PeerHandlers, codec: PeerCodec, listener: socket.socket
+) -> AsyncIterator[None]:
+    """Answer other routers while the context is open."""
+    server = Server([_PeerService(handlers)], codec=codec)
+    await server.start(sock=listener)
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import anyio
+from anyio.abc import TaskGroup
 
 from .asgi import open_server
 from .attempt import Attempts
@@ -15,7 +16,9 @@
 from .dispatch import Dispatcher
 from .engines import HttpEndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
+from .gossip import Gossip, make_gossip
 from .ids import Revision
+from .peers import bind_listener, make_transport, open_peer_server
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
@@ -33,6 +36,7 @@
     store: Store
     writer: SectionWriter[Configuration | None]
     revision: Revision = Revision(0)
+    value: bytes = b""
 
     async def run(self) -> None:
         """Read and watch the configuration until cancelled."""
@@ -59,9 +63,20 @@
         if configuration is None:
             return False
         self.revision = item.mod_revision
+        self.value = item.value
         self.writer.write(configuration, time.monotonic())
         return True
 
+    def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
+        """Return the configuration for a peer that holds an older revision."""
+        if self.revision <= revision:
+            return None
+        return (self.revision, self.value)
+
+    def offer(self, revision: Revision, data: bytes) -> bool:
+        """Take a configuration that a peer exported, if it is newer and valid."""
+        return self.accept(Item(CONFIGURATION_KEY, data, revision))
+
 
 @dataclass(slots=True)
 class Router:
@@ -74,6 +89,8 @@
     app: CallersApp
     configuration: ConfigurationController
     callers_address: str = ""
+    peers_address: str = ""
+    gossip: Gossip | None = None
 
 
 def make_router(settings: RouterSettings) -> Router:
@@ -89,13 +106,39 @@
     return Router(settings, board, store, client, app, controller)
 
 
+@contextlib.asynccontextmanager
+async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
+    settings = router.settings
+    listener = bind_listener(settings.peers_address)
+    address, port = listener.getsockname()[:2]
+    router.peers_address = f"{address}:{port}"
+    transport = make_transport(settings.peer_key)
+    gossip = make_gossip(
+        settings,
+        router.peers_address,
+        transport,
+        router.configuration,
+        router.board,
+        router.app.is_ready,
+        lambda: router.app.stopping,
+    )
+    router.gossip = gossip
+    async with open_peer_server(gossip, transport.codec, listener):
+        group.start_soon(gossip.run)
+        yield gossip
+    transport.close()
+
+
 @contextlib.asynccontextmanager
 async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
     """Run a router while the context is open."""
     router = make_router(settings)
     async with anyio.create_task_group() as group:
         group.start_soon(router.configuration.run)
-        async with open_server(router.app, settings.callers_address) as address:
+        async with (
+            _open_gossip(router, group),
+            open_server(router.app, settings.callers_address) as address,
+        ):
             router.callers_address = address
             yield router
         group.cancel_scope.cancel()
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -1,5 +1,6 @@
 """Settings of one router process."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 __all__ = ["Limits", "RouterSettings", "load_settings", "parse_settings"]
 
 MIB = 1024 * 1024
+PEER_KEY_VARIABLE = "PRIMROSEPIER_PEER_KEY"
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,9 @@
         Addresses of other routers to join, ``IP:PORT``.
     hosts_url : str
         Where the host list is read; empty when there is none.
+    peer_key : str
+        Shared by all routers, from ``key_file`` or the environment variable
+        ``PRIMROSEPIER_PEER_KEY``; empty for none.
     stop_wait_s : float
         Time between "not ready" and the end of listening, seconds.
     stop_streams_s : float
@@ -117,7 +122,7 @@
 def _read_key(reader: SectionReader) -> str:
     file = reader.read_text("key_file", "")
     if not file:
-        return ""
+        return os.environ.get(PEER_KEY_VARIABLE, "")
     try:
         return Path(file).read_text(encoding="utf-8").strip()
     except OSError as cause:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,101 @@
+import contextlib
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from primrosepier.board import make_board
+from primrosepier.gossip import make_gossip
+from primrosepier.messages import Exchange, MemberRecord
+from primrosepier.peers import (
+    PeerFailure,
+    bind_listener,
+    make_transport,
+    open_peer_server,
+)
+from primrosepier.settings import RouterSettings
+
+pytestmark = pytest.mark.sockets
+
+
+class Source:
+    def __init__(self, revision):
+        self.revision = revision
+
+    def export(self, revision):
+        return (self.revision, b"data") if self.revision > revision else None
+
+    def offer(self, revision, data):
+        self.revision = revision
+        return True
+
+
+@contextlib.asynccontextmanager
+async def open_peer(name, key="k", revision=0, seeds=()):
+    settings = RouterSettings(name, "d", "", "", "", peers=seeds, peer_key=key)
+    listener = bind_listener("127.0.0.1:0")
+    address = "{}:{}".format(*listener.getsockname())
+    transport = make_transport(key)
+    gossip = make_gossip(
+        settings,
+        address,
+        transport,
+        Source(revision),
+        make_board(),
+        lambda: True,
+        lambda: False,
+    )
+    async with open_peer_server(gossip, transport.codec, listener):
+        async with anyio.create_task_group() as group:
+            group.start_soon(gossip.run)
+            yield SimpleNamespace(gossip=gossip, address=address, transport=transport)
+            group.cancel_scope.cancel()
+        transport.close()
+
+
+async def wait_for(condition):
+    with anyio.fail_after(20):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def test_a_router_that_knows_nothing_gets_the_configuration_from_a_peer():
+    async def check():
+        async with (
+            open_peer("a", revision=9) as first,
+            open_peer("b", seeds=(first.address,)) as second,
+        ):
+            await wait_for(lambda: second.gossip.source.revision == 9)
+            await wait_for(lambda: first.gossip.board.peers.value == {"b"})
+
+    anyio.run(check)
+
+
+def test_urgent_digests_reach_the_neighbours_before_the_push_ends():
+    async def check():
+        async with (
+            open_peer("a") as first,
+            open_peer("b", seeds=(first.address,)) as second,
+        ):
+            await wait_for(lambda: second.gossip.board.peers.value == {"a"})
+            digests = second.gossip.membership.digests
+            digests.publish("suspects", b"1", 60.0, anyio.current_time(), urgent=True)
+            assert await second.gossip.push() == 1
+            found = first.gossip.membership.digests.read("suspects", 0.0)
+            assert found["b"].record.data == b"1"
+
+    anyio.run(check)
+
+
+def test_a_peer_with_another_key_is_refused():
+    async def check():
+        async with open_peer("a") as first:
+            stranger = make_transport("other")
+            message = Exchange(MemberRecord("b", "127.0.0.1:1"))
+            reply = await stranger.exchange(first.address, message, 5.0)
+            stranger.close()
+            assert isinstance(reply, PeerFailure)
+            assert first.transport.codec.refused == 1
+            assert not first.gossip.membership.members
+
+    anyio.run(check)
