--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -1,10 +1,12 @@
 """One attempt at one endpoint, and what the caller has got so far."""
 
+import time
 from dataclasses import dataclass
 
 import msgspec
 
 from .asgi import Send, send_bytes, start_response
+from .clocks import Clock
 from .configuration import Endpoint
 from .engines import (
     CONNECT_ERRORS,
@@ -14,7 +16,8 @@
     EndpointResponse,
     classify_error,
 )
-from .ids import make_attempt_id
+from .ids import AttemptId, make_attempt_id
+from .logs import TRACE_HEADER
 from .outcomes import (
     Completed,
     Interrupted,
@@ -25,6 +28,7 @@
     UnknownOutcome,
 )
 from .relay import Tail, relay_stream
+from .request_log import AttemptRecord, record_attempt
 from .requests import ModelRequest
 from .settings import Limits
 
@@ -38,9 +42,17 @@
 
 @dataclass(slots=True)
 class Delivery:
-    """What one request's caller has got over all attempts."""
+    """What one request's caller has got over all attempts.
+
+    Parameters
+    ----------
+    send : Send
+    headers_at_s : float
+        Monotonic time at which the last attempt's answer began, seconds.
+    """
 
     send: Send
+    headers_at_s: float = 0.0
 
 
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
@@ -61,23 +73,42 @@
     ----------
     client : EndpointClient
     limits : Limits
+    clock : Clock
     """
 
     client: EndpointClient
     limits: Limits
+    clock: Clock = time.monotonic
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
     ) -> Outcome:
         """Send a request to an endpoint and relay its answer."""
-        call = self._make_call(request, endpoint)
+        attempt = make_attempt_id()
+        with record_attempt(request, endpoint.id, attempt) as record:
+            call = self._make_call(request, endpoint, attempt, record.hop)
+            record.outcome = await self._send(request, endpoint, call, delivery, record)
+        return record.outcome
+
+    async def _send(
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        delivery: Delivery,
+        record: AttemptRecord,
+    ) -> Outcome:
         try:
             async with self.client.open(call) as response:
+                delivery.headers_at_s = self.clock()
+                record.mark_headers()
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
 
-    def _make_call(self, request: ModelRequest, endpoint: Endpoint) -> EndpointCall:
+    def _make_call(
+        self, request: ModelRequest, endpoint: Endpoint, attempt: AttemptId, hop: str
+    ) -> EndpointCall:
         body = dict(request.body)
         body["cache_salt"] = request.workspace.id
         if request.streamed:
@@ -85,7 +116,8 @@
         headers = (
             ("content-type", "application/json"),
             ("x-request-id", request.id),
-            ("x-attempt-id", make_attempt_id()),
+            ("x-attempt-id", attempt),
+            (TRACE_HEADER, hop),
         )
         return EndpointCall(
             address=endpoint.address,
