--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -94,12 +94,8 @@
         domains = sorted({e.failure_domain for e in endpoints.values()})
         routers: list[Router] = []
         for number, domain in enumerate(domains, start=1):
-<<<<<<< HEAD
             seeds = tuple(router.peers_address for router in routers)
-            settings = _make_settings(number, domain, address, seeds)
-=======
-            settings = _make_settings(number, domain, address, logs)
->>>>>>> main
+            settings = _make_settings(number, domain, address, logs, seeds)
             routers.append(await stack.enter_async_context(open_router(settings)))
         keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
         demo = Demo(standin, address, routers, engines, configuration, keys)
@@ -144,11 +140,11 @@
 
 
 def _make_settings(
-<<<<<<< HEAD
-    number: int, domain: FailureDomain, store_address: str, seeds: tuple[str, ...]
-=======
-    number: int, domain: FailureDomain, store_address: str, logs: Path | None
->>>>>>> main
+    number: int,
+    domain: FailureDomain,
+    store_address: str,
+    logs: Path | None,
+    seeds: tuple[str, ...],
 ) -> RouterSettings:
     return RouterSettings(
         host=HostId(f"entry-{number}"),
@@ -156,11 +152,8 @@
         callers_address=LOOPBACK,
         peers_address=LOOPBACK,
         store_address=store_address,
-<<<<<<< HEAD
         peers=seeds,
-=======
         logs=_make_log_settings(logs, f"entry-{number}"),
->>>>>>> main
     )
 
 
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -19,11 +19,8 @@
 from .etcd import make_etcd_store
 from .gossip import Gossip, make_gossip
 from .ids import Revision
-<<<<<<< HEAD
-from .peers import bind_listener, make_transport, open_peer_server
-=======
 from .logs import make_log
->>>>>>> main
+from .peers import bind_listener, make_transport, open_peer_server
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
@@ -76,12 +73,8 @@
         if configuration is None:
             return False
         self.revision = item.mod_revision
-<<<<<<< HEAD
         self.value = item.value
-        self.writer.write(configuration, time.monotonic())
-=======
         self.writer.write(configuration, self.clock())
->>>>>>> main
         return True
 
     def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
