--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -92,9 +92,10 @@
         if outcome.result is not ApplyResult.APPLIED:
             raise ConfigurationError(deployment, "-", "-", outcome.reason)
         domains = sorted({e.failure_domain for e in endpoints.values()})
-        routers = []
+        routers: list[Router] = []
         for number, domain in enumerate(domains, start=1):
-            settings = _make_settings(number, domain, address, logs)
+            seeds = tuple(router.peers_address for router in routers)
+            settings = _make_settings(number, domain, address, logs, seeds)
             routers.append(await stack.enter_async_context(open_router(settings)))
         keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
         demo = Demo(standin, address, routers, engines, configuration, keys)
@@ -139,7 +140,11 @@
 
 
 def _make_settings(
-    number: int, domain: FailureDomain, store_address: str, logs: Path | None
+    number: int,
+    domain: FailureDomain,
+    store_address: str,
+    logs: Path | None,
+    seeds: tuple[str, ...],
 ) -> RouterSettings:
     return RouterSettings(
         host=HostId(f"entry-{number}"),
@@ -147,6 +152,7 @@
         callers_address=LOOPBACK,
         peers_address=LOOPBACK,
         store_address=store_address,
+        peers=seeds,
         logs=_make_log_settings(logs, f"entry-{number}"),
     )
 
--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -4,6 +4,7 @@
     "CompactedError",
     "ConfigurationError",
     "LeaseNotFoundError",
+    "MessageError",
     "PrimrosepierError",
     "RequestError",
     "SettingsError",
@@ -48,6 +49,10 @@
     """The lease lapsed, was revoked or never was."""
 
 
+class MessageError(PrimrosepierError):
+    """Bytes from a peer are not a message that may be used."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
