Split the configuration into chunks that one manifest puts in force

The configuration was one value: over a megabyte the store refuses it, each change went whole to each router, a lost answer stayed unknown, and a store restored from a backup could have stopped later changes. It is now written as chunks named by their content under a manifest that is swapped with all chunks as conditions; change ids settle lost answers and name the winner of a race; revisions follow the clock, so they stay ahead of a restored store. One watch a router keeps a mirror that resumes by revision, reads again after compaction and checks a silent watch every 15 s. The claims writer runs in the router.

Broken once each, and seen to fail: lower revisions taken, no condition on the manifest, no change ids, revisions without the clock.

--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -9,7 +9,8 @@
 from .configuration import Configuration, load_configuration
 from .errors import SettingsError
 from .etcd import make_etcd_store
-from .revisions import ApplyOutcome, ApplyResult, apply_configuration
+from .ids import Revision
+from .publishing import ApplyOutcome, ApplyResult, apply_configuration
 from .router import open_router
 from .settings import RouterSettings, load_settings
 
@@ -39,10 +40,12 @@
         return 0
 
 
-async def _apply(address: str, configuration: Configuration) -> ApplyOutcome:
+async def _apply(
+    address: str, configuration: Configuration, expected: Revision | None
+) -> ApplyOutcome:
     store = make_etcd_store(address)
     try:
-        return await apply_configuration(store, configuration)
+        return await apply_configuration(store, configuration, expected=expected)
     finally:
         await store.close()
 
@@ -53,20 +56,37 @@
     name = "apply"
     description = "Put operators' files in force, all or nothing."
     arguments = [FILES]
-    options = [option("store", None, "Address of the key-value service.", flag=False)]
+    options = [
+        option("store", None, "Address of the key-value service.", flag=False),
+        option("expect", None, "Revision that must be in force before.", flag=False),
+    ]
 
     def handle(self) -> int:
         """Run the command."""
+        address = self.option("store")
+        expected = self.option("expect")
+        if not address or (expected and not expected.isdigit()):
+            self.line_error("apply needs --store IP:PORT; --expect takes a number")
+            return 2
         try:
             found = load_configuration([Path(f) for f in self.argument("files")])
+            revision = Revision(int(expected)) if expected else None
+            outcome = anyio.run(_apply, address, found, revision)
         except SettingsError as error:
             self.line_error(str(error))
             return 1
-        outcome = anyio.run(_apply, self.option("store"), found)
-        self.line(f"{outcome.result.value} at revision {outcome.revision}")
+        return self._report(outcome)
+
+    def _report(self, outcome: ApplyOutcome) -> int:
+        for line in outcome.changes:
+            self.line(line)
+        self.line(
+            f"{outcome.result.value}: revision {outcome.revision} is in the store"
+        )
         if outcome.reason:
             self.line_error(outcome.reason)
-        return 0 if outcome.result is ApplyResult.APPLIED else 1
+        done = (ApplyResult.APPLIED, ApplyResult.UNCHANGED)
+        return 0 if outcome.result in done else 1
 
 
 async def _run_router(settings: RouterSettings) -> None:
--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -19,8 +19,8 @@
 from .etcd import make_etcd_store
 from .ids import EndpointId, FailureDomain, HostId
 from .logs import LoggedEngine, make_log
+from .publishing import ApplyResult, apply_configuration
 from .replay import ReplayReport, replay_trace
-from .revisions import ApplyResult, apply_configuration
 from .router import Router, open_router
 from .settings import LogSettings, RouterSettings
 from .standin_engine import EngineRates, EngineStandin, make_engine_standin
--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -193,7 +193,7 @@
                 async for chunk in response.aiter_stream():
                     *lines, rest = (rest + chunk).split(b"\n")
                     for line in lines:
-                        event = _decode_watch_line(line)
+                        event = _decode_watch_line(line, revision)
                         if event is not None:
                             yield event
         except (*NOT_SENT_ERRORS, *LOST_ERRORS):
@@ -219,13 +219,15 @@
         await self._call("/v3/lease/revoke", {"ID": str(lease)})
 
 
-def _decode_watch_line(line: bytes) -> WatchEvent | None:
+def _decode_watch_line(line: bytes, start: Revision) -> WatchEvent | None:
     if not line.strip():
         return None
     result = msgspec.json.decode(line, type=dict[str, Any]).get("result", {})
     revision = _read_revision(result)
     if result.get("canceled") or int(result.get("compact_revision", 0)):
         return WatchEvent(revision, compacted=True)
+    if result.get("created") and revision < start - 1:
+        return WatchEvent(revision, compacted=True)
     items = []
     deleted = []
     for event in result.get("events", []):
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -40,7 +40,9 @@
 class ConfigurationSource(Protocol):
     """The configuration that this router holds, for hand-over between routers."""
 
-    revision: Revision
+    @property
+    def revision(self) -> Revision:
+        """The revision in force; 0 when there is none yet."""
 
     def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
         """Return what is newer than a revision, or None when nothing is."""
--- /dev/null
+++ b/primrosepier/mirror.py
@@ -0,0 +1,166 @@
+"""A copy of the shared state in the key-value service, kept by one watch."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from .clocks import Clock
+from .ids import Revision
+from .store import Item, Snapshot, Store, Unavailable, WatchEvent
+
+__all__ = ["Backoff", "Mirror", "MirrorController", "make_mirror"]
+
+NEVER_S = float("-inf")
+
+Listener = Callable[["Mirror"], None]
+
+
+@dataclass(slots=True)
+class Backoff:
+    """Waits between attempts: full jitter below a bound that doubles.
+
+    Parameters
+    ----------
+    random : random.Random
+    base_s, limit_s : float
+        First and largest bound, seconds.
+    """
+
+    random: random.Random
+    base_s: float = 0.2
+    limit_s: float = 10.0
+    failures: int = 0
+
+    def next_wait_s(self) -> float:
+        """Return the wait after one more failure, seconds."""
+        bound_s = min(self.limit_s, self.base_s * 2**self.failures)
+        self.failures = min(self.failures + 1, 32)
+        return self.random.uniform(0.0, bound_s)
+
+    def reset(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+
+
+@dataclass(slots=True)
+class Mirror:
+    """All items below a prefix, with the revision up to which they are known.
+
+    Parameters
+    ----------
+    prefix : str
+    listeners : list of callable
+        Called with the mirror after each change.
+    """
+
+    prefix: str
+    items: dict[str, Item] = field(default_factory=dict)
+    revision: Revision = Revision(0)
+    synced_at_s: float = NEVER_S
+    listeners: list[Listener] = field(default_factory=list)
+
+    def select(self, prefix: str) -> dict[str, Item]:
+        """Return the items whose keys start with a prefix."""
+        return {k: item for k, item in self.items.items() if k.startswith(prefix)}
+
+    def take_snapshot(self, snapshot: Snapshot, now_s: float) -> None:
+        """Replace everything."""
+        self.items = dict(snapshot.items)
+        self._finish(snapshot.revision, now_s)
+
+    def take_event(self, event: WatchEvent, now_s: float) -> None:
+        """Apply the changes of one revision."""
+        for item in event.items:
+            self.items[item.key] = item
+        for key in event.deleted:
+            self.items.pop(key, None)
+        self._finish(event.revision, now_s)
+
+    def _finish(self, revision: Revision, now_s: float) -> None:
+        self.revision = revision
+        self.synced_at_s = now_s
+        for listener in self.listeners:
+            listener(self)
+
+
+@dataclass(slots=True)
+class MirrorController:
+    """Keeps a mirror up to date until it is cancelled.
+
+    Parameters
+    ----------
+    check_prefix : str
+        The part that is read now and then, to find a watch that went silent.
+    check_s : float
+        Time between these reads, seconds.
+    """
+
+    store: Store
+    mirror: Mirror
+    backoff: Backoff
+    check_prefix: str
+    clock: Clock = time.monotonic
+    check_s: float = 15.0
+
+    async def run(self) -> None:
+        """Read once, then watch; read again only when the history is gone."""
+        while True:
+            await self._synchronize()
+            while await self._follow():
+                await anyio.sleep(self.backoff.next_wait_s())
+
+    async def _synchronize(self) -> None:
+        while True:
+            snapshot = await self.store.read(self.mirror.prefix)
+            if not isinstance(snapshot, Unavailable):
+                self.mirror.take_snapshot(snapshot, self.clock())
+                self.backoff.reset()
+                return
+            await anyio.sleep(self.backoff.next_wait_s())
+
+    async def _follow(self) -> bool:
+        """Watch until it ends; return whether a watch can go on from here."""
+        resumable = True
+
+        async def watch() -> None:
+            nonlocal resumable
+            resumable = await self._watch()
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await self._check()
+            resumable = False
+            group.cancel_scope.cancel()
+        return resumable
+
+    async def _watch(self) -> bool:
+        start = Revision(self.mirror.revision + 1)
+        async for event in self.store.watch(self.mirror.prefix, start):
+            self.backoff.reset()
+            if event.compacted:
+                return False
+            self.mirror.take_event(event, self.clock())
+        return True
+
+    async def _check(self) -> None:
+        """Return when the store holds something else than a silent watch showed."""
+        while True:
+            await anyio.sleep(self.check_s)
+            before = self.mirror.revision
+            snapshot = await self.store.read(self.check_prefix)
+            if isinstance(snapshot, Unavailable) or self.mirror.revision != before:
+                continue
+            if snapshot.items != self.mirror.select(self.check_prefix):
+                return
+
+
+def make_mirror(
+    store: Store, prefix: str, check_prefix: str, seed: int | None = None
+) -> MirrorController:
+    """Return a mirror of the items below a prefix."""
+    backoff = Backoff(random.Random(seed))
+    return MirrorController(store, Mirror(prefix), backoff, check_prefix)
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -10,24 +10,24 @@
 
 from .asgi import open_server
 from .attempt import Attempts
-from .board import Board, SectionWriter, make_board
+from .board import Board, make_board
 from .callers import CallersApp
+from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
-from .configuration import Configuration
+from .configuration_controller import ConfigurationController
 from .dispatch import make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .gossip import Gossip, make_gossip
-from .ids import Revision
 from .logs import make_log
+from .mirror import MirrorController, make_mirror
 from .peers import bind_listener, make_transport, open_peer_server
 from .placement import make_placement
-from .revisions import CONFIGURATION_KEY, decode_revision
+from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
-from .store import Item, Store, Unavailable
+from .store import Store
 
 __all__ = [
-    "ConfigurationController",
     "Platform",
     "Router",
     "make_platform",
@@ -35,58 +35,6 @@
     "open_router",
 ]
 
-RETRY_S = 0.2
-
-
-@dataclass(slots=True)
-class ConfigurationController:
-    """Keeps the configuration on the board at the newest revision."""
-
-    store: Store
-    writer: SectionWriter[Configuration | None]
-    clock: Clock = time.monotonic
-    revision: Revision = Revision(0)
-    value: bytes = b""
-
-    async def run(self) -> None:
-        """Read and watch the configuration until cancelled."""
-        while True:
-            snapshot = await self.store.read(CONFIGURATION_KEY)
-            if not isinstance(snapshot, Unavailable):
-                for item in snapshot.items.values():
-                    self.accept(item)
-                await self._watch(Revision(snapshot.revision + 1))
-            await anyio.sleep(RETRY_S)
-
-    async def _watch(self, revision: Revision) -> None:
-        async for event in self.store.watch(CONFIGURATION_KEY, revision):
-            if event.compacted:
-                return
-            for item in event.items:
-                self.accept(item)
-
-    def accept(self, item: Item) -> bool:
-        """Take a stored value if it is newer than the one in force."""
-        if item.mod_revision <= self.revision:
-            return False
-        configuration = decode_revision(item.value)
-        if configuration is None:
-            return False
-        self.revision = item.mod_revision
-        self.value = item.value
-        self.writer.write(configuration, self.clock())
-        return True
-
-    def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
-        """Return the configuration for a peer that holds an older revision."""
-        if self.revision <= revision:
-            return None
-        return (self.revision, self.value)
-
-    def offer(self, revision: Revision, data: bytes) -> bool:
-        """Take a configuration that a peer exported, if it is newer and valid."""
-        return self.accept(Item(CONFIGURATION_KEY, data, revision))
-
 
 @dataclass(frozen=True, slots=True)
 class Platform:
@@ -118,6 +66,8 @@
     platform: Platform
     app: CallersApp
     configuration: ConfigurationController
+    mirror: MirrorController
+    claims: StoreClaims
     callers_address: str = ""
     peers_address: str = ""
     gossip: Gossip | None = None
@@ -134,8 +84,11 @@
     log = make_log(settings.host, settings.logs)
     app = CallersApp(board, dispatcher, limits, log)
     writer = board.configuration.take_writer("configuration")
-    controller = ConfigurationController(platform.store, writer, platform.clock)
-    return Router(settings, board, platform, app, controller)
+    controller = ConfigurationController(writer, platform.clock)
+    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror.mirror.listeners.append(controller.update)
+    claims = make_store_claims(platform.store, settings.host)
+    return Router(settings, board, platform, app, controller, mirror, claims)
 
 
 @contextlib.asynccontextmanager
@@ -166,7 +119,8 @@
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
     async with anyio.create_task_group() as group:
-        group.start_soon(router.configuration.run)
+        group.start_soon(router.mirror.run)
+        group.start_soon(router.claims.run)
         async with (
             _open_gossip(router, group),
             open_server(router.app, settings.callers_address) as address,
@@ -175,4 +129,5 @@
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
+    await router.platform.store.close()
     router.app.log.close()
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -170,6 +170,9 @@
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys, if the service answers."""
 
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 @dataclass(slots=True)
 class StoreFaults:
@@ -301,6 +304,9 @@
     async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
         """Yield the changes from a revision on, until the store is down."""
         position = int(revision)
+        if self.revision < revision - 1:
+            yield WatchEvent(self.revision, compacted=True)
+            return
         while not self.faults.down:
             changed = self.changed
             try:
@@ -341,6 +347,9 @@
             self.state.revoke_lease(lease)
             self.notify()
 
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
 
 def _make_operation(put: Put) -> PutKey | DeleteRange:
     if put.value is None:
