--- /dev/null
+++ b/primrosepier/anchors.py
@@ -0,0 +1,73 @@
+"""Choice by rule: nested sets of endpoints for nested prefixes."""
+
+import bisect
+from array import array
+from collections.abc import Callable, Iterable, Sequence
+
+import xxhash
+
+from .ids import EndpointId
+
+__all__ = ["Ring", "make_ring", "mix_hash", "rank_members"]
+
+POINTS_PER_ENDPOINT = 32
+HASH_MASK = (1 << 64) - 1
+MIX_FACTOR = 0x9E3779B97F4A7C15
+
+
+class Ring:
+    """Endpoints of one service at fixed points of a hash circle.
+
+    Parameters
+    ----------
+    endpoints : tuple of EndpointId
+        Ordered by id.
+    """
+
+    def __init__(self, endpoints: tuple[EndpointId, ...]):
+        self.endpoints = endpoints
+        self.seeds = {e: xxhash.xxh64_intdigest(e.encode()) for e in endpoints}
+        points = []
+        for index, endpoint in enumerate(endpoints):
+            for number in range(POINTS_PER_ENDPOINT):
+                point = xxhash.xxh64_intdigest(endpoint.encode(), seed=number + 1)
+                points.append((point, index))
+        points.sort()
+        self._points = array("Q", [point for point, _ in points])
+        self._owners = array("L", [index for _, index in points])
+
+    def __len__(self) -> int:
+        return len(self.endpoints)
+
+    def walk(self, key: int, count: int) -> list[EndpointId]:
+        """Return the first ``count`` distinct endpoints that follow a key."""
+        wanted = min(count, len(self.endpoints))
+        found: dict[int, None] = {}
+        position = bisect.bisect_left(self._points, key & HASH_MASK)
+        size = len(self._owners)
+        while len(found) < wanted:
+            found[self._owners[position % size]] = None
+            position += 1
+        return [self.endpoints[index] for index in found]
+
+
+def make_ring(endpoints: Iterable[EndpointId]) -> Ring:
+    """Return the ring of some endpoints, the same for any order of them."""
+    return Ring(tuple(sorted(endpoints)))
+
+
+def mix_hash(key: int, seed: int) -> int:
+    """Return a hash of two 64-bit numbers."""
+    mixed = ((key ^ seed) * MIX_FACTOR) & HASH_MASK
+    mixed ^= mixed >> 29
+    mixed = (mixed * 0xBF58476D1CE4E5B9) & HASH_MASK
+    return mixed ^ (mixed >> 32)
+
+
+def rank_members(
+    key: int, members: Sequence[EndpointId], seed_of: Callable[[EndpointId], int]
+) -> list[EndpointId]:
+    """Return members ordered by rendezvous hashing with a key."""
+    scored = [(mix_hash(key, seed_of(member)), member) for member in members]
+    scored.sort(reverse=True)
+    return [member for _, member in scored]
--- /dev/null
+++ b/primrosepier/bench_engines.py
@@ -0,0 +1,206 @@
+"""Modelled engines of the policy bench: a queue, a batch and a block cache."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import simpy
+import xxhash
+
+from .bench_deployments import EngineModel
+from .ids import BlockHash, EndpointId, FailureDomain, Incarnation, WeightsVersion
+from .prompts import BLOCK_TOKENS
+
+__all__ = ["BlockIndex", "FakeEngine", "Job"]
+
+PREFILL_SLOWDOWN = 0.5
+DECODE_SLOWDOWN = 1.0
+
+
+@dataclass(slots=True)
+class Job:
+    """One attempt of a request at one engine.
+
+    Parameters
+    ----------
+    on_first : callable
+        Called with the job at its first token; ``cached_blocks`` is set by then.
+    on_done : callable
+        Called with the job when its last token is out.
+    on_lost : callable
+        Called with the job when the engine crashes.
+    """
+
+    blocks: tuple[BlockHash, ...]
+    output_tokens: int
+    on_first: Callable[["Job"], None]
+    on_done: Callable[["Job"], None]
+    on_lost: Callable[["Job"], None]
+    cached_blocks: int = 0
+    incarnation: int = 0
+
+
+class BlockIndex:
+    """Number of live replicas that hold each block, for the measures alone."""
+
+    def __init__(self) -> None:
+        self.holders: dict[int, int] = {}
+
+    def add(self, key: int) -> None:
+        """Count one more holder."""
+        self.holders[key] = self.holders.get(key, 0) + 1
+
+    def remove(self, key: int) -> None:
+        """Count one holder less."""
+        left = self.holders[key] - 1
+        if left:
+            self.holders[key] = left
+        else:
+            del self.holders[key]
+
+    def count_held(self, blocks: tuple[BlockHash, ...], salt: int) -> int:
+        """Return the longest prefix, in blocks, that some replica holds."""
+        for index in range(len(blocks), 0, -1):
+            if blocks[index - 1] ^ salt in self.holders:
+                return index
+        return 0
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """One engine: serial prefill, a decoding batch and cached blocks."""
+
+    env: simpy.Environment
+    id: EndpointId
+    failure_domain: FailureDomain
+    model: EngineModel
+    index: BlockIndex
+    version: WeightsVersion = WeightsVersion("1")
+    number: int = 0
+    accepting: bool = True
+    queue: deque[Job] = field(default_factory=deque)
+    running: int = 0
+    jobs: dict[int, Job] = field(default_factory=dict)
+    cache: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    prefilling: bool = False
+    loading: bool = False
+    salt: int = 0
+    on_idle: Callable[[], None] | None = None
+    on_event: Callable[["FakeEngine", bool, int], None] | None = None
+
+    def __post_init__(self) -> None:
+        self._set_version(self.version)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Name of the process's current life."""
+        return Incarnation(str(self.number))
+
+    def _set_version(self, version: WeightsVersion) -> None:
+        self.version = version
+        self.salt = xxhash.xxh64_intdigest(version.encode())
+
+    def submit(self, job: Job) -> bool:
+        """Take a job; False when the engine refuses it."""
+        if not self.accepting or len(self.queue) >= self.model.queue:
+            return False
+        job.incarnation = self.number
+        self.jobs[id(job)] = job
+        self.queue.append(job)
+        self._start_next()
+        return True
+
+    def _after(self, delay_s: float, job: Job, act: Callable[[Job], None]) -> None:
+        def run(_: simpy.Event) -> None:
+            if job.incarnation == self.number and id(job) in self.jobs:
+                act(job)
+
+        timeout = self.env.timeout(delay_s)
+        timeout.callbacks.append(run)
+
+    def _start_next(self) -> None:
+        if self.prefilling or not self.queue or self.running >= self.model.slots:
+            return
+        job = self.queue.popleft()
+        self.prefilling = True
+        job.cached_blocks = self._count_cached(job.blocks)
+        uncached = (len(job.blocks) - job.cached_blocks) * BLOCK_TOKENS
+        slowdown = 1 + PREFILL_SLOWDOWN * self.running / self.model.slots
+        self.running += 1
+        duration = max(1, uncached) / self.model.prefill_tokens_per_s * slowdown
+        self._after(duration, job, self._finish_prefill)
+
+    def _finish_prefill(self, job: Job) -> None:
+        self.prefilling = False
+        self._add_blocks(job.blocks)
+        slowdown = 1 + DECODE_SLOWDOWN * self.running / self.model.slots
+        job.on_first(job)
+        self._after(
+            job.output_tokens * self.model.token_s * slowdown, job, self._finish
+        )
+        self._start_next()
+
+    def _finish(self, job: Job) -> None:
+        self.running -= 1
+        del self.jobs[id(job)]
+        job.on_done(job)
+        self._start_next()
+        if not self.jobs and self.on_idle is not None:
+            self.on_idle()
+
+    def _count_cached(self, blocks: tuple[BlockHash, ...]) -> int:
+        for number, block in enumerate(blocks):
+            if block ^ self.salt not in self.cache:
+                return number
+        return len(blocks)
+
+    def _add_blocks(self, blocks: tuple[BlockHash, ...]) -> None:
+        for block in reversed(blocks):
+            key = block ^ self.salt
+            if key in self.cache:
+                self.cache.move_to_end(key)
+                continue
+            self.cache[key] = None
+            self.index.add(key)
+            self._publish(True, block)
+        while len(self.cache) > self.model.cache_blocks:
+            key, _ = self.cache.popitem(last=False)
+            self.index.remove(key)
+            self._publish(False, key ^ self.salt)
+
+    def _publish(self, stored: bool, block: int) -> None:
+        if self.on_event is not None:
+            self.on_event(self, stored, block)
+
+    def _clear(self) -> None:
+        for key in self.cache:
+            self.index.remove(key)
+        self.cache.clear()
+
+    def crash(self) -> None:
+        """Lose everything; ``restart`` brings the engine back empty."""
+        lost = list(self.jobs.values())
+        self.number += 1
+        self.accepting = False
+        self.jobs.clear()
+        self.queue.clear()
+        self.running = 0
+        self.prefilling = False
+        self._clear()
+        for job in lost:
+            job.on_lost(job)
+
+    def restart(self) -> None:
+        """Serve again after a crash."""
+        self.accepting = True
+
+    def start_load(self) -> None:
+        """Drop the cache and stop serving until ``finish_load``."""
+        self.loading = True
+        self._clear()
+
+    def finish_load(self, version: WeightsVersion) -> None:
+        """Serve with other weights."""
+        self._set_version(version)
+        self.loading = False
+        self.accepting = True
--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -1,6 +1,7 @@
 """Exceptions raised by the package."""
 
 __all__ = [
+    "BenchError",
     "ConfigurationError",
     "PrimrosepierError",
     "RequestError",
@@ -15,6 +16,10 @@
     """Base class of the package's exceptions."""
 
 
+class BenchError(PrimrosepierError):
+    """A bench was asked for something that it can't model."""
+
+
 class SettingsError(PrimrosepierError):
     """A setting is unknown, missing or has a wrong value.
 
--- a/primrosepier/prompts.py
+++ b/primrosepier/prompts.py
@@ -14,6 +14,7 @@
     "CacheScope",
     "Prompt",
     "count_tokens",
+    "find_levels",
     "hash_blocks",
     "make_prompt",
     "render_messages",
@@ -34,8 +35,12 @@
     version: WeightsVersion
 
     def compute_seed(self) -> int:
-        """Return the hash seed of this scope."""
-        parts = (self.workspace, self.model, self.adapter, self.version)
+        """Return the hash seed of this scope.
+
+        The weights version is left out, so that a prefix keeps its place over a
+        change of weights; whatever remembers cached blocks names the version.
+        """
+        parts = (self.workspace, self.model, self.adapter)
         return xxhash.xxh64_intdigest("\x00".join(parts).encode())
 
 
@@ -49,11 +54,15 @@
         Chained hashes; entry ``i`` stands for the first ``i + 1`` blocks.
     tokens : int
         Estimated length.
+    levels : tuple of int
+        Number of whole blocks before the end of each message, ascending; empty
+        when the prompt has no messages.
     """
 
     scope: CacheScope
     blocks: tuple[BlockHash, ...]
     tokens: int
+    levels: tuple[int, ...] = ()
 
 
 def render_messages(messages: Sequence[Mapping[str, Any]]) -> str:
@@ -81,6 +90,20 @@
     return tuple(blocks)
 
 
-def make_prompt(scope: CacheScope, text: str) -> Prompt:
+def find_levels(messages: Sequence[Mapping[str, Any]]) -> tuple[int, ...]:
+    """Return the whole blocks before the end of each message, ascending."""
+    size = 0
+    levels: dict[int, None] = {}
+    for message in messages:
+        size += len(render_messages([message]).encode("utf-8", "surrogatepass"))
+        if size >= BLOCK_BYTES:
+            levels[size // BLOCK_BYTES] = None
+    return tuple(levels)
+
+
+def make_prompt(
+    scope: CacheScope, text: str, levels: tuple[int, ...] = ()
+) -> Prompt:
     """Return the prompt of a rendered text."""
-    return Prompt(scope, hash_blocks(text, scope.compute_seed()), count_tokens(text))
+    blocks = hash_blocks(text, scope.compute_seed())
+    return Prompt(scope, blocks, count_tokens(text), levels)
