--- a/primrosepier/bench_deployments.py
+++ b/primrosepier/bench_deployments.py
@@ -1,15 +1,16 @@
 """Deployments that the policy bench models, from the example configurations."""
 
 from dataclasses import dataclass
-from pathlib import Path
+
 
 from .configuration import ServiceKind, load_configuration
+from .demo import find_example
 from .errors import BenchError
 from .ids import EndpointId, FailureDomain
 
 __all__ = ["Deployment", "EngineModel", "load_deployment"]
 
-EXAMPLES = Path(__file__).parent.parent / "examples"
+
 ROUTERS = {"keranvel": 7, "registry": 6}
 LOAD_S = {"keranvel": 1.0, "registry": 0.3}
 
@@ -40,7 +41,7 @@
     token_s: float = 0.015
     slots: int = 64
     queue: int = 64
-    cache_blocks: int = 160
+    cache_blocks: int = 320
     load_s: float = 1.0
     restart_s: float = 3.0
 
@@ -76,7 +77,7 @@
     """
     if name not in ROUTERS:
         raise BenchError(f"deployment is one of {', '.join(sorted(ROUTERS))}")
-    configuration = load_configuration([EXAMPLES / name / f"{name}.ini"])
+    configuration = load_configuration([find_example(name)])
     engines = {}
     loads_at_once = 1
     for service in configuration.services.values():
--- /dev/null
+++ b/primrosepier/bench_run.py
@@ -0,0 +1,177 @@
+"""Runs of the policy bench and their reports."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from .bench_baselines import (
+    HashPlacement,
+    LeastLoadedPlacement,
+    RandomPlacement,
+    RoundRobinPlacement,
+)
+from .bench_deployments import Deployment, load_deployment
+from .bench_policy import WEIGHTS_AT, BenchOptions, PolicyMeasures, simulate_policy
+from .bench_workload import (
+    Workload,
+    convert_trace,
+    generate_workload,
+    measure_blind_misses,
+    measure_pooled_hits,
+)
+from .errors import BenchError
+from .ids import FailureDomain
+from .placement import Placement
+from .reuse_placement import PlacementOptions, ReusePlacement
+from .traces import parse_trace
+
+__all__ = ["POLICIES", "BenchPlan", "BenchResult", "render_report", "run_bench"]
+
+REQUESTS = 12_000
+REQUESTS_PER_REPLICA = 60
+WARMUP_PER_REPLICA = 30
+LARGE_SCALE = 10
+DIGITS = 4
+
+MakePolicy = Callable[[int, FailureDomain], Placement]
+
+
+def _make_reuse(options: PlacementOptions) -> MakePolicy:
+    def make(number: int, domain: FailureDomain) -> Placement:
+        return ReusePlacement(random.Random(number), domain, options)
+
+    return make
+
+
+POLICIES: dict[str, MakePolicy] = {
+    "random": lambda number, domain: RandomPlacement(number),
+    "round_robin": lambda number, domain: RoundRobinPlacement(number),
+    "least_loaded": lambda number, domain: LeastLoadedPlacement(number),
+    "hash_root": lambda number, domain: HashPlacement(whole=False),
+    "hash_leaf": lambda number, domain: HashPlacement(whole=True),
+    "no_feedback": _make_reuse(PlacementOptions(feedback=False)),
+    "primrosepier": _make_reuse(PlacementOptions()),
+}
+LARGE_SCALE_POLICIES = ("random", "no_feedback", "primrosepier")
+
+
+@dataclass(frozen=True, slots=True)
+class BenchPlan:
+    """What to run.
+
+    Parameters
+    ----------
+    scale : int
+        Times that engines, routers, workspaces and rate are multiplied.
+    load : float
+        Share of the rate that the engines carry when placement is blind.
+    steady : bool
+        Leave out the shift of hot prefixes and the change of weights.
+    trace : Path, optional
+        Trace in the Mooncake form to run in place of the generated workload.
+    policies : sequence of str
+        Names in `POLICIES`; empty for all that suit the scale.
+    """
+
+    deployment: str = "keranvel"
+    seed: int = 1
+    scale: int = 1
+    load: float = 0.8
+    faults: bool = False
+    steady: bool = False
+    trace: Path | None = None
+    policies: Sequence[str] = ()
+    requests: int = REQUESTS
+
+
+@dataclass(frozen=True, slots=True)
+class BenchResult:
+    """What was run and what was measured."""
+
+    plan: BenchPlan
+    rate_per_s: float
+    requests: int
+    pooled_hit_rate: float
+    measures: dict[str, PolicyMeasures]
+
+
+def _make_workload(plan: BenchPlan, deployment: Deployment, steady: bool) -> Workload:
+    replicas = len(deployment.engines)
+    if plan.trace is not None:
+        with plan.trace.open(encoding="utf-8") as lines:
+            workload = convert_trace(parse_trace(lines), deployment, plan.seed)
+        if not workload.requests:
+            raise BenchError(f"{plan.trace} holds no requests")
+        return workload
+    count = max(plan.requests, REQUESTS_PER_REPLICA * replicas)
+    warmup = WARMUP_PER_REPLICA * replicas
+    return generate_workload(deployment, plan.seed, count, warmup, not steady)
+
+
+def run_bench(plan: BenchPlan) -> BenchResult:
+    """Run placements over the same workload.
+
+    Raises
+    ------
+    BenchError
+        The plan names an unknown deployment or policy, or an empty trace.
+    """
+    unknown = set(plan.policies) - set(POLICIES)
+    if unknown:
+        raise BenchError(f"policies are {', '.join(POLICIES)}")
+    deployment = load_deployment(plan.deployment, plan.scale)
+    large = plan.scale > LARGE_SCALE
+    steady = plan.steady or large
+    workload = _make_workload(plan, deployment, steady)
+    replicas = len(deployment.engines)
+    memory = deployment.model.cache_blocks
+    missed = measure_blind_misses(workload, replicas, memory)
+    capacity = replicas * deployment.model.prefill_tokens_per_s / missed
+    emptied_at = None if steady else workload.find_place(WEIGHTS_AT)
+    options = BenchOptions(plan.load * capacity, plan.faults, not steady, plan.seed)
+    names = plan.policies or (LARGE_SCALE_POLICIES if large else tuple(POLICIES))
+    measures = {}
+    for name in names:
+        measures[name] = simulate_policy(
+            deployment, workload, options, POLICIES[name]
+        )
+    return BenchResult(
+        plan=plan,
+        rate_per_s=options.rate_per_s,
+        requests=len(workload.requests) - workload.warmup,
+        pooled_hit_rate=measure_pooled_hits(workload, memory * replicas, emptied_at),
+        measures=measures,
+    )
+
+
+def _render_measures(measures: PolicyMeasures) -> dict[str, Any]:
+    return {
+        "hit_rate": round(measures.hit_rate, DIGITS),
+        "wasted_tokens": measures.wasted_tokens,
+        "ttft_p50_s": round(measures.take_quantile(0.50), DIGITS),
+        "ttft_p99_s": round(measures.take_quantile(0.99), DIGITS),
+        "completed": measures.completed,
+        "shed": measures.shed,
+        "lost": measures.lost,
+    }
+
+
+def render_report(result: BenchResult) -> dict[str, Any]:
+    """Return the report as plain values with a fixed order of keys."""
+    plan = result.plan
+    return {
+        "deployment": plan.deployment,
+        "seed": plan.seed,
+        "scale": plan.scale,
+        "load": plan.load,
+        "faults": plan.faults,
+        "rate_per_s": round(result.rate_per_s, DIGITS),
+        "requests": result.requests,
+        "pooled_hit_rate": round(result.pooled_hit_rate, DIGITS),
+        "policies": {
+            name: _render_measures(measures)
+            for name, measures in result.measures.items()
+        },
+    }
--- a/primrosepier/bench_workload.py
+++ b/primrosepier/bench_workload.py
@@ -22,7 +22,7 @@
 ]
 
 ZIPF_EXPONENT = 1.0
-GROUPS_PER_WEIGHT = 10
+WORKING_SET = 1.3
 FOLLOW_UP_SHARE = 0.2
 FOLLOW_UPS_KEPT = 64
 ROOT_BLOCKS = (3, 8)
@@ -66,6 +66,10 @@
     requests: list[BenchRequest]
     warmup: int
 
+    def find_place(self, share: float) -> int:
+        """Return the number of the request after a share of the measured ones."""
+        return self.warmup + int(share * (len(self.requests) - self.warmup - 1))
+
 
 @dataclass(slots=True)
 class _Group:
@@ -90,13 +94,20 @@
     return [BlockHash(source.getrandbits(64)) for _ in range(count)]
 
 
-def _make_workspace(source: random.Random, name: str, weight: float) -> _Workspace:
+def _count_groups(deployment: Deployment) -> float:
+    """Return the groups a unit of weight that make the working set."""
+    memory = deployment.model.cache_blocks * len(deployment.engines)
+    mean_blocks = sum(GROUP_BLOCKS) / 2
+    return WORKING_SET * memory / mean_blocks / sum(deployment.workspaces.values())
+
+
+def _make_workspace(source: random.Random, name: str, count: int) -> _Workspace:
     scope = CacheScope(
         WorkspaceId(name), ModelId("model"), AdapterId(""), WeightsVersion("1")
     )
     root = _make_blocks(source, ROOT_BLOCKS)
     groups = []
-    for _ in range(max(1, round(GROUPS_PER_WEIGHT * weight))):
+    for _ in range(max(1, count)):
         nested = _make_blocks(source, GROUP_BLOCKS)
         groups.append(_Group((*root, *nested), len(root)))
     weights = [1 / (rank + 1) ** ZIPF_EXPONENT for rank in range(len(groups))]
@@ -130,8 +141,9 @@
         Whether other groups become hot, without a sign, part of the way.
     """
     source = random.Random(f"workload-{deployment.name}-{seed}")
+    density = _count_groups(deployment)
     workspaces = [
-        _make_workspace(source, name, weight)
+        _make_workspace(source, name, round(density * weight))
         for name, weight in deployment.workspaces.items()
     ]
     shares = list(deployment.workspaces.values())
@@ -205,11 +217,21 @@
         return held
 
 
-def measure_pooled_hits(workload: Workload, capacity: int) -> float:
-    """Return the hit rate of one cache with the memory of all replicas."""
+def measure_pooled_hits(
+    workload: Workload, capacity: int, emptied_at: int | None = None
+) -> float:
+    """Return the hit rate of one cache with the memory of all replicas.
+
+    Parameters
+    ----------
+    emptied_at : int, optional
+        Number of the request before which other weights empty the cache.
+    """
     cache = _Lru(capacity)
     held = total = 0
     for request in workload.requests:
+        if request.number == emptied_at:
+            cache.blocks.clear()
         found = cache.use(request.prompt.blocks)
         if request.number >= workload.warmup:
             held += found
--- /dev/null
+++ b/primrosepier/commands_bench_policy.py
@@ -0,0 +1,75 @@
+"""Commands that measure the choice of endpoints."""
+
+from pathlib import Path
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from .bench_plot import plot_measures
+from .bench_run import BenchPlan, BenchResult, render_report, run_bench
+
+__all__ = ["BenchPolicyCommand"]
+
+
+class BenchPolicyCommand(Command):
+    """Compare placements over modelled engines in virtual time."""
+
+    name = "bench policy"
+    description = "Compare placements over modelled engines in virtual time."
+    options = [
+        option("deployment", None, "keranvel or registry.", False, default="keranvel"),
+        option("seed", None, "Seed of the workload.", False, default="1"),
+        option("scale", None, "Times the fleet is multiplied.", False, default="1"),
+        option("load", None, "Share of the fleet's capacity.", False, default="0.8"),
+        option("faults", None, "Crashes, router restarts, stale load, event gaps."),
+        option("steady", None, "No shift of hot prefixes, no change of weights."),
+        option("trace", None, "Trace in the Mooncake form.", False),
+        option("policies", None, "Names, separated by commas.", False, default=""),
+        option("plot", None, "File for a plot.", False),
+        option("json", None, "Print the measures as JSON."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        result = run_bench(self._read_plan())
+        if self.option("plot"):
+            plot_measures(result, Path(self.option("plot")))
+        if self.option("json"):
+            self.line(msgspec.json.encode(render_report(result)).decode())
+        else:
+            self._print_table(result)
+        return 0
+
+    def _read_plan(self) -> BenchPlan:
+        trace = self.option("trace")
+        names = self.option("policies")
+        return BenchPlan(
+            deployment=self.option("deployment"),
+            seed=int(self.option("seed")),
+            scale=int(self.option("scale")),
+            load=float(self.option("load")),
+            faults=bool(self.option("faults")),
+            steady=bool(self.option("steady")),
+            trace=Path(trace) if trace else None,
+            policies=tuple(names.split(",")) if names else (),
+        )
+
+    def _print_table(self, result: BenchResult) -> None:
+        rows = []
+        for name, measures in result.measures.items():
+            rows.append(
+                [
+                    name,
+                    f"{measures.hit_rate:.3f}",
+                    str(measures.wasted_tokens),
+                    f"{measures.take_quantile(0.5):.3f}",
+                    f"{measures.take_quantile(0.99):.3f}",
+                    str(measures.completed),
+                    str(measures.shed),
+                ]
+            )
+        self.line(f"pooled hit rate {result.pooled_hit_rate:.3f}")
+        header = ["policy", "hit rate", "wasted tokens", "TTFT p50 (s)"]
+        header += ["TTFT p99 (s)", "completed", "shed"]
+        self.render_table(header, rows)  # type: ignore[arg-type]
--- a/primrosepier/placement.py
+++ b/primrosepier/placement.py
@@ -1,22 +1,20 @@
-"""Choice of the endpoint for a request."""
+"""Types of the choice of an endpoint for a request."""
 
-import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
-import xxhash
-
-from .ids import EndpointId, FailureDomain
+from .anchors import Ring
+from .ids import EndpointId, FailureDomain, Incarnation, WeightsVersion
 from .prompts import Prompt
 
 __all__ = [
+    "Candidates",
     "Decision",
     "EndpointView",
     "Feedback",
     "Placement",
-    "RulePlacement",
-    "make_placement",
+    "ViewList",
 ]
 
 
@@ -34,6 +32,14 @@
         Age of that report, seconds; infinite when there is none.
     capacity : int
         Requests that it may hold at once.
+    waiting : int
+        Requests waiting there by its last report.
+    pending_tokens : int
+        Uncached prompt tokens of this router's requests without a first token.
+    incarnation : Incarnation
+        Life of the process; empty when unknown.
+    version : WeightsVersion
+        Weights that it serves; empty when unknown.
     """
 
     id: EndpointId
@@ -42,6 +48,25 @@
     reported: int = 0
     report_age_s: float = float("inf")
     capacity: int = 64
+    waiting: int = 0
+    pending_tokens: int = 0
+    incarnation: Incarnation = Incarnation("")
+    version: WeightsVersion = WeightsVersion("")
+
+
+class Candidates(Protocol):
+    """Endpoints of one service, looked at one by one.
+
+    Attributes
+    ----------
+    ring : Ring
+        All declared endpoints; replaced only when the declaration changes.
+    """
+
+    ring: Ring
+
+    def get_view(self, endpoint: EndpointId) -> EndpointView | None:
+        """Return an endpoint's view, or None when it may get no request now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,30 +80,46 @@
     expected_cached_tokens : int
     reason : str
         Short phrase for logs and ``explain``.
+    incarnation : Incarnation
+    version : WeightsVersion
+        Of the endpoint when it was chosen.
     """
 
     endpoint: EndpointId
     anchor_level: int
     expected_cached_tokens: int
     reason: str
+    incarnation: Incarnation = Incarnation("")
+    version: WeightsVersion = WeightsVersion("")
 
 
 @dataclass(frozen=True, slots=True)
 class Feedback:
-    """What the answer of one attempt told about reuse."""
+    """What the answer of one attempt told about reuse.
+
+    Parameters
+    ----------
+    cached_tokens : int
+        Prompt tokens that the endpoint read from its cache.
+    incarnation : Incarnation
+    version : WeightsVersion
+        As in the decision that led to the attempt.
+    """
 
     endpoint: EndpointId
     prompt: Prompt
     cached_tokens: int
     expected_cached_tokens: int
     now_s: float
+    incarnation: Incarnation = Incarnation("")
+    version: WeightsVersion = WeightsVersion("")
 
 
 class Placement(Protocol):
     """A policy that chooses endpoints; it does no I/O."""
 
     def choose(
-        self, prompt: Prompt, endpoints: Sequence[EndpointView], now_s: float
+        self, prompt: Prompt, candidates: Candidates, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
 
@@ -86,47 +127,20 @@
         """Take in what an answer told."""
 
 
-class RulePlacement:
-    """Rendezvous hashing on one prefix level with bounded load.
+class ViewList:
+    """Candidates from views that are at hand.
 
     Parameters
     ----------
-    anchor_level : int
-        Number of leading blocks that are hashed.
-    load_factor : float
-        Outstanding work over the mean at which an endpoint is passed over.
+    views : sequence of EndpointView
+    ring : Ring, optional
+        All declared endpoints; those of the views when absent.
     """
 
-    def __init__(self, anchor_level: int = 4, load_factor: float = 1.25):
-        self.anchor_level = anchor_level
-        self.load_factor = load_factor
-
-    def choose(
-        self, prompt: Prompt, endpoints: Sequence[EndpointView], now_s: float
-    ) -> Decision | None:
-        """Return the decision, or None when no endpoint has room."""
-        if not endpoints:
-            return None
-        level = min(self.anchor_level, len(prompt.blocks))
-        seed = prompt.blocks[level - 1] if level else prompt.scope.compute_seed()
-        total = sum(view.outstanding for view in endpoints) + 1
-        bound = math.ceil(self.load_factor * total / len(endpoints))
-        for view in _rank_views(seed, endpoints):
-            if view.outstanding + 1 <= min(bound, view.capacity):
-                return Decision(view.id, level, 0, "first in rank below its bound")
-        return None
-
-    def observe(self, feedback: Feedback) -> None:
-        """Ignore feedback; the rule alone decides."""
-
-
-def _rank_views(seed: int, endpoints: Sequence[EndpointView]) -> list[EndpointView]:
-    def score(view: EndpointView) -> int:
-        return xxhash.xxh64_intdigest(view.id.encode(), seed=seed)
-
-    return sorted(endpoints, key=score, reverse=True)
-
+    def __init__(self, views: Sequence[EndpointView], ring: Ring | None = None):
+        self.views = {view.id: view for view in views}
+        self.ring = Ring(tuple(sorted(self.views))) if ring is None else ring
 
-def make_placement() -> Placement:
-    """Return the placement that routers use."""
-    return RulePlacement()
+    def get_view(self, endpoint: EndpointId) -> EndpointView | None:
+        """Return an endpoint's view, or None when it may get no request now."""
+        return self.views.get(endpoint)
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -5,7 +5,7 @@
 
 from .configuration import Model, Service, Workspace
 from .ids import AdapterId, RequestId
-from .prompts import CacheScope, Prompt, make_prompt, render_messages
+from .prompts import CacheScope, Prompt, find_levels, make_prompt, render_messages
 
 __all__ = ["ModelRequest", "build_prompt"]
 
@@ -39,5 +39,6 @@
     adapter = AdapterId(str(body.get("adapter", "")))
     scope = CacheScope(workspace.id, model.id, adapter, model.version)
     messages = body.get("messages")
-    text = render_messages(messages) if messages else str(body.get("prompt", ""))
-    return make_prompt(scope, text)
+    if messages:
+        return make_prompt(scope, render_messages(messages), find_levels(messages))
+    return make_prompt(scope, str(body.get("prompt", "")))
--- /dev/null
+++ b/primrosepier/reuse_placement.py
@@ -0,0 +1,299 @@
+"""The placement that routers use: rule, feedback and load in one cost."""
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from .anchors import mix_hash, rank_members
+from .heat import HeatTable, compute_spread
+from .ids import EndpointId, FailureDomain
+from .placement import Candidates, Decision, EndpointView, Feedback
+from .prompts import BLOCK_TOKENS, Prompt
+from .reuse import Holder, RetentionCurve, ReuseMemory
+
+__all__ = ["PlacementOptions", "ReusePlacement", "make_placement", "select_levels"]
+
+MAX_LEVELS = 6
+FIRST_GRID_BLOCKS = 2
+SUBSET = 16
+FALLBACK_CHOICES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementOptions:
+    """What the placement weighs.
+
+    Parameters
+    ----------
+    feedback : bool
+        Whether cached tokens of answers are used.
+    root_replicas : int
+        Replicas that share a workspace's first level at least.
+    split_share : float
+        Part of one replica's mean traffic that one prefix may bring there.
+    recompute_weight : float
+        Cost of an uncached token over that of a token that waits before it.
+    remote_tokens : float
+        Cost of an endpoint in another failure domain, tokens.
+    """
+
+    feedback: bool = True
+    root_replicas: int = 4
+    split_share: float = 0.6
+    recompute_weight: float = 2.0
+    remote_tokens: float = 32.0
+    spare_choices: int = 2
+
+
+def select_levels(prompt: Prompt) -> tuple[int, ...]:
+    """Return the block counts, ascending, at which a prompt's prefixes end.
+
+    These are the ends of its messages; without messages, a doubling grid.
+    """
+    size = len(prompt.blocks)
+    if prompt.levels:
+        levels = prompt.levels
+    else:
+        grid = []
+        step = FIRST_GRID_BLOCKS
+        while step < size:
+            grid.append(step)
+            step *= 2
+        levels = (*grid, size) if size else ()
+    if len(levels) > MAX_LEVELS:
+        levels = (*levels[: MAX_LEVELS - 1], levels[-1])
+    return levels
+
+
+@dataclass(slots=True)
+class _Route:
+    """Nested sets of endpoints for one prompt.
+
+    Parameters
+    ----------
+    levels : tuple of int
+    keys : list of int
+        One hash for each level.
+    root : list of EndpointId
+        Replicas that share the first level, best first.
+    home : list of EndpointId
+        Replicas of the deepest shared level, best first.
+    """
+
+    levels: tuple[int, ...]
+    keys: list[int]
+    root: list[EndpointId]
+    home: list[EndpointId]
+
+
+class ReusePlacement:
+    """Nested rendezvous sets, then the least estimated cost.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+        That of this router.
+    """
+
+    def __init__(
+        self,
+        source: random.Random,
+        failure_domain: FailureDomain,
+        options: PlacementOptions,
+    ):
+        self.source = source
+        self.failure_domain = failure_domain
+        self.options = options
+        self.heat = HeatTable()
+        self.memory = ReuseMemory()
+        self.retention = RetentionCurve()
+        self.rule_hits = 8.0
+        self.rule_tries = 8.0
+        self.mean_uncached = 0.0
+
+    def choose(
+        self, prompt: Prompt, candidates: Candidates, now_s: float
+    ) -> Decision | None:
+        """Return the decision, or None when no endpoint can take the request."""
+        if not len(candidates.ring):
+            return None
+        route = self._find_route(prompt, candidates, now_s)
+        options = self._list_options(route, candidates)
+        found = self._find_cheapest(prompt, route, options, candidates, now_s)
+        if found is None:
+            key = route.keys[0] if route.keys else prompt.scope.compute_seed()
+            rest = candidates.ring.walk(key, FALLBACK_CHOICES)
+            found = self._find_cheapest(prompt, route, rest, candidates, now_s)
+        return self._decide(route, *found) if found else None
+
+    def _find_cheapest(
+        self,
+        prompt: Prompt,
+        route: _Route,
+        options: Iterable[EndpointId],
+        candidates: Candidates,
+        now_s: float,
+    ) -> tuple[EndpointView, float] | None:
+        best = None
+        least = math.inf
+        for endpoint in options:
+            view = candidates.get_view(endpoint)
+            if view is None or view.outstanding >= view.capacity:
+                continue
+            expected = self._expect_cached(route, view, now_s)
+            cost = self._compute_cost(prompt, view, expected)
+            if cost < least:
+                least = cost
+                best = (view, expected)
+        return best
+
+    def _decide(self, route: _Route, view: EndpointView, expected: float) -> Decision:
+        if view.id in route.home:
+            reason = "home of the prefix"
+        elif view.id in route.root:
+            reason = "spill within the workspace's replicas"
+        else:
+            reason = "spill"
+        level = route.levels[-2] if len(route.levels) > 1 else 0
+        return Decision(
+            view.id, level, int(expected), reason, view.incarnation, view.version
+        )
+
+    def _find_route(
+        self, prompt: Prompt, candidates: Candidates, now_s: float
+    ) -> _Route:
+        scope_seed = prompt.scope.compute_seed()
+        levels = select_levels(prompt)
+        keys = [mix_hash(prompt.blocks[level - 1], scope_seed) for level in levels]
+        self.heat.count_request(now_s)
+        if not keys:
+            members = candidates.ring.walk(scope_seed, self.options.root_replicas)
+            return _Route(levels, keys, members, members)
+        root = self._spread_root(keys, candidates, now_s)
+        home = root
+        for key in keys[1:-1]:
+            home = self._narrow(key, home, candidates, now_s)
+        if len(keys) > 1:
+            home = rank_members(keys[-1], home, candidates.ring.seeds.__getitem__)
+        return _Route(levels, keys, root, home)
+
+    def _spread_root(
+        self, keys: Sequence[int], candidates: Candidates, now_s: float
+    ) -> list[EndpointId]:
+        ring = candidates.ring
+        least = min(self.options.root_replicas, len(ring))
+        spread = self.heat.count_prefix(keys[0], least, now_s)
+        count = compute_spread(
+            spread, self.heat.total, len(ring), self.options.split_share, least
+        )
+        key = keys[0]
+        if count > SUBSET and len(keys) > 1:
+            subsets = 1 << ((count - 1) // SUBSET).bit_length()
+            key = mix_hash(key, keys[1] % subsets)
+            count = SUBSET
+        return ring.walk(key, count)
+
+    def _narrow(
+        self,
+        key: int,
+        members: list[EndpointId],
+        candidates: Candidates,
+        now_s: float,
+    ) -> list[EndpointId]:
+        ring = candidates.ring
+        spread = self.heat.count_prefix(key, 1, now_s)
+        count = compute_spread(
+            spread, self.heat.total, len(ring), self.options.split_share, 1
+        )
+        if len(members) == 1:
+            return members
+        return rank_members(key, members, ring.seeds.__getitem__)[:count]
+
+    def _list_options(
+        self, route: _Route, candidates: Candidates
+    ) -> dict[EndpointId, None]:
+        options = dict.fromkeys(route.home)
+        options.update(dict.fromkeys(route.root))
+        if self.options.feedback:
+            for key in reversed(route.keys):
+                options.update(dict.fromkeys(self.memory.find_holders(key)))
+        endpoints = candidates.ring.endpoints
+        for _ in range(self.options.spare_choices):
+            options[endpoints[self.source.randrange(len(endpoints))]] = None
+        return options
+
+    def _compute_cost(
+        self, prompt: Prompt, view: EndpointView, expected: float
+    ) -> float:
+        others = max(0, view.reported - view.outstanding)
+        waiting = min(others, view.waiting)
+        pending = view.pending_tokens + waiting * self.mean_uncached
+        uncached = max(0.0, prompt.tokens - expected)
+        cost = pending + self.options.recompute_weight * uncached
+        if view.failure_domain != self.failure_domain:
+            cost += self.options.remote_tokens
+        return cost
+
+    def _expect_cached(self, route: _Route, view: EndpointView, now_s: float) -> float:
+        if not route.keys:
+            return 0.0
+        root = route.levels[0] if view.id in route.root else 0
+        home = view.id in route.home and len(route.levels) > 1
+        level = route.levels[-2] if home else root
+        if self.options.feedback:
+            held = self._recall(route, view, now_s)
+            if held is not None and held[0] > level:
+                level += held[1] * (held[0] - level)
+        return BLOCK_TOKENS * level
+
+    def _recall(
+        self, route: _Route, view: EndpointView, now_s: float
+    ) -> tuple[int, float] | None:
+        for level, key in zip(reversed(route.levels), reversed(route.keys)):
+            holder = self.memory.find_holders(key).get(view.id)
+            if holder is None or not holder.is_valid(view.incarnation, view.version):
+                continue
+            return level, self.retention.estimate(now_s - holder.served_s)
+        return None
+
+    def observe(self, feedback: Feedback) -> None:
+        """Take in what an answer told."""
+        uncached = max(0, feedback.prompt.tokens - feedback.cached_tokens)
+        self.mean_uncached += 0.05 * (uncached - self.mean_uncached)
+        if not self.options.feedback:
+            return
+        levels = select_levels(feedback.prompt)
+        seed = feedback.prompt.scope.compute_seed()
+        keys = [mix_hash(feedback.prompt.blocks[n - 1], seed) for n in levels]
+        self._learn(levels, keys, feedback)
+        holder = Holder(feedback.incarnation, feedback.version, feedback.now_s)
+        for key in keys:
+            self.memory.record(key, feedback.endpoint, holder)
+
+    def _learn(
+        self, levels: tuple[int, ...], keys: Sequence[int], feedback: Feedback
+    ) -> None:
+        for level, key in zip(reversed(levels), reversed(keys)):
+            holder = self.memory.find_holders(key).get(feedback.endpoint)
+            if holder is None or not holder.is_valid(
+                feedback.incarnation, feedback.version
+            ):
+                continue
+            hit = feedback.cached_tokens >= level * BLOCK_TOKENS
+            self.retention.observe(feedback.now_s - holder.served_s, hit)
+            return
+        if len(levels) > 1:
+            if self.rule_tries > 200:
+                self.rule_tries /= 2
+                self.rule_hits /= 2
+            self.rule_tries += 1
+            self.rule_hits += feedback.cached_tokens >= levels[-2] * BLOCK_TOKENS
+
+
+def make_placement(
+    failure_domain: FailureDomain, options: PlacementOptions | None = None
+) -> ReusePlacement:
+    """Return the placement of a router in a failure domain."""
+    source = random.Random(str(failure_domain))
+    return ReusePlacement(source, failure_domain, options or PlacementOptions())
