Measure placements over modelled engines, and place by nested sets

Cause: the choice of an endpoint was a fixed four-block hash that nothing measured.

Change: `bench policy` runs seven placements over one modelled engine in virtual time, from the example configurations' sizes. Placement looks at endpoints one by one through EndpointTable; levels of a prompt are the ends of its messages; sets of replicas nest from the workspace's first level to the deepest shared one, as large as their heat asks. Hashes of blocks leave the weights version out; the reuse memory names it.

--- a/primrosepier/anchors.py
+++ b/primrosepier/anchors.py
@@ -6,9 +6,10 @@
 
 import xxhash
 
-from .ids import EndpointId
+from .configuration import Configuration
+from .ids import EndpointId, ServiceId
 
-__all__ = ["Ring", "make_ring", "mix_hash", "rank_members"]
+__all__ = ["Ring", "RingCache", "make_ring", "mix_hash", "rank_members"]
 
 POINTS_PER_ENDPOINT = 32
 HASH_MASK = (1 << 64) - 1
@@ -56,6 +57,25 @@
     return Ring(tuple(sorted(endpoints)))
 
 
+class RingCache:
+    """Rings of the services of the configuration in force."""
+
+    def __init__(self) -> None:
+        self._configuration: Configuration | None = None
+        self._rings: dict[ServiceId, Ring] = {}
+
+    def find_ring(self, configuration: Configuration, service: ServiceId) -> Ring:
+        """Return a service's ring, made once for each configuration."""
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._rings = {}
+        ring = self._rings.get(service)
+        if ring is None:
+            endpoints = configuration.list_endpoints(service)
+            ring = self._rings[service] = make_ring(e.id for e in endpoints)
+        return ring
+
+
 def mix_hash(key: int, seed: int) -> int:
     """Return a hash of two 64-bit numbers."""
     mixed = ((key ^ seed) * MIX_FACTOR) & HASH_MASK
--- a/primrosepier/bench_baselines.py
+++ b/primrosepier/bench_baselines.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from .ids import EndpointId
-from .placement import Candidates, Decision, EndpointView, Feedback
+from .placement import Decision, EndpointTable, EndpointView, Feedback
 from .prompts import Prompt
 
 __all__ = [
@@ -27,9 +27,9 @@
     return Decision(view.id, level, 0, reason, view.incarnation, view.version)
 
 
-def _list_views(candidates: Candidates) -> Iterator[EndpointView]:
-    for endpoint in candidates.ring.endpoints:
-        view = candidates.get_view(endpoint)
+def _list_views(table: EndpointTable) -> Iterator[EndpointView]:
+    for endpoint in table.ring.endpoints:
+        view = table.get_view(endpoint)
         if view is not None:
             yield view
 
@@ -41,12 +41,12 @@
         self.source = random.Random(seed)
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
-        endpoints = list(candidates.ring.endpoints)
+        endpoints = list(table.ring.endpoints)
         for _ in range(len(endpoints)):
-            view = candidates.get_view(self.source.choice(endpoints))
+            view = table.get_view(self.source.choice(endpoints))
             if view is not None:
                 return _decide(view, 0, "drawn")
         return None
@@ -59,13 +59,13 @@
         self.turn = seed
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
-        endpoints = candidates.ring.endpoints
+        endpoints = table.ring.endpoints
         for _ in range(len(endpoints)):
             self.turn += 1
-            view = candidates.get_view(endpoints[self.turn % len(endpoints)])
+            view = table.get_view(endpoints[self.turn % len(endpoints)])
             if view is not None:
                 return _decide(view, 0, "next in turn")
         return None
@@ -78,11 +78,11 @@
         self.source = random.Random(seed)
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
         best = None
-        for view in _list_views(candidates):
+        for view in _list_views(table):
             key = (view.outstanding, view.reported, self.source.random())
             if best is None or key < best[0]:
                 best = (key, view)
@@ -102,17 +102,17 @@
         self.whole = whole
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
         level = len(prompt.blocks) if self.whole else self._find_root(prompt)
         seed = prompt.blocks[level - 1] if level else prompt.scope.compute_seed()
-        views = {view.id: view for view in _list_views(candidates)}
+        views = {view.id: view for view in _list_views(table)}
         if not views:
             return None
         total = sum(view.outstanding for view in views.values()) + 1
         bound = math.ceil(LOAD_FACTOR * total / len(views))
-        order: list[EndpointId] = candidates.ring.walk(seed, len(candidates.ring))
+        order: list[EndpointId] = table.ring.walk(seed, len(table.ring))
         for endpoint in order:
             view = views.get(endpoint)
             if view is not None and view.outstanding + 1 <= bound:
--- a/primrosepier/bench_deployments.py
+++ b/primrosepier/bench_deployments.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-
 from .configuration import ServiceKind, load_configuration
 from .demo import find_example
 from .errors import BenchError
--- a/primrosepier/bench_policy.py
+++ b/primrosepier/bench_policy.py
@@ -14,7 +14,13 @@
 from .placement import Decision, EndpointView, Feedback, Placement
 from .prompts import BLOCK_TOKENS
 
-__all__ = ["WEIGHTS_AT", "BenchOptions", "PolicyMeasures", "Simulation", "simulate_policy"]
+__all__ = [
+    "WEIGHTS_AT",
+    "BenchOptions",
+    "PolicyMeasures",
+    "Simulation",
+    "simulate_policy",
+]
 
 CLIENT_S = 0.001
 REMOTE_S = 0.0005
@@ -154,7 +160,7 @@
             name: FakeEngine(self.env, name, domain, deployment.model, self.index)
             for name, domain in deployment.engines.items()
         }
-        self.reports = {name: (0.0, 0, 0) for name in self.engines}
+        self.reports = dict.fromkeys(self.engines, (0.0, 0, 0))
         self.measures = PolicyMeasures()
         self.source = random.Random(f"faults-{options.seed}")
         self.report_lag_s = REPORT_LAG_S
@@ -210,8 +216,7 @@
         attempt.waiting_first = True
         self._count(attempt, 1, attempt.uncached)
         delay = 0.0 if engine.failure_domain == router.failure_domain else REMOTE_S
-        timeout = self.env.timeout(delay)
-        timeout.callbacks.append(lambda _: self._submit(attempt, engine))
+        self._after(delay, lambda _: self._submit(attempt, engine))
 
     def _count(self, attempt: Attempt, requests: int, tokens: int) -> None:
         assert attempt.decision is not None
@@ -296,19 +301,28 @@
 
     def _take_lost(self, attempt: Attempt) -> None:
         self._leave(attempt)
-        timeout = self.env.timeout(RETRY_S)
-        timeout.callbacks.append(lambda _: self._place(attempt))
+        self._after(RETRY_S, lambda _: self._place(attempt))
 
     def _report(self):
         while True:
-            loads = [
-                (name, (self.env.now, engine.running, len(engine.queue)))
-                for name, engine in self.engines.items()
-            ]
-            timeout = self.env.timeout(self.report_lag_s)
-            timeout.callbacks.append(lambda _, found=loads: self.reports.update(found))
+            self._publish_loads()
             yield self.env.timeout(REPORT_S)
 
+    def _publish_loads(self) -> None:
+        loads = {
+            name: (self.env.now, engine.running, len(engine.queue))
+            for name, engine in self.engines.items()
+        }
+
+        def arrive(_: simpy.Event) -> None:
+            self.reports.update(loads)
+
+        self._after(self.report_lag_s, arrive)
+
+    def _after(self, delay_s: float, act: Callable[[simpy.Event], None]) -> None:
+        timeout = self.env.timeout(delay_s)
+        timeout.callbacks.append(act)
+
     def _change_weights(self):
         yield self.env.timeout(self._compute_time(WEIGHTS_AT))
         lane = simpy.Resource(self.env, self.deployment.loads_at_once)
--- a/primrosepier/bench_run.py
+++ b/primrosepier/bench_run.py
@@ -134,9 +134,7 @@
     names = plan.policies or (LARGE_SCALE_POLICIES if large else tuple(POLICIES))
     measures = {}
     for name in names:
-        measures[name] = simulate_policy(
-            deployment, workload, options, POLICIES[name]
-        )
+        measures[name] = simulate_policy(deployment, workload, options, POLICIES[name])
     return BenchResult(
         plan=plan,
         rate_per_s=options.rate_per_s,
--- a/primrosepier/candidates.py
+++ b/primrosepier/candidates.py
@@ -104,4 +104,5 @@
             reported=report.running + report.waiting if report else 0,
             report_age_s=now_s - report.reported_at_s if report else float("inf"),
             capacity=int(limit.value),
+            waiting=report.waiting if report else 0,
         )
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,6 +3,7 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
@@ -18,6 +19,7 @@
 
 COMMANDS = (
     ApplyCommand,
+    BenchPolicyCommand,
     CheckCommand,
     DemoCommand,
     RouterCommand,
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .admission import Shed
+from .anchors import RingCache
 from .asgi import Send
 from .attempt import Attempts, Delivery, can_continue, make_delivery
 from .board import Board
@@ -27,7 +28,7 @@
     Step,
     UnknownOutcome,
 )
-from .placement import Decision, Feedback, Placement
+from .placement import Decision, Feedback, Placement, ViewList
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest
@@ -70,6 +71,7 @@
     workspaces: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
     gates: dict[ServiceId, Gate] = field(default_factory=dict)
     share: ShareSuspicions = share_with_nobody
+    rings: RingCache = field(default_factory=RingCache)
 
     async def dispatch(
         self, request: ModelRequest, send: Send, now_s: float
@@ -164,7 +166,12 @@
         views = self.candidates.make_views(
             request.service, tried, allowed, suspected, now_s
         )
-        decision = self.placement.choose(request.prompt, views, now_s)
+        configuration = self.board.configuration.value
+        if configuration is None:
+            return NotRun(Step.PLACE, "-", "there is no configuration yet", 1.0)
+        ring = self.rings.find_ring(configuration, request.service.id)
+        table = ViewList(views, ring)
+        decision = self.placement.choose(request.prompt, table, now_s)
         record_decision(request, decision, views, len(tried))
         if decision is None:
             return NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
@@ -242,6 +249,8 @@
                 cached_tokens=outcome.cached_tokens,
                 expected_cached_tokens=decision.expected_cached_tokens,
                 now_s=now_s,
+                incarnation=decision.incarnation,
+                version=decision.version,
             )
         )
 
--- a/primrosepier/placement.py
+++ b/primrosepier/placement.py
@@ -9,7 +9,7 @@
 from .prompts import Prompt
 
 __all__ = [
-    "Candidates",
+    "EndpointTable",
     "Decision",
     "EndpointView",
     "Feedback",
@@ -54,16 +54,12 @@
     version: WeightsVersion = WeightsVersion("")
 
 
-class Candidates(Protocol):
-    """Endpoints of one service, looked at one by one.
+class EndpointTable(Protocol):
+    """Endpoints of one service, looked at one by one."""
 
-    Attributes
-    ----------
-    ring : Ring
-        All declared endpoints; replaced only when the declaration changes.
-    """
-
-    ring: Ring
+    @property
+    def ring(self) -> Ring:
+        """All declared endpoints; replaced only when the declaration changes."""
 
     def get_view(self, endpoint: EndpointId) -> EndpointView | None:
         """Return an endpoint's view, or None when it may get no request now."""
@@ -119,7 +115,7 @@
     """A policy that chooses endpoints; it does no I/O."""
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
 
@@ -128,7 +124,7 @@
 
 
 class ViewList:
-    """Candidates from views that are at hand.
+    """EndpointTable from views that are at hand.
 
     Parameters
     ----------
--- a/primrosepier/prompts.py
+++ b/primrosepier/prompts.py
@@ -101,9 +101,7 @@
     return tuple(levels)
 
 
-def make_prompt(
-    scope: CacheScope, text: str, levels: tuple[int, ...] = ()
-) -> Prompt:
+def make_prompt(scope: CacheScope, text: str, levels: tuple[int, ...] = ()) -> Prompt:
     """Return the prompt of a rendered text."""
     blocks = hash_blocks(text, scope.compute_seed())
     return Prompt(scope, blocks, count_tokens(text), levels)
--- a/primrosepier/reuse_placement.py
+++ b/primrosepier/reuse_placement.py
@@ -8,7 +8,7 @@
 from .anchors import mix_hash, rank_members
 from .heat import HeatTable, compute_spread
 from .ids import EndpointId, FailureDomain
-from .placement import Candidates, Decision, EndpointView, Feedback
+from .placement import Decision, EndpointTable, EndpointView, Feedback
 from .prompts import BLOCK_TOKENS, Prompt
 from .reuse import Holder, RetentionCurve, ReuseMemory
 
@@ -113,18 +113,18 @@
         self.mean_uncached = 0.0
 
     def choose(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
+        self, prompt: Prompt, table: EndpointTable, now_s: float
     ) -> Decision | None:
         """Return the decision, or None when no endpoint can take the request."""
-        if not len(candidates.ring):
+        if not len(table.ring):
             return None
-        route = self._find_route(prompt, candidates, now_s)
-        options = self._list_options(route, candidates)
-        found = self._find_cheapest(prompt, route, options, candidates, now_s)
+        route = self._find_route(prompt, table, now_s)
+        options = self._list_options(route, table)
+        found = self._find_cheapest(prompt, route, options, table, now_s)
         if found is None:
             key = route.keys[0] if route.keys else prompt.scope.compute_seed()
-            rest = candidates.ring.walk(key, FALLBACK_CHOICES)
-            found = self._find_cheapest(prompt, route, rest, candidates, now_s)
+            rest = table.ring.walk(key, FALLBACK_CHOICES)
+            found = self._find_cheapest(prompt, route, rest, table, now_s)
         return self._decide(route, *found) if found else None
 
     def _find_cheapest(
@@ -132,13 +132,13 @@
         prompt: Prompt,
         route: _Route,
         options: Iterable[EndpointId],
-        candidates: Candidates,
+        table: EndpointTable,
         now_s: float,
     ) -> tuple[EndpointView, float] | None:
         best = None
         least = math.inf
         for endpoint in options:
-            view = candidates.get_view(endpoint)
+            view = table.get_view(endpoint)
             if view is None or view.outstanding >= view.capacity:
                 continue
             expected = self._expect_cached(route, view, now_s)
@@ -160,28 +160,26 @@
             view.id, level, int(expected), reason, view.incarnation, view.version
         )
 
-    def _find_route(
-        self, prompt: Prompt, candidates: Candidates, now_s: float
-    ) -> _Route:
+    def _find_route(self, prompt: Prompt, table: EndpointTable, now_s: float) -> _Route:
         scope_seed = prompt.scope.compute_seed()
         levels = select_levels(prompt)
         keys = [mix_hash(prompt.blocks[level - 1], scope_seed) for level in levels]
         self.heat.count_request(now_s)
         if not keys:
-            members = candidates.ring.walk(scope_seed, self.options.root_replicas)
+            members = table.ring.walk(scope_seed, self.options.root_replicas)
             return _Route(levels, keys, members, members)
-        root = self._spread_root(keys, candidates, now_s)
+        root = self._spread_root(keys, table, now_s)
         home = root
         for key in keys[1:-1]:
-            home = self._narrow(key, home, candidates, now_s)
+            home = self._narrow(key, home, table, now_s)
         if len(keys) > 1:
-            home = rank_members(keys[-1], home, candidates.ring.seeds.__getitem__)
+            home = rank_members(keys[-1], home, table.ring.seeds.__getitem__)
         return _Route(levels, keys, root, home)
 
     def _spread_root(
-        self, keys: Sequence[int], candidates: Candidates, now_s: float
+        self, keys: Sequence[int], table: EndpointTable, now_s: float
     ) -> list[EndpointId]:
-        ring = candidates.ring
+        ring = table.ring
         least = min(self.options.root_replicas, len(ring))
         spread = self.heat.count_prefix(keys[0], least, now_s)
         count = compute_spread(
@@ -198,10 +196,10 @@
         self,
         key: int,
         members: list[EndpointId],
-        candidates: Candidates,
+        table: EndpointTable,
         now_s: float,
     ) -> list[EndpointId]:
-        ring = candidates.ring
+        ring = table.ring
         spread = self.heat.count_prefix(key, 1, now_s)
         count = compute_spread(
             spread, self.heat.total, len(ring), self.options.split_share, 1
@@ -211,14 +209,14 @@
         return rank_members(key, members, ring.seeds.__getitem__)[:count]
 
     def _list_options(
-        self, route: _Route, candidates: Candidates
+        self, route: _Route, table: EndpointTable
     ) -> dict[EndpointId, None]:
         options = dict.fromkeys(route.home)
         options.update(dict.fromkeys(route.root))
         if self.options.feedback:
             for key in reversed(route.keys):
                 options.update(dict.fromkeys(self.memory.find_holders(key)))
-        endpoints = candidates.ring.endpoints
+        endpoints = table.ring.endpoints
         for _ in range(self.options.spare_choices):
             options[endpoints[self.source.randrange(len(endpoints))]] = None
         return options
@@ -240,7 +238,7 @@
             return 0.0
         root = route.levels[0] if view.id in route.root else 0
         home = view.id in route.home and len(route.levels) > 1
-        level = route.levels[-2] if home else root
+        level: float = route.levels[-2] if home else root
         if self.options.feedback:
             held = self._recall(route, view, now_s)
             if held is not None and held[0] > level:
@@ -250,7 +248,9 @@
     def _recall(
         self, route: _Route, view: EndpointView, now_s: float
     ) -> tuple[int, float] | None:
-        for level, key in zip(reversed(route.levels), reversed(route.keys)):
+        for level, key in zip(
+            reversed(route.levels), reversed(route.keys), strict=True
+        ):
             holder = self.memory.find_holders(key).get(view.id)
             if holder is None or not holder.is_valid(view.incarnation, view.version):
                 continue
@@ -274,7 +274,7 @@
     def _learn(
         self, levels: tuple[int, ...], keys: Sequence[int], feedback: Feedback
     ) -> None:
-        for level, key in zip(reversed(levels), reversed(keys)):
+        for level, key in zip(reversed(levels), reversed(keys), strict=True):
             holder = self.memory.find_holders(key).get(feedback.endpoint)
             if holder is None or not holder.is_valid(
                 feedback.incarnation, feedback.version
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -18,7 +18,7 @@
 from .etcd import make_etcd_store
 from .ids import Revision
 from .logs import make_log
-from .placement import make_placement
+from .reuse_placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
 from .store import Item, Store, Unavailable
@@ -112,7 +112,7 @@
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
-        board, attempts, make_placement(), limits, platform.clock
+        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
     app = CallersApp(board, dispatcher, limits, log)
--- a/tests/test_bench_policy.py
+++ b/tests/test_bench_policy.py
@@ -14,8 +14,7 @@
 @pytest.mark.parametrize("faults", [False, True])
 def test_same_seed_gives_the_same_bytes(faults):
     first, second = (
-        msgspec.json.encode(render_report(run_small(faults=faults)))
-        for _ in range(2)
+        msgspec.json.encode(render_report(run_small(faults=faults))) for _ in range(2)
     )
     assert first == second
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,8 +7,8 @@
 from primrosepier.configuration import parse_configuration
 from primrosepier.dispatch import make_dispatcher
 from primrosepier.outcomes import Completed, NotRun, Step, UnknownOutcome
-from primrosepier.placement import RulePlacement
 from primrosepier.requests import ModelRequest, build_prompt
+from primrosepier.reuse_placement import make_placement
 from primrosepier.settings import Limits
 
 TEXT = "\n".join(
@@ -60,7 +60,7 @@
 def make(attempts, **limits):
     board = make_board()
     board.configuration.take_writer("test").write(CONFIGURATION, 0.0)
-    dispatcher = make_dispatcher(board, attempts, RulePlacement(), Limits(**limits))
+    dispatcher = make_dispatcher(board, attempts, make_placement("d"), Limits(**limits))
     dispatcher.source = random.Random(1)
     return dispatcher
 
