--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -3,6 +3,7 @@
 __all__ = [
     "BenchError",
     "ConfigurationError",
+    "MessageError",
     "PrimrosepierError",
     "RequestError",
     "SettingsError",
@@ -43,6 +44,10 @@
     """An operators' file is not valid."""
 
 
+class MessageError(PrimrosepierError):
+    """Bytes from a peer are not a message that may be used."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
