Merge logs into a time line and explain requests

Cause: logs of many processes with differing clocks could not be read together. Change: timeline orders lines by cause and effect and bounds each clock; explain renders one request's decisions, attempts, reuse and end. Conclusion: no line stands before its cause, also with a stepped clock.

--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -4,6 +4,7 @@
 
 from . import __version__
 from .commands_demo import DemoCommand
+from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import StandinEngineCommand, StandinStoreCommand
 
@@ -13,9 +14,11 @@
     ApplyCommand,
     CheckCommand,
     DemoCommand,
+    ExplainCommand,
     RouterCommand,
     StandinEngineCommand,
     StandinStoreCommand,
+    TimelineCommand,
 )
 
 
--- /dev/null
+++ b/primrosepier/commands_explain.py
@@ -0,0 +1,113 @@
+"""Commands that read logs: timeline and explain."""
+
+import math
+from pathlib import Path
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.outputs.output import Type as OutputType
+
+from .explain import explain_request, list_requests, render_explanation
+from .log_lines import LogReader
+from .timeline import Entry, Filter, Timeline, filter_entries, merge_lines
+from .timeline_plot import plot_timeline
+
+__all__ = ["ExplainCommand", "TimelineCommand"]
+
+FILES = argument("files", "Log files of all processes.", multiple=True)
+
+
+def _read(command: Command) -> Timeline | None:
+    reader = LogReader()
+    try:
+        reader.read_files([Path(file) for file in command.argument("files")])
+    except OSError as error:
+        command.line_error(str(error))
+        return None
+    timeline = merge_lines(reader.lines)
+    if reader.foreign or reader.repeated:
+        text = f"skipped {reader.foreign} foreign and {reader.repeated} repeated lines"
+        command.line_error(text)
+    for clock in timeline.clocks.values():
+        if not clock.is_consistent:
+            command.line_error(f"the clock of {clock.process} was stepped")
+    return timeline
+
+
+class TimelineCommand(Command):
+    """Merge the logs of all processes into one time line."""
+
+    name = "timeline"
+    description = "Merge the logs of all processes into one time line."
+    arguments = [FILES]
+    options = [
+        option("request", None, "Keep one request's tree.", flag=False),
+        option("endpoint", None, "Keep one endpoint.", flag=False),
+        option("workspace", None, "Keep one workspace's requests.", flag=False),
+        option("part", None, "Keep one part.", flag=False),
+        option("since", None, "Seconds after the start to begin at.", flag=False),
+        option("until", None, "Seconds after the start to end at.", flag=False),
+        option("clocks", None, "Print the bounds of the hosts' clocks."),
+        option("json", None, "Print one JSON object a line."),
+        option("plot", None, "Draw to this .png, .svg or .html file.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        timeline = _read(self)
+        if timeline is None:
+            return 1
+        if self.option("clocks"):
+            self._print_clocks(timeline)
+            return 0
+        wanted = Filter(
+            request=self.option("request") or "",
+            endpoint=self.option("endpoint") or "",
+            workspace=self.option("workspace") or "",
+            part=self.option("part") or "",
+            since_s=float(self.option("since") or -math.inf),
+            until_s=float(self.option("until") or math.inf),
+        )
+        entries = filter_entries(timeline, wanted)
+        if self.option("plot"):
+            plot_timeline(timeline, entries, Path(self.option("plot")))
+            return 0
+        for entry in entries:
+            self.io.output.write_line(self._format(entry), type=OutputType.RAW)
+        return 0
+
+    def _format(self, entry: Entry) -> str:
+        line = entry.line
+        if self.option("json"):
+            fields = msgspec.Raw(line.raw)
+            return msgspec.json.encode({"at_s": entry.at_s, "line": fields}).decode()
+        return f"{entry.at_s:12.6f} {line.host:<20} {line.describe()}"
+
+    def _print_clocks(self, timeline: Timeline) -> None:
+        for clock in sorted(timeline.clocks.values(), key=lambda c: c.process):
+            bounds = f"{clock.low_s:+.6f} to {clock.high_s:+.6f} s"
+            self.line(f"{clock.process:<32} {clock.offset_s:+.6f} s, {bounds}")
+
+
+class ExplainCommand(Command):
+    """Tell why a request went where it did."""
+
+    name = "explain"
+    description = "Tell why a request went where it did."
+    arguments = [argument("request", "Request id."), FILES]
+
+    def handle(self) -> int:
+        """Run the command."""
+        timeline = _read(self)
+        if timeline is None:
+            return 1
+        request = self.argument("request")
+        explanation = explain_request(timeline, request)
+        if explanation is None:
+            count = len(list_requests(timeline))
+            self.line_error(f"the logs hold {count} requests, but not {request}")
+            return 1
+        for text in render_explanation(explanation):
+            self.io.output.write_line(text, type=OutputType.RAW)
+        return 0
--- /dev/null
+++ b/primrosepier/explain.py
@@ -0,0 +1,156 @@
+"""Why a request went where it did, in words for operators."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from .log_events import (
+    AttemptEnded,
+    AttemptStarted,
+    ClaimSettled,
+    DecisionMade,
+    Event,
+    RequestEnded,
+    RequestRefused,
+    RetryChosen,
+    ReuseObserved,
+    SeenCandidate,
+)
+from .log_lines import LogLine, decode_event
+from .timeline import Timeline
+
+__all__ = ["Explanation", "explain_request", "list_requests", "render_explanation"]
+
+OUTCOMES = {
+    "Completed": "the whole answer was relayed",
+    "NotRun": "it did not run",
+    "Refused": "the endpoint refused it with a final error",
+    "UnknownOutcome": "it may have run; the answer was lost",
+    "Interrupted": "the answer began and broke off",
+    "CallerLeft": "the caller left before the end",
+    "Cut": "the router stopped serving it",
+}
+
+
+@dataclass(slots=True)
+class Explanation:
+    """The events of one request in order, with their times.
+
+    Parameters
+    ----------
+    routers : list of str
+        Hosts that handled the request.
+    events : list of tuple of float and Event
+        Time on the time line, seconds, and the event.
+    """
+
+    request: str
+    routers: list[str] = field(default_factory=list)
+    events: list[tuple[float, Event]] = field(default_factory=list)
+
+
+def explain_request(timeline: Timeline, request: str) -> Explanation | None:
+    """Return what the logs tell about a request, or None when nothing."""
+    explanation = Explanation(request)
+    for entry in timeline.entries:
+        if entry.line.request != request:
+            continue
+        _add(explanation, entry.at_s, entry.line)
+    return explanation if explanation.events else None
+
+
+def _add(explanation: Explanation, at_s: float, line: LogLine) -> None:
+    event = decode_event(line)
+    if event is None:
+        return
+    explanation.events.append((at_s, event))
+    if line.part != "engine" and line.host not in explanation.routers:
+        explanation.routers.append(line.host)
+
+
+def render_explanation(explanation: Explanation) -> list[str]:
+    """Return the explanation as lines of text."""
+    routers = ", ".join(explanation.routers) or "no router's log at hand"
+    lines = [f"Request {explanation.request}, handled by {routers}."]
+    start_s = explanation.events[0][0]
+    ended = False
+    for at_s, event in explanation.events:
+        ended = ended or isinstance(event, RequestEnded | RequestRefused)
+        for text in _describe(event):
+            lines.append(f"{(at_s - start_s) * 1000:9.1f} ms  {text}")
+    if not ended:
+        lines.append("The logs do not show its end: it is in progress, or lines lack.")
+    return lines
+
+
+def _describe(event: Event) -> Iterator[str]:
+    if isinstance(event, DecisionMade):
+        yield from _describe_decision(event)
+    elif isinstance(event, RetryChosen):
+        outcome = OUTCOMES.get(event.after, event.after)
+        yield f"Retry {event.attempt - 1}: {outcome} ({event.reason})."
+    elif isinstance(event, AttemptStarted):
+        yield f"Sent to {event.endpoint}."
+    elif isinstance(event, AttemptEnded):
+        yield _describe_attempt(event)
+    elif isinstance(event, ReuseObserved):
+        yield _describe_reuse(event)
+    elif isinstance(event, ClaimSettled):
+        duration_ms = event.duration_s * 1000
+        yield f"The claim that it runs once was {event.result} in {duration_ms:.1f} ms."
+    elif isinstance(event, RequestRefused):
+        yield f"The router refused it: status {event.status}, {event.code}."
+    elif isinstance(event, RequestEnded):
+        yield from _describe_end(event)
+
+
+def _describe_decision(event: DecisionMade) -> Iterator[str]:
+    if not event.endpoint:
+        yield f"No endpoint of {event.service} was chosen: {event.reason}."
+    else:
+        count = event.candidates
+        yield (
+            f"Chose {event.endpoint} of {count} candidates of {event.service} "
+            f"for workspace {event.workspace}: {event.reason}."
+        )
+        yield (
+            f"  The first {event.anchor_level} of {event.prefix_blocks} prompt blocks "
+            f"decided; expected {event.expected_cached_tokens} of "
+            f"{event.prompt_tokens} prompt tokens to be cached there."
+        )
+    for seen in event.seen:
+        yield f"  {_describe_candidate(seen)}"
+
+
+def _describe_candidate(seen: SeenCandidate) -> str:
+    text = f"{seen.id}: {seen.outstanding} requests of this router in progress"
+    if seen.report_age_s is None:
+        return f"{text}; it has not reported its load."
+    return f"{text}; reported {seen.reported} in all, {seen.report_age_s:.1f} s before."
+
+
+def _describe_attempt(event: AttemptEnded) -> str:
+    outcome = OUTCOMES.get(event.outcome, event.outcome)
+    place = f" at step {event.step}" if event.step else ""
+    reason = f": {event.reason}" if event.reason else ""
+    return f"{event.endpoint}: {outcome}{place}{reason}."
+
+
+def _describe_reuse(event: ReuseObserved) -> str:
+    return (
+        f"{event.endpoint} had {event.cached_tokens} of {event.prompt_tokens} prompt "
+        f"tokens cached; {event.expected_cached_tokens} were expected."
+    )
+
+
+def _describe_end(event: RequestEnded) -> Iterator[str]:
+    outcome = OUTCOMES.get(event.outcome, event.outcome)
+    reason = f" ({event.reason})" if event.reason else ""
+    yield f"End after {event.duration_s * 1000:.1f} ms: {outcome}{reason}."
+    if event.ttft_s is not None:
+        yield f"  The first byte went out after {event.ttft_s * 1000:.1f} ms."
+
+
+def list_requests(timeline: Timeline) -> Sequence[str]:
+    """Return the ids of all requests on a time line, in order."""
+    found = (entry.line.request for entry in timeline.entries)
+    return list(dict.fromkeys(request for request in found if request))
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -11,6 +11,7 @@
 from .placement import EndpointView
 
 __all__ = [
+    "ANY_EVENT",
     "AttemptEnded",
     "AttemptStarted",
     "ClaimSettled",
@@ -133,8 +134,12 @@
         Empty when no candidate has room.
     prefix_blocks, anchor_level : int
         Whole blocks of the prompt, and the leading ones that chose.
+    candidates : int
+        Endpoints that were weighed.
+    seen : tuple of SeenCandidate
+        The chosen and the least loaded candidates; filled when the log is written.
     views : sequence of EndpointView
-        All candidates; the log keeps the chosen and the least loaded ones.
+        All candidates; not written.
     """
 
     part: ClassVar[str] = "dispatch"
@@ -148,7 +153,9 @@
     prompt_tokens: int
     expected_cached_tokens: int
     reason: str
-    views: Sequence[EndpointView]
+    candidates: int
+    seen: tuple[SeenCandidate, ...] = ()
+    views: Sequence[EndpointView] = ()
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
@@ -286,17 +293,33 @@
 
 def select_candidates(
     chosen: EndpointId, views: Sequence[EndpointView]
-) -> list[SeenCandidate]:
+) -> tuple[SeenCandidate, ...]:
     """Return the chosen candidate and the least loaded others."""
 
     def rank(view: EndpointView) -> tuple[bool, int]:
         return (view.id != chosen, view.outstanding + view.reported)
 
     kept = heapq.nsmallest(MAX_CANDIDATES, views, key=rank)
-    return [_make_seen(view) for view in kept]
+    return tuple(_make_seen(view) for view in kept)
 
 
 def _make_seen(view: EndpointView) -> SeenCandidate:
     never = view.report_age_s == float("inf")
     age_s = None if never else round(view.report_age_s, 3)
     return SeenCandidate(view.id, view.outstanding, view.reported, age_s)
+
+
+ANY_EVENT = (
+    AttemptEnded
+    | AttemptStarted
+    | ClaimSettled
+    | DecisionMade
+    | EngineAnswered
+    | EventsDropped
+    | RequestEnded
+    | RequestReceived
+    | RequestRefused
+    | RetryChosen
+    | ReuseObserved
+    | SectionWritten
+)
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -58,8 +58,7 @@
     """Return an event's fields, its part and its sentence."""
     fields = msgspec.structs.asdict(event)
     if isinstance(event, DecisionMade):
-        fields["candidates"] = len(event.views)
-        fields["views"] = select_candidates(event.endpoint, event.views)
+        fields["seen"] = select_candidates(event.endpoint, fields.pop("views"))
     fields["part"] = event.part
     fields["message"] = f"{event.part}: {event.describe()}"
     return fields
--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -150,6 +150,7 @@
         prompt_tokens=request.prompt.tokens,
         expected_cached_tokens=chosen.expected_cached_tokens,
         reason=chosen.reason,
+        candidates=len(views),
         views=views,
     )
     emit(event)
--- /dev/null
+++ b/primrosepier/timeline.py
@@ -0,0 +1,276 @@
+"""One ordered time line of the logs of many processes."""
+
+import heapq
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from .log_lines import LogLine
+
+__all__ = [
+    "Clock",
+    "Entry",
+    "Filter",
+    "Hop",
+    "Timeline",
+    "filter_entries",
+    "merge_lines",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """A call from one process to another.
+
+    Parameters
+    ----------
+    sent : LogLine
+        Last line of the caller's action before the call.
+    received : LogLine
+        First line of the called process.
+    answered_at_s : float
+        When the answer reached the caller by its clock; infinite when unknown.
+    ended : LogLine or None
+        The caller's line after the answer.
+    """
+
+    sent: LogLine
+    received: LogLine
+    answered_at_s: float = math.inf
+    ended: LogLine | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """What cause and effect tell of a process's clock.
+
+    Parameters
+    ----------
+    offset_s : float
+        Added to its timestamps to compare them with the reference's.
+    low_s, high_s : float
+        Bounds of the offset; infinite where nothing was exchanged.
+    """
+
+    process: str
+    offset_s: float
+    low_s: float
+    high_s: float
+
+    @property
+    def is_consistent(self) -> bool:
+        """Whether one offset fits all exchanges; a stepped clock has none."""
+        return self.low_s <= self.high_s
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A line at its place on the time line; ``at_s`` counts from its start."""
+
+    at_s: float
+    line: LogLine
+
+
+@dataclass(frozen=True, slots=True)
+class Timeline:
+    """Ordered lines with the clocks and calls that ordered them."""
+
+    entries: tuple[Entry, ...]
+    clocks: dict[str, Clock]
+    hops: tuple[Hop, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Filter:
+    """Which entries to keep; an empty field keeps all."""
+
+    request: str = ""
+    endpoint: str = ""
+    workspace: str = ""
+    part: str = ""
+    since_s: float = -math.inf
+    until_s: float = math.inf
+
+
+def merge_lines(lines: Sequence[LogLine]) -> Timeline:
+    """Return the time line; no line stands before its cause."""
+    hops = tuple(_find_hops(lines))
+    clocks = _bound_clocks(lines, hops)
+    times = {}
+    for line in lines:
+        clock = clocks[line.process]
+        times[line.process, line.number] = line.timestamp + clock.offset_s
+    ordered = _order_lines(lines, hops, times)
+    start_s = min(times.values(), default=0.0)
+    entries = []
+    latest_s = -math.inf
+    for line in ordered:
+        latest_s = max(latest_s, times[line.process, line.number] - start_s)
+        entries.append(Entry(latest_s, line))
+    return Timeline(tuple(entries), clocks, hops)
+
+
+def _find_hops(lines: Iterable[LogLine]) -> Iterator[Hop]:
+    actions: dict[tuple[str, tuple[int, ...]], list[LogLine]] = defaultdict(list)
+    starts = {}
+    for line in lines:
+        if line.task_uuid and line.task_level:
+            actions[line.task_uuid, line.task_level[:-1]].append(line)
+        if line.hop:
+            starts[line.hop] = line
+    for (task, level), children in actions.items():
+        received = min(children, key=_read_position)
+        if not level or _read_position(received) != 1:
+            continue
+        siblings = actions.get((task, level[:-1]), [])
+        before = [line for line in siblings if _read_position(line) < level[-1]]
+        sent = starts.get(_format_hop(task, level))
+        sent = sent or max(before, key=_read_position, default=None)
+        if sent is not None and sent.process != received.process:
+            yield _make_hop(sent, received, siblings)
+
+
+def _read_position(line: LogLine) -> int:
+    return line.task_level[-1]
+
+
+def _format_hop(task: str, level: tuple[int, ...]) -> str:
+    return task + "@" + "".join(f"/{position}" for position in level)
+
+
+def _make_hop(sent: LogLine, received: LogLine, siblings: list[LogLine]) -> Hop:
+    for line in siblings:
+        same = line.attempt == sent.attempt and line.process == sent.process
+        if line.message_type == "AttemptEnded" and same and line.headers_s is not None:
+            return Hop(sent, received, sent.timestamp + line.headers_s, line)
+    return Hop(sent, received)
+
+
+def _bound_clocks(lines: Sequence[LogLine], hops: Sequence[Hop]) -> dict[str, Clock]:
+    counts = Counter(line.process for line in lines)
+    if not counts:
+        return {}
+    reference = max(counts, key=lambda process: (counts[process], process))
+    # An edge (a, b) of length w states offset(b) <= offset(a) + w.
+    edges: dict[tuple[str, str], float] = {}
+    for hop in hops:
+        sent, received = hop.sent.process, hop.received.process
+        out_s = hop.received.timestamp - hop.sent.timestamp
+        back_s = hop.answered_at_s - hop.received.timestamp
+        for key, gap_s in (((received, sent), out_s), ((sent, received), back_s)):
+            edges[key] = min(gap_s, edges.get(key, math.inf))
+    high = _find_distances(reference, counts, edges)
+    reverse = {(b, a): length for (a, b), length in edges.items()}
+    low = _find_distances(reference, counts, reverse)
+    clocks = {}
+    for process in counts:
+        low_s, high_s = -low[process], high[process]
+        clocks[process] = Clock(process, _choose(low_s, high_s), low_s, high_s)
+    return clocks
+
+
+def _find_distances(
+    start: str, processes: Iterable[str], edges: dict[tuple[str, str], float]
+) -> dict[str, float]:
+    """Return the shortest distances by Bellman and Ford's method."""
+    distances = dict.fromkeys(processes, math.inf)
+    distances[start] = 0.0
+    for _ in range(len(distances)):
+        changed = False
+        for (a, b), length in edges.items():
+            found = distances[a] + length
+            if found < distances[b] and b != start:
+                distances[b] = found
+                changed = True
+        if not changed:
+            break
+    return distances
+
+
+def _choose(low_s: float, high_s: float) -> float:
+    if math.isfinite(low_s) and math.isfinite(high_s):
+        return (low_s + high_s) / 2
+    if math.isfinite(low_s):
+        return max(0.0, low_s)
+    if math.isfinite(high_s):
+        return min(0.0, high_s)
+    return 0.0
+
+
+def _order_lines(
+    lines: Sequence[LogLine], hops: Sequence[Hop], times: dict[tuple[str, int], float]
+) -> list[LogLine]:
+    """Sort by time among the lines whose causes all came before."""
+    after = _list_effects(lines, hops)
+    waiting = Counter(effect for effects in after.values() for effect in effects)
+    by_key = {(line.process, line.number): line for line in lines}
+    ready = [(times[key], key) for key in by_key if not waiting[key]]
+    heapq.heapify(ready)
+    left = sorted(by_key, key=lambda key: (times[key], key), reverse=True)
+    ordered: dict[tuple[str, int], LogLine] = {}
+    while len(ordered) < len(by_key):
+        if ready:
+            _, key = heapq.heappop(ready)
+        else:
+            key = left.pop()  # Contradictory lines wait for each other.
+        if key in ordered:
+            continue
+        ordered[key] = by_key[key]
+        for effect in after.get(key, ()):
+            waiting[effect] -= 1
+            if not waiting[effect]:
+                heapq.heappush(ready, (times[effect], effect))
+    return list(ordered.values())
+
+
+def _list_effects(
+    lines: Sequence[LogLine], hops: Sequence[Hop]
+) -> dict[tuple[str, int], list[tuple[str, int]]]:
+    runs: dict[str, list[int]] = defaultdict(list)
+    for line in lines:
+        runs[line.process].append(line.number)
+    after: dict[tuple[str, int], list[tuple[str, int]]] = defaultdict(list)
+    for process, numbers in runs.items():
+        numbers.sort()
+        for first, second in zip(numbers, numbers[1:], strict=False):
+            after[process, first].append((process, second))
+    for hop in hops:
+        sent = (hop.sent.process, hop.sent.number)
+        received = (hop.received.process, hop.received.number)
+        after[sent].append(received)
+        if hop.ended is not None:
+            after[received].append((hop.ended.process, hop.ended.number))
+    return after
+
+
+def filter_entries(timeline: Timeline, wanted: Filter) -> list[Entry]:
+    """Return the entries that a filter keeps; requests keep their whole tree."""
+    trees = _find_trees(timeline, wanted)
+    kept = []
+    for entry in timeline.entries:
+        line = entry.line
+        if trees is not None and line.task_uuid not in trees:
+            continue
+        if wanted.part and line.part != wanted.part:
+            continue
+        if wanted.endpoint and wanted.endpoint not in (line.endpoint, line.host):
+            continue
+        if wanted.since_s <= entry.at_s <= wanted.until_s:
+            kept.append(entry)
+    return kept
+
+
+def _find_trees(timeline: Timeline, wanted: Filter) -> set[str] | None:
+    trees = None
+    for name in ("request", "workspace"):
+        value = getattr(wanted, name)
+        if not value:
+            continue
+        found = {
+            entry.line.task_uuid
+            for entry in timeline.entries
+            if getattr(entry.line, name) == value
+        }
+        trees = found if trees is None else trees & found
+    return trees - {""} if trees is not None else None
