--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -6,7 +6,14 @@
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
-from .commands_standin import StandinEngineCommand, StandinStoreCommand
+from .commands_standin import (
+    StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
+    StandinStoreCommand,
+    StandinWeightsCommand,
+)
 
 __all__ = ["main", "make_application"]
 
@@ -17,7 +24,11 @@
     ExplainCommand,
     RouterCommand,
     StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
     StandinStoreCommand,
+    StandinWeightsCommand,
     TimelineCommand,
 )
 
