--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -271,6 +271,21 @@
     return Log(host, settings)
 
 
+class _WatchedSend:
+    """Passes messages on and knows whether the answer ended."""
+
+    def __init__(self, send: Send):
+        self.transport = getattr(getattr(send, "__self__", None), "transport", None)
+        self.inner = send
+        self.ended = False
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Send one ASGI message."""
+        await self.inner(message)
+        if message["type"] == "http.response.body":
+            self.ended = not message.get("more_body", False)
+
+
 @dataclass(slots=True)
 class LoggedEngine:
     """ASGI app that logs the calls of an engine's stand-in.
@@ -291,11 +306,11 @@
             await self.app(scope, receive, send)
             return
         request = find_header(scope, "x-request-id")
+        watched = _WatchedSend(send)
         with open_action(self.log, "engine", hop):
             emit(EngineAnswered(request, "received"))
-            result = "lost"
             try:
-                await self.app(scope, receive, send)
-                result = "answered"
+                await self.app(scope, receive, watched.send)
             finally:
+                result = "answered" if watched.ended else "lost"
                 emit(EngineAnswered(request, result))
