--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -1,5 +1,6 @@
 """Settings of one router process."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -16,6 +17,7 @@
 ]
 
 MIB = 1024 * 1024
+PEER_KEY_VARIABLE = "PRIMROSEPIER_PEER_KEY"
 LOG_LEVELS = ("off", "error", "info", "debug")
 
 
@@ -75,6 +77,9 @@
         Addresses of other routers to join, ``IP:PORT``.
     hosts_url : str
         Where the host list is read; empty when there is none.
+    peer_key : str
+        Shared by all routers, from ``key_file`` or the environment variable
+        ``PRIMROSEPIER_PEER_KEY``; empty for none.
     stop_wait_s : float
         Time between "not ready" and the end of listening, seconds.
     stop_streams_s : float
@@ -155,7 +160,7 @@
 def _read_key(reader: SectionReader) -> str:
     file = reader.read_text("key_file", "")
     if not file:
-        return ""
+        return os.environ.get(PEER_KEY_VARIABLE, "")
     try:
         return Path(file).read_text(encoding="utf-8").strip()
     except OSError as cause:
