--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -5,6 +5,7 @@
 from . import __version__
 from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
+from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -22,6 +23,7 @@
     BenchPolicyCommand,
     CheckCommand,
     DemoCommand,
+    ExplainCommand,
     RouterCommand,
     StandinEngineCommand,
     StandinHostsCommand,
@@ -29,6 +31,7 @@
     StandinServiceCommand,
     StandinStoreCommand,
     StandinWeightsCommand,
+    TimelineCommand,
 )
 
 
