--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -22,7 +22,7 @@
 from .logs import make_log
 from .mirror import MirrorController, make_mirror
 from .peers import bind_listener, make_transport, open_peer_server
-from .placement import make_placement
+from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
 from .store import Store
@@ -79,7 +79,7 @@
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
-        board, attempts, make_placement(), limits, platform.clock
+        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
     app = CallersApp(board, dispatcher, limits, log)
