--- /dev/null
+++ b/primrosepier/metric_specs.py
@@ -0,0 +1,191 @@
+"""Names, units and meanings of all metrics."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["SPECS", "MetricKind", "MetricSpec", "Promise", "render_metrics_page"]
+
+
+class MetricKind(Enum):
+    """Type of a metric in Prometheus's terms."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class Promise(Enum):
+    """What must always hold; a broken one is counted."""
+
+    CACHE_SCOPE = "cache_scope"
+    COMPLETE_STREAM = "complete_stream"
+    WARM_RESTART = "warm_restart"
+    OWN_ANSWER = "own_answer"
+    NOT_RUN = "not_run"
+    AT_MOST_ONCE = "at_most_once"
+    LEAVING = "leaving"
+    GRACEFUL_STOP = "graceful_stop"
+    CONFIGURATION = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class MetricSpec:
+    """One metric.
+
+    Parameters
+    ----------
+    unit : str
+        Base unit, or what is counted.
+    labels : tuple of str
+        Label names; each has a bounded set of values.
+    meaning, action : str
+        What it tells, and what to do when it moves.
+    """
+
+    name: str
+    kind: MetricKind
+    unit: str
+    labels: tuple[str, ...]
+    meaning: str
+    action: str
+
+
+SPECS = (
+    MetricSpec(
+        "primrosepier_prompt_tokens_total",
+        MetricKind.COUNTER,
+        "tokens",
+        ("service",),
+        "Prompt tokens of completed requests.",
+        "Divide the cached tokens by it for the hit rate.",
+    ),
+    MetricSpec(
+        "primrosepier_cached_prompt_tokens_total",
+        MetricKind.COUNTER,
+        "tokens",
+        ("service",),
+        "Prompt tokens that endpoints read from their caches.",
+        "A falling hit rate: see operators/reuse-falls.md.",
+    ),
+    MetricSpec(
+        "primrosepier_wasted_prompt_tokens_total",
+        MetricKind.COUNTER,
+        "tokens",
+        ("service",),
+        "Prompt tokens that were expected in the endpoint's cache but computed again.",
+        "Eviction or restarts of endpoints: see operators/reuse-falls.md.",
+    ),
+    MetricSpec(
+        "primrosepier_ttft_seconds",
+        MetricKind.HISTOGRAM,
+        "seconds",
+        ("service",),
+        "Time from a request's arrival to the first byte of its answer.",
+        "A growing tail: see operators/slow-first-token.md.",
+    ),
+    MetricSpec(
+        "primrosepier_requests_total",
+        MetricKind.COUNTER,
+        "requests",
+        ("service", "outcome"),
+        "Requests by their outcome.",
+        "Outcomes other than Completed: explain one of them.",
+    ),
+    MetricSpec(
+        "primrosepier_refused_requests_total",
+        MetricKind.COUNTER,
+        "requests",
+        ("code",),
+        "Requests that a router refused before routing them.",
+        "The code says which rule; 401 and 404 are the callers' to mend.",
+    ),
+    MetricSpec(
+        "primrosepier_attempts_total",
+        MetricKind.COUNTER,
+        "attempts",
+        ("outcome",),
+        "Attempts at endpoints by their outcome.",
+        "Many NotRun or Interrupted: look for one endpoint with timeline --part attempt.",
+    ),
+    MetricSpec(
+        "primrosepier_retries_total",
+        MetricKind.COUNTER,
+        "retries",
+        (),
+        "Requests that went on to another endpoint.",
+        "A rise follows failing endpoints; the retry budget bounds it.",
+    ),
+    MetricSpec(
+        "primrosepier_claims_total",
+        MetricKind.COUNTER,
+        "claims",
+        ("result",),
+        "Claims of non-idempotent calls by their result.",
+        "Unavailable or unknown: the key-value service is down or slow.",
+    ),
+    MetricSpec(
+        "primrosepier_broken_promises_total",
+        MetricKind.COUNTER,
+        "cases",
+        ("promise",),
+        "Cases in which something that must always hold did not.",
+        "Stays at nought. See operators/broken-promise.md for each label.",
+    ),
+    MetricSpec(
+        "primrosepier_requests_in_progress",
+        MetricKind.GAUGE,
+        "requests",
+        (),
+        "Requests that this router is serving.",
+        "Near the limit of streams: add hosts, or look for slow endpoints.",
+    ),
+    MetricSpec(
+        "primrosepier_section_age_seconds",
+        MetricKind.GAUGE,
+        "seconds",
+        ("section",),
+        "Age of the last write of a board section that was written.",
+        "A growing age of load: endpoints' reports do not arrive.",
+    ),
+    MetricSpec(
+        "primrosepier_configuration_revision",
+        MetricKind.GAUGE,
+        "revision",
+        (),
+        "Revision of the configuration in force.",
+        "Differs between routers for more than 19 s: see operators/stale-configuration.md.",
+    ),
+    MetricSpec(
+        "primrosepier_log_events_dropped_total",
+        MetricKind.COUNTER,
+        "events",
+        (),
+        "Log events that found the queue full.",
+        "The sink is too slow: lower the level or mend the sink.",
+    ),
+)
+
+
+def render_metrics_page() -> str:
+    """Return the documentation of all metrics as Markdown."""
+    lines = [
+        "# Metrics",
+        "",
+        "Each router serves these at `/metrics` on its callers' address, as Prometheus",
+        "text; the balancer should not pass that path on. Label sets are bounded: a",
+        "label keeps its first 64 values and counts the rest as `other`. Workspaces and",
+        "endpoints are no labels, since 2,800 and 3,900 of them on 940 nodes would be",
+        "millions of series; the logs tell them apart.",
+        "",
+        "`.venv/bin/primrosepier metrics-page` prints this page.",
+        "",
+        "| metric | type | unit | labels | meaning | when it moves |",
+        "|---|---|---|---|---|---|",
+    ]
+    for spec in SPECS:
+        labels = ", ".join(spec.labels)
+        cells = (f"`{spec.name}`", spec.kind.value, spec.unit, labels)
+        lines.append(f"| {' | '.join((*cells, spec.meaning, spec.action))} |")
+    promises = ", ".join(f"`{promise.value}`" for promise in Promise)
+    lines += ["", f"Values of the label `promise`: {promises}.", ""]
+    return "\n".join(lines)
