Serve metrics and count broken promises

Cause: nothing showed the three measures or a promise that did not hold. Change: Metrics is fed by the log's events; PromiseWatch counts nine promises; /metrics, docs/metrics.md, alert rules, a dashboard and operators' pages. Conclusion: label sets are bounded at 64 values; no workspace or endpoint label.

--- a/primrosepier/board.py
+++ b/primrosepier/board.py
@@ -1,7 +1,7 @@
 """Blackboard of typed sections, each with one writer and many readers."""
 
-from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from dataclasses import dataclass, field, fields
+from typing import Any, Generic, TypeVar
 
 from .configuration import Configuration
 from .errors import WriterTakenError
@@ -39,6 +39,10 @@
         """Return the seconds since the last write, infinite when never written."""
         return now_s - self.written_at_s
 
+    def was_written(self) -> bool:
+        """Return whether the section ever got a value."""
+        return self.written_at_s != NEVER_S
+
     def take_writer(self, writer: str) -> "SectionWriter[T]":
         """Return the section's only write handle.
 
@@ -88,6 +92,10 @@
         default_factory=lambda: Section("usage", {})
     )
 
+    def list_sections(self) -> list[Section[Any]]:
+        """Return all sections, in the order of their declaration."""
+        return [getattr(self, entry.name) for entry in fields(self)]
+
 
 def make_board() -> Board:
     """Return a board whose sections were never written."""
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -25,6 +25,7 @@
 from .ids import ModelId, RequestId, make_request_id
 from .log_events import RequestReceived, RequestRefused
 from .logs import TRACE_HEADER, Log, emit, open_action
+from .metrics import Metrics
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
 from .request_log import TimedSend, record_request
 from .requests import ModelRequest, build_prompt
@@ -34,6 +35,7 @@
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BEARER = "Bearer "
 
 
@@ -57,12 +59,14 @@
     dispatcher : Dispatcher
     limits : Limits
     log : Log
+    metrics : Metrics
     """
 
     board: Board
     dispatcher: Dispatcher
     limits: Limits
     log: Log
+    metrics: Metrics
     stopping: bool = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -94,6 +98,9 @@
             await send_bytes(send, 200, b"ok\n")
         elif path == "/readyz":
             await self._send_readiness(send)
+        elif path == "/metrics":
+            text = self.metrics.render()
+            await send_bytes(send, 200, text, [("content-type", METRICS_TYPE)])
         elif path == "/v1/models":
             await self._send_models(scope, send, request)
         elif path in MODEL_PATHS:
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -5,6 +5,7 @@
 from . import __version__
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
+from .commands_metrics import MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -22,6 +23,7 @@
     CheckCommand,
     DemoCommand,
     ExplainCommand,
+    MetricsPageCommand,
     RouterCommand,
     StandinEngineCommand,
     StandinHostsCommand,
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -20,6 +20,7 @@
     "Event",
     "EventsDropped",
     "LogLevel",
+    "PromiseBroken",
     "RequestEnded",
     "RequestRefused",
     "RequestReceived",
@@ -242,7 +243,13 @@
 
 
 class ClaimSettled(Event, frozen=True):
-    """A claim of a non-idempotent call was won, lost or left unknown."""
+    """A claim of a non-idempotent call came to its result.
+
+    Parameters
+    ----------
+    result : str
+        Name of the result's class, ``Claimed`` when the call may run.
+    """
 
     part: ClassVar[str] = "claims"
     request: RequestId
@@ -255,6 +262,26 @@
         return f"settled the claim of {self.request} as {self.result}"
 
 
+class PromiseBroken(Event, frozen=True):
+    """Something that must always hold did not.
+
+    Parameters
+    ----------
+    promise : str
+        A value of ``Promise``.
+    """
+
+    part: ClassVar[str] = "promises"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    promise: str
+    request: str = ""
+    reason: str = ""
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"broke {self.promise}: {self.reason}"
+
+
 class EngineAnswered(Event, frozen=True):
     """An engine finished or lost a call."""
 
@@ -316,6 +343,7 @@
     | DecisionMade
     | EngineAnswered
     | EventsDropped
+    | PromiseBroken
     | RequestEnded
     | RequestReceived
     | RequestRefused
--- a/primrosepier/promise_watch.py
+++ b/primrosepier/promise_watch.py
@@ -21,7 +21,7 @@
 __all__ = ["PromiseWatch"]
 
 LEAVING_BOUND_S = 3.0
-CLAIM_WON = "won"
+CLAIM_WON = "Claimed"
 
 
 @dataclass(slots=True)
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -14,12 +14,13 @@
 from .callers import CallersApp
 from .clocks import Clock
 from .configuration import Configuration
-from .dispatch import make_dispatcher
+from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .gossip import Gossip, make_gossip
 from .ids import Revision
 from .logs import make_log
+from .metrics import Metrics, make_metrics
 from .peers import bind_listener, make_transport, open_peer_server
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
@@ -132,12 +133,26 @@
         board, attempts, make_placement(), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
-    app = CallersApp(board, dispatcher, limits, log)
+    metrics = make_metrics(board, log, platform.clock)
+    app = CallersApp(board, dispatcher, limits, log, metrics)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(platform.store, writer, platform.clock)
+    _register_gauges(metrics, dispatcher, controller)
     return Router(settings, board, platform, app, controller)
 
 
+def _register_gauges(
+    metrics: Metrics, dispatcher: Dispatcher, controller: ConfigurationController
+) -> None:
+    def read(found: Metrics) -> None:
+        outstanding = sum(dispatcher.candidates.outstanding.values())
+        found.set("primrosepier_attempts_in_progress", outstanding)
+        found.set("primrosepier_configuration_revision", controller.revision)
+        found.promises.observe_revision(controller.revision)
+
+    metrics.register(read)
+
+
 @contextlib.asynccontextmanager
 async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
     settings = router.settings
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,211 @@
+import json
+import re
+import time
+from pathlib import Path
+
+import anyio
+import httpcore
+import pytest
+
+from primrosepier.board import make_board
+from primrosepier.clocks import ManualClock
+from primrosepier.demo import open_demo, run_demo_trace
+from primrosepier.log_events import (
+    AttemptEnded,
+    AttemptStarted,
+    ClaimSettled,
+    PromiseBroken,
+    RequestEnded,
+    RequestRefused,
+    ReuseObserved,
+)
+from primrosepier.metric_specs import SPECS, Promise, render_metrics_page
+from primrosepier.metrics import MAX_LABEL_VALUES, Metrics
+
+ROOT = Path(__file__).parent.parent
+NAME = re.compile(r"primrosepier_[a-z_]+")
+SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$")
+
+
+def parse(text):
+    samples = {}
+    for line in text.decode().splitlines():
+        found = SAMPLE.match(line)
+        if found and not line.startswith("#"):
+            samples[found[1], found[2] or ""] = float(found[3])
+    return samples
+
+
+def count_broken(metrics):
+    found = parse(metrics.render())
+    name = "primrosepier_broken_promises_total"
+    return {
+        p: int(found[name, f'promise="{p.value}"'])
+        for p in Promise
+        if found[name, f'promise="{p.value}"']
+    }
+
+
+def make_end(outcome, request="req-1"):
+    return RequestEnded(request, "w", "s", outcome, "relay", "e", "", 100, 50, 1.0, 0.1)
+
+
+def make_start(endpoint="e", request="req-1"):
+    return AttemptStarted(request, "att-1", endpoint, "")
+
+
+def make_attempt_end(outcome, request="req-1"):
+    return AttemptEnded(request, "att-1", "e", outcome, "relay", "", 0, 0.1)
+
+
+def strip_suffix(name):
+    return re.sub(r"_(bucket|sum|count)$", "", name)
+
+
+def test_the_page_is_the_registry():
+    assert (ROOT / "docs" / "metrics.md").read_text() == render_metrics_page()
+    metrics = Metrics(make_board())
+    assert {c.name for c in metrics.registry.get_all()} == {s.name for s in SPECS}
+
+
+@pytest.mark.parametrize("file", ["alerts.yml", "dashboard.json"])
+def test_deployed_files_name_known_metrics(file):
+    text = (ROOT / "deploy" / file).read_text()
+    names = {strip_suffix(name) for name in NAME.findall(text)}
+    assert names
+    assert names <= {spec.name for spec in SPECS}
+    if file == "dashboard.json":
+        assert len(json.loads(text)["panels"]) > 5
+    for page in re.findall(r"runbook: (\S+)", text):
+        assert (ROOT / page).is_file()
+
+
+@pytest.mark.parametrize(
+    ("promise", "events"),
+    [
+        (Promise.COMPLETE_STREAM, [make_end("Interrupted")]),
+        (Promise.GRACEFUL_STOP, [make_end("Cut")]),
+        (Promise.WARM_RESTART, [RequestRefused("req-1", 503, "not_run")]),
+        (Promise.NOT_RUN, [make_attempt_end("Interrupted"), make_end("NotRun")]),
+        (
+            Promise.AT_MOST_ONCE,
+            [
+                ClaimSettled("req-1", "w", "Claimed", 0.01),
+                make_start(),
+                make_attempt_end("UnknownOutcome"),
+                make_start(),
+            ],
+        ),
+        (Promise.OWN_ANSWER, [PromiseBroken("own_answer", "req-1", "crossed")]),
+        (Promise.CACHE_SCOPE, [PromiseBroken("cache_scope", "req-1", "old weights")]),
+    ],
+)
+def test_a_broken_promise_is_counted(promise, events):
+    metrics = Metrics(make_board())
+    assert count_broken(metrics) == {}
+    for event in events:
+        metrics.observe(event)
+    assert count_broken(metrics) == {promise: 1}
+
+
+def test_promises_that_hold_count_nothing():
+    metrics = Metrics(make_board())
+    events = [
+        ClaimSettled("req-1", "w", "Claimed", 0.01),
+        make_start(),
+        make_attempt_end("NotRun"),
+        make_start(),
+        make_attempt_end("Completed"),
+        make_end("Completed"),
+        make_start(request="req-2"),
+        make_attempt_end("NotRun", "req-2"),
+        make_end("NotRun", "req-2"),
+        make_end("CallerLeft", "req-3"),
+    ]
+    for event in events:
+        metrics.observe(event)
+    metrics.promises.observe_revision(7)
+    metrics.promises.observe_revision(7)
+    assert count_broken(metrics) == {}
+    assert not metrics.promises.ran
+    assert not metrics.promises.claimed
+
+
+def test_new_work_for_a_leaving_endpoint_counts_after_its_bound():
+    board, clock = make_board(), ManualClock()
+    metrics = Metrics(board, clock)
+    writer = board.leaving.take_writer("test")
+    writer.write(frozenset({"e"}), clock())
+    metrics.observe(make_start("other"))
+    clock.advance(2.9)
+    metrics.observe(make_start("e"))
+    assert count_broken(metrics) == {}
+    clock.advance(0.2)
+    metrics.observe(make_start("e"))
+    assert count_broken(metrics) == {Promise.LEAVING: 1}
+
+
+def test_a_lower_revision_counts():
+    metrics = Metrics(make_board())
+    metrics.promises.observe_revision(7)
+    metrics.promises.observe_revision(6)
+    assert count_broken(metrics) == {Promise.CONFIGURATION: 1}
+
+
+def test_label_values_are_bounded():
+    metrics = Metrics(make_board())
+    for number in range(3 * MAX_LABEL_VALUES):
+        metrics.observe(RequestRefused(f"req-{number}", 400, f"code-{number}"))
+    found = parse(metrics.render())
+    name = "primrosepier_refused_requests_total"
+    series = {key: value for key, value in found.items() if key[0] == name}
+    assert len(series) == MAX_LABEL_VALUES + 1
+    assert series[name, 'code="other"'] == 2 * MAX_LABEL_VALUES
+
+
+def test_wasted_recomputation_is_what_was_expected_and_not_cached():
+    metrics = Metrics(make_board())
+    metrics.observe(ReuseObserved("req-1", "w", "s", "e", 1000, 800, 300))
+    metrics.observe(ReuseObserved("req-2", "w", "s", "e", 1000, 100, 300))
+    found = parse(metrics.render())
+    label = 'service="s"'
+    assert found["primrosepier_wasted_prompt_tokens_total", label] == 500
+    assert found["primrosepier_cached_prompt_tokens_total", label] == 600
+    assert found["primrosepier_prompt_tokens_total", label] == 2000
+
+
+@pytest.mark.sockets
+def test_routers_serve_their_metrics():
+    async def run():
+        async with open_demo() as demo:
+            await run_demo_trace(demo, 5, 30, lambda count: None)
+            found = []
+            async with httpcore.AsyncConnectionPool() as pool:
+                for url in demo.list_urls():
+                    answer = await pool.request("GET", f"{url}/metrics")
+                    found.append(parse(answer.content))
+            return found
+
+    found = anyio.run(run)
+    name = "primrosepier_requests_total"
+    labels = 'outcome="Completed",service="note-writers"'
+    assert sum(samples[name, labels] for samples in found) == 30
+    for samples in found:
+        broken = [
+            v for k, v in samples.items() if k[0].endswith("broken_promises_total")
+        ]
+        assert broken == [0] * len(Promise)
+        assert samples["primrosepier_configuration_revision", ""] > 0
+
+
+def test_an_event_costs_little():
+    metrics = Metrics(make_board())
+    started = time.thread_time()
+    for _ in range(300):
+        for event in (
+            make_start(),
+            make_attempt_end("Completed"),
+            make_end("Completed"),
+        ):
+            metrics.observe(event)
+    assert (time.thread_time() - started) / 300 < 0.001
