--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -15,11 +15,12 @@
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
 from .configuration_controller import ConfigurationController
-from .dispatch import make_dispatcher
+from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .gossip import Gossip, make_gossip
 from .logs import make_log
+from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
 from .peers import bind_listener, make_transport, open_peer_server
 from .reuse_placement import make_placement
@@ -82,15 +83,29 @@
         board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
-    app = CallersApp(board, dispatcher, limits, log)
+    metrics = make_metrics(board, log, platform.clock)
+    app = CallersApp(board, dispatcher, limits, log, metrics)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
     mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
     mirror.mirror.listeners.append(controller.update)
     claims = make_store_claims(platform.store, settings.host)
+    _register_gauges(metrics, dispatcher, controller)
     return Router(settings, board, platform, app, controller, mirror, claims)
 
 
+def _register_gauges(
+    metrics: Metrics, dispatcher: Dispatcher, controller: ConfigurationController
+) -> None:
+    def read(found: Metrics) -> None:
+        outstanding = sum(dispatcher.candidates.outstanding.values())
+        found.set("primrosepier_attempts_in_progress", outstanding)
+        found.set("primrosepier_configuration_revision", controller.revision)
+        found.promises.observe_revision(controller.revision)
+
+    metrics.register(read)
+
+
 @contextlib.asynccontextmanager
 async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
     settings = router.settings
