Stop routers gracefully and keep work off leaving endpoints

SIGTERM cut every stream, no part wrote the leaving endpoints to the board, and no load was read from endpoints, so that reported load was always 0.

A leaving endpoint is known by its own header, by the host list or from a peer; claims of the list alone are believed for at most half of a service, so that a lying list does not empty it. Routers poll engines' load, at most about 8 a second each, and share it, with suspicions and the demand of each workspace. SIGTERM: not ready, wait, stop listening, finish the streams, tell the peers, exit 0.

Before: SIGTERM under 8 streaming callers ended the process at once. After: no cut stream in the same test, over sockets with the router in its own process.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -35,6 +35,7 @@
 Headers = Sequence[tuple[str, str]]
 
 POLL_S = 0.005
+GRACE_S = 1.0
 JSON_TYPE = ("content-type", "application/json")
 
 
@@ -128,6 +129,18 @@
         transport.abort()
 
 
+def close_connection_after(send: Send) -> Send:
+    """Return a ``send`` whose response ends its connection."""
+
+    async def send_and_close(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_and_close
+
+
 class _EmbeddedServer(uvicorn.Server):
     """A server that leaves the process's signals alone."""
 
@@ -137,13 +150,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_server(app: App, address: str) -> AsyncIterator[str]:
+async def open_server(
+    app: App, address: str, compute_grace: Callable[[], float] = lambda: GRACE_S
+) -> AsyncIterator[str]:
     """Serve an app while the context is open.
 
     Parameters
     ----------
     address : str
         ``IP:PORT``; port 0 takes a free one.
+    compute_grace : callable
+        Returns how long requests in progress may go on at the end, seconds.
 
     Yields
     ------
@@ -175,4 +192,5 @@
         try:
             yield f"{bound[0]}:{bound[1]}"
         finally:
+            config.timeout_graceful_shutdown = compute_grace()  # type: ignore[assignment]
             server.should_exit = True
--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one endpoint, and what the caller has got so far."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -15,8 +16,9 @@
     EndpointClient,
     EndpointResponse,
     classify_error,
+    is_leaving,
 )
-from .ids import AttemptId, make_attempt_id
+from .ids import AttemptId, EndpointId, make_attempt_id
 from .logs import TRACE_HEADER
 from .outcomes import (
     Completed,
@@ -34,6 +36,8 @@
 
 __all__ = ["Attempts", "Delivery", "can_continue", "make_delivery"]
 
+ObserveLeaving = Callable[[EndpointId, bool], None]
+
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
@@ -55,6 +59,10 @@
     headers_at_s: float = 0.0
 
 
+def ignore_leaving(endpoint: EndpointId, leaving: bool) -> None:
+    """Tell nobody; used by a router without peers."""
+
+
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
     """Return the delivery of a request of which nothing went out yet."""
     return Delivery(send)
@@ -65,7 +73,7 @@
     return isinstance(outcome, Interrupted) and outcome.resumable
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempts:
     """Runs attempts.
 
@@ -74,11 +82,14 @@
     client : EndpointClient
     limits : Limits
     clock : Clock
+    observe_leaving : callable
+        Takes each response's endpoint and whether it says that it is leaving.
     """
 
     client: EndpointClient
     limits: Limits
     clock: Clock = time.monotonic
+    observe_leaving: ObserveLeaving = ignore_leaving
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
@@ -102,6 +113,7 @@
             async with self.client.open(call) as response:
                 delivery.headers_at_s = self.clock()
                 record.mark_headers()
+                self.observe_leaving(endpoint.id, is_leaving(response.headers))
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -11,6 +11,7 @@
     Receive,
     Scope,
     Send,
+    close_connection_after,
     find_header,
     read_json,
     send_bytes,
@@ -68,6 +69,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         request = make_request_id()
+        if self.stopping:
+            send = close_connection_after(send)
         if scope["path"] in QUIET_PATHS:
             await self._answer(request, scope, receive, send)
             return
--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -10,8 +10,8 @@
 from .errors import SettingsError
 from .etcd import make_etcd_store
 from .revisions import ApplyOutcome, ApplyResult, apply_configuration
-from .router import open_router
-from .settings import RouterSettings, load_settings
+from .settings import load_settings
+from .stopping import run_router
 
 __all__ = ["ApplyCommand", "CheckCommand", "RouterCommand"]
 
@@ -69,11 +69,6 @@
         return 0 if outcome.result is ApplyResult.APPLIED else 1
 
 
-async def _run_router(settings: RouterSettings) -> None:
-    async with open_router(settings):
-        await anyio.sleep_forever()
-
-
 class RouterCommand(Command):
     """Run one router."""
 
@@ -88,5 +83,5 @@
         except SettingsError as error:
             self.line_error(str(error))
             return 1
-        anyio.run(_run_router, settings)
+        anyio.run(run_router, settings)
         return 0
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -21,6 +21,7 @@
     "RELAY_ERRORS",
     "classify_error",
     "is_connection_lost",
+    "is_leaving",
     "make_endpoint_client",
 ]
 
@@ -35,6 +36,7 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
+LEAVING_HEADER = b"x-endpoint-leaving"
 IDLE_CONNECTIONS = 64
 KEEPALIVE_S = 20.0
 
@@ -143,6 +145,14 @@
         self.idle.clear()
 
 
+def is_leaving(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a response's headers say that its endpoint is leaving."""
+    return any(
+        name.lower() == LEAVING_HEADER and value.strip() == b"1"
+        for name, value in headers
+    )
+
+
 def classify_error(error: Exception, peer: str) -> NotRun | UnknownOutcome:
     """Return what an error before the first byte of the answer means."""
     if isinstance(error, CONNECT_ERRORS):
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -61,7 +61,8 @@
     is_ready, is_stopping : callable
         State of this router for those who ask.
     on_round : list of callable
-        Called with the time at the start of each round; publishers of digests.
+        Called with the time at the start of each round, and when urgent digests
+        arrived.
     """
 
     membership: Membership
@@ -90,17 +91,23 @@
 
     def _start_round(self, now_s: float, group: TaskGroup) -> None:
         self.membership.revision = self.source.revision
-        for publish in self.on_round:
-            publish(now_s)
+        self._call_listeners(now_s)
         begun = self.membership.start_round(now_s)
         if begun.probe is not None:
             group.start_soon(self._probe, begun, begun.probe)
         if begun.reconnect:
             group.start_soon(self._synchronize, begun.reconnect, None)
-        if self.membership.digests.urgent:
-            group.start_soon(self.push)
         self.writer.write(frozenset(self.membership.list_live()), now_s)
 
+    def _call_listeners(self, now_s: float) -> None:
+        for listener in self.on_round:
+            listener(now_s)
+
+    def start_push(self) -> None:
+        """Send urgent digests without waiting for the answers."""
+        if self.group is not None:
+            self.group.start_soon(self.push)
+
     async def _probe(self, begun: Round, target: MemberRecord) -> None:
         host = HostId(target.host)
         if await self._exchange(target.address, host, PROBE_TIMEOUT_S):
@@ -146,7 +153,8 @@
         if self.group is None:
             return
         if self.membership.digests.urgent:
-            self.group.start_soon(self.push)
+            self.start_push()
+            self._call_listeners(time.monotonic())
         if message.revision > self.source.revision and not self.fetching:
             self.fetching = True
             address = message.sender.address
@@ -195,6 +203,7 @@
             if isinstance(reply, Exchange):
                 answered.append(neighbour.host)
                 self.membership.receive(reply, time.monotonic())
+                self._follow_up(reply)
 
         async with anyio.create_task_group() as group:
             for neighbour in self.membership.list_neighbours():
--- /dev/null
+++ b/primrosepier/leaving_controller.py
@@ -0,0 +1,121 @@
+"""Keeps the leaving endpoints on the board, with the host list and all peers."""
+
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import msgspec
+
+from .board import Board, SectionWriter
+from .clocks import Clock
+from .gossip import Gossip
+from .hosts import HostGroup, HostListClient, match_hosts
+from .ids import EndpointId
+from .leaving import LeavingLedger, LeavingView, PeerSigns
+from .peers import PeerFailure
+
+__all__ = ["LeavingController", "compute_poll_interval"]
+
+DIGEST = "leaving"
+DIGEST_TTL_S = 60.0
+RENEW_S = 20.0
+POLL_S = 1.0
+FLEET_POLLS_PER_S = 20.0
+
+
+class LeavingDigest(msgspec.Struct, frozen=True, array_like=True):
+    """What one router tells the others about leaving endpoints."""
+
+    signed: list[EndpointId] = []
+    listed: list[EndpointId] = []
+
+
+def compute_poll_interval(routers: int) -> float:
+    """Return the seconds between reads of the host list at one router."""
+    return max(POLL_S, routers / FLEET_POLLS_PER_S)
+
+
+@dataclass(slots=True)
+class LeavingController:
+    """Joins the signs of this router, its peers and the host list.
+
+    Parameters
+    ----------
+    hosts : HostListClient or None
+        None when there is no host list.
+    """
+
+    board: Board
+    writer: SectionWriter[frozenset[EndpointId]]
+    gossip: Gossip
+    hosts: HostListClient | None = None
+    clock: Clock = time.monotonic
+    random: Random = field(default_factory=Random)
+    ledger: LeavingLedger = field(default_factory=LeavingLedger)
+    view: LeavingView = LeavingView()
+    groups: list[HostGroup] = field(default_factory=list)
+    merged: dict[str, tuple[int, int]] = field(default_factory=dict)
+    published: LeavingDigest = LeavingDigest()
+    published_at_s: float = float("-inf")
+    failures: int = 0
+
+    async def run(self) -> None:
+        """Read the host list until cancelled."""
+        while self.hosts is not None:
+            groups = await self.hosts.read()
+            if isinstance(groups, PeerFailure):
+                self.failures += 1
+            else:
+                self.groups = groups
+                self.update(self.clock())
+            interval_s = compute_poll_interval(1 + len(self.board.peers.value))
+            await anyio.sleep(interval_s * self.random.uniform(0.8, 1.0))
+
+    def observe_response(self, endpoint: EndpointId, leaving: bool) -> None:
+        """Take in what a response said of its endpoint."""
+        now_s = self.clock()
+        if self.ledger.record_response(endpoint, leaving, now_s):
+            self.update(now_s)
+
+    def update(self, now_s: float) -> None:
+        """Decide anew, write the board, and tell the peers what changed."""
+        configuration = self.board.configuration.value
+        if configuration is None:
+            return
+        if self.groups:
+            self.ledger.take_list(match_hosts(self.groups, configuration))
+        self._merge_peers(now_s)
+        self.view = self.ledger.decide(configuration, now_s)
+        self.writer.write(self.view.leaving, now_s)
+        signed = sorted(self.ledger.list_own_signs(now_s))
+        own = LeavingDigest(signed, sorted(self.view.listed))
+        changed = own != self.published
+        empty = not own.signed and not own.listed
+        due = not empty and now_s - self.published_at_s >= RENEW_S
+        if changed or due:
+            self._publish(own, now_s, changed)
+
+    def _merge_peers(self, now_s: float) -> None:
+        digests = self.gossip.membership.digests
+        for host, digest in digests.read(DIGEST, now_s).items():
+            if host == digests.host or self.merged.get(host) == digest.version:
+                continue
+            self.merged[host] = digest.version
+            try:
+                told = msgspec.msgpack.decode(digest.record.data, type=LeavingDigest)
+            except msgspec.DecodeError:
+                continue
+            signs = PeerSigns(
+                frozenset(told.signed), frozenset(told.listed), digest.expires_at_s
+            )
+            self.ledger.merge(host, signs)
+
+    def _publish(self, own: LeavingDigest, now_s: float, urgent: bool) -> None:
+        self.published = own
+        self.published_at_s = now_s
+        data = msgspec.msgpack.encode(own)
+        digests = self.gossip.membership.digests
+        digests.publish(DIGEST, data, DIGEST_TTL_S, now_s, urgent)
+        if urgent:
+            self.gossip.start_push()
--- /dev/null
+++ b/primrosepier/load_reports.py
@@ -0,0 +1,205 @@
+"""Reads what endpoints report of their load, and shares it among routers."""
+
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import httpcore
+import msgspec
+import xxhash
+
+from .board import Board, SectionWriter
+from .clocks import Clock
+from .configuration import Endpoint, ServiceKind
+from .engines import EndpointCall, EndpointClient, is_leaving
+from .gossip import Gossip
+from .ids import EndpointId, HostId
+from .loads import EndpointLoad
+
+__all__ = [
+    "LoadReports",
+    "choose_pollers",
+    "compute_renewal",
+    "parse_load",
+]
+
+DIGEST = "load"
+POLL_S = 1.0
+POLLS_PER_S = 8
+POLL_TIMEOUT_S = 1.0
+MAX_METRICS_BYTES = 1024 * 1024
+MS_PER_S = 1000
+DIGEST_BYTES_PER_S = 600
+DIGEST_BYTES = 100
+MIN_RENEWAL_S = 2.0
+LOAD_LINE = re.compile(
+    rb"^(?:\w+:)?num_requests_(running|waiting)(?:\{[^}]*\})? ([0-9.eE+]+)", re.M
+)
+
+
+class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of one endpoint as a router tells it."""
+
+    endpoint: EndpointId
+    running: int = 0
+    waiting: int = 0
+    age_ms: int = 0
+
+
+def parse_load(data: bytes, now_s: float) -> EndpointLoad | None:
+    """Return the load in Prometheus text, or None when there is none in it."""
+    found = {"running": 0, "waiting": 0}
+    seen = False
+    for name, value in LOAD_LINE.findall(data):
+        try:
+            found[name.decode()] += int(float(value))
+        except (ValueError, OverflowError):
+            return None
+        seen = True
+    if not seen:
+        return None
+    return EndpointLoad(found["running"], found["waiting"], now_s)
+
+
+def choose_pollers(
+    endpoint: EndpointId, routers: list[HostId], endpoints: int
+) -> list[HostId]:
+    """Return the routers that read an endpoint's load.
+
+    Each router reads at most about ``POLLS_PER_S`` endpoints; a small fleet reads
+    all endpoints everywhere.
+    """
+    count = max(1, POLLS_PER_S * len(routers) // max(1, endpoints))
+    if count >= len(routers):
+        return routers
+
+    def rank(host: HostId) -> int:
+        return xxhash.xxh64_intdigest(f"{endpoint}/{host}".encode())
+
+    return sorted(routers, key=rank)[:count]
+
+
+def compute_renewal(routers: int) -> float:
+    """Return the seconds between a router's digests, so that all fit the bound."""
+    return max(MIN_RENEWAL_S, routers * DIGEST_BYTES / DIGEST_BYTES_PER_S)
+
+
+@dataclass(slots=True)
+class LoadReports:
+    """Polls endpoints and merges the reports of other routers.
+
+    Parameters
+    ----------
+    observe_leaving : callable
+        Takes each response's endpoint and whether it says that it is leaving.
+    """
+
+    board: Board
+    writer: SectionWriter[dict[EndpointId, EndpointLoad]]
+    client: EndpointClient
+    gossip: Gossip
+    observe_leaving: Callable[[EndpointId, bool], None]
+    clock: Clock = time.monotonic
+    random: Random = field(default_factory=Random)
+    own: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
+    published_at_s: float = float("-inf")
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            async with anyio.create_task_group() as group:
+                for endpoint in self._list_polled():
+                    group.start_soon(self._poll, endpoint)
+            self.update(self.clock())
+            await anyio.sleep(POLL_S * self.random.uniform(0.8, 1.0))
+
+    def _list_polled(self) -> list[Endpoint]:
+        configuration = self.board.configuration.value
+        if configuration is None:
+            return []
+        engines = [
+            endpoint
+            for endpoint in configuration.endpoints.values()
+            if configuration.services[endpoint.service].kind is ServiceKind.ENGINE
+        ]
+        own = HostId(self.gossip.membership.own.host)
+        routers = sorted({own, *self.gossip.membership.list_live()})
+        return [
+            endpoint
+            for endpoint in engines
+            if own in choose_pollers(endpoint.id, routers, len(engines))
+        ]
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        call = EndpointCall(
+            endpoint.address, "GET", "/metrics", (), b"", POLL_TIMEOUT_S, POLL_TIMEOUT_S
+        )
+        try:
+            with anyio.fail_after(POLL_TIMEOUT_S):
+                async with self.client.open(call) as response:
+                    self.observe_leaving(endpoint.id, is_leaving(response.headers))
+                    data = b""
+                    async for part in response.aiter_stream():
+                        data += part
+                        if len(data) > MAX_METRICS_BYTES:
+                            return
+        except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
+            return
+        except httpcore.TimeoutException:
+            return
+        load = parse_load(data, self.clock())
+        if load is not None:
+            self.own[endpoint.id] = load
+
+    def update(self, now_s: float) -> None:
+        """Write the newest report of each endpoint, and publish this router's."""
+        merged = dict(self.board.load.value)
+        merged.update(self.own)
+        for digest in self.gossip.membership.digests.read(DIGEST, now_s).values():
+            if digest.record.host != self.gossip.membership.own.host:
+                _merge_shared(merged, digest.record.data, digest.received_at_s)
+        self.writer.write(merged, now_s)
+        routers = 1 + len(self.board.peers.value)
+        renewal_s = compute_renewal(routers)
+        if now_s - self.published_at_s >= renewal_s and self._is_shared(routers):
+            self._publish(now_s, renewal_s)
+
+    def _is_shared(self, routers: int) -> bool:
+        configuration = self.board.configuration.value
+        if configuration is None or routers == 1:
+            return False
+        return POLLS_PER_S * routers // max(1, len(configuration.endpoints)) < routers
+
+    def _publish(self, now_s: float, renewal_s: float) -> None:
+        self.published_at_s = now_s
+        shared = [
+            SharedLoad(
+                endpoint,
+                load.running,
+                load.waiting,
+                int((now_s - load.reported_at_s) * MS_PER_S),
+            )
+            for endpoint, load in self.own.items()
+            if now_s - load.reported_at_s < renewal_s
+        ]
+        data = msgspec.msgpack.encode(shared)
+        digests = self.gossip.membership.digests
+        digests.publish(DIGEST, data, 2 * renewal_s, now_s)
+
+
+def _merge_shared(
+    merged: dict[EndpointId, EndpointLoad], data: bytes, received_at_s: float
+) -> None:
+    try:
+        shared = msgspec.msgpack.decode(data, type=list[SharedLoad])
+    except msgspec.DecodeError:
+        return
+    for entry in shared:
+        reported_at_s = received_at_s - entry.age_ms / MS_PER_S
+        known = merged.get(entry.endpoint)
+        if known is None or known.reported_at_s < reported_at_s:
+            load = EndpointLoad(entry.running, entry.waiting, reported_at_s)
+            merged[entry.endpoint] = load
--- /dev/null
+++ b/primrosepier/peering.py
@@ -0,0 +1,124 @@
+"""The part of a router that works with other routers and the host list."""
+
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from anyio.abc import TaskGroup
+
+from .attempt import Attempts
+from .board import Board
+from .clocks import Clock
+from .dispatch import Dispatcher
+from .engines import EndpointClient
+from .gossip import ConfigurationSource, Gossip, make_gossip
+from .hosts import make_host_list_client
+from .leaving_controller import LeavingController
+from .load_reports import LoadReports
+from .peers import bind_listener, make_transport, open_peer_server
+from .settings import RouterSettings
+from .sharing import Sharing
+
+__all__ = ["LocalParts", "Peering", "open_peering"]
+
+
+@dataclass(frozen=True, slots=True)
+class LocalParts:
+    """Parts of this router that peers hear of and act on."""
+
+    settings: RouterSettings
+    board: Board
+    client: EndpointClient
+    attempts: Attempts
+    dispatcher: Dispatcher
+    source: ConfigurationSource
+    is_ready: Callable[[], bool]
+    is_stopping: Callable[[], bool]
+    clock: Clock = time.monotonic
+
+
+@dataclass(frozen=True, slots=True)
+class Peering:
+    """Controllers that share state among routers.
+
+    Parameters
+    ----------
+    address : str
+        Where other routers reach this one.
+    """
+
+    address: str
+    gossip: Gossip
+    leaving: LeavingController
+    loads: LoadReports
+    sharing: Sharing
+
+    def start(self, group: TaskGroup) -> None:
+        """Run the controllers in a task group."""
+        self.gossip.on_round += [self.sharing.update, self.leaving.update]
+        group.start_soon(self.gossip.run)
+        group.start_soon(self.leaving.run)
+        group.start_soon(self.loads.run)
+
+
+def _make_leaving(parts: LocalParts, gossip: Gossip) -> LeavingController:
+    url = parts.settings.hosts_url
+    return LeavingController(
+        board=parts.board,
+        writer=parts.board.leaving.take_writer("leaving"),
+        gossip=gossip,
+        hosts=make_host_list_client(url) if url else None,
+        clock=parts.clock,
+    )
+
+
+def _make_loads(
+    parts: LocalParts, gossip: Gossip, leaving: LeavingController
+) -> LoadReports:
+    return LoadReports(
+        board=parts.board,
+        writer=parts.board.load.take_writer("load reports"),
+        client=parts.client,
+        gossip=gossip,
+        observe_leaving=leaving.observe_response,
+        clock=parts.clock,
+    )
+
+
+def _make_sharing(parts: LocalParts, gossip: Gossip) -> Sharing:
+    return Sharing(
+        gossip=gossip,
+        suspects=parts.dispatcher.candidates.suspects,
+        limiter=parts.dispatcher.workspaces,
+        demands=parts.board.usage.take_writer("sharing"),
+        clock=parts.clock,
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_peering(parts: LocalParts, group: TaskGroup) -> AsyncIterator[Peering]:
+    """Work with other routers while the context is open, and say goodbye after."""
+    listener = bind_listener(parts.settings.peers_address)
+    host, port = listener.getsockname()[:2]
+    address = f"{host}:{port}"
+    transport = make_transport(parts.settings.peer_key)
+    gossip = make_gossip(
+        parts.settings,
+        address,
+        transport,
+        parts.source,
+        parts.board,
+        parts.is_ready,
+        parts.is_stopping,
+    )
+    leaving = _make_leaving(parts, gossip)
+    loads = _make_loads(parts, gossip, leaving)
+    peering = Peering(address, gossip, leaving, loads, _make_sharing(parts, gossip))
+    parts.attempts.observe_leaving = leaving.observe_response
+    parts.dispatcher.share = peering.sharing.share
+    async with open_peer_server(gossip, transport.codec, listener):
+        peering.start(group)
+        yield peering
+        await gossip.leave()
+    transport.close()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from .asgi import open_server
 from .attempt import Attempts
@@ -17,10 +16,9 @@
 from .dispatch import make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .gossip import Gossip, make_gossip
 from .ids import Revision
 from .logs import make_log
-from .peers import bind_listener, make_transport, open_peer_server
+from .peering import LocalParts, Peering, open_peering
 from .placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
@@ -36,6 +34,7 @@
 ]
 
 RETRY_S = 0.2
+ABORT_GRACE_S = 1.0
 
 
 @dataclass(slots=True)
@@ -120,7 +119,11 @@
     configuration: ConfigurationController
     callers_address: str = ""
     peers_address: str = ""
-    gossip: Gossip | None = None
+    peering: Peering | None = None
+
+    def compute_grace(self) -> float:
+        """Return the bound on requests in progress at the end, seconds."""
+        return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
 
 
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
@@ -138,27 +141,20 @@
     return Router(settings, board, platform, app, controller)
 
 
-@contextlib.asynccontextmanager
-async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
-    settings = router.settings
-    listener = bind_listener(settings.peers_address)
-    address, port = listener.getsockname()[:2]
-    router.peers_address = f"{address}:{port}"
-    transport = make_transport(settings.peer_key)
-    gossip = make_gossip(
-        settings,
-        router.peers_address,
-        transport,
-        router.configuration,
-        router.board,
-        router.app.is_ready,
-        lambda: router.app.stopping,
+def make_local_parts(router: Router) -> LocalParts:
+    """Return the parts of a router that its peers hear of and act on."""
+    app = router.app
+    return LocalParts(
+        settings=router.settings,
+        board=router.board,
+        client=router.platform.client,
+        attempts=app.dispatcher.attempts,
+        dispatcher=app.dispatcher,
+        source=router.configuration,
+        is_ready=app.is_ready,
+        is_stopping=lambda: app.stopping,
+        clock=router.platform.clock,
     )
-    router.gossip = gossip
-    async with open_peer_server(gossip, transport.codec, listener):
-        group.start_soon(gossip.run)
-        yield gossip
-    transport.close()
 
 
 @contextlib.asynccontextmanager
@@ -168,10 +164,12 @@
     async with anyio.create_task_group() as group:
         group.start_soon(router.configuration.run)
         async with (
-            _open_gossip(router, group),
-            open_server(router.app, settings.callers_address) as address,
+            open_peering(make_local_parts(router), group) as router.peering,
+            open_server(
+                router.app, settings.callers_address, router.compute_grace
+            ) as router.callers_address,
         ):
-            router.callers_address = address
+            router.peers_address = router.peering.address
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
--- /dev/null
+++ b/primrosepier/sharing.py
@@ -0,0 +1,147 @@
+"""Shares suspicions and the demand of workspaces among routers."""
+
+import time
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .board import SectionWriter
+from .clocks import Clock
+from .gossip import Gossip
+from .ids import EndpointId, HostId, WorkspaceId
+from .limits import Demand, WorkspaceLimiter
+from .load_reports import compute_renewal
+from .suspects import SuspectLedger, Suspicion
+
+__all__ = ["Sharing"]
+
+SUSPECTS = "suspects"
+USAGE = "usage"
+RENEW_SUSPECTS_S = 60.0
+SUSPECTS_TTL_S = 180.0
+MAX_SHARED_SUSPECTS = 64
+MAX_SHARED_WORKSPACES = 16
+MIN_SHARED_RATE = 0.01
+
+
+class SharedSuspicion(msgspec.Struct, frozen=True, array_like=True):
+    """A suspicion with the time that it has left."""
+
+    fingerprint: int
+    lost: list[EndpointId] = []
+    confirmed: bool = False
+    left_s: float = 0.0
+
+
+class SharedRate(msgspec.Struct, frozen=True, array_like=True):
+    """Requests a second of one workspace at one router."""
+
+    workspace: WorkspaceId
+    requests_per_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Sharing:
+    """Publishes what this router saw, and takes in what others did.
+
+    Parameters
+    ----------
+    demands : SectionWriter
+        Of the board's ``usage``.
+    """
+
+    gossip: Gossip
+    suspects: SuspectLedger
+    limiter: WorkspaceLimiter
+    demands: SectionWriter[dict[WorkspaceId, Demand]]
+    clock: Clock = time.monotonic
+    merged: dict[HostId, tuple[int, int]] = field(default_factory=dict)
+    usage_at_s: float = float("-inf")
+    suspects_at_s: float = float("-inf")
+
+    async def share(self, suspicions: Sequence[Suspicion]) -> None:
+        """Tell all neighbours of suspicions; return when they know, or timed out."""
+        self._publish_suspects(self.clock(), urgent=True)
+        await self.gossip.push()
+
+    def update(self, now_s: float) -> None:
+        """Take in the digests of others and renew this router's own."""
+        self._merge_suspects(now_s)
+        self._write_demands(now_s)
+        if now_s - self.usage_at_s >= self._compute_renewal():
+            self._publish_usage(now_s)
+        if self.suspects.suspicions and now_s - self.suspects_at_s >= RENEW_SUSPECTS_S:
+            self._publish_suspects(now_s, urgent=False)
+
+    def _compute_renewal(self) -> float:
+        return compute_renewal(1 + len(self.gossip.membership.list_live()))
+
+    def _publish_suspects(self, now_s: float, urgent: bool) -> None:
+        self.suspects_at_s = now_s
+        newest = sorted(self.suspects.suspicions.values(), key=lambda s: -s.until_s)
+        shared = [
+            SharedSuspicion(s.fingerprint, list(s.lost), s.confirmed, s.until_s - now_s)
+            for s in newest[:MAX_SHARED_SUSPECTS]
+        ]
+        data = msgspec.msgpack.encode(shared)
+        digests = self.gossip.membership.digests
+        digests.publish(SUSPECTS, data, SUSPECTS_TTL_S, now_s, urgent)
+
+    def _merge_suspects(self, now_s: float) -> None:
+        digests = self.gossip.membership.digests
+        for host, digest in digests.read(SUSPECTS, now_s).items():
+            if host == digests.host or self.merged.get(host) == digest.version:
+                continue
+            self.merged[host] = digest.version
+            told = _decode_suspicions(digest.record.data, digest.received_at_s)
+            self.suspects.merge(s for s in told if s.until_s > now_s)
+
+    def _publish_usage(self, now_s: float) -> None:
+        self.usage_at_s = now_s
+        rates = self.limiter.list_demand(now_s)
+        busiest = sorted(rates.items(), key=lambda item: -item[1])
+        shared = [
+            SharedRate(workspace, round(rate, 3))
+            for workspace, rate in busiest[:MAX_SHARED_WORKSPACES]
+            if rate >= MIN_SHARED_RATE
+        ]
+        data = msgspec.msgpack.encode(shared)
+        ttl_s = 2 * self._compute_renewal()
+        self.gossip.membership.digests.publish(USAGE, data, ttl_s, now_s)
+
+    def _write_demands(self, now_s: float) -> None:
+        digests = self.gossip.membership.digests
+        totals: dict[WorkspaceId, float] = {}
+        oldest_s = now_s
+        found = digests.read(USAGE, now_s)
+        found.pop(digests.host, None)
+        for digest in found.values():
+            oldest_s = min(oldest_s, digest.received_at_s)
+            for entry in _decode_rates(digest.record.data):
+                rate = totals.get(entry.workspace, 0.0) + entry.requests_per_s
+                totals[entry.workspace] = rate
+        routers = 1 + len(self.gossip.membership.list_live())
+        names = {*totals, *self.limiter.usage}
+        demands = {
+            name: Demand(totals.get(name, 0.0), routers, oldest_s) for name in names
+        }
+        self.demands.write(demands, now_s)
+
+
+def _decode_suspicions(data: bytes, received_at_s: float) -> Iterable[Suspicion]:
+    try:
+        shared = msgspec.msgpack.decode(data, type=list[SharedSuspicion])
+    except msgspec.DecodeError:
+        return []
+    return [
+        Suspicion(s.fingerprint, tuple(s.lost), s.confirmed, received_at_s + s.left_s)
+        for s in shared
+    ]
+
+
+def _decode_rates(data: bytes) -> list[SharedRate]:
+    try:
+        return msgspec.msgpack.decode(data, type=list[SharedRate])
+    except msgspec.DecodeError:
+        return []
--- /dev/null
+++ b/primrosepier/stopping.py
@@ -0,0 +1,31 @@
+"""Planned stop of a router process."""
+
+import signal
+
+import anyio
+
+from .router import Router, open_router
+from .settings import RouterSettings
+
+__all__ = ["drain_router", "run_router"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+async def drain_router(router: Router) -> None:
+    """Take the router out of service; what it serves goes on.
+
+    Leaving the router's context afterwards ends the listening and waits for the
+    requests in progress.
+    """
+    router.app.stopping = True
+    await anyio.sleep(router.settings.stop_wait_s)
+
+
+async def run_router(settings: RouterSettings) -> None:
+    """Run a router until the process is told to stop; later signals are ignored."""
+    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async with open_router(settings) as router:
+            async for _ in signals:
+                break
+            await drain_router(router)
