--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -1,7 +1,9 @@
 """Exceptions raised by the package."""
 
 __all__ = [
+    "CompactedError",
     "ConfigurationError",
+    "LeaseNotFoundError",
     "MessageError",
     "PrimrosepierError",
     "RequestError",
@@ -39,6 +41,14 @@
     """An operators' file is not valid."""
 
 
+class CompactedError(PrimrosepierError):
+    """The revision asked for is older than the history that is kept."""
+
+
+class LeaseNotFoundError(PrimrosepierError):
+    """The lease lapsed, was revoked or never was."""
+
+
 class MessageError(PrimrosepierError):
     """Bytes from a peer are not a message that may be used."""
 
