--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -19,7 +19,7 @@
 from .ids import Revision
 from .logs import make_log
 from .peering import LocalParts, Peering, open_peering
-from .placement import make_placement
+from .reuse_placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
 from .store import Item, Store, Unavailable
@@ -132,7 +132,7 @@
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
-        board, attempts, make_placement(), limits, platform.clock
+        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
     app = CallersApp(board, dispatcher, limits, log)
