--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -9,10 +9,16 @@
 from .configuration import Configuration, load_configuration
 from .errors import SettingsError
 from .etcd import make_etcd_store
+<<<<<<< HEAD
 from .ids import Revision
 from .publishing import ApplyOutcome, ApplyResult, apply_configuration
 from .router import open_router
 from .settings import RouterSettings, load_settings
+=======
+from .revisions import ApplyOutcome, ApplyResult, apply_configuration
+from .settings import load_settings
+from .stopping import run_router
+>>>>>>> main
 
 __all__ = ["ApplyCommand", "CheckCommand", "RouterCommand"]
 
@@ -89,11 +95,6 @@
         return 0 if outcome.result in done else 1
 
 
-async def _run_router(settings: RouterSettings) -> None:
-    async with open_router(settings):
-        await anyio.sleep_forever()
-
-
 class RouterCommand(Command):
     """Run one router."""
 
@@ -108,5 +109,5 @@
         except SettingsError as error:
             self.line_error(str(error))
             return 1
-        anyio.run(_run_router, settings)
+        anyio.run(run_router, settings)
         return 0
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from .asgi import open_server
 from .attempt import Attempts
@@ -18,11 +17,10 @@
 from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .gossip import Gossip, make_gossip
 from .logs import make_log
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
-from .peers import bind_listener, make_transport, open_peer_server
+from .peering import LocalParts, Peering, open_peering
 from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
@@ -36,6 +34,8 @@
     "open_router",
 ]
 
+ABORT_GRACE_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Platform:
@@ -71,7 +71,11 @@
     claims: StoreClaims
     callers_address: str = ""
     peers_address: str = ""
-    gossip: Gossip | None = None
+    peering: Peering | None = None
+
+    def compute_grace(self) -> float:
+        """Return the bound on requests in progress at the end, seconds."""
+        return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
 
 
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
@@ -106,27 +110,20 @@
     metrics.register(read)
 
 
-@contextlib.asynccontextmanager
-async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
-    settings = router.settings
-    listener = bind_listener(settings.peers_address)
-    address, port = listener.getsockname()[:2]
-    router.peers_address = f"{address}:{port}"
-    transport = make_transport(settings.peer_key)
-    gossip = make_gossip(
-        settings,
-        router.peers_address,
-        transport,
-        router.configuration,
-        router.board,
-        router.app.is_ready,
-        lambda: router.app.stopping,
+def make_local_parts(router: Router) -> LocalParts:
+    """Return the parts of a router that its peers hear of and act on."""
+    app = router.app
+    return LocalParts(
+        settings=router.settings,
+        board=router.board,
+        client=router.platform.client,
+        attempts=app.dispatcher.attempts,
+        dispatcher=app.dispatcher,
+        source=router.configuration,
+        is_ready=app.is_ready,
+        is_stopping=lambda: app.stopping,
+        clock=router.platform.clock,
     )
-    router.gossip = gossip
-    async with open_peer_server(gossip, transport.codec, listener):
-        group.start_soon(gossip.run)
-        yield gossip
-    transport.close()
 
 
 @contextlib.asynccontextmanager
@@ -137,10 +134,12 @@
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
         async with (
-            _open_gossip(router, group),
-            open_server(router.app, settings.callers_address) as address,
+            open_peering(make_local_parts(router), group) as router.peering,
+            open_server(
+                router.app, settings.callers_address, router.compute_grace
+            ) as router.callers_address,
         ):
-            router.callers_address = address
+            router.peers_address = router.peering.address
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
