--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -9,16 +9,10 @@
 from .configuration import Configuration, load_configuration
 from .errors import SettingsError
 from .etcd import make_etcd_store
-<<<<<<< HEAD
 from .ids import Revision
 from .publishing import ApplyOutcome, ApplyResult, apply_configuration
-from .router import open_router
-from .settings import RouterSettings, load_settings
-=======
-from .revisions import ApplyOutcome, ApplyResult, apply_configuration
 from .settings import load_settings
 from .stopping import run_router
->>>>>>> main
 
 __all__ = ["ApplyCommand", "CheckCommand", "RouterCommand"]
 
