Show the fleet's state and script the scenarios of leaving endpoints

Operators could not see which revision each router has in force. `status` asks one router for the members and each of them for its own state. The scenarios run three routers over sockets: list alone, list down, lagging, empty, store down.

A router writes its peers to the board when it learns of them, no longer with the next round only.

--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -16,6 +16,7 @@
     StandinStoreCommand,
     StandinWeightsCommand,
 )
+from .commands_status import StatusCommand
 
 __all__ = ["main", "make_application"]
 
@@ -34,6 +35,7 @@
     StandinStoreCommand,
     StandinWeightsCommand,
     TimelineCommand,
+    StatusCommand,
 )
 
 
--- /dev/null
+++ b/primrosepier/commands_status.py
@@ -0,0 +1,80 @@
+"""The status command."""
+
+from dataclasses import asdict
+from pathlib import Path
+
+import anyio
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from .errors import SettingsError
+from .peers import PeerFailure, make_transport
+from .settings import load_settings
+from .status import FleetStatus, RouterStatus, read_fleet_status
+
+__all__ = ["StatusCommand"]
+
+HEADER = ["host", "state", "revision", "ready", "version", "leaving endpoints"]
+
+
+async def _read(address: str, key: str) -> FleetStatus | PeerFailure:
+    transport = make_transport(key)
+    try:
+        return await read_fleet_status(transport, address)
+    finally:
+        transport.close()
+
+
+def _make_row(router: RouterStatus) -> list[str]:
+    ready = "stopping" if router.stopping else "yes" if router.ready else "no"
+    return [
+        router.host,
+        router.state if router.reachable else f"{router.state}, no answer",
+        "-" if router.revision is None else str(router.revision),
+        ready if router.reachable else "-",
+        router.version or "-",
+        ", ".join(router.leaving) or "-",
+    ]
+
+
+class StatusCommand(Command):
+    """Show the members and the revision in force on each router."""
+
+    name = "status"
+    description = "Show the members and the revision in force on each router."
+    options = [
+        option("settings", "s", "Settings file of a router.", flag=False),
+        option("address", None, "Peers address of a router to ask.", flag=False),
+        option("json", None, "Print JSON."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            settings = load_settings(Path(self.option("settings") or ""))
+        except SettingsError as error:
+            self.line_error(str(error))
+            return 1
+        address = self.option("address") or settings.peers_address
+        found = anyio.run(_read, address, settings.peer_key)
+        if isinstance(found, PeerFailure):
+            self.line_error(f"{found.peer}: {found.reason}")
+            return 1
+        self._print(found)
+        return 0
+
+    def _print(self, found: FleetStatus) -> None:
+        if self.option("json"):
+            routers = [asdict(router) for router in found.routers]
+            report = {
+                "revision": found.revision,
+                "behind": found.list_behind(),
+                "routers": routers,
+            }
+            self.line(msgspec.json.encode(report).decode())
+            return
+        rows = [_make_row(router) for router in found.routers]
+        self.render_table(HEADER, rows)  # type: ignore[arg-type]
+        behind = found.list_behind()
+        self.line(f"newest revision {found.revision}, behind: {len(behind)}")
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -99,6 +99,9 @@
             group.start_soon(self._probe, begun, begun.probe)
         if begun.reconnect:
             group.start_soon(self._synchronize, begun.reconnect, None)
+        self._write_peers(now_s)
+
+    def _write_peers(self, now_s: float) -> None:
         self.writer.write(frozenset(self.membership.list_live()), now_s)
 
     def _call_listeners(self, now_s: float) -> None:
@@ -151,7 +154,9 @@
         await self._exchange(address, host, JOIN_TIMEOUT_S, whole=True)
 
     def _follow_up(self, message: Exchange) -> None:
-        """Forward what is urgent, and fetch a newer configuration."""
+        """Act on a message: forward what is urgent, fetch what is newer."""
+        if len(self.board.peers.value) != len(self.membership.list_live()):
+            self._write_peers(time.monotonic())
         if self.group is None:
             return
         if self.membership.digests.urgent:
--- /dev/null
+++ b/primrosepier/status.py
@@ -0,0 +1,95 @@
+"""State of all routers, asked from one of them and then from each."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from .membership import MemberState
+from .messages import MemberRecord, StatusReply
+from .peers import PeerFailure, PeerTransport
+
+__all__ = ["FleetStatus", "RouterStatus", "read_fleet_status"]
+
+TIMEOUT_S = 2.0
+CALLS_AT_ONCE = 16
+
+
+@dataclass(frozen=True, slots=True)
+class RouterStatus:
+    """State of one router, by its own word if it answered.
+
+    Parameters
+    ----------
+    state : str
+        Name of its ``MemberState`` at the router that was asked first.
+    revision : int or None
+        Configuration in force; None when it gave no answer.
+    """
+
+    host: str
+    address: str
+    failure_domain: str
+    state: str
+    reachable: bool = False
+    revision: int | None = None
+    version: str = ""
+    ready: bool = False
+    stopping: bool = False
+    leaving: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class FleetStatus:
+    """State of all routers that the first one knows."""
+
+    routers: list[RouterStatus] = field(default_factory=list)
+
+    @property
+    def revision(self) -> int:
+        """Newest revision in force anywhere."""
+        return max((r.revision or 0 for r in self.routers), default=0)
+
+    def list_behind(self) -> list[str]:
+        """Return the reachable routers whose configuration is not the newest."""
+        newest = self.revision
+        return [r.host for r in self.routers if r.reachable and r.revision != newest]
+
+
+def _describe(record: MemberRecord, reply: StatusReply | PeerFailure) -> RouterStatus:
+    state = MemberState(min(record.state, MemberState.LEFT)).name.lower()
+    if isinstance(reply, PeerFailure):
+        return RouterStatus(record.host, record.address, record.failure_domain, state)
+    return RouterStatus(
+        host=record.host,
+        address=record.address,
+        failure_domain=record.failure_domain,
+        state=state,
+        reachable=True,
+        revision=reply.revision,
+        version=reply.version,
+        ready=reply.ready,
+        stopping=reply.stopping,
+        leaving=tuple(reply.leaving),
+    )
+
+
+async def read_fleet_status(
+    transport: PeerTransport, address: str
+) -> FleetStatus | PeerFailure:
+    """Ask the router at an address for the members, and each of them for its state."""
+    first = await transport.read_status(address, TIMEOUT_S)
+    if isinstance(first, PeerFailure):
+        return first
+    found = FleetStatus()
+    limiter = anyio.CapacityLimiter(CALLS_AT_ONCE)
+
+    async def ask(record: MemberRecord) -> None:
+        async with limiter:
+            reply = await transport.read_status(record.address, TIMEOUT_S)
+        found.routers.append(_describe(record, reply))
+
+    async with anyio.create_task_group() as group:
+        for record in first.members:
+            group.start_soon(ask, record)
+    found.routers.sort(key=lambda router: router.host)
+    return found
--- /dev/null
+++ b/tests/scenarios/leaving.feature
@@ -0,0 +1,36 @@
+Feature: An endpoint that is leaving gets nothing new on any router within 3 s
+
+  Scenario: The host list shows it
+    Given three routers that know each other
+    When the host list shows note-writers-1 as leaving
+    Then within 3 s no router uses note-writers-1
+
+  Scenario: The endpoint says so to one router while the host list is down
+    Given three routers that know each other
+    And the host list is down
+    When note-writers-2 says in an answer to entry-1 that it is leaving
+    Then within 3 s no router uses note-writers-2
+
+  Scenario: The host list lags and the endpoint says so in its load report
+    Given three routers that know each other
+    And the host list lags by an hour
+    When note-writers-3 says in its load report that it is leaving
+    Then within 3 s no router uses note-writers-3
+
+  Scenario: The host list shows no host at all
+    Given three routers that know each other
+    When the host list is empty for 2 s
+    Then every router uses all 6 endpoints
+
+  Scenario: The store is down too
+    Given three routers that know each other
+    And the store is down
+    When the host list shows note-writers-1 as leaving
+    Then within 3 s no router uses note-writers-1
+
+  Scenario: It stays after all
+    Given three routers that know each other
+    When the host list shows note-writers-1 as leaving
+    Then within 3 s no router uses note-writers-1
+    When the host list shows note-writers-1 as live
+    Then within 3 s every router uses note-writers-1
--- /dev/null
+++ b/tests/scenarios/test_leaving.py
@@ -0,0 +1,111 @@
+import time
+
+import anyio
+import pytest
+from fleet import open_fleet, wait_for
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from primrosepier.standin_hosts import HostsFaults, HostState
+
+pytestmark = pytest.mark.sockets
+scenarios("leaving.feature")
+
+
+@pytest.fixture(scope="module")
+def fleet(portal):
+    with portal.wrap_async_context_manager(open_fleet()) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def signs():
+    """Times at which the first sign of each endpoint was given."""
+    return {}
+
+
+@given("three routers that know each other")
+def routers(fleet, portal):
+    fleet.hosts.faults = HostsFaults()
+    fleet.store.faults.down = False
+    for name, engine in fleet.engines.items():
+        fleet.hosts.set_state(name, HostState.LIVE)
+        engine.leaving = False
+        for router in fleet.routers:
+            portal.call(router.peering.leaving.observe_response, name, False)
+    portal.call(wait_for, lambda: count_listed(fleet) == 3 * len(fleet.engines))
+    portal.call(wait_for, lambda: count_uses(fleet) == 3 * len(fleet.engines))
+
+
+def count_uses(fleet):
+    return sum(count_users(fleet, name) for name in fleet.engines)
+
+
+def count_listed(fleet):
+    return sum(len(r.peering.leaving.ledger.seen) for r in fleet.routers)
+
+
+@given("the host list is down")
+def hosts_down(fleet):
+    fleet.hosts.faults.down = True
+
+
+@given("the host list lags by an hour")
+def hosts_lag(fleet):
+    fleet.hosts.faults.lag_s = 3600.0
+
+
+@given("the store is down")
+def store_down(fleet):
+    fleet.store.faults.down = True
+
+
+@when(parsers.parse("the host list shows {name} as {state}"))
+def show(fleet, signs, name, state):
+    fleet.hosts.set_state(name, HostState(state))
+    signs[name] = time.monotonic()
+
+
+@when(parsers.parse("{name} says in an answer to {host} that it is leaving"))
+def answer(fleet, portal, signs, name, host):
+    router = next(r for r in fleet.routers if r.settings.host == host)
+    signs[name] = time.monotonic()
+    portal.call(router.peering.leaving.observe_response, name, True)
+
+
+@when(parsers.parse("{name} says in its load report that it is leaving"))
+def report(fleet, signs, name):
+    fleet.engines[name].leaving = True
+    signs[name] = time.monotonic()
+
+
+@when("the host list is empty for 2 s")
+def hosts_empty(fleet, portal):
+    fleet.hosts.faults.empty = True
+    portal.call(anyio.sleep, 2.0)
+
+
+@then(parsers.parse("within {limit:g} s no router uses {name}"))
+def not_used(fleet, portal, signs, limit, name):
+    left_s = signs[name] + limit - time.monotonic()
+    portal.call(wait_for, lambda: count_users(fleet, name) == 0, left_s)
+
+
+@then(parsers.parse("within {limit:g} s every router uses {name}"))
+def used(fleet, portal, signs, limit, name):
+    left_s = signs[name] + limit - time.monotonic()
+    portal.call(wait_for, lambda: count_users(fleet, name) == 3, left_s)
+
+
+@then(parsers.parse("every router uses all {count:d} endpoints"))
+def all_used(fleet, count):
+    assert [count_users(fleet, name) for name in fleet.engines] == [3] * count
+
+
+def count_users(fleet, name):
+    service = fleet.configuration.services["note-writers"]
+    now_s = time.monotonic()
+    used = 0
+    for router in fleet.routers:
+        candidates = router.app.dispatcher.candidates
+        used += name in [e.id for e in candidates.list_usable(service, now_s)]
+    return used
