--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_endpoint_leaving.py
@@ -8,7 +8,7 @@
 from primrosepier.standin_hosts import HostsFaults, HostState
 
 pytestmark = pytest.mark.sockets
-scenarios("leaving.feature")
+scenarios("endpoint_leaving.feature")
 
 
 @pytest.fixture(scope="module")
