Roll new weights out by fenced orders of one leased router per service

Nothing brought replicas to a model's wanted version. One router per service now holds a duty by a lease; it marks replicas in the store, waits until their requests are finished, orders the load and clears the mark. Fencing numbers come from a counter in the store; orders to engines that ignore them wait out the holder before.

MemoryStore no longer raises when a lapsed lease is revoked.

--- a/primrosepier/board.py
+++ b/primrosepier/board.py
@@ -82,6 +82,9 @@
     leaving: Section[frozenset[EndpointId]] = field(
         default_factory=lambda: Section("leaving", frozenset())
     )
+    loading: Section[frozenset[EndpointId]] = field(
+        default_factory=lambda: Section("loading", frozenset())
+    )
     peers: Section[frozenset[HostId]] = field(
         default_factory=lambda: Section("peers", frozenset())
     )
--- a/primrosepier/candidates.py
+++ b/primrosepier/candidates.py
@@ -35,11 +35,11 @@
     outstanding: Counter[EndpointId] = field(default_factory=Counter)
 
     def list_usable(self, service: Service, now_s: float) -> list[Endpoint]:
-        """Return the endpoints that are neither leaving nor ejected."""
+        """Return the endpoints that are neither leaving, loading nor ejected."""
         configuration = self.board.configuration.value
         if configuration is None:
             return []
-        leaving = self.board.leaving.value
+        leaving = self.board.leaving.value | self.board.loading.value
         staying = [
             endpoint
             for endpoint in configuration.list_endpoints(service.id)
--- a/primrosepier/configuration.py
+++ b/primrosepier/configuration.py
@@ -87,7 +87,7 @@
     Parameters
     ----------
     loads_at_once : int
-        Replicas that may load weights at the same time.
+        Replicas that may load weights at the same time; 0 stops new loads.
     not_repeatable : tuple of str
         Calls of a plain service that run at most once, ``"METHOD /path"``.
     """
@@ -257,7 +257,7 @@
         id=ServiceId(name),
         kind=ServiceKind(reader.read_choice("kind", kinds, "engine")),
         models=tuple(ModelId(model) for model in reader.read_list("models")),
-        loads_at_once=reader.read_int("loads_at_once", 1, low=1),
+        loads_at_once=reader.read_int("loads_at_once", 1),
         not_repeatable=reader.read_list("not_repeatable"),
     )
 
--- /dev/null
+++ b/primrosepier/leases.py
@@ -0,0 +1,206 @@
+"""Duties that one router holds at a time, decided without I/O."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+import xxhash
+
+from .ids import FencingNumber, HostId, Revision
+from .revisions import STATE_PREFIX
+from .settings import LeaseBounds
+from .store import Compare, Item, Put
+
+__all__ = [
+    "DUTIES_PREFIX",
+    "Acquisition",
+    "Duty",
+    "DutyRecord",
+    "DutyStep",
+    "compute_rank",
+    "decode_duty",
+    "make_duty_key",
+    "make_fencing_key",
+]
+
+DUTIES_PREFIX = STATE_PREFIX + "duties/"
+MAX_RANK = 20
+LONE_RANKS = 4
+FENCING_PREFIX = "/primrosepier/fencing/"
+
+
+class DutyRecord(msgspec.Struct, frozen=True):
+    """Stored value of a held duty.
+
+    Parameters
+    ----------
+    host : str
+    token : str
+        Unguessable name of this acquisition.
+    fencing : int
+        Number that its orders carry.
+    """
+
+    host: str
+    token: str
+    fencing: int
+
+
+def make_duty_key(name: str) -> str:
+    """Return the store's key of a duty; it lives as long as its holder's lease."""
+    return DUTIES_PREFIX + name
+
+
+def make_fencing_key(name: str) -> str:
+    """Return the store's key of a duty's last fencing number; it is never deleted."""
+    return FENCING_PREFIX + name
+
+
+def decode_duty(value: bytes) -> DutyRecord | None:
+    """Return the holder that a stored value names, or None when it is not valid."""
+    try:
+        return msgspec.json.decode(value, type=DutyRecord)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
+
+
+def compute_rank(name: str, host: HostId, peers: frozenset[HostId]) -> int:
+    """Return how many peers come before a host as candidates for a duty.
+
+    A host that knows no peers takes one of a few ranks by its name.
+    """
+
+    def weigh(candidate: HostId) -> int:
+        return xxhash.xxh64_intdigest(f"{name}/{candidate}".encode())
+
+    if not peers:
+        return weigh(host) % LONE_RANKS
+    own = weigh(host)
+    return sum(weigh(peer) > own for peer in peers if peer != host)
+
+
+@dataclass(frozen=True, slots=True)
+class Acquisition:
+    """An attempt to take a free duty under a lease that was granted for it."""
+
+    name: str
+    record: DutyRecord
+    lease: int
+    asked_at_s: float
+    counter: Revision
+
+    def make_compares(self) -> list[Compare]:
+        """Return the conditions: the duty is free, and its last number as read."""
+        return [
+            Compare(make_duty_key(self.name), Revision(0)),
+            Compare(make_fencing_key(self.name), self.counter),
+        ]
+
+    def make_puts(self) -> list[Put]:
+        """Return the writes: the holder, and its number."""
+        number = str(self.record.fencing).encode()
+        return [
+            Put(make_duty_key(self.name), msgspec.json.encode(self.record), self.lease),
+            Put(make_fencing_key(self.name), number),
+        ]
+
+
+class DutyStep(Enum):
+    """What a router does next about a duty."""
+
+    WAIT = "wait"
+    ACQUIRE = "acquire"
+    KEEP_ALIVE = "keep_alive"
+    STEP_DOWN = "step_down"
+
+
+@dataclass(slots=True)
+class Duty:
+    """One router's view of one duty.
+
+    Attributes
+    ----------
+    fencing : FencingNumber
+        Number of the acquisition; 0 when this router is not the holder.
+    revision : Revision
+        Revision of the duty's key; a condition of each write of the holder.
+    valid_until_s : float
+        Monotonic time until which this router surely is the only holder.
+    open_at_s : float
+        Monotonic time from which no order of the holder before can arrive any more.
+    """
+
+    name: str
+    host: HostId
+    bounds: LeaseBounds = field(default_factory=LeaseBounds)
+    fencing: FencingNumber = FencingNumber(0)
+    lease: int = 0
+    revision: Revision = Revision(0)
+    valid_until_s: float = float("-inf")
+    open_at_s: float = float("inf")
+    kept_at_s: float = float("-inf")
+    free_since_s: float | None = None
+
+    def decide(
+        self, holder: Item | None, peers: frozenset[HostId], now_s: float
+    ) -> DutyStep:
+        """Return the next step.
+
+        Parameters
+        ----------
+        holder : Item or None
+            The duty's key as the mirror shows it; it may lag.
+        """
+        if self.fencing:
+            return self._decide_holder(now_s)
+        if holder is not None:
+            self.free_since_s = None
+            return DutyStep.WAIT
+        if self.free_since_s is None:
+            self.free_since_s = now_s
+        rank = min(compute_rank(self.name, self.host, peers), MAX_RANK)
+        if now_s < self.free_since_s + rank * self.bounds.rank_s:
+            return DutyStep.WAIT
+        return DutyStep.ACQUIRE
+
+    def _decide_holder(self, now_s: float) -> DutyStep:
+        if now_s >= self.valid_until_s:
+            return DutyStep.STEP_DOWN
+        if now_s >= self.kept_at_s + self.bounds.ttl_s / 3:
+            return DutyStep.KEEP_ALIVE
+        return DutyStep.WAIT
+
+    def take(self, acquisition: Acquisition, revision: Revision, now_s: float) -> None:
+        """Become the holder."""
+        self.fencing = FencingNumber(acquisition.record.fencing)
+        self.lease = acquisition.lease
+        self.revision = revision
+        self.free_since_s = None
+        self.open_at_s = now_s + self.bounds.compute_wait_s()
+        self.extend(acquisition.asked_at_s)
+
+    def extend(self, asked_at_s: float) -> None:
+        """Note that the store extended the lease when asked at a time."""
+        self.kept_at_s = asked_at_s
+        self.valid_until_s = asked_at_s + self.bounds.compute_hold_s()
+
+    def drop(self) -> None:
+        """Stop being the holder."""
+        self.fencing = FencingNumber(0)
+        self.valid_until_s = float("-inf")
+        self.open_at_s = float("inf")
+        self.free_since_s = None
+
+    def may_order(self, honours_fencing: bool, now_s: float) -> bool:
+        """Return whether an order may be sent now.
+
+        It must arrive while the lease lasts. An endpoint that takes any number gets
+        nothing before the orders of the holder before are out of the way.
+        """
+        if not self.fencing or now_s + self.bounds.order_s >= self.valid_until_s:
+            return False
+        return honours_fencing or now_s >= self.open_at_s
+
+    def make_guard(self) -> Compare:
+        """Return the condition that this router still is the holder."""
+        return Compare(make_duty_key(self.name), self.revision)
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -62,6 +62,11 @@
     synced_at_s: float = NEVER_S
     listeners: list[Listener] = field(default_factory=list)
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether the store was ever read."""
+        return self.synced_at_s != NEVER_S
+
     def select(self, prefix: str) -> dict[str, Item]:
         """Return the items whose keys start with a prefix."""
         return {k: item for k, item in self.items.items() if k.startswith(prefix)}
--- /dev/null
+++ b/primrosepier/orders.py
@@ -0,0 +1,139 @@
+"""Orders to endpoints, and the state that they report about them."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from .configuration import Endpoint
+from .engines import (
+    CONNECT_ERRORS,
+    RELAY_ERRORS,
+    EndpointCall,
+    EndpointClient,
+)
+from .ids import FencingNumber, ModelId, WeightsVersion
+
+__all__ = [
+    "EndpointOrders",
+    "EngineState",
+    "LoadOrder",
+    "OrderClient",
+    "OrderFailed",
+    "OrderRefused",
+    "OrderTaken",
+]
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+READ_S = 2.0
+
+
+class LoadOrder(msgspec.Struct, frozen=True, tag_field="kind", tag="load"):
+    """Tells an endpoint to load a version of a model's weights."""
+
+    fencing: FencingNumber
+    model: ModelId
+    version: WeightsVersion
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an endpoint says about its weights.
+
+    Parameters
+    ----------
+    loading : str
+        Version that is being loaded, or an empty text.
+    fencing : int
+        Highest fencing number that the endpoint has seen.
+    """
+
+    incarnation: str
+    model: str = ""
+    version: str = ""
+    loading: str = ""
+    fencing: int = 0
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Body of a refusal."""
+
+    fencing: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OrderTaken:
+    """The endpoint carries the order out."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRefused:
+    """The endpoint knows a higher fencing number."""
+
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderFailed:
+    """The order may or may not have arrived."""
+
+    reason: str
+
+
+class OrderClient(Protocol):
+    """Sends orders and reads what endpoints say about them."""
+
+    async def send(
+        self, endpoint: Endpoint, order: LoadOrder, timeout_s: float
+    ) -> OrderTaken | OrderRefused | OrderFailed:
+        """Send an order."""
+
+    async def read(self, endpoint: Endpoint) -> EngineState | None:
+        """Return an endpoint's state, or None when it does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointOrders:
+    """Orders over HTTP: ``POST /orders`` and ``GET /orders``."""
+
+    client: EndpointClient
+
+    async def send(
+        self, endpoint: Endpoint, order: LoadOrder, timeout_s: float
+    ) -> OrderTaken | OrderRefused | OrderFailed:
+        """Send an order."""
+        body = msgspec.json.encode(order)
+        try:
+            status, data = await self._call(endpoint, "POST", body, timeout_s)
+            if status == HTTP_CONFLICT:
+                refusal = msgspec.json.decode(data, type=Refusal)
+                return OrderRefused(refusal.fencing)
+        except (*CONNECT_ERRORS, *RELAY_ERRORS, msgspec.DecodeError) as error:
+            return OrderFailed(repr(error))
+        return OrderTaken() if status == HTTP_OK else OrderFailed(f"status {status}")
+
+    async def read(self, endpoint: Endpoint) -> EngineState | None:
+        """Return an endpoint's state, or None when it does not answer."""
+        try:
+            status, data = await self._call(endpoint, "GET", b"", READ_S)
+            if status != HTTP_OK:
+                return None
+            return msgspec.json.decode(data, type=EngineState)
+        except (*CONNECT_ERRORS, *RELAY_ERRORS, msgspec.DecodeError):
+            return None
+
+    async def _call(
+        self, endpoint: Endpoint, method: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        call = EndpointCall(
+            address=endpoint.address,
+            method=method,
+            path="/orders",
+            headers=(("content-type", "application/json"),),
+            body=body,
+            connect_s=timeout_s,
+            request_s=timeout_s,
+        )
+        async with self.client.open(call) as response:
+            parts = [part async for part in response.aiter_stream()]
+            return response.status, b"".join(parts)
--- /dev/null
+++ b/primrosepier/rollout_controller.py
@@ -0,0 +1,328 @@
+"""Brings the replicas of each service to the weights version that is wanted."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from .board import Board, SectionWriter
+from .clocks import Clock
+from .configuration import Configuration, Endpoint, Service, ServiceKind
+from .duties import DutyKeeper
+from .ids import EndpointId, HostId, Revision, ServiceId, WeightsVersion
+from .leases import Duty, DutyStep, make_duty_key
+from .mirror import Mirror
+from .orders import EngineState, LoadOrder, OrderClient, OrderRefused
+from .rollout import (
+    LoadMark,
+    RecentLoad,
+    ReplicaView,
+    RolloutPlan,
+    RolloutTimes,
+    RolloutView,
+    decode_mark,
+    find_wanted,
+    list_loading,
+    make_mark_key,
+    plan_rollout,
+)
+from .settings import LeaseBounds
+from .store import Applied, Compare, Put, Store, Unavailable
+
+__all__ = ["RolloutController", "ServiceRollout", "make_rollout_controller"]
+
+
+@dataclass(slots=True)
+class ServiceRollout:
+    """The rollout of one service on the router that holds its duty.
+
+    Attributes
+    ----------
+    blocked : str
+        Why nothing more is loaded, for operators.
+    """
+
+    service: ServiceId
+    duty: Duty
+    marks: dict[EndpointId, tuple[LoadMark, Revision]] = field(default_factory=dict)
+    marked_at_s: dict[EndpointId, float] = field(default_factory=dict)
+    ordered_at_s: dict[EndpointId, float] = field(default_factory=dict)
+    retry_at_s: dict[EndpointId, float] = field(default_factory=dict)
+    states: dict[EndpointId, EngineState] = field(default_factory=dict)
+    load: RecentLoad = field(default_factory=RecentLoad)
+    blocked: str = ""
+
+    def forget(self) -> None:
+        """Drop what only a holder knows."""
+        self.marks.clear()
+        self.marked_at_s.clear()
+        self.ordered_at_s.clear()
+        self.states.clear()
+        self.blocked = ""
+
+
+@dataclass(slots=True)
+class RolloutController:
+    """Holds the duties of services and carries their rollouts out.
+
+    Parameters
+    ----------
+    writer : SectionWriter
+        Board section of the replicas that are marked, by any router.
+    tick_s, idle_s : float
+        Time between steps while a rollout goes on, and otherwise, seconds.
+    """
+
+    host: HostId
+    board: Board
+    store: Store
+    keeper: DutyKeeper
+    orders: OrderClient
+    mirror: Mirror
+    writer: SectionWriter[frozenset[EndpointId]]
+    bounds: LeaseBounds
+    times: RolloutTimes
+    clock: Clock = time.monotonic
+    tick_s: float = 0.25
+    idle_s: float = 2.0
+    rollouts: dict[ServiceId, ServiceRollout] = field(default_factory=dict)
+
+    def update(self, mirror: Mirror) -> None:
+        """Show the marked replicas on the board."""
+        loading = list_loading(list(mirror.items))
+        if loading != self.board.loading.value:
+            self.writer.write(loading, self.clock())
+
+    async def run(self) -> None:
+        """Work until cancelled, then give up the duties."""
+        try:
+            while True:
+                await anyio.sleep(self.tick_s if await self.step() else self.idle_s)
+        finally:
+            with anyio.move_on_after(1.0, shield=True):
+                for rollout in self.rollouts.values():
+                    if rollout.duty.fencing:
+                        await self.keeper.release(rollout.duty)
+
+    async def step(self) -> bool:
+        """Take one step for each service; return whether a rollout goes on."""
+        configuration = self.board.configuration.value
+        if configuration is None or not self.mirror.is_synced:
+            return False
+        services = [
+            service
+            for service in configuration.services.values()
+            if service.kind is ServiceKind.ENGINE
+        ]
+        active: list[bool] = []
+
+        async def step(service: Service) -> None:
+            active.append(await self._step_service(configuration, service))
+
+        async with anyio.create_task_group() as group:
+            for service in services:
+                group.start_soon(step, service)
+        return any(active)
+
+    async def _step_service(
+        self, configuration: Configuration, service: Service
+    ) -> bool:
+        name = f"rollout/{service.id}"
+        rollout = self.rollouts.get(service.id)
+        if rollout is None:
+            duty = Duty(name, self.host, self.bounds)
+            rollout = self.rollouts[service.id] = ServiceRollout(service.id, duty)
+        await self._keep_duty(rollout)
+        if not rollout.duty.fencing:
+            return False
+        plan = await self._plan(configuration, service, rollout)
+        return bool(rollout.marks or plan.mark)
+
+    async def _keep_duty(self, rollout: ServiceRollout) -> None:
+        duty = rollout.duty
+        holder = self.mirror.items.get(make_duty_key(duty.name))
+        step = duty.decide(holder, self.board.peers.value, self.clock())
+        if step is DutyStep.ACQUIRE:
+            rollout.forget()
+            if await self.keeper.acquire(duty) and not await self._read_marks(rollout):
+                await self.keeper.release(duty)
+        elif step is DutyStep.KEEP_ALIVE:
+            await self.keeper.keep_alive(duty)
+        elif step is DutyStep.STEP_DOWN:
+            duty.drop()
+
+    async def _read_marks(self, rollout: ServiceRollout) -> bool:
+        """Read the marks that holders before have left; they count as loading."""
+        snapshot = await self.store.read(make_mark_key(rollout.service, EndpointId("")))
+        if isinstance(snapshot, Unavailable):
+            return False
+        for key, item in snapshot.items.items():
+            mark = decode_mark(item.value) or LoadMark("", 0)
+            endpoint = EndpointId(key.rpartition("/")[2])
+            rollout.marks[endpoint] = (mark, item.mod_revision)
+            rollout.marked_at_s[endpoint] = self.clock()
+        return True
+
+    async def _plan(
+        self, configuration: Configuration, service: Service, rollout: ServiceRollout
+    ) -> RolloutPlan:
+        versions = {model.id: model.version for model in configuration.models.values()}
+        found = find_wanted(versions, service.models)
+        endpoints = configuration.list_endpoints(service.id)
+        await self._clear_removed(rollout, {endpoint.id for endpoint in endpoints})
+        if found is None:
+            return RolloutPlan()
+        states = await self._read_states(endpoints)
+        rollout.states = states
+        now_s = self.clock()
+        views = tuple(
+            self._view(e, states.get(e.id), rollout, now_s) for e in endpoints
+        )
+        load = rollout.load.add(sum(view.load or 0 for view in views), now_s)
+        view = RolloutView(*found, service.loads_at_once, views, load)
+        plan = plan_rollout(view, now_s, self.times)
+        rollout.blocked = plan.blocked
+        await self._carry_out(plan, view, rollout, configuration)
+        return plan
+
+    async def _clear_removed(
+        self, rollout: ServiceRollout, known: set[EndpointId]
+    ) -> None:
+        for endpoint in [name for name in rollout.marks if name not in known]:
+            await self._clear(endpoint, rollout)
+
+    async def _read_states(
+        self, endpoints: list[Endpoint]
+    ) -> dict[EndpointId, EngineState]:
+        states = {}
+
+        async def read(endpoint: Endpoint) -> None:
+            state = await self.orders.read(endpoint)
+            if state is not None:
+                states[endpoint.id] = state
+
+        async with anyio.create_task_group() as group:
+            for endpoint in endpoints:
+                group.start_soon(read, endpoint)
+        return states
+
+    def _view(
+        self,
+        endpoint: Endpoint,
+        state: EngineState | None,
+        rollout: ServiceRollout,
+        now_s: float,
+    ) -> ReplicaView:
+        duty = rollout.duty
+        mark = rollout.marks[endpoint.id][0] if endpoint.id in rollout.marks else None
+        report = self.board.load.value.get(endpoint.id)
+        own = mark is not None and mark.fencing == duty.fencing
+        return ReplicaView(
+            id=endpoint.id,
+            failure_domain=endpoint.failure_domain,
+            capacity=endpoint.concurrent,
+            version=WeightsVersion(state.version if state else ""),
+            loading=state.loading if state else "",
+            load=report.running + report.waiting if report else None,
+            reachable=state is not None,
+            may_order=duty.may_order(endpoint.fencing, now_s),
+            may_clear=own or now_s >= duty.open_at_s,
+            mark=mark,
+            marked_at_s=rollout.marked_at_s.get(endpoint.id),
+            ordered_at_s=rollout.ordered_at_s.get(endpoint.id),
+            retry_at_s=rollout.retry_at_s.get(endpoint.id, float("-inf")),
+        )
+
+    async def _carry_out(
+        self,
+        plan: RolloutPlan,
+        view: RolloutView,
+        rollout: ServiceRollout,
+        configuration: Configuration,
+    ) -> None:
+        for endpoint in plan.failed:
+            rollout.retry_at_s[endpoint] = self.clock() + self.times.retry_s
+        for endpoint in plan.clear:
+            await self._clear(endpoint, rollout)
+        for endpoint in plan.order:
+            await self._order(configuration.endpoints[endpoint], view, rollout)
+        for endpoint in plan.mark:
+            await self._mark(endpoint, view.wanted, rollout)
+
+    async def _mark(
+        self, endpoint: EndpointId, version: WeightsVersion, rollout: ServiceRollout
+    ) -> None:
+        duty = rollout.duty
+        if not duty.fencing:
+            return
+        mark = LoadMark(version, duty.fencing)
+        key = make_mark_key(rollout.service, endpoint)
+        conditions = [duty.make_guard(), Compare(key, Revision(0))]
+        put = Put(key, msgspec.json.encode(mark))
+        outcome = await self.store.transact(conditions, [put])
+        if isinstance(outcome, Applied):
+            rollout.marks[endpoint] = (mark, outcome.revision)
+            rollout.marked_at_s[endpoint] = self.clock()
+        else:
+            await self._settle(rollout)
+
+    async def _clear(self, endpoint: EndpointId, rollout: ServiceRollout) -> None:
+        if endpoint not in rollout.marks:
+            return
+        _, revision = rollout.marks[endpoint]
+        key = make_mark_key(rollout.service, endpoint)
+        conditions = [rollout.duty.make_guard(), Compare(key, revision)]
+        outcome = await self.store.transact(conditions, [Put(key, None)])
+        if not isinstance(outcome, Applied):
+            await self._settle(rollout)
+            return
+        del rollout.marks[endpoint]
+        rollout.marked_at_s.pop(endpoint, None)
+        rollout.ordered_at_s.pop(endpoint, None)
+
+    async def _settle(self, rollout: ServiceRollout) -> None:
+        """Give the duty up when a write failed: the next holder reads the marks."""
+        await self.keeper.release(rollout.duty)
+        rollout.forget()
+
+    async def _order(
+        self, endpoint: Endpoint, view: RolloutView, rollout: ServiceRollout
+    ) -> None:
+        duty = rollout.duty
+        order = LoadOrder(duty.fencing, view.model, view.wanted)
+        if not duty.may_order(endpoint.fencing, self.clock()):
+            return
+        rollout.ordered_at_s[endpoint.id] = self.clock()
+        outcome = await self.orders.send(endpoint, order, self.bounds.order_s)
+        if isinstance(outcome, OrderRefused):
+            await self.keeper.raise_fencing(duty, outcome.fencing)
+            rollout.forget()
+
+
+def make_rollout_controller(
+    host: HostId,
+    board: Board,
+    store: Store,
+    orders: OrderClient,
+    mirror: Mirror,
+    bounds: LeaseBounds | None = None,
+    times: RolloutTimes | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> RolloutController:
+    """Return the rollout controller of a router."""
+    controller = RolloutController(
+        host=host,
+        board=board,
+        store=store,
+        keeper=DutyKeeper(store, clock),
+        orders=orders,
+        mirror=mirror,
+        writer=board.loading.take_writer("rollout"),
+        bounds=bounds or LeaseBounds(),
+        times=times or RolloutTimes(),
+        clock=clock,
+    )
+    mirror.listeners.append(controller.update)
+    return controller
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -20,9 +20,11 @@
 from .logs import make_log
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
+from .orders import EndpointOrders
 from .peering import LocalParts, Peering, open_peering
 from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
+from .rollout_controller import RolloutController, make_rollout_controller
 from .settings import RouterSettings
 from .store import Store
 
@@ -69,6 +71,7 @@
     configuration: ConfigurationController
     mirror: MirrorController
     claims: StoreClaims
+    rollouts: RolloutController
     callers_address: str = ""
     peers_address: str = ""
     peering: Peering | None = None
@@ -93,9 +96,20 @@
     controller = ConfigurationController(writer, platform.clock)
     mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
     mirror.mirror.listeners.append(controller.update)
+    orders = EndpointOrders(platform.client)
+    rollouts = make_rollout_controller(
+        settings.host,
+        board,
+        platform.store,
+        orders,
+        mirror.mirror,
+        settings.leases,
+        clock=platform.clock,
+    )
     claims = make_store_claims(platform.store, settings.host)
     _register_gauges(metrics, dispatcher, controller)
-    return Router(settings, board, platform, app, controller, mirror, claims)
+    parts = (controller, mirror, claims, rollouts)
+    return Router(settings, board, platform, app, *parts)
 
 
 def _register_gauges(
@@ -133,6 +147,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
+        group.start_soon(router.rollouts.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
             open_server(
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -9,6 +9,7 @@
 from .ini import SectionReader, parse_ini
 
 __all__ = [
+    "LeaseBounds",
     "Limits",
     "LogSettings",
     "RouterSettings",
@@ -49,6 +50,40 @@
     queue_requests: int = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseBounds:
+    """Times of leases, and bounds on what the hosts may do, seconds.
+
+    Parameters
+    ----------
+    ttl_s : float
+        Time to live of a duty's lease.
+    pause_s : float
+        Longest time that a process stands still between its check of the lease and
+        the send.
+    order_s : float
+        Longest time that an order is under way to an endpoint.
+    clock_rate : float
+        Largest relative difference between two hosts' clocks.
+    rank_s : float
+        Time by which each next candidate waits longer for a free duty.
+    """
+
+    ttl_s: float = 10.0
+    pause_s: float = 5.0
+    order_s: float = 2.0
+    clock_rate: float = 0.01
+    rank_s: float = 0.5
+
+    def compute_hold_s(self) -> float:
+        """Return the time after asking for a lease until which it surely lasts."""
+        return self.ttl_s * (1.0 - self.clock_rate)
+
+    def compute_wait_s(self) -> float:
+        """Return the time for which an order of the holder before may still arrive."""
+        return (self.pause_s + self.order_s) * (1.0 + self.clock_rate)
+
+
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """What is logged, and where to.
@@ -97,6 +132,7 @@
     stop_wait_s: float = 2.0
     stop_streams_s: float = 3600.0
     limits: Limits = Limits()
+    leases: LeaseBounds = LeaseBounds()
     logs: LogSettings = LogSettings()
 
 
@@ -121,7 +157,7 @@
     readers = {}
     for section in parser.sections():
         readers[section] = SectionReader(file, section, parser[section], SettingsError)
-    for name in ("router", "platform", "peers", "limits", "logs"):
+    for name in ("router", "platform", "peers", "limits", "leases", "logs"):
         readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
     settings = _read_settings(readers)
     for reader in readers.values():
@@ -146,6 +182,7 @@
         peers=readers["peers"].read_list("addresses"),
         peer_key=_read_key(readers["peers"]),
         limits=_read_limits(readers["limits"]),
+        leases=_read_leases(readers["leases"]),
         logs=_read_logs(readers["logs"]),
     )
 
@@ -178,3 +215,17 @@
         queue_s=reader.read_float("queue_s", usual.queue_s),
         queue_requests=reader.read_int("queue_requests", usual.queue_requests, low=1),
     )
+
+
+def _read_leases(reader: SectionReader) -> LeaseBounds:
+    usual = LeaseBounds()
+    bounds = LeaseBounds(
+        ttl_s=reader.read_float("ttl_s", usual.ttl_s, low=2.0),
+        pause_s=reader.read_float("pause_s", usual.pause_s),
+        order_s=reader.read_float("order_s", usual.order_s, low=0.1),
+        clock_rate=reader.read_float("clock_rate", usual.clock_rate),
+        rank_s=reader.read_float("rank_s", usual.rank_s),
+    )
+    if bounds.order_s >= bounds.compute_hold_s():
+        raise reader.fail("order_s", "must be shorter than the lease")
+    return bounds
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -1,5 +1,6 @@
 """Typed access to the platform's key-value service, and an in-memory variant."""
 
+import contextlib
 import time
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
@@ -343,8 +344,9 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
-        if await self._check() is None and lease in self.state.leases:
-            self.state.revoke_lease(lease)
+        if await self._check() is None:
+            with contextlib.suppress(LeaseNotFoundError):
+                self.state.revoke_lease(lease)
             self.notify()
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,157 @@
+import anyio
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from primrosepier.clocks import ManualClock
+from primrosepier.duties import DutyKeeper
+from primrosepier.leases import Duty, DutyStep, make_duty_key, make_fencing_key
+from primrosepier.settings import LeaseBounds
+from primrosepier.store import MemoryStore
+
+HOSTS = st.integers(0, 1)
+RATES = (1.004, 0.996)
+BOUNDS = LeaseBounds(ttl_s=10.0, pause_s=5.0, order_s=2.0, clock_rate=0.01, rank_s=0.0)
+
+
+class HostClock:
+    """A host's clock, which runs a little fast or slow."""
+
+    def __init__(self, clock, rate):
+        self.clock = clock
+        self.rate = rate
+
+    def __call__(self):
+        return 1000.0 + self.clock() * self.rate
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Hosts that pause, lapse and lose answers, and orders that arrive late."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        clocks = [HostClock(self.clock, rate) for rate in RATES]
+        self.keepers = [DutyKeeper(self.store, clock) for clock in clocks]
+        self.duties = [Duty("rollout/s", f"h{n}", BOUNDS) for n in range(2)]
+        self.under_way = []
+        self.last = 0
+        self.seen = {True: 0, False: 0}
+
+    @rule(number=HOSTS)
+    def step(self, number):
+        duty, keeper = self.duties[number], self.keepers[number]
+        holder = self.store.items.get(make_duty_key(duty.name))
+        next_step = duty.decide(holder, frozenset(), keeper.clock())
+        if next_step is DutyStep.ACQUIRE:
+            anyio.run(keeper.acquire, duty)
+            if duty.fencing:
+                assert duty.fencing > self.last
+                self.last = duty.fencing
+        elif next_step is DutyStep.KEEP_ALIVE:
+            anyio.run(keeper.keep_alive, duty)
+        elif next_step is DutyStep.STEP_DOWN:
+            duty.drop()
+
+    @rule(number=HOSTS, lost=st.booleans())
+    def step_under_faults(self, number, lost):
+        self.store.faults.lose_answers = int(lost)
+        self.store.faults.down = not lost
+        self.step(number)
+        self.store.faults.lose_answers = 0
+        self.store.faults.down = False
+
+    @rule(number=HOSTS, honours=st.booleans(), late=st.booleans())
+    def order(self, number, honours, late):
+        duty = self.duties[number]
+        if duty.may_order(honours, self.keepers[number].clock()):
+            delay_s = BOUNDS.pause_s + BOUNDS.order_s if late else 0.0
+            arrival_s = self.clock() + delay_s
+            self.under_way.append((arrival_s, honours, duty.fencing))
+
+    @rule(old=HOSTS, honours=st.booleans())
+    def lapse_with_an_order_under_way(self, old, honours):
+        """Let the lease end while its holder's last order is still under way."""
+        self.step(old)
+        self.advance(7.5)
+        self.order(old, honours, late=True)
+        self.advance(3.0)
+        for number in range(len(self.duties)):
+            if number != old:
+                self.step(number)
+                self.order(number, honours, late=False)
+
+    @rule(number=HOSTS)
+    def release(self, number):
+        if self.duties[number].fencing:
+            anyio.run(self.keepers[number].release, self.duties[number])
+
+    @rule(number=HOSTS)
+    def restart(self, number):
+        self.duties[number] = Duty("rollout/s", f"h{number}", BOUNDS)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0, 7.5, 9.95, 11.0]))
+    def advance(self, seconds):
+        until_s = self.clock() + seconds
+        due = sorted(order for order in self.under_way if order[0] <= until_s)
+        self.under_way = [order for order in self.under_way if order[0] > until_s]
+        for _, honours, fencing in due:
+            if honours and fencing < self.seen[honours]:
+                continue
+            assert fencing >= self.seen[honours]
+            self.seen[honours] = fencing
+        self.clock.advance(seconds)
+
+    @invariant()
+    def at_most_one_host_may_order(self):
+        able = [
+            duty.host
+            for duty, keeper in zip(self.duties, self.keepers, strict=True)
+            if duty.may_order(True, keeper.clock())
+        ]
+        assert len(able) <= 1
+
+
+LeaseMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=100, stateful_step_count=40
+)
+test_leases_under_faults = LeaseMachine.TestCase
+
+
+def acquire(store, host):
+    duty = Duty("d", host, BOUNDS)
+    assert anyio.run(DutyKeeper(store, store.state.clock).acquire, duty)
+    return duty
+
+
+def test_fencing_numbers_grow_also_over_a_restored_store():
+    store = MemoryStore(ManualClock())
+    keeper = DutyKeeper(store, store.state.clock)
+    first = acquire(store, "a")
+    anyio.run(keeper.release, first)
+    assert store.items.keys() == {make_fencing_key("d")}
+    second = acquire(store, "b")
+    assert second.fencing == 2
+    anyio.run(keeper.raise_fencing, second, 40)
+    assert not second.fencing
+    assert acquire(store, "a").fencing == 41
+
+
+def test_a_lost_answer_still_makes_the_holder():
+    store = MemoryStore(ManualClock())
+    store.faults.lose_answers = 1
+    assert acquire(store, "a").fencing == 1
+
+
+def test_a_holder_stops_before_its_lease_ends_and_when_it_is_lost():
+    clock = ManualClock()
+    store = MemoryStore(clock)
+    duty = acquire(store, "a")
+    clock.advance(7.0)
+    assert duty.may_order(True, clock())
+    clock.advance(1.0)
+    assert not duty.may_order(True, clock())
+    assert duty.decide(None, frozenset(), clock()) is DutyStep.KEEP_ALIVE
+    clock.advance(3.0)
+    anyio.run(DutyKeeper(store, clock).keep_alive, duty)
+    assert not duty.fencing
