Add open-loop load, comparisons and experiment files

Cause: no tool put an honest load on a router or compared two runs. Change: bench load counts from due times into HDR histograms by slice; bench compare gives ratios with spread; bench experiment runs INI files.

--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,6 +3,11 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_load import (
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
+)
 from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
@@ -21,6 +26,9 @@
 
 COMMANDS = (
     ApplyCommand,
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
     BenchPolicyCommand,
     CheckCommand,
     DemoCommand,
