--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -6,29 +6,27 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from .asgi import open_server
 from .attempt import Attempts
-from .board import Board, SectionWriter, make_board
+from .board import Board, make_board
 from .callers import CallersApp
+from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
-from .configuration import Configuration
+from .configuration_controller import ConfigurationController
 from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .gossip import Gossip, make_gossip
-from .ids import Revision
 from .logs import make_log
 from .metrics import Metrics, make_metrics
-from .peers import bind_listener, make_transport, open_peer_server
+from .mirror import MirrorController, make_mirror
+from .peering import LocalParts, Peering, open_peering
 from .reuse_placement import make_placement
-from .revisions import CONFIGURATION_KEY, decode_revision
+from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
-from .store import Item, Store, Unavailable
+from .store import Store
 
 __all__ = [
-    "ConfigurationController",
     "Platform",
     "Router",
     "make_platform",
@@ -36,57 +34,7 @@
     "open_router",
 ]
 
-RETRY_S = 0.2
-
-
-@dataclass(slots=True)
-class ConfigurationController:
-    """Keeps the configuration on the board at the newest revision."""
-
-    store: Store
-    writer: SectionWriter[Configuration | None]
-    clock: Clock = time.monotonic
-    revision: Revision = Revision(0)
-    value: bytes = b""
-
-    async def run(self) -> None:
-        """Read and watch the configuration until cancelled."""
-        while True:
-            snapshot = await self.store.read(CONFIGURATION_KEY)
-            if not isinstance(snapshot, Unavailable):
-                for item in snapshot.items.values():
-                    self.accept(item)
-                await self._watch(Revision(snapshot.revision + 1))
-            await anyio.sleep(RETRY_S)
-
-    async def _watch(self, revision: Revision) -> None:
-        async for event in self.store.watch(CONFIGURATION_KEY, revision):
-            if event.compacted:
-                return
-            for item in event.items:
-                self.accept(item)
-
-    def accept(self, item: Item) -> bool:
-        """Take a stored value if it is newer than the one in force."""
-        if item.mod_revision <= self.revision:
-            return False
-        configuration = decode_revision(item.value)
-        if configuration is None:
-            return False
-        self.revision = item.mod_revision
-        self.value = item.value
-        self.writer.write(configuration, self.clock())
-        return True
-
-    def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
-        """Return the configuration for a peer that holds an older revision."""
-        if self.revision <= revision:
-            return None
-        return (self.revision, self.value)
-
-    def offer(self, revision: Revision, data: bytes) -> bool:
-        """Take a configuration that a peer exported, if it is newer and valid."""
-        return self.accept(Item(CONFIGURATION_KEY, data, revision))
+ABORT_GRACE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,9 +67,15 @@
     platform: Platform
     app: CallersApp
     configuration: ConfigurationController
+    mirror: MirrorController
+    claims: StoreClaims
     callers_address: str = ""
     peers_address: str = ""
-    gossip: Gossip | None = None
+    peering: Peering | None = None
+
+    def compute_grace(self) -> float:
+        """Return the bound on requests in progress at the end, seconds."""
+        return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
 
 
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
@@ -136,9 +90,12 @@
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, metrics)
     writer = board.configuration.take_writer("configuration")
-    controller = ConfigurationController(platform.store, writer, platform.clock)
+    controller = ConfigurationController(writer, platform.clock)
+    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror.mirror.listeners.append(controller.update)
+    claims = make_store_claims(platform.store, settings.host)
     _register_gauges(metrics, dispatcher, controller)
-    return Router(settings, board, platform, app, controller)
+    return Router(settings, board, platform, app, controller, mirror, claims)
 
 
 def _register_gauges(
@@ -153,27 +110,20 @@
     metrics.register(read)
 
 
-@contextlib.asynccontextmanager
-async def _open_gossip(router: Router, group: TaskGroup) -> AsyncIterator[Gossip]:
-    settings = router.settings
-    listener = bind_listener(settings.peers_address)
-    address, port = listener.getsockname()[:2]
-    router.peers_address = f"{address}:{port}"
-    transport = make_transport(settings.peer_key)
-    gossip = make_gossip(
-        settings,
-        router.peers_address,
-        transport,
-        router.configuration,
-        router.board,
-        router.app.is_ready,
-        lambda: router.app.stopping,
+def make_local_parts(router: Router) -> LocalParts:
+    """Return the parts of a router that its peers hear of and act on."""
+    app = router.app
+    return LocalParts(
+        settings=router.settings,
+        board=router.board,
+        client=router.platform.client,
+        attempts=app.dispatcher.attempts,
+        dispatcher=app.dispatcher,
+        source=router.configuration,
+        is_ready=app.is_ready,
+        is_stopping=lambda: app.stopping,
+        clock=router.platform.clock,
     )
-    router.gossip = gossip
-    async with open_peer_server(gossip, transport.codec, listener):
-        group.start_soon(gossip.run)
-        yield gossip
-    transport.close()
 
 
 @contextlib.asynccontextmanager
@@ -181,13 +131,17 @@
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
     async with anyio.create_task_group() as group:
-        group.start_soon(router.configuration.run)
+        group.start_soon(router.mirror.run)
+        group.start_soon(router.claims.run)
         async with (
-            _open_gossip(router, group),
-            open_server(router.app, settings.callers_address) as address,
+            open_peering(make_local_parts(router), group) as router.peering,
+            open_server(
+                router.app, settings.callers_address, router.compute_grace
+            ) as router.callers_address,
         ):
-            router.callers_address = address
+            router.peers_address = router.peering.address
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
+    await router.platform.store.close()
     router.app.log.close()
