--- /dev/null
+++ b/primrosepier/scale_control.py
@@ -0,0 +1,353 @@
+"""Costs of control on one node against the sizes of the fleet."""
+
+import random
+from collections.abc import Callable
+
+from .anchors import make_ring
+from .attempt import Attempts
+from .board import Board, make_board
+from .configuration import (
+    Configuration,
+    Endpoint,
+    Model,
+    Service,
+    ServiceKind,
+    Workspace,
+    decode_configuration,
+    encode_configuration,
+    find_workspace,
+    hash_key,
+)
+from .digests import DigestRegistry
+from .dispatch import Dispatcher, make_dispatcher
+from .engines import make_endpoint_client
+from .ids import (
+    EndpointId,
+    FailureDomain,
+    HostId,
+    ModelId,
+    RequestId,
+    ServiceId,
+    WeightsVersion,
+    WorkspaceId,
+)
+from .load_reports import choose_pollers
+from .membership import Membership, MemberState, make_membership
+from .messages import DigestRecord, Exchange, MemberRecord, PeerCodec
+from .placement import Feedback
+from .prompts import BLOCK_TOKENS, CacheScope, Prompt
+from .requests import ModelRequest
+from .reuse_placement import make_placement
+from .scale_fits import Slope, fit_slope, measure_cpu, measure_memory
+from .settings import Limits
+
+__all__ = ["make_configuration", "measure_control"]
+
+NODES = (60, 240, 470, 940)
+REPLICAS = (480, 975, 1950, 3900)
+WORKSPACES = (350, 700, 1400, 2800)
+CHANGES = (0, 2, 4, 8)
+DIGESTS = (0, 2, 4, 8)
+BLOCKS = (2000, 4000, 8000, 16000)
+MODELS = 22
+DOMAINS = 17
+DIGEST_BYTES = 60
+BLOCKS_PER_PROMPT = 8
+SMALL_REPLICAS = 220
+
+
+def make_configuration(replicas: int, workspaces: int) -> Configuration:
+    """Return a configuration of a size, with 22 models in 17 failure domains."""
+    models, services, endpoints = {}, {}, {}
+    for number in range(MODELS):
+        model, service = ModelId(f"model-{number}"), ServiceId(f"service-{number}")
+        models[model] = Model(model, WeightsVersion("1"))
+        services[service] = Service(service, ServiceKind.ENGINE, (model,))
+    for number in range(replicas):
+        name = EndpointId(f"endpoint-{number:05d}")
+        service = ServiceId(f"service-{number % MODELS}")
+        address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8000"
+        domain = FailureDomain(f"domain-{number % DOMAINS}")
+        endpoints[name] = Endpoint(name, service, address, domain)
+    owners = {}
+    for number in range(workspaces):
+        workspace = WorkspaceId(f"workspace-{number:05d}")
+        owners[workspace] = Workspace(workspace, (hash_key(f"key-{number}"),))
+    return Configuration(owners, models, services, endpoints)
+
+
+def measure_control() -> list[Slope]:
+    """Return all slopes of control on one node."""
+    return [
+        *_measure_membership(),
+        *_measure_changes(),
+        *_measure_digests(),
+        *_measure_polls(),
+        *_measure_configuration(),
+        *_measure_decisions(),
+        *_measure_reuse(),
+    ]
+
+
+def _make_record(number: int, incarnation: int = 1) -> MemberRecord:
+    address = f"10.1.{number >> 8}.{number & 255}:7000"
+    return MemberRecord(
+        host=f"entry-{number:04d}",
+        address=address,
+        failure_domain=f"domain-{number % DOMAINS}",
+        incarnation=incarnation,
+        state=MemberState.ALIVE,
+    )
+
+
+def _make_member(number: int, nodes: int) -> Membership:
+    member = make_membership(_make_record(number), random.Random(number))
+    others = [_make_record(n) for n in range(nodes) if n != number]
+    for other in others:
+        member.receive(Exchange(other), 0.0)
+    # Rounds until the news of all members has been sent often enough.
+    while member.make_exchange(None, 0.0).members:
+        pass
+    return member
+
+
+class _Pair:
+    """Two routers of a fleet that exchange by function calls, with the codec."""
+
+    def __init__(self, nodes: int):
+        self.first = _make_member(0, nodes)
+        self.second = _make_member(1, nodes)
+        self.codec = PeerCodec("key")
+        self.now_s = 1.0
+        self.bytes_sent = 0
+
+    def exchange(self) -> None:
+        """Run one round of the first router and one answer of the second."""
+        self.now_s += 1.0
+        self.first.start_round(self.now_s)
+        message = self.first.make_exchange(HostId("entry-0001"), self.now_s)
+        answer = self.second.answer(self._send(message), self.now_s)
+        self.first.receive(self._send(answer), self.now_s)
+
+    def _send(self, message: Exchange) -> Exchange:
+        data = self.codec.encode(message, Exchange)
+        self.bytes_sent += len(data)
+        return self.codec.decode(data, Exchange)
+
+
+def _measure_pairs(
+    sizes: tuple[int, ...],
+    nodes: Callable[[int], int],
+    prepare: Callable[[_Pair, int], None],
+    count: int = 60,
+) -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    """Return processor time and bytes of a round of one node at each size."""
+    cpu, sent = [], []
+    for size in sizes:
+        pair = _Pair(nodes(size))
+
+        def run(pair: _Pair = pair, size: int = size) -> None:
+            prepare(pair, size)
+            pair.exchange()
+
+        cpu.append((float(size), measure_cpu(run, count)))
+        before = pair.bytes_sent
+        run()
+        sent.append((float(size), float(pair.bytes_sent - before)))
+    return cpu, sent
+
+
+def _measure_membership() -> list[Slope]:
+    cpu, sent = _measure_pairs(NODES, lambda size: size, lambda pair, size: None)
+    memory = [
+        (float(size), measure_memory(lambda size=size: _make_member(0, size)))  # type: ignore[misc]
+        for size in NODES
+    ]
+    return [
+        fit_slope("membership_cpu", "nodes", "s a round", cpu),
+        fit_slope("membership_bytes", "nodes", "bytes a round", sent),
+        fit_slope("membership_memory", "nodes", "bytes", memory),
+    ]
+
+
+def _measure_changes() -> list[Slope]:
+    """Measure rounds in which members change, as when hosts fail or restart."""
+    state = {"incarnation": 1}
+
+    def change(pair: _Pair, size: int) -> None:
+        state["incarnation"] += 1
+        for number in range(2, 2 + size):
+            record = _make_record(number, state["incarnation"])
+            pair.first.receive(Exchange(record), pair.now_s)
+
+    cpu, sent = _measure_pairs(CHANGES, lambda size: 940, change)
+    return [
+        fit_slope("member_change_cpu", "changes a round", "s a round", cpu),
+        fit_slope("member_change_bytes", "changes a round", "bytes a round", sent),
+    ]
+
+
+def _measure_digests() -> list[Slope]:
+    state = {"counter": 1}
+    data = bytes(DIGEST_BYTES)
+
+    def publish(pair: _Pair, size: int) -> None:
+        state["counter"] += 1
+        for number in range(2, 2 + size):
+            host = f"entry-{number:04d}"
+            count = state["counter"]
+            record = DigestRecord("usage", host, 1, count, ttl_ms=600_000, data=data)
+            pair.first.digests.receive(record, pair.now_s)
+
+    cpu, sent = _measure_pairs(DIGESTS, lambda size: 940, publish)
+    memory = []
+    for size in NODES:
+
+        def build(size: int = size) -> DigestRegistry:
+            registry = DigestRegistry(HostId("entry-9999"), 1)
+            for number in range(size):
+                host = f"entry-{number:04d}"
+                record = DigestRecord("usage", host, 1, 1, 600_000, bytes(DIGEST_BYTES))
+                registry.receive(record, 0.0)
+            return registry
+
+        memory.append((float(size), measure_memory(build)))
+    return [
+        fit_slope("digest_cpu", "digests a round", "s a round", cpu),
+        fit_slope("digest_bytes", "digests a round", "bytes a round", sent),
+        fit_slope("digest_memory", "nodes", "bytes a digest name", memory),
+    ]
+
+
+def _measure_polls() -> list[Slope]:
+    """Measure the choice of the endpoints whose load this router reads."""
+    cpu = []
+    replicas = 400
+    names = [EndpointId(f"endpoint-{number:05d}") for number in range(replicas)]
+    for nodes in NODES:
+        routers = [HostId(f"entry-{number:04d}") for number in range(nodes)]
+
+        def choose(routers: list[HostId] = routers) -> None:
+            for name in names:
+                choose_pollers(name, routers, len(routers) * 4)
+
+        cpu.append((float(nodes * replicas), measure_cpu(choose, 1)))
+    return [fit_slope("poll_choice_cpu", "nodes x replicas", "s a second", cpu)]
+
+
+def _measure_configuration() -> list[Slope]:
+    decode, size_bytes, memory, find = [], [], [], []
+    for workspaces in WORKSPACES:
+        replicas = workspaces * REPLICAS[-1] // WORKSPACES[-1]
+        configuration = make_configuration(replicas, workspaces)
+        data = encode_configuration(configuration)
+        key = f"key-{workspaces - 1}"
+        x = float(workspaces)
+        decode.append((x, measure_cpu(lambda d=data: decode_configuration(d), 3)))  # type: ignore[misc]
+        size_bytes.append((x, float(len(data))))
+        held = measure_memory(lambda d=data: decode_configuration(d))  # type: ignore[misc]
+        memory.append((x, held))
+        find.append(
+            (x, measure_cpu(lambda c=configuration, k=key: find_workspace(c, k), 50))  # type: ignore[misc]
+        )
+    axis = "workspaces, with 1.4 replicas each"
+    return [
+        fit_slope("configuration_cpu", axis, "s a change", decode),
+        fit_slope("configuration_bytes", axis, "bytes", size_bytes),
+        fit_slope("configuration_memory", axis, "bytes", memory),
+        fit_slope("authentication_cpu", "workspaces", "s a request", find),
+    ]
+
+
+def _open_board(replicas: int) -> Board:
+    board = make_board()
+    configuration = make_configuration(replicas, 8)
+    board.configuration.take_writer("bench").write(configuration, 0.0)
+    return board
+
+
+def make_request(configuration: Configuration, number: int) -> ModelRequest:
+    """Return a request with a prompt of its own below a shared prefix."""
+    workspace = configuration.workspaces[WorkspaceId("workspace-00000")]
+    model = configuration.models[ModelId("model-0")]
+    scope = CacheScope(workspace.id, model.id, "", model.version)  # type: ignore[arg-type]
+    source = random.Random(number)
+    blocks = tuple(source.getrandbits(64) for _ in range(BLOCKS_PER_PROMPT))
+    prompt = Prompt(scope, blocks, BLOCKS_PER_PROMPT * BLOCK_TOKENS)  # type: ignore[arg-type]
+    return ModelRequest(
+        id=RequestId(f"req-{number}"),
+        workspace=workspace,
+        model=model,
+        service=configuration.services[ServiceId("service-0")],
+        path="/v1/completions",
+        body={},
+        streamed=True,
+        prompt=prompt,
+    )
+
+
+def _make_dispatcher(board: Board) -> Dispatcher:
+    attempts = Attempts(make_endpoint_client(), Limits())
+    placement = make_placement(FailureDomain("domain-0"))
+    return make_dispatcher(board, attempts, placement, Limits())
+
+
+def _measure_decisions() -> list[Slope]:
+    decide, admit, rings = [], [], []
+    for replicas in REPLICAS:
+        board = _open_board(replicas)
+        dispatcher = _make_dispatcher(board)
+        configuration = board.configuration.value
+        assert configuration is not None
+        requests = [make_request(configuration, number) for number in range(20)]
+        service = requests[0].service
+
+        def choose(
+            d: Dispatcher = dispatcher, r: list[ModelRequest] = requests
+        ) -> None:
+            for request in r:
+                d.choose(request, 0, set(), 1.0)
+
+        def read_room(d: Dispatcher = dispatcher, s: Service = service) -> None:
+            d.candidates.compute_room(s, 1.0)
+
+        names = [endpoint.id for endpoint in configuration.list_endpoints(service.id)]
+        x = float(replicas)
+        decide.append((x, measure_cpu(choose, 2) / len(requests)))
+        admit.append((x, measure_cpu(read_room, 20)))
+        rings.append((x, MODELS * measure_memory(lambda n=names: make_ring(n))))  # type: ignore[misc]
+    return [
+        fit_slope("decision_cpu", "replicas", "s a request", decide),
+        fit_slope("admission_cpu", "replicas", "s a request", admit),
+        fit_slope("ring_memory", "replicas", "bytes", rings),
+    ]
+
+
+def _measure_reuse() -> list[Slope]:
+    """Measure the placement's memory against the distinct blocks that it met."""
+    board = _open_board(SMALL_REPLICAS)
+    configuration = board.configuration.value
+    assert configuration is not None
+    memory, cpu = [], []
+    for blocks in BLOCKS:
+        requests = [
+            make_request(configuration, number)
+            for number in range(blocks // BLOCKS_PER_PROMPT)
+        ]
+        dispatcher = _make_dispatcher(board)
+
+        def feed(
+            d: Dispatcher = dispatcher, r: list[ModelRequest] = requests
+        ) -> object:
+            for request in r:
+                decision = d.choose(request, 0, set(), 1.0)
+                endpoint = EndpointId(getattr(decision, "endpoint", ""))
+                d.placement.observe(Feedback(endpoint, request.prompt, 0, 0, 1.0))
+            return d
+
+        memory.append((float(blocks), measure_memory(feed)))
+        cpu.append((float(blocks), measure_cpu(feed, 1)))
+    return [
+        fit_slope("reuse_memory", "distinct blocks met", "bytes", memory),
+        fit_slope("reuse_cpu", "blocks routed and observed", "s", cpu),
+    ]
