--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,9 @@
 test: lint
 	$(PYTHON) -m pytest
 
+capacity: $(STAMP)
+	$(PYTHON) -m primrosepier bench scale --json > docs/capacity.json
+	$(PYTHON) -m primrosepier capacity-page docs/capacity.json > docs/CAPACITY.md
+
 clean:
 	rm -rf build out .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/primrosepier/bench_scale.py
@@ -0,0 +1,72 @@
+"""All slopes of one node and of the platform, measured on this machine."""
+
+import os
+import platform
+import time
+
+import msgspec
+
+from .load_reports import compute_renewal
+from .membership import MembershipRules
+from .scale_control import measure_control
+from .scale_data import measure_data_path
+from .scale_fits import Slope
+from .scale_peers import measure_peers
+from .scale_store import measure_store
+
+__all__ = ["ScaleReport", "ScaleRules", "run_scale"]
+
+NODES = 940
+
+
+class ScaleRules(msgspec.Struct, frozen=True):
+    """Rules of the protocol between routers that bound its costs.
+
+    Parameters
+    ----------
+    renewal_s : float
+        Time between two digests of one name at the design size, seconds.
+    news_bytes : int
+        Bound on the news in one message.
+    """
+
+    renewal_s: float
+    news_bytes: int
+
+
+class ScaleReport(msgspec.Struct, frozen=True):
+    """Slopes with what they were measured on.
+
+    Parameters
+    ----------
+    cores : int
+        Processor cores of the machine.
+    load_before, load_after : float
+        Load averages over one minute; other work makes times longer.
+    duration_s : float
+    """
+
+    python: str
+    cores: int
+    load_before: float
+    load_after: float
+    duration_s: float
+    rules: ScaleRules
+    slopes: dict[str, Slope]
+
+
+def run_scale() -> ScaleReport:
+    """Measure everything, one matter after the other."""
+    started_s = time.monotonic()
+    load_before = os.getloadavg()[0]
+    slopes = [*measure_control(), *measure_peers()]
+    slopes += [*measure_store(), *measure_data_path()]
+    return ScaleReport(
+        python=platform.python_version(),
+        cores=os.cpu_count() or 1,
+        load_before=load_before,
+        load_after=os.getloadavg()[0],
+        duration_s=time.monotonic() - started_s,
+        rules=ScaleRules(compute_renewal(NODES), MembershipRules().budget_bytes),
+        slopes={slope.name: slope for slope in slopes},
+    )
--- /dev/null
+++ b/primrosepier/capacity_page.py
@@ -0,0 +1,382 @@
+"""Rendering of the capacity page."""
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from .bench_scale import ScaleReport
+from .capacity import DAY_S, KB, MB, CapacityEstimate, DesignSize, Figure
+from .scale_fits import Slope
+
+__all__ = ["render_capacity_page"]
+
+PERCENT = 100
+HOUR_S = 3600
+ALL_AT_ONCE_S = 60.0
+
+MENDS = {
+    "choice of the replicas whose load it reads": (
+        "keep the chosen replicas until members or configuration change, and choose "
+        "by a ring instead of hashing each pair"
+    ),
+    "one exchange a second, sent and answered": (
+        "exchange less often, or over UDP in place of grpclib"
+    ),
+    "reports of load and usage of all nodes": (
+        "share load within a region only, where its requests go"
+    ),
+    "4,300 changes of configuration a day": (
+        "decode the changed chunks alone, and name chunks in the manifest by region"
+    ),
+    "configuration": "keep the chunks of one's own region and models alone",
+    "rings of 22 services": (
+        "rings of the services of one's own region, and fewer points a replica"
+    ),
+    "tokens, each in a part of its own": (
+        "pass on whole reads without parsing each event, and merge the parts that are "
+        "ready"
+    ),
+    "requests, with logs and metrics": "fewer codings of the body; sampled logs",
+    "choice of the endpoint among all replicas": (
+        "keep the views of a service between requests and look at the few replicas "
+        "that the ring names"
+    ),
+    "claims of 1% of the requests, begun and ended": (
+        "owners of partitions of the keys that collect the claims of many nodes into "
+        "one write, and no write at the end of a claim"
+    ),
+}
+ROLES = (
+    (
+        "router, control",
+        "members, digests, configuration, rings, prefix tables",
+        "1 exchange/s, 1 watch, 1 read in 15 s, at most 8 polls/s of replicas' load",
+    ),
+    (
+        "router, requests",
+        "open streams; nothing outlives them",
+        "46.8 requests/s and 16,000 tokens/s",
+    ),
+    (
+        "operator's apply",
+        "none",
+        "2 writes and 2 reads a change",
+    ),
+    (
+        "key-value service",
+        "configuration in chunks, claims with leases",
+        "1 waiting watch a node (940, each counted as a call), reads and writes below",
+    ),
+)
+NOT_MEASURED = (
+    "processor time of polling replicas' load over HTTP (at most 8 polls/s a node)",
+    "cache events: no router reads them, so 8.6 million a second cost nothing; reuse "
+    "is learned from each answer's cached tokens",
+    "orders to load weights and the leases of their holders",
+    "TCP and IP headers, and memory outside of Python's allocator (socket buffers)",
+    "links between regions, and the processors of the users' hosts",
+    "exchanges at 940 processes: a node was measured with a table of 940 and one peer",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Budget:
+    """One budget with the figures that draw on it."""
+
+    title: str
+    unit: str
+    figures: Sequence[Figure]
+    budget: float | None
+    budget_text: str
+    show: Callable[[float], str]
+
+    @property
+    def total(self) -> float:
+        """Sum of the figures."""
+        return sum(figure.value for figure in self.figures)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the sum exceeds the budget."""
+        return self.budget is not None and self.total > self.budget
+
+    def judge(self) -> str:
+        """Return the verdict in words."""
+        if self.budget is None:
+            return "no budget stated"
+        times = self.total / self.budget
+        if self.is_over:
+            return f"**over, {times:.1f} times**"
+        return f"within, {times * PERCENT:.0f}%"
+
+
+def render_capacity_page(report: ScaleReport, size: DesignSize | None = None) -> str:
+    """Return the page as Markdown."""
+    size = size or DesignSize()
+    estimate = CapacityEstimate(report, size)
+    budgets = _list_budgets(estimate, size)
+    lines = [*_render_head(report, size), *_render_summary(budgets)]
+    lines += [*_render_excess(budgets), *_render_roles()]
+    for budget in budgets:
+        lines += _render_budget(budget)
+    lines += _render_days(estimate, size)
+    lines += ["## Not measured", ""]
+    lines += [f"- {text}." for text in NOT_MEASURED]
+    lines += ["", *_render_slopes(report)]
+    return "\n".join(lines)
+
+
+def _list_budgets(estimate: CapacityEstimate, size: DesignSize) -> list[_Budget]:
+    streams = size.node_requests_per_s * size.stream_s
+    held = Figure(
+        f"{streams:,.0f} open streams",
+        estimate.compute_stream_memory(),
+        ("stream_memory",),
+        "buffers of two connections and one request's state",
+    )
+    return [
+        _Budget(
+            "Control: processor time of a node",
+            "share of a core",
+            estimate.list_cpu(),
+            size.cpu_share,
+            "2.6% of a core",
+            _show_share,
+        ),
+        _Budget(
+            "Control: bytes of a node",
+            "a second",
+            estimate.list_bytes(),
+            size.bytes_per_s,
+            "9 KB/s",
+            _show_bytes,
+        ),
+        _Budget(
+            "Control: memory of a node",
+            "held",
+            estimate.list_memory(),
+            size.memory_bytes,
+            "32 MB",
+            _show_bytes,
+        ),
+        _Budget(
+            "Requests: processor time of a node",
+            "cores",
+            estimate.list_request_path(),
+            1.0,
+            "1 core of one process",
+            _show_share,
+        ),
+        _Budget(
+            "Requests: memory of a node",
+            "held",
+            [held],
+            None,
+            "none stated",
+            _show_bytes,
+        ),
+        _Budget(
+            "Key-value service: writes",
+            "a second",
+            estimate.list_store_writes(),
+            size.store_writes_per_s,
+            "several hundred; 300 taken",
+            _show_rate,
+        ),
+        _Budget(
+            "Key-value service: reads",
+            "a second",
+            estimate.list_store_reads(),
+            size.store_reads_per_s,
+            "2,000",
+            _show_rate,
+        ),
+    ]
+
+
+def _show_share(value: float) -> str:
+    return f"{value * PERCENT:.3g}%"
+
+
+def _show_bytes(value: float) -> str:
+    if value >= MB:
+        return f"{value / MB:.1f} MB"
+    return f"{value / KB:.2f} KB"
+
+
+def _show_rate(value: float) -> str:
+    return f"{value:.3g}"
+
+
+def _render_head(report: ScaleReport, size: DesignSize) -> list[str]:
+    return [
+        "# Capacity",
+        "",
+        "Made by `make capacity` from slopes that `bench scale` measures on one",
+        "machine with small stand-ins, kept in `capacity.json`. This report took",
+        f"{report.duration_s:.0f} s on Python {report.python} and {report.cores} cores,",
+        f"with a load average of {report.load_before:.1f} before and",
+        f"{report.load_after:.1f} after.",
+        "",
+        f"The design size is {size.nodes} nodes before {size.replicas:,} replicas,",
+        f"{size.requests_per_s:,.0f} requests and {size.tokens_per_s:,.0f} tokens a",
+        f"second, {size.workspaces:,} workspaces in {size.domains} failure domains.",
+        "Figures at that size are worked out by the lines at the end of the page; they",
+        "were measured there only where a line's last point is that size. Figures over",
+        "their budget are marked. No budget is stated for requests: one process can",
+        "fill one core.",
+        "",
+    ]
+
+
+def _render_summary(budgets: Sequence[_Budget]) -> Iterator[str]:
+    yield "## Against the budgets"
+    yield ""
+    yield "| matter | at the design size | budget | verdict |"
+    yield "|---|---|---|---|"
+    for budget in budgets:
+        total = budget.show(budget.total)
+        yield f"| {budget.title} | {total} | {budget.budget_text} | {budget.judge()} |"
+    yield ""
+
+
+def _render_excess(budgets: Sequence[_Budget]) -> Iterator[str]:
+    yield "## What exceeds a budget, and what would mend it"
+    yield ""
+    over = [budget for budget in budgets if budget.is_over]
+    for budget in over:
+        yield f"- {budget.title}: {budget.show(budget.total)}, {budget.judge()}."
+        for figure in sorted(budget.figures, key=lambda f: -f.value):
+            if figure.value < budget.total / 10:
+                continue
+            mend = MENDS.get(figure.matter, "no way is worked out yet")
+            yield f"  - {figure.matter}, {budget.show(figure.value)}: {mend}."
+    if not over:
+        yield "Nothing does."
+    yield ""
+
+
+def _render_roles() -> Iterator[str]:
+    yield "## Roles"
+    yield ""
+    yield "Routers are all alike; none is set aside. Processor time and memory follow"
+    yield "in the tables below."
+    yield ""
+    yield "| role | state | messages |"
+    yield "|---|---|---|"
+    for role in ROLES:
+        yield f"| {' | '.join(role)} |"
+    yield ""
+
+
+def _render_budget(budget: _Budget) -> Iterator[str]:
+    yield f"## {budget.title}"
+    yield ""
+    yield f"| matter | {budget.unit} | mechanism | from |"
+    yield "|---|---|---|---|"
+    for figure in sorted(budget.figures, key=lambda f: -f.value):
+        slopes = ", ".join(f"`{name}`" for name in figure.slopes)
+        value = budget.show(figure.value)
+        yield f"| {figure.matter} | {value} | {figure.mechanism} | {slopes} |"
+    total = budget.show(budget.total)
+    yield f"| **all** | **{total}** | budget {budget.budget_text} | {budget.judge()} |"
+    yield ""
+
+
+def _render_days(estimate: CapacityEstimate, size: DesignSize) -> Iterator[str]:
+    whole = estimate.at("configuration_bytes", size.workspaces)
+    yield from _render_ordinary_day(estimate, size, whole)
+    yield from _render_lost_domain(estimate, size)
+    yield from _render_regions_apart(estimate, size)
+    yield from _render_herd(size, whole)
+
+
+def _render_ordinary_day(
+    estimate: CapacityEstimate, size: DesignSize, whole: float
+) -> Iterator[str]:
+    members = size.failures_per_day + 2 * size.restarts_per_day
+    news = members * estimate.each("member_change_bytes")
+    starts = (size.failures_per_day + size.restarts_per_day) * whole
+    changes = size.changes_per_day * estimate.at("change_bytes", size.workspaces)
+    seconds = size.changes_per_day * estimate.at("configuration_cpu", size.workspaces)
+    yield "## An ordinary day"
+    yield ""
+    yield f"- {size.failures_per_day} failures and {size.restarts_per_day} restarts are"
+    yield f"  {members} changes of members: {_show_bytes(news)} a day at each node for"
+    yield "  one sending of each."
+    yield f"- {size.changes_per_day} changes of configuration bring"
+    yield f"  {_show_bytes(changes)} and {seconds:.1f} s of processor time to each node"
+    yield f"  ({_show_bytes(changes / DAY_S)}/s)."
+    yield f"- Each start reads the configuration whole, {_show_bytes(whole)}: together"
+    yield f"  {_show_bytes(starts)} a day from the service or from peers."
+    yield ""
+
+
+def _render_lost_domain(estimate: CapacityEstimate, size: DesignSize) -> Iterator[str]:
+    nodes, replicas = size.nodes / size.domains, size.replicas / size.domains
+    left = size.nodes - nodes
+    rules_bytes = estimate.each("member_change_bytes")
+    growth = size.nodes / left
+    yield "## A lost failure domain"
+    yield ""
+    yield f"- {nodes:.0f} nodes and {replicas:.0f} replicas go at once. The other nodes"
+    yield f"  take {size.requests_per_s / left:.1f} requests/s in place of"
+    yield f"  {size.node_requests_per_s:.1f}, and each stream limit and figure of the"
+    yield f"  request path grows by {(growth - 1) * PERCENT:.1f}%."
+    yield f"- The news of {nodes:.0f} dead members is"
+    yield f"  {_show_bytes(nodes * rules_bytes)} a sending; messages keep their bound, so"
+    yield "  the news spreads over more rounds instead of more bytes."
+    yield f"- The other replicas take {size.replicas / (size.replicas - replicas):.3f}"
+    yield "  times their load; requests to the lost ones are tried elsewhere, within"
+    yield "  the retry budget."
+    yield ""
+
+
+def _render_regions_apart(
+    estimate: CapacityEstimate, size: DesignSize
+) -> Iterator[str]:
+    changes = size.changes_per_day / DAY_S * HOUR_S
+    missed = changes * estimate.at("change_bytes", size.workspaces)
+    claims = size.requests_per_s * size.claims_share
+    yield "## Regions apart for an hour"
+    yield ""
+    yield "- A region that cannot reach the key-value service serves on with the"
+    yield "  configuration that it has. Changes are not in force there until it can:"
+    yield "  **the 19 s are not kept for that hour**. Nothing mends that without a"
+    yield "  second service."
+    yield f"- It misses {changes:.0f} changes and catches up by at most"
+    yield f"  {_show_bytes(missed)} a node."
+    yield "- Requests that must not be repeated are answered *not run* there, up to"
+    yield f"  {claims:.0f} a second over all regions."
+    yield ""
+
+
+def _render_herd(size: DesignSize, whole: float) -> Iterator[str]:
+    yield "## All routers restart at once"
+    yield ""
+    rate = size.nodes / ALL_AT_ONCE_S
+    yield f"- {size.nodes} reads of {_show_bytes(whole)} are"
+    yield f"  {_show_bytes(size.nodes * whole)} in all; within {ALL_AT_ONCE_S:.0f} s they"
+    yield f"  are {rate:.0f} reads a second, {rate / size.store_reads_per_s * PERCENT:.1f}%"
+    yield "  of the service's. Restarted routers ask peers first when they have any."
+    yield "- Nothing else is read at a start: placement by rule needs no shared state."
+    yield ""
+
+
+def _render_slopes(report: ScaleReport) -> Iterator[str]:
+    yield "## Measured slopes"
+    yield ""
+    yield "The residual is the largest distance of a point from its line, over the"
+    yield "largest cost. A line with a residual over 0.1 is no line: such a cost has"
+    yield "steps or a bound, or the machine was busy."
+    yield ""
+    yield "| name | against | cost | points | slope | at 0 | residual |"
+    yield "|---|---|---|---|---|---|---|"
+    for slope in report.slopes.values():
+        yield f"| {' | '.join(_list_cells(slope))} |"
+    yield ""
+
+
+def _list_cells(slope: Slope) -> list[str]:
+    points = ", ".join(f"{point.x:,.0f}: {point.y:.3g}" for point in slope.points)
+    numbers = [f"{slope.slope:.3g}", f"{slope.intercept:.3g}", f"{slope.residual:.3f}"]
+    return [f"`{slope.name}`", slope.x, slope.y, points, *numbers]
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -9,6 +9,7 @@
     BenchLoadCommand,
 )
 from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_metrics import MetricsPageCommand
@@ -30,6 +31,8 @@
     BenchExperimentCommand,
     BenchLoadCommand,
     BenchPolicyCommand,
+    BenchScaleCommand,
+    CapacityPageCommand,
     CheckCommand,
     DemoCommand,
     ExplainCommand,
--- /dev/null
+++ b/primrosepier/commands_bench_scale.py
@@ -0,0 +1,62 @@
+"""Commands that measure slopes and work out the capacity page."""
+
+from pathlib import Path
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.outputs.output import Type as OutputType
+
+from .bench_scale import ScaleReport, run_scale
+from .capacity_page import render_capacity_page
+
+__all__ = ["BenchScaleCommand", "CapacityPageCommand"]
+
+
+class BenchScaleCommand(Command):
+    """Measure how costs grow with sizes, on this machine."""
+
+    name = "bench scale"
+    description = "Measure how costs grow with sizes, on this machine."
+    options = [option("json", None, "Print the report as JSON.")]
+
+    def handle(self) -> int:
+        """Run the command."""
+        report = run_scale()
+        if self.option("json"):
+            data = msgspec.json.format(msgspec.json.encode(report))
+            self.io.output.write_line(data.decode(), type=OutputType.RAW)
+            return 0
+        rows = [
+            [
+                s.name,
+                s.x,
+                s.y,
+                f"{s.slope:.4g}",
+                f"{s.intercept:.4g}",
+                f"{s.residual:.3f}",
+            ]
+            for s in report.slopes.values()
+        ]
+        header = ["name", "against", "cost", "slope", "at 0", "residual"]
+        self.render_table(header, rows)  # type: ignore[arg-type]
+        return 0
+
+
+class CapacityPageCommand(Command):
+    """Work out the capacity page from a report of bench scale."""
+
+    name = "capacity-page"
+    description = "Work out the capacity page from a report of bench scale."
+    arguments = [argument("report", "JSON of bench scale.")]
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            data = Path(self.argument("report")).read_bytes()
+            report = msgspec.json.decode(data, type=ScaleReport)
+        except (OSError, msgspec.DecodeError) as error:
+            self.line_error(str(error))
+            return 1
+        self.io.output.write(render_capacity_page(report), type=OutputType.RAW)
+        return 0
