--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -13,6 +13,7 @@
 __all__ = [
     "App",
     "Headers",
+    "JSON_TYPE",
     "Receive",
     "Scope",
     "Send",
--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -1,11 +1,15 @@
 """One attempt at one endpoint, and what the caller has got so far."""
 
+import secrets
 import time
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
 
 import msgspec
 
-from .asgi import Send, send_bytes, start_response
+from .asgi import JSON_TYPE, Send, send_bytes, start_response
 from .clocks import Clock
 from .configuration import Endpoint
 from .engines import (
@@ -27,17 +31,46 @@
     Step,
     UnknownOutcome,
 )
-from .relay import Tail, relay_stream
+from .relay import Tail, read_whole, relay_stream
 from .request_log import AttemptRecord, record_attempt
 from .requests import ModelRequest
 from .settings import Limits
+from .splice import Splice, SpliceState
 
-__all__ = ["Attempts", "Delivery", "can_continue", "make_delivery"]
+__all__ = [
+    "AnswerIdentity",
+    "Attempts",
+    "Delivery",
+    "RelayCount",
+    "can_continue",
+    "make_delivery",
+]
 
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
+MAX_ENDPOINT_ERROR_BYTES = 64 * 1024
+SEED_BOUND = 2**31
+UNSPLICEABLE = ("tools", "functions", "logprobs", "best_of", "echo", "suffix")
 EVENT_STREAM = ("content-type", "text/event-stream")
+NO_CACHE = ("cache-control", "no-store")
+
+
+class RelayCount(Enum):
+    """What is counted over all attempts."""
+
+    CONTINUED = "continued"
+    CROSSED_ANSWER = "crossed answer"
+    CROSSED_EVENT = "crossed event"
+    INTERRUPTED = "interrupted"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerIdentity:
+    """What an answer's headers tell of its origin; empty when they do not."""
+
+    attempt: str
+    version: str
 
 
 @dataclass(slots=True)
@@ -47,17 +80,38 @@
     Parameters
     ----------
     send : Send
+    splice : Splice
+    started : bool
+        Whether the status and the headers went out.
+    version : str
+        Weights version that the answer comes from, if the endpoint tells it.
     headers_at_s : float
         Monotonic time at which the last attempt's answer began, seconds.
     """
 
     send: Send
+    splice: Splice
+    started: bool = False
+    version: str = ""
     headers_at_s: float = 0.0
 
 
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
     """Return the delivery of a request of which nothing went out yet."""
-    return Delivery(send)
+    seed = request.body.get("seed")
+    if request.resumed is not None:
+        seed = request.resumed.seed
+    if not isinstance(seed, int):
+        seed = secrets.randbelow(SEED_BOUND)
+    single = request.body.get("n") in (None, 1)
+    plain = not any(request.body.get(name) for name in UNSPLICEABLE)
+    splice = Splice(
+        seed=seed,
+        wants_usage=request.wants_usage,
+        continuable=request.idempotent and single and plain,
+        resumed=request.resumed,
+    )
+    return Delivery(send, splice)
 
 
 def can_continue(outcome: Outcome) -> bool:
@@ -79,6 +133,7 @@
     client: EndpointClient
     limits: Limits
     clock: Clock = time.monotonic
+    counts: Counter[RelayCount] = field(default_factory=Counter)
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
@@ -86,10 +141,29 @@
         """Send a request to an endpoint and relay its answer."""
         attempt = make_attempt_id()
         with record_attempt(request, endpoint.id, attempt) as record:
-            call = self._make_call(request, endpoint, attempt, record.hop)
-            record.outcome = await self._send(request, endpoint, call, delivery, record)
+            call = self._make_call(request, endpoint, delivery, attempt, record.hop)
+            outcome = await self._send(request, endpoint, call, delivery, record)
+            record.outcome = self._adjust(outcome, delivery)
         return record.outcome
 
+    def _adjust(self, outcome: Outcome, delivery: Delivery) -> Outcome:
+        """Return what an outcome means when the caller has a part already."""
+        if isinstance(outcome, Interrupted):
+            self.counts[RelayCount.INTERRUPTED] += 1
+        if not delivery.started:
+            return outcome
+        resumable = delivery.splice.continuable
+        if isinstance(outcome, NotRun):
+            return Interrupted(outcome.step, outcome.peer, outcome.reason, resumable)
+        if isinstance(outcome, UnknownOutcome):
+            return Interrupted(
+                outcome.step, outcome.peer, outcome.reason, resumable, outcome.lost
+            )
+        if isinstance(outcome, Refused):
+            reason = f"the endpoint refused with status {outcome.status}"
+            return Interrupted(outcome.step, outcome.peer, reason, resumable)
+        return outcome
+
     async def _send(
         self,
         request: ModelRequest,
@@ -102,17 +176,23 @@
             async with self.client.open(call) as response:
                 delivery.headers_at_s = self.clock()
                 record.mark_headers()
-                return await self._relay(request, endpoint, response, delivery.send)
+                answer = _read_identity(response)
+                if answer.attempt not in ("", call.attempt):
+                    self.counts[RelayCount.CROSSED_ANSWER] += 1
+                    reason = "the answer of another attempt arrived"
+                    return UnknownOutcome(Step.HEADERS, endpoint.id, reason)
+                return await self._relay(request, endpoint, response, answer, delivery)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
 
     def _make_call(
-        self, request: ModelRequest, endpoint: Endpoint, attempt: AttemptId, hop: str
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        delivery: Delivery,
+        attempt: AttemptId,
+        hop: str,
     ) -> EndpointCall:
-        body = dict(request.body)
-        body["cache_salt"] = request.workspace.id
-        if request.streamed:
-            body["stream_options"] = {"include_usage": True}
         headers = (
             ("content-type", "application/json"),
             ("x-request-id", request.id),
@@ -124,9 +204,10 @@
             method="POST",
             path=request.path,
             headers=headers,
-            body=msgspec.json.encode(body),
+            body=msgspec.json.encode(_make_body(request, endpoint, delivery)),
             connect_s=self.limits.connect_s,
             request_s=self.limits.request_s,
+            attempt=attempt,
         )
 
     async def _relay(
@@ -134,26 +215,96 @@
         request: ModelRequest,
         endpoint: Endpoint,
         response: EndpointResponse,
-        send: Send,
+        answer: AnswerIdentity,
+        delivery: Delivery,
     ) -> Outcome:
         if response.status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
             reason = f"the endpoint refused with status {response.status}"
             return NotRun(Step.HEADERS, endpoint.id, reason, retry_after_s=1.0)
-        identity = ("x-request-id", request.id)
-        if request.streamed and response.status == HTTP_OK:
-            await start_response(send, HTTP_OK, [EVENT_STREAM, identity])
-            return await relay_stream(response, send, endpoint.id)
-        parts = [part async for part in response.aiter_stream()]
-        data = b"".join(parts)
         if response.status != HTTP_OK:
-            return Refused(Step.HEADERS, endpoint.id, response.status, data)
-        tail = Tail()
-        tail.add(data)
+            return await self._refuse(endpoint, response)
+        if request.streamed:
+            return await self._relay_stream(
+                request, endpoint, response, answer, delivery
+            )
+        return await self._relay_whole(request, endpoint, response, delivery)
+
+    async def _refuse(self, endpoint: Endpoint, response: EndpointResponse) -> Outcome:
+        data = await read_whole(response, MAX_ENDPOINT_ERROR_BYTES)
+        if data is None:
+            reason = f"status {response.status} with an oversized body"
+            return UnknownOutcome(Step.HEADERS, endpoint.id, reason)
+        return Refused(Step.HEADERS, endpoint.id, response.status, data)
+
+    async def _relay_stream(
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        answer: AnswerIdentity,
+        delivery: Delivery,
+    ) -> Outcome:
+        if delivery.started and answer.version != delivery.version:
+            reason = "the endpoint has another weights version"
+            return Interrupted(Step.HEADERS, endpoint.id, reason, resumable=True)
+        if not delivery.started:
+            headers = [EVENT_STREAM, NO_CACHE, ("x-request-id", request.id)]
+            await start_response(delivery.send, HTTP_OK, headers)
+            delivery.started = True
+            delivery.version = answer.version
+        else:
+            self.counts[RelayCount.CONTINUED] += 1
+        delivery.splice.begin(endpoint.resume)
+        outcome = await relay_stream(
+            response, delivery.send, delivery.splice, endpoint.id
+        )
+        if delivery.splice.state is SpliceState.CROSSED:
+            self.counts[RelayCount.CROSSED_EVENT] += 1
+        return outcome
+
+    async def _relay_whole(
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        delivery: Delivery,
+    ) -> Outcome:
+        data = await read_whole(response)
+        if data is None:
+            return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is too large")
         try:
             msgspec.json.decode(data)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, UnicodeDecodeError):
             return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is not JSON")
-        await send_bytes(
-            send, HTTP_OK, data, [("content-type", "application/json"), identity]
-        )
+        headers = [JSON_TYPE, ("x-request-id", request.id)]
+        await send_bytes(delivery.send, HTTP_OK, data, headers)
+        tail = Tail()
+        tail.add(data)
         return Completed(Step.RELAY, endpoint.id, tail.read_cached_tokens())
+
+
+def _read_identity(response: EndpointResponse) -> AnswerIdentity:
+    attempt = version = ""
+    for name, value in response.headers:
+        lowered = name.lower()
+        if lowered == b"x-attempt-id":
+            attempt = value.decode("latin-1")
+        elif lowered == b"x-weights-version":
+            version = value.decode("latin-1")
+    return AnswerIdentity(attempt, version)
+
+
+def _make_body(
+    request: ModelRequest, endpoint: Endpoint, delivery: Delivery
+) -> dict[str, Any]:
+    body = dict(request.body)
+    body["cache_salt"] = request.workspace.id
+    if not endpoint.priorities:
+        body.pop("priority", None)
+    if not request.streamed:
+        return body
+    body["stream_options"] = {"include_usage": True}
+    body["seed"] = delivery.splice.seed
+    if delivery.splice.text and endpoint.resume:
+        body["resume"] = {"text": delivery.splice.decode_text()}
+    return body
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -41,7 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
-    """One attempt at one endpoint."""
+    """One attempt at one endpoint.
+
+    Parameters
+    ----------
+    attempt : str
+        Id that the answer must carry, if it carries one.
+    """
 
     address: str
     method: str
@@ -50,6 +56,7 @@
     body: bytes
     connect_s: float
     request_s: float
+    attempt: str = ""
 
 
 class EndpointResponse(Protocol):
--- a/primrosepier/relay.py
+++ b/primrosepier/relay.py
@@ -6,12 +6,20 @@
 from .asgi import Send, send_chunk
 from .engines import RELAY_ERRORS, EndpointResponse, is_connection_lost
 from .outcomes import Completed, Interrupted, Outcome, Step
+from .splice import Splice, SpliceState
 
-__all__ = ["END_MARKER", "Tail", "relay_stream"]
+__all__ = ["END_MARKER", "Tail", "read_whole", "relay_stream"]
 
 END_MARKER = b"data: [DONE]"
 TAIL_BYTES = 2048
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CACHED_TOKENS = re.compile(rb'"cached_tokens"\s*:\s*(\d+)')
+REASONS = {
+    SpliceState.OPEN: "the stream has no end marker",
+    SpliceState.CROSSED: "an event of another answer arrived",
+    SpliceState.MISMATCHED: "the answer differs from what the caller has",
+    SpliceState.OVERSIZED: "an event is too large",
+}
 
 
 @dataclass(slots=True)
@@ -34,16 +42,45 @@
         return int(found[-1]) if found else 0
 
 
-async def relay_stream(response: EndpointResponse, send: Send, peer: str) -> Outcome:
-    """Relay an event stream by bytes and check its end marker."""
-    tail = Tail()
+async def read_whole(
+    response: EndpointResponse, limit_bytes: int = MAX_ANSWER_BYTES
+) -> bytes | None:
+    """Return a whole body, or None when it is too large."""
+    parts = []
+    size = 0
+    async for part in response.aiter_stream():
+        size += len(part)
+        if size > limit_bytes:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def relay_stream(
+    response: EndpointResponse, send: Send, splice: Splice, peer: str
+) -> Outcome:
+    """Relay one attempt's event stream through the caller's splice."""
+    reason = ""
+    lost = False
     try:
         async for chunk in response.aiter_stream():
-            tail.add(chunk)
-            await send_chunk(send, chunk)
+            data = splice.take(chunk)
+            if data:
+                await send_chunk(send, data)
+            if splice.state is not SpliceState.OPEN:
+                break
     except RELAY_ERRORS as error:
+        reason = repr(error)
         lost = is_connection_lost(error)
-        return Interrupted(Step.RELAY, peer, repr(error), lost=lost)
-    if not tail.has_end_marker():
-        return Interrupted(Step.RELAY, peer, "the stream has no end marker")
-    return Completed(Step.RELAY, peer, tail.read_cached_tokens())
+    if splice.state is SpliceState.OPEN:
+        ending = splice.finish_early()
+        if ending:
+            await send_chunk(send, ending)
+    if splice.state is SpliceState.ENDED:
+        return Completed(Step.RELAY, peer, splice.cached_tokens)
+    resumable = splice.continuable and splice.state in (
+        SpliceState.OPEN,
+        SpliceState.CROSSED,
+    )
+    reason = reason or REASONS[splice.state]
+    return Interrupted(Step.RELAY, peer, reason, resumable, lost)
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -6,6 +6,7 @@
 from .configuration import Model, Service, Workspace
 from .ids import AdapterId, RequestId
 from .prompts import CacheScope, Prompt, make_prompt, render_messages
+from .splice import Position
 
 __all__ = ["ModelRequest", "build_prompt"]
 
@@ -26,6 +27,12 @@
         Smaller is served earlier within the workspace.
     idempotent : bool
         Whether the request may run more than once.
+    wants_usage : bool
+        Whether the caller asked for the usage of a stream.
+    resumed : Position or None
+        How far the caller is already, from an earlier connection.
+    idempotency_key : str
+        Under which the request runs at most once; empty for none.
     """
 
     id: RequestId
@@ -38,6 +45,9 @@
     prompt: Prompt
     priority: int = 0
     idempotent: bool = True
+    wants_usage: bool = False
+    resumed: Position | None = None
+    idempotency_key: str = ""
 
 
 def build_prompt(workspace: Workspace, model: Model, body: dict[str, Any]) -> Prompt:
--- a/primrosepier/standin_engine.py
+++ b/primrosepier/standin_engine.py
@@ -15,8 +15,8 @@
 
 Fields of a request's body besides OpenAI's: ``cache_salt`` and ``adapter`` are
 part of the cache's key; ``priority`` orders the queue, the lowest first;
-``resume`` with ``{"text", "tokens"}`` goes on after output that another engine
-gave already, and is refused with 400 by an engine that does not honour it. An
+``resume`` with ``{"text"}`` goes on after output that another engine gave
+already, which counts for ``max_tokens``, and is refused with 400 by an engine that does not honour it. An
 engine that loads weights refuses requests with 503. ``x-attempt-id`` is echoed
 and names the answer. A prompt that holds ``CRASH-ENGINE`` crashes the engine.
 """
@@ -263,7 +263,7 @@
         resumed = body.get("resume") or {}
         blocks = hash_blocks(text, derive_seed(body, self.orders.state.version))
         cached = self.cache.count_cached(blocks) * BLOCK_TOKENS
-        tokens = count_tokens(text) + int(resumed.get("tokens", 0))
+        tokens = count_tokens(text + str(resumed.get("text", "")))
         if tokens > cached:
             await self.prefill.acquire(int(body.get("priority") or 0))
             try:
@@ -296,11 +296,13 @@
         resumed = body.get("resume")
         if not resumed:
             return 0
-        start = int(resumed.get("tokens", 0))
-        if "".join(answer.tokens[:start]) != resumed.get("text"):
-            raise RequestError(409, "resume_mismatch", "The output was not so far.")
-        self.counts.resumed += 1
-        return start
+        given = ""
+        for start, token in enumerate([*answer.tokens, ""]):
+            if given == resumed.get("text"):
+                self.counts.resumed += 1
+                return start
+            given += token
+        raise RequestError(409, "resume_mismatch", "The output was not so far.")
 
     def _make_headers(self, answer: Answer) -> list[tuple[str, str]]:
         state = self.orders.state
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -36,12 +36,12 @@
 def test_resume_goes_on_after_given_output_and_refuses_other_output():
     async def check(send):
         tokens = make_answer(PROMPT, 4)
-        resume = {"text": "".join(tokens[:2]), "tokens": 2}
+        resume = {"text": "".join(tokens[:2])}
         body = ask(stream=True, resume=resume)
         reply = await send("POST", "/v1/completions", body)
         assert tokens[1].encode() not in reply.body
         assert tokens[2].encode() in reply.body and reply.body.endswith(b"[DONE]\n\n")
-        body["resume"] = {"text": "other", "tokens": 2}
+        body["resume"] = {"text": "other"}
         assert (await send("POST", "/v1/completions", body)).status == 409
 
     run_with_app(make_engine_standin(FAST), check)
@@ -49,7 +49,7 @@
 
 def test_an_engine_without_resume_refuses_it():
     async def check(send):
-        body = ask(resume={"text": "", "tokens": 0})
+        body = ask(resume={"text": "x"})
         assert (await send("POST", "/v1/completions", body)).status == 400
 
     run_with_app(make_engine_standin(FAST, resume=False), check)
