--- /dev/null
+++ b/primrosepier/once.py
@@ -0,0 +1,55 @@
+"""Running a request under a claim, so that it runs at most once."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from .claims import AlreadyClaimed, Claimed, ClaimEnd, Claims
+from .errors import RequestError
+from .ids import RequestId, WorkspaceId
+from .outcomes import Completed, NotRun, Outcome, Refused, UnknownOutcome
+
+__all__ = ["judge_end", "run_claimed", "take_claim"]
+
+SERVER_ERROR = 500
+
+
+def judge_end(outcome: Outcome | None) -> ClaimEnd:
+    """Return how the one attempt under a claim ended; None when it was cut."""
+    if isinstance(outcome, NotRun):
+        return ClaimEnd.NOT_RUN
+    if isinstance(outcome, Refused) and outcome.status < SERVER_ERROR:
+        return ClaimEnd.NOT_RUN
+    if isinstance(outcome, Completed):
+        return ClaimEnd.COMPLETED
+    return ClaimEnd.UNKNOWN
+
+
+async def take_claim(
+    claims: Claims, workspace: WorkspaceId, key: str, request: RequestId
+) -> Claimed | NotRun | UnknownOutcome:
+    """Claim an idempotency key.
+
+    Raises
+    ------
+    RequestError
+        An earlier request with the key ran to its end.
+    """
+    result = await claims.claim(workspace, key, request)
+    if isinstance(result, AlreadyClaimed):
+        text = f"Request {result.request} with this Idempotency-Key ran to its end."
+        raise RequestError(409, "already_run", text)
+    return result
+
+
+async def run_claimed(
+    claims: Claims, claimed: Claimed, run: Callable[[], Awaitable[Outcome | None]]
+) -> Outcome | None:
+    """Run under a claim and settle it, also when the run is cut."""
+    outcome: Outcome | None = None
+    try:
+        outcome = await run()
+        return outcome
+    finally:
+        with anyio.CancelScope(shield=True):
+            await claims.settle(claimed, judge_end(outcome))
--- /dev/null
+++ b/primrosepier/plain.py
@@ -0,0 +1,278 @@
+"""Calls of plain services, passed through to one of their endpoints."""
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from .asgi import Scope, Send, send_bytes
+from .candidates import Candidates
+from .clocks import Clock
+from .configuration import Configuration, Endpoint, Service, ServiceKind, Workspace
+from .engines import (
+    CONNECT_ERRORS,
+    RELAY_ERRORS,
+    EndpointCall,
+    EndpointClient,
+    EndpointResponse,
+    classify_error,
+)
+from .errors import RequestError
+from .ids import EndpointId, RequestId, ServiceId, make_attempt_id
+from .outcomes import Completed, NotRun, Outcome, Step, UnknownOutcome
+from .relay import read_whole
+from .retries import GiveUp, RetryBudget, decide_retry
+from .settings import Limits
+
+__all__ = [
+    "PlainCalls",
+    "PlainRequest",
+    "is_not_repeatable",
+    "make_plain_request",
+    "normalize_path",
+]
+
+PREFIX = "/services/"
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+METHODS = SAFE_METHODS | {"POST", "PATCH"}
+DROPPED_HEADERS = frozenset(
+    {
+        b"authorization",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-attempt-id",
+        b"x-request-id",
+        b"x-workspace",
+    }
+)
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A checked call of a plain service.
+
+    Parameters
+    ----------
+    target : str
+        Path and query as the endpoint gets them.
+    repeatable : bool
+        Whether the call may run more than once.
+    claimed : bool
+        Whether the call needs a claim of its idempotency key.
+    send_by_s : float
+        Monotonic time after which nothing may be sent any more, seconds.
+    """
+
+    id: RequestId
+    workspace: Workspace
+    service: Service
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    repeatable: bool
+    claimed: bool
+    send_by_s: float = float("inf")
+
+
+def normalize_path(path: str) -> str:
+    """Return a path in the form in which calls are compared."""
+    parts = [part for part in path.casefold().split("/") if part not in ("", ".")]
+    if ".." in parts:
+        raise RequestError(400, "invalid_path", "The path holds '..'.")
+    return "/" + "/".join(parts)
+
+
+def is_not_repeatable(service: Service, method: str, path: str) -> bool:
+    """Return whether a call runs at most once, with all paths below it."""
+    wanted = normalize_path(path)
+    for call in service.not_repeatable:
+        call_method, _, call_path = call.partition(" ")
+        start = normalize_path(call_path.strip())
+        if method == call_method.upper() and (
+            wanted == start or wanted.startswith(start.rstrip("/") + "/")
+        ):
+            return True
+    return False
+
+
+def find_plain_service(configuration: Configuration, path: str) -> Service:
+    """Return the plain service that a path names.
+
+    Raises
+    ------
+    RequestError
+        There is none.
+    """
+    name = path.removeprefix(PREFIX).partition("/")[0]
+    service = configuration.services.get(ServiceId(name))
+    if service is None or service.kind is not ServiceKind.PLAIN:
+        raise RequestError(404, "service_not_found", f"There is no service {name!r}.")
+    return service
+
+
+def make_plain_request(
+    request: RequestId,
+    workspace: Workspace,
+    service: Service,
+    scope: Scope,
+    body: bytes,
+) -> PlainRequest:
+    """Return the checked call.
+
+    Raises
+    ------
+    RequestError
+        The method or a header can't be passed on.
+    """
+    method = scope["method"]
+    if method not in METHODS:
+        raise RequestError(405, "method_not_allowed", f"Use {', '.join(METHODS)}.")
+    rest = scope["path"].removeprefix(PREFIX + service.id) or "/"
+    claimed = is_not_repeatable(service, method, rest)
+    return PlainRequest(
+        id=request,
+        workspace=workspace,
+        service=service,
+        method=method,
+        target=_make_target(scope, service),
+        headers=tuple(_select_headers(scope.get("headers", []))),
+        body=body,
+        repeatable=method in SAFE_METHODS and not claimed,
+        claimed=claimed,
+    )
+
+
+def _make_target(scope: Scope, service: Service) -> str:
+    raw = scope["raw_path"].decode("ascii")
+    _, _, rest = raw.removeprefix(PREFIX).partition("/")
+    query = scope.get("query_string", b"").decode("latin-1")
+    target = f"/{rest}" + (f"?{query}" if query else "")
+    if not target.isascii():
+        raise RequestError(400, "invalid_path", "The query is not percent-encoded.")
+    return target
+
+
+def _select_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    selected = []
+    for name, value in headers:
+        if name in DROPPED_HEADERS:
+            continue
+        if not value.isascii():
+            text = f"The header {name.decode('latin-1')} is not ASCII."
+            raise RequestError(400, "invalid_header", text)
+        selected.append((name.decode("ascii"), value.decode("ascii")))
+    return selected
+
+
+@dataclass(slots=True)
+class PlainCalls:
+    """Passes calls to the endpoints of plain services.
+
+    Parameters
+    ----------
+    client : EndpointClient
+    candidates : Candidates
+    limits : Limits
+    """
+
+    client: EndpointClient
+    candidates: Candidates
+    limits: Limits
+    clock: Clock
+    source: random.Random = field(default_factory=random.Random)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+
+    async def dispatch(self, request: PlainRequest, send: Send) -> Outcome:
+        """Run a call at an endpoint and send its answer."""
+        tried: set[EndpointId] = set()
+        self.budget.deposit()
+        while True:
+            endpoint = self.choose(request.service, tried)
+            if endpoint is None:
+                reason = "no endpoint of the service can be used"
+                return NotRun(Step.PLACE, request.service.id, reason, 1.0)
+            tried.add(endpoint.id)
+            outcome = await self._attempt(request, endpoint, send)
+            if isinstance(outcome, Completed):
+                return outcome
+            self.candidates.ejections.record_failure(endpoint.id, self.clock())
+            verdict = decide_retry(
+                outcome, len(tried), request.repeatable, self.budget, self.source
+            )
+            more = self.choose(request.service, tried) is not None
+            if isinstance(verdict, GiveUp) or not more:
+                return outcome
+
+    def choose(
+        self, service: Service, tried: Iterable[EndpointId]
+    ) -> Endpoint | None:
+        """Return the endpoint with the least outstanding calls, or None."""
+        usable: Sequence[Endpoint] = [
+            endpoint
+            for endpoint in self.candidates.list_usable(service, self.clock())
+            if endpoint.id not in tried
+        ]
+        if not usable:
+            return None
+        outstanding = self.candidates.outstanding
+        least = min(outstanding[endpoint.id] for endpoint in usable)
+        return self.source.choice([e for e in usable if outstanding[e.id] == least])
+
+    async def _attempt(
+        self, request: PlainRequest, endpoint: Endpoint, send: Send
+    ) -> Outcome:
+        if self.clock() >= request.send_by_s:
+            return NotRun(Step.CLAIM, endpoint.id, "the claim lapsed before", 1.0)
+        self.candidates.outstanding[endpoint.id] += 1
+        try:
+            async with self.client.open(self._make_call(request, endpoint)) as response:
+                return await self._relay(request, endpoint, response, send)
+        except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
+            return classify_error(error, endpoint.id)
+        finally:
+            self.candidates.outstanding[endpoint.id] -= 1
+
+    def _make_call(self, request: PlainRequest, endpoint: Endpoint) -> EndpointCall:
+        headers = (
+            *request.headers,
+            ("x-request-id", request.id),
+            ("x-workspace", request.workspace.id),
+        )
+        return EndpointCall(
+            address=endpoint.address,
+            method=request.method,
+            path=request.target,
+            headers=headers,
+            body=request.body,
+            connect_s=self.limits.connect_s,
+            request_s=self.limits.request_s,
+            attempt=make_attempt_id(),
+        )
+
+    async def _relay(
+        self,
+        request: PlainRequest,
+        endpoint: Endpoint,
+        response: EndpointResponse,
+        send: Send,
+    ) -> Outcome:
+        data = await read_whole(response)
+        if data is None:
+            return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is too large")
+        headers = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+            if name.lower() not in DROPPED_HEADERS
+        ]
+        identity = ("x-request-id", request.id)
+        await send_bytes(send, response.status, data, [*headers, identity])
+        return Completed(Step.RELAY, endpoint.id)
