--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -48,14 +48,25 @@
     return ""
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes:
+async def read_body(
+    receive: Receive, limit_bytes: int, limit_s: float | None = None
+) -> bytes:
     """Read a request body.
 
     Raises
     ------
     RequestError
-        The body is larger than the limit, or the caller left.
+        The body is larger than the limit, took too long, or the caller left.
     """
+    try:
+        with anyio.fail_after(limit_s):
+            return await _read_parts(receive, limit_bytes)
+    except TimeoutError as cause:
+        text = f"The body did not arrive within {limit_s} s."
+        raise RequestError(408, "body_too_slow", text) from cause
+
+
+async def _read_parts(receive: Receive, limit_bytes: int) -> bytes:
     parts = []
     size = 0
     while True:
@@ -72,12 +83,14 @@
             return b"".join(parts)
 
 
-async def read_json(receive: Receive, limit_bytes: int) -> dict[str, Any]:
+async def read_json(
+    receive: Receive, limit_bytes: int, limit_s: float | None = None
+) -> dict[str, Any]:
     """Read a request body that holds a JSON object."""
-    body = await read_body(receive, limit_bytes)
+    body = await read_body(receive, limit_bytes, limit_s)
     try:
         return msgspec.json.decode(body or b"{}", type=dict[str, Any])
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as cause:
         text = f"The body is not a JSON object: {cause}"
         raise RequestError(400, "invalid_json", text) from cause
 
@@ -138,13 +151,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_server(app: App, address: str) -> AsyncIterator[str]:
+async def open_server(
+    app: App, address: str, protocol: Any = "httptools"
+) -> AsyncIterator[str]:
     """Serve an app while the context is open.
 
     Parameters
     ----------
     address : str
         ``IP:PORT``; port 0 takes a free one.
+    protocol : str or type
+        HTTP protocol as uvicorn takes it.
 
     Yields
     ------
@@ -160,7 +177,7 @@
         access_log=False,
         lifespan="off",
         loop="asyncio",
-        http="httptools",
+        http=protocol,
         ws="none",
         timeout_graceful_shutdown=1,
         timeout_keep_alive=30,
--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -139,6 +139,8 @@
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
     ) -> Outcome:
         """Send a request to an endpoint and relay its answer."""
+        if self.clock() >= request.send_by_s:
+            return NotRun(Step.CLAIM, endpoint.id, "the claim lapsed before", 1.0)
         attempt = make_attempt_id()
         with record_attempt(request, endpoint.id, attempt) as record:
             call = self._make_call(request, endpoint, delivery, attempt, record.hop)
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -1,17 +1,18 @@
 """The callers' side: the OpenAI HTTP API over ASGI."""
 
+import contextlib
 import math
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, replace
 
 import anyio
-import msgspec
 
 from .asgi import (
     Receive,
     Scope,
     Send,
     find_header,
+    read_body,
     read_json,
     send_bytes,
     send_chunk,
@@ -19,32 +20,36 @@
     wait_for_disconnect,
 )
 from .board import Board
+from .checks import check_headers, read_idempotency_key
+from .claims import Claimed, Claims
 from .configuration import Configuration, Workspace, find_workspace
 from .dispatch import Dispatcher
 from .errors import RequestError
-from .ids import ModelId, RequestId, make_request_id
+from .ids import RequestId, make_request_id
 from .log_events import RequestReceived, RequestRefused
 from .logs import TRACE_HEADER, Log, emit, open_action
-from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
+from .once import run_claimed, take_claim
+from .outcomes import Interrupted, NotRun, Outcome, Refused, Step, UnknownOutcome
+from .plain import PlainCalls, PlainRequest, find_plain_service, make_plain_request
 from .request_log import TimedSend, record_request
-from .requests import ModelRequest, build_prompt
+from .requests import ModelRequest, make_model_request
+from .responses import (
+    make_identity,
+    send_failure,
+    send_interruption,
+    send_refusal,
+    send_request_error,
+)
 from .settings import Limits
 
-__all__ = ["CallersApp", "make_error_body"]
+__all__ = ["CallersApp"]
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
+SERVICES_PREFIX = "/services/"
 BEARER = "Bearer "
-
-
-def make_error_body(
-    code: str, message: str, request: RequestId, step: str = "", peer: str = ""
-) -> dict[str, Any]:
-    """Return an error in OpenAI's form, with step and peer."""
-    kind = "invalid_request_error" if not step else "router_error"
-    error = {"message": message, "type": kind, "param": None, "code": code}
-    error.update(step=step, peer=peer, request_id=request)
-    return {"error": error}
+NOT_READY_S = 1.0
+BUSY_S = 1.0
 
 
 @dataclass(slots=True)
@@ -57,13 +62,20 @@
     dispatcher : Dispatcher
     limits : Limits
     log : Log
+    claims : Claims
+    plain : PlainCalls
+    in_progress : int
+        Requests that are being served.
     """
 
     board: Board
     dispatcher: Dispatcher
     limits: Limits
     log: Log
+    claims: Claims
+    plain: PlainCalls
     stopping: bool = False
+    in_progress: int = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
@@ -78,13 +90,12 @@
     async def _answer(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        identity = ("x-request-id", request)
         try:
+            check_headers(scope, self.limits.header_bytes)
             await self._route(request, scope, receive, send)
         except RequestError as error:
             emit(RequestRefused(request, error.status, error.code))
-            body = make_error_body(error.code, error.message, request)
-            await send_json(send, error.status, body, [identity])
+            await send_request_error(request, error, send)
 
     async def _route(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
@@ -98,8 +109,10 @@
             await self._send_models(scope, send, request)
         elif path in MODEL_PATHS:
             await self._serve_model(request, scope, receive, send)
+        elif path.startswith(SERVICES_PREFIX):
+            await self._serve_plain(request, scope, receive, send)
         else:
-            raise RequestError(404, "unknown_path", f"There is nothing at {path}.")
+            raise RequestError(404, "unknown_path", f"There is nothing at {path!r}.")
 
     def is_ready(self) -> bool:
         """Return whether the router may get new requests."""
@@ -114,7 +127,8 @@
     def _authenticate(self, scope: Scope) -> tuple[Configuration, Workspace]:
         configuration = self.board.configuration.value
         if configuration is None:
-            raise RequestError(503, "not_run", "The router has no configuration yet.")
+            text = "The router has no configuration yet."
+            raise RequestError(503, "not_run", text, retry_after_s=NOT_READY_S)
         value = find_header(scope, "authorization")
         key = value[len(BEARER) :] if value.startswith(BEARER) else ""
         workspace = find_workspace(configuration, key)
@@ -123,13 +137,26 @@
         return configuration, workspace
 
     async def _send_models(self, scope: Scope, send: Send, request: RequestId) -> None:
+        if scope["method"] not in ("GET", "HEAD"):
+            raise RequestError(405, "method_not_allowed", "Use GET.")
         configuration, _ = self._authenticate(scope)
         models = [
             {"id": name, "object": "model", "created": 0, "owned_by": "primrosepier"}
             for name in sorted(configuration.models)
         ]
         body = {"object": "list", "data": models}
-        await send_json(send, 200, body, [("x-request-id", request)])
+        await send_json(send, 200, body, [make_identity(request)])
+
+    @contextlib.contextmanager
+    def _count(self) -> Iterator[None]:
+        if self.in_progress >= self.limits.streams:
+            text = f"The router has {self.in_progress} requests in progress."
+            raise RequestError(503, "not_run", text, retry_after_s=BUSY_S)
+        self.in_progress += 1
+        try:
+            yield
+        finally:
+            self.in_progress -= 1
 
     async def _serve_model(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
@@ -137,99 +164,115 @@
         if scope["method"] != "POST":
             raise RequestError(405, "method_not_allowed", "Use POST.")
         configuration, workspace = self._authenticate(scope)
-        body = await read_json(receive, self.limits.body_bytes)
-        checked = self._check_request(request, configuration, workspace, scope, body)
-        timed = TimedSend(send)
-        with record_request(checked, timed) as record:
-            record.outcome = await self._run(checked, receive, timed)
-            if record.outcome is not None:
-                await self._finish(checked, record.outcome, timed)
-
-    def _check_request(
+        key = read_idempotency_key(scope)
+        with self._count():
+            body = await read_json(receive, self.limits.body_bytes, self.limits.body_s)
+            checked = make_model_request(request, configuration, workspace, scope, body)
+            timed = TimedSend(send)
+            with record_request(checked, timed) as record:
+                record.outcome = await self._run_model(checked, key, receive, timed)
+                if record.outcome is not None:
+                    await self._finish(request, checked, record.outcome, timed)
+
+    async def _run_model(
+        self, checked: ModelRequest, key: str, receive: Receive, send: Send
+    ) -> Outcome | None:
+        def run(send_by_s: float) -> Awaitable[Outcome]:
+            bound = replace(checked, send_by_s=send_by_s)
+            return self.dispatcher.dispatch(bound, send, self.dispatcher.clock())
+
+        if not key:
+            return await self._run(lambda: run(math.inf), receive)
+        return await self._run_once(checked.workspace, key, checked.id, run, receive)
+
+    async def _run_once(
         self,
-        request: RequestId,
-        configuration: Configuration,
         workspace: Workspace,
-        scope: Scope,
-        body: dict[str, Any],
-    ) -> ModelRequest:
-        name = body.get("model")
-        model = configuration.models.get(ModelId(str(name)))
-        if model is None:
-            raise RequestError(404, "model_not_found", f"There is no model {name!r}.")
-        service = configuration.find_service(model.id)
-        if service is None:
-            text = f"No service runs the model {name!r}."
-            raise RequestError(404, "model_not_found", text)
-        return ModelRequest(
-            id=request,
-            workspace=workspace,
-            model=model,
-            service=service,
-            path=scope["path"],
-            body=body,
-            streamed=bool(body.get("stream", False)),
-            prompt=build_prompt(workspace, model, body),
-        )
+        key: str,
+        request: RequestId,
+        run: Callable[[float], Awaitable[Outcome]],
+        receive: Receive,
+    ) -> Outcome | None:
+        claimed = await take_claim(self.claims, workspace.id, key, request)
+        if not isinstance(claimed, Claimed):
+            return claimed
+        send_by_s = claimed.valid_until_s
+
+        def run_bound() -> Awaitable[Outcome | None]:
+            return self._run(lambda: run(send_by_s), receive)
+
+        return await run_claimed(self.claims, claimed, run_bound)
+
+    async def _serve_plain(
+        self, request: RequestId, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        configuration, workspace = self._authenticate(scope)
+        service = find_plain_service(configuration, scope["path"])
+        with self._count():
+            body = await read_body(receive, self.limits.body_bytes, self.limits.body_s)
+            checked = make_plain_request(request, workspace, service, scope, body)
+            key = read_idempotency_key(scope)
+            if checked.claimed and not key:
+                text = "This call runs at most once; it needs an Idempotency-Key."
+                raise RequestError(400, "idempotency_key_missing", text)
+            outcome = await self._run_plain(checked, key, receive, send)
+            if isinstance(outcome, NotRun | UnknownOutcome):
+                await send_failure(request, outcome, send)
+
+    async def _run_plain(
+        self, checked: PlainRequest, key: str, receive: Receive, send: Send
+    ) -> Outcome | None:
+        def run(send_by_s: float) -> Awaitable[Outcome]:
+            bound = replace(checked, send_by_s=send_by_s)
+            return self.plain.dispatch(bound, send)
+
+        if not checked.claimed:
+            return await self._run(lambda: run(math.inf), receive)
+        return await self._run_once(checked.workspace, key, checked.id, run, receive)
 
     async def _run(
-        self, request: ModelRequest, receive: Receive, send: Send
+        self, run: Callable[[], Awaitable[Outcome]], receive: Receive
     ) -> Outcome | None:
         """Return the outcome, or None when the caller left."""
         outcome: Outcome | None = None
+        left = False
 
         async def watch_caller() -> None:
+            nonlocal left
             await wait_for_disconnect(receive)
+            left = True
             group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch_caller)
-            now_s = self.dispatcher.clock()
-            outcome = await self.dispatcher.dispatch(request, send, now_s)
+            with anyio.move_on_after(self.limits.request_s):
+                outcome = await run()
             group.cancel_scope.cancel()
+        if outcome is None and not left:
+            return UnknownOutcome(Step.RELAY, "-", "the time of the request is used up")
         return outcome
 
     async def _finish(
-        self, request: ModelRequest, outcome: Outcome, send: Send
+        self,
+        request: RequestId,
+        checked: ModelRequest,
+        outcome: Outcome,
+        send: TimedSend,
     ) -> None:
-        identity = ("x-request-id", request.id)
         if isinstance(outcome, Refused):
-            headers = [("content-type", "application/json"), identity]
-            await send_bytes(send, outcome.status, outcome.body, headers)
-            return
-        if isinstance(outcome, Interrupted):
-            await self._send_interruption(request, outcome, send)
-            return
-        if isinstance(outcome, NotRun | UnknownOutcome):
+            await send_refusal(request, outcome, send)
+        elif isinstance(outcome, Interrupted):
+            await send_interruption(request, outcome, send)
+        elif isinstance(outcome, NotRun | UnknownOutcome):
             await self._send_failure(request, outcome, send)
-            return
-        if request.streamed:
+        elif checked.streamed:
             await send_chunk(send, b"", more=False)
 
     async def _send_failure(
-        self, request: ModelRequest, outcome: NotRun | UnknownOutcome, send: Send
-    ) -> None:
-        headers: list[tuple[str, str]] = [("x-request-id", request.id)]
-        code, status = "unknown_outcome", 502
-        if isinstance(outcome, NotRun):
-            code, status = "not_run", 429 if outcome.limited else 503
-            headers.append(
-                ("retry-after", str(max(1, math.ceil(outcome.retry_after_s))))
-            )
-        body = make_error_body(
-            code, outcome.reason, request.id, outcome.step.value, outcome.peer
-        )
-        await send_json(send, status, body, headers)
-
-    async def _send_interruption(
-        self, request: ModelRequest, outcome: Interrupted, send: Send
+        self, request: RequestId, outcome: NotRun | UnknownOutcome, send: TimedSend
     ) -> None:
-        body = make_error_body(
-            "stream_interrupted",
-            outcome.reason,
-            request.id,
-            outcome.step.value,
-            outcome.peer,
-        )
-        data = b"event: error\ndata: " + msgspec.json.encode(body) + b"\n\n"
-        await send_chunk(send, data, more=False)
+        if not send.started:
+            await send_failure(request, outcome, send)
+            return
+        cut = Interrupted(outcome.step, outcome.peer, outcome.reason)
+        await send_interruption(request, cut, send)
--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -61,15 +61,28 @@
     Parameters
     ----------
     status : int
-        HTTP status code, 400 to 499.
+        HTTP status code.
     code : str
         Value of ``error.code`` in the answer.
     message : str
         One sentence for the caller.
+    field : str
+        Field of the body that is wrong, if one is.
+    retry_after_s : float
+        When the caller may come back, seconds; 0 when it should not.
     """
 
-    def __init__(self, status: int, code: str, message: str):
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        field: str = "",
+        retry_after_s: float = 0.0,
+    ):
         self.status = status
         self.code = code
         self.message = message
+        self.field = field
+        self.retry_after_s = retry_after_s
         super().__init__(message)
--- a/primrosepier/plain.py
+++ b/primrosepier/plain.py
@@ -26,6 +26,7 @@
 __all__ = [
     "PlainCalls",
     "PlainRequest",
+    "find_plain_service",
     "is_not_repeatable",
     "make_plain_request",
     "normalize_path",
@@ -212,9 +213,7 @@
             if isinstance(verdict, GiveUp) or not more:
                 return outcome
 
-    def choose(
-        self, service: Service, tried: Iterable[EndpointId]
-    ) -> Endpoint | None:
+    def choose(self, service: Service, tried: Iterable[EndpointId]) -> Endpoint | None:
         """Return the endpoint with the least outstanding calls, or None."""
         usable: Sequence[Endpoint] = [
             endpoint
--- a/primrosepier/protocol.py
+++ b/primrosepier/protocol.py
@@ -8,9 +8,7 @@
 __all__ = ["make_bounded_protocol"]
 
 TIMED_OUT = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n"
-TOO_LARGE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n"
-)
+TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n"
 
 
 def make_bounded_protocol(header_bytes: int, header_s: float) -> type:
--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -45,10 +45,12 @@
     def __init__(self, send: Send):
         self.send = send
         self.started_at_s = time.monotonic()
+        self.started = False
         self.first_byte_at_s: float | None = None
 
     async def __call__(self, message: dict[str, Any]) -> None:
         """Send one ASGI message."""
+        self.started = True
         if self.first_byte_at_s is None and message.get("body"):
             self.first_byte_at_s = time.monotonic()
         await self.send(message)
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -3,12 +3,20 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .configuration import Model, Service, Workspace
-from .ids import AdapterId, RequestId
+from .asgi import Scope
+from .checks import (
+    check_chat_body,
+    check_completion_body,
+    read_idempotency_key,
+    read_position,
+)
+from .configuration import Configuration, Model, Service, Workspace
+from .errors import RequestError
+from .ids import AdapterId, ModelId, RequestId
 from .prompts import CacheScope, Prompt, make_prompt, render_messages
 from .splice import Position
 
-__all__ = ["ModelRequest", "build_prompt"]
+__all__ = ["ModelRequest", "build_prompt", "make_model_request"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +39,8 @@
         Whether the caller asked for the usage of a stream.
     resumed : Position or None
         How far the caller is already, from an earlier connection.
-    idempotency_key : str
-        Under which the request runs at most once; empty for none.
+    send_by_s : float
+        Monotonic time after which nothing may be sent any more, seconds.
     """
 
     id: RequestId
@@ -47,12 +55,62 @@
     idempotent: bool = True
     wants_usage: bool = False
     resumed: Position | None = None
-    idempotency_key: str = ""
+    send_by_s: float = float("inf")
+
+
+def make_model_request(
+    request: RequestId,
+    configuration: Configuration,
+    workspace: Workspace,
+    scope: Scope,
+    body: dict[str, Any],
+) -> ModelRequest:
+    """Return the checked request that a caller's call holds.
+
+    Raises
+    ------
+    RequestError
+        The body is not valid, or there is no such model.
+    """
+    model, service = _find_model(configuration, body.get("model"))
+    if scope["path"].endswith("/chat/completions"):
+        check_chat_body(body, model)
+    else:
+        check_completion_body(body, model)
+    streamed = bool(body.get("stream"))
+    return ModelRequest(
+        id=request,
+        workspace=workspace,
+        model=model,
+        service=service,
+        path=scope["path"],
+        body=body,
+        streamed=streamed,
+        prompt=build_prompt(workspace, model, body),
+        priority=body.get("priority") or 0,
+        idempotent=not read_idempotency_key(scope),
+        wants_usage=bool((body.get("stream_options") or {}).get("include_usage")),
+        resumed=read_position(scope) if streamed else None,
+    )
+
+
+def _find_model(configuration: Configuration, name: object) -> tuple[Model, Service]:
+    if not isinstance(name, str):
+        raise RequestError(400, "invalid_value", "model: is not a text", "model")
+    model = configuration.models.get(ModelId(name))
+    if model is None:
+        text = f"There is no model {name!r}."
+        raise RequestError(404, "model_not_found", text, "model")
+    service = configuration.find_service(model.id)
+    if service is None:
+        text = f"No service runs the model {name!r}."
+        raise RequestError(404, "model_not_found", text, "model")
+    return model, service
 
 
 def build_prompt(workspace: Workspace, model: Model, body: dict[str, Any]) -> Prompt:
     """Return the prompt that a request's body holds."""
-    adapter = AdapterId(str(body.get("adapter", "")))
+    adapter = AdapterId(str(body.get("adapter") or ""))
     scope = CacheScope(workspace.id, model.id, adapter, model.version)
     messages = body.get("messages")
     text = render_messages(messages) if messages else str(body.get("prompt", ""))
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -12,6 +12,7 @@
 from .attempt import Attempts
 from .board import Board, SectionWriter, make_board
 from .callers import CallersApp
+from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
 from .configuration import Configuration
 from .dispatch import make_dispatcher
@@ -22,6 +23,8 @@
 from .logs import make_log
 from .peers import bind_listener, make_transport, open_peer_server
 from .placement import make_placement
+from .plain import PlainCalls
+from .protocol import make_bounded_protocol
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
 from .store import Item, Store, Unavailable
@@ -118,6 +121,7 @@
     platform: Platform
     app: CallersApp
     configuration: ConfigurationController
+    claims: StoreClaims
     callers_address: str = ""
     peers_address: str = ""
     gossip: Gossip | None = None
@@ -132,10 +136,12 @@
         board, attempts, make_placement(), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
-    app = CallersApp(board, dispatcher, limits, log)
+    claims = make_store_claims(platform.store, settings.host)
+    plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
+    app = CallersApp(board, dispatcher, limits, log, claims, plain)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(platform.store, writer, platform.clock)
-    return Router(settings, board, platform, app, controller)
+    return Router(settings, board, platform, app, controller, claims)
 
 
 @contextlib.asynccontextmanager
@@ -165,11 +171,14 @@
 async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
+    limits = settings.limits
+    protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
     async with anyio.create_task_group() as group:
         group.start_soon(router.configuration.run)
+        group.start_soon(router.claims.run)
         async with (
             _open_gossip(router, group),
-            open_server(router.app, settings.callers_address) as address,
+            open_server(router.app, settings.callers_address, protocol) as address,
         ):
             router.callers_address = address
             yield router
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -34,6 +34,8 @@
         Longest time of a request, seconds.
     connect_s : float
         Longest time to connect to an endpoint, seconds.
+    header_s, body_s : float
+        Longest time for a caller to send its headers and its body, seconds.
     queue_s : float
         Longest time that a request waits for an endpoint, seconds.
     queue_requests : int
@@ -45,6 +47,8 @@
     streams: int = 4000
     request_s: float = 600.0
     connect_s: float = 2.0
+    header_s: float = 10.0
+    body_s: float = 30.0
     queue_s: float = 5.0
     queue_requests: int = 1000
 
@@ -175,6 +179,8 @@
         streams=reader.read_int("streams", usual.streams, low=1),
         request_s=reader.read_float("request_s", usual.request_s, low=0.1),
         connect_s=reader.read_float("connect_s", usual.connect_s, low=0.01),
+        header_s=reader.read_float("header_s", usual.header_s, low=0.01),
+        body_s=reader.read_float("body_s", usual.body_s, low=0.01),
         queue_s=reader.read_float("queue_s", usual.queue_s),
         queue_requests=reader.read_int("queue_requests", usual.queue_requests, low=1),
     )
