--- a/primrosepier/checks.py
+++ b/primrosepier/checks.py
@@ -23,8 +23,14 @@
 MAX_NESTING = 64
 MAX_KEY_CHARS = 255
 MAX_SEED = 2**63
-SINGLE_HEADERS = (b"authorization", b"content-length", b"content-type")
-SINGLE_HEADERS += (b"host", b"idempotency-key", b"last-event-id")
+SINGLE_HEADERS = (
+    b"authorization",
+    b"content-length",
+    b"content-type",
+    b"host",
+    b"idempotency-key",
+    b"last-event-id",
+)
 OWN_FIELDS = ("cache_salt", "resume")
 
 
--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -8,22 +8,17 @@
 
 import anyio
 
-from .asgi import App, open_server
-from .configuration import (
-    Configuration,
-    Endpoint,
-    ServiceKind,
-    load_configuration,
-)
+from .asgi import open_server
+from .configuration import Configuration, load_configuration
+from .demo_standins import LOOPBACK, Standins, make_log_settings, open_standins
 from .errors import ConfigurationError
 from .etcd import make_etcd_store
 from .ids import EndpointId, FailureDomain, HostId
-from .logs import LoggedEngine, make_log
 from .replay import ReplayReport, replay_trace
 from .revisions import ApplyResult, apply_configuration
 from .router import Router, open_router
-from .settings import LogSettings, RouterSettings
-from .standin_engine import EngineRates, EngineStandin, make_engine_standin
+from .settings import RouterSettings
+from .standin_engine import EngineStandin
 from .standin_store import StoreStandin
 from .traces import generate_trace
 
@@ -33,8 +28,6 @@
 DEMO_REQUESTS = 600
 DEMO_RATE_PER_S = 80.0
 READY_POLL_S = 0.01
-DEMO_RATES = EngineRates(flush_s=0.01)
-LOOPBACK = "127.0.0.1:0"
 
 
 @dataclass(slots=True)
@@ -44,7 +37,7 @@
     Parameters
     ----------
     routers : list of Router
-    engines : dict of EndpointId to EngineStandin
+    standins : Standins
     keys : dict of str to str
         Callers' key of each workspace.
     """
@@ -52,10 +45,15 @@
     store: StoreStandin
     store_address: str
     routers: list[Router]
-    engines: dict[EndpointId, EngineStandin]
+    standins: Standins
     configuration: Configuration
     keys: dict[str, str]
 
+    @property
+    def engines(self) -> dict[EndpointId, EngineStandin]:
+        """Stand-ins of the model engines."""
+        return self.standins.engines
+
     def list_urls(self) -> list[str]:
         """Return the routers' base addresses."""
         return [f"http://{router.callers_address}" for router in self.routers]
@@ -84,61 +82,25 @@
     async with contextlib.AsyncExitStack() as stack:
         standin = StoreStandin()
         address = await stack.enter_async_context(open_server(standin, LOOPBACK))
-        engines, endpoints = await _open_engines(stack, declared, logs)
-        configuration = replace(declared, endpoints=endpoints)
+        standins = await open_standins(stack, declared, logs)
+        configuration = replace(declared, endpoints=standins.endpoints)
         store = make_etcd_store(address)
         stack.push_async_callback(store.close)
         outcome = await apply_configuration(store, configuration)
         if outcome.result is not ApplyResult.APPLIED:
             raise ConfigurationError(deployment, "-", "-", outcome.reason)
-        domains = sorted({e.failure_domain for e in endpoints.values()})
+        domains = sorted({e.failure_domain for e in standins.endpoints.values()})
         routers: list[Router] = []
         for number, domain in enumerate(domains, start=1):
             seeds = tuple(router.peers_address for router in routers)
             settings = _make_settings(number, domain, address, logs, seeds)
             routers.append(await stack.enter_async_context(open_router(settings)))
         keys = {str(name): f"demo-{name}" for name in configuration.workspaces}
-        demo = Demo(standin, address, routers, engines, configuration, keys)
+        demo = Demo(standin, address, routers, standins, configuration, keys)
         await wait_until_ready(demo)
         yield demo
 
 
-async def _open_engines(
-    stack: contextlib.AsyncExitStack, declared: Configuration, logs: Path | None
-) -> tuple[dict[EndpointId, EngineStandin], dict[EndpointId, Endpoint]]:
-    engines = {}
-    endpoints = {}
-    for endpoint in declared.endpoints.values():
-        kind = declared.services[endpoint.service].kind
-        if kind is not ServiceKind.ENGINE:
-            continue
-        engine = make_engine_standin(DEMO_RATES)
-        app = _log_engine(stack, engine, endpoint.id, logs)
-        address = await stack.enter_async_context(open_server(app, LOOPBACK))
-        engines[endpoint.id] = engine
-        endpoints[endpoint.id] = replace(endpoint, address=address)
-    return engines, endpoints
-
-
-def _log_engine(
-    stack: contextlib.AsyncExitStack,
-    engine: EngineStandin,
-    endpoint: EndpointId,
-    logs: Path | None,
-) -> App:
-    if logs is None:
-        return engine
-    log = make_log(HostId(endpoint), _make_log_settings(logs, endpoint))
-    stack.callback(log.close)
-    return LoggedEngine(engine, log)
-
-
-def _make_log_settings(logs: Path | None, name: str) -> LogSettings:
-    if logs is None:
-        return LogSettings()
-    return LogSettings("info", str(logs / f"{name}.log"))
-
-
 def _make_settings(
     number: int,
     domain: FailureDomain,
@@ -153,7 +115,7 @@
         peers_address=LOOPBACK,
         store_address=store_address,
         peers=seeds,
-        logs=_make_log_settings(logs, f"entry-{number}"),
+        logs=make_log_settings(logs, f"entry-{number}"),
     )
 
 
--- a/primrosepier/relay.py
+++ b/primrosepier/relay.py
@@ -18,6 +18,7 @@
     SpliceState.OPEN: "the stream has no end marker",
     SpliceState.CROSSED: "an event of another answer arrived",
     SpliceState.MISMATCHED: "the answer differs from what the caller has",
+    SpliceState.FAILED: "the endpoint sent an error",
     SpliceState.OVERSIZED: "an event is too large",
 }
 
@@ -81,6 +82,7 @@
     resumable = splice.continuable and splice.state in (
         SpliceState.OPEN,
         SpliceState.CROSSED,
+        SpliceState.FAILED,
     )
     reason = reason or REASONS[splice.state]
     return Interrupted(Step.RELAY, peer, reason, resumable, lost)
--- a/primrosepier/splice.py
+++ b/primrosepier/splice.py
@@ -75,6 +75,7 @@
     ENDED = "ended"
     CROSSED = "crossed"
     MISMATCHED = "mismatched"
+    FAILED = "failed"
     OVERSIZED = "oversized"
 
 
@@ -125,6 +126,8 @@
             The attempt goes on after the text so far; without it the answer comes
             from its start, and its text must repeat what there is.
         """
+        if not self.attempts and self.resumed is not None:
+            self.number = self.resumed.number
         self.attempts += 1
         self.state = SpliceState.OPEN
         self.rest = b""
@@ -155,7 +158,9 @@
 
     def _pass_event(self, event: bytes) -> bytes:
         if not event.startswith(DATA):
-            return event.lstrip(b"\n") + SEPARATOR if event.startswith(b":") else b""
+            event = _find_data_line(event)
+            if not event:
+                return b""
         if not event.startswith(self.identity):
             return self._pass_foreign(event)
         if not self.identity:
@@ -221,8 +226,6 @@
             if xxhash.xxh64_intdigest(self.text[:offset]) != self.resumed.digest:
                 self.state = SpliceState.MISMATCHED
                 return -1
-            if self.number < self.resumed.number:
-                self.number = self.resumed.number
             if len(self.text) == offset and not self.finished:
                 return -1
             return offset - before
@@ -237,6 +240,9 @@
         except msgspec.DecodeError:
             self.state = SpliceState.MISMATCHED
             return b""
+        if value.error is not None:
+            self.state = SpliceState.FAILED
+            return b""
         if value.usage is not None:
             found = CACHED_TOKENS.findall(event)
             self.cached_tokens = int(found[-1]) if found else self.cached_tokens
@@ -280,6 +286,12 @@
         return DATA + b" " + END + SEPARATOR
 
 
+def _find_data_line(event: bytes) -> bytes:
+    """Return the line of an event that holds its data, or nothing."""
+    lines = [line for line in event.split(b"\n") if line.startswith(DATA)]
+    return lines[0] if len(lines) == 1 else b""
+
+
 class _Delta(msgspec.Struct):
     role: str | None = None
     content: str | None = None
@@ -306,3 +318,4 @@
 class _Event(msgspec.Struct):
     choices: list[_Choice] = []
     usage: dict[str, Any] | None = None
+    error: Any = None
--- a/primrosepier/standin_engine.py
+++ b/primrosepier/standin_engine.py
@@ -17,8 +17,9 @@
 part of the cache's key; ``priority`` orders the queue, the lowest first;
 ``resume`` with ``{"text"}`` goes on after output that another engine gave
 already, which counts for ``max_tokens``, and is refused with 400 by an engine
-that does not honour it. An engine that loads weights refuses requests with 503. ``x-attempt-id`` is echoed
-and names the answer. A prompt that holds ``CRASH-ENGINE`` crashes the engine.
+that does not honour it. An engine that loads weights refuses requests with 503.
+``x-attempt-id`` is echoed and names the answer. A prompt that holds
+``CRASH-ENGINE`` crashes the engine.
 """
 
 import random
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,319 @@
+import anyio
+import httpcore
+import msgspec
+import pytest
+from clients import call
+from hypothesis import given, settings, strategies as st
+
+from primrosepier.checks import check_chat_body, check_completion_body
+from primrosepier.configuration import Model
+from primrosepier.demo import open_demo
+from primrosepier.engines import HttpEndpointClient
+from primrosepier.errors import RequestError
+from primrosepier.plain import is_not_repeatable, normalize_path
+from primrosepier.standin_engine import CRASH_MARKER, make_answer
+
+MODEL = "armor-note-8b"
+WORKSPACE = ("authorization", "Bearer demo-handovers")
+KEY = ("idempotency-key", "k-1")
+
+
+def run_with_demo(check):
+    async def run():
+        async with open_demo() as demo:
+            client = HttpEndpointClient()
+
+            async def send(method, path, body=None, headers=(), router=0, wait_s=10.0):
+                address = demo.routers[router].callers_address
+                sent = [WORKSPACE, *headers]
+                return await call(client, address, method, path, body, sent, wait_s)
+
+            try:
+                with anyio.fail_after(20):
+                    await check(demo, send)
+            except Exception as error:
+                failures.append(error)
+            await client.close()
+
+    failures = []
+    anyio.run(run)
+    if failures:
+        raise failures[0]
+
+
+def ask(**more):
+    return {"model": MODEL, "prompt": "p" * 3000, "max_tokens": 6, **more}
+
+
+def read_code(reply):
+    assert "x-request-id" in reply.headers
+    error = reply.decode()["error"]
+    assert error["message"] and error["request_id"] == reply.headers["x-request-id"]
+    return error["code"]
+
+
+@pytest.mark.sockets
+def test_wrong_requests_get_a_clear_error():
+    deep = b'{"model":"armor-note-8b","prompt":"p","x":' + b"[" * 90 + b"]" * 90 + b"}"
+    broken = [
+        (b"{", 400, "invalid_json"),
+        (b"[]", 400, "invalid_json"),
+        (b'{"prompt": "\xff"}', 400, "invalid_json"),
+        (b'{"prompt": "\\ud800"}', 400, "invalid_json"),
+        (b"[" * 100_000, 400, "invalid_json"),
+        (deep, 400, "invalid_json"),
+        (b" " * 5_000_000, 413, "body_too_large"),
+        (ask(model="other"), 404, "model_not_found"),
+        (ask(model=3), 400, "invalid_value"),
+        (ask(prompt=["p"]), 400, "invalid_value"),
+        (ask(n=0), 400, "invalid_value"),
+        (ask(max_tokens=-1), 400, "invalid_value"),
+        (ask(max_tokens=True), 400, "invalid_value"),
+        (ask(stream="yes"), 400, "invalid_value"),
+        (ask(cache_salt="other-workspace"), 400, "invalid_value"),
+        (ask(adapter="none"), 404, "adapter_not_found"),
+    ]
+
+    async def check(demo, send):
+        for body, status, code in broken:
+            reply = await send("POST", "/v1/completions", body)
+            assert (reply.status, read_code(reply)) == (status, code)
+        chat = {"model": MODEL, "messages": "hello"}
+        assert (await send("POST", "/v1/chat/completions", chat)).status == 400
+        assert (await send("GET", "/v1/completions")).status == 405
+        assert (await send("GET", "/nothing")).status == 404
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_wrong_headers_get_a_clear_error():
+    async def check(demo, send):
+        twice = await send("GET", "/v1/models", headers=[WORKSPACE])
+        assert (twice.status, read_code(twice)) == (400, "duplicate_header")
+        large = await send("GET", "/v1/models", headers=[("x-large", "y" * 40_000)])
+        assert (large.status, read_code(large)) == (431, "headers_too_large")
+        event = ("last-event-id", "7")
+        reply = await send("POST", "/v1/completions", ask(stream=True), [event])
+        assert (reply.status, read_code(reply)) == (400, "invalid_last_event_id")
+        key = ("idempotency-key", "")
+        reply = await send("POST", "/v1/completions", ask(), [key])
+        assert (reply.status, read_code(reply)) == (400, "invalid_idempotency_key")
+        address = demo.routers[0].callers_address
+        foreign = [("authorization", "Bearer other")]
+        client = HttpEndpointClient()
+        reply = await call(client, address, "GET", "/v1/models", headers=foreign)
+        await client.close()
+        assert (reply.status, read_code(reply)) == (401, "invalid_api_key")
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_router_without_configuration_says_not_run_and_when_to_come_back():
+    async def check(demo, send):
+        board = demo.routers[0].app.board
+        configuration, board.configuration.value = board.configuration.value, None
+        reply = await send("POST", "/v1/completions", ask())
+        board.configuration.value = configuration
+        assert (reply.status, read_code(reply)) == (503, "not_run")
+        assert int(reply.headers["retry-after"]) >= 1
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_not_repeatable_call_runs_once_through_any_router():
+    async def check(demo, send):
+        path = "/services/roster-app/handovers?litter=3"
+        missing = await send("POST", path, {})
+        assert (missing.status, read_code(missing)) == (400, "idempotency_key_missing")
+        first = await send("POST", path, {"puppy": 1}, [KEY])
+        assert first.status == 200
+        for router in range(3):
+            again = await send("POST", path, {"puppy": 1}, [KEY], router)
+            assert (again.status, read_code(again)) == (409, "already_run")
+        runs = [len(app.calls) for app in demo.standins.plain.values()]
+        assert sum(runs) == 1
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_not_repeatable_call_whose_answer_is_lost_has_an_unknown_outcome():
+    async def check(demo, send):
+        for app in demo.standins.plain.values():
+            app.lose_answers = 1
+        for router in range(3):
+            reply = await send(
+                "POST", "/services/roster-app/handovers", {}, [KEY], router
+            )
+            assert (reply.status, read_code(reply)) == (502, "unknown_outcome")
+        assert sum(len(app.calls) for app in demo.standins.plain.values()) == 1
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_not_repeatable_call_is_not_run_while_the_store_is_down():
+    async def check(demo, send):
+        demo.store.faults.down = True
+        reply = await send("POST", "/services/roster-app/handovers", {}, [KEY])
+        assert (reply.status, read_code(reply)) == (503, "not_run")
+        assert "retry-after" in reply.headers
+        assert (await send("GET", "/services/roster-app/walkers")).status == 200
+        assert (await send("POST", "/v1/completions", ask())).status == 200
+        calls = [c for app in demo.standins.plain.values() for c in app.calls]
+        assert [call.method for call in calls] == ["GET"]
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_repeatable_call_survives_a_lost_answer():
+    async def check(demo, send):
+        for app in list(demo.standins.plain.values())[:2]:
+            app.lose_answers = 1
+        reply = await send("GET", "/services/roster-app/walkers")
+        assert reply.status == 200
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_the_caller_who_leaves_stops_the_engine():
+    async def check(demo, send):
+        with pytest.raises(httpcore.ReadTimeout):
+            body = ask(max_tokens=20_000, stream=True)
+            await send("POST", "/v1/completions", body, wait_s=0.0005)
+        while not sum(e.counts.cancelled for e in demo.engines.values()):
+            await anyio.sleep(0.005)
+        assert not any(e.batch.running for e in demo.engines.values())
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_an_engine_that_crashes_mid_stream_is_continued_elsewhere():
+    async def check(demo, send):
+        for engine in list(demo.engines.values())[:5]:
+            engine.faults.crash_after_tokens = 3
+        for _ in range(4):
+            reply = await send("POST", "/v1/completions", ask(stream=True))
+            assert read_answer(reply.body) == "".join(make_answer("p" * 3000, 6))
+            assert reply.body.endswith(b"data: [DONE]\n\n")
+            assert b'"usage"' not in reply.body
+
+    run_with_demo(check)
+
+
+def read_answer(data):
+    lines = [line[6:] for line in data.split(b"\n") if line.startswith(b"data: {")]
+    events = [msgspec.json.decode(line) for line in lines]
+    return "".join(e["choices"][0]["text"] for e in events if e["choices"])
+
+
+@pytest.mark.sockets
+def test_a_crossed_answer_and_a_crossed_event_do_not_reach_the_caller():
+    async def check(demo, send):
+        expected = "".join(make_answer("p" * 3000, 6))
+        for engine in demo.engines.values():
+            engine.faults.crossed_events = engine.faults.crossed_answers = 1
+        for stream in (False, True):
+            reply = await send("POST", "/v1/completions", ask(stream=stream))
+            assert reply.status == 200
+            text = (
+                read_answer(reply.body)
+                if stream
+                else reply.decode()["choices"][0]["text"]
+            )
+            assert text == expected
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_caller_reconnects_at_another_router_with_the_last_event_id():
+    async def check(demo, send):
+        whole = await send("POST", "/v1/completions", ask(stream=True))
+        events = whole.body.split(b"\n\n")
+        last = events[2].split(b"\n")[0].removeprefix(b"id: ").decode()
+        header = ("last-event-id", last)
+        rest = await send("POST", "/v1/completions", ask(stream=True), [header], 1)
+        text = read_answer(b"\n\n".join(events[:3])) + read_answer(rest.body)
+        assert text == read_answer(whole.body)
+        assert rest.body.startswith(b"id: 4.")
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_stream_that_can_not_go_on_ends_with_an_error_event():
+    async def check(demo, send):
+        for engine in demo.engines.values():
+            engine.faults.cut_streams = 1
+        for engine in demo.engines.values():
+            engine.faults.crash_after_tokens = 2
+        key = ("idempotency-key", "once")
+        body = ask(stream=True, prompt="q")
+        reply = await send("POST", "/v1/completions", body, [key])
+        assert b"event: error\n" in reply.body and b"[DONE]" not in reply.body
+        assert b"stream_interrupted" in reply.body
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_a_request_that_crashes_engines_gets_an_answer():
+    async def check(demo, send):
+        reply = await send("POST", "/v1/completions", ask(prompt=CRASH_MARKER))
+        assert read_code(reply) in ("not_run", "unknown_outcome")
+
+    run_with_demo(check)
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        ("/handovers", True),
+        ("/handovers/", True),
+        ("//Handovers", True),
+        ("/./handovers/7", True),
+        ("/handovers-list", False),
+        ("/", False),
+    ],
+)
+def test_not_repeatable_calls_are_recognised_in_any_spelling(path, found):
+    class Roster:
+        not_repeatable = ("POST /handovers",)
+
+    assert is_not_repeatable(Roster, "POST", path) is found
+    assert not is_not_repeatable(Roster, "GET", path)
+
+
+def test_a_path_with_parents_is_refused():
+    with pytest.raises(RequestError):
+        normalize_path("/a/../handovers")
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+FIELDS = ["messages", "prompt", "n", "max_tokens", "stream", "stream_options"]
+FIELDS += ["adapter", "priority", "seed", "temperature"]
+
+
+@given(body=st.dictionaries(st.sampled_from(FIELDS), JSON, max_size=6))
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_any_body_is_checked_or_refused(body):
+    model = Model("m", "1")
+    for check in (check_chat_body, check_completion_body):
+        try:
+            check(dict(body), model)
+        except RequestError as error:
+            assert 400 <= error.status < 500 and error.code
--- /dev/null
+++ b/tests/test_splice.py
@@ -0,0 +1,239 @@
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from primrosepier.splice import Splice, SpliceState, parse_position
+from primrosepier.standin_answers import Answer, make_answer
+
+TEXTS = st.lists(st.text(max_size=6), min_size=1, max_size=8)
+CHECK = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+def make_events(tokens, identity="a", start=0):
+    answer = Answer(identity, True, "m", "f", list(tokens), 10, 4)
+    events = list(answer.render_events(start))
+    return [*events, answer.render_usage_event(), b"data: [DONE]\n\n"]
+
+
+def cut(data, source):
+    """Yield bytes in pieces of random sizes."""
+    while data:
+        size = source.randint(1, 40)
+        yield data[:size]
+        data = data[size:]
+
+
+def feed(splice, events, source):
+    return b"".join(splice.take(piece) for piece in cut(b"".join(events), source))
+
+
+def read_text(data):
+    lines = [line[6:] for line in data.split(b"\n") if line.startswith(b"data: {")]
+    events = [msgspec.json.decode(line) for line in lines]
+    choices = [event["choices"][0] for event in events if event["choices"]]
+    return "".join(choice["delta"].get("content") or "" for choice in choices)
+
+
+def read_ids(data):
+    lines = data.split(b"\n")
+    return [line[4:].decode() for line in lines if line.startswith(b"id: ")]
+
+
+@given(tokens=TEXTS, seed=st.integers(0, 9))
+@CHECK
+def test_a_stream_passes_whole_and_numbered_however_it_is_cut(tokens, seed):
+    splice = Splice(seed=1)
+    splice.begin(False)
+    data = feed(splice, make_events(tokens), random.Random(seed))
+    assert splice.state is SpliceState.ENDED
+    assert splice.decode_text() == read_text(data) == "".join(tokens)
+    numbers = [parse_position(text).number for text in read_ids(data)]
+    assert numbers == list(range(1, len(numbers) + 1))
+    assert b'"usage"' not in data and splice.cached_tokens == 4
+
+
+@given(tokens=TEXTS, seed=st.integers(0, 9), data=st.data())
+@CHECK
+def test_a_caller_goes_on_from_any_event_at_another_router(tokens, seed, data):
+    first = Splice(seed=1)
+    first.begin(False)
+    sent = feed(first, make_events(tokens), random.Random(seed))
+    ids = read_ids(sent)
+    if not ids:
+        return
+    taken = data.draw(st.integers(1, len(ids)))
+    position = parse_position(ids[taken - 1])
+    second = Splice(seed=position.seed, resumed=position)
+    second.begin(False)
+    rest = feed(second, make_events(tokens, "b"), random.Random(seed + 1))
+    head = sent[: sent.index(b"id: " + ids[taken - 1].encode())]
+    head = sent[: sent.index(b"\n\n", len(head)) + 2]
+    assert second.state is SpliceState.ENDED
+    assert read_text(head + rest) == "".join(tokens)
+    numbers = [parse_position(text).number for text in read_ids(rest)]
+    assert numbers == sorted(set(numbers)) and all(n > taken for n in numbers)
+
+
+def test_a_resumed_stream_that_differs_is_not_passed_on():
+    first = Splice(seed=1)
+    first.begin(False)
+    ids = read_ids(first.take(b"".join(make_events(["one ", "two "]))))
+    second = Splice(seed=1, resumed=parse_position(ids[0]))
+    second.begin(False)
+    assert second.take(b"".join(make_events(["uno ", "two "]))) == b""
+    assert second.state is SpliceState.MISMATCHED
+
+
+def test_a_resumed_stream_that_is_shorter_is_not_ended():
+    first = Splice(seed=1)
+    first.begin(False)
+    ids = read_ids(first.take(b"".join(make_events(["one ", "two "]))))
+    second = Splice(seed=1, resumed=parse_position(ids[1]))
+    second.begin(False)
+    assert second.take(b"".join(make_events(["one "]))) == b""
+    assert second.state is SpliceState.MISMATCHED
+
+
+def test_an_event_of_another_answer_is_dropped_and_stops_the_attempt():
+    splice = Splice(seed=1)
+    splice.begin(False)
+    own, foreign = make_events(["a", "b"]), make_events(["x"], "other")
+    data = splice.take(own[0] + foreign[0] + own[1])
+    assert splice.state is SpliceState.CROSSED
+    assert read_text(data) == "a"
+
+
+def test_the_usage_is_shown_to_a_caller_who_asked():
+    splice = Splice(seed=1, wants_usage=True)
+    splice.begin(False)
+    assert b'"usage"' in splice.take(b"".join(make_events(["a"])))
+
+
+def test_a_lost_end_marker_after_the_last_token_is_put_back():
+    splice = Splice(seed=1)
+    splice.begin(False)
+    splice.take(make_events(["a"])[0])
+    assert splice.finish_early() == b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize("field", ["tool_calls", "reasoning_content"])
+def test_answers_with_more_than_text_are_not_continued(field):
+    splice = Splice(seed=1)
+    splice.begin(False)
+    value = b'"x"' if field == "reasoning_content" else b'[{"index":0}]'
+    event = b'data: {"id":"a","choices":[{"delta":{"%s":%s}}]}\n\n'
+    assert splice.take(event % (field.encode(), value))
+    assert not splice.continuable
+
+
+def test_an_error_of_the_endpoint_is_not_passed_on_as_an_end():
+    splice = Splice(seed=1)
+    splice.begin(False)
+    assert splice.take(b'data: {"error": {"message": "x"}}\n\ndata: [DONE]\n\n') == b""
+    assert splice.state is SpliceState.FAILED
+
+
+def test_ids_of_the_endpoint_are_replaced():
+    splice = Splice(seed=1)
+    splice.begin(False)
+    event = make_events(["a"])[0]
+    assert splice.take(b"event: token\nid: 9\n" + event).startswith(b"id: 1.1.")
+
+
+@given(data=st.binary(max_size=300))
+@CHECK
+def test_any_bytes_are_taken_without_an_exception(data):
+    splice = Splice(seed=1)
+    splice.begin(False)
+    splice.take(data)
+    splice.take(b"data: " + data + b"\n\n")
+
+
+@given(text=st.text(max_size=60))
+@CHECK
+def test_any_text_is_a_position_or_not(text):
+    position = parse_position(text)
+    assert position is None or parse_position(text) == position
+
+
+class SpliceMachine(RuleBasedStateMachine):
+    """Attempts that break off anywhere, at endpoints that resume or start again."""
+
+    @initialize(tokens=st.lists(st.text(min_size=1, max_size=4), min_size=2))
+    def start(self, tokens):
+        self.tokens = tokens
+        self.splice = Splice(seed=3)
+        self.sent = b""
+        self.waiting = []
+        self.number = 0
+
+    @rule(resumes=st.booleans())
+    def begin(self, resumes):
+        if self.splice.state is SpliceState.ENDED:
+            return
+        self.splice.begin(resumes)
+        self.number += 1
+        start = 0
+        if resumes:
+            start = self.count_given()
+        self.waiting = make_events(self.tokens, f"a{self.number}", start)
+
+    def count_given(self):
+        given = self.splice.decode_text()
+        for start in range(len(self.tokens) + 1):
+            if "".join(self.tokens[:start]) == given:
+                return start
+        raise AssertionError("half a token was given")
+
+    @precondition(lambda self: self.waiting)
+    @rule(count=st.integers(1, 4), half=st.booleans())
+    def receive(self, count, half):
+        events, self.waiting = self.waiting[:count], self.waiting[count:]
+        data = b"".join(events)
+        if half and self.waiting:
+            data += self.waiting[0][:20]
+            self.waiting = []
+        self.sent += self.splice.take(data)
+
+    @precondition(lambda self: self.waiting)
+    @rule()
+    def receive_foreign(self):
+        if self.splice.identity:
+            self.sent += self.splice.take(make_events(["foreign"], "z")[0])
+            self.waiting = []
+
+    @invariant()
+    def caller_has_a_prefix_in_order(self):
+        if not hasattr(self, "sent"):
+            return
+        whole = "".join(self.tokens)
+        text = read_text(self.sent)
+        assert whole.startswith(text)
+        numbers = [parse_position(i).number for i in read_ids(self.sent)]
+        assert numbers == list(range(1, len(numbers) + 1))
+        if self.sent.endswith(b"[DONE]\n\n"):
+            assert text == whole
+
+    @invariant()
+    def nothing_is_mismatched(self):
+        if hasattr(self, "splice"):
+            assert self.splice.state is not SpliceState.MISMATCHED
+
+
+TestSplice = SpliceMachine.TestCase
+TestSplice.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=20
+)
+
+
+def test_make_answer_is_stable():
+    assert make_answer("x", 2) == make_answer("x", 2) != make_answer("y", 2)
