--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,7 +3,9 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
+from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -18,8 +20,10 @@
 
 COMMANDS = (
     ApplyCommand,
+    BenchPolicyCommand,
     CheckCommand,
     DemoCommand,
+    ExplainCommand,
     RouterCommand,
     StandinEngineCommand,
     StandinHostsCommand,
@@ -27,6 +31,7 @@
     StandinServiceCommand,
     StandinStoreCommand,
     StandinWeightsCommand,
+    TimelineCommand,
 )
 
 
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -13,7 +13,7 @@
 from .configuration import Configuration, Model, Service, Workspace
 from .errors import RequestError
 from .ids import AdapterId, ModelId, RequestId
-from .prompts import CacheScope, Prompt, make_prompt, render_messages
+from .prompts import CacheScope, Prompt, find_levels, make_prompt, render_messages
 from .splice import Position
 
 __all__ = ["ModelRequest", "build_prompt", "make_model_request"]
@@ -113,5 +113,6 @@
     adapter = AdapterId(str(body.get("adapter") or ""))
     scope = CacheScope(workspace.id, model.id, adapter, model.version)
     messages = body.get("messages")
-    text = render_messages(messages) if messages else str(body.get("prompt", ""))
-    return make_prompt(scope, text)
+    if messages:
+        return make_prompt(scope, render_messages(messages), find_levels(messages))
+    return make_prompt(scope, str(body.get("prompt", "")))
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -22,9 +22,9 @@
 from .ids import Revision
 from .logs import make_log
 from .peers import bind_listener, make_transport, open_peer_server
-from .placement import make_placement
 from .plain import PlainCalls
 from .protocol import make_bounded_protocol
+from .reuse_placement import make_placement
 from .revisions import CONFIGURATION_KEY, decode_revision
 from .settings import RouterSettings
 from .store import Item, Store, Unavailable
@@ -133,7 +133,7 @@
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
-        board, attempts, make_placement(), limits, platform.clock
+        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
     claims = make_store_claims(platform.store, settings.host)
