--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,14 +1,14 @@
 import anyio
-import httpcore
 import msgspec
 import pytest
 from clients import call
 from hypothesis import given, settings, strategies as st
 
+from primrosepier.attempt import RelayCount
 from primrosepier.checks import check_chat_body, check_completion_body
 from primrosepier.configuration import Model
 from primrosepier.demo import open_demo
-from primrosepier.engines import HttpEndpointClient
+from primrosepier.engines import EndpointCall, HttpEndpointClient
 from primrosepier.errors import RequestError
 from primrosepier.plain import is_not_repeatable, normalize_path
 from primrosepier.standin_engine import CRASH_MARKER, make_answer
@@ -183,9 +183,14 @@
 @pytest.mark.sockets
 def test_the_caller_who_leaves_stops_the_engine():
     async def check(demo, send):
-        with pytest.raises(httpcore.ReadTimeout):
-            body = ask(max_tokens=20_000, stream=True)
-            await send("POST", "/v1/completions", body, wait_s=0.0005)
+        body = msgspec.json.encode(ask(max_tokens=20_000, stream=True))
+        address = demo.routers[0].callers_address
+        path = "/v1/completions"
+        sent = EndpointCall(address, "POST", path, (WORKSPACE,), body, 1.0, 10.0)
+        client = HttpEndpointClient()
+        async with client.open(sent) as response:
+            async for _ in response.aiter_stream():
+                break
         while not sum(e.counts.cancelled for e in demo.engines.values()):
             await anyio.sleep(0.005)
         assert not any(e.batch.running for e in demo.engines.values())
@@ -217,9 +222,10 @@
 def test_a_crossed_answer_and_a_crossed_event_do_not_reach_the_caller():
     async def check(demo, send):
         expected = "".join(make_answer("p" * 3000, 6))
-        for engine in demo.engines.values():
-            engine.faults.crossed_events = engine.faults.crossed_answers = 1
+        await send("POST", "/v1/completions", ask())
+        home = next(e for e in demo.engines.values() if e.counts.started)
         for stream in (False, True):
+            home.faults.crossed_events = home.faults.crossed_answers = 1
             reply = await send("POST", "/v1/completions", ask(stream=stream))
             assert reply.status == 200
             text = (
@@ -228,6 +234,11 @@
                 else reply.decode()["choices"][0]["text"]
             )
             assert text == expected
+        counts = demo.routers[0].app.dispatcher.attempts.counts
+        assert counts[RelayCount.CROSSED_ANSWER] == 2
+        home.faults.crossed_events = 1
+        await send("POST", "/v1/completions", ask(stream=True))
+        assert counts[RelayCount.CROSSED_EVENT] == 1
 
     run_with_demo(check)
 
