--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -28,6 +28,7 @@
 from .ids import RequestId, make_request_id
 from .log_events import RequestReceived, RequestRefused
 from .logs import TRACE_HEADER, Log, emit, open_action
+from .metrics import Metrics
 from .once import run_claimed, take_claim
 from .outcomes import Interrupted, NotRun, Outcome, Refused, Step, UnknownOutcome
 from .plain import PlainCalls, PlainRequest, find_plain_service, make_plain_request
@@ -47,6 +48,7 @@
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 SERVICES_PREFIX = "/services/"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BEARER = "Bearer "
 NOT_READY_S = 1.0
 BUSY_S = 1.0
@@ -66,6 +68,7 @@
     plain : PlainCalls
     in_progress : int
         Requests that are being served.
+    metrics : Metrics
     """
 
     board: Board
@@ -74,6 +77,7 @@
     log: Log
     claims: Claims
     plain: PlainCalls
+    metrics: Metrics
     stopping: bool = False
     in_progress: int = 0
 
@@ -105,6 +109,9 @@
             await send_bytes(send, 200, b"ok\n")
         elif path == "/readyz":
             await self._send_readiness(send)
+        elif path == "/metrics":
+            text = self.metrics.render()
+            await send_bytes(send, 200, text, [("content-type", METRICS_TYPE)])
         elif path == "/v1/models":
             await self._send_models(scope, send, request)
         elif path in MODEL_PATHS:
