--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -36,6 +36,7 @@
 Headers = Sequence[tuple[str, str]]
 
 POLL_S = 0.005
+GRACE_S = 1.0
 JSON_TYPE = ("content-type", "application/json")
 
 
@@ -142,6 +143,18 @@
         transport.abort()
 
 
+def close_connection_after(send: Send) -> Send:
+    """Return a ``send`` whose response ends its connection."""
+
+    async def send_and_close(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            headers = [*message["headers"], (b"connection", b"close")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_and_close
+
+
 class _EmbeddedServer(uvicorn.Server):
     """A server that leaves the process's signals alone."""
 
@@ -152,7 +165,10 @@
 
 @contextlib.asynccontextmanager
 async def open_server(
-    app: App, address: str, protocol: Any = "httptools"
+    app: App,
+    address: str,
+    compute_grace: Callable[[], float] = lambda: GRACE_S,
+    protocol: Any = "httptools",
 ) -> AsyncIterator[str]:
     """Serve an app while the context is open.
 
@@ -160,6 +176,8 @@
     ----------
     address : str
         ``IP:PORT``; port 0 takes a free one.
+    compute_grace : callable
+        Returns how long requests in progress may go on at the end, seconds.
     protocol : str or type
         HTTP protocol as uvicorn takes it.
 
@@ -193,4 +211,5 @@
         try:
             yield f"{bound[0]}:{bound[1]}"
         finally:
+            config.timeout_graceful_shutdown = compute_grace()  # type: ignore[assignment]
             server.should_exit = True
--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -3,6 +3,7 @@
 import secrets
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -19,8 +20,9 @@
     EndpointClient,
     EndpointResponse,
     classify_error,
+    is_leaving,
 )
-from .ids import AttemptId, make_attempt_id
+from .ids import AttemptId, EndpointId, make_attempt_id
 from .logs import TRACE_HEADER
 from .outcomes import (
     Completed,
@@ -46,6 +48,8 @@
     "make_delivery",
 ]
 
+ObserveLeaving = Callable[[EndpointId, bool], None]
+
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
@@ -96,6 +100,10 @@
     headers_at_s: float = 0.0
 
 
+def ignore_leaving(endpoint: EndpointId, leaving: bool) -> None:
+    """Tell nobody; used by a router without peers."""
+
+
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
     """Return the delivery of a request of which nothing went out yet."""
     seed = request.body.get("seed")
@@ -119,7 +127,7 @@
     return isinstance(outcome, Interrupted) and outcome.resumable
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempts:
     """Runs attempts.
 
@@ -128,11 +136,14 @@
     client : EndpointClient
     limits : Limits
     clock : Clock
+    observe_leaving : callable
+        Takes each response's endpoint and whether it says that it is leaving.
     """
 
     client: EndpointClient
     limits: Limits
     clock: Clock = time.monotonic
+    observe_leaving: ObserveLeaving = ignore_leaving
     counts: Counter[RelayCount] = field(default_factory=Counter)
 
     async def run(
@@ -178,6 +189,7 @@
             async with self.client.open(call) as response:
                 delivery.headers_at_s = self.clock()
                 record.mark_headers()
+                self.observe_leaving(endpoint.id, is_leaving(response.headers))
                 answer = _read_identity(response)
                 if answer.attempt not in ("", call.attempt):
                     self.counts[RelayCount.CROSSED_ANSWER] += 1
