--- a/primrosepier/demo.py
+++ b/primrosepier/demo.py
@@ -14,8 +14,8 @@
 from .errors import ConfigurationError
 from .etcd import make_etcd_store
 from .ids import EndpointId, FailureDomain, HostId
+from .publishing import ApplyResult, apply_configuration
 from .replay import ReplayReport, replay_trace
-from .revisions import ApplyResult, apply_configuration
 from .router import Router, open_router
 from .settings import RouterSettings
 from .standin_engine import EngineStandin
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -9,27 +9,26 @@
 
 from .asgi import open_server
 from .attempt import Attempts
-from .board import Board, SectionWriter, make_board
+from .board import Board, make_board
 from .callers import CallersApp
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
-from .configuration import Configuration
+from .configuration_controller import ConfigurationController
 from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .ids import Revision
 from .logs import make_log
 from .metrics import Metrics, make_metrics
+from .mirror import MirrorController, make_mirror
 from .peering import LocalParts, Peering, open_peering
 from .plain import PlainCalls
 from .protocol import make_bounded_protocol
 from .reuse_placement import make_placement
-from .revisions import CONFIGURATION_KEY, decode_revision
+from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
-from .store import Item, Store, Unavailable
+from .store import Store
 
 __all__ = [
-    "ConfigurationController",
     "Platform",
     "Router",
     "make_platform",
@@ -37,60 +36,9 @@
     "open_router",
 ]
 
-RETRY_S = 0.2
 ABORT_GRACE_S = 1.0
 
 
-@dataclass(slots=True)
-class ConfigurationController:
-    """Keeps the configuration on the board at the newest revision."""
-
-    store: Store
-    writer: SectionWriter[Configuration | None]
-    clock: Clock = time.monotonic
-    revision: Revision = Revision(0)
-    value: bytes = b""
-
-    async def run(self) -> None:
-        """Read and watch the configuration until cancelled."""
-        while True:
-            snapshot = await self.store.read(CONFIGURATION_KEY)
-            if not isinstance(snapshot, Unavailable):
-                for item in snapshot.items.values():
-                    self.accept(item)
-                await self._watch(Revision(snapshot.revision + 1))
-            await anyio.sleep(RETRY_S)
-
-    async def _watch(self, revision: Revision) -> None:
-        async for event in self.store.watch(CONFIGURATION_KEY, revision):
-            if event.compacted:
-                return
-            for item in event.items:
-                self.accept(item)
-
-    def accept(self, item: Item) -> bool:
-        """Take a stored value if it is newer than the one in force."""
-        if item.mod_revision <= self.revision:
-            return False
-        configuration = decode_revision(item.value)
-        if configuration is None:
-            return False
-        self.revision = item.mod_revision
-        self.value = item.value
-        self.writer.write(configuration, self.clock())
-        return True
-
-    def export(self, revision: Revision) -> tuple[Revision, bytes] | None:
-        """Return the configuration for a peer that holds an older revision."""
-        if self.revision <= revision:
-            return None
-        return (self.revision, self.value)
-
-    def offer(self, revision: Revision, data: bytes) -> bool:
-        """Take a configuration that a peer exported, if it is newer and valid."""
-        return self.accept(Item(CONFIGURATION_KEY, data, revision))
-
-
 @dataclass(frozen=True, slots=True)
 class Platform:
     """What a router meets outside its process.
@@ -121,6 +69,7 @@
     platform: Platform
     app: CallersApp
     configuration: ConfigurationController
+    mirror: MirrorController
     claims: StoreClaims
     callers_address: str = ""
     peers_address: str = ""
@@ -145,9 +94,11 @@
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
     writer = board.configuration.take_writer("configuration")
-    controller = ConfigurationController(platform.store, writer, platform.clock)
+    controller = ConfigurationController(writer, platform.clock)
+    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror.mirror.listeners.append(controller.update)
     _register_gauges(metrics, dispatcher, controller)
-    return Router(settings, board, platform, app, controller, claims)
+    return Router(settings, board, platform, app, controller, mirror, claims)
 
 
 def _register_gauges(
@@ -185,7 +136,7 @@
     limits = settings.limits
     protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
     async with anyio.create_task_group() as group:
-        group.start_soon(router.configuration.run)
+        group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
@@ -197,4 +148,5 @@
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
+    await router.platform.store.close()
     router.app.log.close()
