--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one endpoint, and what the caller has got so far."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -15,8 +16,10 @@
     EndpointClient,
     EndpointResponse,
     classify_error,
+    is_leaving,
 )
-from .ids import make_attempt_id
+from .ids import AttemptId, EndpointId, make_attempt_id
+from .logs import TRACE_HEADER
 from .outcomes import (
     Completed,
     Interrupted,
@@ -27,11 +30,14 @@
     UnknownOutcome,
 )
 from .relay import Tail, relay_stream
+from .request_log import AttemptRecord, record_attempt
 from .requests import ModelRequest
 from .settings import Limits
 
 __all__ = ["Attempts", "Delivery", "can_continue", "make_delivery"]
 
+ObserveLeaving = Callable[[EndpointId, bool], None]
+
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_UNAVAILABLE = 503
@@ -53,6 +59,10 @@
     headers_at_s: float = 0.0
 
 
+def ignore_leaving(endpoint: EndpointId, leaving: bool) -> None:
+    """Tell nobody; used by a router without peers."""
+
+
 def make_delivery(request: ModelRequest, send: Send) -> Delivery:
     """Return the delivery of a request of which nothing went out yet."""
     return Delivery(send)
@@ -63,7 +73,7 @@
     return isinstance(outcome, Interrupted) and outcome.resumable
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempts:
     """Runs attempts.
 
@@ -72,25 +82,45 @@
     client : EndpointClient
     limits : Limits
     clock : Clock
+    observe_leaving : callable
+        Takes each response's endpoint and whether it says that it is leaving.
     """
 
     client: EndpointClient
     limits: Limits
     clock: Clock = time.monotonic
+    observe_leaving: ObserveLeaving = ignore_leaving
 
     async def run(
         self, request: ModelRequest, endpoint: Endpoint, delivery: Delivery
     ) -> Outcome:
         """Send a request to an endpoint and relay its answer."""
-        call = self._make_call(request, endpoint)
+        attempt = make_attempt_id()
+        with record_attempt(request, endpoint.id, attempt) as record:
+            call = self._make_call(request, endpoint, attempt, record.hop)
+            record.outcome = await self._send(request, endpoint, call, delivery, record)
+        return record.outcome
+
+    async def _send(
+        self,
+        request: ModelRequest,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        delivery: Delivery,
+        record: AttemptRecord,
+    ) -> Outcome:
         try:
             async with self.client.open(call) as response:
                 delivery.headers_at_s = self.clock()
+                record.mark_headers()
+                self.observe_leaving(endpoint.id, is_leaving(response.headers))
                 return await self._relay(request, endpoint, response, delivery.send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
 
-    def _make_call(self, request: ModelRequest, endpoint: Endpoint) -> EndpointCall:
+    def _make_call(
+        self, request: ModelRequest, endpoint: Endpoint, attempt: AttemptId, hop: str
+    ) -> EndpointCall:
         body = dict(request.body)
         body["cache_salt"] = request.workspace.id
         if request.streamed:
@@ -98,7 +128,8 @@
         headers = (
             ("content-type", "application/json"),
             ("x-request-id", request.id),
-            ("x-attempt-id", make_attempt_id()),
+            ("x-attempt-id", attempt),
+            (TRACE_HEADER, hop),
         )
         return EndpointCall(
             address=endpoint.address,
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,19 +3,37 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
+from .commands_explain import ExplainCommand, TimelineCommand
+from .commands_metrics import MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
-from .commands_standin import StandinEngineCommand, StandinStoreCommand
+from .commands_standin import (
+    StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
+    StandinStoreCommand,
+    StandinWeightsCommand,
+)
 
 __all__ = ["main", "make_application"]
 
 COMMANDS = (
     ApplyCommand,
+    BenchPolicyCommand,
     CheckCommand,
     DemoCommand,
+    ExplainCommand,
+    MetricsPageCommand,
     RouterCommand,
     StandinEngineCommand,
+    StandinHostsCommand,
+    StandinKvCacheCommand,
+    StandinServiceCommand,
     StandinStoreCommand,
+    StandinWeightsCommand,
+    TimelineCommand,
 )
 
 
--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -1,7 +1,11 @@
 """Exceptions raised by the package."""
 
 __all__ = [
+    "BenchError",
+    "CompactedError",
     "ConfigurationError",
+    "LeaseNotFoundError",
+    "MessageError",
     "PrimrosepierError",
     "RequestError",
     "SettingsError",
@@ -15,6 +19,10 @@
     """Base class of the package's exceptions."""
 
 
+class BenchError(PrimrosepierError):
+    """A bench was asked for something that it can't model."""
+
+
 class SettingsError(PrimrosepierError):
     """A setting is unknown, missing or has a wrong value.
 
@@ -38,6 +46,18 @@
     """An operators' file is not valid."""
 
 
+class CompactedError(PrimrosepierError):
+    """The revision asked for is older than the history that is kept."""
+
+
+class LeaseNotFoundError(PrimrosepierError):
+    """The lease lapsed, was revoked or never was."""
+
+
+class MessageError(PrimrosepierError):
+    """Bytes from a peer are not a message that may be used."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -21,14 +21,19 @@
     LeaseLost,
     Put,
     Snapshot,
+    TransactOutcome,
     Unavailable,
     WatchEvent,
+    compute_range_end,
 )
 
 __all__ = ["EtcdStore", "decode_item", "encode_bytes", "make_etcd_store"]
 
 CALL_TIMEOUT_S = 2.0
 HTTP_OK = 200
+FINAL_STATUSES = frozenset({400, 401, 403, 404, 413, 429})
+ERROR_BYTES = 200
+LEASE_NOT_FOUND = "requested lease not found"
 
 NOT_SENT_ERRORS = (
     httpcore.ConnectError,
@@ -60,12 +65,6 @@
     )
 
 
-def compute_range_end(prefix: str) -> bytes:
-    """Return the first key after all keys with a prefix."""
-    raw = prefix.encode()
-    return raw[:-1] + bytes([raw[-1] + 1])
-
-
 def _read_revision(answer: dict[str, Any]) -> Revision:
     return Revision(int(answer.get("header", {}).get("revision", 0)))
 
@@ -121,14 +120,20 @@
                     extensions={"timeout": limits},
                 )
                 if response.status != HTTP_OK:
-                    reason = f"status {response.status}"
-                    return Ambiguous(Step.HEADERS, self.address, reason)
+                    return self._classify(response)
                 return msgspec.json.decode(response.content, type=dict[str, Any])
         except NOT_SENT_ERRORS as error:
             return Unavailable(Step.CONNECT, self.address, repr(error))
         except (*LOST_ERRORS, TimeoutError) as error:
             return Ambiguous(Step.HEADERS, self.address, repr(error))
 
+    def _classify(self, response: httpcore.Response) -> Ambiguous | Unavailable:
+        text = response.content[:ERROR_BYTES].decode("utf-8", "replace")
+        reason = f"status {response.status}: {text}"
+        if response.status in FINAL_STATUSES:
+            return Unavailable(Step.HEADERS, self.address, reason)
+        return Ambiguous(Step.HEADERS, self.address, reason)
+
     async def read(self, prefix: str) -> Snapshot | Unavailable:
         """Return the items whose keys start with a prefix."""
         body = {
@@ -145,7 +150,7 @@
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
-    ) -> Applied | Conflict | Ambiguous | Unavailable:
+    ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
         ranges = [{"request_range": {"key": encode_bytes(c.key)}} for c in compares]
         body = {
@@ -154,6 +159,8 @@
             "failure": ranges,
         }
         answer = await self._call("/v3/kv/txn", body)
+        if isinstance(answer, Unavailable) and LEASE_NOT_FOUND in answer.reason:
+            return LeaseLost(next(put.lease for put in puts if put.lease))
         if isinstance(answer, Ambiguous | Unavailable):
             return answer
         if answer.get("succeeded"):
@@ -186,7 +193,7 @@
                 async for chunk in response.aiter_stream():
                     *lines, rest = (rest + chunk).split(b"\n")
                     for line in lines:
-                        event = _decode_watch_line(line)
+                        event = _decode_watch_line(line, revision)
                         if event is not None:
                             yield event
         except (*NOT_SENT_ERRORS, *LOST_ERRORS):
@@ -212,13 +219,15 @@
         await self._call("/v3/lease/revoke", {"ID": str(lease)})
 
 
-def _decode_watch_line(line: bytes) -> WatchEvent | None:
+def _decode_watch_line(line: bytes, start: Revision) -> WatchEvent | None:
     if not line.strip():
         return None
     result = msgspec.json.decode(line, type=dict[str, Any]).get("result", {})
     revision = _read_revision(result)
     if result.get("canceled") or int(result.get("compact_revision", 0)):
         return WatchEvent(revision, compacted=True)
+    if result.get("created") and revision < start - 1:
+        return WatchEvent(revision, compacted=True)
     items = []
     deleted = []
     for event in result.get("events", []):
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -9,21 +9,24 @@
 
 from .asgi import open_server
 from .attempt import Attempts
-from .board import Board, SectionWriter, make_board
+from .board import Board, make_board
 from .callers import CallersApp
+from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
-from .configuration import Configuration
-from .dispatch import make_dispatcher
+from .configuration_controller import ConfigurationController
+from .dispatch import Dispatcher, make_dispatcher
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .ids import Revision
-from .placement import make_placement
-from .revisions import CONFIGURATION_KEY, decode_revision
+from .logs import make_log
+from .metrics import Metrics, make_metrics
+from .mirror import MirrorController, make_mirror
+from .peering import LocalParts, Peering, open_peering
+from .reuse_placement import make_placement
+from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
-from .store import Item, Store, Unavailable
+from .store import Store
 
 __all__ = [
-    "ConfigurationController",
     "Platform",
     "Router",
     "make_platform",
@@ -31,45 +34,7 @@
     "open_router",
 ]
 
-RETRY_S = 0.2
-
-
-@dataclass(slots=True)
-class ConfigurationController:
-    """Keeps the configuration on the board at the newest revision."""
-
-    store: Store
-    writer: SectionWriter[Configuration | None]
-    clock: Clock = time.monotonic
-    revision: Revision = Revision(0)
-
-    async def run(self) -> None:
-        """Read and watch the configuration until cancelled."""
-        while True:
-            snapshot = await self.store.read(CONFIGURATION_KEY)
-            if not isinstance(snapshot, Unavailable):
-                for item in snapshot.items.values():
-                    self.accept(item)
-                await self._watch(Revision(snapshot.revision + 1))
-            await anyio.sleep(RETRY_S)
-
-    async def _watch(self, revision: Revision) -> None:
-        async for event in self.store.watch(CONFIGURATION_KEY, revision):
-            if event.compacted:
-                return
-            for item in event.items:
-                self.accept(item)
-
-    def accept(self, item: Item) -> bool:
-        """Take a stored value if it is newer than the one in force."""
-        if item.mod_revision <= self.revision:
-            return False
-        configuration = decode_revision(item.value)
-        if configuration is None:
-            return False
-        self.revision = item.mod_revision
-        self.writer.write(configuration, self.clock())
-        return True
+ABORT_GRACE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +67,15 @@
     platform: Platform
     app: CallersApp
     configuration: ConfigurationController
+    mirror: MirrorController
+    claims: StoreClaims
     callers_address: str = ""
+    peers_address: str = ""
+    peering: Peering | None = None
+
+    def compute_grace(self) -> float:
+        """Return the bound on requests in progress at the end, seconds."""
+        return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
 
 
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
@@ -111,12 +84,46 @@
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
-        board, attempts, make_placement(), limits, platform.clock
+        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
-    app = CallersApp(board, dispatcher, limits)
+    log = make_log(settings.host, settings.logs)
+    metrics = make_metrics(board, log, platform.clock)
+    app = CallersApp(board, dispatcher, limits, log, metrics)
     writer = board.configuration.take_writer("configuration")
-    controller = ConfigurationController(platform.store, writer, platform.clock)
-    return Router(settings, board, platform, app, controller)
+    controller = ConfigurationController(writer, platform.clock)
+    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror.mirror.listeners.append(controller.update)
+    claims = make_store_claims(platform.store, settings.host)
+    _register_gauges(metrics, dispatcher, controller)
+    return Router(settings, board, platform, app, controller, mirror, claims)
+
+
+def _register_gauges(
+    metrics: Metrics, dispatcher: Dispatcher, controller: ConfigurationController
+) -> None:
+    def read(found: Metrics) -> None:
+        outstanding = sum(dispatcher.candidates.outstanding.values())
+        found.set("primrosepier_attempts_in_progress", outstanding)
+        found.set("primrosepier_configuration_revision", controller.revision)
+        found.promises.observe_revision(controller.revision)
+
+    metrics.register(read)
+
+
+def make_local_parts(router: Router) -> LocalParts:
+    """Return the parts of a router that its peers hear of and act on."""
+    app = router.app
+    return LocalParts(
+        settings=router.settings,
+        board=router.board,
+        client=router.platform.client,
+        attempts=app.dispatcher.attempts,
+        dispatcher=app.dispatcher,
+        source=router.configuration,
+        is_ready=app.is_ready,
+        is_stopping=lambda: app.stopping,
+        clock=router.platform.clock,
+    )
 
 
 @contextlib.asynccontextmanager
@@ -124,9 +131,17 @@
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
     async with anyio.create_task_group() as group:
-        group.start_soon(router.configuration.run)
-        async with open_server(router.app, settings.callers_address) as address:
-            router.callers_address = address
+        group.start_soon(router.mirror.run)
+        group.start_soon(router.claims.run)
+        async with (
+            open_peering(make_local_parts(router), group) as router.peering,
+            open_server(
+                router.app, settings.callers_address, router.compute_grace
+            ) as router.callers_address,
+        ):
+            router.peers_address = router.peering.address
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
+    await router.platform.store.close()
+    router.app.log.close()
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -1,5 +1,6 @@
 """Settings of one router process."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -7,9 +8,17 @@
 from .ids import FailureDomain, HostId
 from .ini import SectionReader, parse_ini
 
-__all__ = ["Limits", "RouterSettings", "load_settings", "parse_settings"]
+__all__ = [
+    "Limits",
+    "LogSettings",
+    "RouterSettings",
+    "load_settings",
+    "parse_settings",
+]
 
 MIB = 1024 * 1024
+PEER_KEY_VARIABLE = "PRIMROSEPIER_PEER_KEY"
+LOG_LEVELS = ("off", "error", "info", "debug")
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +49,22 @@
     queue_requests: int = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """What is logged, and where to.
+
+    Parameters
+    ----------
+    level : str
+        ``off``, ``error``, ``info`` or ``debug``.
+    sink : str
+        ``none``, ``stderr`` or the path of a file or named pipe.
+    """
+
+    level: str = "info"
+    sink: str = "none"
+
+
 @dataclass(frozen=True, slots=True)
 class RouterSettings:
     """Checked settings of one router.
@@ -52,6 +77,9 @@
         Addresses of other routers to join, ``IP:PORT``.
     hosts_url : str
         Where the host list is read; empty when there is none.
+    peer_key : str
+        Shared by all routers, from ``key_file`` or the environment variable
+        ``PRIMROSEPIER_PEER_KEY``; empty for none.
     stop_wait_s : float
         Time between "not ready" and the end of listening, seconds.
     stop_streams_s : float
@@ -69,6 +97,7 @@
     stop_wait_s: float = 2.0
     stop_streams_s: float = 3600.0
     limits: Limits = Limits()
+    logs: LogSettings = LogSettings()
 
 
 def load_settings(path: Path) -> RouterSettings:
@@ -92,7 +121,7 @@
     readers = {}
     for section in parser.sections():
         readers[section] = SectionReader(file, section, parser[section], SettingsError)
-    for name in ("router", "platform", "peers", "limits"):
+    for name in ("router", "platform", "peers", "limits", "logs"):
         readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
     settings = _read_settings(readers)
     for reader in readers.values():
@@ -117,13 +146,21 @@
         peers=readers["peers"].read_list("addresses"),
         peer_key=_read_key(readers["peers"]),
         limits=_read_limits(readers["limits"]),
+        logs=_read_logs(readers["logs"]),
+    )
+
+
+def _read_logs(reader: SectionReader) -> LogSettings:
+    return LogSettings(
+        level=reader.read_choice("level", LOG_LEVELS, "info"),
+        sink=reader.read_text("sink", "stderr"),
     )
 
 
 def _read_key(reader: SectionReader) -> str:
     file = reader.read_text("key_file", "")
     if not file:
-        return ""
+        return os.environ.get(PEER_KEY_VARIABLE, "")
     try:
         return Path(file).read_text(encoding="utf-8").strip()
     except OSError as cause:
