Give gossip, claims and mirror the platform's clock

Cause: three controllers read the real clock, so a whole router could not run in virtual time. Change: clocks are passed down; make_peering builds the controllers without sockets.

--- a/primrosepier/claim_writer.py
+++ b/primrosepier/claim_writer.py
@@ -2,7 +2,6 @@
 
 import math
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -16,6 +15,7 @@
     make_claim_key,
     make_not_run,
 )
+from .clocks import Clock
 from .ids import HostId, RequestId, WorkspaceId
 from .outcomes import NotRun, Step, UnknownOutcome
 from .store import (
@@ -100,14 +100,13 @@
     store : Store
     queue : ClaimQueue
     times : ClaimTimes
-    clock : callable
-        Monotonic time, seconds.
+    clock : Clock
     """
 
     store: Store
     queue: ClaimQueue
     times: ClaimTimes
-    clock: Callable[[], float] = time.monotonic
+    clock: Clock = time.monotonic
     results: dict[Claim, Result] = field(default_factory=dict)
     wake: anyio.Event = field(default_factory=anyio.Event)
     held: dict[str, RequestId] = field(default_factory=dict)
@@ -215,7 +214,10 @@
 
 
 def make_store_claims(
-    store: Store, router: HostId, times: ClaimTimes | None = None
+    store: Store,
+    router: HostId,
+    times: ClaimTimes | None = None,
+    clock: Clock = time.monotonic,
 ) -> StoreClaims:
     """Return claims of a router that are kept in a store."""
-    return StoreClaims(store, ClaimQueue(router), times or ClaimTimes())
+    return StoreClaims(store, ClaimQueue(router), times or ClaimTimes(), clock)
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -11,6 +11,7 @@
 
 from . import __version__
 from .board import Board, SectionWriter
+from .clocks import Clock
 from .ids import HostId, Revision
 from .membership import Membership, MemberState, Round, make_membership
 from .messages import (
@@ -74,6 +75,7 @@
     writer: SectionWriter[frozenset[HostId]]
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
+    clock: Clock = time.monotonic
     on_round: list[Callable[[float], None]] = field(default_factory=list)
     group: TaskGroup | None = None
     fetching: bool = False
@@ -84,9 +86,9 @@
         round_s = self.membership.rules.round_s
         async with anyio.create_task_group() as group:
             self.group = group
-            due_s = time.monotonic()
+            due_s = self.clock()
             while True:
-                now_s = time.monotonic()
+                now_s = self.clock()
                 self._start_round(now_s, group)
                 due_s = max(due_s + round_s, now_s)
                 await anyio.sleep(due_s - now_s)
@@ -113,21 +115,21 @@
     async def _probe(self, begun: Round, target: MemberRecord) -> None:
         host = HostId(target.host)
         if await self._exchange(target.address, host, PROBE_TIMEOUT_S):
-            if self.membership.needs_sync(time.monotonic()):
+            if self.membership.needs_sync(self.clock()):
                 await self._synchronize(target.address, host)
             return
         self.failures += 1
         if not await self._probe_indirectly(target):
-            self.membership.report_unreachable(host, begun, time.monotonic())
+            self.membership.report_unreachable(host, begun, self.clock())
 
     async def _exchange(
         self, address: str, host: HostId | None, timeout_s: float, whole: bool = False
     ) -> bool:
-        message = self.membership.make_exchange(host, time.monotonic(), whole)
+        message = self.membership.make_exchange(host, self.clock(), whole)
         reply = await self.transport.exchange(address, message, timeout_s)
         if isinstance(reply, PeerFailure):
             return False
-        self.membership.receive(reply, time.monotonic())
+        self.membership.receive(reply, self.clock())
         self._follow_up(reply)
         return True
 
@@ -156,7 +158,7 @@
             return
         if self.membership.digests.urgent:
             self.start_push()
-            self._call_listeners(time.monotonic())
+            self._call_listeners(self.clock())
         if message.revision > self.source.revision and not self.fetching:
             self.fetching = True
             address = message.sender.address
@@ -186,7 +188,7 @@
         int
             Neighbours that answered.
         """
-        now_s = time.monotonic()
+        now_s = self.clock()
         digests = self.membership.digests.take_urgent(now_s)
         if not digests and self.membership.own.state != MemberState.LEFT:
             return 0
@@ -204,7 +206,7 @@
             )
             if isinstance(reply, Exchange):
                 answered.append(neighbour.host)
-                self.membership.receive(reply, time.monotonic())
+                self.membership.receive(reply, self.clock())
                 self._follow_up(reply)
 
         async with anyio.create_task_group() as group:
@@ -220,7 +222,7 @@
     async def answer_exchange(self, message: Exchange) -> Exchange:
         """Answer a probe."""
         self.membership.revision = self.source.revision
-        reply = self.membership.answer(message, time.monotonic())
+        reply = self.membership.answer(message, self.clock())
         self._follow_up(message)
         return reply
 
@@ -260,14 +262,18 @@
     board: Board,
     is_ready: Callable[[], bool],
     is_stopping: Callable[[], bool],
+    clock: Clock = time.monotonic,
+    wall_clock: Clock = time.time,
 ) -> Gossip:
     """Return the gossip of a router that is reached at an address.
 
     Its incarnation is the time of the day in milliseconds, so that a restarted
     router comes after its earlier process.
     """
-    incarnation = int(time.time() * MS_PER_S)
+    incarnation = int(wall_clock() * MS_PER_S)
     own = MemberRecord(settings.host, address, settings.failure_domain, incarnation)
     membership = make_membership(own, random.Random(incarnation), settings.peers)
     writer = board.peers.take_writer("gossip")
-    return Gossip(membership, transport, source, board, writer, is_ready, is_stopping)
+    return Gossip(
+        membership, transport, source, board, writer, is_ready, is_stopping, clock
+    )
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -159,8 +159,12 @@
 
 
 def make_mirror(
-    store: Store, prefix: str, check_prefix: str, seed: int | None = None
+    store: Store,
+    prefix: str,
+    check_prefix: str,
+    seed: int | None = None,
+    clock: Clock = time.monotonic,
 ) -> MirrorController:
     """Return a mirror of the items below a prefix."""
     backoff = Backoff(random.Random(seed))
-    return MirrorController(store, Mirror(prefix), backoff, check_prefix)
+    return MirrorController(store, Mirror(prefix), backoff, check_prefix, clock)
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -16,11 +16,11 @@
 from .hosts import make_host_list_client
 from .leaving_controller import LeavingController
 from .load_reports import LoadReports
-from .peers import bind_listener, make_transport, open_peer_server
+from .peers import PeerTransport, bind_listener, make_transport, open_peer_server
 from .settings import RouterSettings
 from .sharing import Sharing
 
-__all__ = ["LocalParts", "Peering", "open_peering"]
+__all__ = ["LocalParts", "Peering", "make_peering", "open_peering"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +36,7 @@
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
     clock: Clock = time.monotonic
+    wall_clock: Clock = time.time
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,13 +97,8 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def open_peering(parts: LocalParts, group: TaskGroup) -> AsyncIterator[Peering]:
-    """Work with other routers while the context is open, and say goodbye after."""
-    listener = bind_listener(parts.settings.peers_address)
-    host, port = listener.getsockname()[:2]
-    address = f"{host}:{port}"
-    transport = make_transport(parts.settings.peer_key)
+def make_peering(parts: LocalParts, address: str, transport: PeerTransport) -> Peering:
+    """Return the controllers of a router that is reached at an address."""
     gossip = make_gossip(
         parts.settings,
         address,
@@ -111,14 +107,26 @@
         parts.board,
         parts.is_ready,
         parts.is_stopping,
+        parts.clock,
+        parts.wall_clock,
     )
     leaving = _make_leaving(parts, gossip)
     loads = _make_loads(parts, gossip, leaving)
     peering = Peering(address, gossip, leaving, loads, _make_sharing(parts, gossip))
     parts.attempts.observe_leaving = leaving.observe_response
     parts.dispatcher.share = peering.sharing.share
-    async with open_peer_server(gossip, transport.codec, listener):
+    return peering
+
+
+@contextlib.asynccontextmanager
+async def open_peering(parts: LocalParts, group: TaskGroup) -> AsyncIterator[Peering]:
+    """Work with other routers while the context is open, and say goodbye after."""
+    listener = bind_listener(parts.settings.peers_address)
+    host, port = listener.getsockname()[:2]
+    transport = make_transport(parts.settings.peer_key)
+    peering = make_peering(parts, f"{host}:{port}", transport)
+    async with open_peer_server(peering.gossip, transport.codec, listener):
         peering.start(group)
         yield peering
-        await gossip.leave()
+        await peering.gossip.leave()
     transport.close()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -91,9 +91,11 @@
     app = CallersApp(board, dispatcher, limits, log, metrics)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
-    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror = make_mirror(
+        platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
+    )
     mirror.mirror.listeners.append(controller.update)
-    claims = make_store_claims(platform.store, settings.host)
+    claims = make_store_claims(platform.store, settings.host, clock=platform.clock)
     _register_gauges(metrics, dispatcher, controller)
     return Router(settings, board, platform, app, controller, mirror, claims)
 
