--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -15,7 +15,7 @@
 from primrosepier.configuration import load_configuration
 from primrosepier.demo import find_example
 from primrosepier.etcd import make_etcd_store
-from primrosepier.revisions import apply_configuration
+from primrosepier.publishing import apply_configuration
 from primrosepier.standin_engine import EngineRates, make_engine_standin
 from primrosepier.standin_store import StoreStandin
 
