--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -89,13 +89,15 @@
         board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
-    claims = make_store_claims(platform.store, settings.host)
+    claims = make_store_claims(platform.store, settings.host, clock=platform.clock)
     plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
-    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror = make_mirror(
+        platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
+    )
     mirror.mirror.listeners.append(controller.update)
     _register_gauges(metrics, dispatcher, controller)
     return Router(settings, board, platform, app, controller, mirror, claims)
