--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -22,6 +22,7 @@
     StandinStoreCommand,
     StandinWeightsCommand,
 )
+from .commands_status import StatusCommand
 
 __all__ = ["main", "make_application"]
 
@@ -45,6 +46,7 @@
     StandinStoreCommand,
     StandinWeightsCommand,
     TimelineCommand,
+    StatusCommand,
 )
 
 
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -21,6 +21,8 @@
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
 from .peering import LocalParts, Peering, open_peering
+from .plain import PlainCalls
+from .protocol import make_bounded_protocol
 from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .settings import RouterSettings
@@ -87,13 +89,16 @@
         board, attempts, make_placement(settings.failure_domain), limits, platform.clock
     )
     log = make_log(settings.host, settings.logs)
+    claims = make_store_claims(platform.store, settings.host, clock=platform.clock)
+    plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
     metrics = make_metrics(board, log, platform.clock)
-    app = CallersApp(board, dispatcher, limits, log, metrics)
+    app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
-    mirror = make_mirror(platform.store, STATE_PREFIX, MANIFEST_KEY)
+    mirror = make_mirror(
+        platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
+    )
     mirror.mirror.listeners.append(controller.update)
-    claims = make_store_claims(platform.store, settings.host)
     _register_gauges(metrics, dispatcher, controller)
     return Router(settings, board, platform, app, controller, mirror, claims)
 
@@ -130,13 +135,15 @@
 async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
+    limits = settings.limits
+    protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
     async with anyio.create_task_group() as group:
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
             open_server(
-                router.app, settings.callers_address, router.compute_grace
+                router.app, settings.callers_address, router.compute_grace, protocol
             ) as router.callers_address,
         ):
             router.peers_address = router.peering.address
