--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -213,8 +213,8 @@
         "",
         "Made by `make capacity` from slopes that `bench scale` measures on one",
         "machine with small stand-ins, kept in `capacity.json`. This report took",
-        f"{report.duration_s:.0f} s on Python {report.python} and {report.cores} cores,",
-        f"with a load average of {report.load_before:.1f} before and",
+        f"{report.duration_s:.0f} s on {report.cores} cores with Python",
+        f"{report.python}; the load average was {report.load_before:.1f} before and",
         f"{report.load_after:.1f} after.",
         "",
         f"The design size is {size.nodes} nodes before {size.replicas:,} replicas,",
@@ -323,8 +323,8 @@
     yield f"  {size.node_requests_per_s:.1f}, and each stream limit and figure of the"
     yield f"  request path grows by {(growth - 1) * PERCENT:.1f}%."
     yield f"- The news of {nodes:.0f} dead members is"
-    yield f"  {_show_bytes(nodes * rules_bytes)} a sending; messages keep their bound, so"
-    yield "  the news spreads over more rounds instead of more bytes."
+    yield f"  {_show_bytes(nodes * rules_bytes)} a sending; messages keep their"
+    yield "  bound, so the news takes more rounds instead of more bytes."
     yield f"- The other replicas take {size.replicas / (size.replicas - replicas):.3f}"
     yield "  times their load; requests to the lost ones are tried elsewhere, within"
     yield "  the retry budget."
@@ -355,9 +355,10 @@
     yield ""
     rate = size.nodes / ALL_AT_ONCE_S
     yield f"- {size.nodes} reads of {_show_bytes(whole)} are"
-    yield f"  {_show_bytes(size.nodes * whole)} in all; within {ALL_AT_ONCE_S:.0f} s they"
-    yield f"  are {rate:.0f} reads a second, {rate / size.store_reads_per_s * PERCENT:.1f}%"
-    yield "  of the service's. Restarted routers ask peers first when they have any."
+    yield f"  {_show_bytes(size.nodes * whole)} in all; within"
+    yield f"  {ALL_AT_ONCE_S:.0f} s they are {rate:.0f} reads a second,"
+    yield f"  {rate / size.store_reads_per_s * PERCENT:.1f}% of the service's."
+    yield "  Restarted routers ask peers first when they have any."
     yield "- Nothing else is read at a start: placement by rule needs no shared state."
     yield ""
 
--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -50,6 +50,7 @@
 DIGESTS = (0, 2, 4, 8)
 BLOCKS = (2000, 4000, 8000, 16000)
 MODELS = 22
+FLEET = 940
 DOMAINS = 17
 DIGEST_BYTES = 60
 BLOCKS_PER_PROMPT = 8
@@ -180,7 +181,7 @@
             record = _make_record(number, state["incarnation"])
             pair.first.receive(Exchange(record), pair.now_s)
 
-    cpu, sent = _measure_pairs(CHANGES, lambda size: 940, change)
+    cpu, sent = _measure_pairs(CHANGES, lambda size: FLEET, change)
     return [
         fit_slope("member_change_cpu", "changes a round", "s a round", cpu),
         fit_slope("member_change_bytes", "changes a round", "bytes a round", sent),
@@ -199,7 +200,7 @@
             record = DigestRecord("usage", host, 1, count, ttl_ms=600_000, data=data)
             pair.first.digests.receive(record, pair.now_s)
 
-    cpu, sent = _measure_pairs(DIGESTS, lambda size: 940, publish)
+    cpu, sent = _measure_pairs(DIGESTS, lambda size: FLEET, publish)
     memory = []
     for size in NODES:
 
