--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -11,6 +11,7 @@
     Receive,
     Scope,
     Send,
+    close_connection_after,
     find_header,
     read_json,
     send_bytes,
@@ -25,6 +26,7 @@
 from .ids import ModelId, RequestId, make_request_id
 from .log_events import RequestReceived, RequestRefused
 from .logs import TRACE_HEADER, Log, emit, open_action
+from .metrics import Metrics
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
 from .request_log import TimedSend, record_request
 from .requests import ModelRequest, build_prompt
@@ -34,6 +36,7 @@
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 QUIET_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 BEARER = "Bearer "
 
 
@@ -57,17 +60,21 @@
     dispatcher : Dispatcher
     limits : Limits
     log : Log
+    metrics : Metrics
     """
 
     board: Board
     dispatcher: Dispatcher
     limits: Limits
     log: Log
+    metrics: Metrics
     stopping: bool = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         request = make_request_id()
+        if self.stopping:
+            send = close_connection_after(send)
         if scope["path"] in QUIET_PATHS:
             await self._answer(request, scope, receive, send)
             return
@@ -94,6 +101,9 @@
             await send_bytes(send, 200, b"ok\n")
         elif path == "/readyz":
             await self._send_readiness(send)
+        elif path == "/metrics":
+            text = self.metrics.render()
+            await send_bytes(send, 200, text, [("content-type", METRICS_TYPE)])
         elif path == "/v1/models":
             await self._send_models(scope, send, request)
         elif path in MODEL_PATHS:
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -6,6 +6,7 @@
 from .commands_bench_policy import BenchPolicyCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
+from .commands_metrics import MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -24,6 +25,7 @@
     CheckCommand,
     DemoCommand,
     ExplainCommand,
+    MetricsPageCommand,
     RouterCommand,
     StandinEngineCommand,
     StandinHostsCommand,
