Place where cache events say that a prefix is held

Cause: when weights of the rendezvous drift, a prefix leaves the endpoint that still holds it, and a spilled prefix is unknown to the other routers.

Change: an index of cache events, bound to incarnation and weights version and aware of gaps, tells how many leading blocks each candidate holds. Without events for an endpoint, or when they don't tell all, the rule stands in. The first home gets a prefix that nobody holds. Own placements of the last 2 s count as held.

--- a/primrosepier/bench_policy.py
+++ b/primrosepier/bench_policy.py
@@ -10,10 +10,12 @@
 from .bench_deployments import Deployment
 from .bench_engines import BlockIndex, FakeEngine, Job
 from .bench_workload import BenchRequest, Workload
-from .ids import EndpointId, FailureDomain, WeightsVersion
+from .cache_events import CacheEvent, CacheEventKind
+from .ids import BlockHash, EndpointId, FailureDomain, WeightsVersion
 from .placement import Decision, EndpointView, Feedback, Placement
 from .pressure import PressureTable
 from .prompts import BLOCK_TOKENS
+from .reuse_placement import ReusePlacement
 
 __all__ = [
     "WEIGHTS_AT",
@@ -28,6 +30,10 @@
 REPORT_S = 0.5
 REPORT_LAG_S = 0.3
 STALE_LAG_S = 5.0
+EVENT_BATCH_S = 0.25
+EVENT_LAG_S = 0.5
+EVENT_LOSS = 0.005
+FAULTY_EVENT_LOSS = 0.05
 RETRY_S = 0.05
 MAX_ATTEMPTS = 6
 CRASH_GAP_S = 20.0
@@ -47,12 +53,15 @@
         Crashes, router restarts, stale load and gaps in events.
     change_weights : bool
         Whether all replicas load other weights part of the way.
+    events : bool
+        Whether engines publish cache events.
     """
 
     rate_per_s: float
     faults: bool
     change_weights: bool
     seed: int
+    events: bool = True
 
 
 @dataclass(slots=True)
@@ -168,6 +177,10 @@
         self.reports = dict.fromkeys(self.engines, (0.0, 0, 0))
         self.pressure = PressureTable()
         self.measures = PolicyMeasures()
+        self.sequences: dict[tuple[EndpointId, int], int] = {}
+        self.collected: list[CacheEvent] = []
+        self.losses = random.Random(f"events-{options.seed}")
+        self.event_loss = FAULTY_EVENT_LOSS if options.faults else EVENT_LOSS
         self.source = random.Random(f"faults-{options.seed}")
         self.report_lag_s = REPORT_LAG_S
         self.routers = [self._make_router(n) for n in range(deployment.routers)]
@@ -186,6 +199,8 @@
         if self.options.faults:
             self.env.process(self._crash_engines())
             self.env.process(self._disturb_views())
+        if self.options.events:
+            self.env.process(self._deliver_events())
         self.env.run(until=self._compute_end())
         measures = self.measures
         measures.lost = measures.arrived - measures.completed - measures.shed
@@ -337,6 +352,39 @@
         timeout = self.env.timeout(delay_s)
         timeout.callbacks.append(act)
 
+    def _collect_event(self, engine: FakeEngine, stored: bool, block: int) -> None:
+        sequence = self.sequences.get((engine.id, engine.number), 0) + 1
+        self.sequences[engine.id, engine.number] = sequence
+        if self.losses.random() < self.event_loss:
+            return
+        kind = CacheEventKind.STORED if stored else CacheEventKind.EVICTED
+        event = CacheEvent(
+            endpoint=engine.id,
+            incarnation=engine.incarnation,
+            version=engine.version,
+            sequence=sequence,
+            kind=kind,
+            block=BlockHash(block),
+        )
+        self.collected.append(event)
+
+    def _deliver_events(self):
+        for engine in self.engines.values():
+            engine.on_event = self._collect_event
+        while True:
+            yield self.env.timeout(EVENT_BATCH_S)
+            batch, self.collected = self.collected, []
+            self._spread_later(batch)
+
+    def _spread_later(self, batch: list[CacheEvent]) -> None:
+        self._after(EVENT_LAG_S, lambda _: self._spread_events(batch))
+
+    def _spread_events(self, batch: list[CacheEvent]) -> None:
+        for router in self.routers:
+            if isinstance(router.placement, ReusePlacement):
+                for event in batch:
+                    router.placement.take_event(event)
+
     def _change_weights(self):
         yield self.env.timeout(self._compute_time(WEIGHTS_AT))
         lane = simpy.Resource(self.env, self.deployment.loads_at_once)
--- a/primrosepier/bench_run.py
+++ b/primrosepier/bench_run.py
@@ -51,7 +51,7 @@
     "least_loaded": lambda number, domain: LeastLoadedPlacement(number),
     "hash_root": lambda number, domain: HashPlacement(whole=False),
     "hash_leaf": lambda number, domain: HashPlacement(whole=True),
-    "no_feedback": _make_reuse(PlacementOptions(feedback=False)),
+    "no_feedback": _make_reuse(PlacementOptions(feedback=False, events=False)),
     "primrosepier": _make_reuse(PlacementOptions()),
 }
 LARGE_SCALE_POLICIES = ("random", "no_feedback", "primrosepier")
@@ -130,7 +130,13 @@
     missed = measure_blind_misses(workload, replicas, memory)
     capacity = replicas * deployment.model.prefill_tokens_per_s / missed
     emptied_at = None if steady else workload.find_place(WEIGHTS_AT)
-    options = BenchOptions(plan.load * capacity, plan.faults, not steady, plan.seed)
+    options = BenchOptions(
+        rate_per_s=plan.load * capacity,
+        faults=plan.faults,
+        change_weights=not steady,
+        seed=plan.seed,
+        events=not large,
+    )
     names = plan.policies or (LARGE_SCALE_POLICIES if large else tuple(POLICIES))
     measures = {}
     for name in names:
--- /dev/null
+++ b/primrosepier/cache_events.py
@@ -0,0 +1,200 @@
+"""Index of cache events: late, with gaps, and bound to a life of an endpoint."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .anchors import mix_hash
+from .ids import BlockHash, EndpointId, Incarnation, WeightsVersion
+
+__all__ = ["CacheEvent", "CacheEventIndex", "CacheEventKind"]
+
+MAX_BLOCKS_PER_ENDPOINT = 2048
+MAX_LOST_SHARE = 0.25
+SAMPLE_SALT = 0x5851F42D4C957F2D
+
+
+class CacheEventKind(Enum):
+    """What happened to a block."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One block entered or left an endpoint's cache.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the event in the life of the endpoint, from 1.
+    """
+
+    endpoint: EndpointId
+    incarnation: Incarnation
+    version: WeightsVersion
+    sequence: int
+    kind: CacheEventKind
+    block: BlockHash
+
+
+@dataclass(slots=True)
+class _Stream:
+    """What the events of one life of an endpoint tell.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether blocks that are not in ``blocks`` are not cached.
+    """
+
+    incarnation: Incarnation
+    version: WeightsVersion
+    sequence: int
+    complete: bool
+    lost: float = 0.0
+    blocks: OrderedDict[BlockHash, None] = field(default_factory=OrderedDict)
+
+
+class CacheEventIndex:
+    """Blocks that endpoints hold as far as their events tell.
+
+    Parameters
+    ----------
+    sample : int
+        One of so many blocks is kept, the same ones on every router.
+    """
+
+    def __init__(self, sample: int = 1):
+        self.sample = sample
+        self.streams: dict[EndpointId, _Stream] = {}
+        self.holders: dict[BlockHash, set[EndpointId]] = {}
+
+    def is_sampled(self, block: BlockHash) -> bool:
+        """Return whether events of a block are kept."""
+        return self.sample == 1 or mix_hash(block, SAMPLE_SALT) % self.sample == 0
+
+    def apply(self, event: CacheEvent) -> None:
+        """Take in one event; a repeated or older one is ignored."""
+        stream = self._find_stream(event)
+        missing = event.sequence - stream.sequence - 1
+        if missing < 0:
+            return
+        stream.sequence = event.sequence
+        if missing:
+            self._lose(event.endpoint, stream, missing)
+        if event.kind is CacheEventKind.STORED:
+            self._add(event.endpoint, stream, event.block)
+        else:
+            self._drop(event.endpoint, stream, event.block)
+
+    def _find_stream(self, event: CacheEvent) -> _Stream:
+        stream = self.streams.get(event.endpoint)
+        if stream is not None:
+            if (stream.incarnation, stream.version) == (
+                event.incarnation,
+                event.version,
+            ):
+                return stream
+            self.forget(event.endpoint)
+        before = event.sequence - 1
+        stream = _Stream(event.incarnation, event.version, before, complete=not before)
+        self.streams[event.endpoint] = stream
+        return stream
+
+    def _lose(self, endpoint: EndpointId, stream: _Stream, missing: int) -> None:
+        """Note lost events; once they may hide too many evictions, start anew."""
+        stream.lost += missing / self.sample
+        if stream.lost > MAX_LOST_SHARE * max(1, len(stream.blocks)):
+            for block in stream.blocks:
+                self._remove_holder(block, endpoint)
+            stream.blocks.clear()
+            stream.lost = 0.0
+            stream.complete = False
+
+    def _add(self, endpoint: EndpointId, stream: _Stream, block: BlockHash) -> None:
+        if not self.is_sampled(block):
+            return
+        stream.blocks[block] = None
+        stream.blocks.move_to_end(block)
+        self.holders.setdefault(block, set()).add(endpoint)
+        if len(stream.blocks) > MAX_BLOCKS_PER_ENDPOINT:
+            oldest, _ = stream.blocks.popitem(last=False)
+            self._remove_holder(oldest, endpoint)
+
+    def _drop(self, endpoint: EndpointId, stream: _Stream, block: BlockHash) -> None:
+        if block in stream.blocks:
+            del stream.blocks[block]
+            self._remove_holder(block, endpoint)
+            # The least recent goes first, so what is older was seen or is gone.
+            stream.complete = True
+
+    def _remove_holder(self, block: BlockHash, endpoint: EndpointId) -> None:
+        holders = self.holders[block]
+        holders.discard(endpoint)
+        if not holders:
+            del self.holders[block]
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop all that is known of an endpoint."""
+        stream = self.streams.pop(endpoint, None)
+        if stream is not None:
+            for block in stream.blocks:
+                self._remove_holder(block, endpoint)
+
+    def correct(
+        self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        version: WeightsVersion,
+        blocks: Sequence[BlockHash],
+    ) -> None:
+        """Take in that an endpoint answered a prompt, so that it holds its blocks."""
+        stream = self.streams.get(endpoint)
+        if stream is None or stream.incarnation != incarnation:
+            return
+        if stream.version == version:
+            for block in blocks:
+                self._add(endpoint, stream, block)
+
+    def knows(
+        self, endpoint: EndpointId, incarnation: Incarnation, version: WeightsVersion
+    ) -> bool:
+        """Return whether events of this life of an endpoint were seen."""
+        stream = self.streams.get(endpoint)
+        if stream is None:
+            return False
+        return stream.incarnation == incarnation and stream.version == version
+
+    def is_complete(self, endpoint: EndpointId) -> bool:
+        """Return whether what the events don't name is not cached."""
+        return self.streams[endpoint].complete
+
+    def count_held(
+        self, endpoint: EndpointId, blocks: Sequence[tuple[int, BlockHash]]
+    ) -> int:
+        """Return the leading blocks that an endpoint holds.
+
+        Parameters
+        ----------
+        blocks : sequence of (int, BlockHash)
+            Sampled blocks of a prompt with their numbers from 1, the last first.
+        """
+        held = self.streams[endpoint].blocks
+        for number, block in blocks:
+            if block in held:
+                return number
+        return 0
+
+    def find_holders(
+        self, blocks: Sequence[tuple[int, BlockHash]], above: int, limit: int
+    ) -> list[EndpointId]:
+        """Return endpoints that hold more than ``above`` blocks, most first."""
+        found: dict[EndpointId, None] = {}
+        for number, block in blocks:
+            if number <= above or len(found) >= limit:
+                break
+            found.update(dict.fromkeys(sorted(self.holders.get(block, ()))))
+        return list(found)[:limit]
--- a/primrosepier/reuse_placement.py
+++ b/primrosepier/reuse_placement.py
@@ -3,11 +3,12 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .anchors import mix_hash, rank_members
+from .cache_events import CacheEvent, CacheEventIndex
 from .heat import HeatTable, compute_spread
-from .ids import EndpointId, FailureDomain
+from .ids import BlockHash, EndpointId, FailureDomain
 from .placement import Decision, EndpointTable, EndpointView, Feedback
 from .prompts import BLOCK_TOKENS, Prompt
 from .reuse import Holder, RetentionCurve, ReuseMemory
@@ -17,6 +18,10 @@
 MAX_LEVELS = 6
 FIRST_GRID_BLOCKS = 2
 SUBSET = 16
+MAX_EVENT_HOLDERS = 6
+MAX_PLACED = 1024
+EVENT_DELAY_S = 2.0
+UNCACHED_GAIN = 0.05
 FALLBACK_CHOICES = 64
 
 
@@ -28,6 +33,8 @@
     ----------
     feedback : bool
         Whether cached tokens of answers are used.
+    events : bool
+        Whether cache events are used.
     root_replicas : int
         Replicas that share a workspace's first level at least.
     root_share, split_share : float
@@ -40,6 +47,8 @@
     """
 
     feedback: bool = True
+    events: bool = True
+    event_sample: int = 1
     root_replicas: int = 6
     root_share: float = 0.4
     split_share: float = 0.8
@@ -88,6 +97,12 @@
     keys: list[int]
     root: list[EndpointId]
     home: list[EndpointId]
+    sampled: list[tuple[int, BlockHash]] = field(default_factory=list)
+
+    @property
+    def shared(self) -> int:
+        """Leading blocks that other prompts may share."""
+        return self.levels[-2] if len(self.levels) > 1 else 0
 
 
 class ReusePlacement:
@@ -110,9 +125,9 @@
         self.options = options
         self.heat = HeatTable()
         self.memory = ReuseMemory()
+        self.placed = ReuseMemory(MAX_PLACED)
         self.retention = RetentionCurve()
-        self.rule_hits = 8.0
-        self.rule_tries = 8.0
+        self.events = CacheEventIndex(options.event_sample)
         self.mean_uncached = 0.0
 
     def choose(
@@ -128,7 +143,14 @@
             key = route.keys[0] if route.keys else prompt.scope.compute_seed()
             rest = table.ring.walk(key, FALLBACK_CHOICES)
             found = self._find_cheapest(prompt, route, rest, table, now_s)
-        return self._decide(route, *found) if found else None
+        if found is None:
+            return None
+        view, expected = found
+        if self.options.feedback:
+            holder = Holder(view.incarnation, view.version, now_s)
+            for key in route.keys:
+                self.placed.record(key, view.id, holder)
+        return self._decide(route, view, expected)
 
     def _find_cheapest(
         self,
@@ -138,19 +160,33 @@
         table: EndpointTable,
         now_s: float,
     ) -> tuple[EndpointView, float] | None:
-        best = None
-        least = math.inf
+        seen = []
         for endpoint in options:
             view = table.get_view(endpoint)
-            if view is None or view.outstanding >= view.capacity:
-                continue
-            expected = self._expect_cached(route, view, now_s)
+            if view is not None and view.outstanding < view.capacity:
+                seen.append((view, self._expect_cached(route, view, now_s)))
+        bonus = self._compute_bonus(route, seen)
+        best = None
+        least = math.inf
+        for view, expected in seen:
             cost = self._compute_cost(prompt, view, expected)
+            if route.home and view.id == route.home[0]:
+                cost -= bonus
             if cost < least:
                 least = cost
                 best = (view, expected)
         return best
 
+    def _compute_bonus(
+        self, route: _Route, seen: Sequence[tuple[EndpointView, float]]
+    ) -> float:
+        """Return what the first home is worth when no endpoint holds the prefix."""
+        root = route.levels[0] * BLOCK_TOKENS if route.levels else 0
+        if max((expected for _, expected in seen), default=0.0) > root:
+            return 0.0
+        missing = route.shared * BLOCK_TOKENS - root
+        return self.options.recompute_weight * max(0, missing)
+
     def _decide(self, route: _Route, view: EndpointView, expected: float) -> Decision:
         if view.id in route.home:
             reason = "home of the prefix"
@@ -177,7 +213,14 @@
             home = self._narrow(key, home, table, now_s)
         if len(keys) > 1:
             home = rank_members(keys[-1], home, table.ring, self._weigh(table))
-        return _Route(levels, keys, root, home)
+        return _Route(levels, keys, root, home, self._sample_blocks(prompt))
+
+    def _sample_blocks(self, prompt: Prompt) -> list[tuple[int, BlockHash]]:
+        """Return the sampled blocks with their numbers from 1, the last first."""
+        if not self.options.events or not self.events.streams:
+            return []
+        numbered = list(enumerate(prompt.blocks, start=1))
+        return [pair for pair in reversed(numbered) if self.events.is_sampled(pair[1])]
 
     def _spread_root(
         self, keys: Sequence[int], table: EndpointTable, now_s: float
@@ -225,8 +268,13 @@
         options = dict.fromkeys(route.home)
         options.update(dict.fromkeys(route.root))
         if self.options.feedback:
-            for key in reversed(route.keys):
+            for key in reversed(route.keys[1:]):
                 options.update(dict.fromkeys(self.memory.find_holders(key)))
+        if self.options.events and route.levels:
+            holders = self.events.find_holders(
+                route.sampled, route.levels[0], MAX_EVENT_HOLDERS
+            )
+            options.update(dict.fromkeys(holders))
         endpoints = table.ring.endpoints
         for _ in range(self.options.spare_choices):
             options[endpoints[self.source.randrange(len(endpoints))]] = None
@@ -247,31 +295,54 @@
     def _expect_cached(self, route: _Route, view: EndpointView, now_s: float) -> float:
         if not route.keys:
             return 0.0
-        root = route.levels[0] if view.id in route.root else 0
-        home = view.id in route.home and len(route.levels) > 1
-        level: float = route.levels[-2] if home else root
+        events = self.events
+        if self.options.events and events.knows(
+            view.id, view.incarnation, view.version
+        ):
+            level = float(events.count_held(view.id, route.sampled))
+            oldest_s = now_s - EVENT_DELAY_S
+            if not events.is_complete(view.id):
+                level = max(level, float(self._assume_level(route, view.id)))
+        else:
+            level = float(self._assume_level(route, view.id))
+            oldest_s = -math.inf
         if self.options.feedback:
-            held = self._recall(route, view, now_s)
-            if held is not None and held[0] > level:
-                level += held[1] * (held[0] - level)
+            level = self._add_recalled(route, view, level, oldest_s, now_s)
         return BLOCK_TOKENS * level
 
-    def _recall(
-        self, route: _Route, view: EndpointView, now_s: float
-    ) -> tuple[int, float] | None:
-        for level, key in zip(
-            reversed(route.levels), reversed(route.keys), strict=True
-        ):
-            holder = self.memory.find_holders(key).get(view.id)
-            if holder is None or not holder.is_valid(view.incarnation, view.version):
-                continue
-            return level, self.retention.estimate(now_s - holder.served_s)
-        return None
+    def _assume_level(self, route: _Route, endpoint: EndpointId) -> int:
+        """Return the blocks that the rule makes an endpoint hold."""
+        if endpoint in route.home and len(route.levels) > 1:
+            return route.shared
+        return route.levels[0] if endpoint in route.root else 0
+
+    def _add_recalled(
+        self,
+        route: _Route,
+        view: EndpointView,
+        level: float,
+        oldest_s: float,
+        now_s: float,
+    ) -> float:
+        """Return the blocks held when own answers and placements count too."""
+        placed = _recall(self.placed, route, view)
+        if placed is not None and placed[1].served_s >= now_s - EVENT_DELAY_S:
+            level = max(level, float(placed[0]))
+        held = _recall(self.memory, route, view)
+        if held is None or held[0] <= level or held[1].served_s < oldest_s:
+            return level
+        share = self.retention.estimate(now_s - held[1].served_s)
+        return level + share * (held[0] - level)
+
+    def take_event(self, event: CacheEvent) -> None:
+        """Take in a cache event."""
+        if self.options.events:
+            self.events.apply(event)
 
     def observe(self, feedback: Feedback) -> None:
         """Take in what an answer told."""
         uncached = max(0, feedback.prompt.tokens - feedback.cached_tokens)
-        self.mean_uncached += 0.05 * (uncached - self.mean_uncached)
+        self.mean_uncached += UNCACHED_GAIN * (uncached - self.mean_uncached)
         if not self.options.feedback:
             return
         levels = select_levels(feedback.prompt)
@@ -285,7 +356,7 @@
     def _learn(
         self, levels: tuple[int, ...], keys: Sequence[int], feedback: Feedback
     ) -> None:
-        for level, key in zip(reversed(levels), reversed(keys), strict=True):
+        for level, key in zip(reversed(levels[:-1]), reversed(keys[:-1]), strict=True):
             holder = self.memory.find_holders(key).get(feedback.endpoint)
             if holder is None or not holder.is_valid(
                 feedback.incarnation, feedback.version
@@ -294,12 +365,17 @@
             hit = feedback.cached_tokens >= level * BLOCK_TOKENS
             self.retention.observe(feedback.now_s - holder.served_s, hit)
             return
-        if len(levels) > 1:
-            if self.rule_tries > 200:
-                self.rule_tries /= 2
-                self.rule_hits /= 2
-            self.rule_tries += 1
-            self.rule_hits += feedback.cached_tokens >= levels[-2] * BLOCK_TOKENS
+
+
+def _recall(
+    memory: ReuseMemory, route: _Route, view: EndpointView
+) -> tuple[int, Holder] | None:
+    """Return the most blocks that an endpoint is remembered with."""
+    for level, key in zip(reversed(route.levels), reversed(route.keys), strict=True):
+        holder = memory.find_holders(key).get(view.id)
+        if holder is not None and holder.is_valid(view.incarnation, view.version):
+            return level, holder
+    return None
 
 
 def make_placement(
--- /dev/null
+++ b/tests/test_cache_events.py
@@ -0,0 +1,79 @@
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from primrosepier.cache_events import CacheEvent, CacheEventIndex, CacheEventKind
+
+STORED, EVICTED = CacheEventKind.STORED, CacheEventKind.EVICTED
+KEPT = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+def make_event(sequence, block, kind=STORED, incarnation="1", version="1"):
+    return CacheEvent("e", incarnation, version, sequence, kind, block)
+
+
+def count_held(index, *blocks):
+    numbered = list(reversed(list(enumerate(blocks, start=1))))
+    return index.count_held("e", numbered)
+
+
+def test_stored_blocks_are_held_until_evicted():
+    index = CacheEventIndex()
+    index.apply(make_event(1, 10))
+    index.apply(make_event(2, 11))
+    assert count_held(index, 10, 11) == 2
+    index.apply(make_event(3, 11, EVICTED))
+    assert count_held(index, 10, 11) == 1
+
+
+def test_a_wide_gap_drops_what_was_held():
+    index = CacheEventIndex()
+    index.apply(make_event(1, 10))
+    index.apply(make_event(9, 11))
+    assert count_held(index, 10) == 0
+    assert not index.is_complete("e")
+
+
+def test_an_older_event_changes_nothing():
+    index = CacheEventIndex()
+    index.apply(make_event(5, 10))
+    index.apply(make_event(4, 10, EVICTED))
+    assert count_held(index, 10) == 1
+
+
+@KEPT
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 3), st.integers(1, 2), st.integers(1, 6), st.booleans()
+        ),
+        max_size=60,
+    )
+)
+def test_nothing_of_an_earlier_life_or_version_is_known(steps):
+    index = CacheEventIndex()
+    life = {}
+    sequence = 0
+    current = ("1", "1")
+    for incarnation, version, block, stored in steps:
+        seen = (str(incarnation), str(version))
+        if seen != current:
+            life.clear()
+            current = seen
+        sequence += 1
+        kind = STORED if stored else EVICTED
+        index.apply(make_event(sequence, block, kind, *seen))
+        life[block] = stored
+        assert index.knows("e", *seen)
+        for other in range(1, 7):
+            held = count_held(index, other) == 1
+            assert held == life.get(other, False)
+
+
+def test_memory_is_bounded():
+    index = CacheEventIndex()
+    source = random.Random(1)
+    for number in range(1, 6000):
+        index.apply(make_event(number, source.getrandbits(64)))
+    assert len(index.streams["e"].blocks) <= 2048
+    assert len(index.holders) <= 2048
