--- a/primrosepier/bench_policy.py
+++ b/primrosepier/bench_policy.py
@@ -35,6 +35,7 @@
 EVENT_LOSS = 0.005
 FAULTY_EVENT_LOSS = 0.05
 RETRY_S = 0.05
+ROLLOUT_STEP_S = 0.05
 MAX_ATTEMPTS = 6
 CRASH_GAP_S = 20.0
 WEIGHTS_AT = 0.75
@@ -387,19 +388,21 @@
 
     def _change_weights(self):
         yield self.env.timeout(self._compute_time(WEIGHTS_AT))
-        lane = simpy.Resource(self.env, self.deployment.loads_at_once)
         for engine in self.engines.values():
-            self.env.process(self._reload(engine, lane))
-
-    def _reload(self, engine: FakeEngine, lane: simpy.Resource):
-        with lane.request() as turn:
-            yield turn
+            while self._count_out() >= self.deployment.loads_at_once:
+                yield self.env.timeout(ROLLOUT_STEP_S)
             engine.accepting = False
-            while engine.jobs:
-                yield self.env.timeout(0.05)
-            engine.start_load()
-            yield self.env.timeout(self.deployment.model.load_s)
-            engine.finish_load(WeightsVersion("2"))
+            self.env.process(self._reload(engine))
+
+    def _count_out(self) -> int:
+        return sum(not engine.accepting for engine in self.engines.values())
+
+    def _reload(self, engine: FakeEngine):
+        while engine.jobs:
+            yield self.env.timeout(ROLLOUT_STEP_S)
+        engine.start_load()
+        yield self.env.timeout(self.deployment.model.load_s)
+        engine.finish_load(WeightsVersion("2"))
 
     def _crash_engines(self):
         names = sorted(self.engines)
--- a/tests/test_cache_events.py
+++ b/tests/test_cache_events.py
@@ -53,14 +53,12 @@
 def test_nothing_of_an_earlier_life_or_version_is_known(steps):
     index = CacheEventIndex()
     life = {}
-    sequence = 0
     current = ("1", "1")
-    for incarnation, version, block, stored in steps:
+    for sequence, (incarnation, version, block, stored) in enumerate(steps, start=1):
         seen = (str(incarnation), str(version))
         if seen != current:
             life.clear()
             current = seen
-        sequence += 1
         kind = STORED if stored else EVICTED
         index.apply(make_event(sequence, block, kind, *seen))
         life[block] = stored
