--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -35,6 +35,7 @@
 JOIN_TIMEOUT_S = 2.0
 FETCH_TIMEOUT_S = 5.0
 WATCH_GRACE_S = 1.0
+MAX_SEEDS = 1024
 
 
 class ConfigurationSource(Protocol):
@@ -97,8 +98,8 @@
         begun = self.membership.start_round(now_s)
         if begun.probe is not None:
             group.start_soon(self._probe, begun, begun.probe)
-        if begun.reconnect:
-            group.start_soon(self._synchronize, begun.reconnect, None)
+        for address in begun.reconnect:
+            group.start_soon(self._synchronize, address, None)
         self._write_peers(now_s)
 
     def _write_peers(self, now_s: float) -> None:
@@ -108,6 +109,12 @@
         for listener in self.on_round:
             listener(now_s)
 
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Add routers to join, as the host list shows them."""
+        own = self.membership.own.address
+        found = dict.fromkeys([*self.membership.seeds, *addresses])
+        self.membership.seeds = tuple(a for a in found if a != own)[-MAX_SEEDS:]
+
     def start_push(self) -> None:
         """Send urgent digests without waiting for the answers."""
         if self.group is not None:
--- a/primrosepier/hosts.py
+++ b/primrosepier/hosts.py
@@ -17,6 +17,7 @@
     "HostGroup",
     "HostListClient",
     "decode_hosts",
+    "list_routers",
     "make_host_list_client",
     "match_hosts",
 ]
@@ -24,6 +25,7 @@
 TIMEOUT_S = 2.0
 HTTP_OK = 200
 MAX_LIST_BYTES = 8 * 1024 * 1024
+ROUTER_ROLE = "router"
 LEAVING_WORDS = frozenset({"1", "true", "yes", "leaving"})
 
 Label = Annotated[str, msgspec.Meta(max_length=1024)]
@@ -64,6 +66,16 @@
     }
 
 
+def list_routers(groups: list[HostGroup]) -> list[str]:
+    """Return the peers addresses of the routers that the list shows."""
+    return [
+        target
+        for group in groups
+        if group.labels.get("role") == ROUTER_ROLE and not group.is_leaving()
+        for target in group.targets
+    ]
+
+
 @dataclass(slots=True)
 class HostListClient:
     """Client of the platform's host list.
--- a/primrosepier/leaving_controller.py
+++ b/primrosepier/leaving_controller.py
@@ -10,7 +10,7 @@
 from .board import Board, SectionWriter
 from .clocks import Clock
 from .gossip import Gossip
-from .hosts import HostGroup, HostListClient, match_hosts
+from .hosts import HostGroup, HostListClient, list_routers, match_hosts
 from .ids import EndpointId
 from .leaving import LeavingLedger, LeavingView, PeerSigns
 from .peers import PeerFailure
@@ -68,6 +68,7 @@
                 self.failures += 1
             else:
                 self.groups = groups
+                self.gossip.add_seeds(list_routers(groups))
                 self.update(self.clock())
             interval_s = compute_poll_interval(1 + len(self.board.peers.value))
             await anyio.sleep(interval_s * self.random.uniform(0.8, 1.0))
--- a/primrosepier/membership.py
+++ b/primrosepier/membership.py
@@ -30,6 +30,7 @@
 ]
 
 MAX_MEMBERS = 4096
+FIRST_ROUNDS = 3
 
 
 class MemberState(IntEnum):
@@ -63,6 +64,8 @@
         Shortest time between whole-table reads, seconds.
     reconnect_rounds : int
         Rounds between attempts to reach a dead member or a seed.
+    first_seeds : int
+        Seeds that are tried at once while starting.
     """
 
     round_s: float = 1.0
@@ -73,6 +76,7 @@
     dead_kept_s: float = 24 * 3600.0
     sync_s: float = 30.0
     reconnect_rounds: int = 10
+    first_seeds: int = 3
 
 
 @dataclass(slots=True)
@@ -98,13 +102,13 @@
     ----------
     probe : MemberRecord or None
         Member to exchange with.
-    reconnect : str
-        Address of a dead member or a seed to try, or empty.
+    reconnect : tuple of str
+        Addresses of dead members and seeds to try.
     """
 
     started_at_s: float
     probe: MemberRecord | None
-    reconnect: str = ""
+    reconnect: tuple[str, ...] = ()
 
 
 def _replace(
@@ -194,8 +198,9 @@
         self.rounds += 1
         self._end_suspicions(now_s)
         self.digests.expire(now_s)
-        reconnect = ""
+        reconnect: tuple[str, ...] = ()
         turn = self.rounds % self.rules.reconnect_rounds == 1
+        turn = turn or self.rounds <= FIRST_ROUNDS
         if turn or not self.list_neighbours():
             self._forget_dead(now_s)
             reconnect = self._choose_reconnect()
@@ -214,16 +219,19 @@
         self.random.shuffle(self.schedule)
         return self.members[self.schedule.pop()].record
 
-    def _choose_reconnect(self) -> str:
+    def _choose_reconnect(self) -> tuple[str, ...]:
+        """Return dead members and seeds to try: several while starting, then one."""
         known = {member.record.address for member in self.members.values()}
-        addresses = [
+        known.add(self.own.address)
+        addresses = {
             member.record.address
             for member in self.members.values()
             if member.state is MemberState.DEAD
-        ]
-        known.add(self.own.address)
-        addresses += [seed for seed in self.seeds if seed not in known]
-        return self.random.choice(addresses) if addresses else ""
+        }
+        addresses |= set(self.seeds) - known
+        limit = self.rules.first_seeds if self.rounds <= FIRST_ROUNDS else 1
+        count = min(limit, len(addresses))
+        return tuple(self.random.sample(sorted(addresses), count))
 
     def _end_suspicions(self, now_s: float) -> None:
         limit_s = self.compute_suspicion_s()
--- a/primrosepier/send_queue.py
+++ b/primrosepier/send_queue.py
@@ -20,8 +20,14 @@
 @dataclass(slots=True)
 class _Waiting(Generic[T]):
     record: T
-    size_bytes: int
     sends: int = 0
+    size_bytes: int = 0
+
+    def measure(self) -> int:
+        """Return the record's encoded size, bytes."""
+        if not self.size_bytes:
+            self.size_bytes = len(encode_message(self.record))
+        return self.size_bytes
 
 
 @dataclass(slots=True)
@@ -32,7 +38,7 @@
 
     def put(self, key: K, record: T) -> None:
         """Queue a record in place of an earlier one with its key."""
-        self.waiting[key] = _Waiting(record, len(encode_message(record)))
+        self.waiting[key] = _Waiting(record)
         self.waiting.move_to_end(key, last=False)
 
     def discard(self, key: K) -> None:
@@ -46,8 +52,8 @@
         for scanned, (key, entry) in enumerate(self.waiting.items()):
             if scanned >= MAX_SCANNED:
                 break
-            if entry.size_bytes <= budget_bytes:
-                budget_bytes -= entry.size_bytes
+            if entry.measure() <= budget_bytes:
+                budget_bytes -= entry.measure()
                 chosen.append(entry.record)
                 sent.append((key, entry))
         for key, entry in sent:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,8 @@
 from random import Random
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from primrosepier.errors import MessageError
 from primrosepier.membership import MembershipRules, MemberState, make_membership
@@ -10,11 +11,11 @@
     Exchange,
     MemberRecord,
     PeerCodec,
-    decode_message,
     encode_message,
 )
 from primrosepier.overlay import choose_neighbours
 
+HOSTS = [f"h{number}" for number in range(5)]
 BYTES_PER_S = 9000
 CPU_SHARE = 0.026
 
@@ -29,6 +30,7 @@
         self.nodes = {}
         self.bytes = 0
         self.down = set()
+        self.cut = set()
         for number in range(count):
             self.start(f"h{number}")
 
@@ -37,10 +39,21 @@
         seeds = tuple(f"10.0.0.1:{n}" for n in range(3))
         self.nodes[host] = make_membership(own, self.random, seeds, self.rules)
 
+    def reaches(self, host, other):
+        return (
+            other in self.nodes
+            and not {
+                host,
+                other,
+            }
+            & self.down
+            and not {(host, other), (other, host)} & self.cut
+        )
+
     def exchange(self, node, host, whole=False):
         message = node.make_exchange(host, self.now_s, whole)
         self.bytes += len(encode_message(message))
-        if host in self.down or host not in self.nodes:
+        if not self.reaches(node.own.host, host):
             return False
         reply = self.nodes[host].answer(message, self.now_s)
         self.bytes += len(encode_message(reply))
@@ -61,12 +74,27 @@
             if host in self.down:
                 continue
             begun = node.start_round(self.now_s)
-            if begun.reconnect:
-                self.exchange(node, "h" + begun.reconnect.rpartition(":")[2], True)
+            for address in begun.reconnect:
+                self.exchange(node, "h" + address.rpartition(":")[2], True)
             if begun.probe is None:
                 continue
-            if not self.exchange(node, begun.probe.host):
-                node.report_unreachable(begun.probe.host, begun, self.now_s)
+            target = begun.probe.host
+            if self.exchange(node, target):
+                continue
+            helpers = [helper.host for helper in node.choose_helpers(target)]
+            if not any(self.probe_by(host, helper, target) for helper in helpers):
+                node.report_unreachable(target, begun, self.now_s)
+
+    def probe_by(self, host, helper, target):
+        return self.reaches(host, helper) and self.exchange(self.nodes[helper], target)
+
+    def list_live(self):
+        return {host: self.nodes[host] for host in self.nodes if host not in self.down}
+
+    def agrees(self):
+        """Return whether the live members know each other and nobody else."""
+        live = self.list_live()
+        return all({host, *n.list_live()} == set(live) for host, n in live.items())
 
     def count_known(self):
         return min(
@@ -100,6 +128,7 @@
     claim = MemberRecord("h1", own.address, "domain", own.incarnation, MemberState.DEAD)
     sender = fleet.nodes["h2"].own
     fleet.nodes["h0"].receive(Exchange(sender, members=[claim]), fleet.now_s)
+    assert fleet.nodes["h0"].members["h1"].state is MemberState.SUSPECT
     fleet.step()
     fleet.step()
     assert fleet.nodes["h0"].members["h1"].state is MemberState.ALIVE
@@ -154,10 +183,60 @@
     assert PeerCodec("one").decode(data, MemberRecord) == MemberRecord("a")
 
 
-@settings(derandomize=True, deadline=None)
-@given(st.binary(max_size=200))
-def test_any_bytes_are_a_message_or_refused(data):
-    try:
-        decode_message(data, Exchange)
-    except MessageError:
-        return
+class MembershipMachine(RuleBasedStateMachine):
+    """Members that die, restart, are paused, cut off and lose messages."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(len(HOSTS))
+        self.incarnations = dict.fromkeys(HOSTS, 1)
+
+    @rule(rounds=st.integers(1, 30))
+    def run(self, rounds):
+        for _ in range(rounds):
+            self.fleet.step()
+
+    @rule(host=st.sampled_from(HOSTS[1:]))
+    def stop_or_pause(self, host):
+        self.fleet.down.add(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def resume(self, host):
+        self.fleet.down.discard(host)
+
+    @rule(host=st.sampled_from(HOSTS), backwards=st.booleans())
+    def restart(self, host, backwards):
+        change = -1 if backwards else 1
+        self.incarnations[host] = max(1, self.incarnations[host] + change)
+        self.fleet.start(host, self.incarnations[host])
+        self.fleet.down.discard(host)
+
+    @rule(count=st.integers(1, 4))
+    def split(self, count):
+        near, far = HOSTS[:count], HOSTS[count:]
+        self.fleet.cut = {(one, other) for one in near for other in far}
+
+    @rule(pairs=st.sets(st.tuples(st.sampled_from(HOSTS), st.sampled_from(HOSTS))))
+    def lose_messages(self, pairs):
+        self.fleet.cut = pairs
+        self.fleet.step()
+        self.fleet.cut = set()
+
+    @rule()
+    def heal(self):
+        self.fleet.cut = set()
+
+    @invariant()
+    def nobody_holds_itself_dead(self):
+        for node in self.fleet.nodes.values():
+            assert node.own.state == MemberState.ALIVE
+
+    def teardown(self):
+        self.fleet.cut = set()
+        self.fleet.run_until(self.fleet.agrees, 200)
+
+
+TestMembershipMachine = MembershipMachine.TestCase
+TestMembershipMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=20
+)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -31,11 +31,12 @@
 
 
 @contextlib.asynccontextmanager
-async def open_peer(name, key="k", revision=0, seeds=()):
+async def open_peer(name, key="k", revision=0, seeds=(), codec=None):
     settings = RouterSettings(name, "d", "", "", "", peers=seeds, peer_key=key)
     listener = bind_listener("127.0.0.1:0")
     address = "{}:{}".format(*listener.getsockname())
     transport = make_transport(key)
+    transport.codec = codec or transport.codec
     gossip = make_gossip(
         settings,
         address,
