Budget a router's calls on the store, and spread a herd of restarts

Nothing bounded the calls: 940 routers that restart while the service is down would have made 3,760 reads in the first second by the backoff's arithmetic, and every host would have tried for a free duty in each step. Calls now wait for the router's share of the rates, calls on leases first; the backoff's bound starts at 2 s and ends at 10 s; duties are tried by rank, with growing waits.

--- a/primrosepier/duties.py
+++ b/primrosepier/duties.py
@@ -49,6 +49,12 @@
 
     async def acquire(self, duty: Duty) -> bool:
         """Try to become the holder; return whether it worked."""
+        taken = await self._try_acquire(duty)
+        if not taken:
+            duty.note_failure(self.clock())
+        return taken
+
+    async def _try_acquire(self, duty: Duty) -> bool:
         asked_at_s = self.clock()
         counter = await self.store.read(make_fencing_key(duty.name))
         if isinstance(counter, Unavailable):
--- a/primrosepier/leases.py
+++ b/primrosepier/leases.py
@@ -24,8 +24,10 @@
 ]
 
 DUTIES_PREFIX = STATE_PREFIX + "duties/"
-MAX_RANK = 20
-LONE_RANKS = 4
+LONE_RANKS = 10
+RETRY_S = 1.0
+MAX_DOUBLINGS = 10
+LONGEST_RETRY_S = 60.0
 FENCING_PREFIX = "/primrosepier/fencing/"
 
 
@@ -67,14 +69,14 @@
 def compute_rank(name: str, host: HostId, peers: frozenset[HostId]) -> int:
     """Return how many peers come before a host as candidates for a duty.
 
-    A host that knows no peers takes one of a few ranks by its name.
+    A host that knows no peers yet takes one of a few later ranks by its name.
     """
 
     def weigh(candidate: HostId) -> int:
         return xxhash.xxh64_intdigest(f"{name}/{candidate}".encode())
 
     if not peers:
-        return weigh(host) % LONE_RANKS
+        return LONE_RANKS + weigh(host) % LONE_RANKS
     own = weigh(host)
     return sum(weigh(peer) > own for peer in peers if peer != host)
 
@@ -140,6 +142,8 @@
     open_at_s: float = float("inf")
     kept_at_s: float = float("-inf")
     free_since_s: float | None = None
+    retry_at_s: float = float("-inf")
+    failures: int = 0
 
     def decide(
         self, holder: Item | None, peers: frozenset[HostId], now_s: float
@@ -158,8 +162,9 @@
             return DutyStep.WAIT
         if self.free_since_s is None:
             self.free_since_s = now_s
-        rank = min(compute_rank(self.name, self.host, peers), MAX_RANK)
-        if now_s < self.free_since_s + rank * self.bounds.rank_s:
+        rank = compute_rank(self.name, self.host, peers)
+        turn_s = self.free_since_s + rank * self.bounds.rank_s
+        if now_s < max(turn_s, self.retry_at_s):
             return DutyStep.WAIT
         return DutyStep.ACQUIRE
 
@@ -170,10 +175,18 @@
             return DutyStep.KEEP_ALIVE
         return DutyStep.WAIT
 
+    def note_failure(self, now_s: float) -> None:
+        """Wait longer after each attempt that failed, by a share of this host's own."""
+        bound_s = min(LONGEST_RETRY_S, RETRY_S * 2**self.failures)
+        self.failures = min(self.failures + 1, MAX_DOUBLINGS)
+        share = xxhash.xxh64_intdigest(f"{self.host}/{self.failures}".encode()) % 1000
+        self.retry_at_s = now_s + bound_s * share / 1000
+
     def take(self, acquisition: Acquisition, revision: Revision, now_s: float) -> None:
         """Become the holder."""
         self.fencing = FencingNumber(acquisition.record.fencing)
         self.lease = acquisition.lease
+        self.failures = 0
         self.revision = revision
         self.free_since_s = None
         self.open_at_s = now_s + self.bounds.compute_wait_s()
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -30,7 +30,7 @@
     """
 
     random: random.Random
-    base_s: float = 0.2
+    base_s: float = 2.0
     limit_s: float = 10.0
     failures: int = 0
 
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -3,13 +3,14 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
 from .asgi import open_server
 from .attempt import Attempts
 from .board import Board, make_board
+from .budget import BudgetedStore, CallBudget, StoreRates
 from .callers import CallersApp
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
@@ -86,6 +87,7 @@
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
     """Return a router that serves nothing yet."""
     board = make_board()
+    platform = replace(platform, store=_limit_store(settings, board, platform))
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
@@ -108,6 +110,18 @@
     return Router(settings, board, platform, app, *parts)
 
 
+def _limit_store(
+    settings: RouterSettings, board: Board, platform: Platform
+) -> BudgetedStore:
+    rates = StoreRates(settings.store_writes_per_s, settings.store_reads_per_s)
+    return BudgetedStore(
+        store=platform.store,
+        budget=CallBudget(rates),
+        count_routers=lambda: 1 + len(board.peers.value),
+        clock=platform.clock,
+    )
+
+
 def _make_rollouts(
     settings: RouterSettings,
     board: Board,
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -114,6 +114,8 @@
         ``IP:PORT``.
     peers : tuple of str
         Addresses of other routers to join, ``IP:PORT``.
+    store_writes_per_s, store_reads_per_s : float
+        Calls that all routers together may make on the key-value service.
     hosts_url : str
         Where the host list is read; empty when there is none.
     peer_key : str
@@ -137,6 +139,8 @@
     stop_streams_s: float = 3600.0
     limits: Limits = Limits()
     leases: LeaseBounds = LeaseBounds()
+    store_writes_per_s: float = 300.0
+    store_reads_per_s: float = 1500.0
     logs: LogSettings = LogSettings()
 
 
@@ -187,6 +191,8 @@
         peer_key=_read_key(readers["peers"]),
         limits=_read_limits(readers["limits"]),
         leases=_read_leases(readers["leases"]),
+        store_writes_per_s=platform.read_float("store_writes_per_s", 300.0, low=1.0),
+        store_reads_per_s=platform.read_float("store_reads_per_s", 1500.0, low=1.0),
         logs=_read_logs(readers["logs"]),
     )
 
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,140 @@
+import random
+from collections import Counter
+
+import anyio
+import pytest
+
+from primrosepier.asgi import open_server
+from primrosepier.budget import BudgetedStore, CallBudget, CallKind, StoreRates
+from primrosepier.etcd import EtcdStore
+from primrosepier.leases import Duty, DutyStep
+from primrosepier.mirror import Backoff, Mirror, MirrorController
+from primrosepier.settings import LeaseBounds
+from primrosepier.standin_store import StoreStandin
+from primrosepier.store import MemoryStore, Put, Snapshot
+from primrosepier.virtualtime import run_in_virtual_time
+
+ROUTERS = 940
+READS_PER_S = 2000
+WRITES_PER_S = 300
+
+
+class CountedStore(MemoryStore):
+    """Counts the calls of each second; a watch is one."""
+
+    def __init__(self):
+        super().__init__(anyio.current_time)
+        self.reads = Counter()
+        self.writes = Counter()
+
+    async def read(self, prefix):
+        self.reads[int(anyio.current_time())] += 1
+        return await super().read(prefix)
+
+    async def transact(self, compares, puts):
+        self.writes[int(anyio.current_time())] += 1
+        return await super().transact(compares, puts)
+
+    async def watch(self, prefix, revision):
+        self.reads[int(anyio.current_time())] += 1
+        async for event in super().watch(prefix, revision):
+            yield event
+
+
+@pytest.mark.parametrize("outage_s", [0, 30])
+def test_a_herd_of_restarts_stays_within_the_rates(outage_s):
+    async def run():
+        store = CountedStore()
+        await store.transact([], [Put("/s/a", b"1")])
+        store.faults.down = outage_s > 0
+        mirrors = []
+        async with anyio.create_task_group() as group:
+            for number in range(ROUTERS):
+                budgeted = BudgetedStore(
+                    store, CallBudget(StoreRates()), lambda: 1, anyio.current_time
+                )
+                mirror = MirrorController(
+                    budgeted,
+                    Mirror("/s/"),
+                    Backoff(random.Random(number)),
+                    "/s/a",
+                    anyio.current_time,
+                )
+                mirrors.append(mirror.mirror)
+                group.start_soon(mirror.run)
+            await anyio.sleep(outage_s)
+            store.faults.down = False
+            await anyio.sleep(60)
+            group.cancel_scope.cancel()
+        assert all(mirror.items for mirror in mirrors)
+        return max(store.reads.values())
+
+    assert run_in_virtual_time(run) <= READS_PER_S
+
+
+def test_writes_of_many_routers_share_the_rate():
+    async def run():
+        store = CountedStore()
+        rates = StoreRates(writes_per_s=WRITES_PER_S)
+
+        async def write(budgeted):
+            for _ in range(3):
+                await budgeted.transact([], [Put("/k", b"1")])
+
+        async with anyio.create_task_group() as group:
+            for _ in range(ROUTERS):
+                budget = CallBudget(rates)
+                budgeted = BudgetedStore(
+                    store, budget, lambda: ROUTERS, anyio.current_time
+                )
+                group.start_soon(write, budgeted)
+        return store.writes
+
+    writes = run_in_virtual_time(run)
+    assert sum(writes.values()) == 3 * ROUTERS
+    assert sum(writes.values()) / (max(writes) + 1) <= WRITES_PER_S * 1.5
+
+
+def test_calls_on_leases_never_wait():
+    budget = CallBudget(StoreRates(writes_per_s=2.0))
+    waits = [budget.take(CallKind.WRITE, 1, 0.0) for _ in range(4)]
+    assert waits == [0.0, 0.0, 0.5, 1.0]
+    assert budget.take(CallKind.WRITE, 1, 0.0, urgent=True) == 0.0
+    assert budget.take(CallKind.WRITE, 1, 0.0) > 1.0
+    assert budget.take(CallKind.WRITE, 1, 100.0) == 0.0
+
+
+def test_few_hosts_try_for_a_free_duty_at_once():
+    hosts = [f"h{number}" for number in range(200)]
+    peers = frozenset(hosts)
+    duties = [Duty("rollout/s", host, LeaseBounds()) for host in hosts]
+    tries = Counter()
+    for second in range(30):
+        for duty in duties:
+            step = duty.decide(None, peers - {duty.host}, float(second))
+            if step is DutyStep.ACQUIRE:
+                tries[second] += 1
+                duty.note_failure(float(second))
+    assert max(tries.values()) <= 20
+    duty = duties[0]
+    assert duty.decide(None, peers, 10.0**6) is DutyStep.ACQUIRE
+
+
+@pytest.mark.sockets
+def test_cancelled_calls_leave_no_connection_behind():
+    async def run():
+        standin = StoreStandin()
+        async with open_server(standin, "127.0.0.1:0") as address:
+            store = EtcdStore(address)
+            standin.faults.delay_s = 5.0
+            for _ in range(3):
+                with anyio.move_on_after(0.05):
+                    async with anyio.create_task_group() as group:
+                        for _ in range(20):
+                            group.start_soon(store.read, "/k")
+            standin.faults.delay_s = 0.0
+            with anyio.fail_after(2):
+                assert isinstance(await store.read("/k"), Snapshot)
+            await store.close()
+
+    anyio.run(run)
