--- a/primrosepier/board.py
+++ b/primrosepier/board.py
@@ -8,7 +8,6 @@
 from .ids import EndpointId, HostId, WorkspaceId
 from .limits import Demand
 from .loads import EndpointLoad
-from .suspects import Suspicion
 
 __all__ = ["Board", "Section", "SectionWriter", "make_board"]
 
@@ -85,9 +84,6 @@
     peers: Section[frozenset[HostId]] = field(
         default_factory=lambda: Section("peers", frozenset())
     )
-    suspects: Section[tuple[Suspicion, ...]] = field(
-        default_factory=lambda: Section("suspects", ())
-    )
     usage: Section[dict[WorkspaceId, Demand]] = field(
         default_factory=lambda: Section("usage", {})
     )
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -179,7 +179,7 @@
             body = await read_json(receive, self.limits.body_bytes, self.limits.body_s)
             checked = make_model_request(request, configuration, workspace, scope, body)
             timed = TimedSend(send)
-            with record_request(checked, timed) as record:
+            with record_request(checked, timed, checked.prompt.tokens) as record:
                 record.outcome = await self._run_model(checked, key, receive, timed)
                 if record.outcome is not None:
                     await self._finish(request, checked, record.outcome, timed)
@@ -225,9 +225,12 @@
             if checked.claimed and not key:
                 text = "This call runs at most once; it needs an Idempotency-Key."
                 raise RequestError(400, "idempotency_key_missing", text)
-            outcome = await self._run_plain(checked, key, receive, send)
-            if isinstance(outcome, NotRun | UnknownOutcome):
-                await send_failure(request, outcome, send)
+            timed = TimedSend(send)
+            with record_request(checked, timed) as record:
+                outcome = await self._run_plain(checked, key, receive, timed)
+                record.outcome = outcome
+                if isinstance(outcome, NotRun | UnknownOutcome):
+                    await send_failure(request, outcome, timed)
 
     async def _run_plain(
         self, checked: PlainRequest, key: str, receive: Receive, send: Send
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -12,7 +12,7 @@
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import MetricsPageCommand
+from .commands_metrics import BoardPictureCommand, MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -33,6 +33,7 @@
     BenchLoadCommand,
     BenchPolicyCommand,
     BenchScaleCommand,
+    BoardPictureCommand,
     CapacityPageCommand,
     CheckCommand,
     DemoCommand,
--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -27,6 +27,8 @@
     "UnknownOutcome": "it may have run; the answer was lost",
     "Interrupted": "the answer began and broke off",
     "CallerLeft": "the caller left before the end",
+    "RefusedByRouter": "the router refused it",
+    "RouterFailed": "the router failed on it",
     "Cut": "the router stopped serving it",
 }
 
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -99,7 +99,8 @@
     Parameters
     ----------
     outcome : str
-        Name of the outcome's class, or ``CallerLeft``.
+        Name of the outcome's class, or ``CallerLeft``, ``RefusedByRouter``,
+        ``RouterFailed`` or ``Cut``.
     prompt_tokens, cached_tokens : int
         Length of the prompt, and what the endpoint read of it from its cache.
     ttft_s : float or None
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -115,6 +115,14 @@
         "Requests that went on to another endpoint.",
         "A rise follows failing endpoints; the retry budget bounds it.",
     ),
+    MetricSpec(
+        "primrosepier_relay_events_total",
+        MetricKind.COUNTER,
+        "events",
+        ("kind",),
+        "Streams continued or interrupted; crossed answers and events dropped.",
+        "Crossed ones come from a faulty endpoint; interrupted ones from a lost one.",
+    ),
     MetricSpec(
         "primrosepier_claims_total",
         MetricKind.COUNTER,
--- a/primrosepier/once.py
+++ b/primrosepier/once.py
@@ -1,5 +1,6 @@
 """Running a request under a claim, so that it runs at most once."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -7,6 +8,8 @@
 from .claims import AlreadyClaimed, Claimed, ClaimEnd, Claims
 from .errors import RequestError
 from .ids import RequestId, WorkspaceId
+from .log_events import ClaimSettled
+from .logs import emit
 from .outcomes import Completed, NotRun, Outcome, Refused, UnknownOutcome
 
 __all__ = ["judge_end", "run_claimed", "take_claim"]
@@ -35,7 +38,10 @@
     RequestError
         An earlier request with the key ran to its end.
     """
+    started_s = time.monotonic()
     result = await claims.claim(workspace, key, request)
+    duration_s = time.monotonic() - started_s
+    emit(ClaimSettled(request, workspace, type(result).__name__, duration_s))
     if isinstance(result, AlreadyClaimed):
         text = f"Request {result.request} with this Idempotency-Key ran to its end."
         raise RequestError(409, "already_run", text)
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -16,6 +16,7 @@
 from .hosts import make_host_list_client
 from .leaving_controller import LeavingController
 from .load_reports import LoadReports
+from .logs import Log
 from .peers import PeerTransport, bind_listener, make_transport, open_peer_server
 from .settings import RouterSettings
 from .sharing import Sharing
@@ -37,6 +38,7 @@
     is_stopping: Callable[[], bool]
     clock: Clock = time.monotonic
     wall_clock: Clock = time.time
+    log: Log | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +127,8 @@
     host, port = listener.getsockname()[:2]
     transport = make_transport(parts.settings.peer_key)
     peering = make_peering(parts, f"{host}:{port}", transport)
-    async with open_peer_server(peering.gossip, transport.codec, listener):
+    gossip, codec = peering.gossip, transport.codec
+    async with open_peer_server(gossip, codec, listener, parts.log):
         peering.start(group)
         yield peering
         await peering.gossip.leave()
--- a/primrosepier/peers.py
+++ b/primrosepier/peers.py
@@ -16,6 +16,8 @@
 from grpclib.server import Server
 
 from .errors import MessageError
+from .grpc_traces import trace_channel, trace_server
+from .logs import Log
 from .messages import (
     ConfigurationReply,
     ConfigurationRequest,
@@ -122,6 +124,7 @@
         if channel is None:
             host, _, port = address.rpartition(":")
             channel = Channel(host, int(port), codec=self.codec)
+            trace_channel(channel)
         self.channels[address] = channel
         while len(self.channels) > MAX_CHANNELS:
             _, eldest = self.channels.popitem(last=False)
@@ -232,10 +235,15 @@
 
 @contextlib.asynccontextmanager
 async def open_peer_server(
-    handlers: PeerHandlers, codec: PeerCodec, listener: socket.socket
+    handlers: PeerHandlers,
+    codec: PeerCodec,
+    listener: socket.socket,
+    log: Log | None = None,
 ) -> AsyncIterator[None]:
     """Answer other routers while the context is open."""
     server = Server([_PeerService(handlers)], codec=codec)
+    if log is not None:
+        trace_server(server, log)
     await server.start(sock=listener)
     try:
         yield
--- a/primrosepier/plain.py
+++ b/primrosepier/plain.py
@@ -17,9 +17,11 @@
     classify_error,
 )
 from .errors import RequestError
-from .ids import EndpointId, RequestId, ServiceId, make_attempt_id
+from .ids import AttemptId, EndpointId, RequestId, ServiceId, make_attempt_id
+from .logs import TRACE_HEADER
 from .outcomes import Completed, NotRun, Outcome, Step, UnknownOutcome
 from .relay import read_whole
+from .request_log import AttemptRecord, record_attempt
 from .retries import GiveUp, RetryBudget, decide_retry
 from .settings import Limits
 
@@ -50,6 +52,7 @@
         b"upgrade",
         b"x-attempt-id",
         b"x-request-id",
+        TRACE_HEADER.encode(),
         b"x-workspace",
     }
 )
@@ -232,17 +235,37 @@
         if self.clock() >= request.send_by_s:
             return NotRun(Step.CLAIM, endpoint.id, "the claim lapsed before", 1.0)
         self.candidates.outstanding[endpoint.id] += 1
+        attempt = make_attempt_id()
         try:
-            async with self.client.open(self._make_call(request, endpoint)) as response:
+            with record_attempt(request, endpoint.id, attempt) as record:
+                call = self._make_call(request, endpoint, attempt, record.hop)
+                outcome = await self._send(request, endpoint, call, send, record)
+                record.outcome = outcome
+        finally:
+            self.candidates.outstanding[endpoint.id] -= 1
+        return outcome
+
+    async def _send(
+        self,
+        request: PlainRequest,
+        endpoint: Endpoint,
+        call: EndpointCall,
+        send: Send,
+        record: AttemptRecord,
+    ) -> Outcome:
+        try:
+            async with self.client.open(call) as response:
+                record.mark_headers()
                 return await self._relay(request, endpoint, response, send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
-        finally:
-            self.candidates.outstanding[endpoint.id] -= 1
 
-    def _make_call(self, request: PlainRequest, endpoint: Endpoint) -> EndpointCall:
+    def _make_call(
+        self, request: PlainRequest, endpoint: Endpoint, attempt: AttemptId, hop: str
+    ) -> EndpointCall:
         headers = (
             *request.headers,
+            (TRACE_HEADER, hop),
             ("x-request-id", request.id),
             ("x-workspace", request.workspace.id),
         )
@@ -254,7 +277,7 @@
             body=request.body,
             connect_s=self.limits.connect_s,
             request_s=self.limits.request_s,
-            attempt=make_attempt_id(),
+            attempt=attempt,
         )
 
     async def _relay(
--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -5,10 +5,12 @@
 import time
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from .asgi import Send
-from .ids import AttemptId, EndpointId
+from .configuration import Service, Workspace
+from .errors import RequestError
+from .ids import AttemptId, EndpointId, RequestId
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -24,6 +26,7 @@
 
 __all__ = [
     "AttemptRecord",
+    "LoggedRequest",
     "RequestRecord",
     "TimedSend",
     "record_attempt",
@@ -35,6 +38,8 @@
 
 CALLER_LEFT = "CallerLeft"
 CUT = "Cut"
+REFUSED = "RefusedByRouter"
+FAILED = "RouterFailed"
 # The arguments of an exception may hold bytes of an endpoint's answer.
 RAISED = re.compile(r"(\w+)\(")
 
@@ -83,14 +88,38 @@
         self.headers_s = time.monotonic() - self.started_at_s
 
 
+class LoggedRequest(Protocol):
+    """What the log tells of any kind of request."""
+
+    @property
+    def id(self) -> RequestId:
+        """The id that the caller gets."""
+
+    @property
+    def workspace(self) -> Workspace:
+        """The caller's workspace."""
+
+    @property
+    def service(self) -> Service:
+        """The service that is asked."""
+
+
 @contextlib.contextmanager
-def record_request(request: ModelRequest, send: TimedSend) -> Iterator[RequestRecord]:
-    """Log the end of a request, also when it is cut."""
+def record_request(
+    request: LoggedRequest, send: TimedSend, prompt_tokens: int = 0
+) -> Iterator[RequestRecord]:
+    """Log the end of a request, also when it is refused, fails or is cut."""
     record = RequestRecord()
     name = CUT
     try:
         yield record
         name = CALLER_LEFT
+    except RequestError:
+        name = REFUSED
+        raise
+    except Exception:
+        name = FAILED
+        raise
     finally:
         outcome = record.outcome
         event = RequestEnded(
@@ -101,7 +130,7 @@
             step=outcome.step.value if outcome else "",
             peer=outcome.peer if outcome else "",
             reason=_read_reason(outcome),
-            prompt_tokens=request.prompt.tokens,
+            prompt_tokens=prompt_tokens,
             cached_tokens=_read_cached_tokens(outcome),
             duration_s=time.monotonic() - send.started_at_s,
             ttft_s=send.compute_ttft(),
@@ -111,7 +140,7 @@
 
 @contextlib.contextmanager
 def record_attempt(
-    request: ModelRequest, endpoint: EndpointId, attempt: AttemptId
+    request: LoggedRequest, endpoint: EndpointId, attempt: AttemptId
 ) -> Iterator[AttemptRecord]:
     """Log the start and the end of an attempt, also when it is cut."""
     record = AttemptRecord(make_hop())
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -109,6 +109,8 @@
     def read(found: Metrics) -> None:
         outstanding = sum(dispatcher.candidates.outstanding.values())
         found.set("primrosepier_attempts_in_progress", outstanding)
+        for kind, count in dispatcher.attempts.counts.items():
+            found.set("primrosepier_relay_events_total", count, kind=kind.value)
         found.set("primrosepier_configuration_revision", controller.revision)
         found.promises.observe_revision(controller.revision)
 
@@ -128,6 +130,7 @@
         is_ready=app.is_ready,
         is_stopping=lambda: app.stopping,
         clock=router.platform.clock,
+        log=app.log,
     )
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,8 +2,10 @@
 import os
 import threading
 import time
+from types import SimpleNamespace
 
 import anyio
+import httpcore
 import pytest
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
@@ -11,10 +13,11 @@
 from grpclib.server import Server
 
 from primrosepier.demo import open_demo, run_demo_trace
-from primrosepier.errors import SettingsError
+from primrosepier.errors import RequestError, SettingsError
 from primrosepier.grpc_traces import trace_channel, trace_server
-from primrosepier.log_events import EventsDropped, RequestReceived
+from primrosepier.log_events import EventsDropped, RequestEnded, RequestReceived
 from primrosepier.logs import QUEUE_EVENTS, emit, make_hop, make_log, open_action
+from primrosepier.request_log import TimedSend, record_request
 from primrosepier.settings import LogSettings, parse_settings
 
 ROUTER = """
@@ -176,3 +179,50 @@
             make_hop()
     assert (time.thread_time() - started) / count < 0.001
     log.close()
+
+
+def test_a_refusal_inside_a_request_is_no_cut():
+    log = make_log("entry-1", LogSettings("off", "none"))
+    seen = []
+    log.observers.append(seen.append)
+    request = SimpleNamespace(
+        id="req-1", workspace=SimpleNamespace(id="w"), service=SimpleNamespace(id="s")
+    )
+    for error in (RequestError(409, "already_run", "x"), KeyError(), GeneratorExit()):
+        with (
+            pytest.raises(type(error)),
+            open_action(log, "request"),
+            record_request(request, TimedSend(None)),
+        ):
+            raise error
+    ends = [event.outcome for event in seen if isinstance(event, RequestEnded)]
+    assert ends == ["RefusedByRouter", "RouterFailed", "Cut"]
+
+
+@pytest.mark.sockets
+def test_a_claim_and_a_plain_call_are_in_the_tree(tmp_path):
+    async def run():
+        async with open_demo(logs=tmp_path) as demo:
+            url = demo.list_urls()[0]
+            async with httpcore.AsyncConnectionPool() as pool:
+                answer = await pool.request(
+                    "POST",
+                    f"{url}/services/roster-app/handovers/secret-name",
+                    headers={
+                        "Authorization": "Bearer demo-handovers",
+                        "Idempotency-Key": "secret-key",
+                        "X-Trace": "forged",
+                    },
+                    content=b"secret-body",
+                )
+                return answer.status
+
+    status = anyio.run(run)
+    lines = read_lines(tmp_path)
+    events = {line["message_type"]: line for line in lines if "message_type" in line}
+    assert events["ClaimSettled"]["result"] == "Claimed"
+    assert events["AttemptEnded"]["outcome"] == events["RequestEnded"]["outcome"]
+    assert status == 200
+    assert events["RequestEnded"]["outcome"] == "Completed"
+    text = "".join(path.read_text() for path in tmp_path.iterdir())
+    assert "secret" not in text
