Keep what cache events told through small gaps

Cause: with 5% of the events lost the index was emptied again and again, and lost evictions left blocks in it for ever.

Change: a gap empties the index only when it may hide a quarter of the cache; the number of blocks is bounded by the cache's size, learned at the first eviction; a block counts when the one before it is held too.

--- a/primrosepier/cache_events.py
+++ b/primrosepier/cache_events.py
@@ -48,13 +48,15 @@
     ----------
     complete : bool
         Whether blocks that are not in ``blocks`` are not cached.
+    capacity : int
+        Most blocks that are kept; lost evictions then push out the oldest.
     """
 
     incarnation: Incarnation
     version: WeightsVersion
     sequence: int
     complete: bool
-    lost: float = 0.0
+    capacity: int = MAX_BLOCKS_PER_ENDPOINT
     blocks: OrderedDict[BlockHash, None] = field(default_factory=OrderedDict)
 
 
@@ -105,14 +107,13 @@
         return stream
 
     def _lose(self, endpoint: EndpointId, stream: _Stream, missing: int) -> None:
-        """Note lost events; once they may hide too many evictions, start anew."""
-        stream.lost += missing / self.sample
-        if stream.lost > MAX_LOST_SHARE * max(1, len(stream.blocks)):
-            for block in stream.blocks:
-                self._remove_holder(block, endpoint)
-            stream.blocks.clear()
-            stream.lost = 0.0
-            stream.complete = False
+        """Start anew when lost events may hide a good part of the cache."""
+        if missing / self.sample <= MAX_LOST_SHARE * len(stream.blocks):
+            return
+        for block in stream.blocks:
+            self._remove_holder(block, endpoint)
+        stream.blocks.clear()
+        stream.complete = False
 
     def _add(self, endpoint: EndpointId, stream: _Stream, block: BlockHash) -> None:
         if not self.is_sampled(block):
@@ -120,16 +121,20 @@
         stream.blocks[block] = None
         stream.blocks.move_to_end(block)
         self.holders.setdefault(block, set()).add(endpoint)
-        if len(stream.blocks) > MAX_BLOCKS_PER_ENDPOINT:
+        if len(stream.blocks) > stream.capacity:
             oldest, _ = stream.blocks.popitem(last=False)
             self._remove_holder(oldest, endpoint)
 
     def _drop(self, endpoint: EndpointId, stream: _Stream, block: BlockHash) -> None:
-        if block in stream.blocks:
-            del stream.blocks[block]
-            self._remove_holder(block, endpoint)
-            # The least recent goes first, so what is older was seen or is gone.
-            stream.complete = True
+        if block not in stream.blocks:
+            return
+        if stream.complete and stream.capacity == MAX_BLOCKS_PER_ENDPOINT:
+            # Nothing is evicted before the cache is full.
+            stream.capacity = len(stream.blocks)
+        del stream.blocks[block]
+        self._remove_holder(block, endpoint)
+        # The least recent goes first, so what is older was seen or is gone.
+        stream.complete = True
 
     def _remove_holder(self, block: BlockHash, endpoint: EndpointId) -> None:
         holders = self.holders[block]
@@ -177,16 +182,24 @@
     ) -> int:
         """Return the leading blocks that an endpoint holds.
 
+        A block counts when the sampled one before it is held too, since a lost
+        event may leave a single block out or in.
+
         Parameters
         ----------
         blocks : sequence of (int, BlockHash)
             Sampled blocks of a prompt with their numbers from 1, the last first.
         """
         held = self.streams[endpoint].blocks
+        deeper = 0
         for number, block in blocks:
-            if block in held:
-                return number
-        return 0
+            if block not in held:
+                deeper = 0
+            elif deeper:
+                return deeper
+            else:
+                deeper = number
+        return deeper
 
     def find_holders(
         self, blocks: Sequence[tuple[int, BlockHash]], above: int, limit: int
--- a/primrosepier/reuse_placement.py
+++ b/primrosepier/reuse_placement.py
@@ -42,6 +42,9 @@
         workspace's first level and for the levels below it.
     recompute_weight : float
         Cost of an uncached token over that of a token that waits before it.
+    home_weight : float
+        What it is worth, for each token, to compute a prefix that nobody holds at
+        its first home.
     remote_tokens : float
         Cost of an endpoint in another failure domain, tokens.
     """
@@ -53,6 +56,7 @@
     root_share: float = 0.4
     split_share: float = 0.8
     recompute_weight: float = 8.0
+    home_weight: float = 8.0
     remote_tokens: float = 32.0
     spare_choices: int = 2
     pressure_gain: float = 1.0
@@ -185,7 +189,7 @@
         if max((expected for _, expected in seen), default=0.0) > root:
             return 0.0
         missing = route.shared * BLOCK_TOKENS - root
-        return self.options.recompute_weight * max(0, missing)
+        return self.options.home_weight * max(0, missing)
 
     def _decide(self, route: _Route, view: EndpointView, expected: float) -> Decision:
         if view.id in route.home:
