Measure the time of a decision and split the placement by matter

Change: `bench decide`; routes (sets by rule), knowledge (events, answers, placements) and the cost are modules of their own; events are read once for each decision; pressure counts by how long an endpoint was seen in place of a threshold.

--- a/primrosepier/anchors.py
+++ b/primrosepier/anchors.py
@@ -92,10 +92,10 @@
     key: int, members: Sequence[EndpointId], ring: Ring, weigh: Weigh
 ) -> list[EndpointId]:
     """Return members ordered by weighted rendezvous hashing with a key."""
+    seeds = ring.seeds
     scored = []
     for member in members:
-        mixed = mix_hash(key, ring.seeds[member])
-        share = (mixed + 1) / HASH_RANGE
+        share = (mix_hash(key, seeds[member]) + 1) / HASH_RANGE
         scored.append((-math.log(share) / weigh(member), member))
     scored.sort()
     return [member for _, member in scored]
--- /dev/null
+++ b/primrosepier/bench_decide.py
@@ -0,0 +1,134 @@
+"""Time of one decision at several fleet sizes."""
+
+import random
+import statistics
+import time
+from collections import Counter
+
+from .anchors import make_ring
+from .cache_events import CacheEvent, CacheEventKind
+from .ids import (
+    AdapterId,
+    BlockHash,
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    WeightsVersion,
+    WorkspaceId,
+)
+from .placement import Decision, EndpointView, Feedback
+from .placement_options import PlacementOptions
+from .prompts import BLOCK_TOKENS, CacheScope, Prompt
+from .reuse_placement import ReusePlacement
+
+__all__ = ["FLEET_SIZES", "measure_decisions"]
+
+FLEET_SIZES = (9, 100, 3_900)
+DECISIONS = 4_000
+WARM_DECISIONS = 1_000
+BATCHES = 10
+WORKSPACES = 40
+GROUPS = 25
+PROMPT_BLOCKS = (4, 14, 2)
+
+
+class _Fleet:
+    """Endpoints with some load, looked at one by one."""
+
+    def __init__(self, size: int, source: random.Random):
+        names = [EndpointId(f"engine-{number}") for number in range(size)]
+        self.ring = make_ring(names)
+        self.views = {
+            name: EndpointView(
+                id=name,
+                failure_domain=FailureDomain(f"domain-{number % 17}"),
+                outstanding=source.randrange(4),
+                reported=source.randrange(8),
+                report_age_s=source.random(),
+            )
+            for number, name in enumerate(names)
+        }
+
+    def get_view(self, endpoint: EndpointId) -> EndpointView | None:
+        """Return an endpoint's view."""
+        return self.views[endpoint]
+
+    def get_pressure(self, endpoint: EndpointId) -> float:
+        """Return the smoothed prefill work over the service's mean."""
+        return 1.0
+
+
+def _make_prompts(source: random.Random, count: int) -> list[Prompt]:
+    prompts = []
+    root, nested, tail = PROMPT_BLOCKS
+    for _ in range(count):
+        workspace = min(source.randrange(WORKSPACES), source.randrange(WORKSPACES))
+        group = min(source.randrange(GROUPS), source.randrange(GROUPS))
+        base = 1 + workspace * 1_000_003
+        shared = [base * 7919 + block for block in range(root)]
+        shared += [
+            base * 104_729 + group * 1_299_709 + block for block in range(nested)
+        ]
+        blocks = [*shared, *(source.getrandbits(64) for _ in range(tail))]
+        scope = CacheScope(
+            WorkspaceId(f"workspace-{workspace}"),
+            ModelId("model"),
+            AdapterId(""),
+            WeightsVersion("1"),
+        )
+        levels = (root, root + nested, len(blocks))
+        tokens = len(blocks) * BLOCK_TOKENS
+        prompts.append(Prompt(scope, tuple(map(BlockHash, blocks)), tokens, levels))
+    return prompts
+
+
+def _publish_blocks(
+    placement: ReusePlacement,
+    decision: Decision,
+    prompt: Prompt,
+    sequences: Counter[EndpointId],
+) -> None:
+    for block in prompt.blocks:
+        sequences[decision.endpoint] += 1
+        event = CacheEvent(
+            endpoint=decision.endpoint,
+            incarnation=decision.incarnation,
+            version=decision.version,
+            sequence=sequences[decision.endpoint],
+            kind=CacheEventKind.STORED,
+            block=block,
+        )
+        placement.take_event(event)
+
+
+def _measure_size(size: int, seed: int) -> float:
+    """Return the median over batches of the mean CPU time of a decision, µs."""
+    source = random.Random(seed)
+    fleet = _Fleet(size, source)
+    placement = ReusePlacement(source, FailureDomain("domain-0"), PlacementOptions())
+    prompts = _make_prompts(source, DECISIONS)
+    sequences: Counter[EndpointId] = Counter()
+    now_s = 0.0
+    for prompt in prompts[:WARM_DECISIONS]:
+        now_s += 0.02
+        decision = placement.choose(prompt, fleet, now_s)
+        if decision is not None:
+            cached = decision.expected_cached_tokens
+            feedback = Feedback(decision.endpoint, prompt, cached, cached, now_s)
+            placement.observe(feedback)
+            _publish_blocks(placement, decision, prompt, sequences)
+    rest = prompts[WARM_DECISIONS:]
+    batch = len(rest) // BATCHES
+    times = []
+    for start in range(0, batch * BATCHES, batch):
+        begun_s = time.process_time()
+        for prompt in rest[start : start + batch]:
+            now_s += 0.02
+            placement.choose(prompt, fleet, now_s)
+        times.append((time.process_time() - begun_s) / batch * 1e6)
+    return statistics.median(times)
+
+
+def measure_decisions(seed: int) -> dict[int, float]:
+    """Return the CPU time of one decision in µs for each fleet size."""
+    return {size: _measure_size(size, seed) for size in FLEET_SIZES}
--- a/primrosepier/cache_events.py
+++ b/primrosepier/cache_events.py
@@ -202,12 +202,25 @@
         return deeper
 
     def find_holders(
-        self, blocks: Sequence[tuple[int, BlockHash]], above: int, limit: int
-    ) -> list[EndpointId]:
-        """Return endpoints that hold more than ``above`` blocks, most first."""
-        found: dict[EndpointId, None] = {}
+        self, blocks: Sequence[tuple[int, BlockHash]], above: int
+    ) -> dict[EndpointId, int]:
+        """Return the endpoints that hold more than ``above`` blocks, most first.
+
+        Parameters
+        ----------
+        blocks : sequence of (int, BlockHash)
+            As for `count_held`.
+        """
+        found: dict[EndpointId, int] = {}
+        deeper: dict[EndpointId, int] = {}
         for number, block in blocks:
-            if number <= above or len(found) >= limit:
+            if number <= above:
                 break
-            found.update(dict.fromkeys(sorted(self.holders.get(block, ()))))
-        return list(found)[:limit]
+            holding = sorted(self.holders.get(block, ()))
+            for endpoint in holding:
+                if endpoint in deeper:
+                    found.setdefault(endpoint, deeper[endpoint])
+            deeper = dict.fromkeys(holding, number)
+        for endpoint, number in deeper.items():
+            found.setdefault(endpoint, number)
+        return found
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -8,7 +8,7 @@
     BenchExperimentCommand,
     BenchLoadCommand,
 )
-from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
@@ -31,6 +31,7 @@
     BenchCompareCommand,
     BenchExperimentCommand,
     BenchLoadCommand,
+    BenchDecideCommand,
     BenchPolicyCommand,
     BenchScaleCommand,
     CapacityPageCommand,
--- a/primrosepier/pressure.py
+++ b/primrosepier/pressure.py
@@ -9,7 +9,7 @@
 __all__ = ["PressureTable"]
 
 SMOOTHING_S = 60.0
-SETTLE_S = 20.0
+SETTLE_S = 10.0
 MIN_PRESSURE = 0.25
 MAX_PRESSURE = 4.0
 
@@ -50,7 +50,7 @@
                 self._add_report(work, tokens, now_s)
         for endpoint in [name for name in self.work if name not in counters]:
             del self.work[endpoint]
-        rates = [work.rate for work in self.work.values() if self._is_settled(work)]
+        rates = [work.rate for work in self.work.values()]
         self.mean = sum(rates) / len(rates) if rates else 0.0
 
     def _add_report(self, work: _Work, tokens: int, now_s: float) -> None:
@@ -63,12 +63,15 @@
         work.computed_tokens = tokens
         work.reported_s = now_s
 
-    def _is_settled(self, work: _Work) -> bool:
-        return work.reported_s - work.first_s >= SETTLE_S
-
     def get(self, endpoint: EndpointId) -> float:
-        """Return the pressure, 1.0 when unknown."""
+        """Return the pressure, 1.0 when unknown.
+
+        It counts the more, the longer the endpoint was seen.
+        """
         work = self.work.get(endpoint)
-        if work is None or not self.mean or not self._is_settled(work):
+        if work is None or not self.mean:
             return 1.0
-        return min(MAX_PRESSURE, max(MIN_PRESSURE, work.rate / self.mean))
+        seen_s = work.reported_s - work.first_s
+        trust = seen_s / (seen_s + SETTLE_S)
+        pressure = 1 + trust * (work.rate / self.mean - 1)
+        return min(MAX_PRESSURE, max(MIN_PRESSURE, pressure))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,9 @@
 import random
 
 from primrosepier.placement import EndpointView, ViewList
+from primrosepier.placement_options import PlacementOptions
 from primrosepier.prompts import CacheScope, make_prompt
-from primrosepier.reuse_placement import PlacementOptions, ReusePlacement
+from primrosepier.reuse_placement import ReusePlacement
 
 SCOPE = CacheScope("w", "m", "", "1")
 
