--- a/primrosepier/bench_run.py
+++ b/primrosepier/bench_run.py
@@ -55,7 +55,7 @@
     "no_feedback": _make_reuse(PlacementOptions(feedback=False, events=False)),
     "primrosepier": _make_reuse(PlacementOptions()),
 }
-LARGE_SCALE_POLICIES = ("random", "primrosepier")
+LARGE_SCALE_POLICIES = ("primrosepier",)
 
 
 @dataclass(frozen=True, slots=True)
