--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -20,11 +20,13 @@
 from .logs import make_log
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
+from .orders import EndpointOrders
 from .peering import LocalParts, Peering, open_peering
 from .plain import PlainCalls
 from .protocol import make_bounded_protocol
 from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
+from .rollout_controller import RolloutController, make_rollout_controller
 from .settings import RouterSettings
 from .store import Store
 
@@ -71,6 +73,7 @@
     configuration: ConfigurationController
     mirror: MirrorController
     claims: StoreClaims
+    rollouts: RolloutController
     callers_address: str = ""
     peers_address: str = ""
     peering: Peering | None = None
@@ -99,8 +102,27 @@
         platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
     )
     mirror.mirror.listeners.append(controller.update)
+    rollouts = _make_rollouts(settings, board, platform, mirror)
     _register_gauges(metrics, dispatcher, controller)
-    return Router(settings, board, platform, app, controller, mirror, claims)
+    parts = (controller, mirror, claims, rollouts)
+    return Router(settings, board, platform, app, *parts)
+
+
+def _make_rollouts(
+    settings: RouterSettings,
+    board: Board,
+    platform: Platform,
+    mirror: MirrorController,
+) -> RolloutController:
+    return make_rollout_controller(
+        settings.host,
+        board,
+        platform.store,
+        EndpointOrders(platform.client),
+        mirror.mirror,
+        settings.leases,
+        clock=platform.clock,
+    )
 
 
 def _register_gauges(
@@ -140,6 +162,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
+        group.start_soon(router.rollouts.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
             open_server(
