--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -8,11 +8,11 @@
     BenchExperimentCommand,
     BenchLoadCommand,
 )
-from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import MetricsPageCommand
+from .commands_metrics import BoardPictureCommand, MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -31,8 +31,10 @@
     BenchCompareCommand,
     BenchExperimentCommand,
     BenchLoadCommand,
+    BenchDecideCommand,
     BenchPolicyCommand,
     BenchScaleCommand,
+    BoardPictureCommand,
     CapacityPageCommand,
     CheckCommand,
     DemoCommand,
