Trust only reports after the mark before a replica loads; show the store in status

`status` also shows the store's revision and its author, who holds each duty, and the replicas that load.

--- a/primrosepier/commands_status.py
+++ b/primrosepier/commands_status.py
@@ -9,15 +9,25 @@
 from cleo.helpers import option
 
 from .errors import SettingsError
+from .etcd import make_etcd_store
 from .peers import PeerFailure, make_transport
 from .settings import load_settings
 from .status import FleetStatus, RouterStatus, read_fleet_status
+from .store_status import StoreStatus, describe_store, read_store_status
 
 __all__ = ["StatusCommand"]
 
 HEADER = ["host", "state", "revision", "ready", "version", "leaving endpoints"]
 
 
+async def _read_store(address: str) -> StoreStatus:
+    store = make_etcd_store(address)
+    try:
+        return await read_store_status(store)
+    finally:
+        await store.close()
+
+
 async def _read(address: str, key: str) -> FleetStatus | PeerFailure:
     transport = make_transport(key)
     try:
@@ -61,16 +71,17 @@
         if isinstance(found, PeerFailure):
             self.line_error(f"{found.peer}: {found.reason}")
             return 1
-        self._print(found)
+        self._print(found, anyio.run(_read_store, settings.store_address))
         return 0
 
-    def _print(self, found: FleetStatus) -> None:
+    def _print(self, found: FleetStatus, store: StoreStatus) -> None:
         if self.option("json"):
             routers = [asdict(router) for router in found.routers]
             report = {
                 "revision": found.revision,
                 "behind": found.list_behind(),
                 "routers": routers,
+                "store": asdict(store),
             }
             self.line(msgspec.json.encode(report).decode())
             return
@@ -78,3 +89,5 @@
         self.render_table(HEADER, rows)  # type: ignore[arg-type]
         behind = found.list_behind()
         self.line(f"newest revision {found.revision}, behind: {len(behind)}")
+        for line in describe_store(store, found.revision):
+            self.line(line)
--- a/primrosepier/rollout.py
+++ b/primrosepier/rollout.py
@@ -67,7 +67,8 @@
     Parameters
     ----------
     spread_s : float
-        Time in which every router sees a mark and sends nothing new.
+        Time in which every router sees a mark and sends nothing new, and by which
+        reports of load lag; a report that arrives after it is trusted.
     drain_s : float
         Longest wait for the requests of a marked replica to finish.
     start_s : float
@@ -93,6 +94,8 @@
     ----------
     load : int or None
         Requests in its batch and its queue; None when it did not report.
+    load_at_s : float
+        When that report arrived.
     reachable : bool
         Whether it answered the last question about its weights.
     may_order : bool
@@ -111,6 +114,7 @@
     version: WeightsVersion
     loading: str = ""
     load: int | None = 0
+    load_at_s: float = 0.0
     reachable: bool = True
     may_order: bool = True
     may_clear: bool = True
@@ -230,9 +234,10 @@
         return mark.version != self.view.wanted or not self.view.loads_at_once
 
     def _is_drained(self, replica: ReplicaView, age_s: float) -> bool:
-        if age_s < self.times.spread_s:
-            return False
-        return replica.load == 0 or age_s >= self.times.drain_s
+        if age_s >= self.times.drain_s:
+            return True
+        report_age_s = self.now_s - replica.load_at_s
+        return replica.load == 0 and age_s - report_age_s >= self.times.spread_s
 
     def _get_age(self, since_s: float | None) -> float:
         return self.now_s - since_s if since_s is not None else 0.0
--- a/primrosepier/rollout_controller.py
+++ b/primrosepier/rollout_controller.py
@@ -226,6 +226,7 @@
             version=WeightsVersion(state.version if state else ""),
             loading=state.loading if state else "",
             load=report.running + report.waiting if report else None,
+            load_at_s=report.reported_at_s if report else 0.0,
             reachable=state is not None,
             may_order=duty.may_order(endpoint.fencing, now_s),
             may_clear=own or now_s >= duty.open_at_s,
