--- a/primrosepier/bench_scale.py
+++ b/primrosepier/bench_scale.py
@@ -11,6 +11,7 @@
 from .scale_control import measure_control
 from .scale_data import measure_data_path
 from .scale_fits import Slope
+from .scale_loads import measure_loads
 from .scale_peers import measure_peers
 from .scale_store import measure_store
 
@@ -59,7 +60,7 @@
     """Measure everything, one matter after the other."""
     started_s = time.monotonic()
     load_before = os.getloadavg()[0]
-    slopes = [*measure_control(), *measure_peers()]
+    slopes = [*measure_control(), *measure_loads(), *measure_peers()]
     slopes += [*measure_store(), *measure_data_path()]
     return ScaleReport(
         python=platform.python_version(),
--- a/primrosepier/capacity.py
+++ b/primrosepier/capacity.py
@@ -28,6 +28,7 @@
     requests_per_s: float = 44_000
     tokens_per_s: float = 15_000_000
     workspaces: int = 2800
+    models: int = 22
     changes_per_day: int = 4300
     failures_per_day: int = 33
     restarts_per_day: int = 300
@@ -100,14 +101,15 @@
         size = self.size
         member_changes = (size.failures_per_day + 2 * size.restarts_per_day) / DAY_S
         digests = self.count_digests()
-        pairs = size.nodes * size.replicas
+        new_choices = size.changes_per_s + member_changes
         reads = size.changes_per_s * self.at("configuration_cpu", size.workspaces)
         return [
             Figure(
                 "choice of the replicas whose load it reads",
-                self.at("poll_choice_cpu", pairs),
-                ("poll_choice_cpu",),
-                "rendezvous hash of each replica with each node, every second",
+                self.at("poll_check_cpu", size.nodes)
+                + new_choices * self.at("poll_choice_cpu", size.nodes),
+                ("poll_check_cpu", "poll_choice_cpu"),
+                "a ring of routers; chosen anew when routers or configuration change",
             ),
             Figure(
                 "one exchange a second, sent and answered",
@@ -258,6 +260,12 @@
                 ("change_writes",),
                 "chunks, then the manifest by compare-and-swap",
             ),
+            Figure(
+                "leases of the holders of 22 services",
+                self.at("duty_calls", size.models),
+                ("duty_calls",),
+                "one holder a service keeps its lease alive",
+            ),
         ]
 
     def list_store_reads(self) -> list[Figure]:
--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -15,8 +15,7 @@
 
 MENDS = {
     "choice of the replicas whose load it reads": (
-        "keep the chosen replicas until members or configuration change, and choose "
-        "by a ring instead of hashing each pair"
+        "keep the ring of routers through a change and move only what a router lost"
     ),
     "one exchange a second, sent and answered": (
         "exchange less often, or over UDP in place of grpclib"
@@ -56,6 +55,11 @@
         "open streams; nothing outlives them",
         "46.8 requests/s and 16,000 tokens/s",
     ),
+    (
+        "holder of a service's rollout, a router",
+        "its lease and the marks of replicas that load",
+        "keeps a lease alive, reads the states of its replicas, sends orders",
+    ),
     (
         "operator's apply",
         "none",
@@ -71,7 +75,7 @@
     "processor time of polling replicas' load over HTTP (at most 8 polls/s a node)",
     "cache events: no router reads them, so 8.6 million a second cost nothing; reuse "
     "is learned from each answer's cached tokens",
-    "orders to load weights and the leases of their holders",
+    "orders to load weights, and how often a holder reads the state of its replicas",
     "TCP and IP headers, and memory outside of Python's allocator (socket buffers)",
     "links between regions, and the processors of the users' hosts",
     "exchanges at 940 processes: a node was measured with a table of 940 and one peer",
--- a/primrosepier/load_reports.py
+++ b/primrosepier/load_reports.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from random import Random
 
 import anyio
@@ -11,9 +12,10 @@
 import msgspec
 import xxhash
 
+from .anchors import Ring, make_ring
 from .board import Board, SectionWriter
 from .clocks import Clock
-from .configuration import Endpoint, ServiceKind
+from .configuration import Configuration, Endpoint, ServiceKind
 from .engines import EndpointCall, EndpointClient, is_leaving
 from .gossip import Gossip
 from .ids import EndpointId, HostId
@@ -23,6 +25,7 @@
     "LoadReports",
     "choose_pollers",
     "compute_renewal",
+    "make_router_ring",
     "parse_load",
 ]
 
@@ -75,11 +78,15 @@
     count = max(1, POLLS_PER_S * len(routers) // max(1, endpoints))
     if count >= len(routers):
         return routers
+    ring = make_router_ring(tuple(routers))
+    key = xxhash.xxh64_intdigest(endpoint.encode())
+    return [HostId(host) for host in ring.walk(key, count)]
 
-    def rank(host: HostId) -> int:
-        return xxhash.xxh64_intdigest(f"{endpoint}/{host}".encode())
 
-    return sorted(routers, key=rank)[:count]
+@lru_cache(maxsize=2)
+def make_router_ring(routers: tuple[HostId, ...]) -> Ring:
+    """Return the ring of routers, kept for the last two fleets."""
+    return make_ring(EndpointId(host) for host in routers)
 
 
 def compute_renewal(routers: int) -> float:
@@ -106,27 +113,43 @@
     random: Random = field(default_factory=Random)
     own: dict[EndpointId, EndpointLoad] = field(default_factory=dict)
     published_at_s: float = float("-inf")
+    polled: list[Endpoint] = field(default_factory=list)
+    polled_for: tuple[Configuration, frozenset[HostId]] | None = None
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
             async with anyio.create_task_group() as group:
-                for endpoint in self._list_polled():
+                for endpoint in self.list_polled():
                     group.start_soon(self._poll, endpoint)
             self.update(self.clock())
             await anyio.sleep(POLL_S * self.random.uniform(0.8, 1.0))
 
-    def _list_polled(self) -> list[Endpoint]:
+    def list_polled(self) -> list[Endpoint]:
+        """Return the endpoints that this router reads.
+
+        They are chosen anew when the configuration or the live routers changed.
+        """
         configuration = self.board.configuration.value
         if configuration is None:
             return []
+        live = frozenset(self.gossip.membership.list_live())
+        last = self.polled_for
+        if last is None or last[0] is not configuration or last[1] != live:
+            self.polled = self._choose_polled(configuration, live)
+            self.polled_for = (configuration, live)
+        return self.polled
+
+    def _choose_polled(
+        self, configuration: Configuration, live: frozenset[HostId]
+    ) -> list[Endpoint]:
         engines = [
             endpoint
             for endpoint in configuration.endpoints.values()
             if configuration.services[endpoint.service].kind is ServiceKind.ENGINE
         ]
         own = HostId(self.gossip.membership.own.host)
-        routers = sorted({own, *self.gossip.membership.list_live()})
+        routers = sorted({own, *live})
         return [
             endpoint
             for endpoint in engines
--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -31,7 +31,6 @@
     WeightsVersion,
     WorkspaceId,
 )
-from .load_reports import choose_pollers
 from .membership import Membership, MemberState, make_membership
 from .messages import DigestRecord, Exchange, MemberRecord, PeerCodec
 from .placement import Feedback
@@ -41,7 +40,7 @@
 from .scale_fits import Slope, fit_slope, measure_cpu, measure_memory
 from .settings import Limits
 
-__all__ = ["make_configuration", "measure_control"]
+__all__ = ["NODES", "make_configuration", "make_record", "measure_control"]
 
 NODES = (60, 240, 470, 940)
 REPLICAS = (480, 975, 1950, 3900)
@@ -83,14 +82,14 @@
         *_measure_membership(),
         *_measure_changes(),
         *_measure_digests(),
-        *_measure_polls(),
         *_measure_configuration(),
         *_measure_decisions(),
         *_measure_reuse(),
     ]
 
 
-def _make_record(number: int, incarnation: int = 1) -> MemberRecord:
+def make_record(number: int, incarnation: int = 1) -> MemberRecord:
+    """Return the record of one router."""
     address = f"10.1.{number >> 8}.{number & 255}:7000"
     return MemberRecord(
         host=f"entry-{number:04d}",
@@ -102,8 +101,8 @@
 
 
 def _make_member(number: int, nodes: int) -> Membership:
-    member = make_membership(_make_record(number), random.Random(number))
-    others = [_make_record(n) for n in range(nodes) if n != number]
+    member = make_membership(make_record(number), random.Random(number))
+    others = [make_record(n) for n in range(nodes) if n != number]
     for other in others:
         member.receive(Exchange(other), 0.0)
     # Rounds until the news of all members has been sent often enough.
@@ -178,7 +177,7 @@
     def change(pair: _Pair, size: int) -> None:
         state["incarnation"] += 1
         for number in range(2, 2 + size):
-            record = _make_record(number, state["incarnation"])
+            record = make_record(number, state["incarnation"])
             pair.first.receive(Exchange(record), pair.now_s)
 
     cpu, sent = _measure_pairs(CHANGES, lambda size: FLEET, change)
@@ -220,22 +219,6 @@
     ]
 
 
-def _measure_polls() -> list[Slope]:
-    """Measure the choice of the endpoints whose load this router reads."""
-    cpu = []
-    replicas = 400
-    names = [EndpointId(f"endpoint-{number:05d}") for number in range(replicas)]
-    for nodes in NODES:
-        routers = [HostId(f"entry-{number:04d}") for number in range(nodes)]
-
-        def choose(routers: list[HostId] = routers) -> None:
-            for name in names:
-                choose_pollers(name, routers, len(routers) * 4)
-
-        cpu.append((float(nodes * replicas), measure_cpu(choose, 1)))
-    return [fit_slope("poll_choice_cpu", "nodes x replicas", "s a second", cpu)]
-
-
 def _measure_configuration() -> list[Slope]:
     decode, size_bytes, memory, find = [], [], [], []
     for workspaces in WORKSPACES:
--- a/primrosepier/scale_peers.py
+++ b/primrosepier/scale_peers.py
@@ -1,31 +1,22 @@
-"""Costs of calls between routers, and of what they share."""
+"""Costs of calls between routers."""
 
-import random
 import socket
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, cast
+from typing import Any
 
 import anyio
-import msgspec
 from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
-from .board import make_board
-from .engines import make_endpoint_client
-from .gossip import Gossip
-from .ids import EndpointId, HostId
-from .load_reports import LoadReports, SharedLoad
-from .membership import MemberState, make_membership
-from .messages import DigestRecord, Exchange, MemberRecord, encode_message
+from .messages import Exchange, encode_message
 from .peers import GrpcTransport, bind_listener, make_transport, open_peer_server
-from .scale_fits import Slope, fit_slope, measure_cpu
+from .scale_control import make_record
+from .scale_fits import Slope, fit_slope
 
 __all__ = ["measure_peers"]
 
 EXCHANGES = (50, 100, 200, 400)
 FORWARDED = (3, 6, 12, 24)
-NODES = (60, 240, 470, 940)
-LOADS_PER_NODE = 4
 TIMEOUT_S = 5.0
 LOOPBACK = "127.0.0.1:0"
 
@@ -47,21 +38,15 @@
 
 
 def measure_peers() -> list[Slope]:
-    """Return the slopes of calls between routers and of shared load."""
-    return [*anyio.run(_measure_calls), _measure_shared_load()]
-
-
-def _make_record(number: int) -> MemberRecord:
-    address = f"10.1.{number >> 8}.{number & 255}:7000"
-    host = f"entry-{number:04d}"
-    return MemberRecord(host, address, "domain-1", 1, MemberState.ALIVE)
+    """Return the slopes of calls between routers."""
+    return anyio.run(_measure_calls)
 
 
 async def _measure_calls() -> list[Slope]:
     listener = bind_listener(LOOPBACK)
     address, port = listener.getsockname()[:2]
     transport = make_transport("key")
-    message = Exchange(_make_record(0))
+    message = Exchange(make_record(0))
     async with open_peer_server(_Echo(), transport.codec, listener):
         cpu = await _time_calls(transport, f"{address}:{port}", message)
         sent = await _count_bytes(address, port, message)
@@ -131,43 +116,3 @@
             await target.send(data)
     except (anyio.ClosedResourceError, anyio.BrokenResourceError):
         return
-
-
-class _Members:
-    """The part of a gossip that load reports read."""
-
-    def __init__(self, nodes: int):
-        self.membership = make_membership(_make_record(0), random.Random(1))
-        for number in range(1, nodes):
-            self.membership.receive(Exchange(_make_record(number)), 0.0)
-
-
-def _measure_shared_load() -> Slope:
-    measured = []
-    for nodes in NODES:
-        members = _Members(nodes)
-        _share_loads(members, nodes)
-        board = make_board()
-        reports = LoadReports(
-            board,
-            board.load.take_writer("bench"),
-            make_endpoint_client(),
-            cast(Gossip, members),
-            lambda endpoint, leaving: None,
-        )
-        cpu_s = measure_cpu(lambda r=reports: r.update(1.0), 5)  # type: ignore[misc]
-        measured.append((float(nodes), cpu_s))
-    return fit_slope("shared_load_cpu", "nodes", "s a second", measured)
-
-
-def _share_loads(members: _Members, nodes: int) -> None:
-    for number in range(1, nodes):
-        first = number * LOADS_PER_NODE
-        loads = [
-            SharedLoad(EndpointId(f"endpoint-{first + n:05d}"), 5, 1, 100)
-            for n in range(LOADS_PER_NODE)
-        ]
-        data = msgspec.msgpack.encode(loads)
-        host = HostId(f"entry-{number:04d}")
-        record = DigestRecord("load", host, 1, 1, ttl_ms=600_000, data=data)
-        members.membership.digests.receive(record, 0.0)
--- a/primrosepier/scale_store.py
+++ b/primrosepier/scale_store.py
@@ -10,13 +10,17 @@
 
 from .claim_writer import StoreClaims, make_store_claims
 from .claims import Claimed, ClaimEnd
+from .clocks import ManualClock
 from .configuration import Configuration
+from .duties import DutyKeeper
 from .ids import HostId, RequestId, Revision, WorkspaceId
+from .leases import Duty, DutyStep, make_duty_key
 from .mirror import make_mirror
 from .publishing import ApplyResult, apply_configuration
 from .revisions import MANIFEST_KEY, STATE_PREFIX
 from .scale_control import make_configuration
 from .scale_fits import Slope, fit_slope
+from .settings import LeaseBounds
 from .store import (
     Compare,
     LeaseGranted,
@@ -34,6 +38,9 @@
 ROUTERS = (1, 2, 4, 8)
 CLAIMS = (1, 4, 16, 64)
 WORKSPACES = (350, 700, 1400, 2800)
+SERVICES = (1, 4, 11, 22)
+DUTY_STEPS = 30
+DUTY_STEP_S = 2.0
 CHECKS = 3
 SPEED = 100.0
 CLAIM_SPACING_S = 0.2
@@ -199,6 +206,34 @@
     ]
 
 
+async def _measure_duties() -> list[Slope]:
+    """Measure the calls of holders that keep the duties of services."""
+    kept = []
+    for services in SERVICES:
+        store, clock = CountedStore(MemoryStore()), ManualClock(100.0)
+        keeper = DutyKeeper(store, clock)
+        names = [f"rollout/service-{number}" for number in range(services)]
+        duties = [Duty(name, HostId("entry-1"), LeaseBounds()) for name in names]
+        for duty in duties:
+            assert await keeper.acquire(duty)
+        store.calls.clear()
+        for _ in range(DUTY_STEPS):
+            clock.advance(DUTY_STEP_S)
+            for duty in duties:
+                await _keep_duty(store, keeper, duty, clock())
+        seconds = DUTY_STEPS * DUTY_STEP_S
+        kept.append((float(services), store.calls["lease"] / seconds))
+    return [fit_slope("duty_calls", "services", "lease calls a second", kept)]
+
+
+async def _keep_duty(
+    store: CountedStore, keeper: DutyKeeper, duty: Duty, now_s: float
+) -> None:
+    holder = store.store.items.get(make_duty_key(duty.name))
+    if duty.decide(holder, frozenset(), now_s) is DutyStep.KEEP_ALIVE:
+        await keeper.keep_alive(duty)
+
+
 def _change_workspace(configuration: Configuration) -> Configuration:
     name = random.Random(1).choice(sorted(configuration.workspaces))
     workspace = replace(configuration.workspaces[name], weight=2.0)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,7 +3,13 @@
 import msgspec
 import pytest
 
-from primrosepier import scale_control, scale_data, scale_peers, scale_store
+from primrosepier import (
+    scale_control,
+    scale_data,
+    scale_loads,
+    scale_peers,
+    scale_store,
+)
 from primrosepier.bench_scale import ScaleReport
 from primrosepier.capacity import CapacityEstimate, DesignSize
 from primrosepier.capacity_page import render_capacity_page
@@ -80,7 +86,8 @@
     monkeypatch.setattr(scale_control, "CHANGES", (0, 1, 2, 3))
     monkeypatch.setattr(scale_control, "DIGESTS", (0, 1, 2, 3))
     monkeypatch.setattr(scale_control, "FLEET", 20)
-    monkeypatch.setattr(scale_peers, "NODES", sizes)
+    monkeypatch.setattr(scale_loads, "NODES", sizes)
+    monkeypatch.setattr(scale_store, "SERVICES", (1, 2, 3, 4))
     monkeypatch.setattr(scale_peers, "EXCHANGES", (1, 2, 3, 4))
     monkeypatch.setattr(scale_peers, "FORWARDED", (1, 2, 3, 4))
     monkeypatch.setattr(scale_store, "WORKSPACES", sizes)
@@ -91,7 +98,8 @@
     monkeypatch.setattr(scale_data, "TOKENS", (1, 2, 3, 4))
     monkeypatch.setattr(scale_data, "REQUESTS", (1, 2, 3, 4))
     monkeypatch.setattr(scale_data, "STREAMS", (2, 4, 6, 8))
-    slopes = [*scale_control.measure_control(), *scale_peers.measure_peers()]
+    slopes = [*scale_control.measure_control(), *scale_loads.measure_loads()]
+    slopes += [*scale_peers.measure_peers()]
     slopes += [*scale_store.measure_store(), *scale_data.measure_data_path()]
     found = {slope.name: slope for slope in slopes}
     assert found.keys() == read_report().slopes.keys()
