--- a/primrosepier/scale_store.py
+++ b/primrosepier/scale_store.py
@@ -108,6 +108,7 @@
         *await _measure_mirrors(),
         *await _measure_claims(),
         *await _measure_apply(),
+        *await _measure_duties(),
     ]
 
 
