--- /dev/null
+++ b/primrosepier/bench_relay.py
@@ -0,0 +1,340 @@
+"""Cost of the router beside a direct connection, in one run on loopback.
+
+Engine, router and callers run in a thread each, so that the router's processor
+time is that of its thread. First the streams are opened at the engine directly,
+then the same number through the router while the first stay open: the difference
+of the two growths of memory is what the router holds for them. Then short requests
+go out in turn on both ways while all streams run.
+"""
+
+import asyncio
+import contextlib
+import sys
+import threading
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import anyio.from_thread
+import msgspec
+
+from .asgi import open_server
+from .configuration import (
+    Configuration,
+    Endpoint,
+    Model,
+    Service,
+    ServiceKind,
+    Workspace,
+    hash_key,
+)
+from .engines import make_endpoint_client
+from .ids import (
+    EndpointId,
+    FailureDomain,
+    HostId,
+    ModelId,
+    ServiceId,
+    WeightsVersion,
+    WorkspaceId,
+)
+from .router import Platform, make_router
+from .settings import Limits, RouterSettings
+from .standin_engine import EngineRates, make_engine_standin
+from .store import MemoryStore
+
+__all__ = ["RelayPlan", "RelayReport", "run_relay_bench"]
+
+KEY = "bench"
+MODEL = ModelId("m")
+LOOPBACK = "127.0.0.1:0"
+SWITCH_INTERVAL_S = 0.0005
+OPEN_BATCH = 20
+OPEN_PAUSE_S = 0.01
+PROMPT_BYTES = 4096
+PAGE_BYTES = 4096
+KIB = 1024
+EVENT = b"data: "
+STATUS_OK = b"HTTP/1.1 200"
+
+
+class RelayPlan(msgspec.Struct, frozen=True):
+    """What one run does.
+
+    Parameters
+    ----------
+    streams : int
+        Open streams on each way.
+    token_s : float
+        Time between the tokens of a stream, seconds.
+    measure_s : float
+        Time over which processor time is measured, seconds.
+    requests : int
+        Short requests on each way.
+    rate : float
+        Short requests a second on each way.
+    """
+
+    streams: int = 1000
+    token_s: float = 0.5
+    measure_s: float = 5.0
+    requests: int = 400
+    rate: float = 50.0
+
+
+class RelayReport(msgspec.Struct, frozen=True):
+    """Measures of one run."""
+
+    streams: int
+    added_ttft_p50_ms: float
+    added_ttft_p99_ms: float
+    cpu_us_per_token: float
+    kb_per_open_stream: float
+    direct_ttft_p50_ms: float
+    direct_ttft_p99_ms: float
+    router_ttft_p50_ms: float
+    router_ttft_p99_ms: float
+    tokens: int
+    failed: int
+
+
+class _Caller(asyncio.Protocol):
+    """Sends one request and counts the events of its answer."""
+
+    def __init__(self, request: bytes):
+        self.request = request
+        self.events = 0
+        self.status = b""
+        self.sent_at_s = 0.0
+        self.first_at_s: float | None = None
+        self.first = asyncio.get_running_loop().create_future()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.sent_at_s = time.perf_counter()
+        self.transport.write(self.request)  # type: ignore[union-attr]
+
+    def data_received(self, data: bytes) -> None:
+        self.status = self.status or data[: len(STATUS_OK)]
+        count = data.count(EVENT)
+        self.events += count
+        if count and self.first_at_s is None:
+            self.first_at_s = time.perf_counter()
+            self._finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._finish()
+
+    def _finish(self) -> None:
+        if not self.first.done():
+            self.first.set_result(None)
+
+
+@dataclass(slots=True)
+class _Way:
+    """One address with its streams and the times of its short requests."""
+
+    address: str
+    streams: list[_Caller] = field(default_factory=list)
+    ttft_s: list[float] = field(default_factory=list)
+    failed: int = 0
+
+    def make_request(self, number: int, tokens: int) -> bytes:
+        """Return the bytes of a request whose prompt no other has."""
+        prompt = f"{number} ".ljust(PROMPT_BYTES, "p")
+        body = msgspec.json.encode(
+            {"model": MODEL, "prompt": prompt, "max_tokens": tokens, "stream": True}
+        )
+        head = (
+            "POST /v1/completions HTTP/1.1\r\n"
+            f"host: {self.address}\r\nauthorization: Bearer {KEY}\r\n"
+            f"content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+    async def call(self, number: int, tokens: int) -> _Caller:
+        """Send a request and wait for its first event."""
+        host, _, port = self.address.rpartition(":")
+        request = self.make_request(number, tokens)
+        loop = asyncio.get_running_loop()
+        _, caller = await loop.create_connection(
+            lambda: _Caller(request), host, int(port)
+        )
+        await caller.first
+        if caller.first_at_s is None or caller.status != STATUS_OK:
+            self.failed += 1
+        return caller
+
+    async def open_stream(self, number: int, tokens: int) -> None:
+        """Open a stream that stays open."""
+        self.streams.append(await self.call(number, tokens))
+
+    async def probe(self, number: int) -> None:
+        """Measure the time to the first event of a short request."""
+        caller = await self.call(number, 1)
+        if caller.first_at_s is not None:
+            self.ttft_s.append(caller.first_at_s - caller.sent_at_s)
+        if caller.transport is not None:
+            caller.transport.close()
+
+    def count_events(self) -> int:
+        """Return the events that all streams got."""
+        return sum(stream.events for stream in self.streams)
+
+
+def _make_configuration(engine: str) -> Configuration:
+    service = ServiceId("engines")
+    endpoint = Endpoint(
+        EndpointId("engine-1"), service, engine, FailureDomain("d"), concurrent=100_000
+    )
+    workspace = Workspace(WorkspaceId("w"), (hash_key(KEY),))
+    return Configuration(
+        workspaces={workspace.id: workspace},
+        models={MODEL: Model(MODEL, WeightsVersion("1"))},
+        services={service: Service(service, ServiceKind.ENGINE, (MODEL,))},
+        endpoints={endpoint.id: endpoint},
+    )
+
+
+@contextlib.asynccontextmanager
+async def _open_engine(plan: RelayPlan) -> AsyncIterator[str]:
+    rates = EngineRates(
+        prefill_tokens_per_s=1e7,
+        token_s=plan.token_s,
+        slots=100_000,
+        prefills=1000,
+        cache_blocks=100_000,
+    )
+    async with open_server(make_engine_standin(rates), LOOPBACK) as address:
+        yield address
+
+
+@contextlib.asynccontextmanager
+async def _open_router(engine: str, streams: int) -> AsyncIterator[str]:
+    settings = RouterSettings(
+        host=HostId("bench"),
+        failure_domain=FailureDomain("d"),
+        callers_address=LOOPBACK,
+        peers_address=LOOPBACK,
+        store_address=LOOPBACK,
+        limits=Limits(streams=2 * streams + 100),
+    )
+    platform = Platform(MemoryStore(), make_endpoint_client())
+    router = make_router(settings, platform)
+    router.board.configuration.value = _make_configuration(engine)
+    async with open_server(router.app, LOOPBACK) as address:
+        yield address
+    await platform.client.close()
+
+
+@contextlib.contextmanager
+def _run_in_thread(
+    open_part: Callable[[], contextlib.AbstractAsyncContextManager[str]],
+) -> Iterator[tuple[str, int]]:
+    """Run a part in a thread; yield its address and its processor clock."""
+    with anyio.from_thread.start_blocking_portal() as portal:
+        thread = portal.call(threading.get_ident)
+        with portal.wrap_async_context_manager(open_part()) as address:
+            yield address, time.pthread_getcpuclockid(thread)
+
+
+def _read_memory() -> int:
+    pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    return pages * PAGE_BYTES
+
+
+def run_relay_bench(plan: RelayPlan) -> RelayReport:
+    """Measure the router beside a direct connection."""
+    interval_s = sys.getswitchinterval()
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    try:
+        with (
+            _run_in_thread(lambda: _open_engine(plan)) as (engine, _),
+            _run_in_thread(lambda: _open_router(engine, plan.streams)) as part,
+        ):
+            return anyio.run(_measure, plan, _Way(engine), _Way(part[0]), part[1])
+    finally:
+        sys.setswitchinterval(interval_s)
+
+
+async def _measure(
+    plan: RelayPlan, direct: _Way, router: _Way, clock: int
+) -> RelayReport:
+    for number in range(OPEN_BATCH):
+        await direct.probe(-number - 1)
+        await router.probe(-number - 1)
+    start = _read_memory()
+    await _open_streams(plan, direct, 0)
+    between = _read_memory()
+    await _open_streams(plan, router, plan.streams)
+    end = _read_memory()
+    cpu_s, tokens = await _measure_processor(plan, router, clock)
+    direct.ttft_s.clear()
+    router.ttft_s.clear()
+    await _probe_both(plan, direct, router)
+    for stream in (*direct.streams, *router.streams):
+        if stream.transport is not None:
+            stream.transport.abort()
+    direct_p50, direct_p99 = _take_quantiles(direct.ttft_s)
+    router_p50, router_p99 = _take_quantiles(router.ttft_s)
+    held = (end - between) - (between - start)
+    return RelayReport(
+        streams=plan.streams,
+        added_ttft_p50_ms=round(router_p50 - direct_p50, 3),
+        added_ttft_p99_ms=round(router_p99 - direct_p99, 3),
+        cpu_us_per_token=round(cpu_s * 1e6 / max(1, tokens), 1),
+        kb_per_open_stream=round(held / KIB / plan.streams, 1),
+        direct_ttft_p50_ms=direct_p50,
+        direct_ttft_p99_ms=direct_p99,
+        router_ttft_p50_ms=router_p50,
+        router_ttft_p99_ms=router_p99,
+        tokens=tokens,
+        failed=direct.failed + router.failed,
+    )
+
+
+async def _open_streams(plan: RelayPlan, way: _Way, first: int) -> None:
+    probes = 2 * plan.requests / plan.rate
+    open_s = 2 * plan.streams / OPEN_BATCH * OPEN_PAUSE_S
+    lasting_s = 4 * open_s + plan.measure_s + probes + 30
+    tokens = int(lasting_s / plan.token_s)
+    async with anyio.create_task_group() as group:
+        for number in range(plan.streams):
+            group.start_soon(way.open_stream, first + number, tokens)
+            if number % OPEN_BATCH == 0:
+                await anyio.sleep(OPEN_PAUSE_S)
+    await anyio.sleep(plan.token_s)
+
+
+async def _measure_processor(
+    plan: RelayPlan, way: _Way, clock: int
+) -> tuple[float, int]:
+    used_s = time.clock_gettime(clock)
+    events = way.count_events()
+    await anyio.sleep(plan.measure_s)
+    return time.clock_gettime(clock) - used_s, way.count_events() - events
+
+
+async def _probe_both(plan: RelayPlan, direct: _Way, router: _Way) -> None:
+    base = 10 * plan.streams
+    started_s = time.monotonic()
+    async with anyio.create_task_group() as group:
+        for number in range(plan.requests):
+            for turn, way in enumerate((direct, router)):
+                due_s = started_s + (number + turn / 2) / plan.rate
+                await anyio.sleep(max(0.0, due_s - time.monotonic()))
+                group.start_soon(way.probe, base + number)
+
+
+def _take_quantiles(times_s: list[float]) -> tuple[float, float]:
+    """Return the 50th and the 99th percentile, milliseconds."""
+    ordered = sorted(times_s)
+    if not ordered:
+        return float("inf"), float("inf")
+    last = len(ordered) - 1
+    p50 = ordered[int(0.50 * last)]
+    p99 = ordered[int(0.99 * last)]
+    return round(p50 * 1000, 3), round(p99 * 1000, 3)
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -4,6 +4,7 @@
 
 from . import __version__
 from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_relay import BenchRelayCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_metrics import MetricsPageCommand
@@ -23,6 +24,7 @@
 COMMANDS = (
     ApplyCommand,
     BenchPolicyCommand,
+    BenchRelayCommand,
     CheckCommand,
     DemoCommand,
     ExplainCommand,
