--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -222,6 +222,7 @@
             connect_s=self.limits.connect_s,
             request_s=self.limits.request_s,
             attempt=attempt,
+            streamed=request.streamed,
         )
 
     async def _relay(
--- a/primrosepier/bench_relay.py
+++ b/primrosepier/bench_relay.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from .asgi import open_server
+from .bench_stream_engine import open_stream_engine
 from .configuration import (
     Configuration,
     Endpoint,
@@ -42,7 +43,6 @@
 )
 from .router import Platform, make_router
 from .settings import Limits, RouterSettings
-from .standin_engine import EngineRates, make_engine_standin
 from .store import MemoryStore
 
 __all__ = ["RelayPlan", "RelayReport", "run_relay_bench"]
@@ -199,19 +199,6 @@
     )
 
 
-@contextlib.asynccontextmanager
-async def _open_engine(plan: RelayPlan) -> AsyncIterator[str]:
-    rates = EngineRates(
-        prefill_tokens_per_s=1e7,
-        token_s=plan.token_s,
-        slots=100_000,
-        prefills=1000,
-        cache_blocks=100_000,
-    )
-    async with open_server(make_engine_standin(rates), LOOPBACK) as address:
-        yield address
-
-
 @contextlib.asynccontextmanager
 async def _open_router(engine: str, streams: int) -> AsyncIterator[str]:
     settings = RouterSettings(
@@ -252,7 +239,7 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         with (
-            _run_in_thread(lambda: _open_engine(plan)) as (engine, _),
+            _run_in_thread(lambda: open_stream_engine(plan.token_s)) as (engine, _),
             _run_in_thread(lambda: _open_router(engine, plan.streams)) as part,
         ):
             return anyio.run(_measure, plan, _Way(engine), _Way(part[0]), part[1])
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from .outcomes import NotRun, Step, UnknownOutcome
+from .streamed import StreamedResponse
 from .transport import TcpBackend
 
 __all__ = [
@@ -49,6 +50,8 @@
     ----------
     attempt : str
         Id that the answer must carry, if it carries one.
+    streamed : bool
+        Whether the answer is an event stream, whose bytes are worth saving time on.
     """
 
     address: str
@@ -59,6 +62,7 @@
     connect_s: float
     request_s: float
     attempt: str = ""
+    streamed: bool = False
 
 
 class EndpointResponse(Protocol):
@@ -94,6 +98,7 @@
     def __init__(self) -> None:
         self.idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
         self.backend = TcpBackend()
+        self.streams_backend = TcpBackend(splits_heads=True)
 
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[EndpointResponse]:
@@ -104,7 +109,7 @@
             "read": call.request_s,
             "write": call.request_s,
         }
-        connection = self._take(call.address) or self._connect(call.address)
+        connection = self._take(call) or self._connect(call)
         try:
             async with connection.stream(
                 call.method,
@@ -113,24 +118,27 @@
                 content=call.body,
                 extensions={"timeout": timeout},
             ) as response:
-                yield response
+                if call.streamed:
+                    yield StreamedResponse(response, call.request_s)
+                else:
+                    yield response
         finally:
             await self._give_back(call.address, connection)
 
-    def _take(self, address: str) -> httpcore.AsyncHTTPConnection | None:
-        idle = self.idle.get(address, [])
+    def _take(self, call: EndpointCall) -> httpcore.AsyncHTTPConnection | None:
+        idle = [] if call.streamed else self.idle.get(call.address, [])
         while idle:
             connection = idle.pop()
             if connection.is_available() and not connection.has_expired():
                 return connection
         return None
 
-    def _connect(self, address: str) -> httpcore.AsyncHTTPConnection:
-        host, _, port = address.rpartition(":")
+    def _connect(self, call: EndpointCall) -> httpcore.AsyncHTTPConnection:
+        host, _, port = call.address.rpartition(":")
         return httpcore.AsyncHTTPConnection(
             httpcore.Origin(b"http", host.encode("ascii"), int(port)),
             keepalive_expiry=KEEPALIVE_S,
-            network_backend=self.backend,
+            network_backend=self.streams_backend if call.streamed else self.backend,
         )
 
     async def _give_back(
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -8,6 +8,7 @@
 
 __all__ = ["TcpBackend", "TcpStream"]
 
+HEAD_END = b"\r\n\r\n"
 HIGH_WATER_BYTES = 256 * 1024
 
 
@@ -21,6 +22,8 @@
         self.error: Exception | None = None
         self.paused = False
         self.readable: asyncio.Future[None] | None = None
+        self.deadline_s = float("inf")
+        self.timer: asyncio.TimerHandle | None = None
         self.writable: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -41,6 +44,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ended = True
         self.error = self.error or exc
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         self._wake_reader()
         self.resume_writing()
 
@@ -60,16 +66,32 @@
     async def wait(self, timeout_s: float | None) -> None:
         """Return when there is something to read, or the stream ended."""
         loop = asyncio.get_running_loop()
-        waiter = self.readable = loop.create_future()
-        timer = None
+        self.readable = loop.create_future()
         if timeout_s is not None:
-            timer = loop.call_later(timeout_s, _fail_waiter, waiter)
+            self.deadline_s = loop.time() + timeout_s
+            if self.timer is None or self.timer.when() > self.deadline_s:
+                self._set_timer(loop, self.deadline_s)
         try:
-            await waiter
+            await self.readable
         finally:
             self.readable = None
-            if timer is not None:
-                timer.cancel()
+            self.deadline_s = float("inf")
+
+    def _set_timer(self, loop: asyncio.AbstractEventLoop, when_s: float) -> None:
+        """Keep one timer for many waits; a wait that ends leaves it running."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = loop.call_at(when_s, self._check_deadline, loop)
+
+    def _check_deadline(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.timer = None
+        waiter = self.readable
+        if waiter is None or waiter.done():
+            return
+        if loop.time() < self.deadline_s:
+            self._set_timer(loop, self.deadline_s)
+        else:
+            waiter.set_exception(httpcore.ReadTimeout("no byte in time"))
 
     def take(self, max_bytes: int) -> bytes:
         """Remove and return what was received."""
@@ -81,25 +103,48 @@
         return data
 
 
-def _fail_waiter(waiter: "asyncio.Future[None]") -> None:
-    if not waiter.done():
-        waiter.set_exception(httpcore.ReadTimeout("no byte in time"))
-
-
 class TcpStream(httpcore.AsyncNetworkStream):
-    """One TCP connection over an asyncio transport."""
+    """One TCP connection over an asyncio transport.
 
-    def __init__(self, buffer: _Buffer):
+    Parameters
+    ----------
+    splits_heads : bool
+        Let ``read`` stop after the head of a response, whose bytes are kept in
+        ``head``, so that ``read_body`` gets the whole body.
+    """
+
+    def __init__(self, buffer: _Buffer, splits_heads: bool = False):
         self.buffer = buffer
+        self.splits_heads = splits_heads
+        self.head = b""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as soon as there are any; none at the end."""
+        if not self.splits_heads:
+            return await self.read_body(max_bytes, timeout)
+        await self._wait_for_bytes(timeout)
+        if self.head.endswith(HEAD_END):
+            self.head = b""
+        parts = self.buffer.parts
+        overlap = self.head[1 - len(HEAD_END) :]
+        end = (overlap + parts[: max_bytes - len(overlap)]).find(HEAD_END)
+        if end >= 0:
+            max_bytes = end + len(HEAD_END) - len(overlap)
+        data = self.buffer.take(max_bytes)
+        self.head += data
+        return data
+
+    async def read_body(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return bytes as soon as there are any, whether of a head or not."""
+        await self._wait_for_bytes(timeout)
+        return self.buffer.take(max_bytes)
+
+    async def _wait_for_bytes(self, timeout: float | None) -> None:
         buffer = self.buffer
         if not buffer.parts and not buffer.ended:
             await buffer.wait(timeout)
         if not buffer.parts and buffer.error is not None:
             raise httpcore.ReadError(repr(buffer.error))
-        return buffer.take(max_bytes)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send bytes, waiting while the peer reads too slowly."""
@@ -130,7 +175,16 @@
 
 
 class TcpBackend(httpcore.AsyncNetworkBackend):
-    """Opens TCP connections."""
+    """Opens TCP connections.
+
+    Parameters
+    ----------
+    splits_heads : bool
+        As for ``TcpStream``.
+    """
+
+    def __init__(self, splits_heads: bool = False):
+        self.splits_heads = splits_heads
 
     async def connect_tcp(
         self,
@@ -149,7 +203,7 @@
             raise httpcore.ConnectTimeout(f"{host}:{port}") from cause
         except OSError as cause:
             raise httpcore.ConnectError(str(cause)) from cause
-        return TcpStream(buffer)
+        return TcpStream(buffer, self.splits_heads)
 
     async def sleep(self, seconds: float) -> None:
         """Wait."""
