--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,8 +3,14 @@
 from cleo.application import Application
 
 from . import __version__
-from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_load import (
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
+)
+from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
 from .commands_bench_relay import BenchRelayCommand
+from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_metrics import MetricsPageCommand
@@ -23,8 +29,14 @@
 
 COMMANDS = (
     ApplyCommand,
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
+    BenchDecideCommand,
     BenchPolicyCommand,
     BenchRelayCommand,
+    BenchScaleCommand,
+    CapacityPageCommand,
     CheckCommand,
     DemoCommand,
     ExplainCommand,
