--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -13,7 +13,7 @@
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import MetricsPageCommand
+from .commands_metrics import BoardPictureCommand, MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -36,6 +36,7 @@
     BenchPolicyCommand,
     BenchRelayCommand,
     BenchScaleCommand,
+    BoardPictureCommand,
     CapacityPageCommand,
     CheckCommand,
     DemoCommand,
