--- a/primrosepier/bench_scale.py
+++ b/primrosepier/bench_scale.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from .load_reports import compute_renewal
+from .load_reports import POLLS_PER_S, compute_renewal
 from .membership import MembershipRules
 from .scale_control import measure_control
 from .scale_data import measure_data_path
 from .scale_fits import Slope
 from .scale_loads import measure_loads
 from .scale_peers import measure_peers
+from .scale_polls import measure_polls
 from .scale_store import measure_store
 
 __all__ = ["ScaleReport", "ScaleRules", "run_scale"]
@@ -29,10 +30,13 @@
         Time between two digests of one name at the design size, seconds.
     news_bytes : int
         Bound on the news in one message.
+    polls_per_s : int
+        Replicas whose load one router reads a second, about.
     """
 
     renewal_s: float
     news_bytes: int
+    polls_per_s: int
 
 
 class ScaleReport(msgspec.Struct, frozen=True):
@@ -56,11 +60,17 @@
     slopes: dict[str, Slope]
 
 
+def _read_rules() -> ScaleRules:
+    news_bytes = MembershipRules().budget_bytes
+    return ScaleRules(compute_renewal(NODES), news_bytes, POLLS_PER_S)
+
+
 def run_scale() -> ScaleReport:
     """Measure everything, one matter after the other."""
     started_s = time.monotonic()
     load_before = os.getloadavg()[0]
     slopes = [*measure_control(), *measure_loads(), *measure_peers()]
+    slopes += measure_polls()
     slopes += [*measure_store(), *measure_data_path()]
     return ScaleReport(
         python=platform.python_version(),
@@ -68,6 +78,6 @@
         load_before=load_before,
         load_after=os.getloadavg()[0],
         duration_s=time.monotonic() - started_s,
-        rules=ScaleRules(compute_renewal(NODES), MembershipRules().budget_bytes),
+        rules=_read_rules(),
         slopes={slope.name: slope for slope in slopes},
     )
--- a/primrosepier/capacity.py
+++ b/primrosepier/capacity.py
@@ -111,6 +111,12 @@
                 ("poll_check_cpu", "poll_choice_cpu"),
                 "a ring of routers; chosen anew when routers or configuration change",
             ),
+            Figure(
+                "polls of replicas' load",
+                self.rules.polls_per_s * self.each("poll_cpu"),
+                ("poll_cpu",),
+                f"about {self.rules.polls_per_s} polls a second over HTTP",
+            ),
             Figure(
                 "one exchange a second, sent and answered",
                 self.each("peer_call_cpu") + self.at("membership_cpu", size.nodes),
@@ -146,6 +152,12 @@
         bound = quiet + 2 * self.rules.news_bytes
         changes = size.changes_per_s * self.at("change_bytes", size.workspaces)
         return [
+            Figure(
+                "polls of replicas' load, as short as a stand-in's answer",
+                self.rules.polls_per_s * self.each("poll_bytes"),
+                ("poll_bytes",),
+                f"about {self.rules.polls_per_s} polls a second over HTTP",
+            ),
             Figure(
                 "one exchange a second, sent and answered, with headers",
                 self.each("peer_call_bytes"),
--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -20,6 +20,10 @@
     "one exchange a second, sent and answered": (
         "exchange less often, or over UDP in place of grpclib"
     ),
+    "polls of replicas' load": "read load from the headers of answers, poll idle ones",
+    "polls of replicas' load, as short as a stand-in's answer": (
+        "read load from the headers of answers, and poll idle replicas alone"
+    ),
     "reports of load and usage of all nodes": (
         "share load within a region only, where its requests go"
     ),
@@ -72,7 +76,8 @@
     ),
 )
 NOT_MEASURED = (
-    "processor time of polling replicas' load over HTTP (at most 8 polls/s a node)",
+    "polls of real engines: a page of metrics of 30 KB, 8 times a second, would be "
+    "240 KB/s and over the budget by itself; load that rides on answers would mend it",
     "cache events: no router reads them, so 8.6 million a second cost nothing; reuse "
     "is learned from each answer's cached tokens",
     "orders to load weights, and how often a holder reads the state of its replicas",
--- a/primrosepier/scale_peers.py
+++ b/primrosepier/scale_peers.py
@@ -1,8 +1,10 @@
 """Costs of calls between routers."""
 
+import contextlib
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -13,7 +15,7 @@
 from .scale_control import make_record
 from .scale_fits import Slope, fit_slope
 
-__all__ = ["measure_peers"]
+__all__ = ["ByteCounter", "measure_peers", "open_counter"]
 
 EXCHANGES = (50, 100, 200, 400)
 FORWARDED = (3, 6, 12, 24)
@@ -75,44 +77,66 @@
 async def _count_bytes(
     address: str, port: int, message: Exchange
 ) -> list[tuple[float, float]]:
-    """Return the bytes of both directions, counted by a forwarder on the way."""
-    counted = [0]
+    """Return the bytes of both directions."""
+    measured = []
+    transport = make_transport("key")
+    async with open_counter(address, port) as counter:
+        for count in FORWARDED:
+            before = counter.bytes_passed
+            for _ in range(count):
+                await transport.exchange(counter.address, message, TIMEOUT_S)
+            measured.append((float(count), float(counter.bytes_passed - before)))
+        transport.close()
+    return measured
+
+
+@dataclass(slots=True)
+class ByteCounter:
+    """A forwarder that counts the bytes of both directions.
+
+    Parameters
+    ----------
+    address : str
+        Where it listens, ``IP:PORT``.
+    """
+
+    address: str = ""
+    bytes_passed: int = 0
+
+    async def pump(self, source: ByteStream, target: ByteStream) -> None:
+        """Pass bytes on until the source ends."""
+        try:
+            async for data in source:
+                self.bytes_passed += len(data)
+                await target.send(data)
+        except (anyio.ClosedResourceError, anyio.BrokenResourceError):
+            return
+
+
+@contextlib.asynccontextmanager
+async def open_counter(address: str, port: int) -> AsyncIterator[ByteCounter]:
+    """Forward connections to an address while the context is open."""
+    counter = ByteCounter()
 
     async def forward(caller: SocketStream) -> None:
         server = await anyio.connect_tcp(address, port)
         async with server, anyio.create_task_group() as group:
-            group.start_soon(_pump, caller, server, counted)
-            await _pump(server, caller, counted)
+            group.start_soon(counter.pump, caller, server)
+            await counter.pump(server, caller)
             group.cancel_scope.cancel()
 
-    measured = []
-    transport = make_transport("key")
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", family=socket.AF_INET
     )
     bound = listener.extra(SocketAttribute.local_port)
+    counter.address = f"127.0.0.1:{bound}"
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, listener.serve, forward)
-        for count in FORWARDED:
-            before = counted[0]
-            for _ in range(count):
-                await transport.exchange(f"127.0.0.1:{bound}", message, TIMEOUT_S)
-            measured.append((float(count), float(counted[0] - before)))
-        transport.close()
+        yield counter
         group.cancel_scope.cancel()
-    return measured
 
 
 async def _serve(
     serve: Callable[..., Awaitable[None]], handler: Callable[..., Awaitable[None]]
 ) -> None:
     await serve(handler)
-
-
-async def _pump(source: ByteStream, target: ByteStream, counted: list[int]) -> None:
-    try:
-        async for data in source:
-            counted[0] += len(data)
-            await target.send(data)
-    except (anyio.ClosedResourceError, anyio.BrokenResourceError):
-        return
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,7 @@
     scale_data,
     scale_loads,
     scale_peers,
+    scale_polls,
     scale_store,
 )
 from primrosepier.bench_scale import ScaleReport
@@ -90,6 +91,8 @@
     monkeypatch.setattr(scale_store, "SERVICES", (1, 2, 3, 4))
     monkeypatch.setattr(scale_peers, "EXCHANGES", (1, 2, 3, 4))
     monkeypatch.setattr(scale_peers, "FORWARDED", (1, 2, 3, 4))
+    monkeypatch.setattr(scale_polls, "POLLS", (1, 2, 3, 4))
+    monkeypatch.setattr(scale_polls, "FORWARDED", (1, 2, 3, 4))
     monkeypatch.setattr(scale_store, "WORKSPACES", sizes)
     monkeypatch.setattr(scale_store, "CHECKS", 1)
     monkeypatch.setattr(scale_store, "SPEED", 300.0)
@@ -99,7 +102,7 @@
     monkeypatch.setattr(scale_data, "REQUESTS", (1, 2, 3, 4))
     monkeypatch.setattr(scale_data, "STREAMS", (2, 4, 6, 8))
     slopes = [*scale_control.measure_control(), *scale_loads.measure_loads()]
-    slopes += [*scale_peers.measure_peers()]
+    slopes += [*scale_peers.measure_peers(), *scale_polls.measure_polls()]
     slopes += [*scale_store.measure_store(), *scale_data.measure_data_path()]
     found = {slope.name: slope for slope in slopes}
     assert found.keys() == read_report().slopes.keys()
