--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -9,6 +9,7 @@
     BenchLoadCommand,
 )
 from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
+from .commands_bench_relay import BenchRelayCommand
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
@@ -33,6 +34,7 @@
     BenchLoadCommand,
     BenchDecideCommand,
     BenchPolicyCommand,
+    BenchRelayCommand,
     BenchScaleCommand,
     BoardPictureCommand,
     CapacityPageCommand,
--- a/primrosepier/scale_peers.py
+++ b/primrosepier/scale_peers.py
@@ -1,31 +1,24 @@
-"""Costs of calls between routers, and of what they share."""
+"""Costs of calls between routers."""
 
-import random
+import contextlib
 import socket
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any, cast
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
 
 import anyio
-import msgspec
 from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
-from .board import make_board
-from .engines import make_endpoint_client
-from .gossip import Gossip
-from .ids import EndpointId, HostId
-from .load_reports import LoadReports, SharedLoad
-from .membership import MemberState, make_membership
-from .messages import DigestRecord, Exchange, MemberRecord, encode_message
+from .messages import Exchange, encode_message
 from .peers import GrpcTransport, bind_listener, make_transport, open_peer_server
-from .scale_fits import Slope, fit_slope, measure_cpu
+from .scale_control import make_record
+from .scale_fits import Slope, fit_slope
 
-__all__ = ["measure_peers"]
+__all__ = ["ByteCounter", "measure_peers", "open_counter"]
 
 EXCHANGES = (50, 100, 200, 400)
 FORWARDED = (3, 6, 12, 24)
-NODES = (60, 240, 470, 940)
-LOADS_PER_NODE = 4
 TIMEOUT_S = 5.0
 LOOPBACK = "127.0.0.1:0"
 
@@ -47,21 +40,15 @@
 
 
 def measure_peers() -> list[Slope]:
-    """Return the slopes of calls between routers and of shared load."""
-    return [*anyio.run(_measure_calls), _measure_shared_load()]
-
-
-def _make_record(number: int) -> MemberRecord:
-    address = f"10.1.{number >> 8}.{number & 255}:7000"
-    host = f"entry-{number:04d}"
-    return MemberRecord(host, address, "domain-1", 1, MemberState.ALIVE)
+    """Return the slopes of calls between routers."""
+    return anyio.run(_measure_calls)
 
 
 async def _measure_calls() -> list[Slope]:
     listener = bind_listener(LOOPBACK)
     address, port = listener.getsockname()[:2]
     transport = make_transport("key")
-    message = Exchange(_make_record(0))
+    message = Exchange(make_record(0))
     async with open_peer_server(_Echo(), transport.codec, listener):
         cpu = await _time_calls(transport, f"{address}:{port}", message)
         sent = await _count_bytes(address, port, message)
@@ -90,84 +77,66 @@
 async def _count_bytes(
     address: str, port: int, message: Exchange
 ) -> list[tuple[float, float]]:
-    """Return the bytes of both directions, counted by a forwarder on the way."""
-    counted = [0]
+    """Return the bytes of both directions."""
+    measured = []
+    transport = make_transport("key")
+    async with open_counter(address, port) as counter:
+        for count in FORWARDED:
+            before = counter.bytes_passed
+            for _ in range(count):
+                await transport.exchange(counter.address, message, TIMEOUT_S)
+            measured.append((float(count), float(counter.bytes_passed - before)))
+        transport.close()
+    return measured
+
+
+@dataclass(slots=True)
+class ByteCounter:
+    """A forwarder that counts the bytes of both directions.
+
+    Parameters
+    ----------
+    address : str
+        Where it listens, ``IP:PORT``.
+    """
+
+    address: str = ""
+    bytes_passed: int = 0
+
+    async def pump(self, source: ByteStream, target: ByteStream) -> None:
+        """Pass bytes on until the source ends."""
+        try:
+            async for data in source:
+                self.bytes_passed += len(data)
+                await target.send(data)
+        except (anyio.ClosedResourceError, anyio.BrokenResourceError):
+            return
+
+
+@contextlib.asynccontextmanager
+async def open_counter(address: str, port: int) -> AsyncIterator[ByteCounter]:
+    """Forward connections to an address while the context is open."""
+    counter = ByteCounter()
 
     async def forward(caller: SocketStream) -> None:
         server = await anyio.connect_tcp(address, port)
         async with server, anyio.create_task_group() as group:
-            group.start_soon(_pump, caller, server, counted)
-            await _pump(server, caller, counted)
+            group.start_soon(counter.pump, caller, server)
+            await counter.pump(server, caller)
             group.cancel_scope.cancel()
 
-    measured = []
-    transport = make_transport("key")
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", family=socket.AF_INET
     )
     bound = listener.extra(SocketAttribute.local_port)
+    counter.address = f"127.0.0.1:{bound}"
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, listener.serve, forward)
-        for count in FORWARDED:
-            before = counted[0]
-            for _ in range(count):
-                await transport.exchange(f"127.0.0.1:{bound}", message, TIMEOUT_S)
-            measured.append((float(count), float(counted[0] - before)))
-        transport.close()
+        yield counter
         group.cancel_scope.cancel()
-    return measured
 
 
 async def _serve(
     serve: Callable[..., Awaitable[None]], handler: Callable[..., Awaitable[None]]
 ) -> None:
     await serve(handler)
-
-
-async def _pump(source: ByteStream, target: ByteStream, counted: list[int]) -> None:
-    try:
-        async for data in source:
-            counted[0] += len(data)
-            await target.send(data)
-    except (anyio.ClosedResourceError, anyio.BrokenResourceError):
-        return
-
-
-class _Members:
-    """The part of a gossip that load reports read."""
-
-    def __init__(self, nodes: int):
-        self.membership = make_membership(_make_record(0), random.Random(1))
-        for number in range(1, nodes):
-            self.membership.receive(Exchange(_make_record(number)), 0.0)
-
-
-def _measure_shared_load() -> Slope:
-    measured = []
-    for nodes in NODES:
-        members = _Members(nodes)
-        _share_loads(members, nodes)
-        board = make_board()
-        reports = LoadReports(
-            board,
-            board.load.take_writer("bench"),
-            make_endpoint_client(),
-            cast(Gossip, members),
-            lambda endpoint, leaving: None,
-        )
-        cpu_s = measure_cpu(lambda r=reports: r.update(1.0), 5)  # type: ignore[misc]
-        measured.append((float(nodes), cpu_s))
-    return fit_slope("shared_load_cpu", "nodes", "s a second", measured)
-
-
-def _share_loads(members: _Members, nodes: int) -> None:
-    for number in range(1, nodes):
-        first = number * LOADS_PER_NODE
-        loads = [
-            SharedLoad(EndpointId(f"endpoint-{first + n:05d}"), 5, 1, 100)
-            for n in range(LOADS_PER_NODE)
-        ]
-        data = msgspec.msgpack.encode(loads)
-        host = HostId(f"entry-{number:04d}")
-        record = DigestRecord("load", host, 1, 1, ttl_ms=600_000, data=data)
-        members.membership.digests.receive(record, 0.0)
