--- /dev/null
+++ b/primrosepier/fault_engines.py
@@ -0,0 +1,218 @@
+"""Fake engines and the fake network between routers and them."""
+
+import contextlib
+import hashlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpcore
+import msgspec
+
+from .clocks import Clock
+from .configuration import Endpoint
+from .engines import EndpointCall
+from .fault_record import EngineRun
+from .ids import HostId, WorkspaceId
+from .prompts import hash_blocks
+from .standin_answers import Answer, make_answer
+
+if TYPE_CHECKING:
+    from .fault_world import World
+
+__all__ = ["POISON", "FakeClient", "FakeEngine", "find_header_value"]
+
+POISON = "poison"
+HOP_S = 0.0005
+PREFILL_S = 0.01
+TOKEN_S = 0.02
+STALE_ANSWERS = 4
+
+
+def find_header_value(headers: tuple[tuple[str, str], ...], name: str) -> str:
+    """Return a header's value, or an empty text."""
+    return next((value for key, value in headers if key.lower() == name), "")
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """One engine: it runs what reaches it, and fails when it is told to.
+
+    Parameters
+    ----------
+    cache : dict
+        Owner of each cached block, by salt and block.
+    stale : list of Answer
+        Earlier answers, for crossing them.
+    """
+
+    endpoint: Endpoint
+    version: str = "1"
+    alive: bool = True
+    frozen: bool = False
+    leaving: bool = False
+    incarnation: int = 0
+    running: int = 0
+    cross_next: int = 0
+    truncate_next: int = 0
+    cache: dict[tuple[str, int], tuple[WorkspaceId, str]] = field(default_factory=dict)
+    stale: list[tuple[str, Answer]] = field(default_factory=list)
+
+    def crash(self) -> None:
+        """Lose everything; calls in progress break."""
+        self.alive = False
+        self.incarnation += 1
+        self.cache.clear()
+
+    def count_foreign(self, salt: str, text: str, owner: WorkspaceId) -> int:
+        """Use and fill the cache; return the blocks that belong to somebody else."""
+        foreign = 0
+        seed = int.from_bytes(hashlib.sha256(salt.encode()).digest()[:8], "big")
+        for block in hash_blocks(text, seed):
+            entry = self.cache.setdefault((salt, block), (owner, self.version))
+            foreign += entry != (owner, self.version)
+        return foreign
+
+
+@dataclass(slots=True)
+class FakeResponse:
+    """A response that is made while it is read."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: AsyncIterator[bytes]
+
+    def aiter_stream(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        return self.body
+
+
+async def _yield_bytes(data: bytes) -> AsyncIterator[bytes]:
+    yield data
+
+
+@dataclass(slots=True)
+class FakeClient:
+    """One router's calls to the fake engines."""
+
+    world: "World"
+    router: HostId
+    process: int
+    clock: Clock
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    @contextlib.asynccontextmanager
+    async def open(self, call: EndpointCall) -> AsyncIterator[FakeResponse]:
+        """Send a call to the engine at its address."""
+        engine = self.world.engines_by_address[call.address]
+        await self._travel(engine, call.connect_s)
+        if call.path == "/metrics":
+            text = f"num_requests_running {engine.running}\nnum_requests_waiting 0\n"
+            yield FakeResponse(200, self._make_headers(engine, ""), _yield_bytes(text.encode()))
+            return
+        engine.running += 1
+        try:
+            response = await self._run(engine, call)
+            yield response
+        finally:
+            engine.running -= 1
+
+    async def _travel(self, engine: FakeEngine, connect_s: float) -> None:
+        await self.world.wait_thawed(self.process)
+        await anyio.sleep(HOP_S)
+        if self.world.is_cut(self.router, engine.endpoint.id):
+            await anyio.sleep(connect_s)
+            raise httpcore.ConnectTimeout("no answer")
+        if not engine.alive:
+            raise httpcore.ConnectError("refused")
+
+    def _make_headers(
+        self, engine: FakeEngine, attempt: str
+    ) -> list[tuple[bytes, bytes]]:
+        headers = [(b"x-weights-version", engine.version.encode())]
+        if attempt:
+            headers.append((b"x-attempt-id", attempt.encode()))
+        if engine.leaving:
+            headers.append((b"x-endpoint-leaving", b"1"))
+            self.world.record_sign(engine.endpoint.id)
+        return headers
+
+    async def _run(self, engine: FakeEngine, call: EndpointCall) -> FakeResponse:
+        body = msgspec.json.decode(call.body)
+        text = str(body["prompt"])
+        attempt = find_header_value(call.headers, "x-attempt-id")
+        self._record_run(engine, call, body, text)
+        incarnation = engine.incarnation
+        await self._pause(engine, incarnation, PREFILL_S)
+        if POISON in text:
+            self.world.crash_engine(engine)
+            raise httpcore.RemoteProtocolError("the engine crashed")
+        tokens = make_answer(text, int(body["max_tokens"]), engine.version)
+        answer = Answer("cmpl", False, "m", "f", tokens, 10, 0)
+        if engine.cross_next and engine.stale:
+            engine.cross_next -= 1
+            attempt, answer = engine.stale[0]
+        engine.stale = [(attempt, answer), *engine.stale][:STALE_ANSWERS]
+        headers = self._make_headers(engine, attempt)
+        if not body.get("stream"):
+            await self._pause(engine, incarnation, TOKEN_S * len(answer.tokens))
+            whole = _yield_bytes(answer.render_whole())
+            return FakeResponse(200, headers, whole)
+        return FakeResponse(200, headers, self._stream(engine, incarnation, answer, body))
+
+    def _record_run(
+        self, engine: FakeEngine, call: EndpointCall, body: dict[str, Any], text: str
+    ) -> None:
+        request = find_header_value(call.headers, "x-request-id")
+        workspace, key = self.world.callers_by_text[text]
+        salt = str(body.get("cache_salt", ""))
+        if "cache_isolation" in self.world.broken:
+            salt = ""
+        self.world.record.runs.append(
+            EngineRun(
+                at_s=self.clock(),
+                endpoint=engine.endpoint.id,
+                router=self.router,
+                request=request,
+                workspace=workspace,
+                key=key,
+                foreign_blocks=engine.count_foreign(salt, text, workspace),
+            )
+        )
+
+    async def _stream(
+        self, engine: FakeEngine, incarnation: int, answer: Answer, body: dict[str, Any]
+    ) -> AsyncIterator[bytes]:
+        resumed = (body.get("resume") or {}).get("text", "")
+        start = sum(
+            1
+            for index in range(len(answer.tokens))
+            if len("".join(answer.tokens[: index + 1])) <= len(resumed)
+        )
+        truncated = engine.truncate_next > 0
+        engine.truncate_next -= truncated
+        for number, event in enumerate(answer.render_events(start)):
+            await self._pause(engine, incarnation, TOKEN_S)
+            if truncated and number == 1:
+                return
+            yield event
+        if (body.get("stream_options") or {}).get("include_usage"):
+            yield answer.render_usage_event()
+        yield b"data: [DONE]\n\n"
+
+    async def _pause(
+        self, engine: FakeEngine, incarnation: int, seconds: float
+    ) -> None:
+        await anyio.sleep(seconds)
+        await self.world.wait_thawed(self.process)
+        while engine.frozen and engine.incarnation == incarnation:
+            await anyio.sleep(TOKEN_S)
+        if engine.incarnation != incarnation:
+            raise httpcore.ReadError("connection reset")
+        if self.world.is_cut(self.router, engine.endpoint.id):
+            raise httpcore.ReadError("connection reset")
+
+
--- /dev/null
+++ b/primrosepier/fault_platform.py
@@ -0,0 +1,178 @@
+"""Fake platform between routers, the key-value service and each other."""
+
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from .hosts import HostGroup
+from .ids import HostId, Revision
+from .messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Exchange,
+    ProbeReply,
+    ProbeRequest,
+    StatusReply,
+    StatusRequest,
+)
+from .outcomes import Step
+from .peers import PeerFailure
+from .store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    LeaseGranted,
+    LeaseLost,
+    MemoryStore,
+    Put,
+    Snapshot,
+    Unavailable,
+    WatchEvent,
+)
+
+if TYPE_CHECKING:
+    from .fault_world import RouterProcess, World
+
+__all__ = ["FakeHostList", "FakeTransport", "RouterStore"]
+
+HOP_S = 0.001
+CALL_TIMEOUT_S = 2.0
+STORE = "store"
+
+
+@dataclass(slots=True)
+class RouterStore:
+    """One router's way to the key-value service."""
+
+    store: MemoryStore
+    world: "World"
+    router: HostId
+    process: int
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    async def _reach(self) -> Unavailable | None:
+        await self.world.wait_thawed(self.process)
+        await anyio.sleep(HOP_S)
+        if self.world.is_cut(self.router, STORE):
+            await anyio.sleep(CALL_TIMEOUT_S)
+            return Unavailable(Step.CONNECT, STORE, "no answer")
+        return None
+
+    async def read(self, prefix: str) -> Snapshot | Unavailable:
+        """Return the items whose keys start with a prefix."""
+        return await self._reach() or await self.store.read(prefix)
+
+    async def transact(
+        self, compares: Sequence[Compare], puts: Sequence[Put]
+    ) -> Applied | Conflict | Ambiguous | LeaseLost | Unavailable:
+        """Write all or nothing; an answer may be lost on its way back."""
+        refused = await self._reach()
+        if refused is not None:
+            return refused
+        outcome = await self.store.transact(compares, puts)
+        await self.world.wait_thawed(self.process)
+        if self.world.is_cut(self.router, STORE):
+            return Ambiguous(Step.HEADERS, STORE, "the answer was lost")
+        return outcome
+
+    async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
+        """Yield the changes until the way is cut."""
+        if await self._reach() is not None:
+            return
+        async for event in self.store.watch(prefix, revision):
+            await self.world.wait_thawed(self.process)
+            if self.world.is_cut(self.router, STORE):
+                return
+            yield event
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
+        """Return a new lease."""
+        return await self._reach() or await self.store.grant_lease(ttl_s)
+
+    async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
+        """Extend a lease."""
+        return await self._reach() or await self.store.keep_alive(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        if await self._reach() is None:
+            await self.store.revoke_lease(lease)
+
+
+@dataclass(slots=True)
+class FakeTransport:
+    """One router's calls to its peers."""
+
+    world: "World"
+    router: HostId
+    process: int
+
+    async def _reach(
+        self, address: str, timeout_s: float
+    ) -> "RouterProcess | PeerFailure":
+        await self.world.wait_thawed(self.process)
+        await anyio.sleep(HOP_S)
+        peer = self.world.find_process(address)
+        if peer is None:
+            return PeerFailure(Step.CONNECT, address, "refused")
+        if peer.frozen or self.world.is_cut(self.router, peer.host):
+            await anyio.sleep(timeout_s)
+            return PeerFailure(Step.CONNECT, address, "no answer")
+        return peer
+
+    async def exchange(
+        self, address: str, message: Exchange, timeout_s: float
+    ) -> Exchange | PeerFailure:
+        """Send a probe and return its answer."""
+        peer = await self._reach(address, timeout_s)
+        if isinstance(peer, PeerFailure):
+            return peer
+        return await peer.peering.gossip.answer_exchange(message)
+
+    async def probe(
+        self, address: str, message: ProbeRequest, timeout_s: float
+    ) -> ProbeReply | PeerFailure:
+        """Ask a router to probe another."""
+        peer = await self._reach(address, timeout_s)
+        if isinstance(peer, PeerFailure):
+            return peer
+        return await peer.peering.gossip.answer_probe(message)
+
+    async def fetch_configuration(
+        self, address: str, message: ConfigurationRequest, timeout_s: float
+    ) -> ConfigurationReply | PeerFailure:
+        """Ask for a newer configuration."""
+        peer = await self._reach(address, timeout_s)
+        if isinstance(peer, PeerFailure):
+            return peer
+        return await peer.peering.gossip.answer_configuration(message)
+
+    async def read_status(
+        self, address: str, timeout_s: float
+    ) -> StatusReply | PeerFailure:
+        """Ask a router to describe itself."""
+        peer = await self._reach(address, timeout_s)
+        if isinstance(peer, PeerFailure):
+            return peer
+        return await peer.peering.gossip.answer_status(StatusRequest())
+
+
+@dataclass(slots=True)
+class FakeHostList:
+    """The host list: it may lag, be down, or leave hosts out."""
+
+    world: "World"
+    process: int
+
+    async def read(self) -> list[HostGroup] | PeerFailure:
+        """Return the groups of the list."""
+        await self.world.wait_thawed(self.process)
+        await anyio.sleep(HOP_S)
+        if self.world.hosts_down:
+            return PeerFailure(Step.CONNECT, "host list", "refused")
+        return self.world.list_hosts()
