--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -4,7 +4,13 @@
 
 from . import __version__
 from .commands_bench_faults import BenchFaultsCommand
+from .commands_bench_load import (
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
+)
 from .commands_bench_policy import BenchPolicyCommand
+from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
 from .commands_metrics import MetricsPageCommand
@@ -24,7 +30,12 @@
 COMMANDS = (
     ApplyCommand,
     BenchFaultsCommand,
+    BenchCompareCommand,
+    BenchExperimentCommand,
+    BenchLoadCommand,
     BenchPolicyCommand,
+    BenchScaleCommand,
+    CapacityPageCommand,
     CheckCommand,
     DemoCommand,
     ExplainCommand,
