--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -67,6 +67,8 @@
     log : Log
     claims : Claims
     plain : PlainCalls
+    prepared : bool
+        Whether the router has learned what it needs beside the configuration.
     in_progress : int
         Requests that are being served.
     metrics : Metrics
@@ -80,6 +82,7 @@
     plain: PlainCalls
     metrics: Metrics
     stopping: bool = False
+    prepared: bool = True
     in_progress: int = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -126,7 +129,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the router may get new requests."""
-        return not self.stopping and self.board.configuration.value is not None
+        configured = self.board.configuration.value is not None
+        return configured and self.prepared and not self.stopping
 
     async def _send_readiness(self, send: Send) -> None:
         if self.is_ready():
--- a/primrosepier/fault_callers.py
+++ b/primrosepier/fault_callers.py
@@ -73,7 +73,7 @@
             await process.router.app(self.scope, self.receive, self.send)
         finally:
             process.in_progress -= 1
-            self.drained = process.router.app.stopping
+            self.drained = process.router.app.stopping and not process.killed
             self.ended.set()
 
 
--- a/primrosepier/fault_world.py
+++ b/primrosepier/fault_world.py
@@ -76,6 +76,7 @@
     group: TaskGroup | None = None
     frozen: bool = False
     alive: bool = True
+    killed: bool = False
     in_progress: int = 0
 
     def is_ready(self) -> bool:
@@ -193,6 +194,7 @@
         peering = make_peering(parts, address, transport)
         peering.leaving.hosts = FakeHostList(self, number)  # type: ignore[assignment]
         peering.leaving.random = self._make_source()
+        router.peering = peering
         return RouterProcess(host, number, address, router, peering)
 
     def _make_source(self) -> random.Random:
@@ -205,10 +207,15 @@
                 group.start_soon(process.router.mirror.run)
                 group.start_soon(process.router.claims.run)
                 process.peering.start(group)
+                group.start_soon(process.router.prepare)
         process.alive = False
 
     def kill_router(self, process: RouterProcess) -> None:
-        """End a process at once; its calls are cut."""
+        """Kill a process; its calls are cut."""
+        process.killed = True
+        self._end_router(process)
+
+    def _end_router(self, process: RouterProcess) -> None:
         process.alive = False
         process.frozen = False
         process.scope.cancel()
@@ -222,7 +229,7 @@
                 await anyio.sleep(STEP_S)
         if process.alive:
             await process.peering.gossip.leave()
-            self.kill_router(process)
+            self._end_router(process)
 
     async def apply(self, serial: int) -> None:
         """Put a configuration in force, as an operator does."""
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -34,6 +34,7 @@
 PROBE_TIMEOUT_S = 0.5
 PUSH_TIMEOUT_S = 0.5
 JOIN_TIMEOUT_S = 2.0
+JOIN_SEEDS = 3
 FETCH_TIMEOUT_S = 5.0
 WATCH_GRACE_S = 1.0
 
@@ -93,6 +94,14 @@
                 due_s = max(due_s + round_s, now_s)
                 await anyio.sleep(due_s - now_s)
 
+    async def join(self) -> None:
+        """Exchange everything with a few of the routers that the settings name."""
+        seeds = self.membership.seeds
+        count = min(JOIN_SEEDS, len(seeds))
+        async with anyio.create_task_group() as group:
+            for address in self.membership.random.sample(seeds, count):
+                group.start_soon(self._synchronize, address, None)
+
     def _start_round(self, now_s: float, group: TaskGroup) -> None:
         self.membership.revision = self.source.revision
         self._call_listeners(now_s)
--- a/primrosepier/leaving_controller.py
+++ b/primrosepier/leaving_controller.py
@@ -63,15 +63,21 @@
     async def run(self) -> None:
         """Read the host list until cancelled."""
         while self.hosts is not None:
-            groups = await self.hosts.read()
-            if isinstance(groups, PeerFailure):
-                self.failures += 1
-            else:
-                self.groups = groups
-                self.update(self.clock())
+            await self.read_list()
             interval_s = compute_poll_interval(1 + len(self.board.peers.value))
             await anyio.sleep(interval_s * self.random.uniform(0.8, 1.0))
 
+    async def read_list(self) -> None:
+        """Read the host list once."""
+        if self.hosts is None:
+            return
+        groups = await self.hosts.read()
+        if isinstance(groups, PeerFailure):
+            self.failures += 1
+            return
+        self.groups = groups
+        self.update(self.clock())
+
     def observe_response(self, endpoint: EndpointId, leaving: bool) -> None:
         """Take in what a response said of its endpoint."""
         now_s = self.clock()
--- a/primrosepier/load_reports.py
+++ b/primrosepier/load_reports.py
@@ -110,12 +110,16 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            async with anyio.create_task_group() as group:
-                for endpoint in self._list_polled():
-                    group.start_soon(self._poll, endpoint)
-            self.update(self.clock())
+            await self.poll()
             await anyio.sleep(POLL_S * self.random.uniform(0.8, 1.0))
 
+    async def poll(self) -> None:
+        """Poll this router's share of the endpoints once."""
+        async with anyio.create_task_group() as group:
+            for endpoint in self._list_polled():
+                group.start_soon(self._poll, endpoint)
+        self.update(self.clock())
+
     def _list_polled(self) -> list[Endpoint]:
         configuration = self.board.configuration.value
         if configuration is None:
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+import anyio
 from anyio.abc import TaskGroup
 
 from .attempt import Attempts
@@ -55,6 +56,14 @@
     loads: LoadReports
     sharing: Sharing
 
+    async def learn(self) -> None:
+        """Learn which endpoints are leaving from everybody who may know."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.gossip.join)
+            group.start_soon(self.leaving.read_list)
+            group.start_soon(self.loads.poll)
+        self.leaving.update(self.leaving.clock())
+
     def start(self, group: TaskGroup) -> None:
         """Run the controllers in a task group."""
         self.gossip.on_round += [self.sharing.update, self.leaving.update]
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -37,6 +37,8 @@
 ]
 
 ABORT_GRACE_S = 1.0
+PREPARE_BOUND_S = 0.5
+PREPARE_CHECK_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,17 @@
     peers_address: str = ""
     peering: Peering | None = None
 
+    async def prepare(self) -> None:
+        """Learn which endpoints are leaving, then take the router into service.
+
+        A host list or peer that does not answer delays this by a bound only.
+        """
+        while self.board.configuration.value is None or self.peering is None:
+            await anyio.sleep(PREPARE_CHECK_S)
+        with anyio.move_on_after(PREPARE_BOUND_S):
+            await self.peering.learn()
+        self.app.prepared = True
+
     def compute_grace(self) -> float:
         """Return the bound on requests in progress at the end, seconds."""
         return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
@@ -93,6 +106,7 @@
     plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
+    app.prepared = False
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
     mirror = make_mirror(
@@ -147,6 +161,7 @@
             ) as router.callers_address,
         ):
             router.peers_address = router.peering.address
+            group.start_soon(router.prepare)
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
