--- a/primrosepier/fault_world.py
+++ b/primrosepier/fault_world.py
@@ -194,6 +194,7 @@
         peering = make_peering(parts, address, transport)
         peering.leaving.hosts = FakeHostList(self, number)  # type: ignore[assignment]
         peering.leaving.random = self._make_source()
+        peering.loads.random = self._make_source()
         router.peering = peering
         return RouterProcess(host, number, address, router, peering)
 
--- a/primrosepier/leaving_controller.py
+++ b/primrosepier/leaving_controller.py
@@ -10,7 +10,7 @@
 from .board import Board, SectionWriter
 from .clocks import Clock
 from .gossip import Gossip
-from .hosts import HostGroup, HostListClient, match_hosts
+from .hosts import HostGroup, HostListClient, list_routers, match_hosts
 from .ids import EndpointId
 from .leaving import LeavingLedger, LeavingView, PeerSigns
 from .peers import PeerFailure
@@ -76,6 +76,7 @@
             self.failures += 1
             return
         self.groups = groups
+        self.gossip.add_seeds(list_routers(groups))
         self.update(self.clock())
 
     def observe_response(self, endpoint: EndpointId, leaving: bool) -> None:
