--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -10,10 +10,11 @@
     BenchLoadCommand,
 )
 from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
+from .commands_bench_relay import BenchRelayCommand
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import MetricsPageCommand
+from .commands_metrics import BoardPictureCommand, MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -35,7 +36,9 @@
     BenchLoadCommand,
     BenchDecideCommand,
     BenchPolicyCommand,
+    BenchRelayCommand,
     BenchScaleCommand,
+    BoardPictureCommand,
     CapacityPageCommand,
     CheckCommand,
     DemoCommand,
