--- a/primrosepier/load_reports.py
+++ b/primrosepier/load_reports.py
@@ -119,31 +119,21 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-<<<<<<< HEAD
             await self.poll()
             await anyio.sleep(POLL_S * self.random.uniform(0.8, 1.0))
 
     async def poll(self) -> None:
-        """Poll this router's share of the endpoints once."""
+        """Read this router's share of the endpoints once."""
         async with anyio.create_task_group() as group:
-            for endpoint in self._list_polled():
+            for endpoint in self.list_polled():
                 group.start_soon(self._poll, endpoint)
         self.update(self.clock())
 
-    def _list_polled(self) -> list[Endpoint]:
-=======
-            async with anyio.create_task_group() as group:
-                for endpoint in self.list_polled():
-                    group.start_soon(self._poll, endpoint)
-            self.update(self.clock())
-            await anyio.sleep(POLL_S * self.random.uniform(0.8, 1.0))
-
     def list_polled(self) -> list[Endpoint]:
         """Return the endpoints that this router reads.
 
         They are chosen anew when the configuration or the live routers changed.
         """
->>>>>>> main
         configuration = self.board.configuration.value
         if configuration is None:
             return []
