Run the OpenAI client against the demo, and make and replay traces

Cause: nothing showed that an unmodified client works, a trace could not be made or sent from the command line, and the demo's table called every uncached token recomputed, also those that no engine had computed before.

--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -24,6 +24,7 @@
     StandinWeightsCommand,
 )
 from .commands_status import StatusCommand
+from .commands_trace import TraceGenerateCommand, TraceReplayCommand
 
 __all__ = ["main", "make_application"]
 
@@ -51,6 +52,8 @@
     StandinWeightsCommand,
     TimelineCommand,
     StatusCommand,
+    TraceGenerateCommand,
+    TraceReplayCommand,
 )
 
 
--- a/primrosepier/commands_demo.py
+++ b/primrosepier/commands_demo.py
@@ -1,5 +1,6 @@
 """The demo command."""
 
+import contextlib
 from dataclasses import asdict
 from pathlib import Path
 
@@ -28,8 +29,12 @@
 
     def handle(self) -> int:
         """Run the command."""
+        if not str(self.option("seed")).isdecimal():
+            self.line_error(f"--seed: {self.option('seed')!r} is not a whole number")
+            return 1
         if self.option("serve"):
-            anyio.run(self._serve)
+            with contextlib.suppress(KeyboardInterrupt):
+                anyio.run(self._serve)
             return 0
         report = anyio.run(self._replay)
         self._print_report(report)
@@ -72,7 +77,7 @@
             ["complete streams", str(report.complete)],
             ["correct answers", str(report.correct)],
             ["hit rate", f"{report.hit_rate:.3f}"],
-            ["recomputed tokens", str(report.recomputed_tokens)],
+            ["wasted tokens", str(report.wasted_tokens)],
             ["TTFT p50 (ms)", f"{report.ttft_p50_s * 1000:.1f}"],
             ["TTFT p99 (ms)", f"{report.ttft_p99_s * 1000:.1f}"],
         ]
--- a/primrosepier/replay.py
+++ b/primrosepier/replay.py
@@ -2,9 +2,11 @@
 
 import math
 import re
+import secrets
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import urlsplit
 
 import anyio
@@ -18,6 +20,7 @@
     make_endpoint_client,
 )
 from .errors import TraceError
+from .prompts import BLOCK_TOKENS
 from .relay import Tail
 from .standin_engine import make_answer
 from .traces import TraceRequest, render_prompt
@@ -25,6 +28,7 @@
 __all__ = [
     "ReplayReport",
     "Sample",
+    "fetch_first_model",
     "parse_address",
     "replay_trace",
     "summarize_samples",
@@ -38,7 +42,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """What one replayed request showed."""
+    """What one replayed request showed.
+
+    Parameters
+    ----------
+    wasted_tokens : int
+        Prompt tokens that were computed although an earlier request of the same
+        workspace had them.
+    """
 
     status: int
     ttft_s: float
@@ -46,6 +57,7 @@
     cached_tokens: int
     complete: bool
     correct: bool
+    wasted_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +69,8 @@
     correct: int
     failed: int
     hit_rate: float
-    recomputed_tokens: int
+    computed_tokens: int
+    wasted_tokens: int
     ttft_p50_s: float
     ttft_p99_s: float
 
@@ -73,10 +86,12 @@
     client: EndpointClient
     on_sample: Callable[[int], None]
     samples: list[Sample] = field(default_factory=list)
+    seen: set[int] = field(default_factory=set)
 
     async def send(self, number: int, request: TraceRequest) -> None:
         """Send one request and keep its sample."""
         text = render_prompt(request)
+        seen = self.count_seen(request)
         call = self._make_call(self.urls[number % len(self.urls)], request, text)
         started = time.monotonic()
         first = math.nan
@@ -91,48 +106,67 @@
                     parts.append(chunk)
         except (*CONNECT_ERRORS, *RELAY_ERRORS):
             pass
-        self.keep(request, text, status, first, b"".join(parts))
+        self.keep(request, text, seen, status, first, b"".join(parts))
 
     def _make_call(self, url: str, request: TraceRequest, text: str) -> EndpointCall:
-        body = {
+        body: dict[str, Any] = {
             "model": request.model or self.model,
             "prompt": text,
             "max_tokens": request.output_length,
-            "priority": request.priority,
             "stream": True,
             "stream_options": {"include_usage": True},
         }
+        if request.priority:
+            body["priority"] = request.priority
+        headers = [("content-type", "application/json")]
+        if not request.repeatable:
+            headers.append(("idempotency-key", secrets.token_hex()))
         key = self.keys.get(request.workspace) or next(iter(self.keys.values()))
         return EndpointCall(
             address=parse_address(url),
             method="POST",
             path="/v1/completions",
-            headers=(
-                ("authorization", f"Bearer {key}"),
-                ("content-type", "application/json"),
-            ),
+            headers=(("authorization", f"Bearer {key}"), *headers),
             body=msgspec.json.encode(body),
             connect_s=CONNECT_S,
             request_s=REQUEST_S,
         )
 
+    def count_seen(self, request: TraceRequest) -> int:
+        """Return the prompt tokens that earlier requests had, and take in this one."""
+        chain: tuple[int, ...] = ()
+        count = 0
+        for number in request.hash_ids:
+            chain = (hash((request.workspace, *chain, number)),)
+            count += chain[0] in self.seen
+            self.seen.add(chain[0])
+        return min(count * BLOCK_TOKENS, request.input_length)
+
     def keep(
-        self, request: TraceRequest, text: str, status: int, first: float, data: bytes
+        self,
+        request: TraceRequest,
+        text: str,
+        seen: int,
+        status: int,
+        first: float,
+        data: bytes,
     ) -> None:
         """Keep the sample of one answer."""
         tail = Tail()
         tail.add(data)
         complete = status == HTTP_OK and tail.has_end_marker()
-        answer = b"".join(TEXT.findall(data)).decode()
+        answer = b"".join(TEXT.findall(data)).decode(errors="replace")
+        cached = tail.read_cached_tokens()
         expected = "".join(make_answer(text, request.output_length))
         self.samples.append(
             Sample(
                 status=status,
                 ttft_s=first,
                 prompt_tokens=request.input_length,
-                cached_tokens=tail.read_cached_tokens(),
+                cached_tokens=cached,
                 complete=complete,
                 correct=complete and (not self.check or answer == expected),
+                wasted_tokens=max(0, seen - cached),
             )
         )
         self.on_sample(len(self.samples))
@@ -161,6 +195,8 @@
     model : str
         Model of requests that name none.
     """
+    for url in urls:
+        parse_address(url)
     client = make_endpoint_client()
     replay = Replay(urls, keys, model, check, client, on_sample)
     started = time.monotonic()
@@ -187,6 +223,33 @@
     return parts.netloc
 
 
+async def fetch_first_model(url: str, key: str) -> str:
+    """Return the first model that an address serves.
+
+    Raises
+    ------
+    TraceError
+        The address can't be reached, refuses the key or lists no model.
+    """
+    client = make_endpoint_client()
+    headers = (("authorization", f"Bearer {key}"),)
+    call = EndpointCall(
+        parse_address(url), "GET", "/v1/models", headers, b"", CONNECT_S, CONNECT_S
+    )
+    try:
+        async with client.open(call) as response:
+            data = b"".join([part async for part in response.aiter_stream()])
+            if response.status != HTTP_OK:
+                raise TraceError(f"{url}/v1/models answers {response.status}")
+        return str(msgspec.json.decode(data)["data"][0]["id"])
+    except (*CONNECT_ERRORS, *RELAY_ERRORS) as cause:
+        raise TraceError(f"{url} can't be reached: {cause!r}") from cause
+    except (msgspec.DecodeError, LookupError, TypeError) as cause:
+        raise TraceError(f"{url}/v1/models lists no model") from cause
+    finally:
+        await client.close()
+
+
 def summarize_samples(samples: Sequence[Sample]) -> ReplayReport:
     """Return the measures over samples."""
     complete = [sample for sample in samples if sample.complete]
@@ -199,7 +262,8 @@
         correct=sum(sample.correct for sample in samples),
         failed=len(samples) - len(complete),
         hit_rate=cached / prompt if prompt else 0.0,
-        recomputed_tokens=prompt - cached,
+        computed_tokens=prompt - cached,
+        wasted_tokens=sum(sample.wasted_tokens for sample in complete),
         ttft_p50_s=_take_quantile(times, 0.50),
         ttft_p99_s=_take_quantile(times, 0.99),
     )
--- a/primrosepier/traces.py
+++ b/primrosepier/traces.py
@@ -45,7 +45,7 @@
     repeatable: bool = True
 
 
-def parse_trace(lines: Iterable[str]) -> Iterator[TraceRequest]:
+def parse_trace(lines: Iterable[str | bytes]) -> Iterator[TraceRequest]:
     """Yield the requests of a trace.
 
     Raises
@@ -57,9 +57,28 @@
         if not line.strip():
             continue
         try:
-            yield msgspec.json.decode(line, type=TraceRequest)
-        except msgspec.DecodeError as cause:
+            request = msgspec.json.decode(line, type=TraceRequest)
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as cause:
             raise TraceError(f"line {number} is malformed: {cause}") from cause
+        wrong = _find_fault(request)
+        if wrong:
+            raise TraceError(f"line {number} is malformed: {wrong}")
+        yield request
+
+
+def _find_fault(request: TraceRequest) -> str:
+    """Return what is wrong with a request, or an empty text."""
+    if not 0 <= request.timestamp < float("inf"):
+        return f"timestamp {request.timestamp} is not a time in ms"
+    if request.input_length < 1 or request.output_length < 1:
+        return "input_length and output_length are at least 1"
+    blocks = -(-request.input_length // BLOCK_TOKENS)
+    if len(request.hash_ids) != blocks:
+        return (
+            f"{request.input_length} tokens are {blocks} blocks of {BLOCK_TOKENS}, "
+            f"but hash_ids has {len(request.hash_ids)}"
+        )
+    return ""
 
 
 def format_trace(requests: Iterable[TraceRequest]) -> Iterator[str]:
