--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -25,6 +25,7 @@
     StandinWeightsCommand,
 )
 from .commands_status import StatusCommand
+from .commands_trace import TraceGenerateCommand, TraceReplayCommand
 
 __all__ = ["main", "make_application"]
 
@@ -53,6 +54,8 @@
     StandinWeightsCommand,
     TimelineCommand,
     StatusCommand,
+    TraceGenerateCommand,
+    TraceReplayCommand,
 )
 
 
