Tell a plain call that may have run unknown, also after a refused repeat

Cause: a repeatable call whose first attempt broke off and whose second was refused was answered not run, although the first may have run. Change: plain calls judge their attempts together, as model requests do. Conclusion: not run is said only when no attempt may have run.

--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import anyio
 import msgspec
@@ -32,7 +32,7 @@
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest
-from .retries import GiveUp, RetryBudget, decide_retry
+from .retries import GiveUp, RetryBudget, decide_retry, keep_unknown
 from .settings import Limits
 from .suspects import Quarantined, Suspicion, compute_fingerprint
 
@@ -137,7 +137,7 @@
             before = outcome if tried else None
             tried.add(chosen.endpoint)
             ended = await self._attempt(request, fingerprint, chosen, delivery)
-            outcome = _keep_unknown(before, ended)
+            outcome = keep_unknown(before, ended)
             if isinstance(outcome, Completed | Refused):
                 return outcome
             if can_continue(outcome) and self.budget.withdraw():
@@ -257,17 +257,6 @@
         )
 
 
-def _keep_unknown(before: Outcome | None, outcome: Outcome) -> Outcome:
-    """Return what all attempts together mean.
-
-    A request that may have run in an earlier attempt did not become "not run" by a
-    later attempt that was refused.
-    """
-    if isinstance(before, UnknownOutcome) and isinstance(outcome, NotRun):
-        return replace(before, reason=f"{before.reason}; then {outcome.reason}")
-    return outcome
-
-
 def _compute_request_fingerprint(request: ModelRequest) -> int:
     body = msgspec.json.encode(request.body, order="deterministic")
     return compute_fingerprint(request.workspace.id, body)
--- a/primrosepier/plain.py
+++ b/primrosepier/plain.py
@@ -22,7 +22,7 @@
 from .outcomes import Completed, NotRun, Outcome, Step, UnknownOutcome
 from .relay import read_whole
 from .request_log import AttemptRecord, record_attempt
-from .retries import GiveUp, RetryBudget, decide_retry
+from .retries import GiveUp, RetryBudget, decide_retry, keep_unknown
 from .settings import Limits
 
 __all__ = [
@@ -198,14 +198,17 @@
     async def dispatch(self, request: PlainRequest, send: Send) -> Outcome:
         """Run a call at an endpoint and send its answer."""
         tried: set[EndpointId] = set()
+        outcome: Outcome | None = None
         self.budget.deposit()
         while True:
             endpoint = self.choose(request.service, tried)
             if endpoint is None:
                 reason = "no endpoint of the service can be used"
                 return NotRun(Step.PLACE, request.service.id, reason, 1.0)
+            before = outcome if tried else None
             tried.add(endpoint.id)
-            outcome = await self._attempt(request, endpoint, send)
+            ended = await self._attempt(request, endpoint, send)
+            outcome = keep_unknown(before, ended)
             if isinstance(outcome, Completed):
                 return outcome
             self.candidates.ejections.record_failure(endpoint.id, self.clock())
--- a/primrosepier/retries.py
+++ b/primrosepier/retries.py
@@ -1,11 +1,11 @@
 """Whether and when a failed attempt is tried again."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .outcomes import Interrupted, NotRun, Outcome, Refused, UnknownOutcome
 
-__all__ = ["GiveUp", "RetryAt", "RetryBudget", "decide_retry"]
+__all__ = ["GiveUp", "RetryAt", "RetryBudget", "decide_retry", "keep_unknown"]
 
 DEPOSIT = 0.1
 RESERVE = 10.0
@@ -84,3 +84,14 @@
         return GiveUp("the retry budget is used up")
     bound_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2 ** (attempts - 1))
     return RetryAt(source.uniform(0, bound_s))
+
+
+def keep_unknown(before: Outcome | None, outcome: Outcome) -> Outcome:
+    """Return what all attempts together mean.
+
+    A request that may have run in an earlier attempt did not become "not run" by a
+    later attempt that was refused.
+    """
+    if isinstance(before, UnknownOutcome) and isinstance(outcome, NotRun):
+        return replace(before, reason=f"{before.reason}; then {outcome.reason}")
+    return outcome
