--- a/primrosepier/fault_schedule.py
+++ b/primrosepier/fault_schedule.py
@@ -1,6 +1,7 @@
 """Random schedules of the brief's failures."""
 
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -10,7 +11,7 @@
 from .fault_world import ROUTERS, STORE, World, make_world
 from .ids import EndpointId, HostId
 
-__all__ = ["FAULTS", "run_schedule"]
+__all__ = ["FAULTS", "Strike", "run_schedule"]
 
 LENGTH_S = 10.0
 FAULT_COUNT = (4, 9)
@@ -204,29 +205,45 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """One planned fault."""
+
+    kind: str
+    at_s: float
+    duration_s: float
+
+
+def draw_strikes(source: random.Random) -> list[Strike]:
+    """Return random faults at random times."""
+    return [
+        Strike(
+            kind=source.choice(sorted(FAULTS)),
+            at_s=source.uniform(1.0, LENGTH_S - 1.0),
+            duration_s=source.uniform(0.3, 6.0),
+        )
+        for _ in range(source.randint(*FAULT_COUNT))
+    ]
+
+
 @dataclass(slots=True)
 class Schedule:
     """One schedule in progress."""
 
     world: World
 
-    async def inject(self) -> None:
-        """Bring about random faults at random times."""
-        source = self.world.source
+    async def inject(self, strikes: Sequence[Strike]) -> None:
+        """Bring about faults at their times."""
         async with anyio.create_task_group() as group:
-            for _ in range(source.randint(*FAULT_COUNT)):
-                group.start_soon(
-                    self._inject_one,
-                    source.choice(sorted(FAULTS)),
-                    source.uniform(1.0, LENGTH_S - 1.0),
-                    source.uniform(0.3, 6.0),
-                )
-
-    async def _inject_one(self, kind: str, at_s: float, duration_s: float) -> None:
-        await anyio.sleep(at_s)
+            for strike in strikes:
+                group.start_soon(self._inject_one, strike)
+
+    async def _inject_one(self, strike: Strike) -> None:
+        await anyio.sleep(strike.at_s)
         started_s = self.world.clock()
-        target = await FAULTS[kind](self.world, duration_s)
-        self.world.record.outages.append(Outage(started_s, kind, target, duration_s))
+        target = await FAULTS[strike.kind](self.world, strike.duration_s)
+        outage = Outage(started_s, strike.kind, target, strike.duration_s)
+        self.world.record.outages.append(outage)
 
     async def call(self) -> None:
         """Send callers' requests over the whole schedule."""
@@ -240,9 +257,19 @@
         await Caller(self.world, number).run()
 
 
-async def run_schedule(seed: int) -> ScheduleRecord:
-    """Run one schedule; call it in virtual time."""
+async def run_schedule(
+    seed: int, strikes: Sequence[Strike] | None = None
+) -> ScheduleRecord:
+    """Run one schedule; call it in virtual time.
+
+    Parameters
+    ----------
+    strikes : sequence of Strike or None
+        The faults; None draws them from the seed.
+    """
     world = make_world(seed, anyio.current_time)
+    if strikes is None:
+        strikes = draw_strikes(world.source)
     await world.apply(0)
     async with anyio.create_task_group() as group:
         world.group = group
@@ -251,7 +278,7 @@
         group.start_soon(world.sample)
         schedule = Schedule(world)
         async with anyio.create_task_group() as work:
-            work.start_soon(schedule.inject)
+            work.start_soon(schedule.inject, strikes)
             work.start_soon(schedule.call)
         await anyio.sleep(CALM_S)
         world.running = False
--- /dev/null
+++ b/tests/scenarios/test_every_fault.py
@@ -0,0 +1,54 @@
+from collections import Counter
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from primrosepier.fault_checks import PROMISES, check_record
+from primrosepier.fault_schedule import Strike, run_schedule
+from primrosepier.virtualtime import run_in_virtual_time
+
+scenarios("every_fault.feature")
+
+
+@pytest.fixture
+def found():
+    """Cases that were checked by promise, violations, and the faults."""
+    return Counter(), [], []
+
+
+@given("three routers over four engines and one key-value service")
+def world():
+    """Made anew by each schedule."""
+
+
+@when(parsers.parse("{fault} strikes at {at:g} s for {duration:g} s in five schedules"))
+def strike(found, fault, at, duration):
+    found[2].append(Strike(fault, at, duration))
+
+
+@when("an endpoint leaves, a router stops and operators race meanwhile")
+def run_schedules(found):
+    checked, violations, strikes = found
+    fault = strikes[0].kind
+    strikes += [
+        Strike("endpoint_leaving", 4.0, 1.0),
+        Strike("router_stop", 4.5, 1.0),
+        Strike("operators_race", 5.0, 1.0),
+    ]
+    for seed in range(5):
+        record = run_in_virtual_time(run_schedule, seed, strikes)
+        assert fault in [outage.kind for outage in record.outages]
+        for name, verdict in check_record(record).items():
+            checked[name] += verdict.checked
+            violations += verdict.violations
+
+
+@then("no promise is broken")
+def unbroken(found):
+    assert found[1] == []
+
+
+@then(parsers.parse("the promises checked are {names}"))
+def cells(found, names):
+    listed = {name.strip() for name in names.split(",")}
+    assert listed == {name for name in PROMISES if found[0][name]}
