--- a/primrosepier/bench_scale.py
+++ b/primrosepier/bench_scale.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from .load_reports import compute_renewal
-from .membership import MembershipRules
+from .members import MembershipRules
 from .scale_control import measure_control
 from .scale_data import measure_data_path
 from .scale_fits import Slope
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -1,62 +1,59 @@
-"""The command line."""
+"""The command line.
+
+Commands are imported when they are run, so that a router starts quickly.
+"""
+
+from collections.abc import Callable
+from importlib import import_module
 
 from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from . import __version__
-from .commands_bench_load import (
-    BenchCompareCommand,
-    BenchExperimentCommand,
-    BenchLoadCommand,
-)
-from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
-from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
-from .commands_demo import DemoCommand
-from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import BoardPictureCommand, MetricsPageCommand
-from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
-from .commands_standin import (
-    StandinEngineCommand,
-    StandinHostsCommand,
-    StandinKvCacheCommand,
-    StandinServiceCommand,
-    StandinStoreCommand,
-    StandinWeightsCommand,
-)
-from .commands_status import StatusCommand
-
-__all__ = ["main", "make_application"]
 
-COMMANDS = (
-    ApplyCommand,
-    BenchCompareCommand,
-    BenchExperimentCommand,
-    BenchLoadCommand,
-    BenchDecideCommand,
-    BenchPolicyCommand,
-    BenchScaleCommand,
-    BoardPictureCommand,
-    CapacityPageCommand,
-    CheckCommand,
-    DemoCommand,
-    ExplainCommand,
-    MetricsPageCommand,
-    RouterCommand,
-    StandinEngineCommand,
-    StandinHostsCommand,
-    StandinKvCacheCommand,
-    StandinServiceCommand,
-    StandinStoreCommand,
-    StandinWeightsCommand,
-    TimelineCommand,
-    StatusCommand,
-)
+__all__ = ["COMMANDS", "main", "make_application"]
+
+COMMANDS = {
+    "apply": "commands_operate:ApplyCommand",
+    "bench compare": "commands_bench_load:BenchCompareCommand",
+    "bench decide": "commands_bench_policy:BenchDecideCommand",
+    "bench experiment": "commands_bench_load:BenchExperimentCommand",
+    "bench load": "commands_bench_load:BenchLoadCommand",
+    "bench policy": "commands_bench_policy:BenchPolicyCommand",
+    "bench scale": "commands_bench_scale:BenchScaleCommand",
+    "board-picture": "commands_metrics:BoardPictureCommand",
+    "capacity-page": "commands_bench_scale:CapacityPageCommand",
+    "check": "commands_operate:CheckCommand",
+    "demo": "commands_demo:DemoCommand",
+    "explain": "commands_explain:ExplainCommand",
+    "metrics-page": "commands_metrics:MetricsPageCommand",
+    "router": "commands_operate:RouterCommand",
+    "standin engine": "commands_standin:StandinEngineCommand",
+    "standin hosts": "commands_standin:StandinHostsCommand",
+    "standin kvcache": "commands_standin:StandinKvCacheCommand",
+    "standin service": "commands_standin:StandinServiceCommand",
+    "standin store": "commands_standin:StandinStoreCommand",
+    "standin weights": "commands_standin:StandinWeightsCommand",
+    "status": "commands_status:StatusCommand",
+    "timeline": "commands_explain:TimelineCommand",
+}
+
+
+def _make_factory(place: str) -> Callable[[], Command]:
+    module, _, name = place.partition(":")
+
+    def make() -> Command:
+        return getattr(import_module(f".{module}", __package__), name)()
+
+    return make
 
 
 def make_application() -> Application:
     """Return the command line with all commands."""
     application = Application("primrosepier", __version__)
-    for command in COMMANDS:
-        application.add(command())
+    factories = {name: _make_factory(place) for name, place in COMMANDS.items()}
+    application.set_command_loader(FactoryCommandLoader(factories))
     return application
 
 
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -13,7 +13,8 @@
 from .board import Board, SectionWriter
 from .clocks import Clock
 from .ids import HostId, Revision
-from .membership import Membership, MemberState, Round, make_membership
+from .members import MemberState
+from .membership import Membership, Round, make_membership
 from .messages import (
     ConfigurationReply,
     ConfigurationRequest,
--- /dev/null
+++ b/primrosepier/members.py
@@ -0,0 +1,100 @@
+"""Members as a router knows them, and the rules of their protocol."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import xxhash
+
+from .messages import MemberRecord
+
+__all__ = [
+    "Member",
+    "MemberState",
+    "MembershipRules",
+    "hash_live",
+    "read_state",
+    "replace_state",
+]
+
+
+class MemberState(IntEnum):
+    """State of a member; at one incarnation the greater state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipRules:
+    """Times and bounds of the protocol.
+
+    Parameters
+    ----------
+    round_s : float
+        Time between probes, seconds.
+    helpers : int
+        Members that are asked to probe one that did not answer.
+    suspicion_rounds : float
+        Rounds of suspicion per doubling of the fleet.
+    sends : float
+        Sends of one update per doubling of the fleet.
+    budget_bytes : int
+        Bound on the updates in one message.
+    dead_kept_s : float
+        Time until a dead member is forgotten, seconds.
+    sync_s : float
+        Shortest time between whole-table reads, seconds.
+    reconnect_rounds : int
+        Rounds between attempts to reach a dead member or a seed.
+    first_seeds : int
+        Seeds that are tried at once while starting.
+    """
+
+    round_s: float = 1.0
+    helpers: int = 3
+    suspicion_rounds: float = 4.0
+    sends: float = 2.0
+    budget_bytes: int = 600
+    dead_kept_s: float = 24 * 3600.0
+    sync_s: float = 30.0
+    reconnect_rounds: int = 10
+    first_seeds: int = 3
+
+
+@dataclass(slots=True)
+class Member:
+    """A member as this router knows it.
+
+    Parameters
+    ----------
+    changed_at_s : float
+        Monotonic time of the last change of state, seconds.
+    """
+
+    record: MemberRecord
+    state: MemberState
+    changed_at_s: float
+
+
+def replace_state(
+    record: MemberRecord, incarnation: int, state: MemberState
+) -> MemberRecord:
+    """Return a record of the same member with another incarnation and state."""
+    return MemberRecord(
+        record.host, record.address, record.failure_domain, incarnation, state
+    )
+
+
+def hash_live(record: MemberRecord) -> int:
+    """Return the hash of a live member, and 0 for a dead one."""
+    if record.state > MemberState.SUSPECT:
+        return 0
+    text = f"{record.host}/{record.incarnation}"
+    return xxhash.xxh32_intdigest(text.encode())
+
+
+def read_state(value: int) -> MemberState | None:
+    """Return the state of a record, or None for one that is not known."""
+    return MemberState(value) if value <= MemberState.LEFT else None
--- a/primrosepier/membership.py
+++ b/primrosepier/membership.py
@@ -9,91 +9,28 @@
 
 import math
 from dataclasses import dataclass, field
-from enum import IntEnum
 from random import Random
 
-import xxhash
-
 from .digests import DigestRegistry
 from .ids import HostId, Revision
+from .members import (
+    Member,
+    MembershipRules,
+    MemberState,
+    hash_live,
+    read_state,
+    replace_state,
+)
 from .messages import Exchange, MemberRecord, encode_message
 from .overlay import choose_neighbours
 from .send_queue import SendQueue
 
-__all__ = [
-    "Member",
-    "MemberState",
-    "Membership",
-    "MembershipRules",
-    "Round",
-    "make_membership",
-]
+__all__ = ["Membership", "Round", "make_membership"]
 
 MAX_MEMBERS = 4096
 FIRST_ROUNDS = 3
 
 
-class MemberState(IntEnum):
-    """State of a member; at one incarnation the greater state wins."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipRules:
-    """Times and bounds of the protocol.
-
-    Parameters
-    ----------
-    round_s : float
-        Time between probes, seconds.
-    helpers : int
-        Members that are asked to probe one that did not answer.
-    suspicion_rounds : float
-        Rounds of suspicion per doubling of the fleet.
-    sends : float
-        Sends of one update per doubling of the fleet.
-    budget_bytes : int
-        Bound on the updates in one message.
-    dead_kept_s : float
-        Time until a dead member is forgotten, seconds.
-    sync_s : float
-        Shortest time between whole-table reads, seconds.
-    reconnect_rounds : int
-        Rounds between attempts to reach a dead member or a seed.
-    first_seeds : int
-        Seeds that are tried at once while starting.
-    """
-
-    round_s: float = 1.0
-    helpers: int = 3
-    suspicion_rounds: float = 4.0
-    sends: float = 2.0
-    budget_bytes: int = 600
-    dead_kept_s: float = 24 * 3600.0
-    sync_s: float = 30.0
-    reconnect_rounds: int = 10
-    first_seeds: int = 3
-
-
-@dataclass(slots=True)
-class Member:
-    """A member as this router knows it.
-
-    Parameters
-    ----------
-    changed_at_s : float
-        Monotonic time of the last change of state, seconds.
-    """
-
-    record: MemberRecord
-    state: MemberState
-    changed_at_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Round:
     """What to do in one round.
@@ -111,26 +48,6 @@
     reconnect: tuple[str, ...] = ()
 
 
-def _replace(
-    record: MemberRecord, incarnation: int, state: MemberState
-) -> MemberRecord:
-    return MemberRecord(
-        record.host, record.address, record.failure_domain, incarnation, state
-    )
-
-
-def _hash_live(record: MemberRecord) -> int:
-    """Return the hash of a live member, and 0 for a dead one."""
-    if record.state > MemberState.SUSPECT:
-        return 0
-    text = f"{record.host}/{record.incarnation}"
-    return xxhash.xxh32_intdigest(text.encode())
-
-
-def _read_state(value: int) -> MemberState | None:
-    return MemberState(value) if value <= MemberState.LEFT else None
-
-
 @dataclass(slots=True)
 class Membership:
     """The member table of one router.
@@ -239,7 +156,7 @@
             member = self.members[host]
             if now_s - member.changed_at_s >= limit_s:
                 record = member.record
-                dead = _replace(record, record.incarnation, MemberState.DEAD)
+                dead = replace_state(record, record.incarnation, MemberState.DEAD)
                 self._put(dead, MemberState.DEAD, now_s)
 
     def _forget_dead(self, now_s: float) -> None:
@@ -270,7 +187,7 @@
         if member is None or paused or member.state is not MemberState.ALIVE:
             return False
         record = member.record
-        suspect = _replace(record, record.incarnation, MemberState.SUSPECT)
+        suspect = replace_state(record, record.incarnation, MemberState.SUSPECT)
         self._put(suspect, MemberState.SUSPECT, now_s)
         return True
 
@@ -293,7 +210,7 @@
 
     def compute_checksum(self) -> int:
         """Return the checksum of the live members with this router."""
-        return self.checksum ^ _hash_live(self.own)
+        return self.checksum ^ hash_live(self.own)
 
     def _compute_sends(self) -> int:
         return math.ceil(self.rules.sends * self.compute_spread())
@@ -344,10 +261,10 @@
 
     def leave(self) -> None:
         """Declare this router gone."""
-        self.own = _replace(self.own, self.own.incarnation, MemberState.LEFT)
+        self.own = replace_state(self.own, self.own.incarnation, MemberState.LEFT)
 
     def _merge(self, record: MemberRecord, now_s: float) -> None:
-        state = _read_state(record.state)
+        state = read_state(record.state)
         if state is None:
             return
         if record.host == self.own.host:
@@ -365,7 +282,7 @@
             return
         if state is MemberState.DEAD:
             state = MemberState.SUSPECT
-        self._put(_replace(record, record.incarnation, state), state, now_s)
+        self._put(replace_state(record, record.incarnation, state), state, now_s)
 
     def _refute(self, record: MemberRecord) -> None:
         own = self.own
@@ -374,7 +291,7 @@
         claimed = (record.incarnation, record.state)
         if claimed == (own.incarnation, MemberState.ALIVE):
             return
-        self.own = _replace(own, record.incarnation + 1, MemberState.ALIVE)
+        self.own = replace_state(own, record.incarnation + 1, MemberState.ALIVE)
         self.digests.incarnation = self.own.incarnation
         self.refutations += 1
 
@@ -382,10 +299,10 @@
         host = HostId(record.host)
         known = self.members.get(host)
         if known is not None:
-            self.checksum ^= _hash_live(known.record)
+            self.checksum ^= hash_live(known.record)
         lived = known is not None and known.state <= MemberState.SUSPECT
         self.stale |= lived != (state <= MemberState.SUSPECT)
-        self.checksum ^= _hash_live(record)
+        self.checksum ^= hash_live(record)
         self.members[host] = Member(record, state, now_s)
         self.pending.put(host, record)
         self.suspects.discard(host)
--- a/primrosepier/status.py
+++ b/primrosepier/status.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from .membership import MemberState
+from .members import MemberState
 from .messages import MemberRecord, StatusReply
 from .peers import PeerFailure, PeerTransport
 
--- a/tests/scenarios/test_planned_stop.py
+++ b/tests/scenarios/test_planned_stop.py
@@ -6,7 +6,7 @@
 from fleet import open_platform, wait_for
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from primrosepier.membership import MemberState
+from primrosepier.members import MemberState
 from primrosepier.router import open_router
 from primrosepier.standin_engine import EngineRates
 from primrosepier.stopping import drain_router
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -55,7 +55,7 @@
 
 
 def find_command(command):
-    names = sorted((c.name for c in COMMANDS), key=len, reverse=True)
+    names = sorted(COMMANDS, key=len, reverse=True)
     for name in names:
         if command == name or command.startswith(name + " "):
             return name
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from primrosepier.errors import MessageError
-from primrosepier.membership import MembershipRules, MemberState, make_membership
+from primrosepier.members import MembershipRules, MemberState
+from primrosepier.membership import make_membership
 from primrosepier.messages import (
     Exchange,
     MemberRecord,
@@ -135,6 +136,17 @@
     assert fleet.nodes["h1"].own.incarnation == own.incarnation + 1
 
 
+def test_a_fleet_that_was_split_joins_again():
+    fleet = Fleet(7)
+    fleet.run_until(fleet.agrees, 20)
+    fleet.cut = {(f"h{n}", f"h{m}") for n in range(3) for m in range(3, 7)}
+    fleet.run_until(lambda: fleet.count_known() == 2, 60)
+    for _ in range(3600):
+        fleet.step()
+    fleet.cut = set()
+    fleet.run_until(fleet.agrees, 60)
+
+
 def test_a_paused_router_judges_nobody():
     fleet = Fleet(3)
     fleet.run_until(lambda: fleet.count_known() == 2, 10)
