--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -21,6 +21,7 @@
     "bench experiment": "commands_bench_load:BenchExperimentCommand",
     "bench load": "commands_bench_load:BenchLoadCommand",
     "bench policy": "commands_bench_policy:BenchPolicyCommand",
+    "bench relay": "commands_bench_relay:BenchRelayCommand",
     "bench scale": "commands_bench_scale:BenchScaleCommand",
     "board-picture": "commands_metrics:BoardPictureCommand",
     "capacity-page": "commands_bench_scale:CapacityPageCommand",
