Let only a response of the same kind take back that an endpoint leaves

A load report without the header took back what an answer had said, within a second; an engine that marks its answers only, or a report under way meanwhile, would have got new work while leaving. A scenario failed by it once on a busy machine. The sign now holds for 60 s, and a later response of the same kind takes it back after 3 s at the earliest.

The scenarios' reset clears the routers' signs directly, as a response cannot do so at once any more. The unit test of taking back has both cases.

--- a/primrosepier/leaving.py
+++ b/primrosepier/leaving.py
@@ -12,9 +12,16 @@
 from .configuration import Configuration
 from .ids import EndpointId, HostId, ServiceId
 
-__all__ = ["LeavingLedger", "LeavingView", "ListedState", "PeerSigns"]
+__all__ = [
+    "LeavingLedger",
+    "LeavingView",
+    "ListedState",
+    "PeerSigns",
+    "SignSource",
+]
 
 SIGN_S = 60.0
+CONTRADICTION_S = 3.0
 
 
 class ListedState(Enum):
@@ -24,6 +31,13 @@
     LEAVING = "leaving"
 
 
+class SignSource(Enum):
+    """Kind of response in which an endpoint says that it is leaving."""
+
+    ANSWER = "answer"
+    LOAD_REPORT = "load report"
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingView:
     """What this router knows about leaving endpoints.
@@ -69,8 +83,9 @@
 
     Parameters
     ----------
-    signs : dict of EndpointId to float
-        Until when an endpoint's own word to this router holds, seconds.
+    signs : dict of tuple to float
+        Until when an endpoint's own word to this router holds, by endpoint and
+        kind of response, seconds.
     told : dict of HostId to PeerSigns
         What each peer said last.
     seen : set of EndpointId
@@ -79,7 +94,7 @@
         Endpoints that the last host list dropped or showed as leaving.
     """
 
-    signs: dict[EndpointId, float] = field(default_factory=dict)
+    signs: dict[tuple[EndpointId, SignSource], float] = field(default_factory=dict)
     told: dict[HostId, PeerSigns] = field(default_factory=dict)
     seen: set[EndpointId] = field(default_factory=set)
     listed: set[EndpointId] = field(default_factory=set)
@@ -97,21 +112,27 @@
         self.listed = leaving | dropped
 
     def record_response(
-        self, endpoint: EndpointId, leaving: bool, now_s: float
+        self, endpoint: EndpointId, source: SignSource, leaving: bool, now_s: float
     ) -> bool:
         """Take in what an endpoint says of itself.
 
+        Not every kind of response need carry the sign, so only a later one of the
+        same kind takes it back, and not one that was under way meanwhile.
+
         Returns
         -------
         bool
             Whether this is news.
         """
-        known = self.signs.get(endpoint, now_s) > now_s
+        key = (endpoint, source)
+        until_s = self.signs.get(key, now_s)
         if leaving:
-            self.signs[endpoint] = now_s + SIGN_S
-        else:
-            self.signs.pop(endpoint, None)
-        return known != leaving
+            self.signs[key] = now_s + SIGN_S
+            return until_s <= now_s
+        if until_s <= now_s or until_s - SIGN_S + CONTRADICTION_S > now_s:
+            return False
+        del self.signs[key]
+        return True
 
     def merge(self, host: HostId, signs: PeerSigns) -> None:
         """Replace what a peer said before."""
@@ -119,11 +140,14 @@
 
     def list_own_signs(self, now_s: float) -> frozenset[EndpointId]:
         """Return the endpoints that told this router that they are leaving."""
-        return frozenset(e for e, until_s in self.signs.items() if until_s > now_s)
+        return frozenset(e for (e, _), left_s in self.signs.items() if left_s > now_s)
 
     def decide(self, configuration: Configuration, now_s: float) -> LeavingView:
         """Return the endpoints that get nothing new."""
         self.told = {h: told for h, told in self.told.items() if told.until_s > now_s}
+        self.signs = {
+            k: until_s for k, until_s in self.signs.items() if until_s > now_s
+        }
         signed = set(self.list_own_signs(now_s))
         claimed = set(self.listed)
         for told in self.told.values():
--- a/primrosepier/leaving_controller.py
+++ b/primrosepier/leaving_controller.py
@@ -12,7 +12,7 @@
 from .gossip import Gossip
 from .hosts import HostGroup, HostListClient, list_routers, match_hosts
 from .ids import EndpointId
-from .leaving import LeavingLedger, LeavingView, PeerSigns
+from .leaving import LeavingLedger, LeavingView, PeerSigns, SignSource
 from .peers import PeerFailure
 
 __all__ = ["LeavingController", "compute_poll_interval"]
@@ -73,10 +73,17 @@
             interval_s = compute_poll_interval(1 + len(self.board.peers.value))
             await anyio.sleep(interval_s * self.random.uniform(0.8, 1.0))
 
-    def observe_response(self, endpoint: EndpointId, leaving: bool) -> None:
-        """Take in what a response said of its endpoint."""
+    def observe_answer(self, endpoint: EndpointId, leaving: bool) -> None:
+        """Take in what an answer to a request said of its endpoint."""
+        self._observe(endpoint, SignSource.ANSWER, leaving)
+
+    def observe_report(self, endpoint: EndpointId, leaving: bool) -> None:
+        """Take in what a load report said of its endpoint."""
+        self._observe(endpoint, SignSource.LOAD_REPORT, leaving)
+
+    def _observe(self, endpoint: EndpointId, source: SignSource, leaving: bool) -> None:
         now_s = self.clock()
-        if self.ledger.record_response(endpoint, leaving, now_s):
+        if self.ledger.record_response(endpoint, source, leaving, now_s):
             self.update(now_s)
 
     def update(self, now_s: float) -> None:
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -84,7 +84,7 @@
         writer=parts.board.load.take_writer("load reports"),
         client=parts.client,
         gossip=gossip,
-        observe_leaving=leaving.observe_response,
+        observe_leaving=leaving.observe_report,
         clock=parts.clock,
     )
 
@@ -115,7 +115,7 @@
     leaving = _make_leaving(parts, gossip)
     loads = _make_loads(parts, gossip, leaving)
     peering = Peering(address, gossip, leaving, loads, _make_sharing(parts, gossip))
-    parts.attempts.observe_leaving = leaving.observe_response
+    parts.attempts.observe_leaving = leaving.observe_answer
     parts.dispatcher.share = peering.sharing.share
     return peering
 
--- a/tests/scenarios/test_endpoint_leaving.py
+++ b/tests/scenarios/test_endpoint_leaving.py
@@ -30,12 +30,17 @@
     for name, engine in fleet.engines.items():
         fleet.hosts.set_state(name, HostState.LIVE)
         engine.leaving = False
-        for router in fleet.routers:
-            portal.call(router.peering.leaving.observe_response, name, False)
+    portal.call(forget_signs, fleet)
     portal.call(wait_for, lambda: count_listed(fleet) == 3 * len(fleet.engines))
     portal.call(wait_for, lambda: count_uses(fleet) == 3 * len(fleet.engines))
 
 
+def forget_signs(fleet):
+    for router in fleet.routers:
+        router.peering.leaving.ledger.signs.clear()
+        router.peering.leaving.update(time.monotonic())
+
+
 def count_uses(fleet):
     return sum(count_users(fleet, name) for name in fleet.engines)
 
@@ -69,7 +74,7 @@
 def answer(fleet, portal, signs, name, host):
     router = next(r for r in fleet.routers if r.settings.host == host)
     signs[name] = time.monotonic()
-    portal.call(router.peering.leaving.observe_response, name, True)
+    portal.call(router.peering.leaving.observe_answer, name, True)
 
 
 @when(parsers.parse("{name} says in its load report that it is leaving"))
--- a/tests/scenarios/test_planned_stop.py
+++ b/tests/scenarios/test_planned_stop.py
@@ -108,7 +108,7 @@
 def endpoints_leave(stop, portal):
     for name in stop.platform.engines:
         leaving = stop.routers[0].peering.leaving
-        portal.call(leaving.observe_response, name, True)
+        portal.call(leaving.observe_answer, name, True)
 
 
 @when("the first router is stopped")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,11 +5,12 @@
 from primrosepier.configuration import load_configuration
 from primrosepier.demo import find_example
 from primrosepier.hosts import decode_hosts, match_hosts
-from primrosepier.leaving import LeavingLedger, ListedState, PeerSigns
+from primrosepier.leaving import LeavingLedger, ListedState, PeerSigns, SignSource
 from primrosepier.peers import PeerFailure
 
 CONFIGURATION = load_configuration([find_example("keranvel")])
 ENGINES = [f"note-writers-{n}" for n in range(1, 10)]
+ANSWER, REPORT = SignSource.ANSWER, SignSource.LOAD_REPORT
 EVERYTHING = frozenset(CONFIGURATION.endpoints)
 
 
@@ -64,17 +65,27 @@
     ledger = make_ledger()
     ledger.take_list({})
     for endpoint in ENGINES:
-        ledger.record_response(endpoint, True, 0.0)
+        ledger.record_response(endpoint, ANSWER, True, 0.0)
     assert set(ENGINES) <= decide(ledger).leaving
     assert not decide(ledger, 61.0).signed
 
 
-def test_a_response_without_the_sign_ends_it():
+def test_a_later_answer_without_the_sign_ends_it():
     ledger = make_ledger()
-    assert ledger.record_response(ENGINES[0], True, 0.0)
-    assert not ledger.record_response(ENGINES[0], True, 1.0)
-    assert ledger.record_response(ENGINES[0], False, 2.0)
-    assert not decide(ledger, 2.0).leaving
+    assert ledger.record_response(ENGINES[0], ANSWER, True, 0.0)
+    assert not ledger.record_response(ENGINES[0], ANSWER, True, 1.0)
+    assert not ledger.record_response(ENGINES[0], ANSWER, False, 2.0)
+    assert decide(ledger, 2.0).leaving
+    assert ledger.record_response(ENGINES[0], ANSWER, False, 5.0)
+    assert not decide(ledger, 5.0).leaving
+
+
+def test_load_reports_without_the_sign_do_not_end_that_of_an_answer():
+    ledger = make_ledger()
+    ledger.record_response(ENGINES[0], ANSWER, True, 0.0)
+    assert not ledger.record_response(ENGINES[0], REPORT, False, 10.0)
+    assert decide(ledger, 59.0).leaving == {ENGINES[0]}
+    assert not decide(ledger, 61.0).leaving
 
 
 def test_what_a_peer_takes_back_is_forgotten():
