--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -19,6 +19,7 @@
     "bench compare": "commands_bench_load:BenchCompareCommand",
     "bench decide": "commands_bench_policy:BenchDecideCommand",
     "bench experiment": "commands_bench_load:BenchExperimentCommand",
+    "bench faults": "commands_bench_faults:BenchFaultsCommand",
     "bench load": "commands_bench_load:BenchLoadCommand",
     "bench policy": "commands_bench_policy:BenchPolicyCommand",
     "bench relay": "commands_bench_relay:BenchRelayCommand",
@@ -38,6 +39,8 @@
     "standin weights": "commands_standin:StandinWeightsCommand",
     "status": "commands_status:StatusCommand",
     "timeline": "commands_explain:TimelineCommand",
+    "trace generate": "commands_trace:TraceGenerateCommand",
+    "trace replay": "commands_trace:TraceReplayCommand",
 }
 
 
