--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -32,7 +32,7 @@
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest
-from .retries import GiveUp, RetryBudget, decide_retry
+from .retries import GiveUp, RetryBudget, decide_retry, keep_unknown
 from .settings import Limits
 from .suspects import Quarantined, Suspicion, compute_fingerprint
 
@@ -134,8 +134,10 @@
             chosen = self.choose(request, fingerprint, tried, now_s)
             if isinstance(chosen, NotRun):
                 return outcome if tried else chosen
+            before = outcome if tried else None
             tried.add(chosen.endpoint)
-            outcome = await self._attempt(request, fingerprint, chosen, delivery)
+            ended = await self._attempt(request, fingerprint, chosen, delivery)
+            outcome = keep_unknown(before, ended)
             if isinstance(outcome, Completed | Refused):
                 return outcome
             if can_continue(outcome) and self.budget.withdraw():
