Turn malformed answers of the store into outcomes

An answer of another shape raised out of the client and would have ended the router's tasks; an answer without a header read as a conflict, which would have made claims try again without end. Reads and transactions now need a revision, grants a lease, and a watch's line has a bound of 16 MiB.

--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -47,6 +47,8 @@
     httpcore.TimeoutException,
     msgspec.DecodeError,
 )
+MALFORMED_ERRORS = (ValueError, TypeError, AttributeError, KeyError, ArithmeticError)
+MAX_LINE_BYTES = 16 * 1024 * 1024
 
 
 def encode_bytes(data: bytes | str) -> str:
@@ -86,6 +88,30 @@
     return {"request_put": body}
 
 
+def _require_revision(answer: dict[str, Any]) -> Revision:
+    revision = _read_revision(answer)
+    if revision <= 0:
+        raise ValueError("no revision")
+    return revision
+
+
+def _decode_snapshot(answer: dict[str, Any]) -> Snapshot:
+    items = [decode_item(entry) for entry in answer.get("kvs", [])]
+    return Snapshot(_require_revision(answer), {item.key: item for item in items})
+
+
+def _decode_transaction(answer: dict[str, Any]) -> Applied | Conflict:
+    revision = _require_revision(answer)
+    if answer.get("succeeded") is True:
+        return Applied(revision)
+    items = {}
+    for response in answer.get("responses", []):
+        for entry in response.get("response_range", {}).get("kvs", []):
+            item = decode_item(entry)
+            items[item.key] = item
+    return Conflict(revision, items)
+
+
 class EtcdStore:
     """Client of the key-value service.
 
@@ -145,8 +171,10 @@
             return Unavailable(answer.step, answer.peer, answer.reason)
         if isinstance(answer, Unavailable):
             return answer
-        items = [decode_item(entry) for entry in answer.get("kvs", [])]
-        return Snapshot(_read_revision(answer), {item.key: item for item in items})
+        try:
+            return _decode_snapshot(answer)
+        except MALFORMED_ERRORS as error:
+            return Unavailable(Step.HEADERS, self.address, f"malformed: {error!r}")
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
@@ -163,14 +191,10 @@
             return LeaseLost(next(put.lease for put in puts if put.lease))
         if isinstance(answer, Ambiguous | Unavailable):
             return answer
-        if answer.get("succeeded"):
-            return Applied(_read_revision(answer))
-        items = {}
-        for response in answer.get("responses", []):
-            for entry in response.get("response_range", {}).get("kvs", []):
-                item = decode_item(entry)
-                items[item.key] = item
-        return Conflict(_read_revision(answer), items)
+        try:
+            return _decode_transaction(answer)
+        except MALFORMED_ERRORS as error:
+            return Ambiguous(Step.HEADERS, self.address, f"malformed: {error!r}")
 
     async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
         """Yield the changes from a revision on; end when the service fails."""
@@ -192,11 +216,13 @@
                 rest = b""
                 async for chunk in response.aiter_stream():
                     *lines, rest = (rest + chunk).split(b"\n")
+                    if len(rest) > MAX_LINE_BYTES:
+                        return
                     for line in lines:
                         event = _decode_watch_line(line, revision)
                         if event is not None:
                             yield event
-        except (*NOT_SENT_ERRORS, *LOST_ERRORS):
+        except (*NOT_SENT_ERRORS, *LOST_ERRORS, *MALFORMED_ERRORS):
             return
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
@@ -204,14 +230,23 @@
         answer = await self._call("/v3/lease/grant", {"TTL": str(round(ttl_s))})
         if isinstance(answer, Ambiguous | Unavailable):
             return Unavailable(answer.step, answer.peer, answer.reason)
-        return LeaseGranted(int(answer.get("ID", 0)), float(answer.get("TTL", 0)))
+        try:
+            lease, ttl_s = int(answer["ID"]), float(answer["TTL"])
+        except MALFORMED_ERRORS as error:
+            return Unavailable(Step.HEADERS, self.address, f"malformed: {error!r}")
+        if lease <= 0 or not 0 < ttl_s < float("inf"):
+            return Unavailable(Step.HEADERS, self.address, "no lease in the answer")
+        return LeaseGranted(lease, ttl_s)
 
     async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Extend a lease."""
         answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
         if isinstance(answer, Ambiguous | Unavailable):
             return Unavailable(answer.step, answer.peer, answer.reason)
-        ttl_s = float(answer.get("result", {}).get("TTL", 0))
+        try:
+            ttl_s = float(answer["result"].get("TTL", 0))
+        except MALFORMED_ERRORS as error:
+            return Unavailable(Step.HEADERS, self.address, f"malformed: {error!r}")
         return LeaseGranted(lease, ttl_s) if ttl_s > 0 else LeaseLost(lease)
 
     async def revoke_lease(self, lease: int) -> None:
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -1,10 +1,26 @@
+import contextlib
+
 import anyio
+import httpcore
+import msgspec
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from primrosepier.asgi import open_server
 from primrosepier.etcd import EtcdStore
 from primrosepier.standin_store import StoreStandin
-from primrosepier.store import Ambiguous, Applied, Compare, Conflict, Put
+from primrosepier.store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    Snapshot,
+    Unavailable,
+    WatchEvent,
+)
 
 pytestmark = pytest.mark.sockets
 
@@ -58,3 +74,61 @@
         assert seen[0].value == b"1"
 
     run_with_store(check)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-9, 2**63) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ["header", "revision", "kvs", "key", "value", "result", "events", "kv"]
+                + ["succeeded", "responses", "response_range", "ID", "TTL", "lease"]
+                + ["canceled", "compact_revision", "created", "mod_revision", "type"]
+            ),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+class AnsweringPool:
+    """A pool of connections whose service always gives the same answer."""
+
+    def __init__(self, data):
+        self.data = data
+
+    async def request(self, *args, **options):
+        response = httpcore.Response(200, content=aiter_once(self.data))
+        await response.aread()
+        return response
+
+    @contextlib.asynccontextmanager
+    async def stream(self, *args, **options):
+        yield httpcore.Response(200, content=aiter_once(self.data))
+
+
+async def aiter_once(data):
+    yield data
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(data=JSON.map(msgspec.json.encode) | st.binary(max_size=30))
+def test_malformed_answers_are_outcomes(data):
+    async def run():
+        store = EtcdStore("127.0.0.1:1")
+        store.pool = AnsweringPool(data)
+        assert isinstance(await store.read("/k"), Snapshot | Unavailable)
+        outcome = await store.transact([Compare("/k", 0)], [Put("/k", b"1")])
+        assert isinstance(outcome, Applied | Conflict | Ambiguous)
+        granted = await store.grant_lease(5.0)
+        assert isinstance(granted, LeaseGranted | Unavailable)
+        assert not isinstance(granted, LeaseGranted) or granted.lease > 0
+        kept = await store.keep_alive(1)
+        assert isinstance(kept, LeaseGranted | LeaseLost | Unavailable)
+        async for event in store.watch("/k", 1):
+            assert isinstance(event, WatchEvent)
+
+    anyio.run(run)
