Keep a peer that hangs or a message of any length from ending the gossip

grpclib ends its waits (timeouts, reset streams) by cancelling the calling task and never takes the cancellation back. The next cancel scope of that task then cancelled the whole task group: one peer that hung, followed by a successful indirect probe, could end a router's gossip for good. The transport takes such cancellations back.

grpclib also reads messages of up to 4 GB from anybody who connects, before the authentication code is checked. A message over 4 MiB is now refused by the length it announces.

--- a/primrosepier/messages.py
+++ b/primrosepier/messages.py
@@ -14,6 +14,7 @@
 from .errors import MessageError
 
 __all__ = [
+    "MAX_MESSAGE_BYTES",
     "ConfigurationReply",
     "ConfigurationRequest",
     "DigestRecord",
--- a/primrosepier/peers.py
+++ b/primrosepier/peers.py
@@ -19,6 +19,7 @@
 from .grpc_traces import trace_channel, trace_server
 from .logs import Log
 from .messages import (
+    MAX_MESSAGE_BYTES,
     ConfigurationReply,
     ConfigurationRequest,
     Exchange,
@@ -139,6 +140,8 @@
         reply_type: type[T],
         timeout_s: float,
     ) -> T | PeerFailure:
+        task = asyncio.current_task()
+        cancelled = task.cancelling() if task else 0
         try:
             channel = self._open_channel(address)
             method = UnaryUnaryMethod[Any, T](
@@ -146,6 +149,7 @@
             )
             return await method(message, timeout=timeout_s)
         except (*CALL_ERRORS, ValueError) as error:
+            _take_back_cancellations(task, cancelled)
             return PeerFailure(Step.HEADERS, address, repr(error))
 
     async def exchange(
@@ -183,15 +187,41 @@
         self.channels.clear()
 
 
+def _take_back_cancellations(task: asyncio.Task[Any] | None, count: int) -> None:
+    """Take back the cancellations by which the library ends its own waits.
+
+    They would end the next cancel scope of the task, and all tasks around it.
+    """
+    while task is not None and task.cancelling() > count:
+        task.uncancel()
+
+
 def make_transport(key: str) -> GrpcTransport:
     """Return a transport that authenticates by a shared key."""
     return GrpcTransport(PeerCodec(key))
 
 
+def _bound_message(stream: Any) -> None:
+    """Refuse a message by the length that it announces, before it is read.
+
+    The library reads messages of up to 4 GB from anybody who connects.
+    """
+    inner = stream._stream
+    receive = inner.recv_data
+
+    async def receive_bounded(size: int) -> bytes:
+        if size > MAX_MESSAGE_BYTES:
+            raise MessageError(f"the message has {size} bytes")
+        return await receive(size)
+
+    inner.recv_data = receive_bounded
+
+
 def _make_handler(
     answer: Callable[[Any], Awaitable[Any]], request_type: type, reply_type: type
 ) -> Handler:
     async def serve(stream: Any) -> None:
+        _bound_message(stream)
         try:
             message = await stream.recv_message()
         except MessageError as error:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 from types import SimpleNamespace
 
@@ -6,7 +7,7 @@
 
 from primrosepier.board import make_board
 from primrosepier.gossip import make_gossip
-from primrosepier.messages import Exchange, MemberRecord
+from primrosepier.messages import Exchange, MemberRecord, PeerCodec, ProbeRequest
 from primrosepier.peers import (
     PeerFailure,
     bind_listener,
@@ -100,3 +101,45 @@
             assert not first.gossip.membership.members
 
     anyio.run(check)
+
+
+class AnnouncingCodec(PeerCodec):
+    """Codec that notes what arrives."""
+
+    decoded = 0
+
+    def decode(self, data, message_type):
+        self.decoded += 1
+        return super().decode(data, message_type)
+
+
+def test_a_message_that_is_too_long_is_refused_before_it_is_read():
+    async def check():
+        codec = AnnouncingCodec("k")
+        async with open_peer("a", codec=codec) as first:
+            sender = make_transport("k")
+            request = ProbeRequest(MemberRecord("b"), MemberRecord("x" * 2**23))
+            reply = await sender.probe(first.address, request, 5.0)
+            assert isinstance(reply, PeerFailure)
+            assert codec.decoded == 0
+            message = Exchange(MemberRecord("b", "127.0.0.1:1"))
+            reply = await sender.exchange(first.address, message, 5.0)
+            sender.close()
+            assert isinstance(reply, Exchange)
+
+    anyio.run(check)
+
+
+def test_a_peer_that_hangs_does_not_end_the_tasks_around_a_call():
+    async def check():
+        listener = bind_listener("127.0.0.1:0")
+        address = "{}:{}".format(*listener.getsockname())
+        transport = make_transport("k")
+        message = Exchange(MemberRecord("b", "127.0.0.1:1"))
+        reply = await transport.exchange(address, message, 0.1)
+        assert isinstance(reply, PeerFailure)
+        assert asyncio.current_task().cancelling() == 0
+        transport.close()
+        listener.close()
+
+    anyio.run(check)
