Count a cold start only when the router has no configuration

Cause: a router at its limit of streams answers not run too, and was counted as a router that restarted cold. Change: the watch looks whether the board has a configuration; the budgets of the capacity page are made by three short functions. Conclusion: the counter moves for cold starts alone.

--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -135,70 +135,62 @@
 
 
 def _list_budgets(estimate: CapacityEstimate, size: DesignSize) -> list[_Budget]:
-    streams = size.node_requests_per_s * size.stream_s
-    held = Figure(
-        f"{streams:,.0f} open streams",
-        estimate.compute_stream_memory(),
-        ("stream_memory",),
-        "buffers of two connections and one request's state",
-    )
+    return [
+        *_list_control_budgets(estimate, size),
+        *_list_request_budgets(estimate, size),
+        *_list_store_budgets(estimate, size),
+    ]
+
+
+def _list_control_budgets(
+    estimate: CapacityEstimate, size: DesignSize
+) -> list[_Budget]:
+    title = "Control: {} of a node".format
+    cpu, sent, held = estimate.list_cpu(), estimate.list_bytes(), estimate.list_memory()
+    share, memory = size.cpu_share, size.memory_bytes
     return [
         _Budget(
-            "Control: processor time of a node",
+            title("processor time"),
             "share of a core",
-            estimate.list_cpu(),
-            size.cpu_share,
+            cpu,
+            share,
             "2.6% of a core",
             _show_share,
         ),
         _Budget(
-            "Control: bytes of a node",
-            "a second",
-            estimate.list_bytes(),
-            size.bytes_per_s,
-            "9 KB/s",
-            _show_bytes,
-        ),
-        _Budget(
-            "Control: memory of a node",
-            "held",
-            estimate.list_memory(),
-            size.memory_bytes,
-            "32 MB",
-            _show_bytes,
-        ),
-        _Budget(
-            "Requests: processor time of a node",
-            "cores",
-            estimate.list_request_path(),
-            1.0,
-            "1 core of one process",
-            _show_share,
-        ),
-        _Budget(
-            "Requests: memory of a node",
-            "held",
-            [held],
-            None,
-            "none stated",
-            _show_bytes,
-        ),
-        _Budget(
-            "Key-value service: writes",
-            "a second",
-            estimate.list_store_writes(),
-            size.store_writes_per_s,
-            "several hundred; 300 taken",
-            _show_rate,
-        ),
-        _Budget(
-            "Key-value service: reads",
-            "a second",
-            estimate.list_store_reads(),
-            size.store_reads_per_s,
-            "2,000",
-            _show_rate,
+            title("bytes"), "a second", sent, size.bytes_per_s, "9 KB/s", _show_bytes
         ),
+        _Budget(title("memory"), "held", held, memory, "32 MB", _show_bytes),
+    ]
+
+
+def _list_request_budgets(
+    estimate: CapacityEstimate, size: DesignSize
+) -> list[_Budget]:
+    title = "Requests: {} of a node".format
+    cpu = estimate.list_request_path()
+    streams = size.node_requests_per_s * size.stream_s
+    held = Figure(
+        f"{streams:,.0f} open streams",
+        estimate.compute_stream_memory(),
+        ("stream_memory",),
+        "buffers of two connections and one request's state",
+    )
+    core = "1 core of one process"
+    return [
+        _Budget(title("processor time"), "cores", cpu, 1.0, core, _show_share),
+        _Budget(title("memory"), "held", [held], None, "none stated", _show_bytes),
+    ]
+
+
+def _list_store_budgets(estimate: CapacityEstimate, size: DesignSize) -> list[_Budget]:
+    title = "Key-value service: {}".format
+    writes, reads = estimate.list_store_writes(), estimate.list_store_reads()
+    write_bound, read_bound = size.store_writes_per_s, size.store_reads_per_s
+    stated = "several hundred; 300 taken"
+    return [
+        _Budget(title("writes"), "a second", writes, write_bound, stated, _show_rate),
+        _Budget(title("reads"), "a second", reads, read_bound, "2,000", _show_rate),
     ]
 
 
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -53,7 +53,9 @@
         self.sources: list[Source] = []
         for spec in SPECS:
             self.declare(spec)
-        self.promises = PromiseWatch(self.report_broken, board.leaving, clock)
+        self.promises = PromiseWatch(
+            self.report_broken, board.leaving, board.configuration, clock
+        )
         for promise in Promise:
             self.add("primrosepier_broken_promises_total", 0, promise=promise.value)
 
--- a/primrosepier/promise_watch.py
+++ b/primrosepier/promise_watch.py
@@ -6,6 +6,7 @@
 
 from .board import Section
 from .clocks import Clock
+from .configuration import Configuration
 from .ids import EndpointId, Revision
 from .log_events import (
     AttemptEnded,
@@ -34,10 +35,13 @@
         Called with each broken promise.
     leaving : Section
         Endpoints that are leaving.
+    configuration : Section
+        None until this router has one.
     """
 
     report: Callable[[Promise], None]
     leaving: Section[frozenset[EndpointId]]
+    configuration: Section[Configuration | None]
     clock: Clock = time.monotonic
     ran: set[str] = field(default_factory=set)
     claimed: set[str] = field(default_factory=set)
@@ -57,7 +61,7 @@
             if event.result == CLAIM_WON:
                 self.claimed.add(event.request)
         elif isinstance(event, RequestRefused):
-            if event.code == "not_run":
+            if event.code == "not_run" and self.configuration.value is None:
                 self.report(Promise.WARM_RESTART)
         elif isinstance(event, PromiseBroken):
             self.report(Promise(event.promise))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,6 +9,7 @@
 
 from primrosepier.board import make_board
 from primrosepier.clocks import ManualClock
+from primrosepier.configuration import Configuration
 from primrosepier.demo import open_demo, run_demo_trace
 from primrosepier.log_events import (
     AttemptEnded,
@@ -145,6 +146,14 @@
     assert count_broken(metrics) == {Promise.LEAVING: 1}
 
 
+def test_a_busy_router_that_refuses_is_no_cold_start():
+    board = make_board()
+    metrics = Metrics(board)
+    board.configuration.take_writer("test").write(Configuration(), 0.0)
+    metrics.observe(RequestRefused("req-1", 503, "not_run"))
+    assert count_broken(metrics) == {}
+
+
 def test_a_lower_revision_counts():
     metrics = Metrics(make_board())
     metrics.promises.observe_revision(7)
