--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -107,7 +107,7 @@
 
     @contextlib.asynccontextmanager
     async def stream(self, *args, **options):
-        yield httpcore.Response(200, content=aiter_once(self.data))
+        yield httpcore.Response(200, content=aiter_once(self.data + b"\n"))
 
 
 async def aiter_once(data):
