Tell of a slide of reuse, with its cause, from expected and observed tokens

Cause: nothing noticed when reuse fell slowly.

Each answer's misses are put down to eviction, endpoint churn, weights, a split or a spill.

--- a/primrosepier/bench_policy.py
+++ b/primrosepier/bench_policy.py
@@ -312,6 +312,7 @@
                 now_s=self.env.now,
                 incarnation=decision.incarnation,
                 version=decision.version,
+                kind=decision.kind,
             )
         )
 
--- a/primrosepier/bench_run.py
+++ b/primrosepier/bench_run.py
@@ -13,6 +13,7 @@
     RoundRobinPlacement,
 )
 from .bench_deployments import Deployment, load_deployment
+from .bench_drift import measure_drift
 from .bench_policy import WEIGHTS_AT, BenchOptions, PolicyMeasures, simulate_policy
 from .bench_workload import (
     Workload,
@@ -163,6 +164,19 @@
     }
 
 
+def _render_drift(result: BenchResult) -> dict[str, Any] | None:
+    measures = result.measures.get("primrosepier")
+    if measures is None or not measures.samples:
+        return None
+    answers = [(sample[1], sample[2]) for sample in measures.samples]
+    drift = measure_drift(answers, result.plan.seed)
+    return {
+        "injected_points_per_week": drift.injected_points_per_week,
+        "detected_after_days": drift.detected_after_days,
+        "cause": drift.cause,
+    }
+
+
 def render_report(result: BenchResult) -> dict[str, Any]:
     """Return the report as plain values with a fixed order of keys."""
     plan = result.plan
@@ -179,4 +193,5 @@
             name: _render_measures(measures)
             for name, measures in result.measures.items()
         },
+        "drift": _render_drift(result),
     }
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -251,6 +251,7 @@
                 now_s=now_s,
                 incarnation=decision.incarnation,
                 version=decision.version,
+                kind=decision.kind,
             )
         )
 
--- /dev/null
+++ b/primrosepier/drift.py
@@ -0,0 +1,270 @@
+"""Ledger of expected against observed reuse, and alerts when reuse slides."""
+
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .ids import WorkspaceId
+from .placement import Feedback
+from .routes import select_levels
+
+__all__ = [
+    "DAY_S",
+    "HOUR_S",
+    "WEEK_DAYS",
+    "DriftAlert",
+    "DriftLedger",
+    "LevelReuse",
+    "MissCause",
+]
+
+DAY_S = 86_400.0
+HOUR_S = 3_600.0
+MAX_SERIES = 512
+WEEK_DAYS = 7
+MIN_WEEKS = 3
+MAX_WEEKS = 5
+HISTORY_DAYS = MAX_WEEKS * WEEK_DAYS
+MIN_DAY_TOKENS = 50_000
+SLIDE = 0.0075
+DEVIATIONS = 6.0
+QUIET_S = 14 * DAY_S
+FAST_S = HOUR_S
+SLOW_S = 7 * DAY_S
+
+
+class MissCause(Enum):
+    """Why prompt tokens that were expected in a cache were not read from it."""
+
+    EVICTION = "eviction"
+    CHURN = "endpoint churn"
+    WEIGHTS = "weights change"
+    SPLIT = "split"
+    SPILL = "spill"
+
+
+@dataclass(frozen=True, slots=True)
+class DriftAlert:
+    """Reuse of one workspace's prefix level slides.
+
+    Parameters
+    ----------
+    level : int
+        Depth of the prefix level, 0 for the first.
+    base_rate, recent_rate : float
+        Share of prompt tokens read from caches, before and in the last days.
+    cause : MissCause
+        What grew most among the causes of misses.
+    """
+
+    workspace: WorkspaceId
+    level: int
+    raised_s: float
+    base_rate: float
+    recent_rate: float
+    cause: MissCause
+
+
+@dataclass(frozen=True, slots=True)
+class LevelReuse:
+    """Reuse of one workspace's prefix level as of now.
+
+    Parameters
+    ----------
+    expected, fast, slow : float
+        Share of prompt tokens expected from caches, and observed over about an
+        hour and about a week.
+    """
+
+    workspace: WorkspaceId
+    level: int
+    expected: float
+    fast: float
+    slow: float
+
+
+@dataclass(slots=True)
+class _Day:
+    """Tokens of one day."""
+
+    prompt: int = 0
+    cached: int = 0
+    missed: Counter[MissCause] = field(default_factory=Counter)
+
+    @property
+    def rate(self) -> float:
+        return self.cached / self.prompt
+
+
+@dataclass(slots=True)
+class _Series:
+    """Reuse of one workspace's prefix level over time."""
+
+    expected: float = 0.0
+    fast: float = 0.0
+    slow: float = 0.0
+    updated_s: float = -math.inf
+    number: int = -1
+    today: _Day = field(default_factory=_Day)
+    days: list[_Day] = field(default_factory=list)
+    quiet_until_s: float = -math.inf
+
+
+def _average(value: float, sample: float, age_s: float, span_s: float) -> float:
+    if math.isinf(age_s):
+        return sample
+    return value + (1 - math.exp(-max(age_s, 0.0) / span_s)) * (sample - value)
+
+
+class DriftLedger:
+    """Keeps reuse for each workspace and prefix level, in bounded memory."""
+
+    def __init__(self, max_series: int = MAX_SERIES):
+        self.max_series = max_series
+        self.series: OrderedDict[tuple[WorkspaceId, int], _Series] = OrderedDict()
+        self.alerts: list[DriftAlert] = []
+
+    def observe(self, feedback: Feedback, cause: MissCause) -> list[DriftAlert]:
+        """Take in an answer; return the alerts that it raised.
+
+        Parameters
+        ----------
+        cause : MissCause
+            Why tokens below the answer's shared levels were missed, if any were.
+        """
+        levels = select_levels(feedback.prompt)[:-1]
+        raised = []
+        start = 0
+        size = len(feedback.prompt.blocks)
+        block_tokens = feedback.prompt.tokens / size if size else 0.0
+        for depth, end in enumerate(levels):
+            bounds = (start * block_tokens, end * block_tokens)
+            found = self.add(
+                (feedback.prompt.scope.workspace, depth),
+                int(bounds[1] - bounds[0]),
+                int(_clip(feedback.cached_tokens, *bounds)),
+                int(_clip(feedback.expected_cached_tokens, *bounds)),
+                cause,
+                feedback.now_s,
+            )
+            raised += found
+            start = end
+        return raised
+
+    def add(
+        self,
+        key: tuple[WorkspaceId, int],
+        prompt_tokens: int,
+        cached_tokens: int,
+        expected_tokens: int,
+        cause: MissCause,
+        now_s: float,
+    ) -> list[DriftAlert]:
+        """Add tokens to one workspace's prefix level; return the alerts raised."""
+        if prompt_tokens <= 0:
+            return []
+        series = self._find_series(key)
+        raised = self._close_days(key, series, now_s)
+        day = series.today
+        day.prompt += prompt_tokens
+        day.cached += cached_tokens
+        day.missed[cause] += prompt_tokens - cached_tokens
+        age_s = now_s - series.updated_s
+        rate = cached_tokens / prompt_tokens
+        series.fast = _average(series.fast, rate, age_s, FAST_S)
+        series.slow = _average(series.slow, rate, age_s, SLOW_S)
+        expected = expected_tokens / prompt_tokens
+        series.expected = _average(series.expected, expected, age_s, FAST_S)
+        series.updated_s = now_s
+        return raised
+
+    def _find_series(self, key: tuple[WorkspaceId, int]) -> _Series:
+        series = self.series.get(key)
+        if series is None:
+            series = self.series[key] = _Series()
+            if len(self.series) > self.max_series:
+                self.series.popitem(last=False)
+        self.series.move_to_end(key)
+        return series
+
+    def _close_days(
+        self, key: tuple[WorkspaceId, int], series: _Series, now_s: float
+    ) -> list[DriftAlert]:
+        number = int(now_s // DAY_S)
+        if number == series.number:
+            return []
+        ended, series.today = series.today, _Day()
+        series.number = number
+        if ended.prompt < MIN_DAY_TOKENS:
+            return []
+        series.days.append(ended)
+        del series.days[:-HISTORY_DAYS]
+        alert = _find_slide(key, series, now_s)
+        if alert is None:
+            return []
+        series.quiet_until_s = now_s + QUIET_S
+        self.alerts.append(alert)
+        del self.alerts[: -self.max_series]
+        return [alert]
+
+    def list_reuse(self) -> list[LevelReuse]:
+        """Return the reuse of every workspace and prefix level."""
+        return [
+            LevelReuse(workspace, level, one.expected, one.fast, one.slow)
+            for (workspace, level), one in sorted(self.series.items())
+        ]
+
+
+def _clip(value: float, low: float, high: float) -> float:
+    return min(max(value - low, 0.0), high - low)
+
+
+def _find_slide(
+    key: tuple[WorkspaceId, int], series: _Series, now_s: float
+) -> DriftAlert | None:
+    """Compare the last week with the weeks before by their own daily noise."""
+    weeks = min(MAX_WEEKS, len(series.days) // WEEK_DAYS)
+    if weeks < MIN_WEEKS or now_s < series.quiet_until_s:
+        return None
+    days = series.days[-weeks * WEEK_DAYS :]
+    base, recent = days[:-WEEK_DAYS], days[-WEEK_DAYS:]
+    base_rate = _mean(day.rate for day in base)
+    recent_rate = _mean(day.rate for day in recent)
+    error = _measure_noise(days) * math.sqrt(1 / len(base) + 1 / len(recent))
+    fall = base_rate - recent_rate
+    if fall < SLIDE or fall < DEVIATIONS * error:
+        return None
+    cause = _find_cause(base, recent)
+    return DriftAlert(key[0], key[1], now_s, base_rate, recent_rate, cause)
+
+
+def _mean(values: Iterable[float]) -> float:
+    found = list(values)
+    return sum(found) / len(found)
+
+
+def _measure_noise(days: list[_Day]) -> float:
+    """Return the noise of one day's rate, without weekday and weekly means.
+
+    A slow slide goes into those means, so it does not hide itself.
+    """
+    weeks = len(days) // WEEK_DAYS
+    total = _mean(day.rate for day in days)
+    squares = 0.0
+    weekdays = [_mean(d.rate for d in days[n::WEEK_DAYS]) for n in range(WEEK_DAYS)]
+    for start in range(0, len(days), WEEK_DAYS):
+        week = days[start : start + WEEK_DAYS]
+        level = _mean(day.rate for day in week) - total
+        for day, usual in zip(week, weekdays, strict=True):
+            squares += (day.rate - usual - level) ** 2
+    return math.sqrt(squares / ((weeks - 1) * (WEEK_DAYS - 1)))
+
+
+def _find_cause(base: list[_Day], recent: list[_Day]) -> MissCause:
+    def measure(days: list[_Day], cause: MissCause) -> float:
+        prompt = sum(day.prompt for day in days)
+        return sum(day.missed[cause] for day in days) / prompt
+
+    return max(MissCause, key=lambda c: measure(recent, c) - measure(base, c))
--- a/primrosepier/knowledge.py
+++ b/primrosepier/knowledge.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 
 from .cache_events import CacheEvent, CacheEventIndex
+from .drift import MissCause
 from .ids import EndpointId
-from .placement import EndpointView, Feedback
+from .placement import DecisionKind, EndpointView, Feedback
 from .placement_options import PlacementOptions
 from .prompts import BLOCK_TOKENS, Prompt
 from .reuse import Holder, RetentionCurve, ReuseMemory
@@ -120,6 +121,25 @@
         for key in keys:
             self.memory.record(key, feedback.endpoint, holder)
 
+    def find_miss_cause(self, feedback: Feedback) -> MissCause:
+        """Return why an answer's uncached shared tokens were not cached."""
+        levels = select_levels(feedback.prompt)
+        keys = compute_keys(feedback.prompt, levels)
+        for _, holders in _list_holders(self.memory, levels[:-1], keys[:-1]):
+            holder = holders.get(feedback.endpoint)
+            if holder is None:
+                continue
+            if holder.version != feedback.version:
+                return MissCause.WEIGHTS
+            if holder.incarnation != feedback.incarnation:
+                return MissCause.CHURN
+            return MissCause.EVICTION
+        if feedback.kind is DecisionKind.SPLIT:
+            return MissCause.SPLIT
+        if feedback.kind is DecisionKind.SPILL:
+            return MissCause.SPILL
+        return MissCause.EVICTION
+
     def _learn(
         self, levels: Sequence[int], keys: Sequence[int], feedback: Feedback
     ) -> None:
--- a/primrosepier/placement.py
+++ b/primrosepier/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from .anchors import Ring
@@ -68,6 +69,15 @@
         """Return the smoothed prefill work over the service's mean, 1 if unknown."""
 
 
+class DecisionKind(Enum):
+    """How a chosen endpoint stands to the prompt's prefix."""
+
+    HOME = "home of the prefix"
+    SPLIT = "home of a split prefix"
+    HOLDER = "holder of the prefix"
+    SPILL = "spill"
+
+
 @dataclass(frozen=True, slots=True)
 class Decision:
     """The chosen endpoint and why.
@@ -90,6 +100,7 @@
     reason: str
     incarnation: Incarnation = Incarnation("")
     version: WeightsVersion = WeightsVersion("")
+    kind: DecisionKind = DecisionKind.HOME
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +113,7 @@
         Prompt tokens that the endpoint read from its cache.
     incarnation : Incarnation
     version : WeightsVersion
+    kind : DecisionKind
         As in the decision that led to the attempt.
     """
 
@@ -112,6 +124,7 @@
     now_s: float
     incarnation: Incarnation = Incarnation("")
     version: WeightsVersion = WeightsVersion("")
+    kind: DecisionKind = DecisionKind.HOME
 
 
 class Placement(Protocol):
--- a/primrosepier/reuse_placement.py
+++ b/primrosepier/reuse_placement.py
@@ -5,9 +5,16 @@
 from collections.abc import Iterable, Sequence
 
 from .cache_events import CacheEvent
+from .drift import DriftLedger
 from .ids import EndpointId, FailureDomain
 from .knowledge import ReuseKnowledge
-from .placement import Decision, EndpointTable, EndpointView, Feedback
+from .placement import (
+    Decision,
+    DecisionKind,
+    EndpointTable,
+    EndpointView,
+    Feedback,
+)
 from .placement_options import PlacementOptions
 from .prompts import BLOCK_TOKENS, Prompt
 from .routes import Route, RouteFinder
@@ -38,6 +45,7 @@
         self.options = options
         self.routes = RouteFinder(options)
         self.knowledge = ReuseKnowledge(options)
+        self.drift = DriftLedger()
         self.mean_uncached = 0.0
 
     def choose(
@@ -120,13 +128,15 @@
         return cost
 
     def _decide(self, route: Route, view: EndpointView, expected: float) -> Decision:
+        kind = _classify_decision(route, view, expected)
         return Decision(
             endpoint=view.id,
             anchor_level=route.shared,
             expected_cached_tokens=int(expected),
-            reason=_describe(route, view, expected),
+            reason=kind.value,
             incarnation=view.incarnation,
             version=view.version,
+            kind=kind,
         )
 
     def take_event(self, event: CacheEvent) -> None:
@@ -137,19 +147,21 @@
         """Take in what an answer told."""
         uncached = max(0, feedback.prompt.tokens - feedback.cached_tokens)
         self.mean_uncached += UNCACHED_GAIN * (uncached - self.mean_uncached)
+        cause = self.knowledge.find_miss_cause(feedback)
+        self.drift.observe(feedback, cause)
         self.knowledge.observe(feedback)
 
 
-def _describe(route: Route, view: EndpointView, expected: float) -> str:
+def _classify_decision(
+    route: Route, view: EndpointView, expected: float
+) -> DecisionKind:
     if route.home and view.id == route.home[0]:
-        return "home of the prefix"
+        return DecisionKind.HOME
     if view.id in route.home:
-        return "home of a split prefix"
+        return DecisionKind.SPLIT
     if expected > route.first * BLOCK_TOKENS:
-        return "holder of the prefix"
-    if view.id in route.root:
-        return "spill within the workspace's replicas"
-    return "spill"
+        return DecisionKind.HOLDER
+    return DecisionKind.SPILL
 
 
 def make_placement(
--- /dev/null
+++ b/tests/test_drift.py
@@ -0,0 +1,50 @@
+import pytest
+
+from primrosepier.bench_drift import Slide, measure_drift, play_traffic
+from primrosepier.drift import DAY_S, DriftLedger, MissCause
+from primrosepier.placement import Feedback
+from primrosepier.prompts import CacheScope, Prompt
+
+ANSWERS = [(10_000, 9_500)] * 6 + [(10_000, 6_000)] * 3 + [(10_000, 1_000)]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_slide_of_a_point_a_week_is_told_within_two_weeks(seed):
+    result = measure_drift(ANSWERS, seed)
+    assert result.detected_after_days is not None
+    assert result.detected_after_days <= 14
+    assert result.cause == "eviction"
+
+
+@pytest.mark.parametrize("cause", list(MissCause))
+def test_the_alert_names_the_cause(cause):
+    slide = Slide(1.0, 28, cause)
+    alerts = play_traffic(ANSWERS, 1, 56, 1, slide)
+    assert alerts[0].cause is cause
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_steady_year_raises_at_most_one_alert(seed):
+    assert len(play_traffic(ANSWERS, seed, 365, 4, None)) <= 1
+
+
+def make_feedback(cached, expected, now_s, workspace="w"):
+    blocks = tuple(range(1, 11))
+    prompt = Prompt(CacheScope(workspace, "m", "", "1"), blocks, 5120, (4, 8, 10))
+    return Feedback("e", prompt, cached, expected, now_s)
+
+
+def test_tokens_are_counted_for_the_level_they_belong_to():
+    ledger = DriftLedger()
+    ledger.observe(make_feedback(3 * 1024, 4096, 0.0), MissCause.EVICTION)
+    first, second = ledger.list_reuse()
+    assert (first.fast, first.expected) == (1.0, 1.0)
+    assert (second.fast, second.expected) == (0.5, 1.0)
+
+
+def test_memory_is_bounded():
+    ledger = DriftLedger(max_series=4)
+    for number in range(50):
+        feedback = make_feedback(0, 0, number * DAY_S, f"w{number}")
+        ledger.observe(feedback, MissCause.SPILL)
+    assert len(ledger.series) <= 4
