--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -67,6 +67,8 @@
     log : Log
     claims : Claims
     plain : PlainCalls
+    prepared : bool
+        Whether the router has learned what it needs beside the configuration.
     in_progress : int
         Requests that are being served.
     metrics : Metrics
@@ -80,6 +82,7 @@
     plain: PlainCalls
     metrics: Metrics
     stopping: bool = False
+    prepared: bool = True
     in_progress: int = 0
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -126,7 +129,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the router may get new requests."""
-        return not self.stopping and self.board.configuration.value is not None
+        configured = self.board.configuration.value is not None
+        return configured and self.prepared and not self.stopping
 
     async def _send_readiness(self, send: Send) -> None:
         if self.is_ready():
@@ -179,7 +183,7 @@
             body = await read_json(receive, self.limits.body_bytes, self.limits.body_s)
             checked = make_model_request(request, configuration, workspace, scope, body)
             timed = TimedSend(send)
-            with record_request(checked, timed) as record:
+            with record_request(checked, timed, checked.prompt.tokens) as record:
                 record.outcome = await self._run_model(checked, key, receive, timed)
                 if record.outcome is not None:
                     await self._finish(request, checked, record.outcome, timed)
@@ -225,9 +229,12 @@
             if checked.claimed and not key:
                 text = "This call runs at most once; it needs an Idempotency-Key."
                 raise RequestError(400, "idempotency_key_missing", text)
-            outcome = await self._run_plain(checked, key, receive, send)
-            if isinstance(outcome, NotRun | UnknownOutcome):
-                await send_failure(request, outcome, send)
+            timed = TimedSend(send)
+            with record_request(checked, timed) as record:
+                outcome = await self._run_plain(checked, key, receive, timed)
+                record.outcome = outcome
+                if isinstance(outcome, NotRun | UnknownOutcome):
+                    await send_failure(request, outcome, timed)
 
     async def _run_plain(
         self, checked: PlainRequest, key: str, receive: Receive, send: Send
--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -15,12 +15,15 @@
 
 MENDS = {
     "choice of the replicas whose load it reads": (
-        "keep the chosen replicas until members or configuration change, and choose "
-        "by a ring instead of hashing each pair"
+        "keep the ring of routers through a change and move only what a router lost"
     ),
     "one exchange a second, sent and answered": (
         "exchange less often, or over UDP in place of grpclib"
     ),
+    "polls of replicas' load": "read load from the headers of answers, poll idle ones",
+    "polls of replicas' load, as short as a stand-in's answer": (
+        "read load from the headers of answers, and poll idle replicas alone"
+    ),
     "reports of load and usage of all nodes": (
         "share load within a region only, where its requests go"
     ),
@@ -56,6 +59,11 @@
         "open streams; nothing outlives them",
         "46.8 requests/s and 16,000 tokens/s",
     ),
+    (
+        "holder of a service's rollout, a router",
+        "its lease and the marks of replicas that load",
+        "keeps a lease alive, reads the states of its replicas, sends orders",
+    ),
     (
         "operator's apply",
         "none",
@@ -68,10 +76,11 @@
     ),
 )
 NOT_MEASURED = (
-    "processor time of polling replicas' load over HTTP (at most 8 polls/s a node)",
+    "polls of real engines: a page of metrics of 30 KB, 8 times a second, would be "
+    "240 KB/s and over the budget by itself; load that rides on answers would mend it",
     "cache events: no router reads them, so 8.6 million a second cost nothing; reuse "
     "is learned from each answer's cached tokens",
-    "orders to load weights and the leases of their holders",
+    "orders to load weights, and how often a holder reads the state of its replicas",
     "TCP and IP headers, and memory outside of Python's allocator (socket buffers)",
     "links between regions, and the processors of the users' hosts",
     "exchanges at 940 processes: a node was measured with a table of 940 and one peer",
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,16 +3,18 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_faults import BenchFaultsCommand
 from .commands_bench_load import (
     BenchCompareCommand,
     BenchExperimentCommand,
     BenchLoadCommand,
 )
 from .commands_bench_policy import BenchDecideCommand, BenchPolicyCommand
+from .commands_bench_relay import BenchRelayCommand
 from .commands_bench_scale import BenchScaleCommand, CapacityPageCommand
 from .commands_demo import DemoCommand
 from .commands_explain import ExplainCommand, TimelineCommand
-from .commands_metrics import MetricsPageCommand
+from .commands_metrics import BoardPictureCommand, MetricsPageCommand
 from .commands_operate import ApplyCommand, CheckCommand, RouterCommand
 from .commands_standin import (
     StandinEngineCommand,
@@ -23,17 +25,21 @@
     StandinWeightsCommand,
 )
 from .commands_status import StatusCommand
+from .commands_trace import TraceGenerateCommand, TraceReplayCommand
 
 __all__ = ["main", "make_application"]
 
 COMMANDS = (
     ApplyCommand,
+    BenchFaultsCommand,
     BenchCompareCommand,
     BenchExperimentCommand,
     BenchLoadCommand,
     BenchDecideCommand,
     BenchPolicyCommand,
+    BenchRelayCommand,
     BenchScaleCommand,
+    BoardPictureCommand,
     CapacityPageCommand,
     CheckCommand,
     DemoCommand,
@@ -48,6 +54,8 @@
     StandinWeightsCommand,
     TimelineCommand,
     StatusCommand,
+    TraceGenerateCommand,
+    TraceReplayCommand,
 )
 
 
--- a/primrosepier/gossip.py
+++ b/primrosepier/gossip.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -34,8 +34,10 @@
 PROBE_TIMEOUT_S = 0.5
 PUSH_TIMEOUT_S = 0.5
 JOIN_TIMEOUT_S = 2.0
+JOIN_SEEDS = 3
 FETCH_TIMEOUT_S = 5.0
 WATCH_GRACE_S = 1.0
+MAX_SEEDS = 1024
 
 
 class ConfigurationSource(Protocol):
@@ -93,14 +95,22 @@
                 due_s = max(due_s + round_s, now_s)
                 await anyio.sleep(due_s - now_s)
 
+    async def join(self) -> None:
+        """Exchange everything with a few of the routers that the settings name."""
+        seeds = self.membership.seeds
+        count = min(JOIN_SEEDS, len(seeds))
+        async with anyio.create_task_group() as group:
+            for address in self.membership.random.sample(seeds, count):
+                group.start_soon(self._synchronize, address, None)
+
     def _start_round(self, now_s: float, group: TaskGroup) -> None:
         self.membership.revision = self.source.revision
         self._call_listeners(now_s)
         begun = self.membership.start_round(now_s)
         if begun.probe is not None:
             group.start_soon(self._probe, begun, begun.probe)
-        if begun.reconnect:
-            group.start_soon(self._synchronize, begun.reconnect, None)
+        for address in begun.reconnect:
+            group.start_soon(self._synchronize, address, None)
         self._write_peers(now_s)
 
     def _write_peers(self, now_s: float) -> None:
@@ -110,6 +120,12 @@
         for listener in self.on_round:
             listener(now_s)
 
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Add routers to join, as the host list shows them."""
+        own = self.membership.own.address
+        found = dict.fromkeys([*self.membership.seeds, *addresses])
+        self.membership.seeds = tuple(a for a in found if a != own)[-MAX_SEEDS:]
+
     def start_push(self) -> None:
         """Send urgent digests without waiting for the answers."""
         if self.group is not None:
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+import anyio
 from anyio.abc import TaskGroup
 
 from .attempt import Attempts
@@ -16,6 +17,7 @@
 from .hosts import make_host_list_client
 from .leaving_controller import LeavingController
 from .load_reports import LoadReports
+from .logs import Log
 from .peers import PeerTransport, bind_listener, make_transport, open_peer_server
 from .settings import RouterSettings
 from .sharing import Sharing
@@ -37,6 +39,7 @@
     is_stopping: Callable[[], bool]
     clock: Clock = time.monotonic
     wall_clock: Clock = time.time
+    log: Log | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,14 @@
     loads: LoadReports
     sharing: Sharing
 
+    async def learn(self) -> None:
+        """Learn which endpoints are leaving from everybody who may know."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.gossip.join)
+            group.start_soon(self.leaving.read_list)
+            group.start_soon(self.loads.poll)
+        self.leaving.update(self.leaving.clock())
+
     def start(self, group: TaskGroup) -> None:
         """Run the controllers in a task group."""
         self.gossip.on_round += [self.sharing.update, self.leaving.update]
@@ -125,7 +136,8 @@
     host, port = listener.getsockname()[:2]
     transport = make_transport(parts.settings.peer_key)
     peering = make_peering(parts, f"{host}:{port}", transport)
-    async with open_peer_server(peering.gossip, transport.codec, listener):
+    gossip, codec = peering.gossip, transport.codec
+    async with open_peer_server(gossip, codec, listener, parts.log):
         peering.start(group)
         yield peering
         await peering.gossip.leave()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -3,13 +3,14 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
 from .asgi import open_server
 from .attempt import Attempts
 from .board import Board, make_board
+from .budget import BudgetedStore, CallBudget, StoreRates
 from .callers import CallersApp
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
@@ -20,11 +21,13 @@
 from .logs import make_log
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
+from .orders import EndpointOrders
 from .peering import LocalParts, Peering, open_peering
 from .plain import PlainCalls
 from .protocol import make_bounded_protocol
 from .reuse_placement import make_placement
 from .revisions import MANIFEST_KEY, STATE_PREFIX
+from .rollout_controller import RolloutController, make_rollout_controller
 from .settings import RouterSettings
 from .store import Store
 
@@ -37,6 +40,8 @@
 ]
 
 ABORT_GRACE_S = 1.0
+PREPARE_BOUND_S = 0.5
+PREPARE_CHECK_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,10 +76,22 @@
     configuration: ConfigurationController
     mirror: MirrorController
     claims: StoreClaims
+    rollouts: RolloutController
     callers_address: str = ""
     peers_address: str = ""
     peering: Peering | None = None
 
+    async def prepare(self) -> None:
+        """Learn which endpoints are leaving, then take the router into service.
+
+        A host list or peer that does not answer delays this by a bound only.
+        """
+        while self.board.configuration.value is None or self.peering is None:
+            await anyio.sleep(PREPARE_CHECK_S)
+        with anyio.move_on_after(PREPARE_BOUND_S):
+            await self.peering.learn()
+        self.app.prepared = True
+
     def compute_grace(self) -> float:
         """Return the bound on requests in progress at the end, seconds."""
         return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
@@ -83,6 +100,7 @@
 def make_router(settings: RouterSettings, platform: Platform) -> Router:
     """Return a router that serves nothing yet."""
     board = make_board()
+    platform = replace(platform, store=_limit_store(settings, board, platform))
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
     dispatcher = make_dispatcher(
@@ -93,14 +111,46 @@
     plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
+    app.prepared = False
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
     mirror = make_mirror(
         platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
     )
     mirror.mirror.listeners.append(controller.update)
+    rollouts = _make_rollouts(settings, board, platform, mirror)
     _register_gauges(metrics, dispatcher, controller)
-    return Router(settings, board, platform, app, controller, mirror, claims)
+    parts = (controller, mirror, claims, rollouts)
+    return Router(settings, board, platform, app, *parts)
+
+
+def _limit_store(
+    settings: RouterSettings, board: Board, platform: Platform
+) -> BudgetedStore:
+    rates = StoreRates(settings.store_writes_per_s, settings.store_reads_per_s)
+    return BudgetedStore(
+        store=platform.store,
+        budget=CallBudget(rates),
+        count_routers=lambda: 1 + len(board.peers.value),
+        clock=platform.clock,
+    )
+
+
+def _make_rollouts(
+    settings: RouterSettings,
+    board: Board,
+    platform: Platform,
+    mirror: MirrorController,
+) -> RolloutController:
+    return make_rollout_controller(
+        settings.host,
+        board,
+        platform.store,
+        EndpointOrders(platform.client),
+        mirror.mirror,
+        settings.leases,
+        clock=platform.clock,
+    )
 
 
 def _register_gauges(
@@ -109,6 +159,8 @@
     def read(found: Metrics) -> None:
         outstanding = sum(dispatcher.candidates.outstanding.values())
         found.set("primrosepier_attempts_in_progress", outstanding)
+        for kind, count in dispatcher.attempts.counts.items():
+            found.set("primrosepier_relay_events_total", count, kind=kind.value)
         found.set("primrosepier_configuration_revision", controller.revision)
         found.promises.observe_revision(controller.revision)
 
@@ -128,6 +180,7 @@
         is_ready=app.is_ready,
         is_stopping=lambda: app.stopping,
         clock=router.platform.clock,
+        log=app.log,
     )
 
 
@@ -140,6 +193,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
+        group.start_soon(router.rollouts.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
             open_server(
@@ -147,6 +201,7 @@
             ) as router.callers_address,
         ):
             router.peers_address = router.peering.address
+            group.start_soon(router.prepare)
             yield router
         group.cancel_scope.cancel()
     await router.platform.client.close()
