--- a/tests/scenarios/test_endpoint_leaving.py
+++ b/tests/scenarios/test_endpoint_leaving.py
@@ -5,7 +5,6 @@
 from fleet import open_fleet, wait_for
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from primrosepier.attempt import ignore_leaving
 from primrosepier.standin_hosts import HostsFaults, HostState
 
 pytestmark = pytest.mark.sockets
@@ -31,14 +30,17 @@
     for name, engine in fleet.engines.items():
         fleet.hosts.set_state(name, HostState.LIVE)
         engine.leaving = False
-        for router in fleet.routers:
-            observe = router.peering.leaving.observe_response
-            router.peering.loads.observe_leaving = observe
-            portal.call(observe, name, False)
+    portal.call(forget_signs, fleet)
     portal.call(wait_for, lambda: count_listed(fleet) == 3 * len(fleet.engines))
     portal.call(wait_for, lambda: count_uses(fleet) == 3 * len(fleet.engines))
 
 
+def forget_signs(fleet):
+    for router in fleet.routers:
+        router.peering.leaving.ledger.signs.clear()
+        router.peering.leaving.update(time.monotonic())
+
+
 def count_uses(fleet):
     return sum(count_users(fleet, name) for name in fleet.engines)
 
@@ -71,10 +73,8 @@
 @when(parsers.parse("{name} says in an answer to {host} that it is leaving"))
 def answer(fleet, portal, signs, name, host):
     router = next(r for r in fleet.routers if r.settings.host == host)
-    for polling in fleet.routers:
-        polling.peering.loads.observe_leaving = ignore_leaving
     signs[name] = time.monotonic()
-    portal.call(router.peering.leaving.observe_response, name, True)
+    portal.call(router.peering.leaving.observe_answer, name, True)
 
 
 @when(parsers.parse("{name} says in its load report that it is leaving"))
--- a/tests/scenarios/test_planned_stop.py
+++ b/tests/scenarios/test_planned_stop.py
@@ -6,7 +6,7 @@
 from fleet import open_platform, wait_for
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from primrosepier.membership import MemberState
+from primrosepier.members import MemberState
 from primrosepier.router import open_router
 from primrosepier.standin_engine import EngineRates
 from primrosepier.stopping import drain_router
@@ -108,7 +108,7 @@
 def endpoints_leave(stop, portal):
     for name in stop.platform.engines:
         leaving = stop.routers[0].peering.leaving
-        portal.call(leaving.observe_response, name, True)
+        portal.call(leaving.observe_answer, name, True)
 
 
 @when("the first router is stopped")
