--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -99,8 +99,11 @@
 
     def handle(self) -> int:
         """Run the command."""
+        if not self.option("settings"):
+            self.line_error("--settings is missing: the router's settings file")
+            return 1
         try:
-            settings = load_settings(Path(self.option("settings") or ""))
+            settings = load_settings(Path(self.option("settings")))
         except SettingsError as error:
             self.line_error(str(error))
             return 1
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -38,6 +38,7 @@
 
 __all__ = ["Dispatcher", "ShareSuspicions", "make_dispatcher"]
 
+MAX_CONTINUATIONS = 3
 ShareSuspicions = Callable[[Sequence[Suspicion]], Awaitable[None]]
 
 
@@ -138,7 +139,7 @@
             outcome = await self._attempt(request, fingerprint, chosen, delivery)
             if isinstance(outcome, Completed | Refused):
                 return outcome
-            if can_continue(outcome) and self.budget.withdraw():
+            if can_continue(outcome) and len(tried) <= MAX_CONTINUATIONS:
                 record_retry(request, len(tried), outcome)
                 continue
             verdict = decide_retry(
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -18,6 +18,7 @@
 ]
 
 MIB = 1024 * 1024
+SECTIONS = ("router", "platform", "peers", "limits", "leases", "logs")
 PEER_KEY_VARIABLE = "PRIMROSEPIER_PEER_KEY"
 LOG_LEVELS = ("off", "error", "info", "debug")
 
@@ -165,12 +166,13 @@
     readers = {}
     for section in parser.sections():
         readers[section] = SectionReader(file, section, parser[section], SettingsError)
-    for name in ("router", "platform", "peers", "limits", "leases", "logs"):
+    for name in SECTIONS:
         readers.setdefault(name, SectionReader(file, name, {}, SettingsError))
     settings = _read_settings(readers)
     for reader in readers.values():
         if not reader.seen:
-            raise reader.fail("-", "section is unknown")
+            allowed = ", ".join(f"[{name}]" for name in sorted(SECTIONS))
+            raise reader.fail("-", f"section is unknown; allowed are {allowed}")
         reader.check_unknown()
     return settings
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -212,6 +212,30 @@
     run_with_demo(check)
 
 
+@pytest.mark.sockets
+def test_all_streams_of_a_crashed_engine_go_on():
+    async def check(demo, send):
+        answers = {}
+
+        async def stream(prompt):
+            body = ask(stream=True, max_tokens=100, prompt=prompt)
+            answers[prompt] = (await send("POST", "/v1/completions", body)).body
+
+        engines = demo.engines.values()
+        async with anyio.create_task_group() as group:
+            for number in range(30):
+                group.start_soon(stream, "p" * 3000 + str(number))
+            while sum(engine.counts.sent_tokens for engine in engines) < 300:
+                await anyio.sleep(0.001)
+            max(engines, key=lambda engine: engine.batch.running).crash()
+        for prompt, data in answers.items():
+            assert read_answer(data) == "".join(make_answer(prompt, 100))
+            assert data.endswith(b"data: [DONE]\n\n")
+        assert len(answers) == 30
+
+    run_with_demo(check)
+
+
 def read_answer(data):
     lines = [line[6:] for line in data.split(b"\n") if line.startswith(b"data: {")]
     events = [msgspec.json.decode(line) for line in lines]
