--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -3,6 +3,7 @@
 from cleo.application import Application
 
 from . import __version__
+from .commands_bench_faults import BenchFaultsCommand
 from .commands_bench_load import (
     BenchCompareCommand,
     BenchExperimentCommand,
@@ -30,6 +31,7 @@
 
 COMMANDS = (
     ApplyCommand,
+    BenchFaultsCommand,
     BenchCompareCommand,
     BenchExperimentCommand,
     BenchLoadCommand,
