--- a/primrosepier/protocol.py
+++ b/primrosepier/protocol.py
@@ -11,6 +11,56 @@
 TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n"
 
 
+class _BoundedProtocol(HttpToolsProtocol):
+    """Refuses a head that is too large or too slow."""
+
+    limit_bytes = 0
+    limit_s = 0.0
+    head_bytes = 0
+    head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._start_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.head_timer is not None:
+            self.head_bytes += len(data)
+        super().data_received(data)
+        if self.head_timer is not None and self.head_bytes > self.limit_bytes:
+            self._refuse(TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        if self.head_timer is None:
+            self._start_timer()
+
+    def on_headers_complete(self) -> None:
+        self._stop_timer()
+        super().on_headers_complete()
+
+    def _start_timer(self) -> None:
+        self.head_bytes = 0
+        self.head_timer = self.loop.call_later(self.limit_s, self._refuse, TIMED_OUT)
+
+    def _stop_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def _refuse(self, answer: bytes) -> None:
+        self._stop_timer()
+        if self.transport.is_closing():
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self.transport.write(answer)
+        self.transport.close()
+
+
 def make_bounded_protocol(header_bytes: int, header_s: float) -> type:
     """Return a protocol for uvicorn that refuses large and slow heads.
 
@@ -21,52 +71,5 @@
         Longest time from the first byte of a head to its last, seconds; also from
         the connection to its first request.
     """
-
-    class BoundedProtocol(HttpToolsProtocol):
-        """Refuses a head that is too large or too slow."""
-
-        head_bytes = 0
-        head_timer: asyncio.TimerHandle | None = None
-
-        def connection_made(self, transport: Any) -> None:
-            super().connection_made(transport)
-            self._start_timer()
-
-        def connection_lost(self, exc: Exception | None) -> None:
-            self._stop_timer()
-            super().connection_lost(exc)
-
-        def data_received(self, data: bytes) -> None:
-            if self.head_timer is not None:
-                self.head_bytes += len(data)
-            super().data_received(data)
-            if self.head_timer is not None and self.head_bytes > header_bytes:
-                self._refuse(TOO_LARGE)
-
-        def on_message_begin(self) -> None:
-            super().on_message_begin()
-            if self.head_timer is None:
-                self._start_timer()
-
-        def on_headers_complete(self) -> None:
-            self._stop_timer()
-            super().on_headers_complete()
-
-        def _start_timer(self) -> None:
-            self.head_bytes = 0
-            self.head_timer = self.loop.call_later(header_s, self._refuse, TIMED_OUT)
-
-        def _stop_timer(self) -> None:
-            if self.head_timer is not None:
-                self.head_timer.cancel()
-                self.head_timer = None
-
-        def _refuse(self, answer: bytes) -> None:
-            self._stop_timer()
-            if self.transport.is_closing():
-                return
-            if self.cycle is None or self.cycle.response_complete:
-                self.transport.write(answer)
-            self.transport.close()
-
-    return BoundedProtocol
+    bounds = {"limit_bytes": header_bytes, "limit_s": header_s}
+    return type("BoundedProtocol", (_BoundedProtocol,), bounds)
