--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -31,7 +31,8 @@
     WeightsVersion,
     WorkspaceId,
 )
-from .membership import Membership, MemberState, make_membership
+from .members import MemberState
+from .membership import Membership, make_membership
 from .messages import DigestRecord, Exchange, MemberRecord, PeerCodec
 from .placement import Feedback
 from .prompts import BLOCK_TOKENS, CacheScope, Prompt
