Pass on events whose fields the splice does not know

Cause: an event without text, finish reason, tools, reasoning or refusal was taken for empty and dropped, and so were function_call deltas and fields of later APIs, and the role of a second choice: silent loss of a part of the answer. Change: on the first attempt each event passes; on later ones only those without anything but a role are dropped, and any other field ends continuing. Shown: the new cases of test_splice.py, which fail without the change.

--- a/primrosepier/splice.py
+++ b/primrosepier/splice.py
@@ -26,6 +26,7 @@
 SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_POSITION_CHARS = 80
+ROLE_FIELD = "role"
 TEXT = re.compile(rb'"(?:content|text)":\s?"((?:[^"\\]|\\.)*)"')
 UNFINISHED = b'"finish_reason":null'
 FINISHED = re.compile(rb'"finish_reason":\s?"')
@@ -261,18 +262,20 @@
             found = CACHED_TOKENS.findall(event)
             self.cached_tokens = int(found[-1]) if found else self.cached_tokens
         if not value.choices:
-            return self._number(event) if self.wants_usage else b""
+            asked = self.wants_usage or (value.usage is None and self._is_only())
+            return self._number(event) if asked else b""
         choice = value.choices[0]
-        if choice.finish_reason is None and choice.is_plain():
-            return self._number(event) if self._is_first() else b""
+        if choice.finish_reason is None and choice.is_bare():
+            return self._number(event) if self._is_only() else b""
         if not self._is_new():
             return b""
         self.finished = self.finished or choice.finish_reason is not None
-        self.continuable = self.continuable and choice.is_plain()
+        self.continuable = self.continuable and choice.is_bare()
         return self._number(event)
 
-    def _is_first(self) -> bool:
-        return self.attempts == 1 and self.number == 0 and self.resumed is None
+    def _is_only(self) -> bool:
+        """Return whether the caller gets all of the first attempt's events."""
+        return self.attempts == 1 and self.resumed is None
 
     def _is_new(self) -> bool:
         owed = self.resumed.offset if self.resumed else 0
@@ -306,26 +309,14 @@
     return lines[0] if len(lines) == 1 else b""
 
 
-class _Delta(msgspec.Struct):
-    role: str | None = None
-    content: str | None = None
-    tool_calls: list[Any] | None = None
-    reasoning_content: str | None = None
-    refusal: str | None = None
-
-
 class _Choice(msgspec.Struct):
-    delta: _Delta | None = None
-    text: str | None = None
+    delta: dict[str, Any] = {}
     finish_reason: str | None = None
 
-    def is_plain(self) -> bool:
-        """Return whether the event holds nothing that continues the answer."""
-        delta = self.delta
-        return delta is None or (
-            delta.tool_calls is None
-            and delta.reasoning_content is None
-            and delta.refusal is None
+    def is_bare(self) -> bool:
+        """Return whether the event holds nothing of the answer itself."""
+        return not any(
+            value for name, value in self.delta.items() if name != ROLE_FIELD
         )
 
 
--- a/tests/test_splice.py
+++ b/tests/test_splice.py
@@ -125,16 +125,33 @@
     assert splice.finish_early() == b"data: [DONE]\n\n"
 
 
-@pytest.mark.parametrize("field", ["tool_calls", "reasoning_content"])
-def test_answers_with_more_than_text_are_not_continued(field):
+@pytest.mark.parametrize(
+    "delta",
+    [
+        b'"tool_calls":[{"index":0}]',
+        b'"reasoning_content":"x"',
+        b'"function_call":{"name":"f"}',
+        b'"a_later_field":1',
+    ],
+)
+def test_answers_with_more_than_text_pass_and_are_not_continued(delta):
     splice = Splice(seed=1)
     splice.begin(False)
-    value = b'"x"' if field == "reasoning_content" else b'[{"index":0}]'
-    event = b'data: {"id":"a","choices":[{"delta":{"%s":%s}}]}\n\n'
-    assert splice.take(event % (field.encode(), value))
+    assert splice.take(make_events(["a"])[0])
+    event = b'data: {"id":"a","choices":[{"delta":{%s}}]}\n\n' % delta
+    assert delta in splice.take(event)
     assert not splice.continuable
 
 
+def test_an_event_that_holds_only_a_role_passes_once():
+    event = b'data: {"id":"a","choices":[{"delta":{"role":"assistant"}}]}\n\n'
+    splice = Splice(seed=1)
+    splice.begin(False)
+    assert splice.take(event)
+    splice.begin(True)
+    assert splice.take(event) == b""
+
+
 def test_an_error_of_the_endpoint_is_not_passed_on_as_an_end():
     splice = Splice(seed=1)
     splice.begin(False)
