--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -38,6 +38,7 @@
 
 __all__ = ["Dispatcher", "ShareSuspicions", "make_dispatcher"]
 
+MAX_CONTINUATIONS = 3
 ShareSuspicions = Callable[[Sequence[Suspicion]], Awaitable[None]]
 
 
@@ -140,7 +141,7 @@
             outcome = keep_unknown(before, ended)
             if isinstance(outcome, Completed | Refused):
                 return outcome
-            if can_continue(outcome) and self.budget.withdraw():
+            if can_continue(outcome) and len(tried) <= MAX_CONTINUATIONS:
                 record_retry(request, len(tried), outcome)
                 continue
             verdict = decide_retry(
@@ -253,6 +254,7 @@
                 now_s=now_s,
                 incarnation=decision.incarnation,
                 version=decision.version,
+                kind=decision.kind,
             )
         )
 
