Look only at the endpoints that a decision needs

Cause: each request listed, sorted and viewed every endpoint three times; answers' incarnations and weights versions never reached the placement, so knowledge of a lost engine stayed valid in a live router. Change: staying endpoints are listed when the board changes, views are made when looked at, room is recomputed after a time that grows with the endpoints, ejected ones are kept apart; the identity in an answer's headers binds what is learned, and is dropped when the connection is lost or weights load. Check narrowed: schedule shows a router paused since before a sign.

--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -75,6 +75,7 @@
 
     attempt: str
     version: str
+    incarnation: str = ""
 
 
 @dataclass(slots=True)
@@ -91,6 +92,8 @@
         Weights version that the answer comes from, if the endpoint tells it.
     headers_at_s : float
         Monotonic time at which the last attempt's answer began, seconds.
+    identity : AnswerIdentity
+        Of the last attempt's answer.
     """
 
     send: Send
@@ -98,6 +101,7 @@
     started: bool = False
     version: str = ""
     headers_at_s: float = 0.0
+    identity: AnswerIdentity = AnswerIdentity("", "")
 
 
 def ignore_leaving(endpoint: EndpointId, leaving: bool) -> None:
@@ -190,7 +194,7 @@
                 delivery.headers_at_s = self.clock()
                 record.mark_headers()
                 self.observe_leaving(endpoint.id, is_leaving(response.headers))
-                answer = _read_identity(response)
+                answer = delivery.identity = _read_identity(response)
                 if answer.attempt not in ("", call.attempt):
                     self.counts[RelayCount.CROSSED_ANSWER] += 1
                     reason = "the answer of another attempt arrived"
@@ -299,14 +303,16 @@
 
 
 def _read_identity(response: EndpointResponse) -> AnswerIdentity:
-    attempt = version = ""
+    attempt = version = incarnation = ""
     for name, value in response.headers:
         lowered = name.lower()
         if lowered == b"x-attempt-id":
             attempt = value.decode("latin-1")
         elif lowered == b"x-weights-version":
             version = value.decode("latin-1")
-    return AnswerIdentity(attempt, version)
+        elif lowered == b"x-incarnation":
+            incarnation = value.decode("latin-1")
+    return AnswerIdentity(attempt, version, incarnation)
 
 
 def _make_body(
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -9,15 +9,14 @@
 import msgspec
 
 from .admission import Shed
-from .anchors import RingCache
 from .asgi import Send
 from .attempt import Attempts, Delivery, can_continue, make_delivery
 from .board import Board
-from .candidates import Candidates
+from .candidates import Candidates, EngineIdentity
 from .clocks import Clock
 from .configuration import Endpoint
 from .gate import Gate, make_gate
-from .ids import EndpointId, ServiceId
+from .ids import EndpointId, Incarnation, ServiceId, WeightsVersion
 from .limits import Demand, WorkspaceLimiter
 from .outcomes import (
     Completed,
@@ -28,7 +27,7 @@
     Step,
     UnknownOutcome,
 )
-from .placement import Decision, Feedback, Placement, ViewList
+from .placement import Decision, Feedback, Placement
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest
@@ -72,7 +71,6 @@
     workspaces: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
     gates: dict[ServiceId, Gate] = field(default_factory=dict)
     share: ShareSuspicions = share_with_nobody
-    rings: RingCache = field(default_factory=RingCache)
 
     async def dispatch(
         self, request: ModelRequest, send: Send, now_s: float
@@ -166,16 +164,13 @@
             reason = "the request crashed the endpoints that ran it"
             return NotRun(Step.PLACE, "-", reason, allowed.retry_after_s)
         suspected = suspects.is_suspect(fingerprint, now_s)
-        views = self.candidates.make_views(
+        table = self.candidates.make_table(
             request.service, tried, allowed, suspected, now_s
         )
-        configuration = self.board.configuration.value
-        if configuration is None:
+        if table is None:
             return NotRun(Step.PLACE, "-", "there is no configuration yet", 1.0)
-        ring = self.rings.find_ring(configuration, request.service.id)
-        table = ViewList(views, ring)
         decision = self.placement.choose(request.prompt, table, now_s)
-        record_decision(request, decision, views, len(tried))
+        record_decision(request, decision, list(table.views.values()), len(tried))
         if decision is None:
             return NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
         return decision
@@ -219,6 +214,7 @@
             limit.record_overload(now_s)
             return
         self.candidates.ejections.record_failure(endpoint.id, now_s)
+        self.candidates.identities.pop(endpoint.id, None)
         if isinstance(outcome, UnknownOutcome | Interrupted) and outcome.lost:
             raised = self.candidates.suspects.record_loss(
                 fingerprint, endpoint.id, endpoint.failure_domain, now_s
@@ -245,6 +241,11 @@
         if endpoint in limits:
             outstanding = self.candidates.outstanding[endpoint]
             limits[endpoint].record_answer(ttft_s, outstanding, now_s)
+        identity = EngineIdentity(
+            Incarnation(delivery.identity.incarnation),
+            WeightsVersion(delivery.identity.version),
+        )
+        self.candidates.identities[endpoint] = identity
         self.placement.observe(
             Feedback(
                 endpoint=endpoint,
@@ -252,8 +253,8 @@
                 cached_tokens=outcome.cached_tokens,
                 expected_cached_tokens=decision.expected_cached_tokens,
                 now_s=now_s,
-                incarnation=decision.incarnation,
-                version=decision.version,
+                incarnation=identity.incarnation,
+                version=identity.version,
                 kind=decision.kind,
             )
         )
--- a/primrosepier/ejection.py
+++ b/primrosepier/ejection.py
@@ -46,6 +46,7 @@
     """Decides which endpoints are passed over for a while."""
 
     health: dict[EndpointId, Health] = field(default_factory=dict)
+    marked: set[EndpointId] = field(default_factory=set)
 
     def record_success(
         self, endpoint: EndpointId, latency_s: float, now_s: float
@@ -60,8 +61,9 @@
         if health.probing:
             health.probing = False
             health.ejections = 0
+            self.marked.discard(endpoint)
         if self._is_slow(health):
-            self._eject(health, now_s)
+            self._eject(endpoint, health, now_s)
             health.answers = 0
             health.latency_s = 0.0
 
@@ -76,9 +78,10 @@
         health = self.health.setdefault(endpoint, Health())
         health.failures += 1
         if health.probing or health.failures >= FAILURES_TO_EJECT:
-            self._eject(health, now_s)
+            self._eject(endpoint, health, now_s)
 
-    def _eject(self, health: Health, now_s: float) -> None:
+    def _eject(self, endpoint: EndpointId, health: Health, now_s: float) -> None:
+        self.marked.add(endpoint)
         period_s = min(EJECT_CAP_S, EJECT_BASE_S * 2**health.ejections)
         health.ejected_until_s = now_s + period_s
         health.ejections += 1
@@ -94,14 +97,14 @@
         left first. An endpoint whose time is over gets requests as a probe.
         """
         ejected = []
-        for endpoint in endpoints:
-            health = self.health.get(endpoint)
-            if health is None:
+        for endpoint in self.marked:
+            if endpoint not in endpoints:
                 continue
+            health = self.health[endpoint]
             if health.ejected_until_s > now_s:
                 ejected.append(endpoint)
-            elif health.ejections:
+            else:
                 health.probing = True
         allowed = int(MAX_EJECTED_SHARE * len(endpoints))
-        ejected.sort(key=lambda name: self.health[name].ejected_until_s, reverse=True)
+        ejected.sort(key=lambda name: (-self.health[name].ejected_until_s, name))
         return frozenset(ejected[:allowed])
--- a/primrosepier/fault_checks.py
+++ b/primrosepier/fault_checks.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .fault_record import AnswerKind, FleetSample, ScheduleRecord
-from .ids import Revision
+from .fault_record import AnswerKind, FleetSample, LeavingSign, ScheduleRecord
+from .ids import HostId, Revision
 
 __all__ = ["PROMISES", "Verdict", "check_record"]
 
@@ -111,7 +111,8 @@
         late = [
             run
             for run in record.runs
-            if run.endpoint == sign.endpoint and run.at_s > sign.at_s + LEAVING_BOUND_S
+            if run.endpoint == sign.endpoint
+            and run.at_s > _find_first_sight(record, sign, run.router) + LEAVING_BOUND_S
         ]
         broken += [
             f"{run.endpoint} got {run.request} {run.at_s - sign.at_s:.1f} s after its "
@@ -121,6 +122,20 @@
     return Verdict(len(record.signs), tuple(broken))
 
 
+def _find_first_sight(
+    record: ScheduleRecord, sign: LeavingSign, router: HostId
+) -> float:
+    """Return when a router could know a sign: not while its process is paused."""
+    ends = [
+        outage.at_s + outage.duration_s
+        for outage in record.outages
+        if outage.kind == "router_freeze"
+        and outage.target == router
+        and outage.at_s <= sign.at_s
+    ]
+    return max([sign.at_s, *ends])
+
+
 def check_graceful_stop(record: ScheduleRecord) -> Verdict:
     """A planned stop cuts no request in progress."""
     drained = [answer for answer in record.answers if answer.drained]
--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -1,7 +1,8 @@
 """Costs of control on one node against the sizes of the fleet."""
 
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from .anchors import make_ring
 from .attempt import Attempts
@@ -43,6 +44,7 @@
 
 __all__ = ["NODES", "make_configuration", "make_record", "measure_control"]
 
+REQUESTS_PER_S = 46.8
 NODES = (60, 240, 470, 940)
 REPLICAS = (480, 975, 1950, 3900)
 WORKSPACES = (350, 700, 1400, 2800)
@@ -286,6 +288,7 @@
         assert configuration is not None
         requests = [make_request(configuration, number) for number in range(20)]
         service = requests[0].service
+        times = itertools.count(1.0, 1 / REQUESTS_PER_S)
 
         def choose(
             d: Dispatcher = dispatcher, r: list[ModelRequest] = requests
@@ -293,8 +296,12 @@
             for request in r:
                 d.choose(request, 0, set(), 1.0)
 
-        def read_room(d: Dispatcher = dispatcher, s: Service = service) -> None:
-            d.candidates.compute_room(s, 1.0)
+        def read_room(
+            d: Dispatcher = dispatcher,
+            s: Service = service,
+            t: Iterator[float] = times,
+        ) -> None:
+            d.candidates.compute_room(s, next(t))
 
         names = [endpoint.id for endpoint in configuration.list_endpoints(service.id)]
         x = float(replicas)
