--- a/primrosepier/drift.py
+++ b/primrosepier/drift.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -12,12 +12,14 @@
 
 __all__ = [
     "DAY_S",
+    "DayTotals",
     "HOUR_S",
     "WEEK_DAYS",
     "DriftAlert",
     "DriftLedger",
     "LevelReuse",
     "MissCause",
+    "SeriesKey",
 ]
 
 DAY_S = 86_400.0
@@ -35,6 +37,9 @@
 SLOW_S = 7 * DAY_S
 
 
+SeriesKey = tuple[WorkspaceId, int]
+
+
 class MissCause(Enum):
     """Why prompt tokens that were expected in a cache were not read from it."""
 
@@ -86,8 +91,16 @@
 
 
 @dataclass(slots=True)
-class _Day:
-    """Tokens of one day."""
+class DayTotals:
+    """Tokens of one day.
+
+    Parameters
+    ----------
+    prompt, cached : int
+        Prompt tokens, and those of them that were read from caches.
+    missed : Counter of MissCause
+        The others by cause.
+    """
 
     prompt: int = 0
     cached: int = 0
@@ -95,8 +108,15 @@
 
     @property
     def rate(self) -> float:
+        """Share of prompt tokens that were read from caches."""
         return self.cached / self.prompt
 
+    def add(self, other: "DayTotals") -> None:
+        """Add the tokens of another part of the day."""
+        self.prompt += other.prompt
+        self.cached += other.cached
+        self.missed.update(other.missed)
+
 
 @dataclass(slots=True)
 class _Series:
@@ -107,8 +127,8 @@
     slow: float = 0.0
     updated_s: float = -math.inf
     number: int = -1
-    today: _Day = field(default_factory=_Day)
-    days: list[_Day] = field(default_factory=list)
+    today: DayTotals = field(default_factory=DayTotals)
+    days: list[DayTotals] = field(default_factory=list)
     quiet_until_s: float = -math.inf
 
 
@@ -123,8 +143,9 @@
 
     def __init__(self, max_series: int = MAX_SERIES):
         self.max_series = max_series
-        self.series: OrderedDict[tuple[WorkspaceId, int], _Series] = OrderedDict()
+        self.series: OrderedDict[SeriesKey, _Series] = OrderedDict()
         self.alerts: list[DriftAlert] = []
+        self.pending: dict[SeriesKey, DayTotals] = {}
 
     def observe(self, feedback: Feedback, cause: MissCause) -> list[DriftAlert]:
         """Take in an answer; return the alerts that it raised.
@@ -155,7 +176,7 @@
 
     def add(
         self,
-        key: tuple[WorkspaceId, int],
+        key: SeriesKey,
         prompt_tokens: int,
         cached_tokens: int,
         expected_tokens: int,
@@ -167,10 +188,10 @@
             return []
         series = self._find_series(key)
         raised = self._close_days(key, series, now_s)
-        day = series.today
-        day.prompt += prompt_tokens
-        day.cached += cached_tokens
-        day.missed[cause] += prompt_tokens - cached_tokens
+        missed = Counter({cause: prompt_tokens - cached_tokens})
+        part = DayTotals(prompt_tokens, cached_tokens, missed)
+        series.today.add(part)
+        self.return_totals({key: part})
         age_s = now_s - series.updated_s
         rate = cached_tokens / prompt_tokens
         series.fast = _average(series.fast, rate, age_s, FAST_S)
@@ -180,7 +201,7 @@
         series.updated_s = now_s
         return raised
 
-    def _find_series(self, key: tuple[WorkspaceId, int]) -> _Series:
+    def _find_series(self, key: SeriesKey) -> _Series:
         series = self.series.get(key)
         if series is None:
             series = self.series[key] = _Series()
@@ -190,13 +211,35 @@
         return series
 
     def _close_days(
-        self, key: tuple[WorkspaceId, int], series: _Series, now_s: float
+        self, key: SeriesKey, series: _Series, now_s: float
     ) -> list[DriftAlert]:
         number = int(now_s // DAY_S)
         if number == series.number:
             return []
-        ended, series.today = series.today, _Day()
+        ended, series.today = series.today, DayTotals()
         series.number = number
+        return self._take_day(key, series, ended, now_s)
+
+    def take_day(
+        self, key: SeriesKey, day: DayTotals, now_s: float
+    ) -> list[DriftAlert]:
+        """Take in a whole day at its end; return the alerts raised."""
+        return self._take_day(key, self._find_series(key), day, now_s)
+
+    def take_totals(self) -> dict[SeriesKey, DayTotals]:
+        """Return the tokens since the last call, and begin anew."""
+        taken, self.pending = self.pending, {}
+        return taken
+
+    def return_totals(self, totals: Mapping[SeriesKey, DayTotals]) -> None:
+        """Add tokens to those that the next call of ``take_totals`` returns."""
+        for key, part in totals.items():
+            if key in self.pending or len(self.pending) < self.max_series:
+                self.pending.setdefault(key, DayTotals()).add(part)
+
+    def _take_day(
+        self, key: SeriesKey, series: _Series, ended: DayTotals, now_s: float
+    ) -> list[DriftAlert]:
         if ended.prompt < MIN_DAY_TOKENS:
             return []
         series.days.append(ended)
@@ -221,9 +264,7 @@
     return min(max(value - low, 0.0), high - low)
 
 
-def _find_slide(
-    key: tuple[WorkspaceId, int], series: _Series, now_s: float
-) -> DriftAlert | None:
+def _find_slide(key: SeriesKey, series: _Series, now_s: float) -> DriftAlert | None:
     """Compare the last week with the weeks before by their own daily noise."""
     weeks = min(MAX_WEEKS, len(series.days) // WEEK_DAYS)
     if weeks < MIN_WEEKS or now_s < series.quiet_until_s:
@@ -245,7 +286,7 @@
     return sum(found) / len(found)
 
 
-def _measure_noise(days: list[_Day]) -> float:
+def _measure_noise(days: list[DayTotals]) -> float:
     """Return the noise of one day's rate, without weekday and weekly means.
 
     A slow slide goes into those means, so it does not hide itself.
@@ -262,8 +303,8 @@
     return math.sqrt(squares / ((weeks - 1) * (WEEK_DAYS - 1)))
 
 
-def _find_cause(base: list[_Day], recent: list[_Day]) -> MissCause:
-    def measure(days: list[_Day], cause: MissCause) -> float:
+def _find_cause(base: list[DayTotals], recent: list[DayTotals]) -> MissCause:
+    def measure(days: list[DayTotals], cause: MissCause) -> float:
         prompt = sum(day.prompt for day in days)
         return sum(day.missed[cause] for day in days) / prompt
 
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -28,6 +28,7 @@
     "ReuseObserved",
     "SeenCandidate",
     "SectionWritten",
+    "SlideFound",
     "select_candidates",
 ]
 
@@ -243,6 +244,29 @@
         return f"reused {reuse} at {self.endpoint} for {self.request}"
 
 
+class SlideFound(Event, frozen=True):
+    """Reuse of a workspace's prefix level slid over the last week.
+
+    Parameters
+    ----------
+    base_rate, recent_rate : float
+        Share of prompt tokens read from caches before, and in the last week.
+    """
+
+    part: ClassVar[str] = "drift"
+    workspace: WorkspaceId
+    prefix_level: int
+    base_rate: float
+    recent_rate: float
+    cause: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        rates = f"from {self.base_rate:.3f} to {self.recent_rate:.3f}"
+        where = f"{self.workspace} at prefix level {self.prefix_level}"
+        return f"reuse of {where} slid {rates} by {self.cause}"
+
+
 class ClaimSettled(Event, frozen=True):
     """A claim of a non-idempotent call came to its result.
 
@@ -351,4 +375,5 @@
     | RetryChosen
     | ReuseObserved
     | SectionWritten
+    | SlideFound
 )
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -75,6 +75,14 @@
         "Prompt tokens that were expected in the endpoint's cache but computed again.",
         "Eviction or restarts of endpoints: see operators/reuse-falls.md.",
     ),
+    MetricSpec(
+        "primrosepier_reuse_slides_total",
+        MetricKind.COUNTER,
+        "slides",
+        ("cause",),
+        "Workspaces and prefix levels whose reuse slid over weeks, once a slide.",
+        "See operators/reuse-slides.md.",
+    ),
     MetricSpec(
         "primrosepier_ttft_seconds",
         MetricKind.HISTOGRAM,
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -17,6 +17,7 @@
     RequestRefused,
     RetryChosen,
     ReuseObserved,
+    SlideFound,
 )
 from .logs import Log
 from .metric_specs import SPECS, MetricKind, MetricSpec, Promise
@@ -120,6 +121,8 @@
             self.add("primrosepier_claims_total", 1, result=event.result)
         elif isinstance(event, RequestRefused):
             self.add("primrosepier_refused_requests_total", 1, code=event.code)
+        elif isinstance(event, SlideFound):
+            self.add("primrosepier_reuse_slides_total", 1, cause=event.cause)
 
     def _observe_end(self, event: RequestEnded) -> None:
         labels = {"service": event.service, "outcome": event.outcome}
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -16,9 +16,12 @@
 from .clocks import Clock
 from .configuration_controller import ConfigurationController
 from .dispatch import Dispatcher, make_dispatcher
+from .drift import DriftAlert, DriftLedger
+from .drift_keeper import DriftKeeper
 from .engines import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
-from .logs import make_log
+from .log_events import SlideFound
+from .logs import Log, make_log
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
 from .orders import EndpointOrders
@@ -77,6 +80,7 @@
     mirror: MirrorController
     claims: StoreClaims
     rollouts: RolloutController
+    drift: DriftKeeper
     callers_address: str = ""
     peers_address: str = ""
     peering: Peering | None = None
@@ -103,9 +107,8 @@
     platform = replace(platform, store=_limit_store(settings, board, platform))
     limits = settings.limits
     attempts = Attempts(platform.client, limits, platform.clock)
-    dispatcher = make_dispatcher(
-        board, attempts, make_placement(settings.failure_domain), limits, platform.clock
-    )
+    placement = make_placement(settings.failure_domain)
+    dispatcher = make_dispatcher(board, attempts, placement, limits, platform.clock)
     log = make_log(settings.host, settings.logs)
     claims = make_store_claims(platform.store, settings.host, clock=platform.clock)
     plain = PlainCalls(platform.client, dispatcher.candidates, limits, platform.clock)
@@ -119,8 +122,9 @@
     )
     mirror.mirror.listeners.append(controller.update)
     rollouts = _make_rollouts(settings, board, platform, mirror)
+    drift = _make_drift_keeper(platform.store, placement.drift, log)
     _register_gauges(metrics, dispatcher, controller)
-    parts = (controller, mirror, claims, rollouts)
+    parts = (controller, mirror, claims, rollouts, drift)
     return Router(settings, board, platform, app, *parts)
 
 
@@ -153,6 +157,21 @@
     )
 
 
+def _make_drift_keeper(store: Store, ledger: DriftLedger, log: Log) -> DriftKeeper:
+    def report(alert: DriftAlert) -> None:
+        log.emit(
+            SlideFound(
+                workspace=alert.workspace,
+                prefix_level=alert.level,
+                base_rate=alert.base_rate,
+                recent_rate=alert.recent_rate,
+                cause=alert.cause.value,
+            )
+        )
+
+    return DriftKeeper(store, ledger, report)
+
+
 def _register_gauges(
     metrics: Metrics, dispatcher: Dispatcher, controller: ConfigurationController
 ) -> None:
@@ -194,6 +213,7 @@
         group.start_soon(router.mirror.run)
         group.start_soon(router.claims.run)
         group.start_soon(router.rollouts.run)
+        group.start_soon(router.drift.run)
         async with (
             open_peering(make_local_parts(router), group) as router.peering,
             open_server(
