--- a/primrosepier/bench_plot.py
+++ b/primrosepier/bench_plot.py
@@ -4,7 +4,7 @@
 
 import matplotlib
 
-from .bench_policy import PolicyMeasures
+from .bench_measures import PolicyMeasures
 from .bench_run import BenchResult
 
 __all__ = ["plot_measures"]
--- a/primrosepier/bench_policy.py
+++ b/primrosepier/bench_policy.py
@@ -9,6 +9,7 @@
 from .anchors import Ring, make_ring
 from .bench_deployments import Deployment
 from .bench_engines import BlockIndex, FakeEngine, Job
+from .bench_measures import BenchOptions, PolicyMeasures
 from .bench_workload import BenchRequest, Workload
 from .cache_events import CacheEvent, CacheEventKind
 from .ids import BlockHash, EndpointId, FailureDomain, WeightsVersion
@@ -19,8 +20,6 @@
 
 __all__ = [
     "WEIGHTS_AT",
-    "BenchOptions",
-    "PolicyMeasures",
     "Simulation",
     "simulate_policy",
 ]
@@ -42,56 +41,6 @@
 DRAIN_S = 120.0
 
 
-@dataclass(frozen=True, slots=True)
-class BenchOptions:
-    """What one run is made of.
-
-    Parameters
-    ----------
-    rate_per_s : float
-        Arrivals over all routers.
-    faults : bool
-        Crashes, router restarts, stale load and gaps in events.
-    change_weights : bool
-        Whether all replicas load other weights part of the way.
-    events : bool
-        Whether engines publish cache events.
-    """
-
-    rate_per_s: float
-    faults: bool
-    change_weights: bool
-    seed: int
-    events: bool = True
-
-
-@dataclass(slots=True)
-class PolicyMeasures:
-    """Totals of one run over the measured requests."""
-
-    arrived: int = 0
-    completed: int = 0
-    shed: int = 0
-    lost: int = 0
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    wasted_tokens: int = 0
-    ttft_s: list[float] = field(default_factory=list)
-    samples: list[tuple[float, int, int, int, float]] = field(default_factory=list)
-
-    @property
-    def hit_rate(self) -> float:
-        """Share of prompt tokens that were read from caches."""
-        return self.cached_tokens / self.prompt_tokens if self.prompt_tokens else 0.0
-
-    def take_quantile(self, share: float) -> float:
-        """Return a quantile of the time to first token, seconds."""
-        if not self.ttft_s:
-            return 0.0
-        ordered = sorted(self.ttft_s)
-        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 @dataclass(slots=True)
 class BenchRouter:
     """One router: its placement and its own view of the engines."""
--- a/primrosepier/bench_run.py
+++ b/primrosepier/bench_run.py
@@ -14,7 +14,8 @@
 )
 from .bench_deployments import Deployment, load_deployment
 from .bench_drift import measure_drift
-from .bench_policy import WEIGHTS_AT, BenchOptions, PolicyMeasures, simulate_policy
+from .bench_measures import BenchOptions, PolicyMeasures
+from .bench_policy import WEIGHTS_AT, simulate_policy
 from .bench_workload import (
     Workload,
     convert_trace,
--- a/primrosepier/capacity.py
+++ b/primrosepier/capacity.py
@@ -240,7 +240,7 @@
                 "choice of the endpoint among all replicas",
                 rate * (decisions + 2 * admission),
                 ("decision_cpu", "admission_cpu"),
-                "views of a service's replicas, made for each request",
+                "views of the endpoints that are looked at",
             ),
             Figure(
                 "finding the workspace of a key",
--- a/tests/test_bench_policy.py
+++ b/tests/test_bench_policy.py
@@ -34,3 +34,40 @@
 def test_unknown_policies_are_refused():
     with pytest.raises(BenchError):
         run_small(policies=("best",))
+
+
+def run_one(**changes):
+    policies = ("primrosepier",)
+    return run_bench(BenchPlan(**{"policies": policies, **changes})).measures[
+        "primrosepier"
+    ]
+
+
+@pytest.mark.parametrize(("deployment", "seed"), [("registry", 2)])
+def test_the_tail_under_faults_is_at_most_twice_the_calm_one(deployment, seed):
+    calm, faulty = (
+        run_one(deployment=deployment, seed=seed, load=0.8, faults=faults)
+        for faults in (False, True)
+    )
+    assert faulty.lost == 0
+    assert faulty.take_quantile(0.99) <= 2 * calm.take_quantile(0.99)
+
+
+@pytest.mark.parametrize("deployment", ["keranvel", "registry"])
+def test_placement_meets_its_targets_against_least_loaded(deployment):
+    policies = ("least_loaded", "hash_root", "hash_leaf", "primrosepier")
+    result = run_bench(
+        BenchPlan(deployment=deployment, seed=3, load=0.8, policies=policies)
+    )
+    found = result.measures
+    ours = found.pop("primrosepier")
+    for other in found.values():
+        assert ours.hit_rate >= 0.98 * other.hit_rate
+        assert ours.wasted_tokens <= 1.02 * other.wasted_tokens
+        assert ours.take_quantile(0.99) <= 1.02 * other.take_quantile(0.99)
+    least = found["least_loaded"]
+    if deployment == "keranvel":
+        assert ours.wasted_tokens <= 0.1 * least.wasted_tokens
+        assert ours.hit_rate >= 0.95 * result.pooled_hit_rate
+    else:
+        assert ours.take_quantile(0.99) <= 0.6 * least.take_quantile(0.99)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -1,7 +1,8 @@
 import pytest
 
 from primrosepier.bench_deployments import load_deployment
-from primrosepier.bench_policy import BenchOptions, Simulation
+from primrosepier.bench_measures import BenchOptions
+from primrosepier.bench_policy import Simulation
 from primrosepier.bench_run import POLICIES
 from primrosepier.bench_workload import generate_workload
 
