--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -36,6 +36,7 @@
 Headers = Sequence[tuple[str, str]]
 
 POLL_S = 0.005
+KEEP_ALIVE_S = 30
 GRACE_S = 1.0
 JSON_TYPE = ("content-type", "application/json")
 
@@ -163,6 +164,23 @@
         yield
 
 
+def _make_config(app: App, address: str, protocol: Any) -> uvicorn.Config:
+    host, _, port = address.rpartition(":")
+    return uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        log_level="critical",
+        access_log=False,
+        lifespan="off",
+        loop="asyncio",
+        http=protocol,
+        ws="none",
+        timeout_graceful_shutdown=1,
+        timeout_keep_alive=KEEP_ALIVE_S,
+    )
+
+
 @contextlib.asynccontextmanager
 async def open_server(
     app: App,
@@ -186,20 +204,7 @@
     str
         The address that is listened on.
     """
-    host, _, port = address.rpartition(":")
-    config = uvicorn.Config(
-        app,
-        host=host,
-        port=int(port),
-        log_level="critical",
-        access_log=False,
-        lifespan="off",
-        loop="asyncio",
-        http=protocol,
-        ws="none",
-        timeout_graceful_shutdown=1,
-        timeout_keep_alive=30,
-    )
+    config = _make_config(app, address, protocol)
     server = _EmbeddedServer(config)
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve)
--- a/primrosepier/bench_faults.py
+++ b/primrosepier/bench_faults.py
@@ -1,7 +1,7 @@
 """Many random schedules of faults, and how the promises held under them."""
 
 from collections import Counter
-from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from .fault_breaks import break_mechanism
@@ -35,12 +35,54 @@
     return [f"{at_s:8.3f} s {text}" for at_s, text in sorted(events)]
 
 
-def run_fault_bench(
-    seeds: int,
-    seed: int,
-    broken: str = "",
-    on_schedule: Callable[[int], None] = lambda count: None,
-) -> dict[str, Any]:
+@dataclass(slots=True)
+class Tally:
+    """Verdicts over many schedules.
+
+    Parameters
+    ----------
+    checked, violations : Counter of str
+        By promise.
+    faults : Counter of str
+        Faults that struck, by kind.
+    first : dict or None
+        Seed and trace of the first schedule with a violation.
+    """
+
+    schedules: int = 0
+    checked: Counter[str] = field(default_factory=Counter)
+    violations: Counter[str] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    first: dict[str, Any] | None = None
+
+    def add(self, record: ScheduleRecord) -> None:
+        """Check one schedule."""
+        self.schedules += 1
+        self.faults.update(outage.kind for outage in record.outages)
+        found = []
+        for name, verdict in check_record(record).items():
+            self.checked[name] += verdict.checked
+            self.violations[name] += len(verdict.violations)
+            found += [f"{name}: {text}" for text in verdict.violations]
+        if found and self.first is None:
+            trace = [*found, *describe_record(record)]
+            self.first = {"seed": record.seed, "trace": trace}
+
+    def render(self) -> dict[str, Any]:
+        """Return the tally in the form of the command's JSON."""
+        promises = {
+            name: {"checked": self.checked[name], "violations": self.violations[name]}
+            for name in PROMISES
+        }
+        return {
+            "schedules": self.schedules,
+            "promises": promises,
+            "faults": {kind: self.faults[kind] for kind in sorted(FAULTS)},
+            "first_violation": self.first,
+        }
+
+
+def run_fault_bench(seeds: int, seed: int, broken: str = "") -> dict[str, Any]:
     """Run schedules and return the verdicts in the form of the command's JSON.
 
     Parameters
@@ -52,31 +94,9 @@
     broken : str
         Promise whose mechanism is switched off; empty for none.
     """
-    checked: Counter[str] = Counter()
-    violations: Counter[str] = Counter()
-    faults: Counter[str] = Counter(dict.fromkeys(FAULTS, 0))
-    first: dict[str, Any] | None = None
+    tally = Tally()
     with break_mechanism(broken):
         for index in range(seeds):
             number = seed * SEED_STRIDE + index
-            record = run_in_virtual_time(run_schedule, number)
-            faults.update(outage.kind for outage in record.outages)
-            found = []
-            for name, verdict in check_record(record).items():
-                checked[name] += verdict.checked
-                violations[name] += len(verdict.violations)
-                found += [f"{name}: {text}" for text in verdict.violations]
-            if found and first is None:
-                trace = [*found, *describe_record(record)]
-                first = {"seed": number, "trace": trace}
-            on_schedule(index + 1)
-    promises = {
-        name: {"checked": checked[name], "violations": violations[name]}
-        for name in PROMISES
-    }
-    return {
-        "schedules": seeds,
-        "promises": promises,
-        "faults": dict(sorted(faults.items())),
-        "first_violation": first,
-    }
+            tally.add(run_in_virtual_time(run_schedule, number))
+    return tally.render()
