Start the routers of a herd a millisecond apart

Cause, now shown: routers killed together restarted at the very same virtual time, and the order of equal timers depends on the order in which cancelled tasks stand in a set, that is on memory addresses; the order gives processes their numbers and seeds. Change: the restarts are a millisecond apart.

--- a/primrosepier/fault_schedule.py
+++ b/primrosepier/fault_schedule.py
@@ -17,6 +17,7 @@
 FAULT_COUNT = (4, 9)
 CALLERS = 24
 CALM_S = 6.0
+HERD_GAP_S = 0.001
 
 
 async def fail_engine(world: World, duration_s: float) -> str:
@@ -96,16 +97,18 @@
 async def kill_all_routers(world: World, duration_s: float) -> str:
     """Kill all routers at once and start them together."""
     async with anyio.create_task_group() as group:
-        for host in sorted(world.processes):
-            group.start_soon(_restart, world, host, duration_s)
+        for index, host in enumerate(sorted(world.processes)):
+            group.start_soon(_restart, world, host, duration_s, index * HERD_GAP_S)
     return "all"
 
 
-async def _restart(world: World, host: HostId, duration_s: float) -> None:
+async def _restart(
+    world: World, host: HostId, duration_s: float, later_s: float = 0.0
+) -> None:
     process = world.processes[host]
     if process.alive:
         world.kill_router(process)
-    await anyio.sleep(min(duration_s, 1.0))
+    await anyio.sleep(min(duration_s, 1.0) + later_s)
     if not world.processes[host].alive:
         world.start_router(host)
 
