--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -1,6 +1,7 @@
 """Small helpers over ASGI, shared by the router and the stand-ins."""
 
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
@@ -181,12 +182,25 @@
     )
 
 
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    found = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        found.bind((host, int(port)))
+    except OSError:
+        found.close()
+        raise
+    return found
+
+
 @contextlib.asynccontextmanager
 async def open_server(
     app: App,
     address: str,
     compute_grace: Callable[[], float] = lambda: GRACE_S,
     protocol: Any = "httptools",
+    more_addresses: Sequence[str] = (),
 ) -> AsyncIterator[str]:
     """Serve an app while the context is open.
 
@@ -198,6 +212,8 @@
         Returns how long requests in progress may go on at the end, seconds.
     protocol : str or type
         HTTP protocol as uvicorn takes it.
+    more_addresses : sequence of str
+        Other addresses at which the same app is served.
 
     Yields
     ------
@@ -207,12 +223,13 @@
     config = _make_config(app, address, protocol)
     server = _EmbeddedServer(config)
     async with anyio.create_task_group() as group:
-        group.start_soon(server.serve)
+        sockets = [_listen(found) for found in (address, *more_addresses)]
+        group.start_soon(server.serve, sockets)
         while not server.started:
             if server.should_exit:
                 raise OSError(f"cannot listen on {address}")
             await anyio.sleep(POLL_S)
-        bound = server.servers[0].sockets[0].getsockname()
+        bound = sockets[0].getsockname()
         try:
             yield f"{bound[0]}:{bound[1]}"
         finally:
--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -28,6 +28,7 @@
     "capacity-page": "commands_bench_scale:CapacityPageCommand",
     "check": "commands_operate:CheckCommand",
     "demo": "commands_demo:DemoCommand",
+    "entry-router": "commands_entry:EntryRouterCommand",
     "explain": "commands_explain:ExplainCommand",
     "metrics-page": "commands_metrics:MetricsPageCommand",
     "router": "commands_operate:RouterCommand",
--- /dev/null
+++ b/primrosepier/commands_entry.py
@@ -0,0 +1,30 @@
+"""Command that runs a router on the users' platform."""
+
+import anyio
+from cleo.commands.command import Command
+
+from .collector import tune_collector
+from .errors import SettingsError
+from .forwarding.router import run_entry_router
+from .platform.router import make_entry_platform
+from .platform.settings import load_entry_settings
+
+__all__ = ["EntryRouterCommand"]
+
+
+class EntryRouterCommand(Command):
+    """Run one router with the platform's settings file."""
+
+    name = "entry-router"
+    description = "Run one router with the platform's settings file."
+
+    def handle(self) -> int:
+        """Run the command."""
+        try:
+            settings = load_entry_settings()
+        except SettingsError as error:
+            self.line_error(str(error))
+            return 1
+        tune_collector()
+        anyio.run(run_entry_router, settings, make_entry_platform(settings))
+        return 0
--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -2,16 +2,17 @@
 
 import contextlib
 import ssl
+import time
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
-import anyio
 import httpcore
 
+from .clocks import Clock
 from .outcomes import NotRun, Step, UnknownOutcome
 from .streamed import StreamedResponse
-from .transport import TcpBackend
+from .transport import TcpBackend, TcpStream
 
 __all__ = [
     "CONNECT_ERRORS",
@@ -40,6 +41,7 @@
 LEAVING_HEADER = b"x-endpoint-leaving"
 IDLE_CONNECTIONS = 64
 KEEPALIVE_S = 20.0
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +53,9 @@
     attempt : str
         Id that the answer must carry, if it carries one.
     streamed : bool
-        Whether the answer is an event stream, whose bytes are worth saving time on.
+        Whether the answer is an event stream.
+    idle_s : float
+        Longest time that the connection may have been idle, seconds.
     """
 
     address: str
@@ -63,6 +67,7 @@
     request_s: float
     attempt: str = ""
     streamed: bool = False
+    idle_s: float = KEEPALIVE_S
 
 
 class EndpointResponse(Protocol):
@@ -87,79 +92,123 @@
         """Close all connections."""
 
 
+@dataclass(slots=True)
+class _IdleConnection:
+    stream: TcpStream
+    since_s: float
+    expires_at_s: float
+
+
 class HttpEndpointClient:
     """HTTP connections to endpoints, kept open and used again.
 
     A pool of httpcore looks at every connection for every request, so its cost
     grows with the square of the open streams; here each address has a list of
     idle connections of its own.
+
+    Parameters
+    ----------
+    clock : Clock
     """
 
-    def __init__(self) -> None:
-        self.idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
-        self.backend = TcpBackend()
-        self.streams_backend = TcpBackend(splits_heads=True)
+    def __init__(self, clock: Clock = time.monotonic) -> None:
+        self.clock = clock
+        self.idle: dict[str, list[_IdleConnection]] = {}
+        self.backend = TcpBackend(splits_heads=True)
 
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[EndpointResponse]:
         """Send a call; leaving the context cancels what is left of it."""
-        timeout = {
-            "connect": call.connect_s,
-            "pool": call.connect_s,
-            "read": call.request_s,
-            "write": call.request_s,
-        }
-        connection = self._take(call) or self._connect(call)
+        stream = self._take(call) or await self._connect(call)
+        url = httpcore.URL(f"http://{call.address}{call.path}")
+        connection = httpcore.AsyncHTTP11Connection(url.origin, stream)
+        timeout = {"read": call.request_s, "write": call.request_s}
+        request = httpcore.Request(
+            call.method,
+            url,
+            headers=_complete_headers(call, url.origin),
+            content=call.body,
+            extensions={"timeout": timeout},
+        )
+        response: StreamedResponse | None = None
         try:
-            async with connection.stream(
-                call.method,
-                f"http://{call.address}{call.path}",
-                headers=list(call.headers),
-                content=call.body,
-                extensions={"timeout": timeout},
-            ) as response:
-                if call.streamed:
-                    yield StreamedResponse(response, call.request_s)
-                else:
-                    yield response
+            found = await _send_request(connection, request, stream)
+            response = StreamedResponse(found, stream, call.request_s, call.method)
+            yield response
         finally:
-            await self._give_back(call.address, connection)
-
-    def _take(self, call: EndpointCall) -> httpcore.AsyncHTTPConnection | None:
-        idle = [] if call.streamed else self.idle.get(call.address, [])
+            if response is not None and response.is_reusable():
+                await self._give_back(call.address, stream, response.keep_alive_s)
+            else:
+                await stream.aclose()
+
+    def _take(self, call: EndpointCall) -> TcpStream | None:
+        """Return the connection that was used last, unless it may be closing."""
+        idle = self.idle.setdefault(call.address, [])
+        now_s = self.clock()
         while idle:
-            connection = idle.pop()
-            if connection.is_available() and not connection.has_expired():
-                return connection
+            found = idle.pop()
+            fresh = now_s < min(found.expires_at_s, found.since_s + call.idle_s)
+            if fresh and not found.stream.get_extra_info("is_readable"):
+                return found.stream
+            found.stream.abort()
         return None
 
-    def _connect(self, call: EndpointCall) -> httpcore.AsyncHTTPConnection:
+    async def _connect(self, call: EndpointCall) -> TcpStream:
         host, _, port = call.address.rpartition(":")
-        return httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b"http", host.encode("ascii"), int(port)),
-            keepalive_expiry=KEEPALIVE_S,
-            network_backend=self.streams_backend if call.streamed else self.backend,
-        )
+        return await self.backend.connect_tcp(host, int(port), call.connect_s)
 
     async def _give_back(
-        self, address: str, connection: httpcore.AsyncHTTPConnection
+        self, address: str, stream: TcpStream, keep_alive_s: float
     ) -> None:
         idle = self.idle.setdefault(address, [])
-        reusable = connection.is_available() and not connection.is_closed()
-        if reusable and len(idle) < IDLE_CONNECTIONS:
-            idle.append(connection)
+        if len(idle) >= IDLE_CONNECTIONS or stream.get_extra_info("is_readable"):
+            await stream.aclose()
             return
-        with anyio.CancelScope(shield=True):
-            await connection.aclose()
+        now_s = self.clock()
+        idle.append(_IdleConnection(stream, now_s, now_s + keep_alive_s))
 
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self.idle.values():
-            for connection in idle:
-                await connection.aclose()
+            for found in idle:
+                await found.stream.aclose()
         self.idle.clear()
 
 
+async def _send_request(
+    connection: httpcore.AsyncHTTP11Connection,
+    request: httpcore.Request,
+    stream: TcpStream,
+) -> httpcore.Response:
+    """Send a request and read the head of its response.
+
+    Raises
+    ------
+    httpcore.ConnectError
+        The connection was closed before a byte of the request was written.
+    """
+    stream.has_written = False
+    try:
+        return await connection.handle_async_request(request)
+    except RELAY_ERRORS as cause:
+        if stream.has_written:
+            raise
+        raise httpcore.ConnectError("the idle connection was closed") from cause
+
+
+def _complete_headers(
+    call: EndpointCall, origin: httpcore.Origin
+) -> list[tuple[bytes, bytes]]:
+    """Return the call's headers with those that HTTP asks for."""
+    headers = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in call.headers]
+    names = {name.lower() for name, _ in headers}
+    if b"host" not in names:
+        headers.insert(0, (b"Host", call.address.encode("ascii")))
+    if b"content-length" not in names and (call.body or call.method in BODY_METHODS):
+        headers.append((b"Content-Length", str(len(call.body)).encode("ascii")))
+    return headers
+
+
 def is_leaving(headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Return whether a response's headers say that its endpoint is leaving."""
     return any(
--- /dev/null
+++ b/primrosepier/forwarding/burden.py
@@ -0,0 +1,114 @@
+"""What each replica has to do, as far as this router knows."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..ids import EndpointId
+from .calls import ReportedLoad
+
+__all__ = ["Burden", "BurdenLedger"]
+
+# Backoff after a replica could not be reached: the first is about the time after
+# which a restarted process listens again, the last a heartbeat or two.
+UNREACHABLE_BASE_S = 0.5
+UNREACHABLE_CAP_S = 4.0
+# Backoff after a replica refused a call: a few times the usual service time.
+REFUSED_S = 0.15
+# Age after which a reported load says nothing any more, seconds: several calls.
+REPORT_LIFE_S = 2.0
+MEAN_GAIN = 0.05
+
+
+@dataclass(slots=True)
+class Burden:
+    """One replica's work.
+
+    Parameters
+    ----------
+    outstanding : int
+        This router's calls in progress there.
+    pending_tokens : int
+        Uncached prompt tokens of those of them without a first byte.
+    reported : ReportedLoad or None
+    reported_at_s : float
+    avoid_until_s : float
+        Time until which other replicas go first, seconds.
+    failures : int
+        Failures to reach it without a success between them.
+    """
+
+    outstanding: int = 0
+    pending_tokens: int = 0
+    reported: ReportedLoad | None = None
+    reported_at_s: float = float("-inf")
+    avoid_until_s: float = float("-inf")
+    failures: int = 0
+
+    def read_report(self, now_s: float) -> ReportedLoad | None:
+        """Return the reported load while it means something."""
+        if now_s - self.reported_at_s > REPORT_LIFE_S:
+            return None
+        return self.reported
+
+    def count_calls(self, now_s: float) -> int:
+        """Return the calls that run or wait there, as far as known."""
+        report = self.read_report(now_s)
+        if report is None:
+            return self.outstanding
+        return max(self.outstanding, report.running + report.waiting)
+
+
+@dataclass(slots=True)
+class BurdenLedger:
+    """The work of all replicas, kept by this router's own calls and answers."""
+
+    burdens: dict[EndpointId, Burden] = field(default_factory=dict)
+    mean_tokens: float = 0.0
+
+    def find(self, endpoint: EndpointId) -> Burden:
+        """Return a replica's burden."""
+        return self.burdens.setdefault(endpoint, Burden())
+
+    def begin(self, endpoint: EndpointId, tokens: int) -> None:
+        """Note a call that is sent, with the prompt tokens to be computed."""
+        found = self.find(endpoint)
+        found.outstanding += 1
+        found.pending_tokens += tokens
+        self.mean_tokens += MEAN_GAIN * (tokens - self.mean_tokens)
+
+    def note_answer(
+        self, endpoint: EndpointId, load: ReportedLoad | None, now_s: float
+    ) -> None:
+        """Take in the head of an answer."""
+        found = self.find(endpoint)
+        found.failures = 0
+        if load is not None:
+            found.reported = load
+            found.reported_at_s = now_s
+
+    def end_prefill(self, endpoint: EndpointId, tokens: int) -> None:
+        """Note that a call's prompt was read."""
+        self.find(endpoint).pending_tokens -= tokens
+
+    def end(self, endpoint: EndpointId) -> None:
+        """Note that a call is over."""
+        self.find(endpoint).outstanding -= 1
+
+    def note_refusal(self, endpoint: EndpointId, now_s: float) -> None:
+        """Let other replicas go first for a moment after a refusal."""
+        found = self.find(endpoint)
+        found.avoid_until_s = max(found.avoid_until_s, now_s + REFUSED_S)
+
+    def note_unreachable(self, endpoint: EndpointId, now_s: float) -> None:
+        """Let other replicas go first, longer after each failure."""
+        found = self.find(endpoint)
+        period_s = min(UNREACHABLE_CAP_S, UNREACHABLE_BASE_S * 2**found.failures)
+        found.failures += 1
+        found.avoid_until_s = now_s + period_s
+
+    def keep(self, endpoints: Iterable[EndpointId]) -> None:
+        """Forget replicas that are gone and have no call in progress."""
+        known = set(endpoints)
+        for name in list(self.burdens):
+            if name not in known and not self.burdens[name].outstanding:
+                del self.burdens[name]
--- /dev/null
+++ b/primrosepier/forwarding/declarations.py
@@ -0,0 +1,169 @@
+"""What the operators declare: routes, services, workspaces and callers' limits."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NewType
+
+from ..ids import FailureDomain, ServiceId, WorkspaceId
+
+__all__ = [
+    "CacheStore",
+    "CallerLimits",
+    "Declaration",
+    "DeclarationVersion",
+    "EngineShape",
+    "Repeat",
+    "Route",
+    "RouteId",
+    "Service",
+    "Workspace",
+]
+
+DeclarationVersion = NewType("DeclarationVersion", int)
+RouteId = NewType("RouteId", str)
+
+
+class Repeat(Enum):
+    """What may be done again when an attempt ends without a complete answer.
+
+    Attributes
+    ----------
+    NEVER
+        A call that may have run is not sent again.
+    ANY
+        The call may run more than once.
+    RESUME
+        The call is a stream that another endpoint can go on with.
+    """
+
+    NEVER = "never"
+    ANY = "any"
+    RESUME = "resume"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A path below a host name and how calls on it are served.
+
+    Parameters
+    ----------
+    path_prefix : str
+        Begins and ends with a slash.
+    services : tuple of (ServiceId, int)
+        Each service with its weight.
+    streamed : bool
+        Whether the answer is an event stream.
+    timeout_s : float
+        Longest time that a caller is kept waiting for the whole answer, seconds.
+    target_s : float
+        Time to the answer, or to the first event, that callers hope for, seconds.
+    priority : int
+        0 is the most urgent.
+    max_runs : int
+        Endpoints on which one call may run.
+    public : bool
+        Whether calls need no key.
+    """
+
+    id: RouteId
+    host: str
+    path_prefix: str
+    services: tuple[tuple[ServiceId, int], ...]
+    repeat: Repeat = Repeat.NEVER
+    streamed: bool = False
+    timeout_s: float = 60.0
+    target_s: float = 1.0
+    priority: int = 0
+    max_runs: int = 1
+    public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EngineShape:
+    """Sizes of one replica of a service of model engines.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that run at once.
+    cache_tokens : int
+        Memory for running requests and cached prompts, tokens.
+    """
+
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CacheStore:
+    """A service that keeps KV cache of prompts outside the engines."""
+
+    address: str
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A set of endpoints that serve the same calls."""
+
+    id: ServiceId
+    engine: EngineShape | None = None
+    store: CacheStore | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer, found by one of its keys.
+
+    Parameters
+    ----------
+    priority : int or None
+        Takes precedence over a route's priority.
+    isolated : bool
+        Whether its cached prompts serve no other workspace.
+    """
+
+    id: WorkspaceId
+    priority: int | None = None
+    isolated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send and how long it may take; None where not declared."""
+
+    header_bytes: int | None = None
+    body_bytes: int | None = None
+    header_s: float | None = None
+    idle_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Declaration:
+    """All that the operators declared, at one version.
+
+    Parameters
+    ----------
+    workspaces : Mapping of str to Workspace, or None
+        By key; None when calls need no key at all.
+    """
+
+    version: DeclarationVersion
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceId, Service]
+    limits: CallerLimits = CallerLimits()
+    workspaces: Mapping[str, Workspace] | None = None
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
+
+    def __post_init__(self) -> None:
+        longest_first = sorted(self.routes, key=lambda r: -len(r.path_prefix))
+        for route in longest_first:
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/primrosepier/forwarding/entry.py
@@ -0,0 +1,275 @@
+"""The ASGI app in front of declared routes."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+
+from ..asgi import (
+    Receive,
+    Scope,
+    Send,
+    abort_connection,
+    close_connection_after,
+    read_body,
+    send_bytes,
+    wait_for_disconnect,
+)
+from ..clocks import Clock
+from ..errors import MessageError, RequestError
+from ..ids import RequestId, WorkspaceId
+from ..logs import Log
+from ..outcomes import Completed, Interrupted, NotRun, Outcome, Refused, Step
+from .calls import Call
+from .declarations import Declaration, Route, Workspace
+from .events import EventSplice
+from .forwarder import COME_BACK_S, Delivery, Forwarder
+from .freshness import Freshness
+from .records import CallEnded, CallRejected
+
+__all__ = ["EntryApp", "RequestReader"]
+
+# Largest body where none is declared.
+USUAL_BODY_BYTES = 4 * 1024 * 1024
+# Part of a caller's remaining time after which it may come back at the latest:
+# callers keep to no longer times.
+COME_BACK_SHARE = 0.3
+READY_PATH = "/readyz"
+NO_WORKSPACE = WorkspaceId("")
+
+
+class RequestReader(Protocol):
+    """How callers' requests are spelled."""
+
+    def read_host(self, scope: Scope) -> str:
+        """Return the host name that a request is for, without a port."""
+
+    def read_id(self, scope: Scope) -> RequestId:
+        """Return the caller's id of a request; empty when it sent none."""
+
+    def read_key(self, scope: Scope) -> str:
+        """Return the workspace key of a request; empty when it sent none."""
+
+    def make_call(
+        self,
+        scope: Scope,
+        body: bytes,
+        route: Route,
+        workspace: Workspace | None,
+        received_at_s: float,
+    ) -> Call:
+        """Return a request as a call on a route.
+
+        Raises
+        ------
+        MessageError
+            A header can't be read.
+        """
+
+    def write_come_back(self, after_s: float) -> tuple[bytes, bytes]:
+        """Return the header that says when to come back."""
+
+
+@dataclass(slots=True)
+class EntryApp:
+    """Checks requests and has the forwarder serve them.
+
+    Parameters
+    ----------
+    read_declaration : callable
+        Returns what is declared now, or None.
+    freshness : Freshness
+    boot_clock : Clock
+        Counts the time for which the machine was suspended.
+    ready_port : int
+        Port of the readiness address.
+    """
+
+    reader: RequestReader
+    forwarder: Forwarder
+    read_declaration: Callable[[], Declaration | None]
+    freshness: Freshness
+    log: Log
+    clock: Clock
+    boot_clock: Clock
+    ready_port: int
+    stopping: bool = False
+    refusing: bool = False
+    in_progress: int = 0
+    last_call_at_s: float = float("-inf")
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["server"][1] == self.ready_port:
+            await self._answer_readiness(scope, send)
+            return
+        received_at_s = self.clock()
+        self.last_call_at_s = received_at_s
+        self.in_progress += 1
+        if self.stopping:
+            send = close_connection_after(send)
+        try:
+            await self._serve(scope, receive, send, received_at_s)
+        except RequestError as error:
+            await self._reject(scope, send, error)
+        finally:
+            self.in_progress -= 1
+
+    def is_ready(self) -> bool:
+        """Return whether new callers should come here."""
+        if self.stopping or self.read_declaration() is None:
+            return False
+        return self.freshness.may_trust_keys(self.boot_clock())
+
+    async def _answer_readiness(self, scope: Scope, send: Send) -> None:
+        if scope["path"] != READY_PATH:
+            await send_bytes(send, 404, b"")
+            return
+        await send_bytes(send, 200 if self.is_ready() else 503, b"")
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, send: Send, received_at_s: float
+    ) -> None:
+        declaration = self._check_declaration()
+        route = self._find_route(scope, declaration)
+        workspace = self._find_workspace(scope, declaration, route)
+        limit_bytes = declaration.limits.body_bytes or USUAL_BODY_BYTES
+        body = await read_body(receive, limit_bytes, route.timeout_s)
+        try:
+            call = self.reader.make_call(scope, body, route, workspace, received_at_s)
+        except MessageError as error:
+            raise RequestError(400, "unreadable_header", str(error)) from error
+        delivery = Delivery(send, EventSplice(call.resume_after))
+        outcome = await self._forward(call, delivery, receive)
+        if outcome is not None:
+            await self._conclude(call, outcome, delivery)
+        self._log_end(call, outcome, delivery, declaration)
+
+    def _check_declaration(self) -> Declaration:
+        """Return what is declared, unless this router can't act on it."""
+        declaration = self.read_declaration()
+        if declaration is None:
+            text = "No configuration is known yet."
+            raise RequestError(503, "not_configured", text, retry_after_s=COME_BACK_S)
+        if self.refusing:
+            text = "The router is about to stop."
+            raise RequestError(503, "stopping", text, retry_after_s=COME_BACK_S)
+        return declaration
+
+    def _find_route(self, scope: Scope, declaration: Declaration) -> Route:
+        route = declaration.find_route(self.reader.read_host(scope), scope["path"])
+        if route is not None:
+            return route
+        self._require_fresh()
+        raise RequestError(404, "no_route", "No route serves this path.")
+
+    def _find_workspace(
+        self, scope: Scope, declaration: Declaration, route: Route
+    ) -> Workspace | None:
+        if route.public or declaration.workspaces is None:
+            return None
+        self._require_fresh()
+        found = declaration.workspaces.get(self.reader.read_key(scope))
+        if found is None:
+            raise RequestError(401, "unknown_key", "The key is not known.")
+        return found
+
+    def _require_fresh(self) -> None:
+        """Refuse while a change that was made long ago may be unknown here."""
+        if not self.freshness.may_trust_keys(self.boot_clock()):
+            text = "The store does not answer, so keys can't be checked."
+            raise RequestError(503, "stale_keys", text, retry_after_s=COME_BACK_S)
+
+    async def _forward(
+        self, call: Call, delivery: Delivery, receive: Receive
+    ) -> Outcome | None:
+        """Return the outcome, or None when the caller left before."""
+        outcome: Outcome | None = None
+
+        async def watch() -> None:
+            await wait_for_disconnect(receive)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            outcome = await self.forwarder.forward(call, delivery)
+            group.cancel_scope.cancel()
+        return outcome
+
+    async def _conclude(self, call: Call, outcome: Outcome, delivery: Delivery) -> None:
+        """Answer a call whose answer did not come from a replica."""
+        if isinstance(outcome, Completed | Refused):
+            return
+        if isinstance(outcome, Interrupted) or delivery.status:
+            abort_connection(_unwrap(delivery.send))
+            return
+        if isinstance(outcome, NotRun):
+            remaining_s = max(0.0, call.deadline_s - self.clock())
+            after_s = min(outcome.retry_after_s, COME_BACK_SHARE * remaining_s)
+            delivery.status = 503
+            headers = [self._make_come_back(after_s)]
+            await send_bytes(delivery.send, 503, b"", headers)
+            return
+        late = self.clock() >= call.deadline_s
+        delivery.status = 504 if late else 502
+        await send_bytes(delivery.send, delivery.status, b"")
+
+    def _make_come_back(self, after_s: float) -> tuple[str, str]:
+        name, value = self.reader.write_come_back(after_s)
+        return name.decode("latin-1"), value.decode("latin-1")
+
+    async def _reject(self, scope: Scope, send: Send, error: RequestError) -> None:
+        declaration = self.read_declaration()
+        self.log.emit(
+            CallRejected(
+                request=self.reader.read_id(scope),
+                status=error.status,
+                code=error.code,
+                declaration=declaration.version if declaration else 0,
+                heard_age_s=self.freshness.compute_age_s(self.boot_clock()),
+            )
+        )
+        headers = []
+        if error.retry_after_s:
+            headers.append(self._make_come_back(error.retry_after_s))
+        await send_bytes(send, error.status, b"", headers)
+
+    def _log_end(
+        self,
+        call: Call,
+        outcome: Outcome | None,
+        delivery: Delivery,
+        declaration: Declaration,
+    ) -> None:
+        now_s = self.clock()
+        first_s = delivery.first_byte_at_s
+        step = getattr(outcome, "step", Step.RELAY)
+        self.log.emit(
+            CallEnded(
+                request=call.id,
+                route=call.route.id,
+                workspace=call.workspace.id if call.workspace else NO_WORKSPACE,
+                outcome=type(outcome).__name__ if outcome else "CallerLeft",
+                status=delivery.status,
+                step=step.value,
+                peer=getattr(outcome, "peer", "-"),
+                reason=getattr(outcome, "reason", ""),
+                attempts=delivery.sends,
+                prompt_tokens=call.prompt_tokens,
+                first_byte_s=first_s - call.received_at_s if first_s else None,
+                duration_s=now_s - call.received_at_s,
+                declaration=declaration.version,
+                heard_age_s=self.freshness.compute_age_s(self.boot_clock()),
+            )
+        )
+
+
+def _unwrap(send: Send) -> Send:
+    return getattr(send, "inner", send)
+
+
+def read_boot_clock() -> float:
+    """Return the time since the machine started, suspended or not, seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/primrosepier/forwarding/router.py
@@ -0,0 +1,206 @@
+"""The router process in front of declared routes."""
+
+import contextlib
+import random
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import anyio
+
+from ..asgi import open_server
+from ..clocks import Clock
+from ..engines import EndpointClient
+from ..logs import Log, make_log
+from ..mirror import Backoff, Mirror, MirrorController
+from ..protocol import make_bounded_protocol, set_protocol_bounds
+from ..store import Store
+from .burden import BurdenLedger
+from .calls import EndpointDialect
+from .declarations import Declaration
+from .entry import EntryApp, RequestReader, read_boot_clock
+from .forwarder import make_forwarder
+from .freshness import Freshness
+from .homes import HomeChooser
+from .knowledge import Knowledge, StoreLayout, make_knowledge
+from .records import RouterStarted, RouterStopping
+from .repeats import RepeatBudget
+from .settings import EntrySettings
+
+__all__ = ["EntryPlatform", "EntryRouter", "make_entry_router", "run_entry_router"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# Bounds on a request's head where none are declared.
+USUAL_HEADER_BYTES = 32 * 1024
+USUAL_HEADER_S = 10.0
+USUAL_IDLE_S = 30.0
+# Added to the declared idle time, so that a caller that keeps to it is never cut.
+IDLE_MARGIN_S = 1.0
+# Waits after a failed call on the store: short against the bound on revoked keys.
+STORE_WAIT_S = 0.1
+STORE_WAIT_LIMIT_S = 0.8
+# Time after the order to stop in which calls still come: the balancer asks once a
+# second and takes a router out after two misses.
+ACCEPT_S = 3.0
+# Time without a new call after which none is expected any more.
+QUIET_S = 0.6
+# Part of the grace that is kept for closing connections.
+CLOSE_S = 0.5
+TICK_S = 0.05
+REFRESH_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlatform:
+    """What a router meets outside its process.
+
+    Parameters
+    ----------
+    store : Store
+    client : EndpointClient
+    dialect : EndpointDialect
+    reader : RequestReader
+    layout : StoreLayout
+    watched_prefix : str
+        Part of the store that is mirrored.
+    """
+
+    store: Store
+    client: EndpointClient
+    dialect: EndpointDialect
+    reader: RequestReader
+    layout: StoreLayout
+    watched_prefix: str
+    clock: Clock = time.monotonic
+    boot_clock: Clock = read_boot_clock
+
+
+@dataclass(slots=True)
+class EntryRouter:
+    """The parts of one router."""
+
+    settings: EntrySettings
+    platform: EntryPlatform
+    log: Log
+    knowledge: Knowledge
+    mirror: MirrorController
+    app: EntryApp
+    callers_address: str = ""
+
+    def compute_grace(self) -> float:
+        """Return how long calls in progress may go on at the end, seconds."""
+        return CLOSE_S
+
+    async def refresh(self) -> None:
+        """Follow what changes by time alone."""
+        while True:
+            await anyio.sleep(REFRESH_S)
+            self.knowledge.refresh()
+
+    async def drain(self) -> None:
+        """Take the router out of service and wait for the calls in progress."""
+        clock = self.platform.clock
+        started_s = clock()
+        grace_s = self.settings.grace_s
+        self.log.emit(RouterStopping(self.app.in_progress, grace_s))
+        self.app.stopping = True
+        while clock() < started_s + grace_s - 2 * CLOSE_S:
+            now_s = clock()
+            quiet = now_s >= self.app.last_call_at_s + QUIET_S
+            self.app.refusing = now_s >= started_s + ACCEPT_S
+            if self.app.refusing and quiet and not self.app.in_progress:
+                return
+            await anyio.sleep(TICK_S)
+
+
+def make_entry_router(
+    settings: EntrySettings, platform: EntryPlatform, log: Log
+) -> EntryRouter:
+    """Return a router that serves nothing yet."""
+    knowledge = make_knowledge(platform.layout, log, platform.boot_clock)
+    source = random.Random(settings.host)
+    mirror = MirrorController(
+        platform.store,
+        Mirror(platform.watched_prefix),
+        Backoff(source, STORE_WAIT_S, STORE_WAIT_LIMIT_S),
+        platform.layout.declaration_key,
+        platform.boot_clock,
+        note_contact=knowledge.note_contact,
+    )
+    mirror.mirror.listeners.append(knowledge.update)
+    freshness = Freshness(settings.revoke_s, lambda: mirror.mirror.heard_at_s)
+    chooser = HomeChooser(settings.failure_domain, BurdenLedger(), source)
+    forwarder = make_forwarder(
+        platform.client,
+        platform.dialect,
+        lambda: knowledge.replicas.value,
+        chooser,
+        RepeatBudget(settings.repeat_ratio, settings.repeat_window_s),
+        log,
+        platform.clock,
+    )
+    app = EntryApp(
+        platform.reader,
+        forwarder,
+        lambda: knowledge.declaration.value,
+        freshness,
+        log,
+        platform.clock,
+        platform.boot_clock,
+        int(settings.readiness_address.rpartition(":")[2]),
+    )
+    return EntryRouter(settings, platform, log, knowledge, mirror, app)
+
+
+def _follow_limits(
+    protocol: type, read_declaration: Callable[[], Declaration | None]
+) -> None:
+    declaration = read_declaration()
+    if declaration is None:
+        return
+    limits = declaration.limits
+    set_protocol_bounds(
+        protocol,
+        limits.header_bytes or USUAL_HEADER_BYTES,
+        limits.header_s or USUAL_HEADER_S,
+        (limits.idle_s or USUAL_IDLE_S) + IDLE_MARGIN_S,
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_entry_router(router: EntryRouter) -> AsyncIterator[EntryRouter]:
+    """Run a router while the context is open."""
+    settings = router.settings
+    protocol = make_bounded_protocol(USUAL_HEADER_BYTES, USUAL_HEADER_S)
+    router.mirror.mirror.listeners.append(
+        lambda mirror: _follow_limits(protocol, router.app.read_declaration)
+    )
+    async with anyio.create_task_group() as group:
+        async with open_server(
+            router.app,
+            settings.callers_address,
+            router.compute_grace,
+            protocol,
+            (settings.readiness_address,),
+        ) as router.callers_address:
+            router.log.emit(
+                RouterStarted(router.callers_address, settings.failure_domain)
+            )
+            group.start_soon(router.mirror.run)
+            group.start_soon(router.refresh)
+            yield router
+        group.cancel_scope.cancel()
+    await router.platform.store.close()
+    router.log.close()
+
+
+async def run_entry_router(settings: EntrySettings, platform: EntryPlatform) -> None:
+    """Run a router until the process is told to stop."""
+    log = make_log(settings.host, settings.logs)
+    router = make_entry_router(settings, platform, log)
+    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async with open_entry_router(router):
+            async for _ in signals:
+                break
+            await router.drain()
--- /dev/null
+++ b/primrosepier/forwarding/settings.py
@@ -0,0 +1,53 @@
+"""Settings of one router in front of declared routes."""
+
+from dataclasses import dataclass
+
+from ..ids import FailureDomain, HostId
+from ..settings import LogSettings
+
+__all__ = ["EntrySettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Checked settings; all times are seconds.
+
+    Parameters
+    ----------
+    callers_address, readiness_address, store_address : str
+        ``IP:PORT``.
+    store_writes_per_s, store_reads_per_s : float
+        Calls that all routers together may make on the store.
+    shortest_lease_s : float
+        Shortest time to live that the store grants.
+    grace_s : float
+        Time between the order to stop and the kill.
+    revoke_s : float or None
+        Time within which a revoked key must stop working everywhere.
+    repeat_ratio : float
+        Repeats for each call of the window.
+    repeat_window_s : float
+    holder_gap_s : float
+        Time that must pass between orders of two holders of a duty.
+    weights_s : float
+        Time within which named weights must be in use everywhere.
+    heartbeat_s : float
+        Time between two registrations of a replica.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    callers_address: str
+    readiness_address: str
+    store_address: str
+    store_writes_per_s: float = 100.0
+    store_reads_per_s: float = 500.0
+    shortest_lease_s: float = 1.0
+    grace_s: float = 8.0
+    revoke_s: float | None = None
+    repeat_ratio: float = 0.2
+    repeat_window_s: float = 10.0
+    holder_gap_s: float = 3.0
+    weights_s: float = 12.0
+    heartbeat_s: float = 1.2
+    logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -256,8 +256,8 @@
 def _open_writer(settings: LogSettings) -> _Writer | None:
     if settings.sink == "none":
         return None
-    if settings.sink == "stderr":
-        return _Writer(sys.stderr.buffer, owned=False)
+    if settings.sink in ("stderr", "stdout"):
+        return _Writer(getattr(sys, settings.sink).buffer, owned=False)
     flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
     try:
         descriptor = os.open(settings.sink, flags, LOG_MODE)
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -18,6 +18,10 @@
 Listener = Callable[["Mirror"], None]
 
 
+def ignore_contact(in_touch: bool, reason: str) -> None:
+    """Tell nobody whether the service answers."""
+
+
 @dataclass(slots=True)
 class Backoff:
     """Waits between attempts: full jitter below a bound that doubles.
@@ -54,12 +58,19 @@
     prefix : str
     listeners : list of callable
         Called with the mirror after each change.
+
+    Attributes
+    ----------
+    heard_at_s : float
+        Time at which the newest answer was asked for that the service vouches for,
+        seconds.
     """
 
     prefix: str
     items: dict[str, Item] = field(default_factory=dict)
     revision: Revision = Revision(0)
     synced_at_s: float = NEVER_S
+    heard_at_s: float = NEVER_S
     listeners: list[Listener] = field(default_factory=list)
 
     @property
@@ -78,6 +89,12 @@
 
     def take_event(self, event: WatchEvent, now_s: float) -> None:
         """Apply the changes of one revision."""
+        if event.asked_at_s is not None:
+            self.heard_at_s = event.asked_at_s
+        if not event.items and not event.deleted:
+            self.revision = event.revision
+            self.synced_at_s = now_s
+            return
         for item in event.items:
             self.items[item.key] = item
         for key in event.deleted:
@@ -101,6 +118,8 @@
         The part that is read now and then, to find a watch that went silent.
     check_s : float
         Time between these reads, seconds.
+    note_contact : callable
+        Told whether the service answers, and why not.
     """
 
     store: Store
@@ -109,6 +128,7 @@
     check_prefix: str
     clock: Clock = time.monotonic
     check_s: float = 15.0
+    note_contact: Callable[[bool, str], None] = ignore_contact
 
     async def run(self) -> None:
         """Read once, then watch; read again only when the history is gone."""
@@ -119,11 +139,15 @@
 
     async def _synchronize(self) -> None:
         while True:
+            asked_at_s = self.clock()
             snapshot = await self.store.read(self.mirror.prefix)
             if not isinstance(snapshot, Unavailable):
+                self.mirror.heard_at_s = asked_at_s
+                self.note_contact(True, "read")
                 self.mirror.take_snapshot(snapshot, self.clock())
                 self.backoff.reset()
                 return
+            self.note_contact(False, snapshot.reason)
             await anyio.sleep(self.backoff.next_wait_s())
 
     async def _follow(self) -> bool:
@@ -148,7 +172,9 @@
             self.backoff.reset()
             if event.compacted:
                 return False
+            self.note_contact(True, "watch")
             self.mirror.take_event(event, self.clock())
+        self.note_contact(False, "the watch ended")
         return True
 
     async def _check(self) -> None:
--- /dev/null
+++ b/primrosepier/platform/ingress.py
@@ -0,0 +1,107 @@
+"""Callers' requests on the platform, read into calls."""
+
+from collections.abc import Iterable
+
+from ..asgi import Scope
+from ..errors import MessageError
+from ..forwarding.calls import Call, PartId, PromptPart
+from ..forwarding.declarations import Route, Workspace
+from ..ids import ModelId, RequestId
+from . import names
+
+__all__ = ["PlatformRequests"]
+
+MS = 0.001
+BEARER = "bearer "
+
+
+def _collect(scope: Scope) -> dict[bytes, bytes]:
+    return dict(scope["headers"])
+
+
+def _read_parts(value: str) -> tuple[PromptPart, ...]:
+    """Return the parts that a comma-separated list of ID:TOKENS names."""
+    parts = []
+    for entry in filter(None, (text.strip() for text in value.split(","))):
+        name, _, tokens = entry.rpartition(":")
+        if not tokens.isdigit():
+            raise MessageError(f"the prompt part {entry!r} has no length")
+        parts.append(PromptPart(PartId(name), int(tokens)))
+    return tuple(parts)
+
+
+class PlatformRequests:
+    """How callers' requests are spelled."""
+
+    def read_host(self, scope: Scope) -> str:
+        """Return the host name that a request is for, without a port."""
+        host = _collect(scope).get(b"host", b"").decode("latin-1")
+        return host.partition(":")[0]
+
+    def read_id(self, scope: Scope) -> RequestId:
+        """Return the caller's id of a request; empty when it sent none."""
+        return RequestId(_collect(scope).get(names.CALL_ID, b"").decode("latin-1"))
+
+    def read_key(self, scope: Scope) -> str:
+        """Return the workspace key of a request; empty when it sent none."""
+        value = _collect(scope).get(names.API_KEY, b"").decode("latin-1")
+        if not value.lower().startswith(BEARER):
+            return ""
+        return value[len(BEARER) :].strip()
+
+    def make_call(
+        self,
+        scope: Scope,
+        body: bytes,
+        route: Route,
+        workspace: Workspace | None,
+        received_at_s: float,
+    ) -> Call:
+        """Return a request as a call on a route.
+
+        Raises
+        ------
+        MessageError
+            A header can't be read.
+        """
+        values = _collect(scope)
+
+        def read(name: bytes) -> str:
+            return values.get(name, b"").decode("latin-1")
+
+        target = scope["raw_path"].decode("latin-1")
+        if scope["query_string"]:
+            target = f"{target}?{scope['query_string'].decode('latin-1')}"
+        return Call(
+            id=self.read_id(scope),
+            method=scope["method"],
+            target=target,
+            headers=tuple(_select_passed(scope["headers"])),
+            body=body,
+            route=route,
+            workspace=workspace,
+            received_at_s=received_at_s,
+            deadline_s=received_at_s + _read_limit_s(read, route),
+            model=ModelId(read(names.MODEL)),
+            parts=_read_parts(read(names.PROMPT_PARTS)),
+            resume_after=read(names.LAST_EVENT),
+        )
+
+    def write_come_back(self, after_s: float) -> tuple[bytes, bytes]:
+        """Return the header that says when to come back."""
+        return names.RETRY_AFTER, f"{after_s:.3f}".encode("ascii")
+
+
+def _read_limit_s(read, route: Route) -> float:
+    limit = read(names.REMAINING_TIME)
+    if not limit.isdigit():
+        return route.timeout_s
+    return min(route.timeout_s, int(limit) * MS)
+
+
+def _select_passed(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> Iterable[tuple[bytes, bytes]]:
+    for name, value in headers:
+        if name not in names.HOP_HEADERS and name not in names.OWN_HEADERS:
+            yield name, value
--- /dev/null
+++ b/primrosepier/platform/replicas.py
@@ -0,0 +1,122 @@
+"""Replicas as they register themselves, and the headers of their answers."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ..errors import MessageError
+from ..forwarding.calls import (
+    AnswerHead,
+    Call,
+    ReportedLoad,
+    Sending,
+    WeightsNumber,
+)
+from ..forwarding.fleet import Replica
+from ..ids import EndpointId, FailureDomain, ModelId, ServiceId
+from . import names
+
+__all__ = ["PlatformDialect", "decode_replica"]
+
+MS = 0.001
+READY = "ready"
+DRAINING = "draining"
+MISDIRECTED = 421
+LEAST_URGENT = 9
+
+
+class _Model(msgspec.Struct):
+    name: str
+    # The number of its weights.
+    version: int
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    models: list[_Model] = []
+
+
+def decode_replica(name: str, value: bytes) -> Replica:
+    """Return the replica that an entry of the store tells of.
+
+    Raises
+    ------
+    MessageError
+        The entry was not written by a replica.
+    """
+    try:
+        found = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        raise MessageError(str(cause)) from cause
+    if found.state not in (READY, DRAINING):
+        raise MessageError(f"the state {found.state!r} is unknown")
+    host, _, port = found.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise MessageError(f"the address {found.address!r} is not IP:PORT")
+    return Replica(
+        id=EndpointId(name),
+        service=ServiceId(found.service),
+        address=found.address,
+        failure_domain=FailureDomain(found.zone),
+        slots=max(1, found.slots),
+        draining=found.state == DRAINING,
+        weights={ModelId(m.name): WeightsNumber(m.version) for m in found.models},
+    )
+
+
+class PlatformDialect:
+    """How calls and answers are spelled on the way to replicas."""
+
+    def write_headers(self, call: Call, sending: Sending) -> Sequence[tuple[str, str]]:
+        """Return the headers of one attempt."""
+        own = [
+            (names.REMAINING_TIME, str(max(1, int(sending.remaining_s / MS)))),
+            (names.EXPECTED_ENDPOINT, sending.endpoint),
+        ]
+        if call.workspace is not None:
+            own.append((names.WORKSPACE, call.workspace.id))
+        if call.parts:
+            own.append((names.CACHE_SCOPE, sending.cache_scope))
+            own.append((names.URGENCY, str(min(LEAST_URGENT, call.priority))))
+        if sending.resume_after:
+            own.append((names.LAST_EVENT, sending.resume_after))
+        passed = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in call.headers]
+        return passed + [(name.decode("latin-1"), value) for name, value in own]
+
+    def read_head(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]]
+    ) -> AnswerHead:
+        """Return what the head of an answer says."""
+        values = {name.lower(): value for name, value in headers}
+        passed = tuple(
+            (name, value)
+            for name, value in headers
+            if name.lower() not in names.HOP_HEADERS
+        )
+        not_run = names.NOT_RUN in values or status == MISDIRECTED
+        return AnswerHead(
+            status=status,
+            headers=passed,
+            call_id=values.get(names.CALL_ID, b"").decode("latin-1"),
+            not_run=not_run,
+            misdirected=status == MISDIRECTED,
+            authentic=names.ENDPOINT_PROOF in values,
+            load=_read_load(values.get(names.ENDPOINT_LOAD, b"")),
+            weights=_read_weights(values.get(names.WEIGHTS, b"")),
+        )
+
+
+def _read_load(value: bytes) -> ReportedLoad | None:
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
+
+
+def _read_weights(value: bytes) -> WeightsNumber | None:
+    return WeightsNumber(int(value)) if value.strip().isdigit() else None
--- /dev/null
+++ b/primrosepier/platform/router.py
@@ -0,0 +1,35 @@
+"""The router on the platform: its ports, put together."""
+
+from ..engines import make_endpoint_client
+from ..forwarding.entry import read_boot_clock
+from ..forwarding.knowledge import StoreLayout
+from ..forwarding.router import EntryPlatform
+from ..forwarding.settings import EntrySettings
+from . import names
+from .declared import decode_declaration, decode_weights
+from .ingress import PlatformRequests
+from .replicas import PlatformDialect, decode_replica
+from .store import make_platform_store
+
+__all__ = ["make_entry_platform"]
+
+LAYOUT = StoreLayout(
+    declaration_key=names.CONFIGURATION_KEY,
+    weights_prefix=names.WEIGHTS_PREFIX,
+    replicas_prefix=names.REPLICAS_PREFIX,
+    decode_declaration=decode_declaration,
+    decode_weights=decode_weights,
+    decode_replica=decode_replica,
+)
+
+
+def make_entry_platform(settings: EntrySettings) -> EntryPlatform:
+    """Return the ports of a router on the platform."""
+    return EntryPlatform(
+        store=make_platform_store(settings.store_address, read_boot_clock),
+        client=make_endpoint_client(),
+        dialect=PlatformDialect(),
+        reader=PlatformRequests(),
+        layout=LAYOUT,
+        watched_prefix="",
+    )
--- /dev/null
+++ b/primrosepier/platform/settings.py
@@ -0,0 +1,102 @@
+"""The platform's settings file."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from ..errors import SettingsError
+from ..forwarding.settings import EntrySettings
+from ..ids import FailureDomain, HostId
+
+__all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "parse_entry_settings"]
+
+SETTINGS_VARIABLE = "PRIMROSEPIER_CONFIG"
+STORE_FORM = "kv"
+MS = 0.001
+
+
+class _Listen(msgspec.Struct, rename="camel"):
+    frontend: str
+    readiness: str
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    """Promises of the installation; all times but the named ones are ms."""
+
+    grace_s: float = 8.0
+    drain_ms: float = 2000.0
+    # Whether the bound on revoked keys holds at all.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
+    # Repeats for each call of the window, over all routers.
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    # Longest time in which orders of two holders may follow each other.
+    lease_ms: float = 3000.0
+    version_ms: float = 12000.0
+
+
+class _Store(msgspec.Struct, rename="camel"):
+    address: str
+    form: str = STORE_FORM
+    writes_per_s: float = 100.0
+    reads_per_s: float = 500.0
+    ttl_min_ms: float = 1000.0
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    node_name: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    heartbeat_ms: float = 1200.0
+
+
+def load_entry_settings(environment: Mapping[str, str] = os.environ) -> EntrySettings:
+    """Read the settings file that the platform names.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or a value in it is missing or wrong.
+    """
+    name = environment.get(SETTINGS_VARIABLE, "")
+    if not name:
+        raise SettingsError("-", "-", SETTINGS_VARIABLE, "the variable is not set")
+    try:
+        text = Path(name).read_bytes()
+    except OSError as cause:
+        raise SettingsError(name, "-", "-", str(cause)) from cause
+    return parse_entry_settings(text, name)
+
+
+def parse_entry_settings(text: bytes, file: str) -> EntrySettings:
+    """Return the settings that the platform's TOML text holds."""
+    try:
+        found = msgspec.toml.decode(text, type=_Settings)
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        raise SettingsError(file, "-", "-", str(cause)) from cause
+    if found.platform.form != STORE_FORM:
+        allowed = f"only the form {STORE_FORM} is known"
+        raise SettingsError(file, "platform", "form", allowed)
+    bounds = found.bounds
+    return EntrySettings(
+        host=HostId(found.node_name),
+        failure_domain=FailureDomain(found.zone),
+        callers_address=found.listen.frontend,
+        readiness_address=found.listen.readiness,
+        store_address=found.platform.address,
+        store_writes_per_s=found.platform.writes_per_s,
+        store_reads_per_s=found.platform.reads_per_s,
+        shortest_lease_s=found.platform.ttl_min_ms * MS,
+        grace_s=bounds.grace_s,
+        revoke_s=bounds.revoke_ms * MS if bounds.strict_revoke else None,
+        repeat_ratio=bounds.retry_budget_ratio,
+        repeat_window_s=bounds.budget_window_s,
+        holder_gap_s=bounds.lease_ms * MS,
+        weights_s=bounds.version_ms * MS,
+        heartbeat_s=found.heartbeat_ms * MS,
+    )
--- /dev/null
+++ b/primrosepier/platform/store.py
@@ -0,0 +1,297 @@
+"""The platform's key-value service as the product's store."""
+
+import base64
+import time
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import anyio
+import msgspec
+
+from ..clocks import Clock
+from ..engines import (
+    CONNECT_ERRORS,
+    RELAY_ERRORS,
+    EndpointCall,
+    HttpEndpointClient,
+)
+from ..ids import Revision
+from ..outcomes import Step
+from ..store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    Item,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    Snapshot,
+    TransactOutcome,
+    Unavailable,
+    WatchEvent,
+)
+
+__all__ = ["PlatformStore", "make_platform_store"]
+
+MS = 0.001
+# The service answers in milliseconds; a second covers a lost packet.
+CONNECT_S = 0.5
+CALL_S = 1.0
+# Time for which a watch waits, seconds: each answer proves what is in force, so it
+# is well below the bound on revoked keys.
+WATCH_S = 1.5
+OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
+# Statuses by which the service says that it did nothing.
+REFUSED = frozenset({429, 503})
+
+
+class _Item(msgspec.Struct):
+    key: str
+    # Revision of its last change.
+    revision: int
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct, rename="camel"):
+    items: list[_Item]
+    truncated: bool
+    store_revision: int
+
+
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Present(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct, rename="camel"):
+    ttl_ms: float
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+T = TypeVar("T")
+
+
+def _decode(answer: _Answer, kind: type[T]) -> T | Unavailable:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        return Unavailable(Step.RELAY, "store", f"malformed answer: {cause}")
+
+
+def _make_item(found: _Item) -> Item:
+    value = base64.b64decode(found.value)
+    return Item(found.key, value, Revision(found.revision), found.lease)
+
+
+class PlatformStore:
+    """Calls on the platform's key-value service.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    clock : Clock
+        Stamps the times at which answers were asked for.
+    """
+
+    def __init__(self, address: str, clock: Clock = time.monotonic):
+        self.address = address
+        self.clock = clock
+        self.client = HttpEndpointClient()
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, wait_s: float = 0.0
+    ) -> _Answer | Unavailable | Ambiguous:
+        """Make one call; the client drops a connection whose answer is lost."""
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = (("Content-Type", "application/json"),) if data else ()
+        call = EndpointCall(
+            self.address, method, path, headers, data, CONNECT_S, CALL_S + wait_s
+        )
+        try:
+            with anyio.fail_after(CALL_S + CONNECT_S + wait_s):
+                async with self.client.open(call) as response:
+                    parts = [part async for part in response.aiter_stream()]
+        except CONNECT_ERRORS as error:
+            return Unavailable(Step.CONNECT, self.address, repr(error))
+        except (*RELAY_ERRORS, TimeoutError) as error:
+            return Ambiguous(Step.HEADERS, self.address, repr(error))
+        if response.status in REFUSED:
+            reason = f"refused with status {response.status}"
+            return Unavailable(Step.HEADERS, self.address, reason)
+        return _Answer(response.status, b"".join(parts))
+
+    async def _read(
+        self, path: str, kind: type[T], wait_s: float = 0.0
+    ) -> T | Unavailable:
+        """Make a call that changes nothing."""
+        answer = await self._call("GET", path, wait_s=wait_s)
+        if isinstance(answer, Ambiguous):
+            return Unavailable(answer.step, answer.peer, answer.reason)
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer.status != OK:
+            reason = f"unexpected status {answer.status}"
+            return Unavailable(Step.HEADERS, self.address, reason)
+        return _decode(answer, kind)
+
+    async def read(self, prefix: str) -> Snapshot | Unavailable:
+        """Return the items whose keys start with a prefix.
+
+        Pages are read one after the other; the revision is that of the first, so
+        that a watch from there shows what changed between them.
+        """
+        items: dict[str, Item] = {}
+        revision = Revision(0)
+        after = ""
+        while True:
+            query = {"pathPrefix": prefix} | ({"after": after} if after else {})
+            page = await self._read(f"/kv-range?{urlencode(query)}", _Range)
+            if isinstance(page, Unavailable):
+                return page
+            revision = revision or Revision(page.store_revision)
+            items.update((i.key, _make_item(i)) for i in page.items)
+            if not page.truncated or not page.items:
+                return Snapshot(revision, items)
+            after = page.items[-1].key
+
+    async def transact(
+        self, compares: Sequence[Compare], puts: Sequence[Put]
+    ) -> TransactOutcome:
+        """Write all or nothing, if every condition holds."""
+        body = {
+            "precondition": [
+                {"key": c.key, "revision": c.mod_revision} for c in compares
+            ],
+            "writes": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode("ascii"),
+                    "lease": put.lease,
+                }
+                for put in puts
+                if put.value is not None
+            ],
+            "remove": [put.key for put in puts if put.value is None],
+        }
+        answer = await self._call("POST", "/kv-txn", body)
+        if isinstance(answer, Ambiguous | Unavailable):
+            return answer
+        if answer.status == NOT_FOUND:
+            return LeaseLost(next((put.lease for put in puts if put.lease), 0))
+        if answer.status == CONDITION_FAILED:
+            return self._read_conflict(answer)
+        if answer.status != OK:
+            reason = f"refused with status {answer.status}"
+            return Unavailable(Step.HEADERS, self.address, reason)
+        written = _decode(answer, _Written)
+        if isinstance(written, Unavailable):
+            return Ambiguous(written.step, self.address, written.reason)
+        return Applied(Revision(written.revision))
+
+    def _read_conflict(self, answer: _Answer) -> Conflict:
+        present = _decode(answer, _Present)
+        if isinstance(present, Unavailable):
+            return Conflict(Revision(0))
+        items = {i.key: _make_item(i) for i in present.items if i.revision}
+        newest = max((item.mod_revision for item in items.values()), default=0)
+        return Conflict(Revision(newest), items)
+
+    async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
+        """Yield the changes from a revision on; end when the service fails.
+
+        An event without changes is yielded each time the service tells that there
+        were none.
+        """
+        position = int(revision) - 1
+        while True:
+            asked_at_s = self.clock()
+            query = urlencode(
+                {
+                    "pathPrefix": prefix,
+                    "after": position,
+                    "waitMs": int(WATCH_S / MS),
+                }
+            )
+            answer = await self._call("GET", f"/kv-watch?{query}", wait_s=WATCH_S)
+            if isinstance(answer, Ambiguous | Unavailable):
+                return
+            if answer.status == GONE:
+                yield WatchEvent(Revision(position), compacted=True)
+                return
+            found = _decode(answer, _Events)
+            if answer.status != OK or isinstance(found, Unavailable):
+                return
+            position = max(position, found.store_revision)
+            yield WatchEvent(
+                revision=Revision(position),
+                items=tuple(_make_item(i) for i in found.events if not i.deleted),
+                deleted=tuple(i.key for i in found.events if i.deleted),
+                asked_at_s=asked_at_s,
+            )
+
+    async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
+        """Return a new lease."""
+        answer = await self._call("POST", "/kv-lease", {"ttlMs": int(ttl_s / MS)})
+        granted = self._read_lease(answer)
+        return granted if granted is not None else self._explain(answer)
+
+    async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
+        """Extend a lease."""
+        answer = await self._call("POST", f"/kv-keep/{lease}")
+        if isinstance(answer, _Answer) and answer.status == NOT_FOUND:
+            return LeaseLost(lease)
+        granted = self._read_lease(answer)
+        if granted is None:
+            return self._explain(answer)
+        return LeaseGranted(lease, granted.ttl_s)
+
+    def _read_lease(
+        self, answer: _Answer | Unavailable | Ambiguous
+    ) -> LeaseGranted | None:
+        if not isinstance(answer, _Answer) or answer.status != OK:
+            return None
+        found = _decode(answer, _Lease)
+        if isinstance(found, Unavailable):
+            return None
+        return LeaseGranted(found.lease, found.ttl_ms * MS)
+
+    def _explain(self, answer: _Answer | Unavailable | Ambiguous) -> Unavailable:
+        if isinstance(answer, Unavailable):
+            return answer
+        if isinstance(answer, Ambiguous):
+            return Unavailable(answer.step, answer.peer, answer.reason)
+        reason = f"no usable answer, status {answer.status}"
+        return Unavailable(Step.HEADERS, self.address, reason)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys, if the service answers."""
+        await self._call("DELETE", f"/kv-lease-end/{lease}")
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.client.close()
+
+
+def make_platform_store(address: str, clock: Clock = time.monotonic) -> PlatformStore:
+    """Return a client of the service at an address."""
+    return PlatformStore(address, clock)
--- a/primrosepier/protocol.py
+++ b/primrosepier/protocol.py
@@ -5,7 +5,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["make_bounded_protocol"]
+__all__ = ["make_bounded_protocol", "set_protocol_bounds"]
 
 TIMED_OUT = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n"
 TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n"
@@ -16,11 +16,14 @@
 
     limit_bytes = 0
     limit_s = 0.0
+    idle_s: float | None = None
     head_bytes = 0
     head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
+        if self.idle_s is not None:
+            self.timeout_keep_alive = self.idle_s  # type: ignore[assignment]
         self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -61,6 +64,21 @@
         self.transport.close()
 
 
+def set_protocol_bounds(
+    protocol: type, header_bytes: int, header_s: float, idle_s: float
+) -> None:
+    """Change the bounds of a protocol, for connections and heads to come.
+
+    Parameters
+    ----------
+    idle_s : float
+        Time after which an idle connection is closed, seconds.
+    """
+    protocol.limit_bytes = header_bytes  # type: ignore[attr-defined]
+    protocol.limit_s = header_s  # type: ignore[attr-defined]
+    protocol.idle_s = idle_s  # type: ignore[attr-defined]
+
+
 def make_bounded_protocol(header_bytes: int, header_s: float) -> type:
     """Return a protocol for uvicorn that refuses large and slow heads.
 
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -98,7 +98,7 @@
     level : str
         ``off``, ``error``, ``info`` or ``debug``.
     sink : str
-        ``none``, ``stderr`` or the path of a file or named pipe.
+        ``none``, ``stderr``, ``stdout`` or the path of a file or named pipe.
     """
 
     level: str = "info"
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -140,12 +140,16 @@
     ----------
     compacted : bool
         The history asked for is gone; the reader takes a new snapshot.
+    asked_at_s : float or None
+        Time at which the answer was asked for, seconds, where the service proves
+        that it shows all changes before; such an answer may tell of none.
     """
 
     revision: Revision
     items: tuple[Item, ...] = ()
     deleted: tuple[str, ...] = ()
     compacted: bool = False
+    asked_at_s: float | None = None
 
 
 class Store(Protocol):
--- a/primrosepier/streamed.py
+++ b/primrosepier/streamed.py
@@ -3,9 +3,10 @@
 httpcore connects, sends the request and reads the head. Its own reading of a body
 costs more for each chunk than the rest of the relay together, so the body is read
 from its network stream and parsed by httptools, with all bytes that are ready in
-one piece. Such a connection is not used again.
+one piece.
 """
 
+import re
 from collections.abc import AsyncIterator
 
 import httpcore
@@ -15,17 +16,29 @@
 
 __all__ = ["StreamedResponse"]
 
+# Idle time when the peer does not tell its own: the shortest that it can't tell.
+KEEP_ALIVE_S = 0.8
+# Part of the time that the peer tells, so that a request does not cross its close.
+KEEP_ALIVE_SHARE = 0.7
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+BODILESS = frozenset({204, 304})
+
 
 class _BodyParser:
-    """Collects the body of one response."""
+    """Collects the body of one response, and nothing that follows it."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.parts: list[bytes] = []
         self.is_complete = False
+        self.is_overrun = False
+
+    def on_message_begin(self) -> None:
+        self.is_overrun = self.is_complete
 
     def on_body(self, data: bytes) -> None:
-        self.parts.append(data)
+        if not self.is_complete:
+            self.parts.append(data)
 
     def on_message_complete(self) -> None:
         self.is_complete = True
@@ -35,7 +48,9 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as cause:
-            raise httpcore.RemoteProtocolError(repr(cause)) from cause
+            if not self.is_complete:
+                raise httpcore.RemoteProtocolError(repr(cause)) from cause
+            self.is_overrun = True
         if len(self.parts) == 1:
             return self.parts.pop()
         body = b"".join(self.parts)
@@ -44,23 +59,61 @@
 
 
 class StreamedResponse:
-    """A response whose head httpcore has read and whose body is an event stream.
+    """A response whose head httpcore has read and whose body is read as it arrives.
 
     Parameters
     ----------
     response : httpcore.Response
+    stream : TcpStream
     silence_s : float
         Longest time without a byte, seconds.
+    method : str
+        Method of the request.
+
+    Attributes
+    ----------
+    keep_alive_s : float
+        Time for which the connection may stay idle, seconds.
     """
 
-    def __init__(self, response: httpcore.Response, silence_s: float):
+    def __init__(
+        self,
+        response: httpcore.Response,
+        stream: TcpStream,
+        silence_s: float,
+        method: str,
+    ):
         self.status = response.status
         self.headers = response.headers
         self.silence_s = silence_s
-        self.stream: TcpStream = response.extensions["network_stream"]
+        self.stream = stream
+        self.is_complete = False
+        self.keep_alive_s = KEEP_ALIVE_S
+        self.closes = False
+        self.is_framed = method == "HEAD" or response.status in BODILESS
+        self.has_body = not self.is_framed
+        for name, value in response.headers:
+            self._read_header(name.lower(), value)
+
+    def _read_header(self, name: bytes, value: bytes) -> None:
+        if name == b"connection":
+            self.closes = self.closes or value.strip().lower() == b"close"
+        elif name in (b"content-length", b"transfer-encoding"):
+            self.is_framed = True
+        elif name == b"keep-alive":
+            found = KEEP_ALIVE_TIMEOUT.search(value)
+            if found:
+                self.keep_alive_s = int(found[1]) * KEEP_ALIVE_SHARE
+
+    def is_reusable(self) -> bool:
+        """Return whether the connection may carry another request."""
+        return self.is_complete and self.is_framed and not self.closes
 
     async def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
+        if not self.has_body:
+            self.is_complete = True
+            return
         parser = _BodyParser()
         parser.feed(self.stream.head)
         buffer = self.stream.buffer
@@ -69,7 +122,11 @@
                 await self.stream.wait_for_bytes(self.silence_s)
             data = buffer.take_all()
             if not data:
-                raise httpcore.RemoteProtocolError("the connection closed early")
+                if self.is_framed:
+                    raise httpcore.RemoteProtocolError("the connection closed early")
+                break
             body = parser.feed(data)
             if body:
                 yield body
+        self.closes = self.closes or parser.is_overrun
+        self.is_complete = True
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -1,6 +1,7 @@
 """TCP streams for httpcore that cost little for each read."""
 
 import asyncio
+import socket
 from collections.abc import Iterable
 from typing import Any
 
@@ -10,6 +11,14 @@
 
 HEAD_END = b"\r\n\r\n"
 HIGH_WATER_BYTES = 256 * 1024
+# Keep-alive probes: the shortest times that Linux takes in whole seconds, and a
+# second probe since a single datagram may be lost.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES = 2
+# Time for which sent bytes may stay unacknowledged: three retransmissions at the
+# usual 200, 400 and 800 ms, then the connection counts as dead.
+UNACKED_MS = 2000
 
 
 class _Buffer(asyncio.Protocol):
@@ -120,12 +129,18 @@
     splits_heads : bool
         Let ``read`` stop after the head of a response, whose bytes are kept in
         ``head``, so that ``read_body`` gets the whole body.
+
+    Attributes
+    ----------
+    has_written : bool
+        Whether a byte was written since this was last set to False.
     """
 
     def __init__(self, buffer: _Buffer, splits_heads: bool = False):
         self.buffer = buffer
         self.splits_heads = splits_heads
         self.head = b""
+        self.has_written = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as soon as there are any; none at the end."""
@@ -163,6 +178,7 @@
             raise httpcore.WriteError("the connection is closed")
         if not buffer:
             return
+        self.has_written = True
         state.transport.write(buffer)
         if state.writable is not None:
             try:
@@ -172,6 +188,10 @@
 
     async def aclose(self) -> None:
         """Close the connection at once."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once, without waiting."""
         if self.buffer.transport is not None:
             self.buffer.transport.abort()
 
@@ -184,6 +204,18 @@
         return None
 
 
+def _detect_silence(buffer: _Buffer) -> None:
+    """Let the kernel end a connection whose peer is gone without a word."""
+    if buffer.transport is None:
+        return
+    found = buffer.transport.get_extra_info("socket")
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+
+
 class TcpBackend(httpcore.AsyncNetworkBackend):
     """Opens TCP connections.
 
@@ -203,7 +235,7 @@
         timeout: float | None = None,
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
+    ) -> TcpStream:
         """Return a new connection."""
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(_Buffer, host, port)
@@ -213,6 +245,7 @@
             raise httpcore.ConnectTimeout(f"{host}:{port}") from cause
         except OSError as cause:
             raise httpcore.ConnectError(str(cause)) from cause
+        _detect_silence(buffer)
         return TcpStream(buffer, self.splits_heads)
 
     async def sleep(self, seconds: float) -> None:
