Load named weights by one fenced holder, paced by the time that is left

The holder takes its duty before traffic, marks in the store when it gives orders, and orders as many replicas at once as the time left asks for. A new holder waits out the last mark.

--- a/primrosepier/forwarding/burden.py
+++ b/primrosepier/forwarding/burden.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..ids import EndpointId
-from .calls import ReportedLoad
+from .calls import AnswerHead, ReportedLoad, WeightsNumber
 
 __all__ = ["Burden", "BurdenLedger"]
 
@@ -12,8 +12,10 @@
 # which a restarted process listens again, the last a heartbeat or two.
 UNREACHABLE_BASE_S = 0.5
 UNREACHABLE_CAP_S = 4.0
-# Backoff after a replica refused a call: a few times the usual service time.
-REFUSED_S = 0.15
+# Backoff after a replica refused a call: the first is a few times the usual service
+# time, the last about the time of a load of weights.
+REFUSED_BASE_S = 0.1
+REFUSED_CAP_S = 0.8
 # Age after which a reported load says nothing any more, seconds: several calls.
 REPORT_LIFE_S = 2.0
 MEAN_GAIN = 0.05
@@ -35,6 +37,10 @@
         Time until which other replicas go first, seconds.
     failures : int
         Failures to reach it without a success between them.
+    refusals : int
+        Refusals without an answer between them.
+    weights : WeightsNumber or None
+        Newest weights that its answers told of.
     """
 
     outstanding: int = 0
@@ -43,6 +49,8 @@
     reported_at_s: float = float("-inf")
     avoid_until_s: float = float("-inf")
     failures: int = 0
+    refusals: int = 0
+    weights: WeightsNumber | None = None
 
     def read_report(self, now_s: float) -> ReportedLoad | None:
         """Return the reported load while it means something."""
@@ -76,15 +84,17 @@
         found.pending_tokens += tokens
         self.mean_tokens += MEAN_GAIN * (tokens - self.mean_tokens)
 
-    def note_answer(
-        self, endpoint: EndpointId, load: ReportedLoad | None, now_s: float
-    ) -> None:
+    def note_answer(self, endpoint: EndpointId, head: AnswerHead, now_s: float) -> None:
         """Take in the head of an answer."""
         found = self.find(endpoint)
         found.failures = 0
-        if load is not None:
-            found.reported = load
+        if head.load is not None:
+            found.reported = head.load
             found.reported_at_s = now_s
+        if not head.not_run:
+            found.refusals = 0
+        if head.weights is not None:
+            found.weights = max(head.weights, found.weights or head.weights)
 
     def end_prefill(self, endpoint: EndpointId, tokens: int) -> None:
         """Note that a call's prompt was read."""
@@ -95,9 +105,11 @@
         self.find(endpoint).outstanding -= 1
 
     def note_refusal(self, endpoint: EndpointId, now_s: float) -> None:
-        """Let other replicas go first for a moment after a refusal."""
+        """Let other replicas go first, longer after each refusal in a row."""
         found = self.find(endpoint)
-        found.avoid_until_s = max(found.avoid_until_s, now_s + REFUSED_S)
+        period_s = min(REFUSED_CAP_S, REFUSED_BASE_S * 2**found.refusals)
+        found.refusals += 1
+        found.avoid_until_s = max(found.avoid_until_s, now_s + period_s)
 
     def note_unreachable(self, endpoint: EndpointId, now_s: float) -> None:
         """Let other replicas go first, longer after each failure."""
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -36,7 +36,7 @@
 from .declarations import Repeat, Route
 from .events import EventSplice
 from .fleet import Replica, ReplicaList
-from .homes import Choice, HomeChooser, make_scope
+from .homes import Choice, HomeChooser, Unwanted, make_scope
 from .records import CallPlaced, CallRepeated
 from .repeats import RepeatBudget
 
@@ -68,6 +68,18 @@
 PREFILL_BASE_TOKENS = 512
 
 
+SelectReplicas = Callable[
+    [Sequence[Replica]], tuple[Sequence[Replica], frozenset[EndpointId]]
+]
+
+
+def select_all(
+    replicas: Sequence[Replica],
+) -> tuple[Sequence[Replica], frozenset[EndpointId]]:
+    """Return all replicas; used where no weights are wanted."""
+    return replicas, frozenset()
+
+
 @dataclass(slots=True)
 class Delivery:
     """What the caller has got of the answer.
@@ -118,6 +130,9 @@
     dialect : EndpointDialect
     read_replicas : callable
         Returns the replicas that may get calls now.
+    select : callable
+        Returns those of some replicas whose weights allow calls, and the ids of
+        those among them without the weights that are wanted.
     """
 
     client: EndpointClient
@@ -130,6 +145,7 @@
     log: Log
     clock: Clock = time.monotonic
     source: random.Random = field(default_factory=random.Random)
+    select: SelectReplicas = select_all
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call; what endpoints answer goes out through the delivery.
@@ -220,11 +236,12 @@
         self, call: Call, service: ServiceId, tried: set[EndpointId]
     ) -> Choice | None:
         now_s = self.clock()
-        known = self.read_replicas().list_replicas(service)
+        known, outdated = self.select(self.read_replicas().list_replicas(service))
         replicas = [replica for replica in known if replica.id not in tried]
         ejected = self.ejections.list_ejected([r.id for r in known], now_s)
+        unwanted = Unwanted(ejected, outdated)
         scope = _make_scope(call)
-        choice = self.chooser.choose(call, scope, replicas, ejected, now_s)
+        choice = self.chooser.choose(call, scope, replicas, unwanted, now_s)
         if choice is None:
             return None
         burden = self.burdens.find(choice.replica.id)
@@ -411,7 +428,7 @@
     def answer(self, head: AnswerHead, now_s: float) -> None:
         """Take in the head of the answer."""
         self.answered_at_s = now_s
-        self.burdens.note_answer(self.endpoint, head.load, now_s)
+        self.burdens.note_answer(self.endpoint, head, now_s)
         self._end_prefill()
 
     def _end_prefill(self) -> None:
--- a/primrosepier/forwarding/homes.py
+++ b/primrosepier/forwarding/homes.py
@@ -18,16 +18,42 @@
 from .calls import Call, PromptPart
 from .fleet import Replica
 
-__all__ = ["Choice", "ChoiceKind", "HomeChooser", "compute_home_key", "make_scope"]
+__all__ = [
+    "Choice",
+    "ChoiceKind",
+    "HomeChooser",
+    "Unwanted",
+    "compute_home_key",
+    "make_scope",
+]
 
 # Tokens that a running request costs a new one, as part of the mean uncached prompt
 # of the service: decoding shares each step with prefilling.
 RUNNING_SHARE = 0.25
+# Tokens that an answer on old weights costs, as part of the prompt: callers lose a
+# part of its worth, less than by an answer that comes too late.
+OUTDATED_SHARE = 0.5
 # Extra calls that a replica in another failure domain must be short of before it is
 # preferred, as part of its slots.
 REMOTE_SHARE = 0.34
 
 
+@dataclass(frozen=True, slots=True)
+class Unwanted:
+    """Replicas that others are preferred to.
+
+    Parameters
+    ----------
+    ejected : frozenset of EndpointId
+        Passed over for their failures.
+    outdated : frozenset of EndpointId
+        Without the weights that are wanted.
+    """
+
+    ejected: frozenset[EndpointId] = frozenset()
+    outdated: frozenset[EndpointId] = frozenset()
+
+
 class ChoiceKind(Enum):
     """How a chosen replica stands to the call."""
 
@@ -84,22 +110,16 @@
         call: Call,
         scope: str,
         replicas: Sequence[Replica],
-        ejected: frozenset[EndpointId],
+        unwanted: Unwanted,
         now_s: float,
     ) -> Choice | None:
-        """Return the choice, or None when there is no replica at all.
-
-        Parameters
-        ----------
-        ejected : frozenset of EndpointId
-            Replicas that are passed over for their failures.
-        """
-        usable = self._list_usable(replicas, ejected, now_s)
+        """Return the choice, or None when there is no replica at all."""
+        usable = self._list_usable(replicas, unwanted.ejected, now_s)
         if not usable:
             return None
         if not call.parts:
             return Choice(self._find_idle(usable, now_s), ChoiceKind.IDLE)
-        return self._choose_engine(call, scope, usable, now_s)
+        return self._choose_engine(call, scope, usable, unwanted.outdated, now_s)
 
     def _list_usable(
         self,
@@ -125,7 +145,12 @@
         return min(replicas, key=weigh)
 
     def _choose_engine(
-        self, call: Call, scope: str, replicas: Sequence[Replica], now_s: float
+        self,
+        call: Call,
+        scope: str,
+        replicas: Sequence[Replica],
+        outdated: frozenset[EndpointId],
+        now_s: float,
     ) -> Choice:
         shared = list_shared_parts(call.parts)
         shared_tokens = sum(part.tokens for part in shared)
@@ -136,6 +161,8 @@
             cost = self._compute_backlog(replica, now_s) + total
             if replica is home:
                 cost -= shared_tokens
+            if replica.id in outdated:
+                cost += OUTDATED_SHARE * total
             return cost, self.source.random()
 
         best = min(replicas, key=weigh)
--- a/primrosepier/forwarding/knowledge.py
+++ b/primrosepier/forwarding/knowledge.py
@@ -165,9 +165,7 @@
     return {r.id for replicas in found.by_service.values() for r in replicas}
 
 
-def make_knowledge(
-    layout: StoreLayout, log: Log, clock: Clock
-) -> Knowledge:
+def make_knowledge(layout: StoreLayout, log: Log, clock: Clock) -> Knowledge:
     """Return a router's knowledge before it read anything."""
     declaration: Section[Declaration | None] = Section("declaration", None)
     replicas: Section[ReplicaList] = Section("replicas", ReplicaList())
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -4,22 +4,28 @@
 import random
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
 from ..asgi import open_server
 from ..clocks import Clock
+from ..duties import DutyKeeper
 from ..engines import EndpointClient
+from ..ids import EndpointId
+from ..leases import Duty
 from ..logs import Log, make_log
 from ..mirror import Backoff, Mirror, MirrorController
 from ..protocol import make_bounded_protocol, set_protocol_bounds
+from ..settings import LeaseBounds
 from ..store import Store
 from .burden import BurdenLedger
 from .calls import EndpointDialect
 from .declarations import Declaration
 from .entry import EntryApp, RequestReader, read_boot_clock
+from .fleet import Replica
 from .forwarder import make_forwarder
 from .freshness import Freshness
 from .homes import HomeChooser
@@ -27,6 +33,8 @@
 from .records import RouterStarted, RouterStopping
 from .repeats import RepeatBudget
 from .settings import EntrySettings
+from .weights import OUTDATED_S, OVERDUE_SHARE, WeightsOrders, compute_lag_s
+from .weights_controller import WEIGHTS_DUTY, WeightsController
 
 __all__ = ["EntryPlatform", "EntryRouter", "make_entry_router", "run_entry_router"]
 
@@ -49,6 +57,14 @@
 CLOSE_S = 0.5
 TICK_S = 0.05
 REFRESH_S = 0.5
+# Part of the time between two holders' orders for which a lease lasts, so that a new
+# holder is there when that time is over.
+LEASE_SHARE = 0.6
+# Longest time that an order is under way, seconds: as its call's bound.
+ORDER_S = 1.0
+# Time by which each next candidate waits longer for a free duty, seconds: the store
+# answers in milliseconds.
+RANK_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +78,7 @@
     dialect : EndpointDialect
     reader : RequestReader
     layout : StoreLayout
+    orders : WeightsOrders
     watched_prefix : str
         Part of the store that is mirrored.
     """
@@ -71,6 +88,7 @@
     dialect: EndpointDialect
     reader: RequestReader
     layout: StoreLayout
+    orders: WeightsOrders
     watched_prefix: str
     clock: Clock = time.monotonic
     boot_clock: Clock = read_boot_clock
@@ -86,6 +104,7 @@
     knowledge: Knowledge
     mirror: MirrorController
     app: EntryApp
+    weights: WeightsController
     callers_address: str = ""
 
     def compute_grace(self) -> float:
@@ -105,6 +124,7 @@
         grace_s = self.settings.grace_s
         self.log.emit(RouterStopping(self.app.in_progress, grace_s))
         self.app.stopping = True
+        await self.weights.release()
         while clock() < started_s + grace_s - 2 * CLOSE_S:
             now_s = clock()
             quiet = now_s >= self.app.last_call_at_s + QUIET_S
@@ -150,7 +170,68 @@
         platform.boot_clock,
         int(settings.readiness_address.rpartition(":")[2]),
     )
-    return EntryRouter(settings, platform, log, knowledge, mirror, app)
+    weights = _make_weights_controller(
+        settings, platform, knowledge, mirror, forwarder.burdens
+    )
+    mirror.mirror.listeners.append(weights.watch_marks)
+    forwarder.select = partial(
+        _select_replicas, settings, forwarder.burdens, weights, platform.boot_clock
+    )
+    return EntryRouter(settings, platform, log, knowledge, mirror, app, weights)
+
+
+def _make_weights_controller(
+    settings: EntrySettings,
+    platform: EntryPlatform,
+    knowledge: Knowledge,
+    mirror: MirrorController,
+    burdens: BurdenLedger,
+) -> WeightsController:
+    def count_calls(endpoint: EndpointId) -> int:
+        return burdens.find(endpoint).count_calls(platform.clock())
+
+    bounds = LeaseBounds(
+        ttl_s=max(settings.shortest_lease_s, LEASE_SHARE * settings.holder_gap_s),
+        pause_s=settings.holder_gap_s,
+        order_s=ORDER_S,
+        rank_s=RANK_S,
+    )
+    return WeightsController(
+        Duty(WEIGHTS_DUTY, settings.host, bounds),
+        DutyKeeper(platform.store, platform.boot_clock),
+        knowledge,
+        mirror.mirror,
+        platform.orders,
+        knowledge.log,
+        platform.boot_clock,
+        settings.weights_s,
+        count_calls,
+    )
+
+
+def _select_replicas(
+    settings: EntrySettings,
+    burdens: BurdenLedger,
+    weights: WeightsController,
+    clock: Clock,
+    replicas: Sequence[Replica],
+) -> tuple[Sequence[Replica], frozenset[EndpointId]]:
+    """Return the replicas whose weights may serve calls, and the outdated of them."""
+    now_s = clock()
+    goals = weights.knowledge.goals.value
+    loading = weights.list_loading()
+    usable = []
+    outdated = set()
+    for replica in replicas:
+        known = burdens.find(replica.id).weights
+        age_s = compute_lag_s(replica, known, goals, now_s)
+        if age_s is not None and age_s > OVERDUE_SHARE * settings.weights_s:
+            continue
+        usable.append(replica)
+        if age_s is not None and age_s > OUTDATED_S:
+            outdated.add(replica.id)
+    serving = [replica for replica in usable if replica.id not in loading]
+    return serving or usable, frozenset(outdated)
 
 
 def _follow_limits(
@@ -189,6 +270,7 @@
             )
             group.start_soon(router.mirror.run)
             group.start_soon(router.refresh)
+            group.start_soon(router.weights.run)
             yield router
         group.cancel_scope.cancel()
     await router.platform.store.close()
--- /dev/null
+++ b/primrosepier/forwarding/weights_controller.py
@@ -0,0 +1,235 @@
+"""Brings replicas to the weights that the operators name, from one router at a time."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..clocks import Clock
+from ..duties import DutyKeeper
+from ..ids import EndpointId
+from ..leases import Duty, DutyStep, make_duty_key
+from ..logs import Log
+from ..mirror import Mirror
+from ..revisions import STATE_PREFIX
+from ..store import Applied, Put
+from .knowledge import Knowledge
+from .records import DutyChanged, WeightsOrdered
+from .weights import (
+    LoadTimes,
+    OrderResult,
+    Pace,
+    ReplicaState,
+    WeightsLoad,
+    WeightsOrder,
+    WeightsOrders,
+    list_outdated,
+    plan_loads,
+)
+
+__all__ = ["WEIGHTS_DUTY", "WeightsController"]
+
+WEIGHTS_DUTY = "weights"
+# Time between steps, seconds: short against the time for new weights.
+HOLDER_TICK_S = 0.1
+OTHER_TICK_S = 0.2
+# Wait before a replica's state is read again, seconds: its account lags by some
+# hundred milliseconds.
+STATE_WAIT_S = 0.3
+# Time after a mark for which orders go out, seconds: several orders, and short, since
+# a new holder waits it out.
+MARK_S = 0.5
+MARK_KEY = STATE_PREFIX + "weights-orders"
+NEVER_S = float("-inf")
+# Time after which a load is given up and planned anew, seconds.
+LOAD_LIMIT_S = 10.0
+MAX_FAILURES = 2
+
+
+@dataclass(slots=True)
+class WeightsController:
+    """Holds the duty, plans loads and carries them out.
+
+    Parameters
+    ----------
+    weights_s : float
+        Time within which named weights must be in use, seconds.
+    count_calls : callable
+        Returns the calls in progress at a replica.
+
+    Attributes
+    ----------
+    foreign_mark_at_s, own_mark_at_s : float
+        When this router learnt of another's last mark, and when it wrote its own.
+    loading : dict of EndpointId to WeightsLoad
+        Loads that this router has under way.
+    """
+
+    duty: Duty
+    keeper: DutyKeeper
+    knowledge: Knowledge
+    mirror: Mirror
+    orders: WeightsOrders
+    log: Log
+    clock: Clock
+    weights_s: float
+    count_calls: Callable[[EndpointId], int]
+    times: LoadTimes = field(default_factory=LoadTimes)
+    mark_revision: int | None = None
+    foreign_mark_at_s: float = NEVER_S
+    own_mark_at_s: float = NEVER_S
+    loading: dict[EndpointId, WeightsLoad] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Keep the duty and carry loads out until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._keep_duty()
+                if self.duty.fencing and self._has_work() and await self._open():
+                    self._start_loads(group)
+                held = bool(self.duty.fencing)
+                await anyio.sleep(HOLDER_TICK_S if held else OTHER_TICK_S)
+
+    def watch_marks(self, mirror: Mirror) -> None:
+        """Note when another holder last said that it gives orders."""
+        mark = mirror.items.get(MARK_KEY)
+        if mark is None or mark.mod_revision == self.mark_revision:
+            return
+        self.mark_revision = mark.mod_revision
+        if mark.value != self._make_mark():
+            self.foreign_mark_at_s = self.clock()
+
+    def _make_mark(self) -> bytes:
+        return str(self.duty.fencing).encode()
+
+    async def _open(self) -> bool:
+        """Return whether orders may go out now.
+
+        Orders go out only for a while after a mark in the store. So a new holder
+        knows from the last mark when no order of the holder before is under way.
+        """
+        now_s = self.clock()
+        if self._may_order():
+            return True
+        wait_s = MARK_S + self.duty.bounds.compute_wait_s()
+        if not self._is_holder(now_s) or now_s < self.foreign_mark_at_s + wait_s:
+            return False
+        return await self._write_mark(now_s)
+
+    async def _write_mark(self, now_s: float) -> bool:
+        outcome = await self.keeper.store.transact(
+            [self.duty.make_guard()], [Put(MARK_KEY, self._make_mark())]
+        )
+        if not isinstance(outcome, Applied):
+            return False
+        self.own_mark_at_s = now_s
+        return True
+
+    def _is_holder(self, now_s: float) -> bool:
+        return self.duty.may_order(honours_fencing=True, now_s=now_s)
+
+    def _may_order(self) -> bool:
+        """Return whether an order may go out under the last mark."""
+        now_s = self.clock()
+        return self._is_holder(now_s) and now_s < self.own_mark_at_s + MARK_S
+
+    def _has_work(self) -> bool:
+        goals = self.knowledge.goals.value
+        return any(
+            list_outdated(replicas, goals)
+            for replicas in self.knowledge.replicas.value.by_service.values()
+        )
+
+    async def _keep_duty(self) -> None:
+        held = self.duty.fencing
+        if not held and not self.knowledge.in_touch:
+            return
+        holder = self.mirror.items.get(make_duty_key(self.duty.name))
+        step = self.duty.decide(holder, frozenset(), self.clock())
+        if step is DutyStep.ACQUIRE:
+            self.duty.failures = min(self.duty.failures, MAX_FAILURES)
+            if await self.keeper.acquire(self.duty):
+                self.own_mark_at_s = NEVER_S
+        elif step is DutyStep.KEEP_ALIVE:
+            await self.keeper.keep_alive(self.duty)
+        elif step is DutyStep.STEP_DOWN:
+            self.duty.drop()
+        if self.duty.fencing != held:
+            number = int(self.duty.fencing or held)
+            held_now = bool(self.duty.fencing)
+            self.log.emit(DutyChanged(self.duty.name, number, held_now))
+
+    async def release(self) -> None:
+        """Give the duty up, so that another router takes it at once."""
+        if self.duty.fencing:
+            await self.keeper.release(self.duty)
+
+    def _start_loads(self, group: TaskGroup) -> None:
+        goals = self.knowledge.goals.value
+        pace = Pace(self.clock(), self.weights_s, self.times.mean_s)
+        for replicas in self.knowledge.replicas.value.by_service.values():
+            loads = plan_loads(replicas, goals, self.loading, pace, self.count_calls)
+            for load in loads:
+                self.loading[load.replica.id] = load
+                group.start_soon(self._load, load)
+
+    def list_loading(self) -> Collection[EndpointId]:
+        """Return the replicas that load by this router's orders."""
+        return self.loading.keys()
+
+    async def _load(self, load: WeightsLoad) -> None:
+        """Have one replica load weights; give up when this takes too long."""
+        started_s = self.clock()
+        try:
+            with anyio.move_on_after(LOAD_LIMIT_S) as scope:
+                while not await self._try_load(load):
+                    await anyio.sleep(STATE_WAIT_S)
+            if not scope.cancelled_caught:
+                self.times.add(self.clock() - started_s)
+        finally:
+            self.loading.pop(load.replica.id, None)
+
+    async def _try_load(self, load: WeightsLoad) -> bool:
+        """Return whether nothing is left to do for a load."""
+        if self._is_done(load, None):
+            return True
+        state = await self.orders.read_state(load.replica)
+        if state is None:
+            return False
+        if self._is_done(load, state):
+            return True
+        if state.is_busy:
+            return False
+        if not self._may_order():
+            return True
+        order = WeightsOrder(load, self.duty.host, self.duty.fencing, state.orders)
+        result = await self.orders.send(order)
+        self.log.emit(
+            WeightsOrdered(
+                endpoint=load.replica.id,
+                model=load.model,
+                weights=load.number,
+                fencing=order.fencing,
+                outcome=result.value,
+            )
+        )
+        return await self._follow_order(load, result)
+
+    async def _follow_order(self, load: WeightsLoad, result: OrderResult) -> bool:
+        if result is OrderResult.OUTRANKED:
+            await self.keeper.release(self.duty)
+            return True
+        if result is OrderResult.HOLDS or result is OrderResult.REFUSED:
+            return result is OrderResult.HOLDS or self._is_done(load, None)
+        return False
+
+    def _is_done(self, load: WeightsLoad, state: ReplicaState | None) -> bool:
+        """Return whether a replica has the weights, or is not to have them."""
+        found = self.knowledge.find_replica(load.replica.id)
+        if found is None or found.draining:
+            return True
+        number = found.weights.get(load.model, 0)
+        if state is not None:
+            number = max(number, state.weights.get(load.model, 0))
+        return number >= load.number
--- a/primrosepier/platform/router.py
+++ b/primrosepier/platform/router.py
@@ -8,6 +8,7 @@
 from . import names
 from .declared import decode_declaration, decode_weights
 from .ingress import PlatformRequests
+from .orders import PlatformOrders
 from .replicas import PlatformDialect, decode_replica
 from .store import make_platform_store
 
@@ -25,11 +26,13 @@
 
 def make_entry_platform(settings: EntrySettings) -> EntryPlatform:
     """Return the ports of a router on the platform."""
+    client = make_endpoint_client()
     return EntryPlatform(
         store=make_platform_store(settings.store_address, read_boot_clock),
-        client=make_endpoint_client(),
+        client=client,
         dialect=PlatformDialect(),
         reader=PlatformRequests(),
         layout=LAYOUT,
+        orders=PlatformOrders(client),
         watched_prefix="",
     )
