Rank calls at replicas by workspace, then by route

Cause: workspaces carry one priority or two, so short queries waited behind long prompts of the same workspace.

--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -19,6 +19,10 @@
     "WeightsNumber",
 ]
 
+# Ranks of routes within one rank of workspaces, so that three of these fit.
+ROUTE_RANKS = 3
+LAST_URGENCY = 9
+
 CallHeaders = tuple[tuple[bytes, bytes], ...]
 PartId = NewType("PartId", str)
 WeightsNumber = NewType("WeightsNumber", int)
@@ -72,11 +76,17 @@
     resume_after: str = ""
 
     @property
-    def priority(self) -> int:
-        """Rank of the call; 0 is the most urgent."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
+    def urgency(self) -> int:
+        """Rank at a replica from 0, the most urgent, to 9.
+
+        A workspace's priority goes before the route's, which ranks the calls of
+        workspaces with the same one.
+        """
+        workspace = self.workspace
+        if workspace is None or workspace.priority is None:
+            return min(LAST_URGENCY, self.route.priority)
+        rank = workspace.priority * ROUTE_RANKS
+        return min(LAST_URGENCY, rank + min(self.route.priority, ROUTE_RANKS - 1))
 
     @property
     def prompt_tokens(self) -> int:
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -22,7 +22,6 @@
 READY = "ready"
 DRAINING = "draining"
 MISDIRECTED = 421
-LEAST_URGENT = 9
 
 
 class _Model(msgspec.Struct):
@@ -81,7 +80,7 @@
             own.append((names.WORKSPACE, call.workspace.id))
         if call.parts:
             own.append((names.CACHE_SCOPE, sending.cache_scope))
-            own.append((names.URGENCY, str(min(LEAST_URGENT, call.priority))))
+            own.append((names.URGENCY, str(call.urgency)))
         if sending.resume_after:
             own.append((names.LAST_EVENT, sending.resume_after))
         passed = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in call.headers]
