--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -302,6 +302,8 @@
                 self.burdens.note_refusal(endpoint, now_s)
         elif isinstance(ended, UnknownOutcome | Interrupted | _HeldError):
             self.ejections.record_failure(endpoint, now_s)
+            if getattr(ended, "lost", False) and work.answered_at_s is None:
+                self.burdens.note_unreachable(endpoint, now_s)
         elif work.answered_at_s is not None:
             wait_s = work.answered_at_s - started_s
             per_token_s = wait_s / (work.tokens + PREFILL_BASE_TOKENS)
--- a/primrosepier/forwarding/homes.py
+++ b/primrosepier/forwarding/homes.py
@@ -33,6 +33,12 @@
 # Tokens that an answer on old weights costs, as part of the prompt: callers lose a
 # part of its worth, less than by an answer that comes too late.
 OUTDATED_SHARE = 0.5
+# What a cached token is worth, in tokens to compute, at the first and the second home
+# of a prefix: a recomputation also evicts what others would find.
+HOME_WEIGHTS = (3.0, 1.0)
+# Tokens that a replica in another failure domain must be short of, as part of the
+# mean uncached prompt.
+REMOTE_ENGINE_SHARE = 0.25
 # Extra calls that a replica in another failure domain must be short of before it is
 # preferred, as part of its slots.
 REMOTE_SHARE = 0.34
@@ -155,26 +161,29 @@
         shared = list_shared_parts(call.parts)
         shared_tokens = sum(part.tokens for part in shared)
         total = call.prompt_tokens
-        home = self._find_home(compute_home_key(scope, shared), replicas)
+        homes = self._rank_homes(compute_home_key(scope, shared), replicas)
 
         def weigh(replica: Replica) -> tuple[float, float]:
             cost = self._compute_backlog(replica, now_s) + total
-            if replica is home:
-                cost -= shared_tokens
+            for rank, home in enumerate(homes):
+                if replica is home:
+                    cost -= shared_tokens * HOME_WEIGHTS[rank]
             if replica.id in outdated:
                 cost += OUTDATED_SHARE * total
+            if replica.failure_domain != self.failure_domain:
+                cost += REMOTE_ENGINE_SHARE * self.burdens.mean_tokens
             return cost, self.source.random()
 
         best = min(replicas, key=weigh)
-        if best is home:
+        if best in homes:
             return Choice(best, ChoiceKind.HOME, total - shared_tokens)
         return Choice(best, ChoiceKind.SPILL, total)
 
-    def _find_home(self, key: int, replicas: Sequence[Replica]) -> Replica:
+    def _rank_homes(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
         def weigh(replica: Replica) -> int:
             return mix_hash(key, xxhash.xxh64_intdigest(replica.id.encode()))
 
-        return max(replicas, key=weigh)
+        return sorted(replicas, key=weigh, reverse=True)[: len(HOME_WEIGHTS)]
 
     def _compute_backlog(self, replica: Replica, now_s: float) -> float:
         """Return the work in front of a new call, in tokens to compute."""
--- a/primrosepier/forwarding/knowledge.py
+++ b/primrosepier/forwarding/knowledge.py
@@ -20,15 +20,60 @@
     FleetChanged,
 )
 
-__all__ = ["Knowledge", "StoreLayout", "WeightsGoal", "make_knowledge"]
+__all__ = [
+    "Knowledge",
+    "NamedWeights",
+    "StoreLayout",
+    "WeightsGoal",
+    "make_knowledge",
+]
+
+# Weights that are remembered for a model: more than are named while a replica loads.
+MAX_STEPS = 32
 
 
 @dataclass(frozen=True, slots=True)
-class WeightsGoal:
-    """Weights that a model should have, and when this router learnt of it."""
+class NamedWeights:
+    """Weights that the operators named.
+
+    Parameters
+    ----------
+    named_after_s : float
+        Time before which they surely were not named, seconds. A router that has just
+        started knows none: they may have been named long ago.
+    """
 
     number: WeightsNumber
-    seen_at_s: float
+    named_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsGoal:
+    """The weights that a model should have, and those that were named before.
+
+    Parameters
+    ----------
+    steps : tuple of NamedWeights
+        In the order of their numbers; never empty.
+    """
+
+    steps: tuple[NamedWeights, ...]
+
+    @property
+    def number(self) -> WeightsNumber:
+        """The newest."""
+        return self.steps[-1].number
+
+    def find_wanted_since_s(self, number: WeightsNumber | int) -> float | None:
+        """Return the time since when newer weights are wanted, or None."""
+        for step in self.steps:
+            if step.number > number:
+                return step.named_after_s
+        return None
+
+    def add(self, step: NamedWeights) -> "WeightsGoal":
+        """Return the goal with newer weights."""
+        return WeightsGoal((*self.steps, step)[-MAX_STEPS:])
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +126,8 @@
     def update(self, mirror: Mirror) -> None:
         """Take in what the store holds now."""
         self._take_declaration(mirror.items.get(self.layout.declaration_key))
-        self._take_weights(mirror.select(self.layout.weights_prefix))
+        weights = mirror.select(self.layout.weights_prefix)
+        self._take_weights(weights, mirror.changed_after_s)
         self._take_replicas(mirror.select(self.layout.replicas_prefix))
 
     def _take_declaration(self, item: Item | None) -> None:
@@ -100,8 +146,7 @@
         keys = len(found.workspaces or ())
         self.log.emit(DeclarationTaken(found.version, len(found.routes), keys))
 
-    def _take_weights(self, items: dict[str, Item]) -> None:
-        now_s = self.clock()
+    def _take_weights(self, items: dict[str, Item], named_after_s: float) -> None:
         goals = dict(self.goals.value)
         for item in items.values():
             try:
@@ -110,10 +155,13 @@
                 self.log.emit(EntryUnreadable(item.key, str(error)))
                 continue
             known = goals.get(model)
-            if known is None or number > known.number:
-                goals[model] = WeightsGoal(number, now_s)
+            step = NamedWeights(number, named_after_s)
+            if known is None:
+                goals[model] = WeightsGoal((step,))
+            elif number > known.number:
+                goals[model] = known.add(step)
         if goals != self.goals.value:
-            self.goals_writer.write(goals, now_s)
+            self.goals_writer.write(goals, self.clock())
 
     def _take_replicas(self, items: dict[str, Item]) -> None:
         found = []
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -55,6 +55,8 @@
 QUIET_S = 0.6
 # Part of the grace that is kept for closing connections.
 CLOSE_S = 0.5
+# Part of the grace in which a rollout that is under way goes on.
+ROLLOUT_SHARE = 0.6
 TICK_S = 0.05
 REFRESH_S = 0.5
 # Part of the time between two holders' orders for which a lease lasts, so that a new
@@ -124,12 +126,14 @@
         grace_s = self.settings.grace_s
         self.log.emit(RouterStopping(self.app.in_progress, grace_s))
         self.app.stopping = True
-        await self.weights.release()
         while clock() < started_s + grace_s - 2 * CLOSE_S:
             now_s = clock()
+            late = now_s >= started_s + ROLLOUT_SHARE * grace_s
+            await self.weights.stop(at_once=late)
             quiet = now_s >= self.app.last_call_at_s + QUIET_S
             self.app.refusing = now_s >= started_s + ACCEPT_S
-            if self.app.refusing and quiet and not self.app.in_progress:
+            busy = self.app.in_progress or self.weights.duty.fencing
+            if self.app.refusing and quiet and not busy:
                 return
             await anyio.sleep(TICK_S)
 
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -42,8 +42,9 @@
 # Time of a load before any was seen, seconds: about a second, and the calls before.
 FIRST_LOAD_S = 1.5
 LOAD_GAIN = 0.3
-# Part of the time for new weights after which the old ones are not used any more.
-OVERDUE_SHARE = 0.9
+# Part of the time for new weights after which the old ones are not used any more; the
+# rest is for calls that wait at a replica before they begin.
+OVERDUE_SHARE = 0.75
 # Time after which an answer on old weights is worth less to callers, seconds.
 OUTDATED_S = 1.5
 
@@ -185,8 +186,11 @@
     lags = []
     for model, number in replica.weights.items():
         goal = goals.get(model)
-        if goal is not None and max(number, known or 0) < goal.number:
-            lags.append(now_s - goal.seen_at_s)
+        if goal is None:
+            continue
+        since_s = goal.find_wanted_since_s(max(number, known or 0))
+        if since_s is not None:
+            lags.append(now_s - since_s)
     return max(lags, default=None)
 
 
@@ -225,8 +229,8 @@
     loads = list_outdated(replicas, goals)
     if not loads:
         return []
-    since_s = min(goals[load.model].seen_at_s for load in loads)
-    left_s = since_s + PLANNED_SHARE * pace.weights_s - pace.now_s
+    lags = [compute_lag_s(r, None, goals, pace.now_s) or 0.0 for r in replicas]
+    left_s = PLANNED_SHARE * pace.weights_s - max(lags)
     allowed = count_loads_at_once(len(replicas), len(loads), left_s, pace.load_s)
     busy = sum(replica.id in loading for replica in replicas)
     waiting = [load for load in loads if load.replica.id not in loading]
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -76,6 +76,7 @@
     weights_s: float
     count_calls: Callable[[EndpointId], int]
     times: LoadTimes = field(default_factory=LoadTimes)
+    stopping: bool = False
     mark_revision: int | None = None
     foreign_mark_at_s: float = NEVER_S
     own_mark_at_s: float = NEVER_S
@@ -143,7 +144,7 @@
 
     async def _keep_duty(self) -> None:
         held = self.duty.fencing
-        if not held and not self.knowledge.in_touch:
+        if not held and (self.stopping or not self.knowledge.in_touch):
             return
         holder = self.mirror.items.get(make_duty_key(self.duty.name))
         step = self.duty.decide(holder, frozenset(), self.clock())
@@ -160,10 +161,23 @@
             held_now = bool(self.duty.fencing)
             self.log.emit(DutyChanged(self.duty.name, number, held_now))
 
-    async def release(self) -> None:
-        """Give the duty up, so that another router takes it at once."""
-        if self.duty.fencing:
-            await self.keeper.release(self.duty)
+    async def stop(self, at_once: bool) -> None:
+        """Take no duty any more, and give up one that is held.
+
+        Parameters
+        ----------
+        at_once : bool
+            Do not finish a rollout that is under way, though another router would
+            have to wait before it may go on with it.
+        """
+        self.stopping = True
+        if self.duty.fencing and (at_once or not self._has_work()):
+            await self._release()
+
+    async def _release(self) -> None:
+        number = int(self.duty.fencing)
+        await self.keeper.release(self.duty)
+        self.log.emit(DutyChanged(self.duty.name, number, held=False))
 
     def _start_loads(self, group: TaskGroup) -> None:
         goals = self.knowledge.goals.value
@@ -218,7 +232,7 @@
 
     async def _follow_order(self, load: WeightsLoad, result: OrderResult) -> bool:
         if result is OrderResult.OUTRANKED:
-            await self.keeper.release(self.duty)
+            await self._release()
             return True
         if result is OrderResult.HOLDS or result is OrderResult.REFUSED:
             return result is OrderResult.HOLDS or self._is_done(load, None)
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -64,6 +64,8 @@
     heard_at_s : float
         Time at which the newest answer was asked for that the service vouches for,
         seconds.
+    changed_after_s : float
+        Time after which the last changes were made, as far as known, seconds.
     """
 
     prefix: str
@@ -71,6 +73,7 @@
     revision: Revision = Revision(0)
     synced_at_s: float = NEVER_S
     heard_at_s: float = NEVER_S
+    changed_after_s: float = NEVER_S
     listeners: list[Listener] = field(default_factory=list)
 
     @property
@@ -82,8 +85,13 @@
         """Return the items whose keys start with a prefix."""
         return {k: item for k, item in self.items.items() if k.startswith(prefix)}
 
-    def take_snapshot(self, snapshot: Snapshot, now_s: float) -> None:
-        """Replace everything."""
+    def take_snapshot(
+        self, snapshot: Snapshot, now_s: float, asked_at_s: float | None = None
+    ) -> None:
+        """Replace everything by an answer that was asked for at a time."""
+        self.changed_after_s = self.heard_at_s
+        if asked_at_s is not None:
+            self.heard_at_s = asked_at_s
         self.items = dict(snapshot.items)
         self._finish(snapshot.revision, now_s)
 
@@ -95,6 +103,7 @@
             self.revision = event.revision
             self.synced_at_s = now_s
             return
+        self.changed_after_s = now_s
         for item in event.items:
             self.items[item.key] = item
         for key in event.deleted:
@@ -142,9 +151,8 @@
             asked_at_s = self.clock()
             snapshot = await self.store.read(self.mirror.prefix)
             if not isinstance(snapshot, Unavailable):
-                self.mirror.heard_at_s = asked_at_s
                 self.note_contact(True, "read")
-                self.mirror.take_snapshot(snapshot, self.clock())
+                self.mirror.take_snapshot(snapshot, self.clock(), asked_at_s)
                 self.backoff.reset()
                 return
             self.note_contact(False, snapshot.reason)
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -16,9 +16,9 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBES = 2
-# Time for which sent bytes may stay unacknowledged: three retransmissions at the
-# usual 200, 400 and 800 ms, then the connection counts as dead.
-UNACKED_MS = 2000
+# Time for which sent bytes may stay unacknowledged: two retransmissions, at the usual
+# 200 and 400 ms, then the connection counts as dead.
+UNACKED_MS = 1000
 
 
 class _Buffer(asyncio.Protocol):
