--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 
@@ -108,15 +108,24 @@
         received_at_s = self.clock()
         self.last_call_at_s = received_at_s
         self.in_progress += 1
-        if self.stopping:
-            send = close_connection_after(send)
+        connection = send
+        send = self._close_when_stopping(send)
         try:
-            await self._serve(scope, receive, send, received_at_s)
+            await self._serve(scope, receive, send, connection, received_at_s)
         except RequestError as error:
             await self._reject(scope, send, error)
         finally:
             self.in_progress -= 1
 
+    def _close_when_stopping(self, send: Send) -> Send:
+        """Return a ``send`` that ends the connection if a stop has begun by then."""
+        closing = close_connection_after(send)
+
+        async def send_or_close(message: dict[str, Any]) -> None:
+            await (closing if self.stopping else send)(message)
+
+        return send_or_close
+
     def is_ready(self) -> bool:
         """Return whether new callers should come here."""
         if self.stopping or self.read_declaration() is None:
@@ -130,7 +139,12 @@
         await send_bytes(send, 200 if self.is_ready() else 503, b"")
 
     async def _serve(
-        self, scope: Scope, receive: Receive, send: Send, received_at_s: float
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        connection: Send,
+        received_at_s: float,
     ) -> None:
         declaration = self._check_declaration()
         route = self._find_route(scope, declaration)
@@ -141,7 +155,7 @@
             call = self.reader.make_call(scope, body, route, workspace, received_at_s)
         except MessageError as error:
             raise RequestError(400, "unreadable_header", str(error)) from error
-        delivery = Delivery(send, EventSplice(call.resume_after))
+        delivery = Delivery(send, EventSplice(call.resume_after), connection)
         outcome = await self._forward(call, delivery, receive)
         if outcome is not None:
             await self._conclude(call, outcome, delivery)
@@ -203,7 +217,7 @@
         if isinstance(outcome, Completed | Refused):
             return
         if isinstance(outcome, Interrupted) or delivery.status:
-            abort_connection(_unwrap(delivery.send))
+            abort_connection(delivery.connection)
             return
         if isinstance(outcome, NotRun):
             remaining_s = max(0.0, call.deadline_s - self.clock())
@@ -266,10 +280,6 @@
         )
 
 
-def _unwrap(send: Send) -> Send:
-    return getattr(send, "inner", send)
-
-
 def read_boot_clock() -> float:
     """Return the time since the machine started, suspended or not, seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -88,6 +88,8 @@
     ----------
     send : Send
     splice : EventSplice
+    connection : Send
+        As the server gave it, to cut the caller's connection.
     status : int
         Status that went out; 0 before that.
     first_byte_at_s : float or None
@@ -99,6 +101,7 @@
 
     send: Send
     splice: EventSplice
+    connection: Send
     status: int = 0
     first_byte_at_s: float | None = None
     runs: int = 0
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -1,19 +1,21 @@
 """Brings replicas to the weights that the operators name, from one router at a time."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ..clocks import Clock
 from ..duties import DutyKeeper
-from ..ids import EndpointId
+from ..ids import EndpointId, ModelId
 from ..leases import Duty, DutyStep, make_duty_key
 from ..logs import Log
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, Put
+from .calls import WeightsNumber
+from .fleet import Replica
 from .knowledge import Knowledge
 from .records import DutyChanged, WeightsOrdered
 from .weights import (
@@ -64,6 +66,8 @@
         When this router learnt of another's last mark, and when it wrote its own.
     loading : dict of EndpointId to WeightsLoad
         Loads that this router has under way.
+    loaded : dict of (EndpointId, ModelId) to WeightsNumber
+        Weights that replicas have by their own account; they register them later.
     """
 
     duty: Duty
@@ -81,6 +85,9 @@
     foreign_mark_at_s: float = NEVER_S
     own_mark_at_s: float = NEVER_S
     loading: dict[EndpointId, WeightsLoad] = field(default_factory=dict)
+    loaded: dict[tuple[EndpointId, ModelId], WeightsNumber] = field(
+        default_factory=dict
+    )
 
     async def run(self) -> None:
         """Keep the duty and carry loads out until cancelled."""
@@ -138,7 +145,7 @@
     def _has_work(self) -> bool:
         goals = self.knowledge.goals.value
         return any(
-            list_outdated(replicas, goals)
+            list_outdated([self._correct(r) for r in replicas], goals)
             for replicas in self.knowledge.replicas.value.by_service.values()
         )
 
@@ -183,11 +190,20 @@
         goals = self.knowledge.goals.value
         pace = Pace(self.clock(), self.weights_s, self.times.mean_s)
         for replicas in self.knowledge.replicas.value.by_service.values():
-            loads = plan_loads(replicas, goals, self.loading, pace, self.count_calls)
+            known = [self._correct(replica) for replica in replicas]
+            loads = plan_loads(known, goals, self.loading, pace, self.count_calls)
             for load in loads:
                 self.loading[load.replica.id] = load
                 group.start_soon(self._load, load)
 
+    def _correct(self, replica: Replica) -> Replica:
+        """Return a replica with what it told of its weights since it registered."""
+        weights = {
+            model: max(number, self.loaded.get((replica.id, model), number))
+            for model, number in replica.weights.items()
+        }
+        return replace(replica, weights=weights)
+
     def list_loading(self) -> Collection[EndpointId]:
         """Return the replicas that load by this router's orders."""
         return self.loading.keys()
@@ -246,4 +262,7 @@
         number = found.weights.get(load.model, 0)
         if state is not None:
             number = max(number, state.weights.get(load.model, 0))
-        return number >= load.number
+        done = number >= load.number
+        if done:
+            self.loaded[load.replica.id, load.model] = load.number
+        return done
--- /dev/null
+++ b/primrosepier/platform/standins.py
@@ -0,0 +1,331 @@
+"""Stand-ins of the platform's store and of its replicas, written from its pages.
+
+They are small, speak over real sockets, and show faults on demand.
+"""
+
+import base64
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+
+from ..asgi import (
+    Receive,
+    Scope,
+    Send,
+    abort_connection,
+    find_header,
+    read_body,
+    read_json,
+    send_bytes,
+    send_chunk,
+    send_json,
+    start_response,
+)
+from ..errors import CompactedError
+from ..ids import Revision
+from ..store import (
+    Applied,
+    Compare,
+    Item,
+    LeaseGranted,
+    LeaseLost,
+    MemoryStore,
+    Put,
+    select_change,
+)
+from . import names
+
+__all__ = ["ReplicaFaults", "StandinReplica", "StandinStore", "StoreFaults"]
+
+MS = 0.001
+BODY_BYTES = 4 * 1024 * 1024
+PAGE_ITEMS = 50
+STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Faults of the store.
+
+    Parameters
+    ----------
+    status : int
+        Answer of every call; 0 for none of its own.
+    silent : bool
+        Answer nothing.
+    lose_answers : int
+        Next writes that take effect and whose answer is lost.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lose_answers: int = 0
+
+
+class StandinStore:
+    """The platform's store as an ASGI app."""
+
+    def __init__(self) -> None:
+        self.memory = MemoryStore()
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+
+    def put(self, key: str, value: Any, lease: int = 0) -> None:
+        """Write an item as the operator or a replica does."""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.memory.commit([], [Put(key, data, lease)])
+
+    def remove(self, key: str) -> None:
+        """Delete an item."""
+        self.memory.commit([], [Put(key, None)])
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        path = scope["path"]
+        self.calls.append(path)
+        if self.faults.silent:
+            await anyio.sleep_forever()
+        if self.faults.status:
+            await send_bytes(send, self.faults.status, b"")
+            return
+        pairs = parse_qs(scope["query_string"].decode(), keep_blank_values=True)
+        query = {name: values[0] for name, values in pairs.items()}
+        if path == "/kv-range":
+            await self._answer_range(query, send)
+        elif path == "/kv-watch":
+            await self._answer_watch(query, send)
+        elif path == "/kv-txn":
+            await self._answer_transaction(await read_json(receive, BODY_BYTES), send)
+        else:
+            await self._answer_lease(path, receive, send)
+
+    async def _answer_range(self, query: dict[str, str], send: Send) -> None:
+        found = self.memory.select(query["pathPrefix"])
+        after = query.get("after", "")
+        items = [found[key] for key in sorted(found) if key > after]
+        page = {
+            "items": [_write_item(item) for item in items[:PAGE_ITEMS]],
+            "truncated": len(items) > PAGE_ITEMS,
+            "storeRevision": self.memory.revision,
+        }
+        await send_json(send, 200, page)
+
+    async def _answer_watch(self, query: dict[str, str], send: Send) -> None:
+        prefix, after = query["pathPrefix"], int(query["after"])
+        try:
+            with anyio.move_on_after(int(query["waitMs"]) * MS):
+                while not self._list_events(prefix, after):
+                    await self.memory.wait(self.memory.changed)
+            events = self._list_events(prefix, after)
+        except CompactedError:
+            await send_bytes(send, 410, b"")
+            return
+        body = {"events": events, "storeRevision": self.memory.revision}
+        await send_json(send, 200, body)
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        events = []
+        for change in self.memory.state.list_changes(after + 1):
+            found = select_change(change, prefix)
+            if found is None:
+                continue
+            events += [_write_item(item) for item in found.items]
+            events += [
+                {"key": key, "revision": found.revision, "deleted": True}
+                for key in found.deleted
+            ]
+        return events
+
+    async def _answer_transaction(self, body: dict[str, Any], send: Send) -> None:
+        compares = [
+            Compare(row["key"], Revision(row["revision"]))
+            for row in body["precondition"]
+        ]
+        puts = [
+            Put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+            for row in body["writes"]
+        ]
+        puts += [Put(key, None) for key in body["remove"]]
+        outcome = self.memory.commit(compares, puts)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            abort_connection(send)
+        elif isinstance(outcome, Applied):
+            await send_json(send, 200, {"revision": outcome.revision})
+        elif isinstance(outcome, LeaseLost):
+            await send_bytes(send, 404, b"")
+        else:
+            items = [_write_item(item) for item in outcome.items.values()]
+            await send_json(send, 412, {"items": items})
+
+    async def _answer_lease(self, path: str, receive: Receive, send: Send) -> None:
+        _, call, *rest = path.split("/")
+        if call == "kv-lease":
+            ttl_ms = (await read_json(receive, BODY_BYTES))["ttlMs"]
+            granted = await self.memory.grant_lease(ttl_ms * MS)
+            assert isinstance(granted, LeaseGranted)
+            await send_json(send, 200, {"lease": granted.lease, "ttlMs": ttl_ms})
+        elif call == "kv-keep":
+            kept = await self.memory.keep_alive(int(rest[0]))
+            if isinstance(kept, LeaseGranted):
+                await send_json(send, 200, {"ttlMs": kept.ttl_s / MS})
+            else:
+                await send_bytes(send, 404, b"")
+        elif call == "kv-lease-end":
+            await self.memory.revoke_lease(int(rest[0]))
+            await send_bytes(send, 200, b"{}")
+        else:
+            await send_bytes(send, 404, b"")
+
+
+def _write_item(item: Item) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode("ascii"),
+        "revision": item.mod_revision,
+        "created": item.mod_revision,
+        "lease": item.lease,
+    }
+
+
+@dataclass(slots=True)
+class ReplicaFaults:
+    """Faults of a replica.
+
+    Parameters
+    ----------
+    refuse : bool
+        Refuse calls without running them.
+    break_after : int or None
+        Break the connection after so many events, or before the answer for 0.
+    status : int
+        Status of each answer.
+    wrong_id : bool
+        Answer with the id of another call.
+    delay_s : float
+        Wait before the answer, seconds.
+    lose_orders : int
+        Next orders that are carried out without an answer.
+    """
+
+    refuse: bool = False
+    break_after: int | None = None
+    status: int = 200
+    wrong_id: bool = False
+    delay_s: float = 0.0
+    lose_orders: int = 0
+
+
+@dataclass(slots=True)
+class StandinReplica:
+    """A replica as an ASGI app.
+
+    Attributes
+    ----------
+    runs : list
+        Headers of the calls that it ran.
+    arrivals : int
+        Calls that reached it, run or not.
+    orders : list
+        Orders that it carried out.
+    register : callable
+        Called after its weights changed.
+    """
+
+    id: str
+    events: int = 3
+    model: str = "m0"
+    weights: int = 1
+    faults: ReplicaFaults = field(default_factory=ReplicaFaults)
+    runs: list[dict[str, str]] = field(default_factory=list)
+    arrivals: int = 0
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    register: Callable[[], None] = lambda: None
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        expected = find_header(scope, names.EXPECTED_ENDPOINT.decode())
+        if expected not in ("", self.id):
+            identity = (names.ENDPOINT_ID.decode(), self.id)
+            await send_bytes(send, 421, b"", [identity])
+        elif scope["path"] == "/report":
+            await send_json(send, 200, self.make_report())
+        elif scope["path"] == "/order":
+            await self._take_order(await read_json(receive, BODY_BYTES), send)
+        else:
+            await self._run(scope, await read_body(receive, BODY_BYTES), send)
+
+    def make_entry(self, service: str, address: str, **changes: Any) -> dict[str, Any]:
+        """Return the entry by which the replica registers itself."""
+        entry = {"service": service, "address": address, "zone": "rennes"}
+        state = {"state": "ready", "slots": 4, "seq": 1, "version": "v1"}
+        models = [{"name": self.model, "version": self.weights, "adapters": []}]
+        return {**entry, **state, "models": models, **changes}
+
+    def make_report(self) -> dict[str, Any]:
+        """Return the replica's account of its weights."""
+        models = [{"name": self.model, "version": self.weights, "adapters": []}]
+        return {"models": models, "busy": False, "seq": len(self.orders)}
+
+    async def _take_order(self, order: dict[str, Any], send: Send) -> None:
+        fence = max((found["fence"] for found in self.orders), default=0)
+        if order["fence"] < fence:
+            await send_bytes(send, 412, b"")
+        elif order["precondition"] != len(self.orders):
+            await send_bytes(send, 409, b"")
+        elif order["version"] == self.weights:
+            await send_bytes(send, 200, b"")
+        else:
+            self.orders.append(order)
+            self.weights = order["version"]
+            self.register()
+            if self.faults.lose_orders:
+                self.faults.lose_orders -= 1
+                abort_connection(send)
+                return
+            await send_bytes(send, 202, b"")
+
+    async def _run(self, scope: Scope, body: bytes, send: Send) -> None:
+        self.arrivals += 1
+        headers = {k.decode(): v.decode() for k, v in scope["headers"]}
+        call_id = headers.get(names.CALL_ID.decode(), "")
+        if self.faults.wrong_id:
+            call_id = "0" * 16
+        answer = [(names.CALL_ID.decode(), call_id)]
+        if self.faults.refuse:
+            refusal = (names.NOT_RUN.decode(), "1")
+            await send_bytes(send, 503, b"", [*answer, refusal])
+            return
+        self.runs.append(headers)
+        await anyio.sleep(self.faults.delay_s)
+        answer += [
+            (names.ENDPOINT_PROOF.decode(), STAMP),
+            (names.ENDPOINT_LOAD.decode(), "1,0,4"),
+            (names.WEIGHTS.decode(), str(self.weights)),
+        ]
+        if self.faults.break_after == 0:
+            abort_connection(send)
+        elif self.faults.status != 200 or not scope["path"].startswith("/stream/"):
+            await send_bytes(send, self.faults.status, body or b"done", answer)
+        else:
+            await self._stream(headers, answer, send)
+
+    async def _stream(
+        self, headers: dict[str, str], answer: Sequence[tuple[str, str]], send: Send
+    ) -> None:
+        kind = ("content-type", "text/event-stream")
+        await start_response(send, 200, [*answer, kind])
+        first = int(headers.get(names.LAST_EVENT.decode(), "0")) + 1
+        for number in range(first, self.events + 1):
+            if self.faults.break_after == number - first + 1:
+                await send_chunk(send, f"id: {number}\nda".encode())
+                await anyio.sleep(0.02)
+                abort_connection(send)
+                return
+            event = f"id: {number}\ndata: token {number}\n\n"
+            await send_chunk(send, event.encode())
+        await send_chunk(send, b"", more=False)
--- /dev/null
+++ b/tests/test_entry_router.py
@@ -0,0 +1,343 @@
+"""The router on the platform, over real sockets."""
+
+import anyio
+import pytest
+from entry_fleet import KEY, ROUTES, make_configuration, make_route, run_entry
+
+pytestmark = pytest.mark.sockets
+EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in (1, 2, 3))
+
+
+def test_a_call_reaches_a_replica_with_its_own_and_the_systems_headers():
+    async def check(fleet):
+        reply = await fleet.send("/lookup/2f?a=b", method="GET", **{"X-Own": "kept"})
+        assert reply.status == 200
+        assert reply.headers["server-stamp"]
+        assert reply.headers["attempt-id"] == "a1"
+        (run,) = fleet.list_runs()
+        assert run["attempt-id"] == "a1"
+        assert run["tenant"] == "litter-notes"
+        assert run["x-own"] == "kept"
+        assert run["expect-instance"] in fleet.replicas
+        assert "authorization" not in run
+        assert 0 < int(run["deadline-ms"]) <= 2000
+
+    run_entry(check)
+
+
+def test_headers_that_only_the_system_may_set_are_not_taken_from_callers():
+    async def check(fleet):
+        forged = {
+            "Cache-Salt": "other",
+            "Tenant": "other",
+            "Hold": "1",
+            "Kv-From": "x",
+            "Pin-Ms": "9",
+            "Kv-Backup": "x",
+            "Request-Urgency": "0",
+        }
+        await fleet.send("/lookup/2f", method="GET", **forged)
+        (run,) = fleet.list_runs()
+        assert run["tenant"] == "litter-notes"
+        for name in ("hold", "kv-from", "pin-ms", "kv-backup", "cache-salt"):
+            assert name not in run
+
+    run_entry(check)
+
+
+def test_prompts_carry_a_cache_scope_and_an_urgency():
+    async def check(fleet):
+        prompt = {"Model": "m0", "Prefix-Hash": "aa:100,bb:20"}
+        reply = await fleet.send("/stream/notes/1", **prompt)
+        assert reply.body == EVENTS
+        (run,) = fleet.list_runs()
+        assert run["cache-salt"] == "m0/"
+        assert run["request-urgency"] == "1"
+        assert run["prefix-hash"] == "aa:100,bb:20"
+
+    run_entry(check)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/lookup/1", "unknown", 401),
+        ("/lookup/1", "", 401),
+        ("/elsewhere/1", KEY, 404),
+    ],
+)
+def test_calls_without_a_key_or_a_route_are_rejected(path, key, status):
+    async def check(fleet):
+        assert (await fleet.send(path, key=key)).status == status
+        assert fleet.count_arrivals() == 0
+
+    run_entry(check)
+
+
+def test_a_body_over_the_declared_limit_is_refused():
+    async def check(fleet):
+        assert (await fleet.send("/booking/1", b"x" * 2000)).status == 413
+        assert fleet.count_arrivals() == 0
+
+    run_entry(check)
+
+
+def test_without_a_configuration_calls_are_refused_and_the_router_is_not_ready():
+    async def check(fleet):
+        reply = await fleet.send("/lookup/1")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert await fleet.read_ready() == 503
+        fleet.store.put("op/config", make_configuration())
+        known = fleet.routers[0].knowledge
+        await fleet.wait_until(lambda: known.declaration.value is not None)
+        assert await fleet.read_ready() == 200
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check, configured=False)
+
+
+def test_a_refused_call_goes_to_another_replica():
+    async def check(fleet):
+        fleet.replicas["app1"].faults.refuse = True
+        for number in range(4):
+            reply = await fleet.send("/booking/1", attempt=f"a{number}")
+            assert reply.status == 200
+        assert len(fleet.replicas["app2"].runs) == 4
+
+    run_entry(check, repeat_ratio=1.0)
+
+
+def test_a_call_that_all_replicas_refuse_is_not_run_and_told_when_to_come_back():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.refuse = True
+        reply = await fleet.send("/booking/1", limit_ms=600)
+        assert reply.status == 503
+        assert 0 < float(reply.headers["retry-after"]) <= 0.2
+        assert not fleet.list_runs()
+
+    run_entry(check)
+
+
+def test_a_call_that_may_have_run_once_is_neither_repeated_nor_called_not_run():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.break_after = 0
+        reply = await fleet.send("/booking/1")
+        assert reply.status == 502
+        assert len(fleet.list_runs()) == 1
+
+    run_entry(check)
+
+
+def test_an_idempotent_call_is_repeated_after_a_lost_answer():
+    async def check(fleet):
+        fleet.replicas["app1"].faults.break_after = 0
+        for number in range(3):
+            reply = await fleet.send("/lookup/1", attempt=f"a{number}")
+            assert reply.status == 200
+
+    run_entry(check)
+
+
+def test_the_answer_of_another_call_is_not_passed_on():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.wrong_id = True
+        assert (await fleet.send("/booking/1")).status == 502
+
+    run_entry(check)
+
+
+def test_a_replicas_own_error_is_passed_on_unchanged():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.status = 500
+        reply = await fleet.send("/lookup/1", b"why")
+        assert (reply.status, reply.body) == (500, b"why")
+        assert reply.headers["server-stamp"]
+        assert len(fleet.list_runs()) == 2
+
+    run_entry(check)
+
+
+def test_a_resumable_stream_goes_on_elsewhere_without_gap_or_repeat():
+    async def check(fleet):
+        fleet.replicas["w1"].faults.break_after = 2
+        fleet.replicas["w2"].faults.break_after = None
+        for number in range(4):
+            reply = await fleet.send("/stream/queries/1", attempt=f"a{number}")
+            assert reply.body == EVENTS
+        resumed = [r for r in fleet.list_runs() if "last-event-id" in r]
+        assert all(run["last-event-id"] == "1" for run in resumed)
+        assert resumed
+
+    run_entry(check, repeat_ratio=1.0)
+
+
+def test_a_stream_that_may_not_be_resumed_ends_without_looking_complete():
+    async def check(fleet):
+        for name in ("w1", "w2"):
+            fleet.replicas[name].faults.break_after = 2
+        with pytest.raises(Exception, match="closed|incomplete|RemoteProtocol"):
+            await fleet.send("/stream/notes/1")
+        assert len(fleet.list_runs()) == 1
+
+    run_entry(check)
+
+
+def test_a_call_that_runs_out_of_time_gets_its_answer_then():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.delay_s = 5.0
+        before = anyio.current_time()
+        reply = await fleet.send("/booking/1", limit_ms=300)
+        assert reply.status == 504
+        assert anyio.current_time() - before < 0.5
+
+    run_entry(check)
+
+
+def test_a_draining_replica_gets_nothing_new():
+    async def check(fleet):
+        fleet.register("app1", state="draining")
+        known = fleet.routers[0].knowledge.replicas
+        await fleet.wait_until(lambda: len(known.value.list_replicas("app")) == 1)
+        for number in range(3):
+            await fleet.send("/lookup/1", attempt=f"a{number}")
+        assert not fleet.replicas["app1"].runs
+
+    run_entry(check)
+
+
+def test_a_revoked_key_stops_working_and_an_older_version_does_not_return():
+    async def check(fleet):
+        fleet.store.put("op/config", make_configuration(3, keys=("new",)))
+        known = fleet.routers[0].knowledge.declaration
+        await fleet.wait_until(lambda: known.value.version == 3)
+        assert (await fleet.send("/lookup/1")).status == 401
+        fleet.store.put("op/config", make_configuration(2))
+        await anyio.sleep(0.2)
+        assert (await fleet.send("/lookup/1")).status == 401
+        assert (await fleet.send("/lookup/1", key="new")).status == 200
+
+    run_entry(check)
+
+
+def test_a_router_that_no_longer_hears_the_store_refuses_keys_in_time():
+    async def check(fleet):
+        fleet.store.faults.silent = True
+        await anyio.sleep(2.1)
+        reply = await fleet.send("/lookup/1")
+        assert reply.status == 503
+        assert await fleet.read_ready() == 503
+        fleet.store.faults.silent = False
+        router = fleet.routers[0]
+        await fleet.wait_until(router.app.is_ready)
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check, revoke_s=2.5)
+
+
+def test_public_routes_need_neither_key_nor_store():
+    async def check(fleet):
+        routes = [*ROUTES, make_route("open", "/open/", "idempotent", "app")]
+        routes[-1]["public"] = True
+        fleet.store.put("op/config", make_configuration(2, routes))
+        known = fleet.routers[0].knowledge.declaration
+        await fleet.wait_until(lambda: known.value.version == 2)
+        assert (await fleet.send("/open/1", key="")).status == 200
+        (run,) = fleet.list_runs()
+        assert "tenant" not in run
+        assert "authorization" not in run
+
+    run_entry(check)
+
+
+def test_a_caller_that_leaves_ends_the_call_at_the_replica():
+    async def check(fleet):
+        for name in ("app1", "app2"):
+            fleet.replicas[name].faults.delay_s = 30.0
+        with anyio.move_on_after(0.3):
+            await fleet.send("/lookup/1", limit_ms=30_000)
+        app = fleet.routers[0].app
+        await fleet.wait_until(lambda: app.in_progress == 0, limit_s=0.5)
+
+    run_entry(check)
+
+
+def test_a_planned_stop_serves_what_comes_and_then_refuses():
+    async def check(fleet):
+        router = fleet.routers[0]
+        fleet.replicas["app1"].faults.delay_s = 1.0
+        fleet.replicas["app2"].faults.delay_s = 1.0
+        replies = []
+
+        async def send():
+            replies.append(await fleet.send("/booking/1"))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await fleet.wait_until(lambda: router.app.in_progress == 1)
+            group.start_soon(router.drain)
+            await anyio.sleep(0.1)
+            assert await fleet.read_ready() == 503
+        assert replies[0].status == 200
+        assert replies[0].headers["connection"] == "close"
+        assert router.app.refusing
+        assert (await fleet.send("/booking/1")).status == 503
+
+    run_entry(check)
+
+
+def test_named_weights_are_loaded_by_one_holder():
+    async def check(fleet):
+        async with fleet.open_router("front-2"):
+            fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+            writers = [fleet.replicas["w1"], fleet.replicas["w2"]]
+            await fleet.wait_until(lambda: all(w.weights == 2 for w in writers))
+        holders = {order["holder"] for w in writers for order in w.orders}
+        assert len(holders) == 1
+        assert all(len(w.orders) == 1 for w in writers)
+
+    run_entry(check, weights_s=4.0)
+
+
+def test_an_order_whose_answer_is_lost_is_not_given_twice():
+    async def check(fleet):
+        writers = [fleet.replicas["w1"], fleet.replicas["w2"]]
+        for writer in writers:
+            writer.faults.lose_orders = 1
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        await fleet.wait_until(lambda: all(w.weights == 2 for w in writers))
+        await anyio.sleep(0.8)
+        assert all(len(w.orders) == 1 for w in writers)
+
+    run_entry(check, weights_s=4.0)
+
+
+def test_another_router_takes_the_duty_when_the_holder_stops():
+    async def check(fleet):
+        first = fleet.routers[0]
+        await fleet.wait_until(lambda: first.weights.duty.fencing)
+        async with fleet.open_router("front-2") as second:
+            await first.weights.stop(at_once=True)
+            await fleet.wait_until(lambda: second.weights.duty.fencing)
+            assert second.weights.duty.fencing == 2
+            await anyio.sleep(0.5)
+            assert not first.weights.duty.fencing
+
+    run_entry(check)
+
+
+def test_entries_that_no_replica_wrote_are_left_out():
+    async def check(fleet):
+        fleet.store.put("servers/ghost", b"\xff\xfe")
+        fleet.store.put("servers/odd", {"service": "app", "address": 5})
+        fleet.register("app1", state="unheard-of")
+        known = fleet.routers[0].knowledge.replicas
+        await fleet.wait_until(lambda: len(known.value.list_replicas("app")) == 1)
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check)
--- /dev/null
+++ b/tests/test_forwarding_decisions.py
@@ -0,0 +1,324 @@
+"""Decisions of the forwarding modules, without a network."""
+
+import random
+
+import pytest
+
+from primrosepier.errors import MessageError
+from primrosepier.forwarding.burden import BurdenLedger
+from primrosepier.forwarding.calls import AnswerHead, Call, PromptPart, ReportedLoad
+from primrosepier.forwarding.declarations import Declaration, Repeat, Route, Workspace
+from primrosepier.forwarding.events import EventSplice
+from primrosepier.forwarding.fleet import Fleet, Replica
+from primrosepier.forwarding.freshness import Freshness
+from primrosepier.forwarding.homes import ChoiceKind, HomeChooser, Unwanted, make_scope
+from primrosepier.forwarding.knowledge import NamedWeights, WeightsGoal
+from primrosepier.forwarding.repeats import RepeatBudget
+from primrosepier.forwarding.weights import (
+    Pace,
+    compute_lag_s,
+    count_loads_at_once,
+    plan_loads,
+)
+from primrosepier.platform.declared import decode_declaration, decode_weights
+from primrosepier.platform.replicas import PlatformDialect, decode_replica
+
+DOMAINS = ("rennes", "brest", "vannes")
+
+
+def make_replica(name, service="writers", weights=1, **changes):
+    domain = DOMAINS[int(name[-1]) % 3]
+    usual = {"slots": 4, "weights": {"m0": weights}}
+    return Replica(name, service, f"10.0.0.{name[-1]}:1", domain, **usual | changes)
+
+
+def make_replicas(count, **changes):
+    return [make_replica(f"r{number}", **changes) for number in range(count)]
+
+
+def make_call(parts=(), priority=1, workspace=None, repeat=Repeat.NEVER):
+    route = Route("notes", "h", "/", (("writers", 1),), repeat, priority=priority)
+    prompt = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Call("a", "POST", "/", (), b"", route, workspace, 0.0, 9.0, "m0", prompt)
+
+
+def make_chooser(domain="rennes", seed=1):
+    return HomeChooser(domain, BurdenLedger(), random.Random(seed))
+
+
+def choose(chooser, call, replicas, now_s=0.0, **unwanted):
+    return chooser.choose(call, "m0/", replicas, Unwanted(**unwanted), now_s)
+
+
+LONG = (("history", 12_000), ("note", 3_000))
+
+
+def test_idle_routers_agree_on_the_home_of_a_prompt():
+    replicas = make_replicas(9)
+    for number in range(50):
+        parts = ((f"history-{number}", 12_000), ("note", 3_000))
+        homes = {
+            choose(make_chooser(d, seed), make_call(parts), replicas).replica.id
+            for seed, d in enumerate(DOMAINS)
+        }
+        assert len(homes) == 1
+
+
+def test_homes_are_spread_and_most_stay_when_a_replica_goes():
+    replicas = make_replicas(9)
+    chooser = make_chooser()
+
+    def find_homes(found):
+        return [
+            choose(chooser, make_call(((f"p{n}", 12_000), ("x", 10))), found).replica.id
+            for n in range(200)
+        ]
+
+    before, after = find_homes(replicas), find_homes(replicas[:-1])
+    assert len(set(before)) == 9
+    moved = [b for b, a in zip(before, after, strict=True) if b != a]
+    assert all(home == "r8" for home in moved)
+
+
+def test_a_home_with_much_more_work_than_a_recomputation_is_passed_over():
+    replicas = make_replicas(9)
+    chooser = make_chooser()
+    home = choose(chooser, make_call(LONG), replicas)
+    assert home.kind is ChoiceKind.HOME
+    assert home.uncached_tokens == 3_000
+    chooser.burdens.begin(home.replica.id, 200_000)
+    other = choose(chooser, make_call(LONG), replicas)
+    assert other.replica.id != home.replica.id
+
+
+def test_short_prompts_go_where_the_least_work_is():
+    replicas = make_replicas(3)
+    chooser = make_chooser()
+    for name in ("r0", "r1"):
+        chooser.burdens.begin(name, 50_000)
+    assert (
+        choose(chooser, make_call((("x", 90), ("y", 9))), replicas).replica.id == "r2"
+    )
+
+
+def test_plain_calls_prefer_the_own_failure_domain_until_it_is_busy():
+    replicas = make_replicas(3, service="app")
+    chooser = make_chooser("rennes")
+    assert choose(chooser, make_call(), replicas).replica.id == "r0"
+    for _ in range(3):
+        chooser.burdens.begin("r0", 0)
+    assert choose(chooser, make_call(), replicas).replica.id != "r0"
+
+
+def test_ejected_and_unreachable_replicas_are_passed_over_while_there_are_others():
+    replicas = make_replicas(2)
+    chooser = make_chooser()
+    chooser.burdens.note_unreachable("r0", 0.0)
+    for _ in range(5):
+        assert choose(chooser, make_call(), replicas, 0.1).replica.id == "r1"
+    chosen = choose(chooser, make_call(), replicas, 0.1, ejected=frozenset({"r1"}))
+    assert chosen.replica.id == "r0"
+    assert choose(chooser, make_call(), []) is None
+
+
+def test_isolated_workspaces_share_a_cache_scope_with_nobody():
+    scopes = {make_scope("m0", name, True) for name in ("a", "b")}
+    assert len(scopes) == 2
+    assert make_scope("m0", "a", False) == make_scope("m0", "b", False)
+    assert make_scope("m0", "a", False) not in scopes
+
+
+def test_a_workspaces_priority_goes_before_the_routes():
+    first = Workspace("first", priority=0)
+    second = Workspace("second", priority=1)
+    ranks = [
+        make_call(priority=0, workspace=first).urgency,
+        make_call(priority=2, workspace=first).urgency,
+        make_call(priority=0, workspace=second).urgency,
+        make_call(priority=9, workspace=Workspace("last", priority=9)).urgency,
+    ]
+    assert ranks == sorted(set(ranks))
+    assert ranks[-1] <= 9
+
+
+def test_reported_load_counts_only_while_it_is_recent():
+    ledger = BurdenLedger()
+    ledger.note_answer("r0", AnswerHead(200, (), load=ReportedLoad(3, 2, 4)), 0.0)
+    assert ledger.find("r0").count_calls(1.0) == 5
+    assert ledger.find("r0").count_calls(60.0) == 0
+
+
+def test_refusals_in_a_row_hold_a_replica_back_longer():
+    ledger = BurdenLedger()
+    ledger.note_refusal("r0", 0.0)
+    first_s = ledger.find("r0").avoid_until_s
+    ledger.note_refusal("r0", 0.0)
+    assert ledger.find("r0").avoid_until_s > first_s
+    ledger.note_answer("r0", AnswerHead(200, ()), 1.0)
+    assert ledger.find("r0").refusals == 0
+
+
+def test_repeats_keep_their_share_in_any_window():
+    source = random.Random(5)
+    budget = RepeatBudget(ratio=0.2, window_s=10.0)
+    calls, repeats = [], []
+    now_s = 0.0
+    for _ in range(3000):
+        now_s += source.expovariate(20.0)
+        budget.note_call("app", now_s)
+        calls.append(now_s)
+        if source.random() < 0.6 and budget.withdraw("app", now_s):
+            repeats.append(now_s)
+    for end_s in repeats:
+        spent = sum(end_s - 10.0 < t <= end_s for t in repeats)
+        taken = sum(end_s - 10.0 < t <= end_s for t in calls)
+        assert spent <= max(1, 0.2 * taken)
+    assert len(repeats) > 0.15 * len(calls)
+
+
+def test_keys_are_trusted_only_while_a_revocation_would_be_known_in_time():
+    heard = [0.0]
+    freshness = Freshness(5.0, lambda: heard[0])
+    assert freshness.may_trust_keys(3.9)
+    assert not freshness.may_trust_keys(5.0)
+    heard[0] = 4.0
+    assert freshness.may_trust_keys(7.5)
+    assert Freshness(None).may_trust_keys(1e9)
+    assert not Freshness(5.0).may_trust_keys(0.0)
+
+
+def test_a_splice_passes_whole_events_once():
+    splice = EventSplice()
+    whole = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 6))
+    splice.begin()
+    first = splice.feed(whole[:40])
+    splice.begin()
+    assert first + splice.feed(whole) == whole
+    assert not splice.partial
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000])
+def test_a_splice_does_not_depend_on_how_bytes_are_cut(size):
+    whole = b"".join(b"id: %d\r\ndata: x\r\n\r\n" % n for n in range(1, 9))
+    splice = EventSplice()
+    splice.begin()
+    parts = [whole[at : at + size] for at in range(0, len(whole), size)]
+    assert b"".join(splice.feed(part) for part in parts) == whole
+
+
+def list_ids(fleet, now_s):
+    return [r.id for r in fleet.make_list(now_s).list_replicas("writers")]
+
+
+def test_an_entry_that_lapses_in_an_outage_stays_until_it_had_time_to_come_back():
+    fleet = Fleet()
+    fleet.note_contact(True, 0.0)
+    fleet.replace(make_replicas(2), 0.0)
+    fleet.note_contact(False, 1.0)
+    fleet.note_contact(True, 6.0)
+    fleet.replace(make_replicas(1), 6.0)
+    assert list_ids(fleet, 7.9) == ["r0", "r1"]
+    assert list_ids(fleet, 8.1) == ["r0"]
+
+
+def test_an_entry_that_goes_while_the_store_is_sound_is_gone_at_once():
+    fleet = Fleet()
+    fleet.note_contact(True, 0.0)
+    fleet.replace(make_replicas(2), 0.0)
+    fleet.replace(make_replicas(1), 5.0)
+    assert list_ids(fleet, 5.0) == ["r0"]
+
+
+def test_a_draining_replica_is_not_kept_and_an_address_is_not_used_twice():
+    fleet = Fleet()
+    fleet.replace([make_replica("r0"), make_replica("r1", draining=True)], 0.0)
+    assert list_ids(fleet, 0.0) == ["r0"]
+    fleet.note_contact(False, 1.0)
+    other = make_replica("x0", service="app")
+    fleet.replace([other], 1.0)
+    assert list_ids(fleet, 1.0) == []
+
+
+def make_goal(*steps):
+    return WeightsGoal(tuple(NamedWeights(*step) for step in steps))
+
+
+def test_the_age_of_weights_counts_from_the_oldest_that_is_missing():
+    goals = {"m0": make_goal((2, 10.0), (3, 14.0))}
+    old, newer, newest = (make_replica("r0", weights=w) for w in (1, 2, 3))
+    assert compute_lag_s(old, None, goals, 15.0) == 5.0
+    assert compute_lag_s(newer, None, goals, 15.0) == 1.0
+    assert compute_lag_s(newest, None, goals, 15.0) is None
+    assert compute_lag_s(old, 3, goals, 15.0) is None
+
+
+def test_weights_that_a_new_router_finds_may_have_been_named_long_ago():
+    goals = {"m0": make_goal((2, float("-inf")))}
+    assert compute_lag_s(make_replica("r0"), None, goals, 1.0) == float("inf")
+
+
+def test_a_third_loads_at_once_and_more_when_time_is_short():
+    assert count_loads_at_once(9, 9, left_s=100.0, load_s=2.0) == 3
+    assert count_loads_at_once(9, 9, left_s=4.0, load_s=2.0) == 5
+    assert count_loads_at_once(9, 9, left_s=0.0, load_s=2.0) == 6
+    assert count_loads_at_once(1, 1, left_s=0.0, load_s=2.0) == 1
+
+
+def plan(replicas, goals, loading=(), now_s=0.0):
+    pace = Pace(now_s, weights_s=12.0, load_s=1.5)
+    return plan_loads(replicas, goals, loading, pace, lambda endpoint: 0)
+
+
+def test_a_rollout_reaches_every_replica_and_never_takes_all():
+    replicas = {r.id: r for r in make_replicas(9)}
+    goals = {"m0": make_goal((2, 0.0))}
+    rounds = 0
+    while loads := plan(list(replicas.values()), goals):
+        assert len(loads) <= 6
+        for load in loads:
+            replicas[load.replica.id] = make_replica(load.replica.id, weights=2)
+        rounds += 1
+    assert rounds <= 3
+    assert all(r.weights["m0"] == 2 for r in replicas.values())
+
+
+def test_replicas_that_load_count_against_the_room():
+    goals = {"m0": make_goal((2, 0.0))}
+    replicas = make_replicas(6)
+    first = plan(replicas, goals)
+    again = plan(replicas, goals, [load.replica.id for load in first])
+    assert not {load.replica.id for load in first} & {load.replica.id for load in again}
+    assert len(first) + len(again) <= 4
+
+
+def test_the_longest_prefix_of_a_host_finds_the_route():
+    routes = tuple(Route(prefix, "h", prefix, ()) for prefix in ("/", "/a/", "/a/b/"))
+    declared = Declaration(1, routes, {})
+    assert declared.find_route("h", "/a/b/c").id == "/a/b/"
+    assert declared.find_route("h", "/a/x").id == "/a/"
+    assert declared.find_route("other", "/a/") is None
+
+
+def test_malformed_values_of_the_store_are_told_apart():
+    for value in (b"", b"{}", b"\xff", b'{"version": "x"}'):
+        with pytest.raises(MessageError):
+            decode_declaration(value)
+        with pytest.raises(MessageError):
+            decode_weights(value)
+        with pytest.raises(MessageError):
+            decode_replica("r0", value)
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "not_run"),
+    [(503, (b"Not-Executed", b"1"), True), (421, (b"a", b"b"), True)]
+    + [(503, (b"a", b"b"), False), (500, (b"a", b"b"), False)],
+)
+def test_only_a_replica_that_says_so_did_not_run_a_call(status, header, not_run):
+    assert PlatformDialect().read_head(status, [header]).not_run is not_run
+
+
+def test_malformed_loads_of_answers_are_left_out():
+    for value in (b"", b"1,2", b"a,b,c", b"1,2,-3"):
+        head = PlatformDialect().read_head(200, [(b"Instance-Load", value)])
+        assert head.load is None
