Fetch shared parts from their home or the store of KV cache

Ruled out: spilling (98 in 100 long prompts went home). A call at another replica fetches from the home, one at home from the store and saves there; the scope names the weights and the replica refuses other ones, so no part outlives them.

--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -108,12 +108,20 @@
         Name of the set of calls that share cached prompts with this one.
     resume_after : str
         Id of the last event that the caller has; empty for a whole answer.
+    weights : WeightsNumber or None
+        The only weights that may serve it; None for any.
+    fetch_from, save_to : str
+        Addresses from which cached parts are fetched and to which they are sent;
+        empty for none.
     """
 
     endpoint: EndpointId
     remaining_s: float
     cache_scope: str
     resume_after: str = ""
+    weights: WeightsNumber | None = None
+    fetch_from: str = ""
+    save_to: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -36,9 +36,10 @@
 from .declarations import Repeat, Route
 from .events import EventSplice
 from .fleet import Replica, ReplicaList
-from .homes import Choice, HomeChooser, Unwanted, make_scope
+from .homes import Choice, HomeChooser, Unwanted, make_call_scope
 from .records import CallPlaced, CallRepeated
 from .repeats import RepeatBudget
+from .transfers import CachePlan
 
 __all__ = ["Delivery", "Forwarder", "make_forwarder"]
 
@@ -80,6 +81,14 @@
     return replicas, frozenset()
 
 
+PlanCache = Callable[[Call, Choice], CachePlan]
+
+
+def plan_local_cache(call: Call, choice: Choice) -> CachePlan:
+    """Use what the replica itself has cached; no parts are moved."""
+    return CachePlan(make_call_scope(call))
+
+
 @dataclass(slots=True)
 class Delivery:
     """What the caller has got of the answer.
@@ -136,6 +145,8 @@
     select : callable
         Returns those of some replicas whose weights allow calls, and the ids of
         those among them without the weights that are wanted.
+    plan_cache : callable
+        Returns how a call uses cached parts at a chosen replica.
     """
 
     client: EndpointClient
@@ -149,6 +160,7 @@
     clock: Clock = time.monotonic
     source: random.Random = field(default_factory=random.Random)
     select: SelectReplicas = select_all
+    plan_cache: PlanCache = plan_local_cache
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call; what endpoints answer goes out through the delivery.
@@ -243,7 +255,7 @@
         replicas = [replica for replica in known if replica.id not in tried]
         ejected = self.ejections.list_ejected([r.id for r in known], now_s)
         unwanted = Unwanted(ejected, outdated)
-        scope = _make_scope(call)
+        scope = make_call_scope(call)
         choice = self.chooser.choose(call, scope, replicas, unwanted, now_s)
         if choice is None:
             return None
@@ -274,7 +286,7 @@
         ended: Outcome | _HeldError
         try:
             with anyio.move_on_after(call.deadline_s - started_s) as scope:
-                ended = await self._send(call, choice.replica, delivery, work)
+                ended = await self._send(call, choice, delivery, work)
             if scope.cancelled_caught:
                 ended = self._end_late(endpoint, delivery)
         finally:
@@ -313,11 +325,20 @@
             self.ejections.record_success(endpoint, per_token_s, now_s)
 
     async def _send(
-        self, call: Call, replica: Replica, delivery: Delivery, work: "_Work"
+        self, call: Call, choice: Choice, delivery: Delivery, work: "_Work"
     ) -> Outcome | _HeldError:
+        replica = choice.replica
         remaining_s = call.deadline_s - self.clock()
-        last_id = delivery.splice.last_id
-        sending = Sending(replica.id, remaining_s, _make_scope(call), last_id)
+        plan = self.plan_cache(call, choice)
+        sending = Sending(
+            endpoint=replica.id,
+            remaining_s=remaining_s,
+            cache_scope=plan.scope,
+            resume_after=delivery.splice.last_id,
+            weights=plan.weights,
+            fetch_from=plan.fetch_from,
+            save_to=plan.save_to,
+        )
         once = call.route.repeat is Repeat.NEVER
         request = EndpointCall(
             address=replica.address,
@@ -465,13 +486,6 @@
     return Interrupted(Step.RELAY, peer, repr(error), resumable, lost)
 
 
-def _make_scope(call: Call) -> str:
-    workspace = call.workspace
-    if workspace is None:
-        return f"{call.model}/"
-    return make_scope(call.model, workspace.id, workspace.isolated)
-
-
 def make_forwarder(
     client: EndpointClient,
     dialect: EndpointDialect,
--- a/primrosepier/forwarding/homes.py
+++ b/primrosepier/forwarding/homes.py
@@ -24,6 +24,8 @@
     "HomeChooser",
     "Unwanted",
     "compute_home_key",
+    "list_shared_parts",
+    "make_call_scope",
     "make_scope",
 ]
 
@@ -76,11 +78,14 @@
     ----------
     uncached_tokens : int
         Prompt tokens that it is expected to compute.
+    home : Replica or None
+        First home of the prompt's shared prefix.
     """
 
     replica: Replica
     kind: ChoiceKind
     uncached_tokens: int = 0
+    home: Replica | None = None
 
 
 def list_shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
@@ -176,8 +181,8 @@
 
         best = min(replicas, key=weigh)
         if best in homes:
-            return Choice(best, ChoiceKind.HOME, total - shared_tokens)
-        return Choice(best, ChoiceKind.SPILL, total)
+            return Choice(best, ChoiceKind.HOME, total - shared_tokens, homes[0])
+        return Choice(best, ChoiceKind.SPILL, total, homes[0])
 
     def _rank_homes(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
         def weigh(replica: Replica) -> int:
@@ -199,3 +204,11 @@
 def make_scope(model: str, workspace: WorkspaceId, isolated: bool) -> str:
     """Return the cache scope of a call: isolated workspaces share with nobody."""
     return f"{model}/{workspace}" if isolated else f"{model}/"
+
+
+def make_call_scope(call: Call) -> str:
+    """Return the cache scope of a call, whatever the weights."""
+    workspace = call.workspace
+    if workspace is None:
+        return f"{call.model}/"
+    return make_scope(call.model, workspace.id, workspace.isolated)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -22,17 +22,18 @@
 from ..settings import LeaseBounds
 from ..store import Store
 from .burden import BurdenLedger
-from .calls import EndpointDialect
+from .calls import Call, EndpointDialect
 from .declarations import Declaration
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
 from .forwarder import make_forwarder
 from .freshness import Freshness
-from .homes import HomeChooser
+from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
 from .records import RouterStarted, RouterStopping
 from .repeats import RepeatBudget
 from .settings import EntrySettings
+from .transfers import CachePlan, find_cache_store, plan_cache
 from .weights import OUTDATED_S, OVERDUE_SHARE, WeightsOrders, compute_lag_s
 from .weights_controller import WEIGHTS_DUTY, WeightsController
 
@@ -181,9 +182,18 @@
     forwarder.select = partial(
         _select_replicas, settings, forwarder.burdens, weights, platform.boot_clock
     )
+    forwarder.plan_cache = partial(_plan_cache, knowledge, forwarder.burdens)
     return EntryRouter(settings, platform, log, knowledge, mirror, app, weights)
 
 
+def _plan_cache(
+    knowledge: Knowledge, burdens: BurdenLedger, call: Call, choice: Choice
+) -> CachePlan:
+    store = find_cache_store(knowledge.declaration.value)
+    known = burdens.find(choice.replica.id).weights
+    return plan_cache(call, choice, known, knowledge.goals.value, store)
+
+
 def _make_weights_controller(
     settings: EntrySettings,
     platform: EntryPlatform,
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -9,6 +9,9 @@
     "CALL_ID",
     "CONFIGURATION_KEY",
     "EXPECTED_ENDPOINT",
+    "EXPECTED_WEIGHTS",
+    "FETCH_FROM",
+    "SAVE_TO",
     "ENDPOINT_ID",
     "ENDPOINT_LOAD",
     "ENDPOINT_PROOF",
@@ -47,6 +50,10 @@
 WORKSPACE = b"tenant"
 CACHE_SCOPE = b"cache-salt"
 URGENCY = b"request-urgency"
+# The number of the weights, not of the configuration.
+EXPECTED_WEIGHTS = b"expect-version"
+FETCH_FROM = b"kv-fetch"
+SAVE_TO = b"kv-save"
 
 # Headers that only this system may set on the way to a replica.
 OWN_HEADERS = frozenset(
@@ -58,12 +65,12 @@
         REMAINING_TIME,
         URGENCY,
         WORKSPACE,
-        b"expect-version",
+        EXPECTED_WEIGHTS,
+        FETCH_FROM,
+        SAVE_TO,
         b"hold",
         b"kv-backup",
-        b"kv-fetch",
         b"kv-from",
-        b"kv-save",
         b"pin-ms",
     }
 )
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -81,6 +81,12 @@
         if call.parts:
             own.append((names.CACHE_SCOPE, sending.cache_scope))
             own.append((names.URGENCY, str(call.urgency)))
+        if sending.weights is not None:
+            own.append((names.EXPECTED_WEIGHTS, str(sending.weights)))
+        if sending.fetch_from:
+            own.append((names.FETCH_FROM, sending.fetch_from))
+        if sending.save_to:
+            own.append((names.SAVE_TO, sending.save_to))
         if sending.resume_after:
             own.append((names.LAST_EVENT, sending.resume_after))
         passed = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in call.headers]
