Tell all routers which replicas are about to load weights

The holder names the replicas in its mark a moment before the orders; routers send nothing new there.

--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field, replace
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from ..clocks import Clock
 from ..duties import DutyKeeper
-from ..ids import EndpointId, ModelId
+from ..ids import EndpointId, FencingNumber, ModelId
 from ..leases import Duty, DutyStep, make_duty_key
 from ..logs import Log
 from ..mirror import Mirror
@@ -17,7 +18,7 @@
 from .calls import WeightsNumber
 from .fleet import Replica
 from .knowledge import Knowledge
-from .records import DutyChanged, WeightsOrdered
+from .records import DutyChanged, EntryUnreadable, WeightsOrdered
 from .weights import (
     LoadTimes,
     OrderResult,
@@ -41,7 +42,10 @@
 STATE_WAIT_S = 0.3
 # Time after a mark for which orders go out, seconds: several orders, and short, since
 # a new holder waits it out.
-MARK_S = 0.5
+MARK_S = 1.0
+# Time between a mark and its orders, seconds: all routers see the mark, and calls that
+# wait at the replicas begin.
+PREPARE_S = 0.3
 MARK_KEY = STATE_PREFIX + "weights-orders"
 NEVER_S = float("-inf")
 # Time after which a load is given up and planned anew, seconds.
@@ -49,6 +53,30 @@
 MAX_FAILURES = 2
 
 
+class OrdersMark(msgspec.Struct, frozen=True):
+    """Stored word of a holder that it gives orders.
+
+    Parameters
+    ----------
+    endpoints : list of EndpointId
+        Replicas that load.
+    load_s : float
+        Time that a load takes, seconds.
+    """
+
+    fencing: FencingNumber
+    endpoints: list[EndpointId]
+    load_s: float
+
+
+def decode_mark(value: bytes) -> OrdersMark | None:
+    """Return the mark that a stored value holds, or None when it is not one."""
+    try:
+        return msgspec.json.decode(value, type=OrdersMark)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 @dataclass(slots=True)
 class WeightsController:
     """Holds the duty, plans loads and carries them out.
@@ -66,6 +94,8 @@
         When this router learnt of another's last mark, and when it wrote its own.
     loading : dict of EndpointId to WeightsLoad
         Loads that this router has under way.
+    marked : dict of EndpointId to float
+        Until when replicas load by the last mark, seconds.
     loaded : dict of (EndpointId, ModelId) to WeightsNumber
         Weights that replicas have by their own account; they register them later.
     """
@@ -85,6 +115,7 @@
     foreign_mark_at_s: float = NEVER_S
     own_mark_at_s: float = NEVER_S
     loading: dict[EndpointId, WeightsLoad] = field(default_factory=dict)
+    marked: dict[EndpointId, float] = field(default_factory=dict)
     loaded: dict[tuple[EndpointId, ModelId], WeightsNumber] = field(
         default_factory=dict
     )
@@ -94,46 +125,48 @@
         async with anyio.create_task_group() as group:
             while True:
                 await self._keep_duty()
-                if self.duty.fencing and self._has_work() and await self._open():
-                    self._start_loads(group)
+                if self._is_open(self.clock()):
+                    await self._start_loads(group)
                 held = bool(self.duty.fencing)
                 await anyio.sleep(HOLDER_TICK_S if held else OTHER_TICK_S)
 
     def watch_marks(self, mirror: Mirror) -> None:
-        """Note when another holder last said that it gives orders."""
-        mark = mirror.items.get(MARK_KEY)
-        if mark is None or mark.mod_revision == self.mark_revision:
+        """Take in what a holder last said about its orders."""
+        item = mirror.items.get(MARK_KEY)
+        if item is None or item.mod_revision == self.mark_revision:
             return
-        self.mark_revision = mark.mod_revision
-        if mark.value != self._make_mark():
-            self.foreign_mark_at_s = self.clock()
-
-    def _make_mark(self) -> bytes:
-        return str(self.duty.fencing).encode()
+        self.mark_revision = item.mod_revision
+        mark = decode_mark(item.value)
+        if mark is None:
+            self.log.emit(EntryUnreadable(item.key, "not a mark"))
+            return
+        now_s = self.clock()
+        self.marked = dict.fromkeys(mark.endpoints, now_s + mark.load_s)
+        if mark.fencing != self.duty.fencing:
+            self.foreign_mark_at_s = now_s
 
-    async def _open(self) -> bool:
-        """Return whether orders may go out now.
+    async def _write_mark(self, loads: Collection[WeightsLoad]) -> bool:
+        """Say in the store that orders go out, and to which replicas.
 
-        Orders go out only for a while after a mark in the store. So a new holder
-        knows from the last mark when no order of the holder before is under way.
+        Routers send nothing new to these. A new holder knows from the last mark when
+        no order of the holder before is under way.
         """
         now_s = self.clock()
-        if self._may_order():
-            return True
-        wait_s = MARK_S + self.duty.bounds.compute_wait_s()
-        if not self._is_holder(now_s) or now_s < self.foreign_mark_at_s + wait_s:
-            return False
-        return await self._write_mark(now_s)
-
-    async def _write_mark(self, now_s: float) -> bool:
+        endpoints = [*self.loading, *(load.replica.id for load in loads)]
+        mark = OrdersMark(self.duty.fencing, endpoints, self.times.mean_s)
         outcome = await self.keeper.store.transact(
-            [self.duty.make_guard()], [Put(MARK_KEY, self._make_mark())]
+            [self.duty.make_guard()], [Put(MARK_KEY, msgspec.json.encode(mark))]
         )
         if not isinstance(outcome, Applied):
             return False
         self.own_mark_at_s = now_s
         return True
 
+    def _is_open(self, now_s: float) -> bool:
+        """Return whether the orders of the holder before had their time."""
+        wait_s = MARK_S + self.duty.bounds.compute_wait_s()
+        return self._is_holder(now_s) and now_s >= self.foreign_mark_at_s + wait_s
+
     def _is_holder(self, now_s: float) -> bool:
         return self.duty.may_order(honours_fencing=True, now_s=now_s)
 
@@ -186,15 +219,18 @@
         await self.keeper.release(self.duty)
         self.log.emit(DutyChanged(self.duty.name, number, held=False))
 
-    def _start_loads(self, group: TaskGroup) -> None:
+    async def _start_loads(self, group: TaskGroup) -> None:
         goals = self.knowledge.goals.value
         pace = Pace(self.clock(), self.weights_s, self.times.mean_s)
+        loads: list[WeightsLoad] = []
         for replicas in self.knowledge.replicas.value.by_service.values():
             known = [self._correct(replica) for replica in replicas]
-            loads = plan_loads(known, goals, self.loading, pace, self.count_calls)
-            for load in loads:
-                self.loading[load.replica.id] = load
-                group.start_soon(self._load, load)
+            loads += plan_loads(known, goals, self.loading, pace, self.count_calls)
+        if not loads or not await self._write_mark(loads):
+            return
+        for load in loads:
+            self.loading[load.replica.id] = load
+            group.start_soon(self._load, load)
 
     def _correct(self, replica: Replica) -> Replica:
         """Return a replica with what it told of its weights since it registered."""
@@ -204,15 +240,18 @@
         }
         return replace(replica, weights=weights)
 
-    def list_loading(self) -> Collection[EndpointId]:
-        """Return the replicas that load by this router's orders."""
-        return self.loading.keys()
+    def list_loading(self) -> set[EndpointId]:
+        """Return the replicas that load, by this router's orders or another's."""
+        now_s = self.clock()
+        marked = {name for name, until_s in self.marked.items() if now_s < until_s}
+        return marked.union(self.loading)
 
     async def _load(self, load: WeightsLoad) -> None:
         """Have one replica load weights; give up when this takes too long."""
         started_s = self.clock()
         try:
             with anyio.move_on_after(LOAD_LIMIT_S) as scope:
+                await anyio.sleep(PREPARE_S)
                 while not await self._try_load(load):
                     await anyio.sleep(STATE_WAIT_S)
             if not scope.cancelled_caught:
