--- a/primrosepier/forwarding/burden.py
+++ b/primrosepier/forwarding/burden.py
@@ -1,9 +1,11 @@
 """What each replica has to do, as far as this router knows."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from ..ids import EndpointId
+import anyio
+
+from ..ids import EndpointId, HostId
 from .calls import AnswerHead, ReportedLoad, WeightsNumber
 
 __all__ = ["Burden", "BurdenLedger"]
@@ -18,6 +20,8 @@
 REFUSED_CAP_S = 0.8
 # Age after which a reported load says nothing any more, seconds: several calls.
 REPORT_LIFE_S = 2.0
+# Age after which another router's account is dropped, seconds: two that were lost.
+FOREIGN_LIFE_S = 1.2
 MEAN_GAIN = 0.05
 
 
@@ -66,12 +70,23 @@
         return max(self.outstanding, report.running + report.waiting)
 
 
+@dataclass(frozen=True, slots=True)
+class ForeignWork:
+    """Another router's prompts that replicas have not read yet."""
+
+    tokens: Mapping[EndpointId, int]
+    told_at_s: float
+
+
 @dataclass(slots=True)
 class BurdenLedger:
     """The work of all replicas, kept by this router's own calls and answers."""
 
     burdens: dict[EndpointId, Burden] = field(default_factory=dict)
     mean_tokens: float = 0.0
+    foreign: dict[HostId, ForeignWork] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    malformed_reports: int = 0
 
     def find(self, endpoint: EndpointId) -> Burden:
         """Return a replica's burden."""
@@ -83,6 +98,7 @@
         found.outstanding += 1
         found.pending_tokens += tokens
         self.mean_tokens += MEAN_GAIN * (tokens - self.mean_tokens)
+        self.changed.set()
 
     def note_answer(self, endpoint: EndpointId, head: AnswerHead, now_s: float) -> None:
         """Take in the head of an answer."""
@@ -99,6 +115,7 @@
     def end_prefill(self, endpoint: EndpointId, tokens: int) -> None:
         """Note that a call's prompt was read."""
         self.find(endpoint).pending_tokens -= tokens
+        self.changed.set()
 
     def end(self, endpoint: EndpointId) -> None:
         """Note that a call is over."""
@@ -118,6 +135,20 @@
         found.failures += 1
         found.avoid_until_s = now_s + period_s
 
+    def note_foreign(
+        self, host: HostId, tokens: Mapping[EndpointId, int], now_s: float
+    ) -> None:
+        """Take in another router's account of its prompts."""
+        self.foreign[host] = ForeignWork(tokens, now_s)
+
+    def count_foreign_tokens(self, endpoint: EndpointId, now_s: float) -> int:
+        """Return the tokens that a replica has to read for other routers."""
+        return sum(
+            work.tokens.get(endpoint, 0)
+            for work in self.foreign.values()
+            if now_s - work.told_at_s < FOREIGN_LIFE_S
+        )
+
     def keep(self, endpoints: Iterable[EndpointId]) -> None:
         """Forget replicas that are gone and have no call in progress."""
         known = set(endpoints)
--- a/primrosepier/forwarding/homes.py
+++ b/primrosepier/forwarding/homes.py
@@ -198,7 +198,9 @@
         running = burden.outstanding if report is None else report.running
         waiting = 0 if report is None else report.waiting
         unknown = max(0, waiting - burden.outstanding) * mean
-        return burden.pending_tokens + unknown + RUNNING_SHARE * running * mean
+        known = burden.pending_tokens
+        known += self.burdens.count_foreign_tokens(replica.id, now_s)
+        return known + unknown + RUNNING_SHARE * running * mean
 
 
 def make_scope(model: str, workspace: WorkspaceId, isolated: bool) -> str:
--- a/primrosepier/forwarding/repeats.py
+++ b/primrosepier/forwarding/repeats.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..ids import ServiceId
@@ -13,6 +14,9 @@
 
 # Lets a router that just started repeat a call; far below any shared reserve.
 FREE_REPEATS = 1
+# Part of the extra repeats that is used, since routers that just started may not know
+# of each other yet.
+EXTRA_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -40,11 +44,17 @@
     ----------
     ratio : float
         Repeats for each call.
+    extra : float
+        Repeats in a window beyond the ratio, over all routers.
+    count_routers : callable
+        Returns how many routers share them.
     window_s : float
         Any span of this length keeps the ratio, seconds.
     """
 
     ratio: float = 0.2
+    extra: float = 0.0
+    count_routers: Callable[[], int] = lambda: 1
     window_s: float = 10.0
     services: dict[ServiceId, ServiceRepeats] = field(default_factory=dict)
 
@@ -55,7 +65,8 @@
     def withdraw(self, service: ServiceId, now_s: float) -> bool:
         """Take one repeat, if there is one."""
         found = self._read(service, now_s)
-        allowed = max(FREE_REPEATS, self.ratio * len(found.firsts))
+        share = EXTRA_SHARE * self.extra / self.count_routers()
+        allowed = max(FREE_REPEATS, share + self.ratio * len(found.firsts))
         if len(found.repeats) + 1 > allowed:
             return False
         found.repeats.append(now_s)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -30,6 +30,7 @@
 from .freshness import Freshness
 from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
+from .peers import PeerDirectory, WorkExchange
 from .records import RouterStarted, RouterStopping
 from .repeats import RepeatBudget
 from .settings import EntrySettings
@@ -108,6 +109,7 @@
     mirror: MirrorController
     app: EntryApp
     weights: WeightsController
+    peers: WorkExchange
     callers_address: str = ""
 
     def compute_grace(self) -> float:
@@ -156,12 +158,20 @@
     mirror.mirror.listeners.append(knowledge.update)
     freshness = Freshness(settings.revoke_s, lambda: mirror.mirror.heard_at_s)
     chooser = HomeChooser(settings.failure_domain, BurdenLedger(), source)
+    directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
+    mirror.mirror.listeners.append(directory.update)
+    repeats = RepeatBudget(
+        settings.repeat_ratio,
+        settings.repeat_extra,
+        lambda: 1 + len(directory.peers),
+        settings.repeat_window_s,
+    )
     forwarder = make_forwarder(
         platform.client,
         platform.dialect,
         lambda: knowledge.replicas.value,
         chooser,
-        RepeatBudget(settings.repeat_ratio, settings.repeat_window_s),
+        repeats,
         log,
         platform.clock,
     )
@@ -183,7 +193,9 @@
         _select_replicas, settings, forwarder.burdens, weights, platform.boot_clock
     )
     forwarder.plan_cache = partial(_plan_cache, knowledge, forwarder.burdens)
-    return EntryRouter(settings, platform, log, knowledge, mirror, app, weights)
+    peers = WorkExchange(directory, forwarder.burdens, platform.clock)
+    parts = (knowledge, mirror, app, weights, peers)
+    return EntryRouter(settings, platform, log, *parts)
 
 
 def _plan_cache(
@@ -271,7 +283,11 @@
     router.mirror.mirror.listeners.append(
         lambda mirror: _follow_limits(protocol, router.app.read_declaration)
     )
-    async with anyio.create_task_group() as group:
+    host, _, port = settings.peers_address.rpartition(":")
+    async with (
+        await anyio.create_udp_socket(local_host=host, local_port=int(port)) as socket,
+        anyio.create_task_group() as group,
+    ):
         async with open_server(
             router.app,
             settings.callers_address,
@@ -285,6 +301,8 @@
             group.start_soon(router.mirror.run)
             group.start_soon(router.refresh)
             group.start_soon(router.weights.run)
+            group.start_soon(router.peers.directory.run)
+            group.start_soon(router.peers.run, socket)
             yield router
         group.cancel_scope.cancel()
     await router.platform.store.close()
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -14,7 +14,7 @@
 
     Parameters
     ----------
-    callers_address, readiness_address, store_address : str
+    callers_address, readiness_address, peers_address, store_address : str
         ``IP:PORT``.
     store_writes_per_s, store_reads_per_s : float
         Calls that all routers together may make on the store.
@@ -26,6 +26,8 @@
         Time within which a revoked key must stop working everywhere.
     repeat_ratio : float
         Repeats for each call of the window.
+    repeat_extra : float
+        Repeats in a window beyond that, over all routers.
     repeat_window_s : float
     holder_gap_s : float
         Time that must pass between orders of two holders of a duty.
@@ -39,6 +41,7 @@
     failure_domain: FailureDomain
     callers_address: str
     readiness_address: str
+    peers_address: str
     store_address: str
     store_writes_per_s: float = 100.0
     store_reads_per_s: float = 500.0
@@ -46,6 +49,7 @@
     grace_s: float = 8.0
     revoke_s: float | None = None
     repeat_ratio: float = 0.2
+    repeat_extra: float = 0.0
     repeat_window_s: float = 10.0
     holder_gap_s: float = 3.0
     weights_s: float = 12.0
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -32,6 +32,7 @@
     revoke_ms: float = 5000.0
     # Repeats for each call of the window, over all routers.
     retry_budget_ratio: float = 0.2
+    retry_budget_extra: float = 0.0
     budget_window_s: float = 10.0
     # Longest time in which orders of two holders may follow each other.
     lease_ms: float = 3000.0
@@ -48,6 +49,9 @@
 
 class _Settings(msgspec.Struct, rename="camel"):
     node_name: str
+    ip: str
+    # First and last port that are free for datagrams and channels between routers.
+    internal_ports: tuple[int, int]
     zone: str
     listen: _Listen
     platform: _Store
@@ -88,6 +92,7 @@
         failure_domain=FailureDomain(found.zone),
         callers_address=found.listen.frontend,
         readiness_address=found.listen.readiness,
+        peers_address=f"{found.ip}:{found.internal_ports[0]}",
         store_address=found.platform.address,
         store_writes_per_s=found.platform.writes_per_s,
         store_reads_per_s=found.platform.reads_per_s,
@@ -95,6 +100,7 @@
         grace_s=bounds.grace_s,
         revoke_s=bounds.revoke_ms * MS if bounds.strict_revoke else None,
         repeat_ratio=bounds.retry_budget_ratio,
+        repeat_extra=bounds.retry_budget_extra,
         repeat_window_s=bounds.budget_window_s,
         holder_gap_s=bounds.lease_ms * MS,
         weights_s=bounds.version_ms * MS,
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -91,6 +91,7 @@
             host=host,
             callers_address=f"127.0.0.1:{find_free_port()}",
             readiness_address=f"127.0.0.1:{find_free_port()}",
+            peers_address=f"127.0.0.1:{find_free_port()}",
         )
         log = make_log(settings.host, settings.logs)
         router = make_entry_router(settings, make_entry_platform(settings), log)
@@ -150,6 +151,7 @@
                 failure_domain="rennes",
                 callers_address="127.0.0.1:0",
                 readiness_address="127.0.0.1:0",
+                peers_address="127.0.0.1:0",
                 store_address=store_address,
                 logs=LogSettings(level="off", sink="none"),
             )
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -160,7 +160,7 @@
 
 def test_repeats_keep_their_share_in_any_window():
     source = random.Random(5)
-    budget = RepeatBudget(ratio=0.2, window_s=10.0)
+    budget = RepeatBudget(0.2, window_s=10.0)
     calls, repeats = [], []
     now_s = 0.0
     for _ in range(3000):
