Move repeatable calls away from a replica that seems gone

After two failures to reach a replica in a row, its repeatable calls without a byte for 0.8 s are broken and go elsewhere; others keep waiting.

--- a/primrosepier/engines.py
+++ b/primrosepier/engines.py
@@ -3,6 +3,7 @@
 import contextlib
 import ssl
 import time
+from collections import defaultdict
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 from typing import Protocol
@@ -56,6 +57,8 @@
         Whether the answer is an event stream.
     idle_s : float
         Longest time that the connection may have been idle, seconds.
+    repeatable : bool
+        Whether the call can be made again, so that it may be given up early.
     """
 
     address: str
@@ -68,6 +71,7 @@
     attempt: str = ""
     streamed: bool = False
     idle_s: float = KEEPALIVE_S
+    repeatable: bool = False
 
 
 class EndpointResponse(Protocol):
@@ -88,6 +92,9 @@
     ) -> contextlib.AbstractAsyncContextManager[EndpointResponse]:
         """Send a call; leaving the context cancels what is left of it."""
 
+    def give_up(self, address: str, silence_s: float) -> int:
+        """Break repeatable calls at an address that seems gone; return how many."""
+
     async def close(self) -> None:
         """Close all connections."""
 
@@ -114,12 +121,15 @@
     def __init__(self, clock: Clock = time.monotonic) -> None:
         self.clock = clock
         self.idle: dict[str, list[_IdleConnection]] = {}
+        self.repeatable: dict[str, set[TcpStream]] = defaultdict(set)
         self.backend = TcpBackend(splits_heads=True)
 
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[EndpointResponse]:
         """Send a call; leaving the context cancels what is left of it."""
         stream = self._take(call) or await self._connect(call)
+        if call.repeatable:
+            self.repeatable[call.address].add(stream)
         url = httpcore.URL(f"http://{call.address}{call.path}")
         connection = httpcore.AsyncHTTP11Connection(url.origin, stream)
         timeout = {"read": call.request_s, "write": call.request_s}
@@ -136,11 +146,31 @@
             response = StreamedResponse(found, stream, call.request_s, call.method)
             yield response
         finally:
+            self.repeatable[call.address].discard(stream)
             if response is not None and response.is_reusable():
                 await self._give_back(call.address, stream, response.keep_alive_s)
             else:
                 await stream.aclose()
 
+    def give_up(self, address: str, silence_s: float) -> int:
+        """Break repeatable calls at an address that seems gone; return how many.
+
+        Parameters
+        ----------
+        silence_s : float
+            Only connections without a byte for this long, seconds.
+        """
+        silent = [
+            stream
+            for stream in self.repeatable[address]
+            if stream.compute_silence_s() >= silence_s
+        ]
+        for stream in silent:
+            stream.abort()
+        for found in self.idle.pop(address, []):
+            found.stream.abort()
+        return len(silent)
+
     def _take(self, call: EndpointCall) -> TcpStream | None:
         """Return the connection that was used last, unless it may be closing."""
         idle = self.idle.setdefault(call.address, [])
--- a/primrosepier/fault_engines.py
+++ b/primrosepier/fault_engines.py
@@ -104,6 +104,10 @@
     async def close(self) -> None:
         """Do nothing; there are no connections."""
 
+    def give_up(self, address: str, silence_s: float) -> int:
+        """Return that no call was broken: a fake engine's loss is told at once."""
+        return 0
+
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[FakeResponse]:
         """Send a call to the engine at its address."""
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -37,7 +37,7 @@
 from .events import EventSplice
 from .fleet import Replica, ReplicaList
 from .homes import Choice, HomeChooser, Unwanted, make_call_scope
-from .records import CallPlaced, CallRepeated
+from .records import CallPlaced, CallRepeated, ReplicaGivenUp
 from .repeats import RepeatBudget
 from .transfers import CachePlan
 
@@ -62,6 +62,10 @@
 COME_BACK_S = 0.3
 # Least time for which sending is worth while, seconds: below it no replica answers.
 MIN_REMAINING_S = 0.005
+# Failures in a row to reach a replica after which it seems gone, and the time without
+# a byte, seconds, after which its calls are moved: far above the pause between events.
+GONE_FAILURES = 2
+GONE_SILENCE_S = 0.8
 HTTP_SERVER_ERROR = 500
 HTTP_OK = 200
 # Statuses by which callers take a call for not run.
@@ -291,7 +295,7 @@
                 ended = self._end_late(endpoint, delivery)
         finally:
             work.end()
-        self._learn(endpoint, ended, started_s, work)
+        self._learn(choice.replica, ended, started_s, work)
         if not isinstance(ended, NotRun):
             delivery.runs += 1
         return ended
@@ -301,24 +305,37 @@
             return Interrupted(Step.RELAY, endpoint, "the time is over")
         return UnknownOutcome(Step.HEADERS, endpoint, "the time is over")
 
+    def _note_unreachable(self, replica: Replica, now_s: float) -> None:
+        """Avoid a replica, and move what it has in hand when it seems gone.
+
+        Its calls that may be repeated would hang until their time is over.
+        """
+        self.burdens.note_unreachable(replica.id, now_s)
+        if self.burdens.find(replica.id).failures < GONE_FAILURES:
+            return
+        moved = self.client.give_up(replica.address, GONE_SILENCE_S)
+        if moved:
+            self.log.emit(ReplicaGivenUp(replica.id, moved))
+
     def _learn(
         self,
-        endpoint: EndpointId,
+        replica: Replica,
         ended: Outcome | _HeldError,
         started_s: float,
         work: "_Work",
     ) -> None:
         """Take in what an attempt tells of its replica."""
+        endpoint = replica.id
         now_s = self.clock()
         if isinstance(ended, NotRun):
             if ended.step is Step.CONNECT:
-                self.burdens.note_unreachable(endpoint, now_s)
+                self._note_unreachable(replica, now_s)
             else:
                 self.burdens.note_refusal(endpoint, now_s)
         elif isinstance(ended, UnknownOutcome | Interrupted | _HeldError):
             self.ejections.record_failure(endpoint, now_s)
             if getattr(ended, "lost", False) and work.answered_at_s is None:
-                self.burdens.note_unreachable(endpoint, now_s)
+                self._note_unreachable(replica, now_s)
         elif work.answered_at_s is not None:
             wait_s = work.answered_at_s - started_s
             per_token_s = wait_s / (work.tokens + PREFILL_BASE_TOKENS)
@@ -351,6 +368,7 @@
             attempt=call.id,
             streamed=call.route.streamed,
             idle_s=FRESH_IDLE_S if once else USUAL_IDLE_S,
+            repeatable=not once,
         )
         try:
             async with self.client.open(request) as response:
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -16,6 +16,7 @@
     "DutyChanged",
     "EntryUnreadable",
     "FleetChanged",
+    "ReplicaGivenUp",
     "RouterStarted",
     "RouterStopping",
     "WeightsOrdered",
@@ -118,6 +119,18 @@
         return f"refused {self.request} with {self.status}: {self.code}"
 
 
+class ReplicaGivenUp(Event, frozen=True):
+    """Calls that may be repeated were taken from a replica that seems gone."""
+
+    part: ClassVar[str] = "forward"
+    endpoint: EndpointId
+    calls: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"moves {self.calls} calls from {self.endpoint}"
+
+
 class RouterStarted(Event, frozen=True):
     """A router begins to run."""
 
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -35,12 +35,14 @@
         self.deadline_s = float("inf")
         self.timer: asyncio.TimerHandle | None = None
         self.writable: asyncio.Future[None] | None = None
+        self.heard_at_s = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
 
     def data_received(self, data: bytes) -> None:
         self.parts += data
+        self.heard_at_s = self.loop.time()
         if len(self.parts) > HIGH_WATER_BYTES and self.transport is not None:
             self.transport.pause_reading()
             self.paused = True
@@ -195,6 +197,10 @@
         if self.buffer.transport is not None:
             self.buffer.transport.abort()
 
+    def compute_silence_s(self) -> float:
+        """Return the time since the last byte came, or since connecting, seconds."""
+        return self.buffer.loop.time() - self.buffer.heard_at_s
+
     def get_extra_info(self, info: str) -> Any:
         """Return whether an idle connection was closed by its peer."""
         if info == "is_readable":
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -341,3 +341,30 @@
         assert (await fleet.send("/lookup/1")).status == 200
 
     run_entry(check)
+
+
+def test_streams_of_a_replica_that_falls_silent_go_on_elsewhere():
+    async def check(fleet):
+        router = fleet.routers[0]
+        fleet.replicas["w1"].faults.delay_s = 30.0
+        replies = []
+
+        async def send(number):
+            replies.append(
+                await fleet.send(
+                    "/stream/queries/1", attempt=f"a{number}", limit_ms=8000
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            for number in range(6):
+                group.start_soon(send, number)
+            await fleet.wait_until(lambda: len(fleet.list_runs()) == 6)
+            assert fleet.replicas["w1"].runs
+            await anyio.sleep(1.0)
+            replica = router.knowledge.find_replica("w1")
+            for _ in range(2):
+                router.app.forwarder._note_unreachable(replica, anyio.current_time())
+        assert all(reply.body == EVENTS for reply in replies)
+
+    run_entry(check, repeat_ratio=2.0)
