Handle the settings signal, and count suspended time against calls

Causes: SIGHUP ended the process by default; a call's time did not run while the machine was suspended; a caller rejected before routing could be told to come back later than callers keep to.

--- a/primrosepier/commands_entry.py
+++ b/primrosepier/commands_entry.py
@@ -26,5 +26,6 @@
             self.line_error(str(error))
             return 1
         tune_collector()
-        anyio.run(run_entry_router, settings, make_entry_platform(settings))
+        platform = make_entry_platform(settings)
+        anyio.run(run_entry_router, settings, platform, load_entry_settings)
         return 0
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -52,6 +52,9 @@
     def read_key(self, scope: Scope) -> str:
         """Return the workspace key of a request; empty when it sent none."""
 
+    def read_limit_s(self, scope: Scope) -> float:
+        """Return how long a caller waits, seconds; infinite when it does not say."""
+
     def make_call(
         self,
         scope: Scope,
@@ -81,8 +84,8 @@
     read_declaration : callable
         Returns what is declared now, or None.
     freshness : Freshness
-    boot_clock : Clock
-        Counts the time for which the machine was suspended.
+    clock : Clock
+        Counts the time for which the machine was suspended, too.
     ready_port : int
         Port of the readiness address.
     """
@@ -93,7 +96,6 @@
     freshness: Freshness
     log: Log
     clock: Clock
-    boot_clock: Clock
     ready_port: int
     stopping: bool = False
     refusing: bool = False
@@ -130,7 +132,7 @@
         """Return whether new callers should come here."""
         if self.stopping or self.read_declaration() is None:
             return False
-        return self.freshness.may_trust_keys(self.boot_clock())
+        return self.freshness.may_trust_keys(self.clock())
 
     async def _answer_readiness(self, scope: Scope, send: Send) -> None:
         if scope["path"] != READY_PATH:
@@ -192,7 +194,7 @@
 
     def _require_fresh(self) -> None:
         """Refuse while a change that was made long ago may be unknown here."""
-        if not self.freshness.may_trust_keys(self.boot_clock()):
+        if not self.freshness.may_trust_keys(self.clock()):
             text = "The store does not answer, so keys can't be checked."
             raise RequestError(503, "stale_keys", text, retry_after_s=COME_BACK_S)
 
@@ -242,12 +244,14 @@
                 status=error.status,
                 code=error.code,
                 declaration=declaration.version if declaration else 0,
-                heard_age_s=self.freshness.compute_age_s(self.boot_clock()),
+                heard_age_s=self.freshness.compute_age_s(self.clock()),
             )
         )
         headers = []
         if error.retry_after_s:
-            headers.append(self._make_come_back(error.retry_after_s))
+            limit_s = self.reader.read_limit_s(scope)
+            after_s = min(error.retry_after_s, COME_BACK_SHARE * limit_s)
+            headers.append(self._make_come_back(after_s))
         await send_bytes(send, error.status, b"", headers)
 
     def _log_end(
@@ -275,7 +279,7 @@
                 first_byte_s=first_s - call.received_at_s if first_s else None,
                 duration_s=now_s - call.received_at_s,
                 declaration=declaration.version,
-                heard_age_s=self.freshness.compute_age_s(self.boot_clock()),
+                heard_age_s=self.freshness.compute_age_s(self.clock()),
             )
         )
 
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -19,6 +19,7 @@
     "ReplicaGivenUp",
     "RouterStarted",
     "RouterStopping",
+    "SettingsRead",
     "WeightsOrdered",
 ]
 
@@ -155,6 +156,28 @@
         return f"stops within {self.grace_s} s with {self.calls_in_progress} calls"
 
 
+class SettingsRead(Event, frozen=True):
+    """The settings file was read again.
+
+    Parameters
+    ----------
+    changed : tuple of str
+        Settings that differ; they take effect when the process starts again.
+    error : str
+        Why the file can't be used; empty when it can.
+    """
+
+    part: ClassVar[str] = "router"
+    changed: tuple[str, ...]
+    error: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if self.error:
+            return f"can't use the settings: {self.error}"
+        return f"read the settings again, {len(self.changed)} changed"
+
+
 class ContactChanged(Event, frozen=True):
     """The store was lost or regained."""
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -3,9 +3,8 @@
 import contextlib
 import random
 import signal
-import time
 from collections.abc import AsyncIterator, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from functools import partial
 
 import anyio
@@ -14,6 +13,7 @@
 from ..clocks import Clock
 from ..duties import DutyKeeper
 from ..engines import EndpointClient
+from ..errors import SettingsError
 from ..ids import EndpointId
 from ..leases import Duty
 from ..logs import Log, make_log
@@ -31,7 +31,7 @@
 from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
 from .peers import PeerDirectory, WorkExchange
-from .records import RouterStarted, RouterStopping
+from .records import RouterStarted, RouterStopping, SettingsRead
 from .repeats import RepeatBudget
 from .settings import EntrySettings
 from .transfers import CachePlan, find_cache_store, plan_cache
@@ -94,8 +94,7 @@
     layout: StoreLayout
     orders: WeightsOrders
     watched_prefix: str
-    clock: Clock = time.monotonic
-    boot_clock: Clock = read_boot_clock
+    clock: Clock = read_boot_clock
 
 
 @dataclass(slots=True)
@@ -122,6 +121,21 @@
             await anyio.sleep(REFRESH_S)
             self.knowledge.refresh()
 
+    def reload(self, read: Callable[[], EntrySettings]) -> None:
+        """Check the settings file again, and tell what changed in it.
+
+        Addresses and bounds stay as they are until the process starts again.
+        """
+        try:
+            found = read()
+        except SettingsError as error:
+            self.log.emit(SettingsRead((), str(error)))
+            return
+        names = (entry.name for entry in fields(found))
+        before = self.settings
+        changed = (n for n in names if getattr(found, n) != getattr(before, n))
+        self.log.emit(SettingsRead(tuple(changed), ""))
+
     async def drain(self) -> None:
         """Take the router out of service and wait for the calls in progress."""
         clock = self.platform.clock
@@ -145,14 +159,14 @@
     settings: EntrySettings, platform: EntryPlatform, log: Log
 ) -> EntryRouter:
     """Return a router that serves nothing yet."""
-    knowledge = make_knowledge(platform.layout, log, platform.boot_clock)
+    knowledge = make_knowledge(platform.layout, log, platform.clock)
     source = random.Random(settings.host)
     mirror = MirrorController(
         platform.store,
         Mirror(platform.watched_prefix),
         Backoff(source, STORE_WAIT_S, STORE_WAIT_LIMIT_S),
         platform.layout.declaration_key,
-        platform.boot_clock,
+        platform.clock,
         note_contact=knowledge.note_contact,
     )
     mirror.mirror.listeners.append(knowledge.update)
@@ -182,7 +196,6 @@
         freshness,
         log,
         platform.clock,
-        platform.boot_clock,
         int(settings.readiness_address.rpartition(":")[2]),
     )
     weights = _make_weights_controller(
@@ -190,7 +203,7 @@
     )
     mirror.mirror.listeners.append(weights.watch_marks)
     forwarder.select = partial(
-        _select_replicas, settings, forwarder.burdens, weights, platform.boot_clock
+        _select_replicas, settings, forwarder.burdens, weights, platform.clock
     )
     forwarder.plan_cache = partial(_plan_cache, knowledge, forwarder.burdens)
     peers = WorkExchange(directory, forwarder.burdens, platform.clock)
@@ -224,12 +237,12 @@
     )
     return WeightsController(
         Duty(WEIGHTS_DUTY, settings.host, bounds),
-        DutyKeeper(platform.store, platform.boot_clock),
+        DutyKeeper(platform.store, platform.clock),
         knowledge,
         mirror.mirror,
         platform.orders,
         knowledge.log,
-        platform.boot_clock,
+        platform.clock,
         settings.weights_s,
         count_calls,
     )
@@ -309,12 +322,24 @@
     router.log.close()
 
 
-async def run_entry_router(settings: EntrySettings, platform: EntryPlatform) -> None:
-    """Run a router until the process is told to stop."""
+async def run_entry_router(
+    settings: EntrySettings,
+    platform: EntryPlatform,
+    reload: Callable[[], EntrySettings],
+) -> None:
+    """Run a router until the process is told to stop.
+
+    Parameters
+    ----------
+    reload : callable
+        Reads the settings again; raises ``SettingsError``.
+    """
     log = make_log(settings.host, settings.logs)
     router = make_entry_router(settings, platform, log)
-    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+    with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
         async with open_entry_router(router):
-            async for _ in signals:
-                break
+            async for found in signals:
+                if found in STOP_SIGNALS:
+                    break
+                router.reload(reload)
             await router.drain()
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -1,5 +1,6 @@
 """Callers' requests on the platform, read into calls."""
 
+import math
 from collections.abc import Iterable
 
 from ..asgi import Scope
@@ -49,6 +50,11 @@
             return ""
         return value[len(BEARER) :].strip()
 
+    def read_limit_s(self, scope: Scope) -> float:
+        """Return how long a caller waits, seconds; infinite when it does not say."""
+        limit = _collect(scope).get(names.REMAINING_TIME, b"")
+        return int(limit) * MS if limit.isdigit() else math.inf
+
     def make_call(
         self,
         scope: Scope,
@@ -81,7 +87,7 @@
             route=route,
             workspace=workspace,
             received_at_s=received_at_s,
-            deadline_s=received_at_s + _read_limit_s(read, route),
+            deadline_s=received_at_s + min(route.timeout_s, self.read_limit_s(scope)),
             model=ModelId(read(names.MODEL)),
             parts=_read_parts(read(names.PROMPT_PARTS)),
             resume_after=read(names.LAST_EVENT),
@@ -92,13 +98,6 @@
         return names.RETRY_AFTER, f"{after_s:.3f}".encode("ascii")
 
 
-def _read_limit_s(read, route: Route) -> float:
-    limit = read(names.REMAINING_TIME)
-    if not limit.isdigit():
-        return route.timeout_s
-    return min(route.timeout_s, int(limit) * MS)
-
-
 def _select_passed(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Iterable[tuple[bytes, bytes]]:
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -1,9 +1,13 @@
 """The router on the platform, over real sockets."""
 
+from dataclasses import replace
+
 import anyio
 import pytest
 from entry_fleet import KEY, ROUTES, make_configuration, make_route, run_entry
 
+from primrosepier.errors import SettingsError
+
 pytestmark = pytest.mark.sockets
 EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in (1, 2, 3))
 
@@ -368,3 +372,30 @@
         assert all(reply.body == EVENTS for reply in replies)
 
     run_entry(check, repeat_ratio=2.0)
+
+
+def test_a_rejected_caller_comes_back_within_a_third_of_its_time():
+    async def check(fleet):
+        reply = await fleet.send("/lookup/1", limit_ms=300)
+        assert reply.status == 503
+        assert 0 < float(reply.headers["retry-after"]) <= 0.1
+
+    run_entry(check, configured=False)
+
+
+def test_settings_that_change_are_told_and_unusable_ones_change_nothing():
+    async def check(fleet):
+        router = fleet.routers[0]
+        events = []
+        router.log.observers.append(events.append)
+        router.reload(lambda: replace(router.settings, revoke_s=9.0))
+        assert events[-1].changed == ("revoke_s",)
+
+        def fail():
+            raise SettingsError("file", "bounds", "revoke", "not a number")
+
+        router.reload(fail)
+        assert "not a number" in events[-1].error
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check)
