Check the platform's files, explain calls on declared routes, and test the ports

`check` takes the platform's settings and deploy files; `explain` reads lines that a collector marked with time and host, and tells of calls, their placement and the age of what the router knew. Tests of the store's client, of moved cache parts, of the routers' reports and of raw answers at the endpoint client.

--- a/primrosepier/commands_operate.py
+++ b/primrosepier/commands_operate.py
@@ -11,6 +11,7 @@
 from .errors import SettingsError
 from .etcd import make_etcd_store
 from .ids import Revision
+from .platform.checks import check_platform_file
 from .publishing import ApplyOutcome, ApplyResult, apply_configuration
 from .settings import load_settings
 from .stopping import run_router
@@ -21,16 +22,21 @@
 
 
 class CheckCommand(Command):
-    """Validate operators' files without the platform."""
+    """Validate operators' files, or settings and deploy files of the platform."""
 
     name = "check"
-    description = "Validate operators' files without the platform."
+    description = "Validate operators' files, or TOML files of the users' platform."
     arguments = [FILES]
 
     def handle(self) -> int:
         """Run the command."""
+        files = [Path(name) for name in self.argument("files")]
         try:
-            found = load_configuration([Path(f) for f in self.argument("files")])
+            if all(file.suffix == ".toml" for file in files):
+                for file in files:
+                    self.line(f"{file}: {check_platform_file(file)}")
+                return 0
+            found = load_configuration(files)
         except SettingsError as error:
             self.line_error(str(error))
             return 1
--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from .forwarding.records import CallEnded, CallPlaced, CallRejected, CallRepeated
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -33,6 +34,9 @@
 }
 
 
+ENDS = RequestEnded | RequestRefused | CallEnded | CallRejected
+
+
 @dataclass(slots=True)
 class Explanation:
     """The events of one request in order, with their times.
@@ -76,7 +80,7 @@
     start_s = explanation.events[0][0]
     ended = False
     for at_s, event in explanation.events:
-        ended = ended or isinstance(event, RequestEnded | RequestRefused)
+        ended = ended or isinstance(event, ENDS)
         for text in _describe(event):
             lines.append(f"{(at_s - start_s) * 1000:9.1f} ms  {text}")
     if not ended:
@@ -103,6 +107,53 @@
         yield f"The router refused it: status {event.status}, {event.code}."
     elif isinstance(event, RequestEnded):
         yield from _describe_end(event)
+    else:
+        yield from _describe_call(event)
+
+
+def _describe_call(event: Event) -> Iterator[str]:
+    """Yield what an event of a declared route tells."""
+    if isinstance(event, CallRejected):
+        yield f"The router refused it: status {event.status}, {event.code}."
+        yield (
+            f"  Declaration {event.declaration} was in force; the store was heard "
+            f"{event.heard_age_s:.1f} s before."
+        )
+    elif isinstance(event, CallPlaced):
+        yield (
+            f"Chose {event.endpoint} of {event.candidates} candidates of "
+            f"{event.service}: {event.kind}; {event.remaining_s:.3f} s were left."
+        )
+        age = event.report_age_s
+        reported = (
+            "no load reported" if age is None else f"load reported {age:.1f} s ago"
+        )
+        yield (
+            f"  {event.outstanding} calls of this router in progress there, "
+            f"{event.pending_tokens} tokens to read, {reported}."
+        )
+    elif isinstance(event, CallRepeated):
+        outcome = OUTCOMES.get(event.outcome, event.outcome)
+        where = f"Attempt {event.attempt} at {event.endpoint}"
+        yield f"{where}: {outcome} ({event.reason})."
+    elif isinstance(event, CallEnded):
+        yield from _describe_call_end(event)
+
+
+def _describe_call_end(event: CallEnded) -> Iterator[str]:
+    outcome = OUTCOMES.get(event.outcome, event.outcome)
+    reason = f" ({event.reason})" if event.reason else ""
+    status = f"status {event.status}" if event.status else "no answer"
+    yield (
+        f"End after {event.duration_s * 1000:.1f} ms and {event.attempts} attempts, "
+        f"{status}: {outcome}{reason}, at {event.peer}, step {event.step}."
+    )
+    if event.first_byte_s is not None:
+        yield f"  The first byte went out after {event.first_byte_s * 1000:.1f} ms."
+    yield (
+        f"  Declaration {event.declaration} was in force; the store was heard "
+        f"{event.heard_age_s:.1f} s before."
+    )
 
 
 def _describe_decision(event: DecisionMade) -> Iterator[str]:
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -15,6 +15,7 @@
     "DeclarationTaken",
     "DutyChanged",
     "EntryUnreadable",
+    "FORWARDING_EVENT",
     "FleetChanged",
     "ReplicaGivenUp",
     "RouterStarted",
@@ -255,3 +256,21 @@
     def describe(self) -> str:
         """Return the event as one short sentence."""
         return f"ordered {self.endpoint} to load {self.weights}: {self.outcome}"
+
+
+FORWARDING_EVENT = (
+    CallEnded
+    | CallPlaced
+    | CallRejected
+    | CallRepeated
+    | ContactChanged
+    | DeclarationTaken
+    | DutyChanged
+    | EntryUnreadable
+    | FleetChanged
+    | ReplicaGivenUp
+    | RouterStarted
+    | RouterStopping
+    | SettingsRead
+    | WeightsOrdered
+)
--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .forwarding.records import FORWARDING_EVENT
 from .log_events import ANY_EVENT, Event
 
 __all__ = ["LogLine", "LogReader", "decode_event"]
@@ -14,6 +15,8 @@
 MAX_LINE_BYTES = 1024 * 1024
 MAX_TIMESTAMP_S = 1e11
 MAX_LEVELS = 64
+# Longest text that a collector of logs puts before a line, bytes.
+MAX_PREFIX_BYTES = 200
 
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,7 +69,7 @@
 
 
 LINE_DECODER = msgspec.json.Decoder(LogLine)
-EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT)
+EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT)
 
 
 def decode_event(line: LogLine) -> Event | None:
@@ -129,6 +132,10 @@
 
 
 def _decode_line(raw: bytes) -> LogLine | None:
+    """Return a line, without the time and host that a collector put before it."""
+    start = raw.find(b"{")
+    if 0 < start <= MAX_PREFIX_BYTES:
+        raw = raw[start:]
     try:
         line = LINE_DECODER.decode(raw)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
--- /dev/null
+++ b/primrosepier/platform/checks.py
@@ -0,0 +1,66 @@
+"""Checks of the files that the platform reads or writes."""
+
+from pathlib import Path
+
+import msgspec
+
+from ..cli import COMMANDS
+from ..errors import SettingsError
+from .settings import parse_entry_settings
+
+__all__ = ["check_platform_file"]
+
+PROGRAM = "python3 -m primrosepier "
+
+
+class _Role(msgspec.Struct, forbid_unknown_fields=True):
+    run: str
+    on: str
+    share: float = 1.0
+    count: int = 0
+    serves: list[str] = []
+    metrics: str = ""
+    apart: bool = False
+    template: str = ""
+    env: dict[str, str] = {}
+
+
+class _Deploy(msgspec.Struct, forbid_unknown_fields=True):
+    build: str
+    roles: dict[str, _Role]
+    packages: list[str] = []
+
+
+def check_platform_file(path: Path) -> str:
+    """Check a settings file or a deploy file, and return what it holds.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or a value in it is missing or wrong.
+    """
+    try:
+        text = path.read_bytes()
+        found = msgspec.toml.decode(text)
+    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as cause:
+        raise SettingsError(str(path), "-", "-", str(cause)) from cause
+    if "roles" in found:
+        return _check_deploy(text, str(path))
+    settings = parse_entry_settings(text, str(path))
+    return f"valid: settings of {settings.host} in {settings.failure_domain}"
+
+
+def _check_deploy(text: bytes, file: str) -> str:
+    try:
+        deploy = msgspec.toml.decode(text, type=_Deploy)
+    except msgspec.DecodeError as cause:
+        raise SettingsError(file, "-", "-", str(cause)) from cause
+    for name, role in deploy.roles.items():
+        command = role.run.removeprefix(PROGRAM).split(" ")[0]
+        if not role.run.startswith(PROGRAM) or command not in COMMANDS:
+            allowed = f"must run {PROGRAM}COMMAND, with one of its commands"
+            raise SettingsError(file, f"roles.{name}", "run", allowed)
+        if not 0 < role.share <= 1:
+            allowed = "must be greater than 0 and at most 1"
+            raise SettingsError(file, f"roles.{name}", "share", allowed)
+    return f"valid: {len(deploy.roles)} roles"
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -2,18 +2,33 @@
 
 import random
 
+import msgspec
 import pytest
 
 from primrosepier.errors import MessageError
 from primrosepier.forwarding.burden import BurdenLedger
 from primrosepier.forwarding.calls import AnswerHead, Call, PromptPart, ReportedLoad
-from primrosepier.forwarding.declarations import Declaration, Repeat, Route, Workspace
+from primrosepier.forwarding.declarations import (
+    CacheStore,
+    Declaration,
+    Repeat,
+    Route,
+    Workspace,
+)
 from primrosepier.forwarding.events import EventSplice
 from primrosepier.forwarding.fleet import Fleet, Replica
 from primrosepier.forwarding.freshness import Freshness
-from primrosepier.forwarding.homes import ChoiceKind, HomeChooser, Unwanted, make_scope
+from primrosepier.forwarding.homes import (
+    Choice,
+    ChoiceKind,
+    HomeChooser,
+    Unwanted,
+    make_scope,
+)
 from primrosepier.forwarding.knowledge import NamedWeights, WeightsGoal
+from primrosepier.forwarding.peers import PeerDirectory, WorkExchange, WorkReport
 from primrosepier.forwarding.repeats import RepeatBudget
+from primrosepier.forwarding.transfers import CachePlan, plan_cache
 from primrosepier.forwarding.weights import (
     Pace,
     compute_lag_s,
@@ -322,3 +337,83 @@
     for value in (b"", b"1,2", b"a,b,c", b"1,2,-3"):
         head = PlatformDialect().read_head(200, [(b"Instance-Load", value)])
         assert head.load is None
+
+
+STORE = CacheStore("10.0.9.9:1", "rennes")
+
+
+def plan_at(replicas, choice, known=None, goals=None, parts=LONG):
+    return plan_cache(make_call(parts), choice, known, goals or {}, STORE)
+
+
+def test_a_prompt_at_home_uses_the_store_under_the_weights_it_names():
+    home = make_replica("r0", weights=3)
+    plan = plan_at([home], Choice(home, ChoiceKind.HOME, 0, home))
+    assert plan == CachePlan("m0//3", 3, STORE.address, STORE.address)
+
+
+def test_a_prompt_elsewhere_fetches_from_its_home_with_the_same_weights():
+    home, other = make_replica("r0", weights=3), make_replica("r1", weights=3)
+    plan = plan_at([home], Choice(other, ChoiceKind.SPILL, 0, home))
+    assert plan.fetch_from == home.address
+    older = make_replica("r0", weights=2)
+    plan = plan_at([home], Choice(other, ChoiceKind.SPILL, 0, older))
+    assert plan.fetch_from == STORE.address
+
+
+def test_nothing_is_moved_for_weights_that_are_about_to_change():
+    home = make_replica("r0", weights=3)
+    choice = Choice(home, ChoiceKind.HOME, 0, home)
+    plan = plan_at([home], choice, goals={"m0": make_goal((4, 0.0))})
+    assert plan == CachePlan("m0/")
+    assert plan_at([home], choice, known=4).scope == "m0//4"
+
+
+def test_short_prefixes_are_not_moved():
+    home = make_replica("r0")
+    choice = Choice(home, ChoiceKind.HOME, 0, home)
+    short = (("system", 90), ("question", 300))
+    assert plan_at([home], choice, parts=short) == CachePlan("m0/")
+
+
+def test_prompts_of_other_routers_count_until_they_are_old():
+    ledger = BurdenLedger()
+    ledger.note_foreign("front-2", {"r0": 5000}, 0.0)
+    ledger.note_foreign("front-3", {"r0": 1000}, 0.0)
+    assert ledger.count_foreign_tokens("r0", 0.5) == 6000
+    ledger.note_foreign("front-2", {}, 0.6)
+    assert ledger.count_foreign_tokens("r0", 0.7) == 1000
+    assert ledger.count_foreign_tokens("r0", 9.0) == 0
+
+
+def make_exchange(token="t1"):
+    directory = PeerDirectory("front-1", None, "127.0.0.1:1", token)
+    return WorkExchange(directory, BurdenLedger(), lambda: 0.0)
+
+
+def test_reports_without_this_routers_token_are_dropped_and_counted():
+    exchange = make_exchange()
+    for data in (b"", b"\x00", msgspec.msgpack.encode(WorkReport("t2", "x", {}))):
+        exchange.take(data)
+    assert exchange.burdens.malformed_reports == 3
+    exchange.take(msgspec.msgpack.encode(WorkReport("t1", "x", {"r0": 7000})))
+    assert exchange.burdens.count_foreign_tokens("r0", 0.0) == 7000
+
+
+def test_only_changes_that_matter_are_told():
+    exchange = make_exchange()
+    exchange.burdens.begin("r0", 300)
+    assert not exchange.must_tell(exchange.list_work())
+    exchange.burdens.begin("r0", 15_000)
+    work = exchange.list_work()
+    assert exchange.must_tell(work)
+    exchange.told = work
+    assert not exchange.must_tell(work)
+    exchange.burdens.end_prefill("r0", 15_000)
+    assert exchange.must_tell(exchange.list_work())
+
+
+def test_routers_share_the_extra_repeats():
+    budgets = [RepeatBudget(0.0, extra=54, count_routers=lambda: 7) for _ in range(7)]
+    spent = sum(budget.withdraw("app", 0.0) for budget in budgets for _ in range(54))
+    assert 7 <= spent <= 54
--- /dev/null
+++ b/tests/test_platform_files.py
@@ -0,0 +1,157 @@
+"""Settings and deploy files of the platform, and logs of its routers."""
+
+from pathlib import Path
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from primrosepier.cli import make_application
+from primrosepier.errors import SettingsError
+from primrosepier.explain import explain_request, render_explanation
+from primrosepier.forwarding.records import CallEnded, CallPlaced, CallRejected
+from primrosepier.log_lines import LogReader
+from primrosepier.logs import make_log
+from primrosepier.platform.checks import check_platform_file
+from primrosepier.platform.settings import load_entry_settings, parse_entry_settings
+from primrosepier.settings import LogSettings
+from primrosepier.timeline import merge_lines
+
+ROOT = Path(__file__).parent.parent
+SETTINGS = """
+nodeName = "front-1"
+ip = "127.0.0.1"
+zone = "rennes"
+internalPorts = [7340, 7355]
+unheardOf = true
+[listen]
+frontend = "127.0.0.1:8782"
+readiness = "127.0.0.1:8789"
+[bounds]
+strictRevoke = true
+revokeMs = 5000
+versionMs = 12000
+[platform]
+address = "127.0.0.1:8784"
+form = "kv"
+"""
+
+
+def test_settings_are_read_and_unknown_fields_left_out():
+    found = parse_entry_settings(SETTINGS.encode(), "node.toml")
+    assert found.host == "front-1"
+    assert found.revoke_s == 5.0
+    assert found.weights_s == 12.0
+    assert found.peers_address == "127.0.0.1:7340"
+
+
+def test_no_bound_on_revoked_keys_where_it_is_not_strict():
+    text = SETTINGS.replace("strictRevoke = true", "strictRevoke = false")
+    assert parse_entry_settings(text.encode(), "node.toml").revoke_s is None
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('zone = "rennes"', "", "zone"),
+        ("[7340, 7355]", '"7340"', "internalPorts"),
+        ('form = "kv"', 'form = "log"', "form"),
+        ("revokeMs = 5000", 'revokeMs = "soon"', "revokeMs"),
+        ("[listen]", "[listen", "node.toml"),
+    ],
+)
+def test_a_wrong_setting_is_named(before, after, named):
+    text = SETTINGS.replace(before, after)
+    with pytest.raises(SettingsError, match=named):
+        parse_entry_settings(text.encode(), "node.toml")
+
+
+def test_a_missing_file_or_variable_is_named(tmp_path):
+    with pytest.raises(SettingsError, match="PRIMROSEPIER_CONFIG"):
+        load_entry_settings({})
+    missing = str(tmp_path / "none.toml")
+    with pytest.raises(SettingsError, match="none.toml"):
+        load_entry_settings({"PRIMROSEPIER_CONFIG": missing})
+
+
+def test_the_deploy_file_is_valid():
+    assert "1 roles" in check_platform_file(ROOT / "deploy/system.toml")
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ("entry-router", "unheard-of", "run"),
+        ("share = 1.0", "share = 2.0", "share"),
+        ("serves", "servs", "servs"),
+    ],
+)
+def test_a_wrong_deploy_file_is_named(tmp_path, before, after, named):
+    text = (ROOT / "deploy/system.toml").read_text()
+    path = tmp_path / "system.toml"
+    path.write_text(text.replace(before, after))
+    with pytest.raises(SettingsError, match=named):
+        check_platform_file(path)
+
+
+def test_check_takes_files_of_the_platform(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    tester = ApplicationTester(make_application())
+    assert tester.execute(f"check {path} {ROOT / 'deploy/system.toml'}") == 0
+    assert "front-1" in tester.io.fetch_output()
+    path.write_text(SETTINGS.replace("ip = ", "pi = "))
+    assert tester.execute(f"check {path}") == 1
+
+
+def make_placed(request):
+    return CallPlaced(
+        request=request,
+        attempt=1,
+        service="writers",
+        endpoint="w1",
+        kind="home of the shared prefix",
+        candidates=9,
+        outstanding=2,
+        pending_tokens=3000,
+        report_age_s=0.5,
+        remaining_s=1.9,
+    )
+
+
+def make_ended(request):
+    return CallEnded(
+        request=request,
+        route="notes",
+        workspace="litter-notes",
+        outcome="Interrupted",
+        status=200,
+        step="relay",
+        peer="w1",
+        reason="the time is over",
+        attempts=1,
+        prompt_tokens=17000,
+        first_byte_s=0.6,
+        duration_s=1.9,
+        declaration=7,
+        heard_age_s=0.2,
+    )
+
+
+def test_explain_tells_of_calls_also_from_lines_that_a_collector_marked(tmp_path):
+    path = tmp_path / "front.log"
+    log = make_log("front-1", LogSettings("info", str(path)))
+    log.emit(make_placed("a1"))
+    log.emit(make_ended("a1"))
+    log.emit(CallRejected("a2", 503, "stale_keys", 7, 4.2))
+    log.close()
+    marked = [b"  12.5 front-1 " + line for line in path.read_bytes().splitlines(True)]
+    reader = LogReader()
+    reader.read(marked)
+    timeline = merge_lines(reader.lines)
+    told = "\n".join(render_explanation(explain_request(timeline, "a1")))
+    assert "Chose w1 of 9 candidates" in told
+    assert "the time is over" in told
+    assert "Declaration 7" in told
+    told = "\n".join(render_explanation(explain_request(timeline, "a2")))
+    assert "status 503, stale_keys" in told
+    assert "4.2 s before" in told
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,168 @@
+"""The client of the platform's store, over real sockets."""
+
+import random
+
+import anyio
+import pytest
+
+from primrosepier.asgi import open_server
+from primrosepier.mirror import Backoff, Mirror, MirrorController
+from primrosepier.platform.standins import PAGE_ITEMS, StandinStore
+from primrosepier.platform.store import make_platform_store
+from primrosepier.store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    Unavailable,
+)
+
+pytestmark = pytest.mark.sockets
+
+
+def run_store(check):
+    async def run():
+        service = StandinStore()
+        async with open_server(service, "127.0.0.1:0") as address:
+            client = make_platform_store(address)
+            with anyio.fail_after(30):
+                await check(client, service)
+            await client.close()
+
+    anyio.run(run)
+
+
+def test_all_pages_are_read():
+    async def check(client, service):
+        for number in range(PAGE_ITEMS + 5):
+            service.put(f"op/{number:03}", b"value")
+        service.put("other", b"")
+        found = await client.read("op/")
+        assert len(found.items) == PAGE_ITEMS + 5
+        assert found.items["op/007"].value == b"value"
+
+    run_store(check)
+
+
+def test_a_transaction_holds_its_conditions():
+    async def check(client, service):
+        first = await client.transact([Compare("a", 0)], [Put("a", b"1")])
+        assert isinstance(first, Applied)
+        second = await client.transact([Compare("a", 0)], [Put("a", b"2")])
+        assert isinstance(second, Conflict)
+        assert second.items["a"].value == b"1"
+        assert second.items["a"].mod_revision == first.revision
+        deleted = await client.transact(
+            [Compare("a", first.revision)], [Put("a", None)]
+        )
+        assert isinstance(deleted, Applied)
+        assert not (await client.read("a")).items
+
+    run_store(check)
+
+
+def test_a_lost_answer_of_a_write_is_ambiguous_and_a_refusal_is_not():
+    async def check(client, service):
+        service.faults.lose_answers = 1
+        assert isinstance(await client.transact([], [Put("a", b"1")]), Ambiguous)
+        assert (await client.read("a")).items["a"].value == b"1"
+        for status in (429, 503):
+            service.faults.status = status
+            refused = await client.transact([], [Put("a", b"2")])
+            assert isinstance(refused, Unavailable)
+            assert isinstance(await client.read("a"), Unavailable)
+        service.faults.status = 0
+        assert (await client.read("a")).items["a"].value == b"1"
+
+    run_store(check)
+
+
+def test_a_silent_service_ends_a_call_in_a_bounded_time():
+    async def check(client, service):
+        service.faults.silent = True
+        before = anyio.current_time()
+        assert isinstance(await client.read("a"), Unavailable)
+        assert isinstance(await client.transact([], [Put("a", b"")]), Ambiguous)
+        assert anyio.current_time() - before < 4.0
+
+    run_store(check)
+
+
+def test_a_service_that_is_gone_did_nothing():
+    async def run():
+        client = make_platform_store("127.0.0.1:1")
+        assert isinstance(await client.transact([], [Put("a", b"")]), Unavailable)
+        assert isinstance(await client.grant_lease(1.0), Unavailable)
+        await client.close()
+
+    anyio.run(run)
+
+
+def test_leases_are_granted_kept_lost_and_ended():
+    async def check(client, service):
+        granted = await client.grant_lease(5.0)
+        assert isinstance(granted, LeaseGranted)
+        await client.transact([], [Put("a", b"", granted.lease)])
+        assert isinstance(await client.keep_alive(granted.lease), LeaseGranted)
+        await client.revoke_lease(granted.lease)
+        assert not (await client.read("a")).items
+        assert isinstance(await client.keep_alive(granted.lease), LeaseLost)
+        lost = await client.transact([], [Put("b", b"", granted.lease)])
+        assert isinstance(lost, LeaseLost)
+
+    run_store(check)
+
+
+def test_a_watch_tells_changes_and_that_there_were_none():
+    async def check(client, service):
+        service.put("op/a", b"1")
+        start = (await client.read("")).revision
+        events = client.watch("op/", start + 1)
+        service.put("op/b", b"2")
+        service.put("else", b"3")
+        service.remove("op/a")
+        keys, deleted = set(), set()
+        while not deleted:
+            event = await anext(events)
+            keys |= {item.key for item in event.items}
+            deleted |= set(event.deleted)
+        assert (keys, deleted) == ({"op/b"}, {"op/a"})
+        asked_at_s = event.asked_at_s
+        quiet = await anext(events)
+        assert not quiet.items
+        assert quiet.asked_at_s >= asked_at_s
+        await events.aclose()
+
+    run_store(check)
+
+
+def test_a_mirror_reads_again_when_the_history_is_gone():
+    async def check(client, service):
+        service.put("op/a", b"1")
+        for number in range(5):
+            service.put("op/a", b"%d" % number)
+        mirror = Mirror("op/")
+        contacts = []
+        controller = MirrorController(
+            client,
+            mirror,
+            Backoff(random.Random(1), 0.01, 0.05),
+            "op/a",
+            note_contact=lambda in_touch, reason: contacts.append(in_touch),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(controller.run)
+            while not mirror.is_synced:
+                await anyio.sleep(0.01)
+            mirror.revision = 1
+            service.memory.state.compact(service.memory.revision)
+            service.put("op/b", b"new")
+            while "op/b" not in mirror.items:
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        assert contacts[0]
+
+    run_store(check)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,4 +1,5 @@
 import anyio
+import anyio.abc
 import httpcore
 import pytest
 
@@ -64,3 +65,100 @@
             await fetch(client, "127.0.0.1:1")
 
     run_calls(check)
+
+
+def run_raw(answers, check):
+    """Serve fixed bytes, one entry for each request; None closes the connection."""
+
+    async def run():
+        connections = []
+
+        async def serve_raw(stream):
+            connections.append(stream)
+            async with stream:
+                for answer in answers:
+                    try:
+                        await stream.receive()
+                    except anyio.EndOfStream:
+                        return
+                    if answer is None:
+                        return
+                    await stream.send(answer)
+                await anyio.sleep(0.2)
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_raw)
+            client = HttpEndpointClient()
+            await check(client, f"127.0.0.1:{port}", connections)
+            await client.close()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def test_what_follows_a_complete_answer_belongs_to_no_request():
+    async def check(client, address, connections):
+        assert await fetch(client, address) == b"ok"
+        assert await fetch(client, address) == b"ok"
+        assert len(connections) == 2
+
+    run_raw([ANSWER + ANSWER.replace(b"ok", b"no"), None], check)
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    async def check(client, address, connections):
+        assert await fetch(client, address) == b"all of it"
+        assert not client.idle[address]
+
+    run_raw([b"HTTP/1.1 200 OK\r\n\r\nall of it", None], check)
+
+
+def test_an_answer_that_is_cut_short_is_an_error():
+    async def check(client, address, connections):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await fetch(client, address)
+
+    run_raw([ANSWER.replace(b"2", b"9"), None], check)
+
+
+def test_a_connection_is_not_used_after_the_time_that_its_peer_tells():
+    async def check(client, address, connections):
+        now_s = [0.0]
+        client.clock = lambda: now_s[0]
+        for _ in range(2):
+            assert await fetch(client, address) == b"ok"
+        assert len(connections) == 1
+        now_s[0] += 0.9
+        assert await fetch(client, address) == b"ok"
+        assert len(connections) == 2
+
+    head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+    run_raw([ANSWER.replace(b"HTTP/1.1 200 OK\r\n", head)] * 3, check)
+
+
+def test_connections_that_fell_silent_are_given_up():
+    async def check(client, address, connections):
+        ended = []
+
+        async def hang():
+            call = EndpointCall(
+                address, "GET", "/", (), b"", 1.0, 30.0, repeatable=True
+            )
+            with pytest.raises(httpcore.RemoteProtocolError):
+                async with client.open(call):
+                    pass
+            ended.append(True)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(hang)
+            await anyio.sleep(0.15)
+            assert client.give_up(address, 10.0) == 0
+            assert client.give_up(address, 0.1) == 1
+        assert ended
+
+    run_raw([b"", b""], check)
