--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -88,6 +88,13 @@
         Counts the time for which the machine was suspended, too.
     ready_port : int
         Port of the readiness address.
+
+    Attributes
+    ----------
+    refusing : bool
+        Calls that may last beyond ``ends_at_s`` are refused.
+    ends_at_s : float
+        Time at which the router stops, seconds.
     """
 
     reader: RequestReader
@@ -99,6 +106,7 @@
     ready_port: int
     stopping: bool = False
     refusing: bool = False
+    ends_at_s: float = float("inf")
     in_progress: int = 0
     last_call_at_s: float = float("-inf")
 
@@ -150,6 +158,7 @@
     ) -> None:
         declaration = self._check_declaration()
         route = self._find_route(scope, declaration)
+        self._require_time(scope, route)
         workspace = self._find_workspace(scope, declaration, route)
         limit_bytes = declaration.limits.body_bytes or USUAL_BODY_BYTES
         body = await read_body(receive, limit_bytes, route.timeout_s)
@@ -169,10 +178,14 @@
         if declaration is None:
             text = "No configuration is known yet."
             raise RequestError(503, "not_configured", text, retry_after_s=COME_BACK_S)
-        if self.refusing:
+        return declaration
+
+    def _require_time(self, scope: Scope, route: Route) -> None:
+        """Refuse a call that may last longer than the router does."""
+        limit_s = min(route.timeout_s, self.reader.read_limit_s(scope))
+        if self.refusing and self.clock() + limit_s > self.ends_at_s:
             text = "The router is about to stop."
             raise RequestError(503, "stopping", text, retry_after_s=COME_BACK_S)
-        return declaration
 
     def _find_route(self, scope: Scope, declaration: Declaration) -> Route:
         route = declaration.find_route(self.reader.read_host(scope), scope["path"])
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -50,8 +50,8 @@
 # Waits after a failed call on the store: short against the bound on revoked keys.
 STORE_WAIT_S = 0.1
 STORE_WAIT_LIMIT_S = 0.8
-# Time after the order to stop in which calls still come: the balancer asks once a
-# second and takes a router out after two misses.
+# Time after the order to stop in which all calls are served: the balancer asks once a
+# second and takes a router out after two misses. Later ones must fit into the rest.
 ACCEPT_S = 3.0
 # Time without a new call after which none is expected any more.
 QUIET_S = 0.6
@@ -143,7 +143,8 @@
         grace_s = self.settings.grace_s
         self.log.emit(RouterStopping(self.app.in_progress, grace_s))
         self.app.stopping = True
-        while clock() < started_s + grace_s - 2 * CLOSE_S:
+        self.app.ends_at_s = started_s + grace_s - 2 * CLOSE_S
+        while clock() < self.app.ends_at_s:
             now_s = clock()
             late = now_s >= started_s + ROLLOUT_SHARE * grace_s
             await self.weights.stop(at_once=late)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -77,12 +77,12 @@
             connections.append(stream)
             async with stream:
                 for answer in answers:
+                    if answer is None:
+                        return
                     try:
                         await stream.receive()
                     except anyio.EndOfStream:
                         return
-                    if answer is None:
-                        return
                     await stream.send(answer)
                 await anyio.sleep(0.2)
 
