--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -22,10 +22,11 @@
 from ..ids import RequestId, WorkspaceId
 from ..logs import Log
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Refused, Step
+from .attempts import COME_BACK_S, Delivery
 from .calls import Call
 from .declarations import Declaration, Route, Workspace
 from .events import EventSplice
-from .forwarder import COME_BACK_S, Delivery, Forwarder
+from .forwarder import Forwarder
 from .freshness import Freshness
 from .records import CallEnded, CallRejected
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -26,7 +26,7 @@
 from .declarations import Declaration
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
-from .forwarder import make_forwarder
+from .forwarder import Forwarder, make_forwarder
 from .freshness import Freshness
 from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
@@ -120,6 +120,9 @@
         while True:
             await anyio.sleep(REFRESH_S)
             self.knowledge.refresh()
+            found = self.knowledge.replicas.value.by_service.values()
+            known = (replica.id for replicas in found for replica in replicas)
+            self.app.forwarder.burdens.keep(known)
 
     def reload(self, read: Callable[[], EntrySettings]) -> None:
         """Check the settings file again, and tell what changed in it.
@@ -160,56 +163,67 @@
     settings: EntrySettings, platform: EntryPlatform, log: Log
 ) -> EntryRouter:
     """Return a router that serves nothing yet."""
-    knowledge = make_knowledge(platform.layout, log, platform.clock)
-    source = random.Random(settings.host)
-    mirror = MirrorController(
+    clock = platform.clock
+    knowledge = make_knowledge(platform.layout, log, clock)
+    mirror = _make_mirror(settings, platform, knowledge)
+    directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
+    forwarder = _make_forwarder(settings, platform, knowledge, directory)
+    burdens = forwarder.burdens
+    app = EntryApp(
+        platform.reader,
+        forwarder,
+        lambda: knowledge.declaration.value,
+        Freshness(settings.revoke_s, lambda: mirror.mirror.heard_at_s),
+        log,
+        clock,
+        int(settings.readiness_address.rpartition(":")[2]),
+    )
+    weights = _make_weights_controller(settings, platform, knowledge, mirror, burdens)
+    forwarder.select = partial(_select_replicas, settings, burdens, weights, clock)
+    forwarder.attempts.plan_cache = partial(_plan_cache, knowledge, burdens)
+    listeners = (knowledge.update, directory.update, weights.watch_marks)
+    mirror.mirror.listeners.extend(listeners)
+    peers = WorkExchange(directory, burdens, clock)
+    parts = (knowledge, mirror, app, weights, peers)
+    return EntryRouter(settings, platform, log, *parts)
+
+
+def _make_mirror(
+    settings: EntrySettings, platform: EntryPlatform, knowledge: Knowledge
+) -> MirrorController:
+    backoff = Backoff(random.Random(settings.host), STORE_WAIT_S, STORE_WAIT_LIMIT_S)
+    return MirrorController(
         platform.store,
         Mirror(platform.watched_prefix),
-        Backoff(source, STORE_WAIT_S, STORE_WAIT_LIMIT_S),
+        backoff,
         platform.layout.declaration_key,
         platform.clock,
         note_contact=knowledge.note_contact,
     )
-    mirror.mirror.listeners.append(knowledge.update)
-    freshness = Freshness(settings.revoke_s, lambda: mirror.mirror.heard_at_s)
-    chooser = HomeChooser(settings.failure_domain, BurdenLedger(), source)
-    directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
-    mirror.mirror.listeners.append(directory.update)
+
+
+def _make_forwarder(
+    settings: EntrySettings,
+    platform: EntryPlatform,
+    knowledge: Knowledge,
+    directory: PeerDirectory,
+) -> Forwarder:
     repeats = RepeatBudget(
         settings.repeat_ratio,
         settings.repeat_extra,
         lambda: 1 + len(directory.peers),
         settings.repeat_window_s,
     )
-    forwarder = make_forwarder(
+    source = random.Random(settings.host)
+    return make_forwarder(
         platform.client,
         platform.dialect,
         lambda: knowledge.replicas.value,
-        chooser,
+        HomeChooser(settings.failure_domain, BurdenLedger(), source),
         repeats,
-        log,
-        platform.clock,
-    )
-    app = EntryApp(
-        platform.reader,
-        forwarder,
-        lambda: knowledge.declaration.value,
-        freshness,
-        log,
+        knowledge.log,
         platform.clock,
-        int(settings.readiness_address.rpartition(":")[2]),
     )
-    weights = _make_weights_controller(
-        settings, platform, knowledge, mirror, forwarder.burdens
-    )
-    mirror.mirror.listeners.append(weights.watch_marks)
-    forwarder.select = partial(
-        _select_replicas, settings, forwarder.burdens, weights, platform.clock
-    )
-    forwarder.plan_cache = partial(_plan_cache, knowledge, forwarder.burdens)
-    peers = WorkExchange(directory, forwarder.burdens, platform.clock)
-    parts = (knowledge, mirror, app, weights, peers)
-    return EntryRouter(settings, platform, log, *parts)
 
 
 def _plan_cache(
