Decide by the clock which calls a stopping router takes

Ruled out: a lost answer (the replica was still at work). Calls are judged by the clock from 2.5 s on.

--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -25,6 +25,7 @@
 from .attempts import COME_BACK_S, Delivery
 from .calls import Call
 from .declarations import Declaration, Route, Workspace
+from .ending import Ending
 from .events import EventSplice
 from .forwarder import Forwarder
 from .freshness import Freshness
@@ -92,10 +93,8 @@
 
     Attributes
     ----------
-    refusing : bool
-        Calls that may last beyond ``ends_at_s`` are refused.
-    ends_at_s : float
-        Time at which the router stops, seconds.
+    ending : Ending or None
+        Times of a planned stop, once it was ordered.
     """
 
     reader: RequestReader
@@ -105,9 +104,7 @@
     log: Log
     clock: Clock
     ready_port: int
-    stopping: bool = False
-    refusing: bool = False
-    ends_at_s: float = float("inf")
+    ending: Ending | None = None
     in_progress: int = 0
     last_call_at_s: float = float("-inf")
 
@@ -133,13 +130,13 @@
         closing = close_connection_after(send)
 
         async def send_or_close(message: dict[str, Any]) -> None:
-            await (closing if self.stopping else send)(message)
+            await (send if self.ending is None else closing)(message)
 
         return send_or_close
 
     def is_ready(self) -> bool:
         """Return whether new callers should come here."""
-        if self.stopping or self.read_declaration() is None:
+        if self.ending is not None or self.read_declaration() is None:
             return False
         return self.freshness.may_trust_keys(self.clock())
 
@@ -184,7 +181,7 @@
     def _require_time(self, scope: Scope, route: Route) -> None:
         """Refuse a call that may last longer than the router does."""
         limit_s = min(route.timeout_s, self.reader.read_limit_s(scope))
-        if self.refusing and self.clock() + limit_s > self.ends_at_s:
+        if self.ending is not None and not self.ending.may_take(self.clock(), limit_s):
             text = "The router is about to stop."
             raise RequestError(503, "stopping", text, retry_after_s=COME_BACK_S)
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -24,6 +24,7 @@
 from .burden import BurdenLedger
 from .calls import Call, EndpointDialect
 from .declarations import Declaration
+from .ending import make_ending
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
 from .forwarder import Forwarder, make_forwarder
@@ -50,12 +51,9 @@
 # Waits after a failed call on the store: short against the bound on revoked keys.
 STORE_WAIT_S = 0.1
 STORE_WAIT_LIMIT_S = 0.8
-# Time after the order to stop in which all calls are served: the balancer asks once a
-# second and takes a router out after two misses. Later ones must fit into the rest.
-ACCEPT_S = 3.0
 # Time without a new call after which none is expected any more.
 QUIET_S = 0.6
-# Part of the grace that is kept for closing connections.
+# Time for calls in progress when the router ends, seconds: half of what is kept.
 CLOSE_S = 0.5
 # Part of the grace in which a rollout that is under way goes on.
 ROLLOUT_SHARE = 0.6
@@ -145,16 +143,14 @@
         started_s = clock()
         grace_s = self.settings.grace_s
         self.log.emit(RouterStopping(self.app.in_progress, grace_s))
-        self.app.stopping = True
-        self.app.ends_at_s = started_s + grace_s - 2 * CLOSE_S
-        while clock() < self.app.ends_at_s:
+        ending = self.app.ending = make_ending(started_s, grace_s)
+        while clock() < ending.ends_at_s:
             now_s = clock()
             late = now_s >= started_s + ROLLOUT_SHARE * grace_s
             await self.weights.stop(at_once=late)
             quiet = now_s >= self.app.last_call_at_s + QUIET_S
-            self.app.refusing = now_s >= started_s + ACCEPT_S
             busy = self.app.in_progress or self.weights.duty.fencing
-            if self.app.refusing and quiet and not busy:
+            if now_s >= ending.accepts_until_s and quiet and not busy:
                 return
             await anyio.sleep(TICK_S)
 
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -15,6 +15,7 @@
     Route,
     Workspace,
 )
+from primrosepier.forwarding.ending import make_ending
 from primrosepier.forwarding.events import EventSplice
 from primrosepier.forwarding.fleet import Replica
 from primrosepier.forwarding.freshness import Freshness
@@ -327,3 +328,16 @@
     budgets = [RepeatBudget(0.0, extra=54, count_routers=lambda: 7) for _ in range(7)]
     spent = sum(budget.withdraw("app", 0.0) for budget in budgets for _ in range(54))
     assert 7 <= spent <= 54
+
+
+def test_a_stopping_router_takes_a_long_call_only_while_callers_may_not_know():
+    ending = make_ending(100.0, grace_s=8.0)
+    assert ending.may_take(102.0, limit_s=12.0)
+    assert not ending.may_take(102.9, limit_s=12.0)
+    assert ending.may_take(105.0, limit_s=0.6)
+    assert not ending.may_take(106.8, limit_s=0.6)
+
+
+def test_a_short_grace_is_not_exceeded():
+    ending = make_ending(0.0, grace_s=2.0)
+    assert not ending.may_take(1.5, limit_s=5.0)
