Test the settings signal on a real process, and the clock of suspended time

Without the handler for SIGHUP the first test fails; with it both passed four times. No code changed.

--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,71 @@
+"""The router as a process: its signals, and the clock it counts by."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from entry_fleet import find_free_port
+
+from primrosepier.forwarding.entry import read_boot_clock
+from primrosepier.platform.router import make_entry_platform
+from primrosepier.platform.settings import parse_entry_settings
+
+SETTINGS = """
+nodeName = "front-1"
+ip = "127.0.0.1"
+zone = "rennes"
+internalPorts = [{ports[0]}, {ports[0]}]
+[listen]
+frontend = "127.0.0.1:{ports[1]}"
+readiness = "127.0.0.1:{ports[2]}"
+[bounds]
+graceS = 2.0
+[platform]
+address = "127.0.0.1:1"
+"""
+
+
+def make_settings():
+    return SETTINGS.format(ports=[find_free_port() for _ in range(3)])
+
+
+def wait_for(path, text, limit_s=10.0):
+    ends_at_s = time.monotonic() + limit_s
+    while text not in path.read_text():
+        assert time.monotonic() < ends_at_s, path.read_text()
+        time.sleep(0.02)
+
+
+@pytest.mark.sockets
+def test_the_settings_signal_leaves_the_process_running(tmp_path):
+    settings, output = tmp_path / "node.toml", tmp_path / "output"
+    settings.write_text(make_settings())
+    command = [sys.executable, "-m", "primrosepier", "entry-router"]
+    environment = {**os.environ, "PRIMROSEPIER_CONFIG": str(settings)}
+    with output.open("wb") as stream:
+        process = subprocess.Popen(command, env=environment, stdout=stream)
+    try:
+        wait_for(output, "RouterStarted")
+        settings.write_text(settings.read_text().replace("2.0", "3.0"))
+        process.send_signal(signal.SIGHUP)
+        wait_for(output, "SettingsRead")
+        assert '"changed":["grace_s"]' in output.read_text()
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10.0) == 0
+        assert "RouterStopping" in output.read_text()
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_times_count_while_the_machine_is_suspended():
+    settings = parse_entry_settings(make_settings().encode(), "node.toml")
+    platform = make_entry_platform(settings)
+    assert platform.clock is read_boot_clock
+    assert platform.store.clock is read_boot_clock
+    before_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    assert before_s <= read_boot_clock() <= time.clock_gettime(time.CLOCK_BOOTTIME)
