Hold to homes longer when replicas crash

They follow the crashes of two or three of the six replicas: queues pass the price of computing a prefix elsewhere, prompts spill, the spilled prefixes are computed again and make the queues longer. Change: weights 12 for recomputing and 24 for the first home, 8 and 8 before.

--- a/primrosepier/placement_options.py
+++ b/primrosepier/placement_options.py
@@ -41,8 +41,8 @@
     root_replicas: int = 6
     root_share: float = 0.4
     split_share: float = 0.8
-    recompute_weight: float = 8.0
-    home_weight: float = 8.0
+    recompute_weight: float = 12.0
+    home_weight: float = 24.0
     remote_tokens: float = 32.0
     spare_choices: int = 2
     pressure_gain: float = 1.0
