Hold a router's calls on the store to its share, and gather changes

Most changes are those of replicas whose weights change. The declared rates of the store were read and not kept. Change: a router asks for changes again after a quarter of the time to apply them, but for the holder of the weights' duty; its calls go through the budget that the other router uses, with the rates of the settings and the count of routers; the watch's wait follows from the bound on revoked keys; routers that start together spread their entries over a second.

--- a/primrosepier/budget.py
+++ b/primrosepier/budget.py
@@ -103,12 +103,18 @@
     count_routers : callable
         Returns how many routers share the rates.
     clock : Clock
+    renewals : CallKind
+        Rate for which the renewal of a lease counts.
+    polls : bool
+        Whether a watch makes a new call after each event.
     """
 
     store: Store
     budget: CallBudget
     count_routers: Callable[[], int]
     clock: Clock = time.monotonic
+    renewals: CallKind = CallKind.WRITE
+    polls: bool = False
 
     async def _wait(self, kind: CallKind, urgent: bool = False) -> None:
         wait_s = self.budget.take(kind, self.count_routers(), self.clock(), urgent)
@@ -132,6 +138,8 @@
         await self._wait(CallKind.READ)
         async for event in self.store.watch(prefix, revision):
             yield event
+            if self.polls:
+                await self._wait(CallKind.READ)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Return a new lease."""
@@ -140,7 +148,7 @@
 
     async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Extend a lease."""
-        await self._wait(CallKind.WRITE, urgent=True)
+        await self._wait(self.renewals, urgent=True)
         return await self.store.keep_alive(lease)
 
     async def revoke_lease(self, lease: int) -> None:
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -5,6 +5,7 @@
 its own to read. A lost datagram is made good by the next one.
 """
 
+import random
 import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -30,6 +31,9 @@
 # Waits between renewals, and before another try, seconds.
 RENEW_S = 2.0
 RETRY_S = 1.0
+# Time over which routers that start together spread their entries, seconds: short
+# against the time before callers come.
+SPREAD_S = 1.0
 # Shortest and longest time between two reports while there is work, seconds.
 MIN_GAP_S = 0.02
 REPEAT_S = 0.5
@@ -84,6 +88,7 @@
     address: str
     token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
     peers: dict[HostId, PeerRecord] = field(default_factory=dict)
+    source: random.Random = field(default_factory=random.Random)
 
     def update(self, mirror: Mirror) -> None:
         """Take in the entries of the store."""
@@ -95,13 +100,18 @@
                 found[host] = record
         self.peers = found
 
+    def count_routers(self) -> int:
+        """Return how many routers are known, this one among them."""
+        return 1 + len(self.peers)
+
     async def run(self) -> None:
         """Keep the entry until cancelled."""
+        await anyio.sleep(self.source.uniform(0.0, SPREAD_S))
         while True:
             granted = await self.store.grant_lease(ENTRY_S)
             if isinstance(granted, LeaseGranted) and await self._enter(granted.lease):
                 await self._keep(granted.lease)
-            await anyio.sleep(RETRY_S)
+            await anyio.sleep(RETRY_S * self.source.uniform(0.5, 1.5))
 
     async def _enter(self, lease: int) -> bool:
         value = msgspec.json.encode(PeerRecord(self.address, self.token))
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -4,12 +4,13 @@
 import random
 import signal
 from collections.abc import AsyncIterator, Callable, Sequence
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from functools import partial
 
 import anyio
 
 from ..asgi import open_server
+from ..budget import BudgetedStore, CallBudget, CallKind, StoreRates
 from ..clocks import Clock
 from ..duties import DutyKeeper
 from ..engines import EndpointClient
@@ -28,7 +29,7 @@
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
 from .forwarder import Forwarder, make_forwarder
-from .freshness import Freshness
+from .freshness import Freshness, compute_gather_s
 from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
 from .peers import PeerDirectory, WorkExchange
@@ -53,6 +54,10 @@
 STORE_WAIT_LIMIT_S = 0.8
 # Time without a new call after which none is expected any more.
 QUIET_S = 0.6
+# Part of the store's rates that the routers use, for their count may be some seconds
+# old; and the time whose calls may be made at once, seconds.
+STORE_SHARE = 0.8
+STORE_BURST_S = 0.5
 # Time for calls in progress when the router ends, seconds: half of what is kept.
 CLOSE_S = 0.5
 # Part of the grace in which a rollout that is under way goes on.
@@ -160,6 +165,8 @@
 ) -> EntryRouter:
     """Return a router that serves nothing yet."""
     clock = platform.clock
+    store = _limit_store(settings, platform, lambda: directory.count_routers())
+    platform = replace(platform, store=store)
     knowledge = make_knowledge(platform.layout, log, clock)
     mirror = _make_mirror(settings, platform, knowledge)
     directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
@@ -175,6 +182,7 @@
         int(settings.readiness_address.rpartition(":")[2]),
     )
     weights = _make_weights_controller(settings, platform, knowledge, mirror, burdens)
+    mirror.gather_s = partial(_choose_gather_s, settings, weights)
     forwarder.select = partial(_select_replicas, settings, burdens, weights, clock)
     forwarder.attempts.plan_cache = partial(_plan_cache, knowledge, burdens)
     listeners = (knowledge.update, directory.update, weights.watch_marks)
@@ -184,6 +192,31 @@
     return EntryRouter(settings, platform, log, *parts)
 
 
+def _limit_store(
+    settings: EntrySettings, platform: EntryPlatform, count_routers: Callable[[], int]
+) -> BudgetedStore:
+    rates = StoreRates(
+        STORE_SHARE * settings.store_writes_per_s,
+        STORE_SHARE * settings.store_reads_per_s,
+        STORE_BURST_S,
+    )
+    return BudgetedStore(
+        store=platform.store,
+        budget=CallBudget(rates),
+        count_routers=count_routers,
+        clock=platform.clock,
+        renewals=CallKind.READ,
+        polls=True,
+    )
+
+
+def _choose_gather_s(settings: EntrySettings, weights: WeightsController) -> float:
+    """Return how long changes are gathered; not at all where weights wait for it."""
+    if weights.duty.fencing:
+        return 0.0
+    return compute_gather_s(settings.apply_s, settings.drain_s)
+
+
 def _make_mirror(
     settings: EntrySettings, platform: EntryPlatform, knowledge: Knowledge
 ) -> MirrorController:
@@ -207,7 +240,7 @@
     repeats = RepeatBudget(
         settings.repeat_ratio,
         settings.repeat_extra,
-        lambda: 1 + len(directory.peers),
+        directory.count_routers,
         settings.repeat_window_s,
     )
     source = random.Random(settings.host)
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -33,6 +33,10 @@
         Time that must pass between orders of two holders of a duty.
     weights_s : float
         Time within which named weights must be in use everywhere.
+    apply_s : float
+        Time within which a declaration must be in force.
+    drain_s : float
+        Time for which a replica that leaves still serves.
     heartbeat_s : float
         Time between two registrations of a replica.
     """
@@ -53,5 +57,7 @@
     repeat_window_s: float = 10.0
     holder_gap_s: float = 3.0
     weights_s: float = 12.0
+    apply_s: float = 2.0
+    drain_s: float = 2.0
     heartbeat_s: float = 1.2
     logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -22,6 +22,11 @@
     """Tell nobody whether the service answers."""
 
 
+def gather_nothing() -> float:
+    """Ask for each change at once."""
+    return 0.0
+
+
 @dataclass(slots=True)
 class Backoff:
     """Waits between attempts: full jitter below a bound that doubles.
@@ -129,6 +134,8 @@
         Time between these reads, seconds.
     note_contact : callable
         Told whether the service answers, and why not.
+    gather_s : callable
+        Returns how long changes are gathered before they are asked for, seconds.
     """
 
     store: Store
@@ -138,6 +145,7 @@
     clock: Clock = time.monotonic
     check_s: float = 15.0
     note_contact: Callable[[bool, str], None] = ignore_contact
+    gather_s: Callable[[], float] = gather_nothing
 
     async def run(self) -> None:
         """Read once, then watch; read again only when the history is gone."""
@@ -182,6 +190,8 @@
                 return False
             self.note_contact(True, "watch")
             self.mirror.take_event(event, self.clock())
+            if event.items or event.deleted:
+                await anyio.sleep(self.gather_s())
         self.note_contact(False, "the watch ended")
         return True
 
--- a/primrosepier/platform/router.py
+++ b/primrosepier/platform/router.py
@@ -2,6 +2,7 @@
 
 from ..engines import make_endpoint_client
 from ..forwarding.entry import read_boot_clock
+from ..forwarding.freshness import compute_gather_s, compute_watch_s
 from ..forwarding.knowledge import StoreLayout
 from ..forwarding.router import EntryPlatform
 from ..forwarding.settings import EntrySettings
@@ -27,8 +28,10 @@
 def make_entry_platform(settings: EntrySettings) -> EntryPlatform:
     """Return the ports of a router on the platform."""
     client = make_endpoint_client()
+    gather_s = compute_gather_s(settings.apply_s, settings.drain_s)
+    watch_s = compute_watch_s(settings.revoke_s, gather_s)
     return EntryPlatform(
-        store=make_platform_store(settings.store_address, read_boot_clock),
+        store=make_platform_store(settings.store_address, read_boot_clock, watch_s),
         client=client,
         dialect=PlatformDialect(),
         reader=PlatformRequests(),
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -27,6 +27,8 @@
 
     grace_s: float = 8.0
     drain_ms: float = 2000.0
+    # Time for a configuration to be in force after the store took it.
+    config_apply_ms: float = 2000.0
     # Whether the bound on revoked keys holds at all.
     strict_revoke: bool = False
     revoke_ms: float = 5000.0
@@ -103,6 +105,8 @@
         repeat_extra=bounds.retry_budget_extra,
         repeat_window_s=bounds.budget_window_s,
         holder_gap_s=bounds.lease_ms * MS,
+        apply_s=bounds.config_apply_ms * MS,
+        drain_s=bounds.drain_ms * MS,
         weights_s=bounds.version_ms * MS,
         heartbeat_s=found.heartbeat_ms * MS,
     )
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -40,8 +40,8 @@
 # The service answers in milliseconds; a second covers a lost packet.
 CONNECT_S = 0.5
 CALL_S = 1.0
-# Time for which a watch waits, seconds: each answer proves what is in force, so it
-# is well below the bound on revoked keys.
+# Time for which a watch waits unless told otherwise, seconds: well below the usual
+# bound on revoked keys, since each answer proves what is in force.
 WATCH_S = 1.5
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
 # Statuses by which the service says that it did nothing.
@@ -111,11 +111,16 @@
         ``IP:PORT``.
     clock : Clock
         Stamps the times at which answers were asked for.
+    watch_s : float
+        Time for which a watch waits for changes, seconds.
     """
 
-    def __init__(self, address: str, clock: Clock = time.monotonic):
+    def __init__(
+        self, address: str, clock: Clock = time.monotonic, watch_s: float = WATCH_S
+    ):
         self.address = address
         self.clock = clock
+        self.watch_s = watch_s
         self.client = HttpEndpointClient()
 
     async def _call(
@@ -229,10 +234,10 @@
                 {
                     "pathPrefix": prefix,
                     "after": position,
-                    "waitMs": int(WATCH_S / MS),
+                    "waitMs": int(self.watch_s / MS),
                 }
             )
-            answer = await self._call("GET", f"/kv-watch?{query}", wait_s=WATCH_S)
+            answer = await self._call("GET", f"/kv-watch?{query}", wait_s=self.watch_s)
             if isinstance(answer, Ambiguous | Unavailable):
                 return
             if answer.status == GONE:
@@ -292,6 +297,8 @@
         await self.client.close()
 
 
-def make_platform_store(address: str, clock: Clock = time.monotonic) -> PlatformStore:
+def make_platform_store(
+    address: str, clock: Clock = time.monotonic, watch_s: float = WATCH_S
+) -> PlatformStore:
     """Return a client of the service at an address."""
-    return PlatformStore(address, clock)
+    return PlatformStore(address, clock, watch_s)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -104,6 +104,46 @@
     assert budget.take(CallKind.WRITE, 1, 100.0) == 0.0
 
 
+def test_each_poll_of_a_watch_is_a_call():
+    async def run():
+        store = CountedStore()
+        rates = StoreRates(reads_per_s=10.0, burst_s=0.1)
+        budgeted = BudgetedStore(
+            store, CallBudget(rates), lambda: 1, anyio.current_time, polls=True
+        )
+        seen = []
+
+        async def watch():
+            async for event in budgeted.watch("/s/", 1):
+                seen.append(event)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await anyio.sleep(0)
+            for _ in range(100):
+                await store.transact([], [Put("/s/a", b"1")])
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return len(seen)
+
+    assert run_in_virtual_time(run) <= 11
+
+
+def test_renewals_take_from_the_rate_that_they_count_for():
+    async def run():
+        rates = StoreRates(writes_per_s=1.0, reads_per_s=1.0)
+        budget = CallBudget(rates)
+        budgeted = BudgetedStore(
+            CountedStore(), budget, lambda: 1, anyio.current_time, CallKind.READ
+        )
+        await budgeted.keep_alive(1)
+        return budget
+
+    budget = run_in_virtual_time(run)
+    assert budget.take(CallKind.WRITE, 1, 0.0) == 0.0
+    assert budget.take(CallKind.READ, 1, 0.0) > 0.0
+
+
 def test_few_hosts_try_for_a_free_duty_at_once():
     hosts = [f"h{number}" for number in range(200)]
     peers = frozenset(hosts)
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -362,3 +362,35 @@
         assert (await fleet.send("/lookup/1")).status == 200
 
     run_entry(check)
+
+
+def test_changes_in_quick_succession_cost_few_calls_on_the_store():
+    async def check(fleet):
+        (holder,) = fleet.routers
+        await fleet.wait_until(lambda: holder.weights.duty.fencing)
+        async with fleet.open_router("front-2") as router:
+            await fleet.wait_until(lambda: router.knowledge.declaration.value)
+            fleet.store.calls.clear()
+            for version in range(2, 52):
+                fleet.store.put("op/config", make_configuration(version))
+                await anyio.sleep(0.04)
+            await fleet.wait_until(
+                lambda: router.knowledge.declaration.value.version == 51, 1.0
+            )
+        of_the_holder = 52
+        watches = fleet.store.calls.count("/kv-watch") - of_the_holder
+        assert watches <= 2 * 3.0 / 0.5
+
+    run_entry(check, apply_s=2.0, drain_s=2.0)
+
+
+def test_the_calls_of_a_router_keep_to_its_share_of_the_stores_rates():
+    async def check(fleet):
+        fleet.store.calls.clear()
+        for version in range(2, 102):
+            fleet.store.put("op/config", make_configuration(version))
+            await anyio.sleep(0.02)
+        reads = [p for p in fleet.store.calls if p in ("/kv-watch", "/kv-range")]
+        assert len(reads) <= 2 * 10
+
+    run_entry(check, apply_s=0.1, store_reads_per_s=10.0)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -18,7 +18,11 @@
 from primrosepier.forwarding.ending import make_ending
 from primrosepier.forwarding.events import EventSplice
 from primrosepier.forwarding.fleet import Replica
-from primrosepier.forwarding.freshness import Freshness
+from primrosepier.forwarding.freshness import (
+    Freshness,
+    compute_gather_s,
+    compute_watch_s,
+)
 from primrosepier.forwarding.homes import (
     Choice,
     ChoiceKind,
@@ -197,6 +201,16 @@
     assert not Freshness(5.0).may_trust_keys(0.0)
 
 
+@pytest.mark.parametrize("revoke_s", [2.0, 3.0, 5.0, 60.0])
+@pytest.mark.parametrize("apply_s", [0.5, 2.0, 3.0])
+def test_a_quiet_store_never_makes_keys_untrusted(revoke_s, apply_s):
+    gather_s = compute_gather_s(apply_s, 2.0)
+    watch_s = compute_watch_s(revoke_s, gather_s)
+    asked_s, answered_s = 0.0, watch_s + gather_s + watch_s + 0.2
+    assert Freshness(revoke_s, lambda: asked_s).may_trust_keys(answered_s)
+    assert gather_s <= apply_s / 2
+
+
 def test_a_splice_passes_whole_events_once():
     splice = EventSplice()
     whole = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 6))
