Hurry only the replicas that lack the older weights

Ruled out: the load time (2.5 s on average, most of it runs that end). Change: each set of replicas that have lacked weights for a time must fit into what is left of that time; those whose time is short load first.

--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -149,24 +149,25 @@
         self.mean_s += LOAD_GAIN * (load_s - self.mean_s)
 
 
-def count_loads_at_once(
-    replicas: int, outdated: int, left_s: float, load_s: float
-) -> int:
+def count_loads_at_once(replicas: int, lags: Sequence[float], pace: Pace) -> int:
     """Return how many replicas of a service may load at once.
 
+    Each set of replicas that have lacked weights for a time or longer must fit into
+    what is left of the time for these; weights that were named just now do not hurry
+    those that have the ones before.
+
     Parameters
     ----------
-    outdated : int
-        Replicas that are still to load.
-    left_s : float
-        Time until all must have the new weights, seconds.
-    load_s : float
-        Time that a load takes, seconds.
+    lags : sequence of float
+        For how long each outdated replica has lacked weights, seconds.
     """
     usual = math.ceil(replicas * LOADING_SHARE)
-    rounds = max(1.0, left_s / load_s)
-    needed = math.ceil(outdated / rounds)
     most = max(1, math.floor(replicas * MOST_LOADING_SHARE))
+    needed = 0
+    for number, lag_s in enumerate(sorted(lags, reverse=True), start=1):
+        left_s = PLANNED_SHARE * pace.weights_s - lag_s
+        rounds = max(1.0, left_s / pace.load_s)
+        needed = max(needed, math.ceil(number / rounds))
     return max(1, min(max(usual, needed), most))
 
 
@@ -217,7 +218,8 @@
 ) -> list[WeightsLoad]:
     """Return the loads to begin now among the replicas of one service.
 
-    Replicas with the fewest calls go first, since a load waits for them to end.
+    Replicas whose time is short go first, then those with the fewest calls, since a
+    load waits for them to end.
 
     Parameters
     ----------
@@ -229,10 +231,18 @@
     loads = list_outdated(replicas, goals)
     if not loads:
         return []
-    lags = [compute_lag_s(r, None, goals, pace.now_s) or 0.0 for r in replicas]
-    left_s = PLANNED_SHARE * pace.weights_s - max(lags)
-    allowed = count_loads_at_once(len(replicas), len(loads), left_s, pace.load_s)
+    lags = {
+        load.replica.id: compute_lag_s(load.replica, None, goals, pace.now_s) or 0.0
+        for load in loads
+    }
+    allowed = count_loads_at_once(len(replicas), list(lags.values()), pace)
     busy = sum(replica.id in loading for replica in replicas)
     waiting = [load for load in loads if load.replica.id not in loading]
-    waiting.sort(key=lambda load: (count_calls(load.replica.id), load.replica.id))
+
+    def weigh(load: WeightsLoad) -> tuple[bool, int, EndpointId]:
+        name = load.replica.id
+        left_s = PLANNED_SHARE * pace.weights_s - lags[name]
+        return left_s > pace.load_s, count_calls(name), name
+
+    waiting.sort(key=weigh)
     return waiting[: max(0, allowed - busy)]
--- a/tests/test_forwarding_fleet.py
+++ b/tests/test_forwarding_fleet.py
@@ -3,6 +3,7 @@
 from primrosepier.forwarding.fleet import Fleet, Replica
 from primrosepier.forwarding.knowledge import NamedWeights, WeightsGoal
 from primrosepier.forwarding.weights import (
+    PLANNED_SHARE,
     Pace,
     compute_lag_s,
     count_loads_at_once,
@@ -72,10 +73,23 @@
 
 
 def test_a_third_loads_at_once_and_more_when_time_is_short():
-    assert count_loads_at_once(9, 9, left_s=100.0, load_s=2.0) == 3
-    assert count_loads_at_once(9, 9, left_s=4.0, load_s=2.0) == 5
-    assert count_loads_at_once(9, 9, left_s=0.0, load_s=2.0) == 6
-    assert count_loads_at_once(1, 1, left_s=0.0, load_s=2.0) == 1
+    def count(replicas, left_s):
+        lag_s = PLANNED_SHARE * 100.0 - left_s
+        return count_loads_at_once(replicas, [lag_s] * replicas, Pace(0.0, 100.0, 2.0))
+
+    assert count(9, left_s=60.0) == 3
+    assert count(9, left_s=4.0) == 5
+    assert count(9, left_s=0.0) == 6
+    assert count(1, left_s=0.0) == 1
+
+
+def test_weights_named_just_now_hurry_only_what_lacks_older_ones():
+    goals = {"m0": make_goal((2, 0.0), (3, 5.0))}
+    replicas = [make_replica(f"r{n}", weights=2 if n < 6 else 1) for n in range(9)]
+    loads = plan(replicas, goals, now_s=5.2)
+    assert len(loads) == 3
+    late = plan(replicas, goals, now_s=7.0)
+    assert {load.replica.id for load in late[:3]} == {"r6", "r7", "r8"}
 
 
 def plan(replicas, goals, loading=(), now_s=0.0):
