Place long prompts by what routers know of their prefixes

Change: PrefixLedger notes which replica reads or has read which prefix, from this router's calls and from what the others tell in their datagrams; a prompt goes where the least is to be done, counting what the replica has, what it can fetch from another one, and what would be read again. Reports may go out 400 times a second.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -23,6 +23,7 @@
 from .events import EventSplice
 from .fleet import Replica
 from .homes import Choice, make_call_scope
+from .prefixes import Reading
 from .transfers import CachePlan
 
 __all__ = [
@@ -228,31 +229,39 @@
 
 @dataclass(slots=True)
 class Work:
-    """What one attempt adds to its replica's burden."""
+    """What one attempt adds to its replica's burden, and what the replica reads."""
 
     burdens: BurdenLedger
-    endpoint: EndpointId
+    reading: Reading
     tokens: int
     answered_at_s: float | None = None
     is_reading: bool = True
 
-    def __post_init__(self) -> None:
+    @property
+    def endpoint(self) -> EndpointId:
+        """The replica."""
+        return self.reading.endpoint
+
+    def begin(self, now_s: float) -> None:
+        """Note that the attempt is sent."""
         self.burdens.begin(self.endpoint, self.tokens)
+        self.reading.begin(now_s)
 
     def answer(self, head: AnswerHead, now_s: float) -> None:
         """Take in the head of the answer."""
         self.answered_at_s = now_s
         self.burdens.note_answer(self.endpoint, head, now_s)
-        self._end_prefill()
+        self._end_prefill(not head.not_run and head.status == HTTP_OK, now_s)
 
-    def _end_prefill(self) -> None:
+    def _end_prefill(self, has_read: bool, now_s: float) -> None:
         if self.is_reading:
             self.is_reading = False
+            self.reading.end(has_read, now_s)
             self.burdens.end_prefill(self.endpoint, self.tokens)
 
-    def end(self) -> None:
+    def end(self, now_s: float) -> None:
         """Note that the attempt is over."""
-        self._end_prefill()
+        self._end_prefill(False, now_s)
         self.burdens.end(self.endpoint)
 
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -36,6 +36,7 @@
 from .declarations import Repeat, Route
 from .fleet import Replica, ReplicaList
 from .homes import Choice, HomeChooser, Unwanted, make_call_scope
+from .prefixes import Reading
 from .records import CallPlaced, CallRepeated, ReplicaGivenUp
 from .repeats import RepeatBudget
 
@@ -209,8 +210,11 @@
         self, call: Call, service: ServiceId, choice: Choice, delivery: Delivery
     ) -> Outcome | HeldError:
         endpoint = choice.replica.id
-        work = Work(self.burdens, endpoint, choice.uncached_tokens)
+        ledger = self.chooser.prefixes
+        reading = Reading(ledger, choice.prefixes, endpoint, choice.weights)
+        work = Work(self.burdens, reading, choice.uncached_tokens)
         started_s = self.clock()
+        work.begin(started_s)
         ended: Outcome | HeldError
         try:
             with anyio.move_on_after(call.deadline_s - started_s) as scope:
@@ -218,7 +222,7 @@
             if scope.cancelled_caught:
                 ended = self._end_late(endpoint, delivery)
         finally:
-            work.end()
+            work.end(self.clock())
         self._learn(choice.replica, ended, started_s, work)
         if not isinstance(ended, NotRun):
             delivery.runs += 1
--- a/primrosepier/forwarding/homes.py
+++ b/primrosepier/forwarding/homes.py
@@ -1,8 +1,10 @@
 """Choice of a replica for a call.
 
-Long prompts go where their shared parts are likely cached: each shared prefix has a
-home that all routers compute alike. A home that has more work than a recomputation
-costs is passed over. Short calls go where the least work is.
+Long prompts go where the least work is, counting what is known of their shared parts:
+a replica that has read them, or reads them now, computes the rest alone, and others
+can fetch what some replica has read. A prefix that nobody is known to have read has
+homes that all routers compute alike, so that they agree before they hear of each
+other. Short calls go where the least work is.
 """
 
 import random
@@ -13,10 +15,11 @@
 import xxhash
 
 from ..anchors import mix_hash
-from ..ids import EndpointId, FailureDomain, WorkspaceId
+from ..ids import EndpointId, FailureDomain, ModelId, WorkspaceId
 from .burden import BurdenLedger
-from .calls import Call, PromptPart
+from .calls import Call, PromptPart, WeightsNumber
 from .fleet import Replica
+from .prefixes import Prefix, PrefixLedger, list_prefixes
 
 __all__ = [
     "Choice",
@@ -35,9 +38,14 @@
 # Tokens that an answer on old weights costs, as part of the prompt: callers lose a
 # part of its worth, less than by an answer that comes too late.
 OUTDATED_SHARE = 0.5
-# What a cached token is worth, in tokens to compute, at the first and the second home
-# of a prefix: a recomputation also evicts what others would find.
-HOME_WEIGHTS = (3.0, 1.0)
+# What a token of an unknown prefix is worth, in tokens to compute, at the first and
+# the second home of the prefix: other routers may be sending the same there.
+HOME_WEIGHTS = (1.0, 0.5)
+# What it costs to read a token again that another replica has read or reads, beside
+# computing it: it evicts what others would find.
+AGAIN_WEIGHT = 2.0
+# Cost of a token that is fetched from another replica, as part of computing it.
+FETCH_SHARE = 0.1
 # Tokens that a replica in another failure domain must be short of, as part of the
 # mean uncached prompt.
 REMOTE_ENGINE_SHARE = 0.25
@@ -65,6 +73,8 @@
 class ChoiceKind(Enum):
     """How a chosen replica stands to the call."""
 
+    HOLDER = "has the shared prefix or reads it"
+    FETCH = "fetches the shared prefix"
     HOME = "home of the shared prefix"
     SPILL = "home has too much work"
     IDLE = "least work"
@@ -78,14 +88,40 @@
     ----------
     uncached_tokens : int
         Prompt tokens that it is expected to compute.
-    home : Replica or None
-        First home of the prompt's shared prefix.
+    source : Replica or None
+        Another replica that has read more of the shared prefix.
+    prefixes : sequence of Prefix
+        Those that the replica will have read, where its weights are known.
+    weights : WeightsNumber
+        Those of the replica; 0 when unknown.
     """
 
     replica: Replica
     kind: ChoiceKind
     uncached_tokens: int = 0
-    home: Replica | None = None
+    source: Replica | None = None
+    prefixes: Sequence[Prefix] = ()
+    weights: WeightsNumber = WeightsNumber(0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """A replica with the leading tokens of a prompt that it has, or has or reads."""
+
+    replica: Replica
+    weights: WeightsNumber
+    has_read: int
+    reads: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """What a candidate would have to do for a prompt."""
+
+    cost: float
+    uncached_tokens: int
+    kind: ChoiceKind
+    source: Replica | None
 
 
 def list_shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
@@ -115,6 +151,7 @@
     failure_domain: FailureDomain
     burdens: BurdenLedger
     source: random.Random = field(default_factory=random.Random)
+    prefixes: PrefixLedger = field(default_factory=PrefixLedger)
 
     def choose(
         self,
@@ -164,25 +201,66 @@
         now_s: float,
     ) -> Choice:
         shared = list_shared_parts(call.parts)
-        shared_tokens = sum(part.tokens for part in shared)
-        total = call.prompt_tokens
+        prefixes = list_prefixes(scope, shared)
+        found = [self._look_up(prefixes, r, call.model, now_s) for r in replicas]
         homes = self._rank_homes(compute_home_key(scope, shared), replicas)
 
-        def weigh(replica: Replica) -> tuple[float, float]:
-            cost = self._compute_backlog(replica, now_s) + total
-            for rank, home in enumerate(homes):
-                if replica is home:
-                    cost -= shared_tokens * HOME_WEIGHTS[rank]
+        def weigh(index: int) -> tuple[float, float]:
+            replica = replicas[index]
+            cost = offers[index].cost + self._compute_backlog(replica, now_s)
             if replica.id in outdated:
-                cost += OUTDATED_SHARE * total
+                cost += OUTDATED_SHARE * call.prompt_tokens
             if replica.failure_domain != self.failure_domain:
                 cost += REMOTE_ENGINE_SHARE * self.burdens.mean_tokens
             return cost, self.source.random()
 
-        best = min(replicas, key=weigh)
-        if best in homes:
-            return Choice(best, ChoiceKind.HOME, total - shared_tokens, homes[0])
-        return Choice(best, ChoiceKind.SPILL, total, homes[0])
+        offers = [self._make_offer(call, each, found, homes) for each in found]
+        best = min(range(len(replicas)), key=weigh)
+        offer = offers[best]
+        return Choice(
+            replicas[best],
+            offer.kind,
+            offer.uncached_tokens,
+            offer.source,
+            prefixes if found[best].weights else (),
+            found[best].weights,
+        )
+
+    def _look_up(
+        self, prefixes: Sequence[Prefix], replica: Replica, model: ModelId, now_s: float
+    ) -> _Candidate:
+        registered = replica.weights.get(model, 0)
+        known = self.burdens.find(replica.id).weights or 0
+        weights = WeightsNumber(max(registered, known))
+        tokens = self.prefixes.find_tokens(prefixes, replica.id, weights, now_s)
+        return _Candidate(replica, weights, *tokens)
+
+    def _make_offer(
+        self,
+        call: Call,
+        candidate: _Candidate,
+        found: Sequence[_Candidate],
+        homes: Sequence[Replica],
+    ) -> _Offer:
+        same = [each for each in found if each.weights == candidate.weights]
+        known = max(each.reads for each in same)
+        best = max(same, key=lambda each: each.has_read)
+        fetched = max(0, best.has_read - candidate.reads)
+        available = candidate.reads + fetched
+        cost = FETCH_SHARE * fetched + AGAIN_WEIGHT * (known - available)
+        uncached = call.prompt_tokens - available
+        if fetched:
+            kind = ChoiceKind.FETCH
+        elif candidate.reads:
+            kind = ChoiceKind.HOLDER
+        elif candidate.replica in homes:
+            kind = ChoiceKind.HOME
+            unknown = call.prompt_tokens - call.parts[-1].tokens - known
+            cost -= HOME_WEIGHTS[homes.index(candidate.replica)] * unknown
+        else:
+            kind = ChoiceKind.SPILL
+        source = best.replica if fetched else None
+        return _Offer(cost + uncached, uncached, kind, source)
 
     def _rank_homes(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
         def weigh(replica: Replica) -> int:
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -7,7 +7,7 @@
 
 import random
 import secrets
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -20,6 +20,7 @@
 from ..revisions import STATE_PREFIX
 from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
 from .burden import BurdenLedger
+from .prefixes import PrefixLedger, PrefixNews
 
 __all__ = ["PeerDirectory", "PeerRecord", "WorkExchange", "WorkReport"]
 
@@ -38,7 +39,7 @@
 MIN_GAP_S = 0.02
 REPEAT_S = 0.5
 # Datagrams a second that a router sends to all others together.
-DATAGRAMS_PER_S = 150.0
+DATAGRAMS_PER_S = 400.0
 # Smallest change of the work at a replica that is told at once, tokens: about a
 # millisecond of each of several engines.
 TOLD_TOKENS = 1000
@@ -65,11 +66,14 @@
     Parameters
     ----------
     tokens : Mapping of EndpointId to int
+    prefixes : sequence of PrefixNews
+        Prefixes that replicas read for this router's calls.
     """
 
     token: str
     sender: HostId
     tokens: Mapping[EndpointId, int]
+    prefixes: Sequence[PrefixNews] = ()
 
 
 def _decode_record(value: bytes) -> PeerRecord | None:
@@ -132,6 +136,7 @@
 
     directory: PeerDirectory
     burdens: BurdenLedger
+    prefixes: PrefixLedger
     clock: Clock
     told: dict[EndpointId, int] = field(default_factory=dict)
 
@@ -146,7 +151,7 @@
     def must_tell(self, work: Mapping[EndpointId, int]) -> bool:
         """Return whether the others should hear of the work at once."""
         names = work.keys() | self.told.keys()
-        return any(
+        return bool(self.prefixes.news) or any(
             abs(work.get(name, 0) - self.told.get(name, 0)) >= TOLD_TOKENS
             for name in names
         )
@@ -173,9 +178,10 @@
 
     async def _send(self, socket: UDPSocket, work: dict[EndpointId, int]) -> None:
         self.told = work
+        news = self.prefixes.take_news()
         for record in list(self.directory.peers.values()):
             host, _, port = record.address.rpartition(":")
-            report = WorkReport(record.token, self.directory.host, work)
+            report = WorkReport(record.token, self.directory.host, work, news)
             await socket.sendto(msgspec.msgpack.encode(report), host, int(port))
 
     async def _receive(self, socket: UDPSocket) -> None:
@@ -192,4 +198,6 @@
         if report.token != self.directory.token:
             self.burdens.malformed_reports += 1
             return
-        self.burdens.note_foreign(report.sender, report.tokens, self.clock())
+        now_s = self.clock()
+        self.burdens.note_foreign(report.sender, report.tokens, now_s)
+        self.prefixes.take_told(report.prefixes, now_s)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -126,6 +126,7 @@
             found = self.knowledge.replicas.value.by_service.values()
             known = (replica.id for replicas in found for replica in replicas)
             self.app.forwarder.burdens.keep(known)
+            self.app.forwarder.chooser.prefixes.forget(self.platform.clock())
 
     def reload(self, read: Callable[[], EntrySettings]) -> None:
         """Check the settings file again, and tell what changed in it.
@@ -187,7 +188,7 @@
     forwarder.attempts.plan_cache = partial(_plan_cache, knowledge, burdens)
     listeners = (knowledge.update, directory.update, weights.watch_marks)
     mirror.mirror.listeners.extend(listeners)
-    peers = WorkExchange(directory, burdens, clock)
+    peers = WorkExchange(directory, burdens, forwarder.chooser.prefixes, clock)
     parts = (knowledge, mirror, app, weights, peers)
     return EntryRouter(settings, platform, log, *parts)
 
--- a/primrosepier/forwarding/transfers.py
+++ b/primrosepier/forwarding/transfers.py
@@ -12,13 +12,10 @@
 from .declarations import CacheStore, Declaration, Service
 from .homes import Choice, list_shared_parts, make_call_scope
 from .knowledge import WeightsGoal
+from .prefixes import MIN_PREFIX_TOKENS
 
 __all__ = ["CachePlan", "find_cache_store", "plan_cache"]
 
-# Shortest shared prefix that is moved, tokens: setting a transfer up takes about as
-# long as computing some hundred tokens.
-MIN_MOVED_TOKENS = 1024
-
 
 @dataclass(frozen=True, slots=True)
 class CachePlan:
@@ -69,7 +66,7 @@
     scope = make_call_scope(call)
     shared_tokens = sum(part.tokens for part in list_shared_parts(call.parts))
     registered = choice.replica.weights.get(call.model)
-    if shared_tokens < MIN_MOVED_TOKENS or registered is None:
+    if shared_tokens < MIN_PREFIX_TOKENS or registered is None:
         return CachePlan(scope)
     weights = WeightsNumber(max(registered, known or 0))
     goal = goals.get(call.model)
@@ -77,9 +74,6 @@
         return CachePlan(scope)
     scope = f"{scope}/{weights}"
     address = "" if store is None else store.address
-    home = choice.home
-    if home is None or home is choice.replica:
+    if choice.source is None:
         return CachePlan(scope, weights, address, address)
-    if home.weights.get(call.model) != weights:
-        return CachePlan(scope, weights, address)
-    return CachePlan(scope, weights, home.address)
+    return CachePlan(scope, weights, choice.source.address)
--- /dev/null
+++ b/tests/forwarding_samples.py
@@ -0,0 +1,38 @@
+"""Replicas and calls for tests of the forwarding modules."""
+
+import random
+
+from primrosepier.forwarding.burden import BurdenLedger
+from primrosepier.forwarding.calls import Call, PromptPart
+from primrosepier.forwarding.declarations import Repeat, Route
+from primrosepier.forwarding.fleet import Replica
+from primrosepier.forwarding.homes import HomeChooser, Unwanted
+
+DOMAINS = ("rennes", "brest", "vannes")
+
+
+def make_replica(name, service="writers", weights=1, **changes):
+    domain = DOMAINS[int(name[-1]) % 3]
+    usual = {"slots": 4, "weights": {"m0": weights}}
+    return Replica(name, service, f"10.0.0.{name[-1]}:1", domain, **usual | changes)
+
+
+def make_replicas(count, **changes):
+    return [make_replica(f"r{number}", **changes) for number in range(count)]
+
+
+def make_call(parts=(), priority=1, workspace=None, repeat=Repeat.NEVER):
+    route = Route("notes", "h", "/", (("writers", 1),), repeat, priority=priority)
+    prompt = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Call("a", "POST", "/", (), b"", route, workspace, 0.0, 9.0, "m0", prompt)
+
+
+def make_chooser(domain="rennes", seed=1):
+    return HomeChooser(domain, BurdenLedger(), random.Random(seed))
+
+
+def choose(chooser, call, replicas, now_s=0.0, **unwanted):
+    return chooser.choose(call, "m0/", replicas, Unwanted(**unwanted), now_s)
+
+
+LONG = (("history", 12_000), ("note", 3_000))
