Count replicas that can't be reached as those that load weights

Ruled out: overdue weights (named at 3.0 s, bound 12 s). Change: replicas that this router could not reach lately count against the part that may load at once, and get no orders.

--- a/primrosepier/forwarding/burden.py
+++ b/primrosepier/forwarding/burden.py
@@ -14,6 +14,9 @@
 # which a restarted process listens again, the last a heartbeat or two.
 UNREACHABLE_BASE_S = 0.5
 UNREACHABLE_CAP_S = 4.0
+# Time after that backoff in which a replica that nobody tried again still counts as
+# silent, seconds: the entry of one that is gone lapses after a few heartbeats.
+SILENT_S = 2.0
 # Backoff after a replica refused a call: the first is a few times the usual service
 # time, the last about the time of a load of weights.
 REFUSED_BASE_S = 0.1
@@ -135,6 +138,14 @@
         found.failures += 1
         found.avoid_until_s = now_s + period_s
 
+    def list_silent(self, now_s: float) -> set[EndpointId]:
+        """Return the replicas that could not be reached lately."""
+        return {
+            name
+            for name, burden in self.burdens.items()
+            if burden.failures and now_s < burden.avoid_until_s + SILENT_S
+        }
+
     def note_foreign(
         self, host: HostId, tokens: Mapping[EndpointId, int], now_s: float
     ) -> None:
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -290,6 +290,7 @@
         platform.clock,
         settings.weights_s,
         count_calls,
+        lambda: burdens.list_silent(platform.clock()),
     )
 
 
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -215,6 +215,7 @@
     loading: Collection[str],
     pace: Pace,
     count_calls: Callable[[EndpointId], int],
+    silent: Collection[str] = (),
 ) -> list[WeightsLoad]:
     """Return the loads to begin now among the replicas of one service.
 
@@ -227,6 +228,8 @@
         Replicas that load already.
     count_calls : callable
         Returns the calls in progress at a replica.
+    silent : collection of EndpointId
+        Replicas that can't be reached: they serve nobody, as those that load.
     """
     loads = list_outdated(replicas, goals)
     if not loads:
@@ -236,8 +239,9 @@
         for load in loads
     }
     allowed = count_loads_at_once(len(replicas), list(lags.values()), pace)
-    busy = sum(replica.id in loading for replica in replicas)
-    waiting = [load for load in loads if load.replica.id not in loading]
+    out = {*loading, *silent}
+    busy = sum(replica.id in out for replica in replicas)
+    waiting = [load for load in loads if load.replica.id not in out]
 
     def weigh(load: WeightsLoad) -> tuple[bool, int, EndpointId]:
         name = load.replica.id
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -87,6 +87,8 @@
         Time within which named weights must be in use, seconds.
     count_calls : callable
         Returns the calls in progress at a replica.
+    list_silent : callable
+        Returns the replicas that can't be reached.
 
     Attributes
     ----------
@@ -109,6 +111,7 @@
     clock: Clock
     weights_s: float
     count_calls: Callable[[EndpointId], int]
+    list_silent: Callable[[], Collection[EndpointId]] = tuple
     times: LoadTimes = field(default_factory=LoadTimes)
     stopping: bool = False
     mark_revision: int | None = None
@@ -222,10 +225,13 @@
     async def _start_loads(self, group: TaskGroup) -> None:
         goals = self.knowledge.goals.value
         pace = Pace(self.clock(), self.weights_s, self.times.mean_s)
+        silent = self.list_silent()
         loads: list[WeightsLoad] = []
         for replicas in self.knowledge.replicas.value.by_service.values():
             known = [self._correct(replica) for replica in replicas]
-            loads += plan_loads(known, goals, self.loading, pace, self.count_calls)
+            loads += plan_loads(
+                known, goals, self.loading, pace, self.count_calls, silent
+            )
         if not loads or not await self._write_mark(loads):
             return
         for load in loads:
--- a/tests/test_forwarding_fleet.py
+++ b/tests/test_forwarding_fleet.py
@@ -110,6 +110,15 @@
     assert all(r.weights["m0"] == 2 for r in replicas.values())
 
 
+def test_replicas_that_cannot_be_reached_count_as_those_that_load():
+    goals = {"m0": make_goal((2, 0.0))}
+    replicas = make_replicas(9)
+    pace = Pace(0.0, weights_s=12.0, load_s=1.5)
+    loads = plan_loads(replicas, goals, (), pace, lambda name: 0, {"r0", "r1"})
+    assert len(loads) == 1
+    assert not {load.replica.id for load in loads} & {"r0", "r1"}
+
+
 def test_replicas_that_load_count_against_the_room():
     goals = {"m0": make_goal((2, 0.0))}
     replicas = make_replicas(6)
