Tell the routers by datagram which replicas load

Routers also left a replica out for the mean time of a load, though it was done, and sent calls to one that took longer. Ruled out: the budget of repeats as the cause (it only made the refusals visible). Change: the holder's reports carry the mark; it tells each start and end of a load, and again each half second while loads go on. A serial orders marks from the store and by datagram. The mark in the store stays for new holders and lost datagrams.

--- /dev/null
+++ b/primrosepier/forwarding/marks.py
@@ -0,0 +1,42 @@
+"""What the holder of the weights' duty says of the replicas that load."""
+
+import msgspec
+
+from ..ids import EndpointId, FencingNumber
+from ..revisions import STATE_PREFIX
+
+__all__ = ["MARK_KEY", "OrdersMark", "decode_mark"]
+
+MARK_KEY = STATE_PREFIX + "weights-orders"
+
+
+class OrdersMark(msgspec.Struct, frozen=True):
+    """A holder's word that it gives orders.
+
+    Parameters
+    ----------
+    endpoints : list of EndpointId
+        Replicas that load.
+    load_s : float
+        Time that a load takes, seconds.
+    serial : int
+        Rises with each change that the holder tells, in the store or by datagram.
+    """
+
+    fencing: FencingNumber
+    endpoints: list[EndpointId]
+    load_s: float
+    serial: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """What a newer mark has more of."""
+        return int(self.fencing), self.serial
+
+
+def decode_mark(value: bytes) -> OrdersMark | None:
+    """Return the mark that a stored value holds, or None when it is not one."""
+    try:
+        return msgspec.json.decode(value, type=OrdersMark)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -7,7 +7,7 @@
 
 import random
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -20,6 +20,7 @@
 from ..revisions import STATE_PREFIX
 from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
 from .burden import BurdenLedger
+from .marks import OrdersMark
 from .prefixes import PrefixLedger, PrefixNews
 
 __all__ = ["PeerDirectory", "PeerRecord", "WorkExchange", "WorkReport"]
@@ -68,12 +69,24 @@
     tokens : Mapping of EndpointId to int
     prefixes : sequence of PrefixNews
         Prefixes that replicas read for this router's calls.
+    mark : OrdersMark or None
+        Replicas that load by this router's orders; None where it gives none.
     """
 
     token: str
     sender: HostId
     tokens: Mapping[EndpointId, int]
     prefixes: Sequence[PrefixNews] = ()
+    mark: OrdersMark | None = None
+
+
+def make_no_mark() -> OrdersMark | None:
+    """Give no orders."""
+    return None
+
+
+def ignore_mark(mark: OrdersMark) -> None:
+    """Leave other routers' orders to the store."""
 
 
 def _decode_record(value: bytes) -> PeerRecord | None:
@@ -132,13 +145,24 @@
 
 @dataclass(slots=True)
 class WorkExchange:
-    """Tells the other routers of this one's work, and takes in theirs."""
+    """Tells the other routers of this one's work, and takes in theirs.
+
+    Parameters
+    ----------
+    make_mark : callable
+        Returns which replicas load by this router's orders, or None.
+    take_mark : callable
+        Takes in those of another one.
+    """
 
     directory: PeerDirectory
     burdens: BurdenLedger
     prefixes: PrefixLedger
     clock: Clock
+    make_mark: Callable[[], OrdersMark | None] = make_no_mark
+    take_mark: Callable[[OrdersMark], None] = ignore_mark
     told: dict[EndpointId, int] = field(default_factory=dict)
+    told_order: tuple[int, int] = (0, 0)
 
     def list_work(self) -> dict[EndpointId, int]:
         """Return the tokens that replicas have to read for this router's calls."""
@@ -148,14 +172,28 @@
             if burden.pending_tokens >= TOLD_TOKENS
         }
 
+    def _has_more(self, work: Mapping[EndpointId, int]) -> bool:
+        """Return whether something goes on that others forget without reports."""
+        mark = self.make_mark()
+        return bool(work) or (mark is not None and bool(mark.endpoints))
+
     def must_tell(self, work: Mapping[EndpointId, int]) -> bool:
         """Return whether the others should hear of the work at once."""
         names = work.keys() | self.told.keys()
-        return bool(self.prefixes.news) or any(
+        mark = self.make_mark()
+        if mark is not None and mark.order > self.told_order:
+            return True
+        if self.prefixes.news:
+            return True
+        return any(
             abs(work.get(name, 0) - self.told.get(name, 0)) >= TOLD_TOKENS
             for name in names
         )
 
+    def wake(self) -> None:
+        """Look at once whether there is something to tell."""
+        self.burdens.changed.set()
+
     async def run(self, socket: UDPSocket) -> None:
         """Send and receive reports until cancelled."""
         async with anyio.create_task_group() as group:
@@ -171,7 +209,7 @@
             self.burdens.changed = anyio.Event()
             await anyio.sleep(max(0.0, sent_at_s + gap_s - self.clock()))
             work = self.list_work()
-            repeats = bool(work) and self.clock() > sent_at_s + REPEAT_S
+            repeats = self._has_more(work) and self.clock() > sent_at_s + REPEAT_S
             if repeats or self.must_tell(work):
                 sent_at_s = self.clock()
                 await self._send(socket, work)
@@ -179,9 +217,12 @@
     async def _send(self, socket: UDPSocket, work: dict[EndpointId, int]) -> None:
         self.told = work
         news = self.prefixes.take_news()
+        mark = self.make_mark()
+        if mark is not None:
+            self.told_order = mark.order
         for record in list(self.directory.peers.values()):
             host, _, port = record.address.rpartition(":")
-            report = WorkReport(record.token, self.directory.host, work, news)
+            report = WorkReport(record.token, self.directory.host, work, news, mark)
             await socket.sendto(msgspec.msgpack.encode(report), host, int(port))
 
     async def _receive(self, socket: UDPSocket) -> None:
@@ -201,3 +242,5 @@
         now_s = self.clock()
         self.burdens.note_foreign(report.sender, report.tokens, now_s)
         self.prefixes.take_told(report.prefixes, now_s)
+        if report.mark is not None:
+            self.take_mark(report.mark)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -188,7 +188,10 @@
     forwarder.attempts.plan_cache = partial(_plan_cache, knowledge, burdens)
     listeners = (knowledge.update, directory.update, weights.watch_marks)
     mirror.mirror.listeners.extend(listeners)
-    peers = WorkExchange(directory, burdens, forwarder.chooser.prefixes, clock)
+    prefixes = forwarder.chooser.prefixes
+    marks = (weights.make_mark, weights.take_mark)
+    peers = WorkExchange(directory, burdens, prefixes, clock, *marks)
+    weights.tell = peers.wake
     parts = (knowledge, mirror, app, weights, peers)
     return EntryRouter(settings, platform, log, *parts)
 
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -209,6 +209,15 @@
     return loads
 
 
+def _list_lags(
+    loads: Sequence[WeightsLoad], goals: Mapping[ModelId, WeightsGoal], now_s: float
+) -> dict[EndpointId, float]:
+    return {
+        load.replica.id: compute_lag_s(load.replica, None, goals, now_s) or 0.0
+        for load in loads
+    }
+
+
 def plan_loads(
     replicas: Sequence[Replica],
     goals: Mapping[ModelId, WeightsGoal],
@@ -234,10 +243,7 @@
     loads = list_outdated(replicas, goals)
     if not loads:
         return []
-    lags = {
-        load.replica.id: compute_lag_s(load.replica, None, goals, pace.now_s) or 0.0
-        for load in loads
-    }
+    lags = _list_lags(loads, goals, pace.now_s)
     allowed = count_loads_at_once(len(replicas), list(lags.values()), pace)
     out = {*loading, *silent}
     busy = sum(replica.id in out for replica in replicas)
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -9,15 +9,15 @@
 
 from ..clocks import Clock
 from ..duties import DutyKeeper
-from ..ids import EndpointId, FencingNumber, ModelId
+from ..ids import EndpointId, ModelId
 from ..leases import Duty, DutyStep, make_duty_key
 from ..logs import Log
 from ..mirror import Mirror
-from ..revisions import STATE_PREFIX
 from ..store import Applied, Put
 from .calls import WeightsNumber
 from .fleet import Replica
 from .knowledge import Knowledge
+from .marks import MARK_KEY, OrdersMark, decode_mark
 from .records import DutyChanged, EntryUnreadable, WeightsOrdered
 from .weights import (
     LoadTimes,
@@ -46,35 +46,14 @@
 # Time between a mark and its orders, seconds: all routers see the mark, and calls that
 # wait at the replicas begin.
 PREPARE_S = 0.3
-MARK_KEY = STATE_PREFIX + "weights-orders"
 NEVER_S = float("-inf")
 # Time after which a load is given up and planned anew, seconds.
 LOAD_LIMIT_S = 10.0
 MAX_FAILURES = 2
 
 
-class OrdersMark(msgspec.Struct, frozen=True):
-    """Stored word of a holder that it gives orders.
-
-    Parameters
-    ----------
-    endpoints : list of EndpointId
-        Replicas that load.
-    load_s : float
-        Time that a load takes, seconds.
-    """
-
-    fencing: FencingNumber
-    endpoints: list[EndpointId]
-    load_s: float
-
-
-def decode_mark(value: bytes) -> OrdersMark | None:
-    """Return the mark that a stored value holds, or None when it is not one."""
-    try:
-        return msgspec.json.decode(value, type=OrdersMark)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+def tell_nobody() -> None:
+    """Leave others to the mark in the store."""
 
 
 @dataclass(slots=True)
@@ -90,6 +69,9 @@
     list_silent : callable
         Returns the replicas that can't be reached.
 
+    tell : callable
+        Called when the replicas that load by this router's orders change.
+
     Attributes
     ----------
     foreign_mark_at_s, own_mark_at_s : float
@@ -97,7 +79,11 @@
     loading : dict of EndpointId to WeightsLoad
         Loads that this router has under way.
     marked : dict of EndpointId to float
-        Until when replicas load by the last mark, seconds.
+        Until when replicas load by the newest mark of another router, seconds.
+    newest_order : (int, int)
+        Fencing number and serial of that mark.
+    serial : int
+        Of the last change of loads that this router told.
     loaded : dict of (EndpointId, ModelId) to WeightsNumber
         Weights that replicas have by their own account; they register them later.
     """
@@ -112,9 +98,12 @@
     weights_s: float
     count_calls: Callable[[EndpointId], int]
     list_silent: Callable[[], Collection[EndpointId]] = tuple
+    tell: Callable[[], None] = tell_nobody
     times: LoadTimes = field(default_factory=LoadTimes)
     stopping: bool = False
     mark_revision: int | None = None
+    newest_order: tuple[int, int] = (0, 0)
+    serial: int = 0
     foreign_mark_at_s: float = NEVER_S
     own_mark_at_s: float = NEVER_S
     loading: dict[EndpointId, WeightsLoad] = field(default_factory=dict)
@@ -143,10 +132,27 @@
         if mark is None:
             self.log.emit(EntryUnreadable(item.key, "not a mark"))
             return
-        now_s = self.clock()
-        self.marked = dict.fromkeys(mark.endpoints, now_s + mark.load_s)
         if mark.fencing != self.duty.fencing:
-            self.foreign_mark_at_s = now_s
+            self.take_mark(mark)
+            self.foreign_mark_at_s = self.clock()
+
+    def take_mark(self, mark: OrdersMark) -> None:
+        """Take in which replicas load, from the store or from the holder itself."""
+        if mark.order < self.newest_order:
+            return
+        self.newest_order = mark.order
+        self.marked = dict.fromkeys(mark.endpoints, self.clock() + mark.load_s)
+
+    def make_mark(self) -> OrdersMark | None:
+        """Return which replicas load now, or None where another router decides."""
+        if not self.duty.fencing:
+            return None
+        endpoints = list(self.loading)
+        return OrdersMark(self.duty.fencing, endpoints, self.times.mean_s, self.serial)
+
+    def _tell_change(self) -> None:
+        self.serial += 1
+        self.tell()
 
     async def _write_mark(self, loads: Collection[WeightsLoad]) -> bool:
         """Say in the store that orders go out, and to which replicas.
@@ -156,7 +162,9 @@
         """
         now_s = self.clock()
         endpoints = [*self.loading, *(load.replica.id for load in loads)]
-        mark = OrdersMark(self.duty.fencing, endpoints, self.times.mean_s)
+        self.serial += 1
+        fencing, load_s = self.duty.fencing, self.times.mean_s
+        mark = OrdersMark(fencing, endpoints, load_s, self.serial)
         outcome = await self.keeper.store.transact(
             [self.duty.make_guard()], [Put(MARK_KEY, msgspec.json.encode(mark))]
         )
@@ -237,6 +245,7 @@
         for load in loads:
             self.loading[load.replica.id] = load
             group.start_soon(self._load, load)
+        self._tell_change()
 
     def _correct(self, replica: Replica) -> Replica:
         """Return a replica with what it told of its weights since it registered."""
@@ -264,6 +273,7 @@
                 self.times.add(self.clock() - started_s)
         finally:
             self.loading.pop(load.replica.id, None)
+            self._tell_change()
 
     async def _try_load(self, load: WeightsLoad) -> bool:
         """Return whether nothing is left to do for a load."""
--- a/tests/test_entry_weights.py
+++ b/tests/test_entry_weights.py
@@ -7,6 +7,24 @@
 pytestmark = pytest.mark.sockets
 
 
+def test_the_other_routers_hear_of_loads_before_the_store_tells_them():
+    async def check(fleet):
+        (holder,) = fleet.routers
+        await fleet.wait_until(lambda: holder.weights.duty.fencing)
+        async with fleet.open_router("front-2") as other:
+            await fleet.wait_until(lambda: holder.peers.directory.peers)
+            await fleet.wait_until(lambda: other.peers.directory.peers)
+            fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+            await fleet.wait_until(lambda: holder.weights.loading)
+            with anyio.fail_after(0.25):
+                while not other.weights.list_loading():
+                    await anyio.sleep(0.01)
+            await fleet.wait_until(lambda: not holder.weights.list_loading())
+            await fleet.wait_until(lambda: not other.weights.list_loading(), 0.5)
+
+    run_entry(check, apply_s=8.0, drain_s=8.0)
+
+
 def test_named_weights_are_loaded_by_one_holder():
     async def check(fleet):
         async with fleet.open_router("front-2"):
