Serve counters and histograms of declared routes

Change: MetricTable holds what the metrics of both routers share; EntryMetrics counts calls, refusals, repeats, choices, calls on the store and their waits from the log's events, and tells what the router knows. Port 9464, path /metrics, named in the deploy file and checked by `check`; a router whose port is taken logs that and serves calls.

--- a/primrosepier/budget.py
+++ b/primrosepier/budget.py
@@ -92,6 +92,10 @@
         return -bucket.level / rate
 
 
+def ignore_call(call: str, outcome: str, wait_s: float) -> None:
+    """Count nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class BudgetedStore:
     """A store whose calls wait for their share; calls on leases go first.
@@ -107,6 +111,8 @@
         Rate for which the renewal of a lease counts.
     polls : bool
         Whether a watch makes a new call after each event.
+    note : callable
+        Told of each call's name, outcome and wait in seconds.
     """
 
     store: Store
@@ -115,46 +121,61 @@
     clock: Clock = time.monotonic
     renewals: CallKind = CallKind.WRITE
     polls: bool = False
+    note: Callable[[str, str, float], None] = ignore_call
 
-    async def _wait(self, kind: CallKind, urgent: bool = False) -> None:
+    async def _wait(self, kind: CallKind, urgent: bool = False) -> float:
         wait_s = self.budget.take(kind, self.count_routers(), self.clock(), urgent)
         if wait_s > 0:
             await anyio.sleep(wait_s)
+        return wait_s
+
+    def _note(self, call: str, outcome: object, wait_s: float) -> None:
+        self.note(call, type(outcome).__name__, wait_s)
 
     async def read(self, prefix: str) -> Snapshot | Unavailable:
         """Return the items whose keys start with a prefix."""
-        await self._wait(CallKind.READ)
-        return await self.store.read(prefix)
+        wait_s = await self._wait(CallKind.READ)
+        found = await self.store.read(prefix)
+        self._note("read", found, wait_s)
+        return found
 
     async def transact(
         self, compares: Sequence[Compare], puts: Sequence[Put]
     ) -> TransactOutcome:
         """Write all or nothing, if every condition holds."""
-        await self._wait(CallKind.WRITE)
-        return await self.store.transact(compares, puts)
+        wait_s = await self._wait(CallKind.WRITE)
+        found = await self.store.transact(compares, puts)
+        self._note("transact", found, wait_s)
+        return found
 
     async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
         """Yield the changes from a revision on; end when the service fails."""
-        await self._wait(CallKind.READ)
+        wait_s = await self._wait(CallKind.READ)
         async for event in self.store.watch(prefix, revision):
+            self._note("watch", event, wait_s)
             yield event
-            if self.polls:
-                await self._wait(CallKind.READ)
+            wait_s = await self._wait(CallKind.READ) if self.polls else 0.0
+        self.note("watch", "ended", wait_s)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Return a new lease."""
-        await self._wait(CallKind.WRITE, urgent=True)
-        return await self.store.grant_lease(ttl_s)
+        wait_s = await self._wait(CallKind.WRITE, urgent=True)
+        found = await self.store.grant_lease(ttl_s)
+        self._note("grant_lease", found, wait_s)
+        return found
 
     async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Extend a lease."""
-        await self._wait(self.renewals, urgent=True)
-        return await self.store.keep_alive(lease)
+        wait_s = await self._wait(self.renewals, urgent=True)
+        found = await self.store.keep_alive(lease)
+        self._note("keep_alive", found, wait_s)
+        return found
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys, if the service answers."""
-        await self._wait(CallKind.WRITE, urgent=True)
+        wait_s = await self._wait(CallKind.WRITE, urgent=True)
         await self.store.revoke_lease(lease)
+        self.note("revoke_lease", "sent", wait_s)
 
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/primrosepier/forwarding/gauges.py
@@ -0,0 +1,23 @@
+"""Metrics of what is true of a router now."""
+
+from ..leases import Duty
+from ..metric_table import MetricTable
+from .entry import EntryApp
+from .knowledge import Knowledge
+
+__all__ = ["set_gauges"]
+
+
+def set_gauges(
+    table: MetricTable, knowledge: Knowledge, app: EntryApp, duty: Duty
+) -> None:
+    """Set them just before they are read."""
+    declaration = knowledge.declaration.value
+    version = 0 if declaration is None else declaration.version
+    age_s = app.freshness.compute_age_s(app.clock())
+    table.set("primrosepier_calls_in_progress", app.in_progress)
+    table.set("primrosepier_declaration_version", version)
+    table.set("primrosepier_declaration_age_seconds", age_s)
+    table.set("primrosepier_duty_held", int(bool(duty.fencing)), duty=duty.name)
+    for service, found in knowledge.replicas.value.by_service.items():
+        table.set("primrosepier_replicas", len(found), service=service)
--- /dev/null
+++ b/primrosepier/forwarding/metrics.py
@@ -0,0 +1,73 @@
+"""Metrics of a router in front of declared routes."""
+
+from collections.abc import Callable
+
+from ..asgi import Receive, Scope, Send, send_bytes
+from ..log_events import Event
+from ..logs import Log
+from ..metric_table import MetricTable
+from .metric_specs import ENTRY_SPECS
+from .records import CallEnded, CallPlaced, CallRejected, CallRepeated
+
+__all__ = ["EntryMetrics", "make_entry_metrics"]
+
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = ("content-type", "text/plain; version=0.0.4")
+
+
+class EntryMetrics(MetricTable):
+    """An ASGI app of counters and histograms, fed by the events of the log."""
+
+    def __init__(self) -> None:
+        super().__init__(ENTRY_SPECS)
+
+    def observe(self, event: Event) -> None:
+        """Take in one event of the log."""
+        if isinstance(event, CallEnded):
+            self._observe_end(event)
+        elif isinstance(event, CallPlaced):
+            self.add("primrosepier_choices_total", 1, kind=event.kind)
+        elif isinstance(event, CallRepeated):
+            self.add("primrosepier_repeats_total", 1, outcome=event.outcome)
+        elif isinstance(event, CallRejected):
+            self.add("primrosepier_rejected_calls_total", 1, code=event.code)
+
+    def _observe_end(self, event: CallEnded) -> None:
+        labels = {"outcome": event.outcome, "status": str(event.status)}
+        self.add("primrosepier_calls_total", 1, **labels)
+        name = "primrosepier_call_seconds"
+        self.observe_value(name, event.duration_s, outcome=event.outcome)
+        if event.first_byte_s is not None:
+            self.observe_value("primrosepier_first_byte_seconds", event.first_byte_s)
+
+    def note_store_call(self, call: str, outcome: str, wait_s: float) -> None:
+        """Count a call on the store, and its wait for a share of the rates."""
+        self.add("primrosepier_store_calls_total", 1, call=call, outcome=outcome)
+        self.observe_value("primrosepier_store_wait_seconds", wait_s)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the metrics."""
+        if scope["path"] != METRICS_PATH:
+            await send_bytes(send, 404, b"")
+            return
+        await send_bytes(send, 200, self.render(), (CONTENT_TYPE,))
+
+
+def make_entry_metrics(
+    log: Log, set_gauges: Callable[[MetricTable], None]
+) -> EntryMetrics:
+    """Return the metrics of a router.
+
+    Parameters
+    ----------
+    set_gauges : callable
+        Sets what is true now, before each answer.
+    """
+    metrics = EntryMetrics()
+    log.observers.append(metrics.observe)
+
+    def count_dropped(found: MetricTable) -> None:
+        found.set("primrosepier_log_lines_dropped_total", log.dropped)
+
+    metrics.sources += [count_dropped, set_gauges]
+    return metrics
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -17,6 +17,7 @@
     "EntryUnreadable",
     "FORWARDING_EVENT",
     "FleetChanged",
+    "MetricsUnserved",
     "ReplicaGivenUp",
     "RouterStarted",
     "RouterStopping",
@@ -179,6 +180,18 @@
         return f"read the settings again, {len(self.changed)} changed"
 
 
+class MetricsUnserved(Event, frozen=True):
+    """The metrics address can't be served; calls are."""
+
+    part: ClassVar[str] = "router"
+    address: str
+    reason: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"serves no metrics at {self.address}: {self.reason}"
+
+
 class ContactChanged(Event, frozen=True):
     """The store was lost or regained."""
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -10,7 +10,6 @@
 import anyio
 
 from ..asgi import open_server
-from ..budget import BudgetedStore, CallBudget, CallKind, StoreRates
 from ..clocks import Clock
 from ..duties import DutyKeeper
 from ..engines import EndpointClient
@@ -29,13 +28,16 @@
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
 from .forwarder import Forwarder, make_forwarder
-from .freshness import Freshness, compute_gather_s
+from .freshness import Freshness
+from .gauges import set_gauges
 from .homes import Choice, HomeChooser
 from .knowledge import Knowledge, StoreLayout, make_knowledge
+from .metrics import EntryMetrics, make_entry_metrics
 from .peers import PeerDirectory, WorkExchange
-from .records import RouterStarted, RouterStopping, SettingsRead
+from .records import MetricsUnserved, RouterStarted, RouterStopping, SettingsRead
 from .repeats import RepeatBudget
 from .settings import EntrySettings
+from .store_limits import choose_gather_s, limit_store
 from .transfers import CachePlan, find_cache_store, plan_cache
 from .weights import OUTDATED_S, OVERDUE_SHARE, WeightsOrders, compute_lag_s
 from .weights_controller import WEIGHTS_DUTY, WeightsController
@@ -54,10 +56,6 @@
 STORE_WAIT_LIMIT_S = 0.8
 # Time without a new call after which none is expected any more.
 QUIET_S = 0.6
-# Part of the store's rates that the routers use, for their count may be some seconds
-# old; and the time whose calls may be made at once, seconds.
-STORE_SHARE = 0.8
-STORE_BURST_S = 0.5
 # Time for calls in progress when the router ends, seconds: half of what is kept.
 CLOSE_S = 0.5
 # Part of the grace in which a rollout that is under way goes on.
@@ -112,6 +110,7 @@
     app: EntryApp
     weights: WeightsController
     peers: WorkExchange
+    metrics: EntryMetrics
     callers_address: str = ""
 
     def compute_grace(self) -> float:
@@ -166,7 +165,16 @@
 ) -> EntryRouter:
     """Return a router that serves nothing yet."""
     clock = platform.clock
-    store = _limit_store(settings, platform, lambda: directory.count_routers())
+    metrics = make_entry_metrics(
+        log, lambda table: set_gauges(table, knowledge, app, weights.duty)
+    )
+    store = limit_store(
+        settings,
+        platform.store,
+        lambda: directory.count_routers(),
+        clock,
+        metrics.note_store_call,
+    )
     platform = replace(platform, store=store)
     knowledge = make_knowledge(platform.layout, log, clock)
     mirror = _make_mirror(settings, platform, knowledge)
@@ -183,42 +191,24 @@
         int(settings.readiness_address.rpartition(":")[2]),
     )
     weights = _make_weights_controller(settings, platform, knowledge, mirror, burdens)
-    mirror.gather_s = partial(_choose_gather_s, settings, weights)
+    mirror.gather_s = partial(choose_gather_s, settings, weights.duty)
     forwarder.select = partial(_select_replicas, settings, burdens, weights, clock)
     forwarder.attempts.plan_cache = partial(_plan_cache, knowledge, burdens)
     listeners = (knowledge.update, directory.update, weights.watch_marks)
     mirror.mirror.listeners.extend(listeners)
-    prefixes = forwarder.chooser.prefixes
-    marks = (weights.make_mark, weights.take_mark)
-    peers = WorkExchange(directory, burdens, prefixes, clock, *marks)
-    weights.tell = peers.wake
-    parts = (knowledge, mirror, app, weights, peers)
+    peers = _make_exchange(directory, forwarder, weights)
+    parts = (knowledge, mirror, app, weights, peers, metrics)
     return EntryRouter(settings, platform, log, *parts)
 
 
-def _limit_store(
-    settings: EntrySettings, platform: EntryPlatform, count_routers: Callable[[], int]
-) -> BudgetedStore:
-    rates = StoreRates(
-        STORE_SHARE * settings.store_writes_per_s,
-        STORE_SHARE * settings.store_reads_per_s,
-        STORE_BURST_S,
-    )
-    return BudgetedStore(
-        store=platform.store,
-        budget=CallBudget(rates),
-        count_routers=count_routers,
-        clock=platform.clock,
-        renewals=CallKind.READ,
-        polls=True,
-    )
-
-
-def _choose_gather_s(settings: EntrySettings, weights: WeightsController) -> float:
-    """Return how long changes are gathered; not at all where weights wait for it."""
-    if weights.duty.fencing:
-        return 0.0
-    return compute_gather_s(settings.apply_s, settings.drain_s)
+def _make_exchange(
+    directory: PeerDirectory, forwarder: Forwarder, weights: WeightsController
+) -> WorkExchange:
+    prefixes, clock = forwarder.chooser.prefixes, forwarder.clock
+    marks = (weights.make_mark, weights.take_mark)
+    peers = WorkExchange(directory, forwarder.burdens, prefixes, clock, *marks)
+    weights.tell = peers.wake
+    return peers
 
 
 def _make_mirror(
@@ -337,6 +327,20 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def _open_metrics(router: EntryRouter) -> AsyncIterator[None]:
+    """Serve the metrics while the context is open, if their address is free."""
+    address = router.settings.metrics_address
+    async with contextlib.AsyncExitStack() as stack:
+        if address:
+            server = open_server(router.metrics, address, lambda: CLOSE_S)
+            try:
+                await stack.enter_async_context(server)
+            except (OSError, ExceptionGroup) as error:
+                router.log.emit(MetricsUnserved(address, repr(error)))
+        yield
+
+
 @contextlib.asynccontextmanager
 async def open_entry_router(router: EntryRouter) -> AsyncIterator[EntryRouter]:
     """Run a router while the context is open."""
@@ -349,6 +353,7 @@
     async with (
         await anyio.create_udp_socket(local_host=host, local_port=int(port)) as socket,
         anyio.create_task_group() as group,
+        _open_metrics(router),
     ):
         async with open_server(
             router.app,
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -16,6 +16,8 @@
     ----------
     callers_address, readiness_address, peers_address, store_address : str
         ``IP:PORT``.
+    metrics_address : str
+        The same for metrics; empty for none.
     store_writes_per_s, store_reads_per_s : float
         Calls that all routers together may make on the store.
     shortest_lease_s : float
@@ -47,6 +49,7 @@
     readiness_address: str
     peers_address: str
     store_address: str
+    metrics_address: str = ""
     store_writes_per_s: float = 100.0
     store_reads_per_s: float = 500.0
     shortest_lease_s: float = 1.0
--- /dev/null
+++ b/primrosepier/forwarding/store_limits.py
@@ -0,0 +1,48 @@
+"""What one router may ask of the store, so that all together keep to its rates."""
+
+from collections.abc import Callable
+
+from ..budget import BudgetedStore, CallBudget, CallKind, StoreRates
+from ..clocks import Clock
+from ..leases import Duty
+from ..store import Store
+from .freshness import compute_gather_s
+from .settings import EntrySettings
+
+__all__ = ["choose_gather_s", "limit_store"]
+
+# Part of the store's rates that the routers use, for their count may be some seconds
+# old; and the time whose calls may be made at once, seconds.
+STORE_SHARE = 0.8
+STORE_BURST_S = 0.5
+
+
+def limit_store(
+    settings: EntrySettings,
+    store: Store,
+    count_routers: Callable[[], int],
+    clock: Clock,
+    note: Callable[[str, str, float], None],
+) -> BudgetedStore:
+    """Return a store whose calls keep to this router's share of the rates."""
+    rates = StoreRates(
+        STORE_SHARE * settings.store_writes_per_s,
+        STORE_SHARE * settings.store_reads_per_s,
+        STORE_BURST_S,
+    )
+    return BudgetedStore(
+        store=store,
+        budget=CallBudget(rates),
+        count_routers=count_routers,
+        clock=clock,
+        renewals=CallKind.READ,
+        polls=True,
+        note=note,
+    )
+
+
+def choose_gather_s(settings: EntrySettings, duty: Duty) -> float:
+    """Return how long changes are gathered; not at all where weights wait for it."""
+    if duty.fencing:
+        return 0.0
+    return compute_gather_s(settings.apply_s, settings.drain_s)
--- /dev/null
+++ b/primrosepier/metric_table.py
@@ -0,0 +1,95 @@
+"""A set of declared metrics by aioprometheus."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from .metric_specs import MetricKind, MetricSpec
+
+__all__ = ["MAX_LABEL_VALUES", "MetricTable"]
+
+MAX_LABEL_VALUES = 64
+OTHER = "other"
+TTFT_BUCKETS_S = (
+    *(0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.55),
+    *(0.75, 1.0, 2.0, 5.0, 10.0, 30.0, float("inf")),
+)
+
+Collector = Counter | Gauge | Histogram
+Source = Callable[["MetricTable"], None]
+
+
+class MetricTable:
+    """Metrics by name, with a bounded number of label values.
+
+    Parameters
+    ----------
+    specs : iterable of MetricSpec
+    """
+
+    def __init__(self, specs: Iterable[MetricSpec]):
+        self.registry = Registry()
+        self.collectors: dict[str, Collector] = {}
+        self.label_values: dict[tuple[str, str], set[str]] = defaultdict(set)
+        self.sources: list[Source] = []
+        for spec in specs:
+            self.declare(spec)
+
+    def declare(self, spec: MetricSpec) -> None:
+        """Add a metric to the registry.
+
+        Raises
+        ------
+        ValueError
+            The name is taken.
+        """
+        self.collectors[spec.name] = _make_collector(spec, self.registry)
+
+    def register(self, source: Source) -> None:
+        """Call a source before each scrape, so that it sets its gauges."""
+        self.sources.append(source)
+
+    def add(self, name: str, value: float, **labels: str) -> None:
+        """Add to a counter."""
+        collector = self.collectors[name]
+        assert isinstance(collector, Counter)
+        collector.add(self._bound(name, labels), value)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge, or a counter that is kept elsewhere."""
+        self.collectors[name].set_value(self._bound(name, labels), value)
+
+    def observe_value(self, name: str, value: float, **labels: str) -> None:
+        """Add an observation to a histogram."""
+        collector = self.collectors[name]
+        assert isinstance(collector, Histogram)
+        collector.observe(self._bound(name, labels), value)
+
+    def _bound(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+        """Replace label values beyond the bound."""
+        for label, value in labels.items():
+            known = self.label_values[name, label]
+            if value in known:
+                continue
+            if len(known) < MAX_LABEL_VALUES:
+                known.add(value)
+            else:
+                labels[label] = OTHER
+        return labels
+
+    def render(self) -> bytes:
+        """Return all metrics as Prometheus text."""
+        for source in self.sources:
+            source(self)
+        return render(self.registry, [])[0]
+
+
+def _make_collector(spec: MetricSpec, registry: Registry) -> Collector:
+    if spec.kind is MetricKind.HISTOGRAM:
+        buckets = TTFT_BUCKETS_S
+        meaning = spec.meaning
+        return Histogram(spec.name, meaning, registry=registry, buckets=buckets)
+    kind = Counter if spec.kind is MetricKind.COUNTER else Gauge
+    return kind(spec.name, spec.meaning, registry=registry)
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -1,11 +1,6 @@
 """Metrics of one router by aioprometheus."""
 
 import time
-from collections import defaultdict
-from collections.abc import Callable
-
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
 
 from .board import Board
 from .clocks import Clock
@@ -20,23 +15,14 @@
     SlideFound,
 )
 from .logs import Log
-from .metric_specs import SPECS, MetricKind, MetricSpec, Promise
+from .metric_specs import SPECS, Promise
+from .metric_table import MetricTable
 from .promise_watch import PromiseWatch
 
 __all__ = ["Metrics", "make_metrics"]
 
-MAX_LABEL_VALUES = 64
-OTHER = "other"
-TTFT_BUCKETS_S = (
-    *(0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.55),
-    *(0.75, 1.0, 2.0, 5.0, 10.0, 30.0, float("inf")),
-)
-
-Collector = Counter | Gauge | Histogram
-Source = Callable[["Metrics"], None]
-
 
-class Metrics:
+class Metrics(MetricTable):
     """All metrics of one router.
 
     Parameters
@@ -46,62 +32,15 @@
     """
 
     def __init__(self, board: Board, clock: Clock = time.monotonic):
+        super().__init__(SPECS)
         self.board = board
         self.clock = clock
-        self.registry = Registry()
-        self.collectors: dict[str, Collector] = {}
-        self.label_values: dict[tuple[str, str], set[str]] = defaultdict(set)
-        self.sources: list[Source] = []
-        for spec in SPECS:
-            self.declare(spec)
         self.promises = PromiseWatch(
             self.report_broken, board.leaving, board.configuration, clock
         )
         for promise in Promise:
             self.add("primrosepier_broken_promises_total", 0, promise=promise.value)
 
-    def declare(self, spec: MetricSpec) -> None:
-        """Add a metric to the registry.
-
-        Raises
-        ------
-        ValueError
-            The name is taken.
-        """
-        self.collectors[spec.name] = _make_collector(spec, self.registry)
-
-    def register(self, source: Source) -> None:
-        """Call a source before each scrape, so that it sets its gauges."""
-        self.sources.append(source)
-
-    def add(self, name: str, value: float, **labels: str) -> None:
-        """Add to a counter."""
-        collector = self.collectors[name]
-        assert isinstance(collector, Counter)
-        collector.add(self._bound(name, labels), value)
-
-    def set(self, name: str, value: float, **labels: str) -> None:
-        """Set a gauge, or a counter that is kept elsewhere."""
-        self.collectors[name].set_value(self._bound(name, labels), value)
-
-    def observe_value(self, name: str, value: float, **labels: str) -> None:
-        """Add an observation to a histogram."""
-        collector = self.collectors[name]
-        assert isinstance(collector, Histogram)
-        collector.observe(self._bound(name, labels), value)
-
-    def _bound(self, name: str, labels: dict[str, str]) -> dict[str, str]:
-        """Replace label values beyond the bound."""
-        for label, value in labels.items():
-            known = self.label_values[name, label]
-            if value in known:
-                continue
-            if len(known) < MAX_LABEL_VALUES:
-                known.add(value)
-            else:
-                labels[label] = OTHER
-        return labels
-
     def report_broken(self, promise: Promise) -> None:
         """Count a broken promise."""
         self.add("primrosepier_broken_promises_total", 1, promise=promise.value)
@@ -146,18 +85,7 @@
             if section.was_written():
                 name = "primrosepier_section_age_seconds"
                 self.set(name, section.compute_age(now_s), section=section.name)
-        for source in self.sources:
-            source(self)
-        return render(self.registry, [])[0]
-
-
-def _make_collector(spec: MetricSpec, registry: Registry) -> Collector:
-    if spec.kind is MetricKind.HISTOGRAM:
-        buckets = TTFT_BUCKETS_S
-        meaning = spec.meaning
-        return Histogram(spec.name, meaning, registry=registry, buckets=buckets)
-    kind = Counter if spec.kind is MetricKind.COUNTER else Gauge
-    return kind(spec.name, spec.meaning, registry=registry)
+        return super().render()
 
 
 def make_metrics(board: Board, log: Log, clock: Clock = time.monotonic) -> Metrics:
@@ -165,7 +93,7 @@
     metrics = Metrics(board, clock)
     log.observers.append(metrics.observe)
 
-    def count_dropped(found: Metrics) -> None:
+    def count_dropped(found: MetricTable) -> None:
         found.set("primrosepier_log_events_dropped_total", log.dropped)
 
     metrics.register(count_dropped)
--- a/primrosepier/platform/checks.py
+++ b/primrosepier/platform/checks.py
@@ -6,11 +6,12 @@
 
 from ..cli import COMMANDS
 from ..errors import SettingsError
-from .settings import parse_entry_settings
+from .settings import METRICS_PORT, parse_entry_settings
 
 __all__ = ["check_platform_file"]
 
 PROGRAM = "python3 -m primrosepier "
+METRICS = f"{METRICS_PORT}/metrics"
 
 
 class _Role(msgspec.Struct, forbid_unknown_fields=True):
@@ -60,6 +61,8 @@
         if not role.run.startswith(PROGRAM) or command not in COMMANDS:
             allowed = f"must run {PROGRAM}COMMAND, with one of its commands"
             raise SettingsError(file, f"roles.{name}", "run", allowed)
+        if role.metrics not in ("", METRICS):
+            raise SettingsError(file, f"roles.{name}", "metrics", f"must be {METRICS}")
         if not 0 < role.share <= 1:
             allowed = "must be greater than 0 and at most 1"
             raise SettingsError(file, f"roles.{name}", "share", allowed)
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -10,11 +10,19 @@
 from ..forwarding.settings import EntrySettings
 from ..ids import FailureDomain, HostId
 
-__all__ = ["SETTINGS_VARIABLE", "load_entry_settings", "parse_entry_settings"]
+__all__ = [
+    "METRICS_PORT",
+    "SETTINGS_VARIABLE",
+    "load_entry_settings",
+    "parse_entry_settings",
+]
 
 SETTINGS_VARIABLE = "PRIMROSEPIER_CONFIG"
 STORE_FORM = "kv"
 MS = 0.001
+# Port of the metrics, named in deploy/system.toml too: the settings tell none, and this
+# is the usual one for such exporters.
+METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct, rename="camel"):
@@ -95,6 +103,7 @@
         callers_address=found.listen.frontend,
         readiness_address=found.listen.readiness,
         peers_address=f"{found.ip}:{found.internal_ports[0]}",
+        metrics_address=f"{found.ip}:{METRICS_PORT}",
         store_address=found.platform.address,
         store_writes_per_s=found.platform.writes_per_s,
         store_reads_per_s=found.platform.reads_per_s,
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -22,6 +22,7 @@
 from .etcd import make_etcd_store
 from .log_events import SlideFound
 from .logs import Log, make_log
+from .metric_table import MetricTable
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
 from .orders import EndpointOrders
@@ -175,13 +176,13 @@
 def _register_gauges(
     metrics: Metrics, dispatcher: Dispatcher, controller: ConfigurationController
 ) -> None:
-    def read(found: Metrics) -> None:
+    def read(found: MetricTable) -> None:
         outstanding = sum(dispatcher.candidates.outstanding.values())
         found.set("primrosepier_attempts_in_progress", outstanding)
         for kind, count in dispatcher.attempts.counts.items():
             found.set("primrosepier_relay_events_total", count, kind=kind.value)
         found.set("primrosepier_configuration_revision", controller.revision)
-        found.promises.observe_revision(controller.revision)
+        metrics.promises.observe_revision(controller.revision)
 
     metrics.register(read)
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -21,7 +21,8 @@
     ReuseObserved,
 )
 from primrosepier.metric_specs import SPECS, Promise, render_metrics_page
-from primrosepier.metrics import MAX_LABEL_VALUES, Metrics
+from primrosepier.metric_table import MAX_LABEL_VALUES
+from primrosepier.metrics import Metrics
 
 ROOT = Path(__file__).parent.parent
 NAME = re.compile(r"primrosepier_[a-z_]+")
