Drop a method of Knowledge that nothing calls

Cause: list_services was left from an earlier form of the refresh. Change: removed; found by looking for names of the new folders that stand once.

--- a/primrosepier/forwarding/knowledge.py
+++ b/primrosepier/forwarding/knowledge.py
@@ -6,7 +6,7 @@
 from ..board import Section, SectionWriter
 from ..clocks import Clock
 from ..errors import MessageError
-from ..ids import EndpointId, ModelId, ServiceId
+from ..ids import EndpointId, ModelId
 from ..logs import Log
 from ..mirror import Mirror
 from ..store import Item
@@ -204,10 +204,6 @@
         """Return a registered replica, whether it leaves or not."""
         return self.fleet.entries.get(endpoint)
 
-    def list_services(self) -> list[ServiceId]:
-        """Return the services that have replicas."""
-        return list(self.replicas.value.by_service)
-
 
 def _list_ids(found: ReplicaList) -> set[EndpointId]:
     return {r.id for replicas in found.by_service.values() for r in replicas}
