Log what slows the output of a call

The logs could not tell a slow decode from a long output, nor show the prompt tokens of other routers that went into a choice: calls now log the output limit and the last event sent, choices the tokens to compute and those that peers have pending. A histogram shows the time from the first byte to the end.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -132,6 +132,10 @@
             f"  {event.outstanding} calls of this router in progress there, "
             f"{event.pending_tokens} prompt tokens pending, {reported}."
         )
+        yield (
+            f"  {event.uncached_tokens} tokens of the prompt are to be computed; other "
+            f"routers have {event.peer_tokens} prompt tokens pending there."
+        )
     elif isinstance(event, CallRepeated):
         outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
         where = f"Attempt {event.attempt} at {event.endpoint}"
@@ -150,6 +154,12 @@
     )
     if event.first_byte_s is not None:
         yield f"  The first byte went out after {event.first_byte_s * 1000:.1f} ms."
+    if event.output_limit:
+        last_event = event.last_event or "unknown"
+        yield (
+            f"  It asked for up to {event.output_limit} tokens; the last event sent: "
+            f"{last_event}."
+        )
     yield (
         f"  Declaration {event.declaration} was in force; last contact with the "
         f"store {event.heard_age_s:.1f} s before."
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -62,6 +62,8 @@
         Empty for calls without a prompt.
     resume_after : str
         Id of the last event that the caller received; empty for a whole response.
+    output_limit : int
+        Largest number of tokens to generate; 0 if the caller stated none.
     """
 
     id: RequestId
@@ -76,6 +78,7 @@
     model: ModelId = ModelId("")
     parts: tuple[PromptPart, ...] = ()
     resume_after: str = ""
+    output_limit: int = 0
 
     @property
     def urgency(self) -> int:
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -305,6 +305,8 @@
                 duration_s=now_s - call.received_at_s,
                 declaration=declaration.version,
                 heard_age_s=self.freshness.compute_age_s(self.clock()),
+                output_limit=call.output_limit,
+                last_event=delivery.merger.last_id,
             )
         )
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -227,6 +227,8 @@
                 pending_tokens=load.pending_tokens,
                 report_age_s=now_s - load.reported_at_s if has_report else None,
                 remaining_s=call.deadline_s - now_s,
+                uncached_tokens=choice.uncached_tokens,
+                peer_tokens=self.loads.count_peer_tokens(choice.replica.id, now_s),
             )
         )
         return choice
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -59,6 +59,14 @@
         "Time from a call to the first byte of its answer: its wait at the replica.",
         "Rises with queues at replicas; look at the choices.",
     ),
+    MetricSpec(
+        "primrosepier_output_seconds",
+        HISTOGRAM,
+        "seconds",
+        ("outcome",),
+        "Time from the first byte of an answer to the call's end.",
+        "Rises while first bytes are on time: replicas decode slowly.",
+    ),
     MetricSpec(
         "primrosepier_store_calls_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -39,6 +39,9 @@
         self.observe_value(name, event.duration_s, outcome=event.outcome)
         if event.first_byte_s is not None:
             self.observe_value("primrosepier_first_byte_seconds", event.first_byte_s)
+            output_s = event.duration_s - event.first_byte_s
+            name = "primrosepier_output_seconds"
+            self.observe_value(name, output_s, outcome=event.outcome)
 
     def record_store_call(self, call: str, outcome: str, wait_s: float) -> None:
         """Record a call on the store and the time that it waited for the rate limit."""
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -43,6 +43,10 @@
         tokens of those that have not received the head of a response.
     report_age_s : float or None
         Age of the replica's reported load; None if it has reported none.
+    uncached_tokens : int
+        Prompt tokens of this call that the replica is expected to compute.
+    peer_tokens : int
+        Uncached prompt tokens pending at the replica for the calls of other routers.
     """
 
     part: ClassVar[str] = "forward"
@@ -56,6 +60,8 @@
     pending_tokens: int
     report_age_s: float | None
     remaining_s: float
+    uncached_tokens: int = 0
+    peer_tokens: int = 0
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
@@ -101,6 +107,11 @@
         Version of the declaration under which the call was served.
     heard_age_s : float
         Age of the newest response of the store, seconds.
+    output_limit : int
+        Largest number of tokens to generate; 0 if the caller stated none.
+    last_event : str
+        Id of the last event sent to the caller; empty if none was sent or the stream
+        can't be resumed.
     """
 
     part: ClassVar[str] = "forward"
@@ -118,6 +129,8 @@
     duration_s: float
     declaration: int
     heard_age_s: float
+    output_limit: int = 0
+    last_event: str = ""
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -31,6 +31,12 @@
     return tuple(parts)
 
 
+def _read_output_limit(value: str) -> int:
+    """Parse the second of two token counts; 0 without a valid one."""
+    limit = value.partition(",")[2].strip()
+    return int(limit) if limit.isdigit() else 0
+
+
 class PlatformRequestReader:
     """Reads callers' requests in the platform's format."""
 
@@ -94,6 +100,7 @@
             model=ModelId(read_header(names.MODEL)),
             parts=_read_parts(read_header(names.PROMPT_PARTS)),
             resume_after=read_header(names.LAST_EVENT),
+            output_limit=_read_output_limit(read_header(names.TOKEN_COUNTS)),
         )
 
     def write_retry_after(self, after_s: float) -> tuple[bytes, bytes]:
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -25,6 +25,7 @@
     "REMAINING_TIME",
     "REPLICAS_PREFIX",
     "RETRY_AFTER",
+    "TOKEN_COUNTS",
     "URGENCY",
     "WEIGHTS",
     "WEIGHTS_PREFIX",
@@ -40,6 +41,8 @@
 MODEL = b"model"
 # Lists all parts of the prompt as ID:TOKENS, not a hash of one prefix.
 PROMPT_PARTS = b"prefix-hash"
+# Length of the prompt and limit on the output, in tokens; nothing has been used yet.
+TOKEN_COUNTS = b"token-usage"
 LAST_EVENT = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -40,6 +40,8 @@
         assert samples["primrosepier_calls_total" + completed] == 3
         assert samples['primrosepier_rejected_calls_total{code="unknown_key"}'] == 1
         assert samples["primrosepier_first_byte_seconds_count"] == 3
+        output_count = 'primrosepier_output_seconds_count{outcome="Completed"}'
+        assert samples[output_count] == 3
         assert samples["primrosepier_declaration_version"] == 1
         assert 0 <= samples["primrosepier_declaration_age_seconds"] < 5
         assert samples['primrosepier_replicas{service="writers"}'] == 2
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -33,6 +33,7 @@
 from primrosepier.forwarding.store_view import RequestedWeights, WeightsHistory
 from primrosepier.forwarding.transfers import CachePlan, plan_cache_use
 from primrosepier.platform.declarations import decode_declaration, decode_weights
+from primrosepier.platform.ingress import PlatformRequestReader
 from primrosepier.platform.replicas import PlatformDialect, decode_replica
 
 
@@ -264,3 +265,18 @@
 def test_shutdown_ends_within_a_short_grace_period():
     shutdown = make_shutdown_schedule(0.0, grace_s=2.0)
     assert not shutdown.accepts(1.5, limit_s=5.0)
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"), [(b"291,180", 180), (b"291", 0), (b"291,many", 0)]
+)
+def test_output_limit_is_the_second_token_count(value, limit):
+    scope = {
+        "method": "POST",
+        "raw_path": b"/notes/",
+        "query_string": b"",
+        "headers": [(b"token-usage", value)],
+    }
+    route = make_call().route
+    call = PlatformRequestReader().make_call(scope, b"", route, None, 0.0)
+    assert call.output_limit == limit
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -115,6 +115,8 @@
         pending_tokens=3000,
         report_age_s=0.5,
         remaining_s=1.9,
+        uncached_tokens=3700,
+        peer_tokens=41000,
     )
 
 
@@ -134,6 +136,8 @@
         duration_s=1.9,
         declaration=7,
         heard_age_s=0.2,
+        output_limit=180,
+        last_event="31",
     )
 
 
@@ -154,6 +158,9 @@
     assert "Chose w1 of 9 candidates" in explanation
     assert "the call's deadline passed" in explanation
     assert "Declaration 7" in explanation
+    assert "3700 tokens of the prompt are to be computed" in explanation
+    assert "41000 prompt tokens pending" in explanation
+    assert "up to 180 tokens; the last event sent: 31" in explanation
     explanation = "\n".join(render_explanation(explain_request(timeline, "a2")))
     assert "status 503, stale_keys" in explanation
     assert "4.2 s before" in explanation
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -104,11 +104,12 @@
     "AttemptStarted": "request attempt endpoint hop",
     "CallEnded": (
         "request route workspace outcome status step peer reason attempts "
-        "prompt_tokens first_byte_s duration_s declaration heard_age_s"
+        "prompt_tokens first_byte_s duration_s declaration heard_age_s "
+        "output_limit last_event"
     ),
     "CallPlaced": (
         "request attempt service endpoint kind candidates outstanding "
-        "pending_tokens report_age_s remaining_s"
+        "pending_tokens report_age_s remaining_s uncached_tokens peer_tokens"
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
