--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -243,16 +243,17 @@
                 sent_at_s = self.clock()
                 await self._send(socket, pending_tokens)
 
-    async def _send(
-        self, socket: UDPSocket, pending_tokens: dict[EndpointId, int]
-    ) -> None:
+    def make_reports(
+        self, pending_tokens: dict[EndpointId, int]
+    ) -> list[tuple[PeerEntry, bytes]]:
+        """Return the datagram for each peer, and count its content as reported."""
         self.reported_tokens = pending_tokens
         updates = self.prefixes.take_updates()
         loading_record = self.make_loading_record()
         if loading_record is not None:
             self.reported_sort_key = loading_record.sort_key
-        for entry in list(self.directory.peers.values()):
-            host, _, port = entry.address.rpartition(":")
+        reports = []
+        for entry in self.directory.peers.values():
             report = PeerReport(
                 entry.token,
                 self.directory.host,
@@ -260,7 +261,15 @@
                 updates,
                 loading_record,
             )
-            await socket.sendto(msgspec.msgpack.encode(report), host, int(port))
+            reports.append((entry, msgspec.msgpack.encode(report)))
+        return reports
+
+    async def _send(
+        self, socket: UDPSocket, pending_tokens: dict[EndpointId, int]
+    ) -> None:
+        for entry, data in self.make_reports(pending_tokens):
+            host, _, port = entry.address.rpartition(":")
+            await socket.sendto(data, host, int(port))
 
     async def _receive(self, socket: UDPSocket) -> None:
         async for data, _ in socket:
