--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -134,7 +134,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _CostEstimate:
-    """Estimated cost of a call at a candidate, in tokens to compute."""
+    """Estimated cost of a prompt at a candidate without other calls, in tokens."""
 
     cost: float
     uncached_tokens: int
@@ -271,19 +271,6 @@
         preferred = self._rank_preferred(
             compute_preference_key(scope, shared), replicas
         )
-
-        def compute_cost(index: int) -> tuple[float, float]:
-            replica = replicas[index]
-            estimate = estimates[index]
-            cost = estimate.cost + self._compute_pending_work(replica, now_s)
-            decoding = self.loads.count_decoding(replica.id, now_s)
-            cost += OUTPUT_DELAY_SHARE * decoding * estimate.uncached_tokens
-            if replica.id in outdated:
-                cost += OUTDATED_COST_SHARE * call.prompt_tokens
-            if replica.failure_domain != self.failure_domain:
-                cost += REMOTE_DOMAIN_COST_SHARE * self.loads.mean_tokens
-            return cost, self.rng.random()
-
         coverage_by_weights = _find_coverage(candidates)
         estimates = [
             self._estimate_cost(
@@ -291,7 +278,13 @@
             )
             for candidate in candidates
         ]
-        best = min(range(len(replicas)), key=compute_cost)
+
+        def compute_total_cost(index: int) -> tuple[float, float]:
+            estimate = estimates[index]
+            cost = self._compute_cost(call, replicas[index], estimate, outdated, now_s)
+            return cost, self.rng.random()
+
+        best = min(range(len(replicas)), key=compute_total_cost)
         estimate = estimates[best]
         return Choice(
             replicas[best],
@@ -302,6 +295,24 @@
             candidates[best].weights,
         )
 
+    def _compute_cost(
+        self,
+        call: Call,
+        replica: Replica,
+        estimate: _CostEstimate,
+        outdated: frozenset[EndpointId],
+        now_s: float,
+    ) -> float:
+        """Return the whole cost of a call at a replica, in tokens to compute."""
+        cost = estimate.cost + self._compute_pending_work(replica, now_s)
+        decoding = self.loads.count_decoding(replica.id, now_s)
+        cost += OUTPUT_DELAY_SHARE * decoding * estimate.uncached_tokens
+        if replica.id in outdated:
+            cost += OUTDATED_COST_SHARE * call.prompt_tokens
+        if replica.failure_domain != self.failure_domain:
+            cost += REMOTE_DOMAIN_COST_SHARE * self.loads.mean_tokens
+        return cost
+
     def _make_candidate(
         self, prefixes: Sequence[Prefix], replica: Replica, model: ModelId, now_s: float
     ) -> _Candidate:
