--- a/tests/step_engines.py
+++ b/tests/step_engines.py
@@ -1,7 +1,7 @@
-"""Engines whose steps compute prompts and generate output together.
+"""Engines that compute prompts and generate output in the same steps.
 
-The forwarding modules choose among them in virtual time: callers, routers that report
-to each other, and engines, without a network.
+Callers, routers that report to each other, and engines run in virtual time, without a
+network; the forwarding modules choose the engines.
 """
 
 import random
@@ -17,8 +17,10 @@
 from primrosepier.forwarding.prefixes import PrefillTracker
 from primrosepier.forwarding.replica_choice import AvoidedReplicas, ReplicaChooser
 
+# Time of a step, and what each running call adds to it.
 STEP_S = 0.0056
 STEP_PER_CALL_S = 0.00012
+# Prompt tokens that one step computes at most.
 CHUNK_TOKENS = 2048
 # Attention over a long prompt included.
 PREFILL_TOKENS_PER_S = 49_000
@@ -32,7 +34,7 @@
 
 @dataclass(eq=False)
 class EngineCall:
-    """One call at an engine."""
+    """One call at an engine; ``prompt_tokens`` are those yet to be computed."""
 
     prompt_tokens: int
     output_tokens: int
@@ -94,12 +96,26 @@
 
 @dataclass(frozen=True)
 class CallKind:
-    """Calls of one kind; callers leave without a first token, or at the deadline."""
+    """Calls of one kind.
+
+    Parameters
+    ----------
+    shared_tokens : int
+        Length of the part of the prompt that calls may share.
+    median_own_tokens, max_own_tokens : int
+        Lengths of the rest of the prompt.
+    patience_s : float
+        Time after which a caller leaves that has received no token.
+    deadline_s : float
+        Time after which any caller leaves.
+    is_urgent : bool
+        Whether engines compute these prompts before others.
+    """
 
     name: str
     per_s: float
     shared_tokens: int
-    own_tokens: int
+    median_own_tokens: int
     max_own_tokens: int
     median_output: int
     max_output: int
@@ -115,8 +131,6 @@
     kind: str
     prompt_tokens: int
     output_tokens: int
-    started_s: float
-    first_token_s: float | None = None
     is_served: bool = False
 
     @property
@@ -185,13 +199,20 @@
             yield self.env.timeout(self.rng.expovariate(kind.per_s))
             self.env.process(self._call(kind))
 
+    def _draw_length(self, median: int, sigma: float, longest: int) -> int:
+        length = int(median * self.rng.lognormvariate(0.0, sigma))
+        return max(1, min(longest, length))
+
     def _call(self, kind: CallKind) -> Iterator[simpy.Event]:
         env = self.env
-        output = int(kind.median_output * self.rng.lognormvariate(0.0, OUTPUT_SIGMA))
-        output = max(1, min(kind.max_output, output))
-        own_tokens = int(kind.own_tokens * self.rng.lognormvariate(0.0, PROMPT_SIGMA))
-        own_tokens = max(1, min(kind.max_own_tokens, own_tokens))
-        result = CallResult(kind.name, kind.shared_tokens + own_tokens, output, env.now)
+        output_tokens = self._draw_length(
+            kind.median_output, OUTPUT_SIGMA, kind.max_output
+        )
+        own_tokens = self._draw_length(
+            kind.median_own_tokens, PROMPT_SIGMA, kind.max_own_tokens
+        )
+        prompt_tokens = kind.shared_tokens + own_tokens
+        result = CallResult(kind.name, prompt_tokens, output_tokens)
         self.results.append(result)
         chooser = self.rng.choice(self.choosers)
         parts = (
@@ -206,20 +227,19 @@
         recorder.begin(env.now)
         engine_call = EngineCall(
             choice.uncached_tokens,
-            output,
+            output_tokens,
             env.now + kind.patience_s,
             env.event(),
             env.event(),
         )
+        deadline_s = env.now + kind.deadline_s
         engine = self.engines[endpoint]
         engine.submit(engine_call, kind.is_urgent)
         yield engine_call.first_token | env.timeout(kind.patience_s)
         if engine_call.first_token.triggered:
-            result.first_token_s = env.now - result.started_s
-            engine_call.leaves_at_s = result.started_s + kind.deadline_s
+            engine_call.leaves_at_s = deadline_s
             load = ReportedLoad(len(engine.running), len(engine.waiting), SLOTS)
             recorder.record_response(ResponseHead(200, (), load=load), env.now)
-            remaining_s = engine_call.leaves_at_s - env.now
-            yield engine_call.done | env.timeout(remaining_s)
+            yield engine_call.done | env.timeout(deadline_s - env.now)
             result.is_served = engine_call.done.triggered
         recorder.end(env.now)
