Ignore output limits that are not decimal digits

A superscript digit passes isdigit, but not int: the request would have ended in an exception. The case is added to the test, which fails without the change.

--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -34,7 +34,7 @@
 def _read_output_limit(value: str) -> int:
     """Parse the second of two token counts; 0 without a valid one."""
     limit = value.partition(",")[2].strip()
-    return int(limit) if limit.isdigit() else 0
+    return int(limit) if limit.isdecimal() else 0
 
 
 class PlatformRequestReader:
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -298,7 +298,7 @@
 
 
 @pytest.mark.parametrize(
-    ("value", "limit"), [(b"291,180", 180), (b"291", 0), (b"291,many", 0)]
+    ("value", "limit"), [(b"291,180", 180), (b"291", 0), (b"291,\xb2", 0)]
 )
 def test_output_limit_is_the_second_token_count(value, limit):
     scope = {
