Log how the end of a replica's response was marked

For the incident of streams that break off and end as complete: a length or chunks that are met, a connection that closes, and a reset all looked alike in the logs. CallEnded now says whether a length or chunks marked the end, and whether the stream ended within an event; explain shows both.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -80,10 +80,18 @@
 
 
 class EndpointResponse(Protocol):
-    """A response whose body is read as it arrives."""
+    """A response whose body is read as it arrives.
+
+    Attributes
+    ----------
+    is_framed : bool
+        Whether a length or chunks mark the end of the body; otherwise the end of the
+        connection does.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
+    is_framed: bool
 
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -161,6 +161,10 @@
             f"  It asked for up to {event.output_limit} tokens; the last event sent: "
             f"{last_event}."
         )
+    if event.framed is not None:
+        end = "a length or chunks" if event.framed else "its connection's close"
+        place = ", within an event" if event.within_event else ""
+        yield f"  The end of the replica's response was marked by {end}{place}."
     yield (
         f"  Declaration {event.declaration} was in force; last contact with the "
         f"store {event.heard_age_s:.1f} s before."
--- a/primrosepier/fault_engines.py
+++ b/primrosepier/fault_engines.py
@@ -89,6 +89,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: AsyncIterator[bytes]
+    is_framed: bool = True
 
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..asgi import Send, send_chunk
 from ..clocks import Clock
@@ -19,7 +19,7 @@
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Step, UnknownOutcome
 from .calls import AttemptOptions, Call, CallHeaders, EndpointDialect, ResponseHead
 from .declarations import RetryPolicy
-from .events import EventStreamMerger
+from .events import EventBoundaryTracker, EventStreamMerger
 from .fleet import Replica
 from .prefixes import PrefillTracker
 from .replica_choice import Choice, make_call_scope
@@ -84,6 +84,11 @@
         Attempts that may have run.
     attempts : int
         All attempts, including those that did not run.
+    is_framed : bool or None
+        Whether a length or chunks marked the end of the last response's body; None
+        before a response.
+    boundary : EventBoundaryTracker
+        Follows the event stream of the last response.
     """
 
     send: Send
@@ -93,6 +98,8 @@
     first_byte_at_s: float | None = None
     runs: int = 0
     attempts: int = 0
+    is_framed: bool | None = None
+    boundary: EventBoundaryTracker = field(default_factory=EventBoundaryTracker)
 
     async def begin(self, status: int, headers: CallHeaders, now_s: float) -> None:
         """Send the status and the headers."""
@@ -174,6 +181,7 @@
         recorder: "AttemptRecorder",
     ) -> Outcome | ErrorResponse:
         head = self.dialect.read_head(response.status, response.headers)
+        delivery.is_framed = response.is_framed
         if head.call_id and head.call_id != call.id:
             reason = f"the response carries the id of another call: {head.call_id}"
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
@@ -203,7 +211,9 @@
     ) -> Outcome:
         is_resumable = call.route.retry_policy is RetryPolicy.RESUME
         delivery.merger.begin()
+        delivery.boundary = EventBoundaryTracker()
         async for data in response.aiter_stream():
+            delivery.boundary.feed(data)
             forwarded = delivery.merger.feed(data) if is_resumable else data
             if not forwarded:
                 continue
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -307,6 +307,8 @@
                 heard_age_s=self.freshness.compute_age_s(self.clock()),
                 output_limit=call.output_limit,
                 last_event=delivery.merger.last_id,
+                framed=delivery.is_framed,
+                within_event=delivery.boundary.is_within_event(),
             )
         )
 
--- a/primrosepier/forwarding/events.py
+++ b/primrosepier/forwarding/events.py
@@ -3,10 +3,33 @@
 import re
 from dataclasses import dataclass
 
-__all__ = ["EventStreamMerger"]
+__all__ = ["EventBoundaryTracker", "EventStreamMerger"]
 
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+MAX_EVENT_END_BYTES = 4
+
+
+@dataclass(slots=True)
+class EventBoundaryTracker:
+    """Tracks whether the bytes of a stream end between two events.
+
+    Parameters
+    ----------
+    tail : bytes
+        Last bytes of the stream; empty before the first.
+    """
+
+    tail: bytes = b""
+
+    def feed(self, data: bytes) -> None:
+        """Process bytes of a response."""
+        self.tail = (self.tail + data)[-MAX_EVENT_END_BYTES:]
+
+    def is_within_event(self) -> bool:
+        """Return whether the end of the last event is missing."""
+        return bool(self.tail) and not self.tail.endswith(EVENT_ENDS)
 
 
 @dataclass(slots=True)
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -115,6 +115,11 @@
     last_event : str
         Id of the last event sent to the caller; empty if none was sent or the stream
         can't be resumed.
+    framed : bool or None
+        Whether a length or chunks marked the end of the last replica's response, rather
+        than the end of its connection; None if no replica responded.
+    within_event : bool
+        Whether the last replica's event stream ended within an event.
     """
 
     part: ClassVar[str] = "forward"
@@ -134,6 +139,8 @@
     heard_age_s: float
     output_limit: int = 0
     last_event: str = ""
+    framed: bool | None = None
+    within_event: bool = False
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -139,6 +139,8 @@
         heard_age_s=0.2,
         output_limit=180,
         last_event="31",
+        framed=False,
+        within_event=True,
     )
 
 
@@ -163,6 +165,7 @@
     assert "41000 prompt tokens pending" in explanation
     assert "17 outputs are generated" in explanation
     assert "up to 180 tokens; the last event sent: 31" in explanation
+    assert "marked by its connection's close, within an event" in explanation
     explanation = "\n".join(render_explanation(explain_request(timeline, "a2")))
     assert "status 503, stale_keys" in explanation
     assert "4.2 s before" in explanation
