Reproduce streams that break off and reach callers as complete

A replica on real sockets answers without a length, or in chunks, and ends within an event, or before the first; the router passes that on as a complete answer, on routes that may be resumed and on others.

--- /dev/null
+++ b/tests/raw_replicas.py
@@ -0,0 +1,83 @@
+"""Replicas that answer with fixed bytes, over real sockets."""
+
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+import anyio.abc
+
+from primrosepier.platform.standins import StandinReplica
+
+HEAD_END = b"\r\n\r\n"
+
+
+class ConnectionEnd(Enum):
+    CLOSE = "close"
+    RESET = "reset"
+
+
+@dataclass
+class RawReplica:
+    """Answers each call with the same body and ends the connection.
+
+    Parameters
+    ----------
+    headers : bytes
+        Header lines added to those that show which replica answered which call.
+    body : bytes
+        The body as it is sent, with its chunks if it has any.
+    """
+
+    body: bytes
+    headers: bytes = b""
+    end: ConnectionEnd = ConnectionEnd.CLOSE
+    runs: list[bytes] = field(default_factory=list)
+
+    async def serve(self, stream):
+        async with stream:
+            received = b""
+            while HEAD_END not in received:
+                try:
+                    received += await stream.receive()
+                except anyio.EndOfStream:
+                    return
+            head = received.partition(HEAD_END)[0]
+            self.runs.append(head)
+            await stream.send(self._make_head(head) + self.body)
+            if self.end is ConnectionEnd.RESET:
+                await anyio.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def _make_head(self, request_head):
+        lines = request_head.split(b"\r\n")
+        (call_id,) = (x for x in lines if x.lower().startswith(b"attempt-id:"))
+        proof = b"Server-Stamp: 1.2.3\r\nContent-Type: text/event-stream\r\n"
+        return (
+            b"HTTP/1.1 200 OK\r\n" + call_id + b"\r\n" + proof + self.headers + b"\r\n"
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_raw_replica(fleet, name, replica):
+    """Serve a replica in place of the fleet's replica of the same name."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    entry = StandinReplica(name).make_entry("writers", f"127.0.0.1:{port}")
+    store_view = fleet.routers[0].store_view
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, replica.serve)
+        fleet.store.put(f"servers/{name}", entry)
+        await fleet.wait_until(
+            lambda: any(
+                listed.address == entry["address"]
+                for listed in store_view.replicas.value.list_replicas("writers")
+            )
+        )
+        yield
+        group.cancel_scope.cancel()
+    await listener.aclose()
--- /dev/null
+++ b/tests/test_broken_streams.py
@@ -0,0 +1,92 @@
+"""Streams that replicas break off, with and without a length, over real sockets."""
+
+import httpcore
+import pytest
+from entry_fleet import run_entry
+from raw_replicas import ConnectionEnd, RawReplica, open_raw_replica
+
+pytestmark = pytest.mark.sockets
+EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in (1, 2, 3))
+BROKEN = EVENTS[: EVENTS.rindex(b"token")]
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+PATHS = ("/stream/notes/1", "/stream/queries/1")
+BROKEN_OFF = (httpcore.NetworkError, httpcore.ProtocolError)
+
+
+def make_chunks(body):
+    return b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+
+def run_with_replicas(check, **replicas):
+    async def run(fleet):
+        async with open_raw_replica(fleet, "w1", replicas["w1"]):
+            if "w2" not in replicas:
+                await check(fleet)
+                return
+            async with open_raw_replica(fleet, "w2", replicas["w2"]):
+                await check(fleet)
+
+    run_entry(run, names=("w1", "w2") if "w2" in replicas else ("w1",))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_stream_that_ends_within_an_event_is_not_passed_on_as_complete(path):
+    async def check(fleet):
+        with pytest.raises(BROKEN_OFF):
+            await fleet.send(path)
+
+    run_with_replicas(check, w1=RawReplica(BROKEN))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_chunked_stream_that_ends_within_an_event_is_not_passed_on_as_complete(path):
+    async def check(fleet):
+        with pytest.raises(BROKEN_OFF):
+            await fleet.send(path)
+
+    run_with_replicas(check, w1=RawReplica(make_chunks(BROKEN), CHUNKED))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_stream_that_is_reset_within_an_event_is_not_passed_on_as_complete(path):
+    async def check(fleet):
+        with pytest.raises(BROKEN_OFF):
+            await fleet.send(path)
+
+    run_with_replicas(check, w1=RawReplica(BROKEN, end=ConnectionEnd.RESET))
+
+
+def test_a_stream_that_ends_within_an_event_continues_at_another_replica():
+    async def check(fleet):
+        replica = RawReplica(BROKEN)
+        async with open_raw_replica(fleet, "w1", replica):
+            while not replica.runs:
+                assert (await fleet.send("/stream/queries/1")).body == EVENTS
+
+    run_entry(check, names=("w1", "w2"), repeat_ratio=1.0)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_response_that_ends_before_its_first_event_gets_502(path):
+    async def check(fleet):
+        assert (await fleet.send(path)).status == 502
+
+    run_with_replicas(check, w1=RawReplica(b""))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_whole_stream_without_a_length_is_passed_on_as_complete(path):
+    async def check(fleet):
+        assert (await fleet.send(path)).body == EVENTS
+
+    run_with_replicas(check, w1=RawReplica(EVENTS))
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_whole_stream_with_carriage_returns_is_passed_on_as_complete(path):
+    events = EVENTS.replace(b"\n", b"\r\n")
+
+    async def check(fleet):
+        assert (await fleet.send(path)).body == events
+
+    run_with_replicas(check, w1=RawReplica(events))
