End streams that break off within an event as broken off

What callers saw: status 200 with the replica's proof and a stream that ended as complete, though the replica had stopped within an event.

Cause: the end of a body was taken for the end of the stream. A response without a length or chunks ends with its connection, and that also happens when the replica fails; only the events tell whether the stream is whole.

Change: at the end of a stream the bytes must end between two events, and a response that is ended by its connection needs an event. Otherwise the attempt ends like one whose connection was lost: a stream that may be resumed continues elsewhere, any other one is cut at the caller, or gets 502 before its first byte.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import httpcore
+
 from ..asgi import Send, send_chunk
 from ..clocks import Clock
 from ..endpoint_client import (
@@ -220,6 +222,7 @@
             if not delivery.status:
                 await delivery.begin(head.status, head.headers, self.clock())
             await send_chunk(delivery.send, forwarded)
+        _require_whole_stream(response, delivery)
         if not delivery.status:
             await delivery.begin(head.status, head.headers, self.clock())
         await send_chunk(delivery.send, delivery.merger.partial, more=False)
@@ -320,6 +323,21 @@
     await send_chunk(delivery.send, error_response.body, more=False)
 
 
+def _require_whole_stream(response: EndpointResponse, delivery: Delivery) -> None:
+    """Check the end of an event stream, since a closed connection may mean a failure.
+
+    Raises
+    ------
+    httpcore.RemoteProtocolError
+        The stream ended within an event, or was closed before its first one.
+    """
+    if delivery.boundary.is_within_event():
+        raise httpcore.RemoteProtocolError("the stream ended within an event")
+    has_events = delivery.boundary.tail or delivery.merger.last_id
+    if not response.is_framed and not has_events:
+        raise httpcore.RemoteProtocolError("the stream ended before its first event")
+
+
 async def _read_all(response: EndpointResponse) -> bytes:
     return b"".join([data async for data in response.aiter_stream()])
 
