Do not take a connection that the router aborts for the end of a response

What callers would see: a response without a length, cut at a replica that counts as terminated, framed as complete.

Cause: abort_unresponsive closes the connection on this side, and the reader of the body saw its end without an error. Same class: the end of a connection taken for the end of what it carried. A connection that was closed here now ends a body without a length with an error, as it does one with a length.

--- a/primrosepier/streamed.py
+++ b/primrosepier/streamed.py
@@ -123,7 +123,7 @@
                 await self.stream.wait_for_bytes(self.read_timeout_s)
             data = buffer.take_all()
             if not data:
-                if self.is_framed:
+                if self.is_framed or self.stream.aborted:
                     raise httpcore.RemoteProtocolError("the connection closed early")
                 break
             body = parser.feed(data)
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -136,6 +136,8 @@
     ----------
     has_written : bool
         Whether a byte was written since the attribute was last reset.
+    aborted : bool
+        Whether the connection was closed on this side.
     """
 
     def __init__(self, buffer: _ReceiveBuffer, splits_heads: bool = False):
@@ -143,6 +145,7 @@
         self.splits_heads = splits_heads
         self.head = b""
         self.has_written = False
+        self.aborted = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as soon as any arrive; empty at the end of the stream."""
@@ -194,6 +197,7 @@
 
     def abort(self) -> None:
         """Close the connection without waiting."""
+        self.aborted = True
         if self.buffer.transport is not None:
             self.buffer.transport.abort()
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -162,3 +162,16 @@
         assert ended
 
     run_with_responses([b"", b""], check)
+
+
+def test_an_aborted_answer_without_a_length_is_not_complete():
+    async def check(client, address, connections):
+        call = EndpointCall(address, "GET", "/", (), b"", 1.0, 30.0, repeatable=True)
+        async with client.open(call) as response:
+            parts = response.aiter_stream()
+            assert await anext(parts) == b"a part"
+            assert client.abort_unresponsive(address, 0.0) == 1
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await anext(parts)
+
+    run_with_responses([b"HTTP/1.1 200 OK\r\n\r\na part", b""], check)
