Log what requests lost with their replica have in common

For the incident of the prompt part that crashes replicas: CallLost names, as keyed hashes, the parts of the prompt that other calls may share and the whole request. explain shows them.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from .forwarding.records import CallEnded, CallPlaced, CallRejected, CallRepeated
+from .forwarding.records import (
+    CallEnded,
+    CallLost,
+    CallPlaced,
+    CallRejected,
+    CallRepeated,
+)
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -137,6 +143,12 @@
             f"routers have {event.peer_tokens} prompt tokens pending there, and "
             f"{event.decoding} outputs are generated."
         )
+    elif isinstance(event, CallLost):
+        shared = ", ".join(f"{fingerprint:016x}" for fingerprint in event.fingerprints)
+        yield (
+            f"Lost the connection to {event.endpoint} after "
+            f"{event.duration_s * 1000:.1f} ms; shared parts and request: {shared}."
+        )
     elif isinstance(event, CallRepeated):
         outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
         where = f"Attempt {event.attempt} at {event.endpoint}"
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import NewType, Protocol
 
-from ..ids import EndpointId, ModelId, RequestId
+from ..ids import EndpointId, Fingerprint, ModelId, RequestId, WorkspaceId
+from ..suspects import compute_fingerprint, compute_part_fingerprint
 from .declarations import Route, Workspace
 
 __all__ = [
@@ -12,6 +13,7 @@
     "Call",
     "CallHeaders",
     "EndpointDialect",
+    "NO_WORKSPACE",
     "PartId",
     "PromptPart",
     "ReportedLoad",
@@ -23,6 +25,7 @@
 # three workspace priorities fit into the range of urgencies.
 ROUTE_PRIORITIES = 3
 LOWEST_URGENCY = 9
+NO_WORKSPACE = WorkspaceId("")
 
 CallHeaders = tuple[tuple[bytes, bytes], ...]
 PartId = NewType("PartId", str)
@@ -100,6 +103,19 @@
         """Length of the prompt, tokens."""
         return sum(part.tokens for part in self.parts)
 
+    def list_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of what other calls may have in common with this one.
+
+        These are the parts of the prompt but the last, in order, and the whole request.
+        """
+        workspace = self.workspace.id if self.workspace else NO_WORKSPACE
+        request = f"{self.method} {self.target}\n".encode("latin-1") + self.body
+        shared = (
+            compute_part_fingerprint(self.model, part.id.encode())
+            for part in self.parts[:-1]
+        )
+        return (*shared, compute_fingerprint(workspace, request))
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptOptions:
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -19,11 +19,11 @@
 )
 from ..clocks import Clock
 from ..errors import MessageError, RequestError
-from ..ids import RequestId, WorkspaceId
+from ..ids import RequestId
 from ..logs import Log
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Refused, Step
 from .attempts import RETRY_AFTER_S, Delivery
-from .calls import Call
+from .calls import NO_WORKSPACE, Call
 from .declarations import Declaration, Route, Workspace
 from .events import EventStreamMerger
 from .forwarder import Forwarder
@@ -39,7 +39,6 @@
 # delays.
 RETRY_AFTER_SHARE = 0.3
 READY_PATH = "/readyz"
-NO_WORKSPACE = WorkspaceId("")
 
 
 class RequestReader(Protocol):
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -35,7 +35,7 @@
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
 from .prefixes import PrefillTracker
-from .records import CallPlaced, CallRepeated, ReplicaGivenUp
+from .records import CallLost, CallPlaced, CallRepeated, ReplicaGivenUp
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
@@ -253,10 +253,25 @@
         finally:
             recorder.end(self.clock())
         self._record_outcome(choice.replica, outcome, started_s, recorder)
+        if getattr(outcome, "lost", False):
+            self._record_lost_call(call, endpoint, started_s, delivery)
         if not isinstance(outcome, NotRun):
             delivery.runs += 1
         return outcome
 
+    def _record_lost_call(
+        self, call: Call, endpoint: EndpointId, started_s: float, delivery: Delivery
+    ) -> None:
+        self.log.emit(
+            CallLost(
+                request=call.id,
+                attempt=delivery.attempts,
+                endpoint=endpoint,
+                duration_s=self.clock() - started_s,
+                fingerprints=call.list_fingerprints(),
+            )
+        )
+
     def _make_timeout_outcome(
         self, endpoint: EndpointId, delivery: Delivery
     ) -> Outcome:
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -2,12 +2,13 @@
 
 from typing import ClassVar
 
-from ..ids import EndpointId, RequestId, ServiceId, WorkspaceId
+from ..ids import EndpointId, Fingerprint, RequestId, ServiceId, WorkspaceId
 from ..log_events import Event
 from .declarations import RouteId
 
 __all__ = [
     "CallEnded",
+    "CallLost",
     "CallPlaced",
     "CallRejected",
     "CallRepeated",
@@ -97,6 +98,30 @@
         return f"retries {self.request} after {self.outcome} at {self.endpoint}"
 
 
+class CallLost(Event, frozen=True):
+    """The connection to a replica was lost before the end of a call.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time since the call was sent, seconds.
+    fingerprints : tuple of Fingerprint
+        What other calls may have in common with this one: the parts of the prompt but
+        the last, and the whole request.
+    """
+
+    part: ClassVar[str] = "forward"
+    request: RequestId
+    attempt: int
+    endpoint: EndpointId
+    duration_s: float
+    fingerprints: tuple[Fingerprint, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"lost the connection to {self.endpoint} during {self.request}"
+
+
 class CallEnded(Event, frozen=True):
     """A call that was routed ended.
 
@@ -335,6 +360,7 @@
 
 FORWARDING_EVENT = (
     CallEnded
+    | CallLost
     | CallPlaced
     | CallRejected
     | CallRepeated
--- a/primrosepier/ids.py
+++ b/primrosepier/ids.py
@@ -10,6 +10,7 @@
     "EndpointId",
     "FailureDomain",
     "FencingNumber",
+    "Fingerprint",
     "HostId",
     "Incarnation",
     "ModelId",
@@ -28,6 +29,7 @@
 EndpointId = NewType("EndpointId", str)
 FailureDomain = NewType("FailureDomain", str)
 FencingNumber = NewType("FencingNumber", int)
+Fingerprint = NewType("Fingerprint", int)
 HostId = NewType("HostId", str)
 Incarnation = NewType("Incarnation", str)
 ModelId = NewType("ModelId", str)
--- a/primrosepier/suspects.py
+++ b/primrosepier/suspects.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
-from .ids import EndpointId, FailureDomain, WorkspaceId
+from .ids import EndpointId, FailureDomain, Fingerprint, ModelId, WorkspaceId
 
 __all__ = [
     "Allowed",
@@ -13,6 +13,7 @@
     "SuspectTable",
     "Suspicion",
     "compute_fingerprint",
+    "compute_part_fingerprint",
 ]
 
 MAX_LOST_ENDPOINTS = 2
@@ -23,7 +24,7 @@
 FINGERPRINT_BYTES = 8
 
 
-def compute_fingerprint(workspace: WorkspaceId, body: bytes) -> int:
+def compute_fingerprint(workspace: WorkspaceId, body: bytes) -> Fingerprint:
     """Return a keyed hash that identifies a request without storing its content.
 
     Parameters
@@ -31,9 +32,18 @@
     body : bytes
         Canonical encoding of the request as sent to the endpoint.
     """
-    key = hashlib.blake2b(workspace.encode(), digest_size=32).digest()
-    digest = hashlib.blake2b(body, digest_size=FINGERPRINT_BYTES, key=key)
-    return int.from_bytes(digest.digest(), "big")
+    return _compute_hash(f"request/{workspace}", body)
+
+
+def compute_part_fingerprint(model: ModelId, part: bytes) -> Fingerprint:
+    """Return a keyed hash that identifies a part of prompts for a model."""
+    return _compute_hash(f"part/{model}", part)
+
+
+def _compute_hash(name: str, data: bytes) -> Fingerprint:
+    key = hashlib.blake2b(name.encode(), digest_size=32).digest()
+    digest = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES, key=key)
+    return Fingerprint(int.from_bytes(digest.digest(), "big"))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -8,7 +8,12 @@
 from primrosepier.cli import make_application
 from primrosepier.errors import SettingsError
 from primrosepier.explain import explain_request, render_explanation
-from primrosepier.forwarding.records import CallEnded, CallPlaced, CallRejected
+from primrosepier.forwarding.records import (
+    CallEnded,
+    CallLost,
+    CallPlaced,
+    CallRejected,
+)
 from primrosepier.log_lines import LogReader
 from primrosepier.logs import make_log
 from primrosepier.platform.checks import check_platform_file
@@ -148,6 +153,7 @@
     path = tmp_path / "front.log"
     log = make_log("front-1", LogSettings("info", str(path)))
     log.emit(make_placed("a1"))
+    log.emit(CallLost("a1", 1, "w1", 1.9, (0xAB, 0xCD)))
     log.emit(make_ended("a1"))
     log.emit(CallRejected("a2", 503, "stale_keys", 7, 4.2))
     log.close()
@@ -161,6 +167,7 @@
     assert "Chose w1 of 9 candidates" in explanation
     assert "the call's deadline passed" in explanation
     assert "Declaration 7" in explanation
+    assert "shared parts and request: 00000000000000ab, 00000000000000cd" in explanation
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
     assert "17 outputs are generated" in explanation
