Reproduce a prompt part that crashes engine after engine

Six routers and six engines in virtual time, under a load of two routes: calls with one part crash each engine that begins to write an answer on them, and come through any router, no two alike. They reach engines 15 times and more later than 3 s after the fifth crash; 3 are allowed. So do a first part, a part that engines had answered before, a request that comes again unchanged, and calls through routers that were restarted. Three more must keep passing: engines that crash together, again and again, or that reset some answers are no reason to refuse any call.

--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,202 @@
+"""Prompt parts and requests that crash each engine that runs them, in virtual time."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+from crash_cluster import BRIEFS, TAGS, CrashCluster
+
+from primrosepier.outcomes import NotRun, Step
+from primrosepier.virtualtime import run_in_virtual_time
+
+SEEDS = (1, 2)
+# Time after which what a router knows is in force at all routers in touch.
+STABLE_S = 3.0
+MAX_ARRIVALS = 3
+FIRST_CRASHES = 5
+STARTS_AT_S = 10.0
+ENDS_AT_S = 28.0
+CRASHING = "crashing"
+
+
+async def sleep_until(at_s):
+    await anyio.sleep(max(0.0, at_s - anyio.current_time()))
+
+
+def has_crashing_part(record):
+    return CRASHING in record.parts[:-1]
+
+
+def list_late_arrivals(cluster, count=FIRST_CRASHES):
+    """Return when crashing calls reached engines later than allowed."""
+    crashing = [call for call in cluster.calls if cluster.is_crashing(call)]
+    crashed_at_s = sorted(at_s for at_s, _ in cluster.crashes)
+    if len(crashed_at_s) < count:
+        return []
+    from_s = crashed_at_s[count - 1] + STABLE_S
+    return sorted(
+        at_s
+        for call in crashing
+        for at_s, _ in call.arrivals
+        if at_s > max(from_s, call.router_started_at_s + STABLE_S)
+    )
+
+
+def compute_begun(calls):
+    return sum(call.began_at_first_attempt for call in calls) / len(calls)
+
+
+def require_sound_calls_begin(cluster, kind):
+    """Check that calls which share a first part with crashing ones still begin."""
+    crashed_at_s = sorted(at_s for at_s, _ in cluster.crashes)[:FIRST_CRASHES]
+    from_s = crashed_at_s[-1] + 2 * STABLE_S
+    crashing = [call for call in cluster.calls if cluster.is_crashing(call)]
+    firsts = {call.parts[0] for call in crashing if call.parts[0] != CRASHING}
+    sound = [c for c in cluster.calls if c.kind == kind.name and c not in crashing]
+    before = [call for call in sound if 2.0 < call.sent_at_s < STARTS_AT_S]
+    after = [call for call in sound if from_s < call.sent_at_s < ENDS_AT_S]
+    assert compute_begun(after) >= 0.9 * compute_begun(before)
+    related = [call for call in after if call.parts[0] in firsts]
+    if len(related) >= 20:
+        assert compute_begun(related) >= 0.5 * compute_begun(before)
+
+
+def make_crashing_load(cluster, kind, per_s, make_parts):
+    async def send_crashing_calls():
+        await anyio.sleep(STARTS_AT_S)
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < ENDS_AT_S:
+                await anyio.sleep(cluster.rng.expovariate(per_s))
+                group.start_soon(cluster.send, kind, make_parts())
+
+    return send_crashing_calls
+
+
+def add_crashing_part(cluster, kind):
+    *shared, own = cluster.draw_parts(kind)
+    return (*shared[:1], CRASHING, *shared[2:], own)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("per_s", [0.7, 4.0, 15.0])
+def test_a_part_that_crashes_engines_is_kept_from_them_by_all_routers(per_s, seed):
+    cluster = CrashCluster(seed, is_crashing=has_crashing_part)
+    load = make_crashing_load(
+        cluster, TAGS, per_s, lambda: add_crashing_part(cluster, TAGS)
+    )
+    run_in_virtual_time(cluster.run, ENDS_AT_S, load)
+    assert len(cluster.crashes) >= 3
+    assert len(list_late_arrivals(cluster)) <= MAX_ARRIVALS
+    require_sound_calls_begin(cluster, TAGS)
+    require_sound_calls_begin(cluster, BRIEFS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_first_part_that_crashes_engines_is_kept_from_them(seed):
+    cluster = CrashCluster(seed, is_crashing=has_crashing_part)
+
+    def make_parts():
+        return (CRASHING, cluster.draw_parts(BRIEFS)[-1])
+
+    load = make_crashing_load(cluster, BRIEFS, 2.0, make_parts)
+    run_in_virtual_time(cluster.run, ENDS_AT_S, load)
+    assert len(list_late_arrivals(cluster)) <= MAX_ARRIVALS
+    require_sound_calls_begin(cluster, TAGS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_part_that_engines_answered_before_is_kept_from_them_once_it_crashes(seed):
+    cluster = CrashCluster(seed)
+    cluster.is_crashing = lambda call: (
+        call.sent_at_s >= STARTS_AT_S and call.parts[1] == "tags-1-7"
+    )
+
+    async def send_calls():
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < ENDS_AT_S:
+                await anyio.sleep(cluster.rng.expovariate(3.0))
+                first, _, own = cluster.draw_parts(TAGS)
+                group.start_soon(cluster.send, TAGS, (first, "tags-1-7", own))
+
+    run_in_virtual_time(cluster.run, ENDS_AT_S, send_calls)
+    assert len(list_late_arrivals(cluster)) <= MAX_ARRIVALS
+    require_sound_calls_begin(cluster, TAGS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_request_that_crashes_engines_is_kept_from_them_when_it_comes_again(seed):
+    cluster = CrashCluster(seed, is_crashing=lambda call: call.body == b"crashing")
+    parts = cluster.draw_parts(TAGS)
+
+    async def send_request_again():
+        await anyio.sleep(STARTS_AT_S)
+        async with anyio.create_task_group() as group:
+            while anyio.current_time() < ENDS_AT_S:
+                await anyio.sleep(cluster.rng.expovariate(2.0))
+                group.start_soon(cluster.send, TAGS, parts, b"crashing", "workspace-1")
+
+    run_in_virtual_time(cluster.run, ENDS_AT_S, send_request_again)
+    assert len(list_late_arrivals(cluster, count=3)) <= MAX_ARRIVALS
+    require_sound_calls_begin(cluster, TAGS)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_restarted_router_learns_which_part_crashes_engines(seed):
+    cluster = CrashCluster(seed, is_crashing=has_crashing_part)
+    load = make_crashing_load(
+        cluster, TAGS, 4.0, lambda: add_crashing_part(cluster, TAGS)
+    )
+
+    async def restart_routers():
+        for number in range(cluster.router_count):
+            await sleep_until(18.0 + number)
+            cluster.start_router(f"front-{number}")
+
+    run_in_virtual_time(cluster.run, ENDS_AT_S, load, restart_routers)
+    assert len(list_late_arrivals(cluster)) <= MAX_ARRIVALS
+
+
+def list_quarantined(cluster):
+    return [
+        call
+        for call in cluster.calls
+        if isinstance(call.outcome, NotRun)
+        and call.outcome.step is Step.PLACE
+        and "crash" in call.outcome.reason
+    ]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_engines_that_crash_at_once_and_again_quarantine_no_call(seed):
+    cluster = CrashCluster(seed)
+
+    async def crash_engines():
+        for at_s in (8.0, 11.5, 15.0, 15.5):
+            await sleep_until(at_s)
+            for engine in cluster.rng.sample(cluster.engines, 3):
+                cluster.crash(engine, down_s=1.0)
+
+    run_in_virtual_time(cluster.run, 20.0, crash_engines)
+    assert len(cluster.crashes) >= 6
+    assert not list_quarantined(cluster)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_engines_that_reset_some_answers_quarantine_no_call(seed):
+    cluster = CrashCluster(seed)
+    cluster.reset_share = lambda engine, now_s: 0.4 if engine.number < 2 else 0.05
+    run_in_virtual_time(cluster.run, 20.0)
+    assert not list_quarantined(cluster)
+
+
+def test_all_engines_lost_again_and_again_quarantine_no_call():
+    cluster = CrashCluster(4, kinds=(replace(TAGS, per_s=20.0), BRIEFS))
+
+    async def crash_engines():
+        for at_s in (8.0, 11.0, 14.0, 17.0):
+            await sleep_until(at_s)
+            for engine in cluster.engines:
+                cluster.crash(engine, down_s=1.0)
+
+    run_in_virtual_time(cluster.run, 20.0, crash_engines)
+    assert not list_quarantined(cluster)
