Quarantine prompt parts that crash replicas, over all routers

What callers saw: replicas crash one after the other, and most calls of two routes fail for as long as calls with one part in their prompts come.

Cause: nothing on this path remembered crashes. Each such call is new, so that a memory of whole requests, as suspects.py has for the product's own interface, would not have met it either: what the lost calls have in common is a part. The class: a fault that many callers bring, judged by each call alone. Ruled out: retries (calls that are never retried crash as many replicas in the test) and replicas that crash by themselves (the engines of the test do not).

Change: the quarantine keeps a log of lost calls with the fingerprints of their parts (loss_log.py), merged over routers by the datagrams that they send anyway. A part is the cause of three crashes if it is in each, at two replicas or more, by three calls of which each was sent after the crash before, and was not answered since. The part with the most losses explains them away, so that calls lost beside it stay free. Calls that go on at a replica show that it has not crashed. A call with a cause is refused at once, with 503, on all routers; one that is retried is not sent on. A request that comes again unchanged is treated alike. Known causes are repeated to routers that start later.

Tried and given up: parts that were never answered explain first (an innocent one displaced a part that had been answered before it crashed engines); retries of one request count for its parts (each request explained its own crashes).

--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import NewType, Protocol
 
-from ..ids import EndpointId, Fingerprint, ModelId, RequestId, WorkspaceId
+from ..ids import EndpointId, ModelId, RequestId, WorkspaceId
+from ..loss_log import Fingerprints
 from ..suspects import compute_fingerprint, compute_part_fingerprint
 from .declarations import Route, Workspace
 
@@ -103,18 +104,20 @@
         """Length of the prompt, tokens."""
         return sum(part.tokens for part in self.parts)
 
-    def list_fingerprints(self) -> tuple[Fingerprint, ...]:
+    def make_fingerprints(self) -> Fingerprints:
         """Return the fingerprints of what other calls may have in common with this one.
 
-        These are the parts of the prompt but the last, in order, and the whole request.
+        Calls of different workspaces are never the same, but they may share parts.
         """
         workspace = self.workspace.id if self.workspace else NO_WORKSPACE
         request = f"{self.method} {self.target}\n".encode("latin-1") + self.body
-        shared = (
-            compute_part_fingerprint(self.model, part.id.encode())
-            for part in self.parts[:-1]
+        return Fingerprints(
+            compute_fingerprint(workspace, request),
+            tuple(
+                compute_part_fingerprint(self.model, part.id.encode())
+                for part in self.parts[:-1]
+            ),
         )
-        return (*shared, compute_fingerprint(workspace, request))
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from ..endpoint_client import EndpointClient
 from ..ids import EndpointId, ServiceId
 from ..logs import Log
+from ..loss_log import Fingerprints
 from ..outcomes import (
     Completed,
     Interrupted,
@@ -22,6 +23,7 @@
     UnknownOutcome,
 )
 from ..retries import merge_outcomes
+from ..suspects import Quarantined, SuspectTable
 from .attempts import (
     HTTP_SERVER_ERROR,
     RETRY_AFTER_S,
@@ -56,6 +58,7 @@
 # Tokens added to a prompt's uncached tokens when latency per token is computed. They
 # stand for the fixed cost of an engine step, so that short prompts do not look slow.
 PREFILL_BASE_TOKENS = 512
+QUARANTINE_REASON = "the request or a part of its prompt crashed the replicas it ran on"
 
 SelectReplicas = Callable[
     [Sequence[Replica]], tuple[Sequence[Replica], frozenset[EndpointId]]
@@ -83,6 +86,8 @@
     select_replicas : callable
         Filters a service's replicas by their weights versions. Returns the replicas
         that may serve calls, and the ids of those whose weights are outdated.
+    suspects : SuspectTable
+        Calls that crash replicas.
     """
 
     sender: CallSender
@@ -95,6 +100,7 @@
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
+    suspects: SuspectTable = field(default_factory=SuspectTable)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call and send the response through the delivery.
@@ -131,16 +137,21 @@
         tried: set[EndpointId] = set()
         previous: Outcome | None = None
         error_response: ErrorResponse | None = None
+        fingerprints = call.make_fingerprints()
         while True:
+            allowed = self.suspects.check_common(fingerprints, self.clock())
+            if isinstance(allowed, Quarantined):
+                outcome: Outcome = previous or NotRun(
+                    Step.PLACE, "-", QUARANTINE_REASON, allowed.retry_after_s
+                )
+                break
             choice = self._choose_replica(call, service, tried)
             if choice is None:
-                outcome: Outcome = previous or self._make_not_run(
-                    "no replica is available"
-                )
+                outcome = previous or self._make_not_run("no replica is available")
                 break
             tried.add(choice.replica.id)
             delivery.attempts += 1
-            result = await self._attempt(call, service, choice, delivery)
+            result = await self._attempt(call, fingerprints, choice, delivery)
             if isinstance(result, ErrorResponse):
                 error_response = result
                 outcome = Refused(
@@ -236,7 +247,11 @@
         return choice
 
     async def _attempt(
-        self, call: Call, service: ServiceId, choice: Choice, delivery: Delivery
+        self,
+        call: Call,
+        fingerprints: Fingerprints,
+        choice: Choice,
+        delivery: Delivery,
     ) -> Outcome | ErrorResponse:
         endpoint = choice.replica.id
         index = self.chooser.prefixes
@@ -253,22 +268,33 @@
         finally:
             recorder.end(self.clock())
         self._record_outcome(choice.replica, outcome, started_s, recorder)
-        if getattr(outcome, "lost", False):
-            self._record_lost_call(call, endpoint, started_s, delivery)
+        if isinstance(outcome, Completed) and recorder.responded_at_s is not None:
+            self.suspects.loss_log.record_answer(
+                fingerprints, endpoint, recorder.responded_at_s, self.clock()
+            )
+        elif getattr(outcome, "lost", False):
+            self._record_lost_call(call, fingerprints, endpoint, started_s, delivery)
         if not isinstance(outcome, NotRun):
             delivery.runs += 1
         return outcome
 
     def _record_lost_call(
-        self, call: Call, endpoint: EndpointId, started_s: float, delivery: Delivery
+        self,
+        call: Call,
+        fingerprints: Fingerprints,
+        endpoint: EndpointId,
+        started_s: float,
+        delivery: Delivery,
     ) -> None:
+        now_s = self.clock()
+        self.suspects.loss_log.record_loss(fingerprints, endpoint, started_s, now_s)
         self.log.emit(
             CallLost(
                 request=call.id,
                 attempt=delivery.attempts,
                 endpoint=endpoint,
-                duration_s=self.clock() - started_s,
-                fingerprints=call.list_fingerprints(),
+                duration_s=now_s - started_s,
+                fingerprints=fingerprints.list_all(),
             )
         )
 
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -35,6 +35,14 @@
         "Attempts after which another replica got the call.",
         "Many after NotRun: replicas are full or load weights.",
     ),
+    MetricSpec(
+        "primrosepier_lost_attempts_total",
+        COUNTER,
+        "attempts",
+        (),
+        "Attempts whose connection was lost before the end of the answer.",
+        "Many at once: replicas crash; look for CallLost and QuarantineChanged.",
+    ),
     MetricSpec(
         "primrosepier_choices_total",
         COUNTER,
@@ -115,6 +123,14 @@
         "Replicas that may get calls.",
         "Falls: look for FleetChanged.",
     ),
+    MetricSpec(
+        "primrosepier_quarantined",
+        GAUGE,
+        "requests and parts",
+        (),
+        "Requests and prompt parts that crash replicas and are refused.",
+        "Above 0: find their calls by QuarantineChanged and CallLost.",
+    ),
     MetricSpec(
         "primrosepier_duty_held",
         GAUGE,
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -3,9 +3,9 @@
 A router knows its own calls at once, but learns of its peers' calls only seconds later,
 from the loads that replicas report. Each router therefore sends its peers datagrams
 that report the prompt tokens that each replica has yet to prefill for it, the calls
-that each replica decodes for it, its updates of the prefix index and its loading
-record. The next report replaces one that was lost, except for the updates, which are
-sent once.
+that each replica decodes for it, its updates of the prefix index, its loading record
+and the calls that it lost with their replicas. The next report replaces one that was
+lost, except for the updates, which are sent once.
 """
 
 import random
@@ -19,6 +19,7 @@
 
 from ..clocks import Clock
 from ..ids import EndpointId, HostId
+from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
@@ -82,6 +83,8 @@
         does not hold the weights duty.
     decoding : Mapping of EndpointId to int
         The sender's calls whose output each replica generates.
+    losses : LossReport or None
+        Calls that were lost with their replicas; None if there is nothing to report.
     """
 
     token: str
@@ -90,6 +93,7 @@
     prefixes: Sequence[PrefixUpdate] = ()
     loading_record: LoadingRecord | None = None
     decoding: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
+    losses: LossReport | None = None
 
 
 def make_no_loading_record() -> LoadingRecord | None:
@@ -168,6 +172,7 @@
         weights duty.
     apply_loading_record : callable
         Called with each loading record that a peer reports.
+    loss_log : LossLog
 
     Attributes
     ----------
@@ -183,6 +188,7 @@
     clock: Clock
     make_loading_record: Callable[[], LoadingRecord | None] = make_no_loading_record
     apply_loading_record: Callable[[LoadingRecord], None] = ignore_loading_record
+    loss_log: LossLog = field(default_factory=LossLog)
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
 
@@ -218,7 +224,7 @@
             and loading_record.sort_key > self.reported_sort_key
         ):
             return True
-        if self.prefixes.pending_updates:
+        if self.prefixes.pending_updates or self.loss_log.must_report(self.clock()):
             return True
         return any(
             abs(pending_tokens.get(endpoint, 0) - self.reported_tokens.get(endpoint, 0))
@@ -264,6 +270,9 @@
         loading_record = self.make_loading_record()
         if loading_record is not None:
             self.reported_sort_key = loading_record.sort_key
+        now_s = self.clock()
+        must_report_losses = self.loss_log.must_report(now_s)
+        losses = self.loss_log.make_report(now_s) if must_report_losses else None
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -273,6 +282,7 @@
                 updates,
                 loading_record,
                 self.list_decoding(),
+                losses,
             )
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
@@ -302,5 +312,7 @@
         peer_load = PeerLoad(report.tokens, now_s, report.decoding)
         self.loads.record_peer_load(report.sender, peer_load)
         self.prefixes.apply_updates(report.prefixes, now_s)
+        if report.losses is not None:
+            self.loss_log.merge(report.losses, now_s)
         if report.loading_record is not None:
             self.apply_loading_record(report.loading_record)
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -19,6 +19,7 @@
     "FORWARDING_EVENT",
     "FleetChanged",
     "MetricsUnserved",
+    "QuarantineChanged",
     "ReplicaGivenUp",
     "RouterStarted",
     "RouterStopping",
@@ -207,6 +208,28 @@
         return f"aborted {self.calls} calls on unresponsive {self.endpoint}"
 
 
+class QuarantineChanged(Event, frozen=True):
+    """Requests with a fingerprint are refused from now on, or no longer.
+
+    Parameters
+    ----------
+    added, ended : tuple of Fingerprint
+        Parts of prompts or requests that crash replicas.
+    """
+
+    part: ClassVar[str] = "forward"
+    added: tuple[Fingerprint, ...]
+    ended: tuple[Fingerprint, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        added, ended = (
+            ", ".join(f"{fingerprint:016x}" for fingerprint in group) or "none"
+            for group in (self.added, self.ended)
+        )
+        return f"quarantined what crashes replicas: {added}; no longer: {ended}"
+
+
 class RouterStarted(Event, frozen=True):
     """A router started."""
 
@@ -369,6 +392,7 @@
     | DutyChanged
     | EntryUnreadable
     | FleetChanged
+    | QuarantineChanged
     | ReplicaGivenUp
     | RouterStarted
     | RouterStopping
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -13,7 +13,7 @@
 from ..clocks import Clock
 from ..endpoint_client import EndpointClient
 from ..errors import SettingsError
-from ..ids import EndpointId
+from ..ids import EndpointId, Fingerprint
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
 from ..logs import Log, make_log
@@ -30,7 +30,13 @@
 from .gauges import set_gauges
 from .metrics import EntryMetrics, make_entry_metrics
 from .peers import PeerDirectory, PeerExchange
-from .records import MetricsUnserved, RouterStarted, RouterStopping, SettingsRead
+from .records import (
+    MetricsUnserved,
+    QuarantineChanged,
+    RouterStarted,
+    RouterStopping,
+    SettingsRead,
+)
 from .replica_choice import Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
@@ -241,6 +247,7 @@
         weights_controller.apply_loading_record,
     )
     peers = PeerExchange(directory, forwarder.loads, prefixes, clock, *callbacks)
+    peers.loss_log = forwarder.suspects.loss_log
     weights_controller.notify = peers.request_report
     return peers
 
@@ -274,7 +281,7 @@
         settings.repeat_window_s,
     )
     rng = random.Random(settings.host)
-    return make_forwarder(
+    forwarder = make_forwarder(
         platform.client,
         platform.dialect,
         lambda: store_view.replicas.value,
@@ -284,6 +291,14 @@
         platform.clock,
     )
 
+    def log_causes(
+        added: frozenset[Fingerprint], ended: frozenset[Fingerprint]
+    ) -> None:
+        store_view.log.emit(QuarantineChanged(tuple(added), tuple(ended)))
+
+    forwarder.suspects.loss_log.notify = log_causes
+    return forwarder
+
 
 def _plan_cache_use(
     store_view: StoreView, load_table: ReplicaLoadTable, call: Call, choice: Choice
--- a/primrosepier/suspects.py
+++ b/primrosepier/suspects.py
@@ -1,4 +1,8 @@
-"""Detection and quarantine of requests suspected of crashing endpoints."""
+"""Detection and quarantine of requests suspected of crashing endpoints.
+
+A request is quarantined when it is lost with two endpoints. What requests have in
+common, as a part of their prompts, is quarantined by what the log of losses proves.
+"""
 
 import hashlib
 from collections import Counter
@@ -6,6 +10,7 @@
 from dataclasses import dataclass, field, replace
 
 from .ids import EndpointId, FailureDomain, Fingerprint, ModelId, WorkspaceId
+from .loss_log import Fingerprints, LossLog
 
 __all__ = [
     "Allowed",
@@ -119,11 +124,21 @@
         Attempts in progress, by request fingerprint and endpoint.
     losses : list of _Loss
         Endpoints lost within the last `CORRELATION_S`.
+    loss_log : LossLog
+        Losses of the last minutes, for what lost requests have in common.
     """
 
     suspicions: dict[int, Suspicion] = field(default_factory=dict)
     running: dict[int, Counter[EndpointId]] = field(default_factory=dict)
     losses: list[_Loss] = field(default_factory=list)
+    loss_log: LossLog = field(default_factory=LossLog)
+
+    def check_common(
+        self, fingerprints: Fingerprints, now_s: float
+    ) -> Allowed | Quarantined:
+        """Decide by what a request has in common with others whether it may run."""
+        remaining_s = self.loss_log.compute_quarantine_s(fingerprints, now_s)
+        return Allowed() if remaining_s is None else Quarantined(remaining_s)
 
     def check(self, fingerprint: int, now_s: float) -> Allowed | Quarantined:
         """Decide whether a request may run, and on which endpoints.
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -107,9 +107,11 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_part_that_engines_answered_before_is_kept_from_them_once_it_crashes(seed):
     cluster = CrashCluster(seed)
-    cluster.is_crashing = lambda call: (
-        call.sent_at_s >= STARTS_AT_S and call.parts[1] == "tags-1-7"
-    )
+
+    def crashes_by_now(call):
+        return anyio.current_time() >= STARTS_AT_S and call.parts[1] == "tags-1-7"
+
+    cluster.is_crashing = crashes_by_now
 
     async def send_calls():
         async with anyio.create_task_group() as group:
@@ -119,6 +121,9 @@
                 group.start_soon(cluster.send, TAGS, (first, "tags-1-7", own))
 
     run_in_virtual_time(cluster.run, ENDS_AT_S, send_calls)
+    cluster.is_crashing = lambda call: (
+        call.sent_at_s >= STARTS_AT_S and call.parts[1] == "tags-1-7"
+    )
     assert len(list_late_arrivals(cluster)) <= MAX_ARRIVALS
     require_sound_calls_begin(cluster, TAGS)
 
--- a/tests/test_entry_router.py
+++ b/tests/test_entry_router.py
@@ -397,3 +397,32 @@
         assert len(reads) <= 2 * 10
 
     run_entry(check, apply_s=0.1, store_reads_per_s=10.0)
+
+
+def test_a_part_that_crashes_replicas_is_refused_by_all_routers():
+    async def check(fleet):
+        for replica in fleet.replicas.values():
+            replica.faults.crash_on = "bad"
+
+        def send(own, router, shared="first:50,bad:20"):
+            prompt = {"Model": "m0", "Prefix-Hash": f"{shared},{own}:30"}
+            return fleet.send("/stream/notes/1", own.encode(), router=router, **prompt)
+
+        first = fleet.routers[0]
+        async with fleet.open_router("front-2") as second:
+            peers = first.peers.directory
+            await fleet.wait_until(lambda: second.store_view.declaration.value)
+            await fleet.wait_until(lambda: peers.peers and second.peers.directory.peers)
+            for number in range(3):
+                assert (await send(f"a{number}", first)).status == 502
+            loss_log = second.app.forwarder.suspects.loss_log
+            await fleet.wait_until(lambda: len(loss_log.losses) == 3)
+            arrivals = fleet.count_arrivals()
+            for router in (first, second):
+                reply = await send("b", router)
+                assert reply.status == 503
+                assert float(reply.headers["retry-after"]) > 0
+            assert fleet.count_arrivals() == arrivals
+            assert (await send("c", second, "first:50,good:20")).status == 200
+
+    run_entry(check, names=("w1", "w2", "w3", "w4"))
