Count every endpoint of a cause, also where one is retried at two

What callers would see: a part that crashes the same two endpoints again and again is never refused. Found by a test of the product's own interface, whose endpoints keep their ids.

Cause: of each request only the first loss was looked at, so that requests which all begin at one endpoint seemed to prove nothing against others. Now the endpoints of all losses with the part count. The test failed before and passes.

--- a/primrosepier/loss_log.py
+++ b/primrosepier/loss_log.py
@@ -407,10 +407,10 @@
         such a request. Repeats of one request prove nothing of the parts that it
         shares with others.
         """
-        if len(losses) < MIN_LOSSES:
+        endpoints = {loss.endpoint for loss in losses}
+        if len(losses) < MIN_LOSSES or len(endpoints) < MIN_ENDPOINTS:
             return False
         lost_at_s = float("-inf")
-        endpoints: set[EndpointId] = set()
         counted: list[Fingerprint] = []
         for loss in losses:
             for request in loss.requests.values():
@@ -423,10 +423,9 @@
                     and self._explains_coincidence(fingerprint, loss)
                 ):
                     lost_at_s = loss.lost_at_s
-                    endpoints.add(loss.endpoint)
                     counted.append(name)
                     break
-        return len(counted) >= MIN_LOSSES and len(endpoints) >= MIN_ENDPOINTS
+        return len(counted) >= MIN_LOSSES
 
     def _explains_coincidence(self, fingerprint: Fingerprint, loss: _Loss) -> bool:
         """Return whether all endpoints lost with one ran such a request."""
--- a/tests/test_loss_log.py
+++ b/tests/test_loss_log.py
@@ -81,6 +81,15 @@
     assert not is_quarantined(log, CRASHING, now_s=30.0)
 
 
+def test_two_endpoints_that_crash_again_and_again_are_proof():
+    log = LossLog()
+    for number in range(MIN_LOSSES):
+        at_s = 10.0 + 3.0 * number
+        for endpoint in ("e0", "e1"):
+            log.record_loss(make_request(number, CRASHING), endpoint, at_s, at_s)
+    assert is_quarantined(log, CRASHING)
+
+
 def test_an_endpoint_that_goes_on_with_an_answer_has_not_crashed():
     log, peer = LossLog(), LossLog()
     now_s = lose_requests(log)
