Quarantine parts that crash endpoints on the product's own interface too

What callers would see: engines crash one after the other under requests that share a message or a prefix; each request is refused after two engines, but the next one with that part is not.

The dispatcher now hands the quarantine the fingerprints of the messages but the last, or of the blocks of a text, and routers replicate the log of losses as a digest beside the suspicions. What a request alone has done is judged as before, after two endpoints.

A report is bounded by fingerprints instead of requests, since a conversation has many parts; and a loss that is known is not taken again from a later copy of a report, which may have been on its way for longer.

--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 import anyio
-import msgspec
 
 from .admission import Shed
 from .asgi import Send
@@ -18,6 +17,7 @@
 from .gate import Gate, make_gate
 from .ids import EndpointId, Incarnation, ServiceId, WeightsVersion
 from .limits import Demand, WorkspaceLimiter
+from .loss_log import Fingerprints
 from .outcomes import (
     Completed,
     Interrupted,
@@ -30,10 +30,10 @@
 from .placement import Decision, Feedback, Placement
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
-from .requests import ModelRequest
+from .requests import ModelRequest, make_fingerprints
 from .retries import GiveUp, RetryBudget, decide_retry, merge_outcomes
 from .settings import Limits
-from .suspects import Quarantined, Suspicion, compute_fingerprint
+from .suspects import Quarantined, Suspicion
 
 __all__ = ["Dispatcher", "ShareSuspicions", "make_dispatcher"]
 
@@ -131,18 +131,18 @@
         return self.gates[service]
 
     async def _run(self, request: ModelRequest, delivery: Delivery) -> Outcome:
-        fingerprint = _compute_request_fingerprint(request)
+        fingerprints = make_fingerprints(request)
         self.budget.deposit()
         tried: set[EndpointId] = set()
         outcome: Outcome = NotRun(Step.PLACE, "-", "no endpoint has room", 1.0)
         while True:
             now_s = self.clock()
-            chosen = self.choose(request, fingerprint, tried, now_s)
+            chosen = self.choose(request, fingerprints, tried, now_s)
             if isinstance(chosen, NotRun):
                 return outcome if tried else chosen
             previous = outcome if tried else None
             tried.add(chosen.endpoint)
-            latest = await self._attempt(request, fingerprint, chosen, delivery)
+            latest = await self._attempt(request, fingerprints, chosen, delivery)
             outcome = merge_outcomes(previous, latest)
             if isinstance(outcome, Completed | Refused):
                 return outcome
@@ -160,12 +160,17 @@
     def choose(
         self,
         request: ModelRequest,
-        fingerprint: int,
+        fingerprints: Fingerprints,
         tried: set[EndpointId],
         now_s: float,
     ) -> Decision | NotRun:
         """Choose an endpoint that has not been tried, or return why there is none."""
         suspects = self.candidates.suspects
+        common = suspects.check_common(fingerprints, now_s)
+        if isinstance(common, Quarantined):
+            reason = "a part of the prompt crashed the endpoints that ran it"
+            return NotRun(Step.PLACE, "-", reason, common.retry_after_s)
+        fingerprint = fingerprints.request
         allowed = suspects.check(fingerprint, now_s)
         if isinstance(allowed, Quarantined):
             reason = "the request crashed the endpoints that ran it"
@@ -185,7 +190,7 @@
     async def _attempt(
         self,
         request: ModelRequest,
-        fingerprint: int,
+        fingerprints: Fingerprints,
         decision: Decision,
         delivery: Delivery,
     ) -> Outcome:
@@ -195,22 +200,29 @@
         endpoint = configuration.endpoints[decision.endpoint]
         suspects = self.candidates.suspects
         outcome: Outcome | None = None
-        suspects.record_start(fingerprint, endpoint.id)
+        suspects.record_start(fingerprints.request, endpoint.id)
         self.candidates.outstanding[endpoint.id] += 1
         started_s = self.clock()
         try:
             outcome = await self.attempts.run(request, endpoint, delivery)
-            await self._record_failure(fingerprint, endpoint, outcome)
+            await self._record_failure(fingerprints, endpoint, outcome, started_s)
         finally:
             self.candidates.outstanding[endpoint.id] -= 1
             completed = isinstance(outcome, Completed | Refused)
-            suspects.record_end(fingerprint, endpoint.id, completed)
+            suspects.record_end(fingerprints.request, endpoint.id, completed)
         if isinstance(outcome, Completed):
+            suspects.loss_log.record_answer(
+                fingerprints, endpoint.id, delivery.headers_at_s, self.clock()
+            )
             self._record_completion(request, decision, outcome, delivery, started_s)
         return outcome
 
     async def _record_failure(
-        self, fingerprint: int, endpoint: Endpoint, outcome: Outcome
+        self,
+        fingerprints: Fingerprints,
+        endpoint: Endpoint,
+        outcome: Outcome,
+        sent_at_s: float,
     ) -> None:
         """Record a failed attempt; share new suspicions before any retry."""
         now_s = self.clock()
@@ -223,9 +235,11 @@
         self.candidates.ejections.record_failure(endpoint.id, now_s)
         self.candidates.identities.pop(endpoint.id, None)
         if isinstance(outcome, UnknownOutcome | Interrupted) and outcome.lost:
-            new_suspicions = self.candidates.suspects.record_loss(
-                fingerprint, endpoint.id, endpoint.failure_domain, now_s
+            suspects = self.candidates.suspects
+            new_suspicions = suspects.record_loss(
+                fingerprints.request, endpoint.id, endpoint.failure_domain, now_s
             )
+            suspects.loss_log.record_loss(fingerprints, endpoint.id, sent_at_s, now_s)
             if new_suspicions:
                 await self.share_suspicions(new_suspicions)
 
@@ -267,11 +281,6 @@
         )
 
 
-def _compute_request_fingerprint(request: ModelRequest) -> int:
-    body = msgspec.json.encode(request.body, order="deterministic")
-    return compute_fingerprint(request.workspace.id, body)
-
-
 def make_dispatcher(
     board: Board,
     attempts: AttemptRunner,
--- a/primrosepier/loss_log.py
+++ b/primrosepier/loss_log.py
@@ -51,7 +51,7 @@
 # Interval at which causes are reported to routers that have started since.
 CAUSE_REPORT_INTERVAL_S = 2.0
 # Limits on the size of a report.
-MAX_REPORTED_REQUESTS = 32
+MAX_REPORTED_FINGERPRINTS = 128
 MAX_REPORTED_ANSWERS = 32
 MS = 0.001
 
@@ -305,6 +305,13 @@
         self.losses.sort(key=lambda loss: loss.lost_at_s)
         return loss
 
+    def _knows_loss(self, endpoint: EndpointId, request: Fingerprint) -> bool:
+        """Return whether a request is known to be lost with an endpoint at any time."""
+        return any(
+            loss.endpoint == endpoint and request in loss.requests
+            for loss in self.losses
+        )
+
     def _request_refresh(self) -> None:
         due_s = self.refreshed_at_s + REFRESH_INTERVAL_S
         self.refresh_at_s = min(self.refresh_at_s, due_s)
@@ -457,10 +464,13 @@
         self.is_changed = False
         self.reported_at_s = now_s
         shared = []
-        room = MAX_REPORTED_REQUESTS
+        room = MAX_REPORTED_FINGERPRINTS
         for loss in reversed(self.losses):
-            requests = self._select_reported(loss, now_s)[:room]
-            room -= len(requests)
+            requests = []
+            for request in self._select_reported(loss, now_s):
+                room -= len(request.fingerprints.list_all())
+                if room >= 0:
+                    requests.append(request)
             if requests or loss.disproved_at_s + REPEAT_S > now_s:
                 shared.append(_share_loss(loss, requests, now_s))
         lost = {
@@ -510,7 +520,7 @@
                 fingerprints = Fingerprints(request.request, request.parts)
                 sent_at_s = now_s - request.sent_ms * MS
                 lost = _LostRequest(fingerprints, sent_at_s, is_own=False)
-                if fingerprints.request not in loss.requests:
+                if not self._knows_loss(shared.endpoint, request.request):
                     is_new = loss.add(lost) or is_new
         if is_new:
             self._request_refresh()
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -3,10 +3,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from .asgi import Scope
 from .configuration import Configuration, Model, Service, Workspace
 from .errors import RequestError
 from .ids import AdapterId, ModelId, RequestId
+from .loss_log import Fingerprints
 from .prompts import CacheScope, Prompt, find_levels, make_prompt, render_messages
 from .request_checks import (
     check_chat_body,
@@ -15,8 +18,12 @@
     read_resume_position,
 )
 from .stream_continuation import Position
+from .suspects import compute_fingerprint, compute_part_fingerprint
+
+__all__ = ["ModelRequest", "build_prompt", "make_fingerprints", "make_model_request"]
 
-__all__ = ["ModelRequest", "build_prompt", "make_model_request"]
+# Bounds the cost of a long conversation; nested prompts share their first parts.
+MAX_FINGERPRINTED_PARTS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +101,25 @@
     )
 
 
+def make_fingerprints(request: ModelRequest) -> Fingerprints:
+    """Return the fingerprints of a request and of what it may share with others.
+
+    Its parts are the messages but the last, or the whole blocks of a text.
+    """
+    body = msgspec.json.encode(request.body, order="deterministic")
+    messages = request.body.get("messages") or ()
+    parts = [msgspec.json.encode(x, order="deterministic") for x in messages[:-1]]
+    if not messages:
+        parts = [b"%x" % block for block in request.prompt.blocks]
+    return Fingerprints(
+        compute_fingerprint(request.workspace.id, body),
+        tuple(
+            compute_part_fingerprint(request.model.id, part)
+            for part in parts[:MAX_FINGERPRINTED_PARTS]
+        ),
+    )
+
+
 def _find_model(configuration: Configuration, name: object) -> tuple[Model, Service]:
     if not isinstance(name, str):
         raise RequestError(400, "invalid_value", "model: is not a text", "model")
--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -25,6 +25,7 @@
 from .ids import (
     EndpointId,
     FailureDomain,
+    Fingerprint,
     HostId,
     ModelId,
     RequestId,
@@ -32,6 +33,7 @@
     WeightsVersion,
     WorkspaceId,
 )
+from .loss_log import Fingerprints
 from .members import MemberState
 from .membership import Membership, make_membership
 from .messages import DigestRecord, Exchange, MemberRecord, PeerCodec
@@ -59,6 +61,7 @@
 DIGEST_BYTES = 60
 BLOCKS_PER_PROMPT = 8
 REUSE_REPLICAS = 220
+NO_FINGERPRINTS = Fingerprints(Fingerprint(0))
 
 
 def make_configuration(replicas: int, workspaces: int) -> Configuration:
@@ -301,7 +304,7 @@
             dispatcher: Dispatcher = dispatcher, requests: list[ModelRequest] = requests
         ) -> None:
             for request in requests:
-                dispatcher.choose(request, 0, set(), 1.0)
+                dispatcher.choose(request, NO_FINGERPRINTS, set(), 1.0)
 
         def read_capacity(
             dispatcher: Dispatcher = dispatcher,
@@ -339,7 +342,9 @@
             dispatcher: Dispatcher = dispatcher, requests: list[ModelRequest] = requests
         ) -> object:
             for request in requests:
-                decision = dispatcher.choose(request, 0, set(), 1.0)
+                decision = dispatcher.choose(
+                    request, Fingerprints(Fingerprint(0)), set(), 1.0
+                )
                 endpoint = EndpointId(getattr(decision, "endpoint", ""))
                 dispatcher.placement.observe(
                     Feedback(endpoint, request.prompt, 0, 0, 1.0)
--- a/primrosepier/sharing.py
+++ b/primrosepier/sharing.py
@@ -1,25 +1,30 @@
 """Exchanges suspicions and the demand of workspaces among routers."""
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from .board import SectionWriter
 from .clocks import Clock
+from .digests import Digest
 from .gossip import Gossip
 from .ids import EndpointId, HostId, WorkspaceId
 from .limits import Demand, WorkspaceLimiter
 from .load_reports import compute_publish_interval
+from .loss_log import LossReport
 from .suspects import SuspectTable, Suspicion
 
 __all__ = ["Sharing"]
 
 SUSPECTS_DIGEST_NAME = "suspects"
+LOSSES_DIGEST_NAME = "losses"
 USAGE_DIGEST_NAME = "usage"
 SUSPECTS_RENEWAL_S = 60.0
 SUSPECTS_TTL_S = 180.0
+# Shortest time between two reports of losses that answers and peers require.
+LOSSES_INTERVAL_S = 1.0
 MAX_SHARED_SUSPECTS = 64
 MAX_SHARED_WORKSPACES = 16
 MIN_SHARED_RATE = 0.01
@@ -56,12 +61,14 @@
     limiter: WorkspaceLimiter
     writer: SectionWriter[dict[WorkspaceId, Demand]]
     clock: Clock = time.monotonic
-    merged_versions: dict[HostId, tuple[int, int]] = field(default_factory=dict)
+    merged_versions: dict[tuple[str, HostId], tuple[int, int]] = field(
+        default_factory=dict
+    )
     usage_published_at_s: float = float("-inf")
     suspects_published_at_s: float = float("-inf")
 
     async def share(self, suspicions: Sequence[Suspicion]) -> None:
-        """Push the table's suspicions, up to `MAX_SHARED_SUSPECTS`, to the neighbours.
+        """Push the suspicions and losses of the table to the neighbours.
 
         Returns when they have answered or timed out.
 
@@ -70,12 +77,17 @@
         suspicions : sequence of Suspicion
             Unused: new suspicions are in the table already.
         """
-        self._publish_suspects(self.clock(), urgent=True)
+        now_s = self.clock()
+        if self.suspects.suspicions:
+            self._publish_suspects(now_s, urgent=True)
+        if self.suspects.loss_log.is_changed:
+            self._publish_losses(now_s, urgent=True)
         await self.gossip.push()
 
     def update(self, now_s: float) -> None:
         """Merge the digests of other routers, and renew this router's when due."""
         self._merge_suspects(now_s)
+        self._merge_losses(now_s)
         self._write_demands(now_s)
         if now_s - self.usage_published_at_s >= self._compute_publish_interval():
             self._publish_usage(now_s)
@@ -84,6 +96,8 @@
             and now_s - self.suspects_published_at_s >= SUSPECTS_RENEWAL_S
         ):
             self._publish_suspects(now_s, urgent=False)
+        if self._must_publish_losses(now_s):
+            self._publish_losses(now_s, urgent=False)
 
     def _compute_publish_interval(self) -> float:
         return compute_publish_interval(1 + len(self.gossip.membership.list_live()))
@@ -101,15 +115,40 @@
         digests = self.gossip.membership.digests
         digests.publish(SUSPECTS_DIGEST_NAME, data, SUSPECTS_TTL_S, now_s, urgent)
 
-    def _merge_suspects(self, now_s: float) -> None:
+    def _must_publish_losses(self, now_s: float) -> bool:
+        loss_log = self.suspects.loss_log
+        age_s = now_s - loss_log.reported_at_s
+        if loss_log.is_changed:
+            return age_s >= LOSSES_INTERVAL_S
+        return bool(loss_log.causes) and age_s >= SUSPECTS_RENEWAL_S
+
+    def _publish_losses(self, now_s: float, urgent: bool) -> None:
+        data = msgspec.msgpack.encode(self.suspects.loss_log.make_report(now_s))
         digests = self.gossip.membership.digests
-        for host, digest in digests.read(SUSPECTS_DIGEST_NAME, now_s).items():
-            if host == digests.host or self.merged_versions.get(host) == digest.version:
-                continue
-            self.merged_versions[host] = digest.version
+        digests.publish(LOSSES_DIGEST_NAME, data, SUSPECTS_TTL_S, now_s, urgent)
+
+    def _read_new_digests(self, name: str, now_s: float) -> Iterator[Digest]:
+        """Yield the digests of other routers that were not read yet."""
+        digests = self.gossip.membership.digests
+        for host, digest in digests.read(name, now_s).items():
+            is_read = self.merged_versions.get((name, host)) == digest.version
+            if host != digests.host and not is_read:
+                self.merged_versions[name, host] = digest.version
+                yield digest
+
+    def _merge_suspects(self, now_s: float) -> None:
+        for digest in self._read_new_digests(SUSPECTS_DIGEST_NAME, now_s):
             received = _decode_suspicions(digest.record.data, digest.received_at_s)
             self.suspects.merge(s for s in received if s.until_s > now_s)
 
+    def _merge_losses(self, now_s: float) -> None:
+        for digest in self._read_new_digests(LOSSES_DIGEST_NAME, now_s):
+            try:
+                report = msgspec.msgpack.decode(digest.record.data, type=LossReport)
+            except msgspec.DecodeError:
+                continue
+            self.suspects.loss_log.merge(report, digest.received_at_s)
+
     def _publish_usage(self, now_s: float) -> None:
         self.usage_published_at_s = now_s
         rates = self.limiter.list_demand(now_s)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,9 +4,11 @@
 import pytest
 
 from primrosepier.board import make_board
+from primrosepier.clocks import ManualClock
 from primrosepier.configuration import parse_configuration
 from primrosepier.dispatch import make_dispatcher
 from primrosepier.outcomes import Completed, NotRun, Step, UnknownOutcome
+from primrosepier.prompts import BLOCK_BYTES
 from primrosepier.requests import ModelRequest, build_prompt
 from primrosepier.reuse_placement import make_placement
 from primrosepier.settings import Limits
@@ -65,10 +67,10 @@
     return dispatcher
 
 
-def make_request(prompt="hello", idempotent=True):
+def make_request(prompt="hello", idempotent=True, body=None):
     workspace = CONFIGURATION.workspaces["w"]
     model = CONFIGURATION.models["m"]
-    body = {"model": "m", "prompt": prompt}
+    body = body or {"model": "m", "prompt": prompt}
     return ModelRequest(
         id="req-1",
         workspace=workspace,
@@ -120,6 +122,51 @@
     assert isinstance(run(dispatcher, make_request("other")), UnknownOutcome)
 
 
+class CrashingAttempts(ScriptedAttempts):
+    """Crashes endpoints on requests with a text in one of their messages."""
+
+    def __init__(self, text):
+        super().__init__()
+        self.text = text
+
+    async def run(self, request, endpoint, delivery):
+        self.endpoints.append(endpoint.id)
+        is_crashing = self.text in str(request.body)
+        return (make_crashed if is_crashing else make_completed)(endpoint.id)
+
+
+def make_chat(*texts):
+    body = {"model": "m", "messages": [{"role": "user", "content": x} for x in texts]}
+    return make_request(body=body)
+
+
+def test_a_message_that_crashes_endpoints_is_refused_in_any_request():
+    attempts = CrashingAttempts("bad")
+    dispatcher = make_test_dispatcher(attempts)
+    clock = dispatcher.clock = ManualClock(0.0)
+    for number in range(3):
+        run(dispatcher, make_chat("first", "bad", str(number)))
+        clock.advance(5.0)
+    crashed = len(attempts.endpoints)
+    outcome = run(dispatcher, make_chat("other", "bad", "next"))
+    assert isinstance(outcome, NotRun)
+    assert len(attempts.endpoints) == crashed
+    assert isinstance(run(dispatcher, make_chat("first", "good", "x")), Completed)
+
+
+def test_a_prefix_that_crashes_endpoints_is_refused_in_any_request():
+    attempts = CrashingAttempts("bad")
+    dispatcher = make_test_dispatcher(attempts)
+    clock = dispatcher.clock = ManualClock(0.0)
+    prefix = "bad" + BLOCK_BYTES * "x"
+    for number in range(3):
+        run(dispatcher, make_request(f"{prefix}{number}"))
+        clock.advance(5.0)
+    crashed = len(attempts.endpoints)
+    assert isinstance(run(dispatcher, make_request(f"{prefix}next")), NotRun)
+    assert len(attempts.endpoints) == crashed
+
+
 def test_a_full_service_answers_not_run_at_the_queue_time_out():
     async def check():
         release = anyio.Event()
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -13,12 +13,13 @@
 from primrosepier.digests import DigestRegistry
 from primrosepier.limits import WorkspaceLimiter
 from primrosepier.load_reports import choose_pollers, parse_load
+from primrosepier.loss_log import Fingerprints
 from primrosepier.membership import make_membership
 from primrosepier.messages import MemberRecord
 from primrosepier.peers import make_transport
 from primrosepier.sharing import Sharing
 from primrosepier.status import read_fleet_status
-from primrosepier.suspects import SuspectTable
+from primrosepier.suspects import Quarantined, SuspectTable
 
 MAX_POLLS = 16
 
@@ -58,6 +59,20 @@
     assert second.suspects.is_suspect(7, second.clock())
 
 
+def test_a_part_that_crashes_endpoints_is_pushed_and_known_to_a_peer():
+    first, second = Node("a"), Node("b")
+    for number in range(3):
+        request = Fingerprints(number, (77,))
+        loss_log = first.suspects.loss_log
+        loss_log.record_loss(request, f"e{number}", 90.0 + number, 90.5 + number)
+    anyio.run(first.sharing.share, [])
+    assert [record.name for record in first.pushed] == ["losses"]
+    second.clock.advance(5000.0)
+    first.send_to(second)
+    check = second.suspects.check_common(Fingerprints(9, (77,)), second.clock())
+    assert isinstance(check, Quarantined)
+
+
 def test_the_demand_of_other_routers_is_summed_and_expires():
     nodes = [Node(host) for host in "abc"]
     for node in nodes[1:]:
