Give up responses whose head or framing has no end

What callers would see: a replica in trouble sends interim responses, a chunk extension or a trailer without end; the router reads them at the speed of the link until the call's deadline, and its other calls are late meanwhile.

Cause: httpcore bounds each head, but not how many interim ones come, and the body's reader had no bound on bytes that hold no body. Both are bounded at 256 KB now. A head without an end was bounded before.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -238,6 +238,7 @@
         The connection was closed before a byte of the request was written.
     """
     stream.has_written = False
+    stream.head_bytes = 0
     try:
         return await connection.handle_async_request(request)
     except RELAY_ERRORS as cause:
--- a/primrosepier/streamed.py
+++ b/primrosepier/streamed.py
@@ -23,6 +23,9 @@
 KEEP_ALIVE_FRACTION = 0.7
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 BODILESS = frozenset({204, 304})
+# Limit on the bytes of chunk sizes, extensions and trailers before the next byte of the
+# body.
+MAX_FRAMING_BYTES = 256 * 1024
 
 
 class _BodyParser:
@@ -118,6 +121,7 @@
         parser = _BodyParser()
         parser.feed(self.stream.head)
         buffer = self.stream.buffer
+        framing_bytes = 0
         while not parser.is_complete:
             if not buffer.received:
                 await self.stream.wait_for_bytes(self.read_timeout_s)
@@ -127,7 +131,10 @@
                     raise httpcore.RemoteProtocolError("the connection closed early")
                 break
             body = parser.feed(data)
+            framing_bytes = 0 if body else framing_bytes + len(data)
             if body:
                 yield body
+            elif framing_bytes > MAX_FRAMING_BYTES:
+                raise httpcore.RemoteProtocolError("the framing has no end")
         self.closes = self.closes or parser.has_extra_data
         self.is_complete = True
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -11,6 +11,9 @@
 
 HEAD_END = b"\r\n\r\n"
 HIGH_WATER_BYTES = 256 * 1024
+# Limit on all heads before a response's body: httpcore limits each, but not how many
+# interim responses come before the final one.
+MAX_HEADS_BYTES = 256 * 1024
 # Keep-alive probes: the shortest times that Linux accepts (whole seconds), with a
 # second probe because a single datagram may be lost.
 PROBE_IDLE_S = 1
@@ -138,6 +141,8 @@
         Whether a byte was written since the attribute was last reset.
     aborted : bool
         Whether the connection was closed on this side.
+    head_bytes : int
+        Bytes read by ``read`` since the attribute was last reset.
     """
 
     def __init__(self, buffer: _ReceiveBuffer, splits_heads: bool = False):
@@ -146,6 +151,7 @@
         self.head = b""
         self.has_written = False
         self.aborted = False
+        self.head_bytes = 0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return bytes as soon as any arrive; empty at the end of the stream."""
@@ -160,6 +166,9 @@
         if end >= 0:
             max_bytes = end + len(HEAD_END) - len(overlap)
         data = self.buffer.take(max_bytes)
+        self.head_bytes += len(data)
+        if self.head_bytes > MAX_HEADS_BYTES:
+            raise httpcore.ReadError("the heads of the response are too large")
         self.head += data
         return data
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import anyio
 import anyio.abc
 import httpcore
@@ -175,3 +177,65 @@
                 await anext(parts)
 
     run_with_responses([b"HTTP/1.1 200 OK\r\n\r\na part", b""], check)
+
+
+def read_endless(head, endless):
+    """Read a response that never ends; return how many bytes the peer could send."""
+    sent = 0
+
+    async def serve_endless(stream):
+        nonlocal sent
+        async with stream:
+            await stream.receive()
+            await stream.send(head)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(endless)
+                    sent += len(endless)
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve_endless)
+            client = HttpEndpointClient()
+            with anyio.fail_after(4.0), pytest.raises(BROKEN_OFF):
+                await fetch(client, f"127.0.0.1:{port}", request_s=3.0)
+            await client.close()
+            group.cancel_scope.cancel()
+        await listener.aclose()
+
+    anyio.run(run)
+    return sent
+
+
+# What the socket buffers of both ends hold, and what is read at a time.
+MAX_ENDLESS_BYTES = 16 * 1024 * 1024
+BROKEN_OFF = (httpcore.NetworkError, httpcore.ProtocolError)
+LINE = b"x" * 8000
+
+
+@pytest.mark.parametrize(
+    ("head", "endless"),
+    [
+        (b"", LINE),
+        (b"HTTP/1.1 200 OK\r\nX: ", LINE),
+        (b"HTTP/1.1 200 OK\r\n", b"X: " + LINE + b"\r\n"),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    ],
+    ids=["no head", "one header", "many headers", "interim responses"],
+)
+def test_a_response_head_without_end_is_given_up(head, endless):
+    assert read_endless(head, endless) < MAX_ENDLESS_BYTES
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [CHUNKED + b"5;", CHUNKED + b"5\r\nhello\r\n0\r\nX: "],
+    ids=["chunk extension", "trailer"],
+)
+def test_framing_without_end_is_given_up(head):
+    assert read_endless(head, LINE) < MAX_ENDLESS_BYTES
