Give up events and error responses without end

What callers would see: a replica in trouble sends an event or an error without end; the router keeps all of an error and of an event that may be resumed, up to the call's deadline, and is killed for its memory, or its other calls are late.

Cause: bodies were read to their end whatever their size. An event is bounded at 1 MB and so is the body of an error that is kept for a retry.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -19,6 +19,7 @@
 )
 from ..ids import EndpointId
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Step, UnknownOutcome
+from ..relay import read_whole_body
 from .calls import AttemptOptions, Call, CallHeaders, EndpointDialect, ResponseHead
 from .declarations import RetryPolicy
 from .events import EventBoundaryTracker, EventStreamMerger
@@ -50,6 +51,8 @@
 # Responses up to this size are buffered completely before they are sent on, so that the
 # call can be retried if the response breaks off.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Limit on the body of an error, which is kept in memory while the call is retried.
+MAX_ERROR_BYTES = 1024 * 1024
 HTTP_OK = 200
 # Statuses that are never relayed: callers take them to mean that the call has not run,
 # but the replica may have run it.
@@ -198,7 +201,11 @@
             )
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
         if head.status >= HTTP_SERVER_ERROR:
-            return ErrorResponse(head, await _read_all(response))
+            body = await read_whole_body(response, MAX_ERROR_BYTES)
+            if body is None:
+                reason = "the error response is too large"
+                return UnknownOutcome(Step.HEADERS, replica.id, reason)
+            return ErrorResponse(head, body)
         if call.route.streamed and head.status == HTTP_OK:
             return await self._relay_events(call, replica, response, head, delivery)
         return await self._relay_buffered(replica, response, head, delivery)
@@ -216,6 +223,8 @@
         delivery.boundary = EventBoundaryTracker()
         async for data in response.aiter_stream():
             delivery.boundary.feed(data)
+            if delivery.boundary.is_too_large():
+                raise httpcore.RemoteProtocolError("an event is too large")
             forwarded = delivery.merger.feed(data) if is_resumable else data
             if not forwarded:
                 continue
@@ -338,10 +347,6 @@
         raise httpcore.RemoteProtocolError("the stream ended before its first event")
 
 
-async def _read_all(response: EndpointResponse) -> bytes:
-    return b"".join([data async for data in response.aiter_stream()])
-
-
 def _classify_relay_error(
     error: Exception, endpoint: EndpointId, call: Call, delivery: Delivery
 ) -> Outcome:
--- a/primrosepier/forwarding/events.py
+++ b/primrosepier/forwarding/events.py
@@ -9,6 +9,7 @@
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 MAX_EVENT_END_BYTES = 4
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -19,13 +20,27 @@
     ----------
     tail : bytes
         Last bytes of the stream; empty before the first.
+    event_bytes : int
+        Bytes received since the end of the last event.
     """
 
     tail: bytes = b""
+    event_bytes: int = 0
 
     def feed(self, data: bytes) -> None:
         """Process bytes of a response."""
-        self.tail = (self.tail + data)[-MAX_EVENT_END_BYTES:]
+        received = self.tail + data
+        ends = (received.rfind(end) + len(end) for end in EVENT_ENDS if end in received)
+        last_end = max(ends, default=0)
+        if last_end > len(self.tail):
+            self.event_bytes = len(received) - last_end
+        else:
+            self.event_bytes += len(data)
+        self.tail = received[-MAX_EVENT_END_BYTES:]
+
+    def is_too_large(self) -> bool:
+        """Return whether the last event is larger than is allowed."""
+        return self.event_bytes > MAX_EVENT_BYTES
 
     def is_within_event(self) -> bool:
         """Return whether the end of the last event is missing."""
--- a/tests/raw_replicas.py
+++ b/tests/raw_replicas.py
@@ -29,11 +29,16 @@
         Header lines added to those that show which replica answered which call.
     body : bytes
         The body as it is sent, with its chunks if it has any.
+    endless : bytes
+        Sent again and again after the body, until the router closes the connection.
     """
 
     body: bytes
     headers: bytes = b""
     end: ConnectionEnd = ConnectionEnd.CLOSE
+    status: int = 200
+    endless: bytes = b""
+    sent: int = 0
     runs: list[bytes] = field(default_factory=list)
 
     async def serve(self, stream):
@@ -47,6 +52,10 @@
             head = received.partition(HEAD_END)[0]
             self.runs.append(head)
             await stream.send(self._make_head(head) + self.body)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while self.endless:
+                    await stream.send(self.endless)
+                    self.sent += len(self.endless)
             if self.end is ConnectionEnd.RESET:
                 await anyio.sleep(0.05)
                 linger = struct.pack("ii", 1, 0)
@@ -57,9 +66,8 @@
         lines = request_head.split(b"\r\n")
         (call_id,) = (x for x in lines if x.lower().startswith(b"attempt-id:"))
         proof = b"Server-Stamp: 1.2.3\r\nContent-Type: text/event-stream\r\n"
-        return (
-            b"HTTP/1.1 200 OK\r\n" + call_id + b"\r\n" + proof + self.headers + b"\r\n"
-        )
+        start = b"HTTP/1.1 %d Status\r\n%b\r\n" % (self.status, call_id)
+        return start + proof + self.headers + b"\r\n"
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -1,5 +1,6 @@
 """Streams that replicas break off, with and without a length, over real sockets."""
 
+import anyio
 import httpcore
 import pytest
 from entry_fleet import run_entry
@@ -90,3 +91,32 @@
         assert (await fleet.send(path)).body == events
 
     run_with_replicas(check, w1=RawReplica(events))
+
+
+# What the socket buffers of both ends hold, and what is read at a time.
+MAX_ENDLESS_BYTES = 16 * 1024 * 1024
+# Shorter than the time-out of the routes.
+GIVEN_UP_S = 2.5
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_an_event_without_end_is_given_up(path):
+    replica = RawReplica(EVENTS + b"data: ", endless=b"x" * 8000)
+
+    async def check(fleet):
+        with anyio.fail_after(GIVEN_UP_S), pytest.raises(BROKEN_OFF):
+            await fleet.send(path, limit_ms=8000)
+        assert replica.sent < MAX_ENDLESS_BYTES
+
+    run_with_replicas(check, w1=replica)
+
+
+def test_an_error_without_end_is_given_up():
+    replica = RawReplica(b"", status=500, endless=b"x" * 8000)
+
+    async def check(fleet):
+        with anyio.fail_after(GIVEN_UP_S):
+            assert (await fleet.send(PATHS[0], limit_ms=8000)).status == 502
+        assert replica.sent < MAX_ENDLESS_BYTES
+
+    run_with_replicas(check, w1=replica)
