Give up reports of replicas without end

Cause: the report was read to its end whatever its size; it is bounded at 1 MB now. The test failed before and passes, and so does test_entry_weights.

--- a/primrosepier/platform/orders.py
+++ b/primrosepier/platform/orders.py
@@ -10,6 +10,7 @@
 from ..forwarding.fleet import Replica
 from ..forwarding.weights import OrderResult, ReplicaState, WeightsOrder
 from ..ids import ModelId
+from ..relay import read_whole_body
 from . import names
 
 __all__ = ["PlatformOrders"]
@@ -20,6 +21,7 @@
 # Replicas respond to these calls immediately; one second allows for a lost packet.
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 1024 * 1024
 OK = 200
 RESULTS = {
     200: OrderResult.ALREADY_LOADED,
@@ -111,7 +113,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S + CALL_TIMEOUT_S):
                 async with self.client.open(call) as response:
-                    parts = [part async for part in response.aiter_stream()]
-                    return response.status, b"".join(parts)
+                    data = await read_whole_body(response, MAX_REPORT_BYTES)
+                    return None if data is None else (response.status, data)
         except (*CONNECT_ERRORS, *RELAY_ERRORS, TimeoutError):
             return None
--- a/tests/raw_replicas.py
+++ b/tests/raw_replicas.py
@@ -64,7 +64,8 @@
 
     def _make_head(self, request_head):
         lines = request_head.split(b"\r\n")
-        (call_id,) = (x for x in lines if x.lower().startswith(b"attempt-id:"))
+        ids = [x for x in lines if x.lower().startswith(b"attempt-id:")]
+        call_id = ids[0] if ids else b"X-Own: 1"
         proof = b"Server-Stamp: 1.2.3\r\nContent-Type: text/event-stream\r\n"
         start = b"HTTP/1.1 %d Status\r\n%b\r\n" % (self.status, call_id)
         return start + proof + self.headers + b"\r\n"
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -6,6 +6,8 @@
 from entry_fleet import run_entry
 from raw_replicas import ConnectionEnd, RawReplica, open_raw_replica
 
+from primrosepier.platform.orders import PlatformOrders
+
 pytestmark = pytest.mark.sockets
 EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in (1, 2, 3))
 BROKEN = EVENTS[: EVENTS.rindex(b"token")]
@@ -120,3 +122,14 @@
         assert replica.sent < MAX_ENDLESS_BYTES
 
     run_with_replicas(check, w1=replica)
+
+
+def test_a_report_without_end_is_given_up():
+    replica = RawReplica(b"", endless=b"x" * 8000)
+
+    async def check(fleet):
+        (listed,) = fleet.routers[0].store_view.replicas.value.list_replicas("writers")
+        assert await PlatformOrders(fleet.client).read_state(listed) is None
+        assert replica.sent < MAX_ENDLESS_BYTES
+
+    run_with_replicas(check, w1=replica)
