Split the causes of crashes off the log of losses

The proof of a cause needs only the losses and the times of answers; it is a module of its own without state. Losses are compared by identity, and one holds up to 128 requests: a busy engine runs 64 and queues more, and the crashing one must be among those that are kept.

--- /dev/null
+++ b/primrosepier/crash_causes.py
@@ -0,0 +1,234 @@
+"""Causes of crashes, told from what lost requests have in common.
+
+A part of a prompt, or a request that is sent again, may crash each endpoint that runs
+it. Other requests are lost in the same crashes. The cause is told from these by three
+facts: it is in each of the crashes, requests with it are not answered, and requests
+with it that were sent after one crash are lost in the next. An endpoint that goes on
+with requests which it ran before has not crashed.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from .ids import EndpointId, Fingerprint
+
+__all__ = ["MIN_LOSSES", "Fingerprints", "Loss", "LostRequest", "find_causes"]
+
+# Lost requests, each sent after the one before was lost, that make a cause.
+MIN_LOSSES = 3
+# An endpoint that resets its connections is no proof against what it was sent.
+MIN_ENDPOINTS = 2
+# Share of another part's losses at which a part that comes only with it explains them
+# as well.
+ALIKE_SHARE = 0.75
+# Endpoints that are lost within this time of each other may have one cause.
+COINCIDENCE_S = 0.1
+MAX_REQUESTS_PER_LOSS = 128
+
+GetAnsweredAt = Callable[[Fingerprint], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Fingerprints:
+    """What other requests may have in common with a request.
+
+    Parameters
+    ----------
+    request : Fingerprint
+        The whole request.
+    parts : tuple of Fingerprint
+        The parts of its prompt but the last, in order.
+    """
+
+    request: Fingerprint
+    parts: tuple[Fingerprint, ...] = ()
+
+    def list_all(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the parts and of the request."""
+        return (*self.parts, self.request)
+
+
+@dataclass(frozen=True, slots=True)
+class LostRequest:
+    """A request that was lost with its endpoint.
+
+    Parameters
+    ----------
+    is_own : bool
+        Whether this router sent it.
+    """
+
+    fingerprints: Fingerprints
+    sent_at_s: float
+    is_own: bool
+
+    def involves(self, fingerprints: Collection[Fingerprint]) -> bool:
+        """Return whether the request has any of the fingerprints."""
+        return any(f in fingerprints for f in self.fingerprints.list_all())
+
+
+@dataclass(slots=True, eq=False)
+class Loss:
+    """Requests that one endpoint lost at about the same time.
+
+    Parameters
+    ----------
+    is_crash : bool
+        Whether no request is known that the endpoint went on with.
+    disproved_at_s : float
+        Time at which this router found such a request, seconds.
+    """
+
+    endpoint: EndpointId
+    lost_at_s: float
+    requests: dict[Fingerprint, LostRequest] = field(default_factory=dict)
+    is_crash: bool = True
+    disproved_at_s: float = float("-inf")
+
+    def add(self, request: LostRequest) -> bool:
+        """Add a request; return whether it was new and there was room for it."""
+        known = self.requests.get(request.fingerprints.request)
+        is_full = known is None and len(self.requests) >= MAX_REQUESTS_PER_LOSS
+        if is_full or (known is not None and known.sent_at_s >= request.sent_at_s):
+            return False
+        self.requests[request.fingerprints.request] = request
+        return known is None
+
+    def involves(self, fingerprints: Collection[Fingerprint]) -> bool:
+        """Return whether a request with any of the fingerprints was lost."""
+        return any(request.involves(fingerprints) for request in self.requests.values())
+
+    def list_suspects(
+        self, get_answered_at_s: GetAnsweredAt
+    ) -> dict[Fingerprint, None]:
+        """Return the fingerprints not answered since a crash, as an ordered set."""
+        if not self.is_crash:
+            return {}
+        return {
+            fingerprint: None
+            for request in self.requests.values()
+            for fingerprint in request.fingerprints.list_all()
+            if get_answered_at_s(fingerprint) <= self.lost_at_s
+        }
+
+    def has_only_with(self, part: Fingerprint, other: Fingerprint) -> bool:
+        """Return whether each request with a part has the other one too."""
+        return all(
+            other in request.fingerprints.parts
+            for request in self.requests.values()
+            if part in request.fingerprints.parts
+        )
+
+
+def find_causes(
+    losses: Sequence[Loss], get_answered_at_s: GetAnsweredAt
+) -> list[tuple[Fingerprint, Sequence[Loss]]]:
+    """Return the causes of losses, each with the losses that it explains.
+
+    The part with the most losses explains them first, unless one that comes only
+    with it explains about as many.
+
+    Parameters
+    ----------
+    losses : sequence of Loss
+        Oldest first.
+    get_answered_at_s : callable
+        Returns when the last complete answer to a request with a fingerprint began,
+        seconds; minus infinity without one.
+    """
+    by_part: dict[Fingerprint, list[Loss]] = defaultdict(list)
+    by_request: dict[Fingerprint, list[Loss]] = defaultdict(list)
+    for loss in losses:
+        for fingerprint in loss.list_suspects(get_answered_at_s):
+            is_request = fingerprint in loss.requests
+            (by_request if is_request else by_part)[fingerprint].append(loss)
+    causes: list[tuple[Fingerprint, Sequence[Loss]]] = [
+        (fingerprint, involved)
+        for fingerprint, involved in by_request.items()
+        if _is_proved(fingerprint, involved, losses, is_request=True)
+    ]
+    while True:
+        proved = [
+            part
+            for part, involved in by_part.items()
+            if _is_proved(part, involved, losses, is_request=False)
+        ]
+        if not proved:
+            return causes
+        cause = _choose_cause(proved, by_part, get_answered_at_s)
+        explained = by_part[cause]
+        causes.append((cause, explained))
+        by_part = {
+            part: [loss for loss in by_part[part] if loss not in explained]
+            for part in proved
+        }
+
+
+def _choose_cause(
+    proved: Sequence[Fingerprint],
+    by_part: Mapping[Fingerprint, Sequence[Loss]],
+    get_answered_at_s: GetAnsweredAt,
+) -> Fingerprint:
+    """Return the part that explains the most losses.
+
+    Of those that explain about as many and come only with it, the one that was not
+    answered for the longest time is returned, then the later one in a prompt,
+    which fewer requests share.
+    """
+    first = min(
+        reversed(proved),
+        key=lambda part: (-len(by_part[part]), get_answered_at_s(part)),
+    )
+    alike = [
+        part
+        for part in reversed(proved)
+        if len(by_part[part]) >= ALIKE_SHARE * len(by_part[first])
+        and all(loss.has_only_with(part, first) for loss in by_part[part])
+    ]
+    return min(alike, key=get_answered_at_s)
+
+
+def _is_proved(
+    fingerprint: Fingerprint,
+    involved: Sequence[Loss],
+    losses: Sequence[Loss],
+    is_request: bool,
+) -> bool:
+    """Return whether losses prove that requests with a fingerprint cause them.
+
+    Requests that were in progress at the same time may have been lost for one
+    reason, and so may endpoints that were lost together, of which some did not run
+    such a request. Repeats of one request prove nothing of the parts that it
+    shares with others.
+    """
+    endpoints = {loss.endpoint for loss in involved}
+    if len(involved) < MIN_LOSSES or len(endpoints) < MIN_ENDPOINTS:
+        return False
+    lost_at_s = float("-inf")
+    counted: list[Fingerprint] = []
+    for loss in involved:
+        for request in loss.requests.values():
+            name = request.fingerprints.request
+            is_counted = not is_request and name in counted
+            if (
+                not is_counted
+                and request.sent_at_s >= lost_at_s
+                and request.involves((fingerprint,))
+                and _explains_coincidence(fingerprint, loss, losses)
+            ):
+                lost_at_s = loss.lost_at_s
+                counted.append(name)
+                break
+    return len(counted) >= MIN_LOSSES
+
+
+def _explains_coincidence(
+    fingerprint: Fingerprint, loss: Loss, losses: Sequence[Loss]
+) -> bool:
+    """Return whether all endpoints lost with one ran such a request."""
+    return all(
+        other.involves((fingerprint,))
+        for other in losses
+        if other.is_crash and abs(other.lost_at_s - loss.lost_at_s) <= COINCIDENCE_S
+    )
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -14,10 +14,10 @@
 from .candidates import Candidates, EngineIdentity
 from .clocks import Clock
 from .configuration import Endpoint
+from .crash_causes import Fingerprints
 from .gate import Gate, make_gate
 from .ids import EndpointId, Incarnation, ServiceId, WeightsVersion
 from .limits import Demand, WorkspaceLimiter
-from .loss_log import Fingerprints
 from .outcomes import (
     Completed,
     Interrupted,
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import NewType, Protocol
 
+from ..crash_causes import Fingerprints
 from ..ids import EndpointId, ModelId, RequestId, WorkspaceId
-from ..loss_log import Fingerprints
 from ..suspects import compute_fingerprint, compute_part_fingerprint
 from .declarations import Route, Workspace
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -8,11 +8,11 @@
 import anyio
 
 from ..clocks import Clock
+from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
 from ..ids import EndpointId, ServiceId
 from ..logs import Log
-from ..loss_log import Fingerprints
 from ..outcomes import (
     Completed,
     Interrupted,
--- a/primrosepier/loss_log.py
+++ b/primrosepier/loss_log.py
@@ -1,37 +1,20 @@
-"""Requests lost with their endpoints, and what they have in common.
+"""Log of requests lost with their endpoints, merged over routers."""
 
-A part of a prompt, or a request that is sent again, may crash each endpoint that runs
-it. Other requests are lost in the same crashes. The cause is told from these by three
-facts: it is in each of the crashes, requests with it are not answered, and requests
-with it that were sent after one crash are lost in the next. An endpoint that goes on
-with requests which it ran before has not crashed.
-"""
-
-from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
+from .crash_causes import MIN_LOSSES, Fingerprints, Loss, LostRequest, find_causes
 from .ids import EndpointId, Fingerprint
 
 __all__ = [
-    "Fingerprints",
     "LossLog",
     "LossReport",
     "SharedLoss",
     "SharedRequest",
 ]
 
-# Lost requests, each sent after the one before was lost, that make a cause.
-MIN_LOSSES = 3
-# An endpoint that resets its connections is no proof against what it was sent.
-MIN_ENDPOINTS = 2
-# Share of another part's losses at which a part that comes only with it explains them
-# as well.
-ALIKE_SHARE = 0.75
-# Endpoints that are lost within this time of each other may have one cause.
-COINCIDENCE_S = 0.1
 # An endpoint that completes an answer this long after a loss has not crashed. Answers
 # that it had sent before a crash are read sooner.
 SURVIVAL_S = 0.25
@@ -43,7 +26,6 @@
 # a loss of this router's own requires one at once.
 REFRESH_INTERVAL_S = 0.05
 MAX_LOSSES = 64
-MAX_REQUESTS_PER_LOSS = 32
 MAX_ANSWERED = 4096
 # Time for which a loss is repeated in reports, since a report may be lost.
 REPEAT_S = 3.0
@@ -56,75 +38,6 @@
 MS = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class Fingerprints:
-    """What other requests may have in common with a request.
-
-    Parameters
-    ----------
-    request : Fingerprint
-        The whole request.
-    parts : tuple of Fingerprint
-        The parts of its prompt but the last, in order.
-    """
-
-    request: Fingerprint
-    parts: tuple[Fingerprint, ...] = ()
-
-    def list_all(self) -> tuple[Fingerprint, ...]:
-        """Return the fingerprints of the parts and of the request."""
-        return (*self.parts, self.request)
-
-
-@dataclass(frozen=True, slots=True)
-class _LostRequest:
-    fingerprints: Fingerprints
-    sent_at_s: float
-    is_own: bool
-
-    def involves(self, fingerprints: Collection[Fingerprint]) -> bool:
-        return any(f in fingerprints for f in self.fingerprints.list_all())
-
-
-@dataclass(slots=True)
-class _Loss:
-    """Requests that one endpoint lost at about the same time.
-
-    Parameters
-    ----------
-    is_crash : bool
-        Whether no request is known that the endpoint went on with.
-    disproved_at_s : float
-        Time at which this router found such a request, seconds.
-    """
-
-    endpoint: EndpointId
-    lost_at_s: float
-    requests: dict[Fingerprint, _LostRequest] = field(default_factory=dict)
-    is_crash: bool = True
-    disproved_at_s: float = float("-inf")
-
-    def add(self, request: _LostRequest) -> bool:
-        """Add a request; return whether it was new and there was room for it."""
-        known = self.requests.get(request.fingerprints.request)
-        is_full = known is None and len(self.requests) >= MAX_REQUESTS_PER_LOSS
-        if is_full or (known is not None and known.sent_at_s >= request.sent_at_s):
-            return False
-        self.requests[request.fingerprints.request] = request
-        return known is None
-
-    def involves(self, fingerprints: Collection[Fingerprint]) -> bool:
-        return any(request.involves(fingerprints) for request in self.requests.values())
-
-    def has_only_with(self, part: Fingerprint, other: Fingerprint) -> bool:
-        """Return whether each request with a part has the other one too."""
-        return all(
-            other in request.fingerprints.parts
-            for request in self.requests.values()
-            if part in request.fingerprints.parts
-        )
-
-
 class SharedRequest(msgspec.Struct, frozen=True, array_like=True):
     """A lost request in a report.
 
@@ -175,7 +88,7 @@
 
 @dataclass(slots=True)
 class LossLog:
-    """Losses of the last minutes and their causes, merged over routers.
+    """Losses of the last minutes, and the causes that follow from them.
 
     Parameters
     ----------
@@ -184,7 +97,7 @@
 
     Attributes
     ----------
-    losses : list of _Loss
+    losses : list of Loss
         Oldest first.
     answers, peer_answers : dict of Fingerprint to float
         Time at which the last complete answer began, here and at other routers,
@@ -202,7 +115,7 @@
     notify: Callable[[frozenset[Fingerprint], frozenset[Fingerprint]], None] = (
         ignore_causes
     )
-    losses: list[_Loss] = field(default_factory=list)
+    losses: list[Loss] = field(default_factory=list)
     answers: dict[Fingerprint, float] = field(default_factory=dict)
     peer_answers: dict[Fingerprint, float] = field(default_factory=dict)
     causes: dict[Fingerprint, float] = field(default_factory=dict)
@@ -231,7 +144,7 @@
         now_s: float,
     ) -> None:
         """Record that an endpoint was lost while running a request."""
-        request = _LostRequest(fingerprints, sent_at_s, is_own=True)
+        request = LostRequest(fingerprints, sent_at_s, is_own=True)
         if self._find_or_add(endpoint, now_s).add(request):
             self.refresh_at_s = now_s
             self.is_changed = True
@@ -282,25 +195,15 @@
             self.peer_answers.get(fingerprint, never_s),
         )
 
-    def _list_suspects(self, loss: _Loss) -> dict[Fingerprint, None]:
-        """Return the fingerprints not answered since a crash, as an ordered set."""
-        if not loss.is_crash:
-            return {}
-        return {
-            fingerprint: None
-            for request in loss.requests.values()
-            for fingerprint in request.fingerprints.list_all()
-            if self._get_answered_at_s(fingerprint) <= loss.lost_at_s
-        }
-
-    def _find_or_add(self, endpoint: EndpointId, lost_at_s: float) -> _Loss:
+    def _find_or_add(self, endpoint: EndpointId, lost_at_s: float) -> Loss:
+        """Return the loss of an endpoint at about a time, adding it if it is new."""
         for loss in self.losses:
             if (
                 loss.endpoint == endpoint
                 and abs(loss.lost_at_s - lost_at_s) <= SAME_LOSS_S
             ):
                 return loss
-        loss = _Loss(endpoint, lost_at_s)
+        loss = Loss(endpoint, lost_at_s)
         self.losses.append(loss)
         self.losses.sort(key=lambda loss: loss.lost_at_s)
         return loss
@@ -324,11 +227,12 @@
         self.refresh_at_s = float("inf")
         self.refreshed_at_s = now_s
         self.losses = [x for x in self.losses if x.lost_at_s + LOSS_TTL_S > now_s]
-        suspects_by_loss = [self._list_suspects(loss) for loss in self.losses]
-        self.suspects = frozenset().union(*suspects_by_loss)
+        self.suspects = frozenset().union(
+            *(loss.list_suspects(self._get_answered_at_s) for loss in self.losses)
+        )
         found = {
-            cause: losses[-MIN_LOSSES].lost_at_s + LOSS_TTL_S
-            for cause, losses in self._find_causes(suspects_by_loss)
+            cause: explained[-MIN_LOSSES].lost_at_s + LOSS_TTL_S
+            for cause, explained in find_causes(self.losses, self._get_answered_at_s)
         }
         self._drop_losses(found.keys())
         added = frozenset(found.keys() - self.causes.keys())
@@ -346,102 +250,6 @@
         dropped = order[:excess]
         self.losses = [loss for loss in self.losses if loss not in dropped]
 
-    def _find_causes(
-        self, suspects_by_loss: Sequence[Iterable[Fingerprint]]
-    ) -> list[tuple[Fingerprint, Sequence[_Loss]]]:
-        """Return the causes, each with the losses that it explains.
-
-        The part with the most losses explains them first, unless one that comes only
-        with it explains about as many.
-        """
-        by_part: dict[Fingerprint, list[_Loss]] = defaultdict(list)
-        by_request: dict[Fingerprint, list[_Loss]] = defaultdict(list)
-        for loss, suspects in zip(self.losses, suspects_by_loss, strict=True):
-            for fingerprint in suspects:
-                is_request = fingerprint in loss.requests
-                (by_request if is_request else by_part)[fingerprint].append(loss)
-        causes: list[tuple[Fingerprint, Sequence[_Loss]]] = [
-            (fingerprint, losses)
-            for fingerprint, losses in by_request.items()
-            if self._is_proved(fingerprint, losses, is_request=True)
-        ]
-        while True:
-            proved = [
-                part
-                for part, losses in by_part.items()
-                if self._is_proved(part, losses, is_request=False)
-            ]
-            if not proved:
-                return causes
-            cause = self._choose_cause(proved, by_part)
-            explained = by_part[cause]
-            causes.append((cause, explained))
-            by_part = {
-                part: [loss for loss in by_part[part] if loss not in explained]
-                for part in proved
-            }
-
-    def _choose_cause(
-        self,
-        proved: Sequence[Fingerprint],
-        by_part: Mapping[Fingerprint, Sequence[_Loss]],
-    ) -> Fingerprint:
-        """Return the part that explains the most losses.
-
-        Of those that explain about as many and come only with it, the one that was not
-        answered for the longest time is returned, then the later one in a prompt,
-        which fewer requests share.
-        """
-        first = min(
-            reversed(proved),
-            key=lambda part: (-len(by_part[part]), self._get_answered_at_s(part)),
-        )
-        alike = [
-            part
-            for part in reversed(proved)
-            if len(by_part[part]) >= ALIKE_SHARE * len(by_part[first])
-            and all(loss.has_only_with(part, first) for loss in by_part[part])
-        ]
-        return min(alike, key=self._get_answered_at_s)
-
-    def _is_proved(
-        self, fingerprint: Fingerprint, losses: Sequence[_Loss], is_request: bool
-    ) -> bool:
-        """Return whether losses prove that requests with a fingerprint cause them.
-
-        Requests that were in progress at the same time may have been lost for one
-        reason, and so may endpoints that were lost together, of which some did not run
-        such a request. Repeats of one request prove nothing of the parts that it
-        shares with others.
-        """
-        endpoints = {loss.endpoint for loss in losses}
-        if len(losses) < MIN_LOSSES or len(endpoints) < MIN_ENDPOINTS:
-            return False
-        lost_at_s = float("-inf")
-        counted: list[Fingerprint] = []
-        for loss in losses:
-            for request in loss.requests.values():
-                name = request.fingerprints.request
-                is_counted = not is_request and name in counted
-                if (
-                    not is_counted
-                    and request.sent_at_s >= lost_at_s
-                    and request.involves((fingerprint,))
-                    and self._explains_coincidence(fingerprint, loss)
-                ):
-                    lost_at_s = loss.lost_at_s
-                    counted.append(name)
-                    break
-        return len(counted) >= MIN_LOSSES
-
-    def _explains_coincidence(self, fingerprint: Fingerprint, loss: _Loss) -> bool:
-        """Return whether all endpoints lost with one ran such a request."""
-        return all(
-            other.involves((fingerprint,))
-            for other in self.losses
-            if other.is_crash and abs(other.lost_at_s - loss.lost_at_s) <= COINCIDENCE_S
-        )
-
     def must_report(self, now_s: float) -> bool:
         """Return whether a report is due."""
         self.refresh(now_s)
@@ -486,12 +294,12 @@
         }
         return LossReport(shared, answered_ms)
 
-    def _select_reported(self, loss: _Loss, now_s: float) -> list[_LostRequest]:
+    def _select_reported(self, loss: Loss, now_s: float) -> list[LostRequest]:
         """Return a loss's requests to report, those least known to be sound first."""
         if not loss.is_crash:
             return []
 
-        def compute_rank(request: _LostRequest) -> float:
+        def compute_rank(request: LostRequest) -> float:
             answered = map(self._get_answered_at_s, request.fingerprints.parts)
             return min(answered, default=float("-inf"))
 
@@ -519,7 +327,7 @@
             for request in shared.requests:
                 fingerprints = Fingerprints(request.request, request.parts)
                 sent_at_s = now_s - request.sent_ms * MS
-                lost = _LostRequest(fingerprints, sent_at_s, is_own=False)
+                lost = LostRequest(fingerprints, sent_at_s, is_own=False)
                 if not self._knows_loss(shared.endpoint, request.request):
                     is_new = loss.add(lost) or is_new
         if is_new:
@@ -538,7 +346,7 @@
 
 
 def _share_loss(
-    loss: _Loss, requests: Iterable[_LostRequest], now_s: float
+    loss: Loss, requests: Iterable[LostRequest], now_s: float
 ) -> SharedLoss:
     shared = [
         SharedRequest(
--- a/primrosepier/requests.py
+++ b/primrosepier/requests.py
@@ -7,9 +7,9 @@
 
 from .asgi import Scope
 from .configuration import Configuration, Model, Service, Workspace
+from .crash_causes import Fingerprints
 from .errors import RequestError
 from .ids import AdapterId, ModelId, RequestId
-from .loss_log import Fingerprints
 from .prompts import CacheScope, Prompt, find_levels, make_prompt, render_messages
 from .request_checks import (
     check_chat_body,
--- a/primrosepier/scale_control.py
+++ b/primrosepier/scale_control.py
@@ -18,6 +18,7 @@
     find_workspace,
     hash_api_key,
 )
+from .crash_causes import Fingerprints
 from .digests import DigestRegistry
 from .dispatch import Dispatcher, make_dispatcher
 from .endpoint_client import make_endpoint_client
@@ -33,7 +34,6 @@
     WeightsVersion,
     WorkspaceId,
 )
-from .loss_log import Fingerprints
 from .members import MemberState
 from .membership import Membership, make_membership
 from .messages import DigestRecord, Exchange, MemberRecord, PeerCodec
--- a/primrosepier/suspects.py
+++ b/primrosepier/suspects.py
@@ -9,8 +9,9 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
+from .crash_causes import Fingerprints
 from .ids import EndpointId, FailureDomain, Fingerprint, ModelId, WorkspaceId
-from .loss_log import Fingerprints, LossLog
+from .loss_log import LossLog
 
 __all__ = [
     "Allowed",
--- a/tests/test_loss_log.py
+++ b/tests/test_loss_log.py
@@ -2,12 +2,11 @@
 
 import msgspec
 
+from primrosepier.crash_causes import MIN_LOSSES, Fingerprints
 from primrosepier.loss_log import (
     LOSS_TTL_S,
     MAX_LOSSES,
-    MIN_LOSSES,
     SURVIVAL_S,
-    Fingerprints,
     LossLog,
     LossReport,
 )
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -10,10 +10,10 @@
 
 from primrosepier.board import make_board
 from primrosepier.clocks import ManualClock
+from primrosepier.crash_causes import Fingerprints
 from primrosepier.digests import DigestRegistry
 from primrosepier.limits import WorkspaceLimiter
 from primrosepier.load_reports import choose_pollers, parse_load
-from primrosepier.loss_log import Fingerprints
 from primrosepier.membership import make_membership
 from primrosepier.messages import MemberRecord
 from primrosepier.peers import make_transport
