Report losses once more instead of for three seconds

Cause: each report repeated all losses of the last three seconds, each answer to a lost part was told, and causes were told every two seconds, all of it to all peers; each such report had the causes worked out anew from all losses.

Change: a report tells what has changed, and tells it once more after half a second, since a datagram may be lost; causes are told to peers that have started since. The losses of each fingerprint are kept as they come and go, so that only fingerprints of three losses and more are looked at.

--- a/primrosepier/crash_causes.py
+++ b/primrosepier/crash_causes.py
@@ -7,7 +7,6 @@
 with requests which it ran before has not crashed.
 """
 
-from collections import defaultdict
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -24,6 +23,8 @@
 ALIKE_SHARE = 0.75
 # Endpoints that are lost within this time of each other may have one cause.
 COINCIDENCE_S = 0.1
+# Uncertainty of the order of events at different routers.
+ORDER_MARGIN_S = 0.05
 MAX_REQUESTS_PER_LOSS = 128
 
 GetAnsweredAt = Callable[[Fingerprint], float]
@@ -76,15 +77,12 @@
     ----------
     is_crash : bool
         Whether no request is known that the endpoint went on with.
-    disproved_at_s : float
-        Time at which this router found such a request, seconds.
     """
 
     endpoint: EndpointId
     lost_at_s: float
     requests: dict[Fingerprint, LostRequest] = field(default_factory=dict)
     is_crash: bool = True
-    disproved_at_s: float = float("-inf")
 
     def add(self, request: LostRequest) -> bool:
         """Add a request; return whether it was new and there was room for it."""
@@ -95,23 +93,6 @@
         self.requests[request.fingerprints.request] = request
         return known is None
 
-    def involves(self, fingerprints: Collection[Fingerprint]) -> bool:
-        """Return whether a request with any of the fingerprints was lost."""
-        return any(request.involves(fingerprints) for request in self.requests.values())
-
-    def list_suspects(
-        self, get_answered_at_s: GetAnsweredAt
-    ) -> dict[Fingerprint, None]:
-        """Return the fingerprints not answered since a crash, as an ordered set."""
-        if not self.is_crash:
-            return {}
-        return {
-            fingerprint: None
-            for request in self.requests.values()
-            for fingerprint in request.fingerprints.list_all()
-            if get_answered_at_s(fingerprint) <= self.lost_at_s
-        }
-
     def has_only_with(self, part: Fingerprint, other: Fingerprint) -> bool:
         """Return whether each request with a part has the other one too."""
         return all(
@@ -122,7 +103,9 @@
 
 
 def find_causes(
-    losses: Sequence[Loss], get_answered_at_s: GetAnsweredAt
+    involved: Mapping[Fingerprint, Sequence[Loss]],
+    losses: Sequence[Loss],
+    get_answered_at_s: GetAnsweredAt,
 ) -> list[tuple[Fingerprint, Sequence[Loss]]]:
     """Return the causes of losses, each with the losses that it explains.
 
@@ -131,28 +114,29 @@
 
     Parameters
     ----------
+    involved : Mapping of Fingerprint to sequence of Loss
+        The losses of requests with a fingerprint since its last answer.
     losses : sequence of Loss
-        Oldest first.
+        All losses that count as crashes.
     get_answered_at_s : callable
         Returns when the last complete answer to a request with a fingerprint began,
         seconds; minus infinity without one.
     """
-    by_part: dict[Fingerprint, list[Loss]] = defaultdict(list)
-    by_request: dict[Fingerprint, list[Loss]] = defaultdict(list)
-    for loss in losses:
-        for fingerprint in loss.list_suspects(get_answered_at_s):
-            is_request = fingerprint in loss.requests
-            (by_request if is_request else by_part)[fingerprint].append(loss)
-    causes: list[tuple[Fingerprint, Sequence[Loss]]] = [
-        (fingerprint, involved)
-        for fingerprint, involved in by_request.items()
-        if _is_proved(fingerprint, involved, losses, is_request=True)
-    ]
+    causes: list[tuple[Fingerprint, Sequence[Loss]]] = []
+    by_part: dict[Fingerprint, Sequence[Loss]] = {}
+    for fingerprint, lost in involved.items():
+        if len(lost) < MIN_LOSSES:
+            continue
+        ordered = sorted(lost, key=lambda loss: loss.lost_at_s)
+        if fingerprint not in ordered[0].requests:
+            by_part[fingerprint] = ordered
+        elif _is_proved(fingerprint, ordered, losses, is_request=True):
+            causes.append((fingerprint, ordered))
     while True:
         proved = [
             part
-            for part, involved in by_part.items()
-            if _is_proved(part, involved, losses, is_request=False)
+            for part, lost in by_part.items()
+            if _is_proved(part, lost, losses, is_request=False)
         ]
         if not proved:
             return causes
@@ -205,6 +189,7 @@
     endpoints = {loss.endpoint for loss in involved}
     if len(involved) < MIN_LOSSES or len(endpoints) < MIN_ENDPOINTS:
         return False
+    margin_s = 0.0 if is_request else ORDER_MARGIN_S
     lost_at_s = float("-inf")
     counted: list[Fingerprint] = []
     for loss in involved:
@@ -213,9 +198,9 @@
             is_counted = not is_request and name in counted
             if (
                 not is_counted
-                and request.sent_at_s >= lost_at_s
+                and request.sent_at_s >= lost_at_s + margin_s
                 and request.involves((fingerprint,))
-                and _explains_coincidence(fingerprint, loss, losses)
+                and _explains_coincidence(loss, involved, losses)
             ):
                 lost_at_s = loss.lost_at_s
                 counted.append(name)
@@ -224,11 +209,11 @@
 
 
 def _explains_coincidence(
-    fingerprint: Fingerprint, loss: Loss, losses: Sequence[Loss]
+    loss: Loss, involved: Sequence[Loss], losses: Sequence[Loss]
 ) -> bool:
     """Return whether all endpoints lost with one ran such a request."""
     return all(
-        other.involves((fingerprint,))
+        other in involved
         for other in losses
-        if other.is_crash and abs(other.lost_at_s - loss.lost_at_s) <= COINCIDENCE_S
+        if abs(other.lost_at_s - loss.lost_at_s) <= COINCIDENCE_S
     )
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -180,6 +180,8 @@
         Pending tokens in the last report that was sent.
     reported_sort_key : (int, int)
         Fencing number and serial of the last loading record that was sent.
+    informed_tokens : set of str
+        Tokens of the peers that were sent what crashes replicas.
     """
 
     directory: PeerDirectory
@@ -191,6 +193,7 @@
     loss_log: LossLog = field(default_factory=LossLog)
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
+    informed_tokens: set[str] = field(default_factory=set)
 
     def list_pending_tokens(self) -> dict[EndpointId, int]:
         """Return the pending tokens of each replica that has enough to report."""
@@ -226,12 +229,19 @@
             return True
         if self.prefixes.pending_updates or self.loss_log.must_report(self.clock()):
             return True
+        if self.loss_log.causes and self._list_uninformed():
+            return True
         return any(
             abs(pending_tokens.get(endpoint, 0) - self.reported_tokens.get(endpoint, 0))
             >= MIN_REPORTED_TOKENS
             for endpoint in endpoints
         )
 
+    def _list_uninformed(self) -> set[str]:
+        """Return the tokens of peers that have started since the last report."""
+        tokens = {entry.token for entry in self.directory.peers.values()}
+        return tokens - self.informed_tokens
+
     def request_report(self) -> None:
         """Wake the sender, so that it reports a change without waiting."""
         self.loads.changed.set()
@@ -273,6 +283,9 @@
         now_s = self.clock()
         must_report_losses = self.loss_log.must_report(now_s)
         losses = self.loss_log.make_report(now_s) if must_report_losses else None
+        uninformed = self._list_uninformed()
+        summary = self.loss_log.make_summary(now_s) if uninformed else None
+        self.informed_tokens = {x.token for x in self.directory.peers.values()}
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -282,7 +295,7 @@
                 updates,
                 loading_record,
                 self.list_decoding(),
-                losses,
+                summary if entry.token in uninformed else losses,
             )
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
--- a/primrosepier/sharing.py
+++ b/primrosepier/sharing.py
@@ -80,7 +80,7 @@
         now_s = self.clock()
         if self.suspects.suspicions:
             self._publish_suspects(now_s, urgent=True)
-        if self.suspects.loss_log.is_changed:
+        if self.suspects.loss_log.unreported:
             self._publish_losses(now_s, urgent=True)
         await self.gossip.push()
 
@@ -118,12 +118,14 @@
     def _must_publish_losses(self, now_s: float) -> bool:
         loss_log = self.suspects.loss_log
         age_s = now_s - loss_log.reported_at_s
-        if loss_log.is_changed:
+        if loss_log.unreported:
             return age_s >= LOSSES_INTERVAL_S
         return bool(loss_log.causes) and age_s >= SUSPECTS_RENEWAL_S
 
     def _publish_losses(self, now_s: float, urgent: bool) -> None:
-        data = msgspec.msgpack.encode(self.suspects.loss_log.make_report(now_s))
+        loss_log = self.suspects.loss_log
+        data = msgspec.msgpack.encode(loss_log.make_summary(now_s))
+        loss_log.mark_reported(now_s)
         digests = self.gossip.membership.digests
         digests.publish(LOSSES_DIGEST_NAME, data, SUSPECTS_TTL_S, now_s, urgent)
 
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -158,6 +158,7 @@
     crashes: list[tuple[float, str]] = field(default_factory=list)
     by_id: dict[str, CallRecord] = field(default_factory=dict)
     routers: dict[str, "RunningRouter"] = field(default_factory=dict)
+    entries: dict[str, PeerEntry] = field(default_factory=dict)
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
@@ -204,15 +205,15 @@
         )
         router = make_entry_router(settings, platform, make_log(host, settings.logs))
         router.app.forwarder.read_replicas = self.list_engines
-        router.peers.directory.peers = {
-            f"front-{other}": PeerEntry(f"10.1.0.{other}:{PORT}", str(other))
-            for other in range(self.router_count)
-            if other != number
-        }
-        router.peers.directory.token = str(number)
+        self.entries[host] = PeerEntry(
+            settings.peers_address, router.peers.directory.token
+        )
         self.network.receive[address] = router.peers.receive
         running = RunningRouter(router, anyio.current_time())
         self.routers[host] = running
+        for name, other in self.routers.items():
+            directory = other.router.peers.directory
+            directory.peers = {k: v for k, v in self.entries.items() if k != name}
         self.group.start_soon(running.run, self.network.open_socket(address))
 
     async def _arrive(self, kind, duration_s):
--- a/tests/test_loss_log.py
+++ b/tests/test_loss_log.py
@@ -137,11 +137,23 @@
     log = LossLog()
     lose_requests(log)
     now_s = 300.0
-    assert log.must_report(now_s)
+    for _ in range(2):
+        log.make_report(now_s)
+    assert not log.must_report(now_s + 10.0)
     started = LossLog()
-    exchange(log, started, now_s)
+    started.merge(log.make_summary(now_s), now_s)
     assert is_quarantined(started, CRASHING, now_s=now_s)
-    assert not log.must_report(now_s + 1.0)
+
+
+def test_changes_are_reported_twice():
+    log = LossLog()
+    now_s = lose_requests(log)
+    assert log.must_report(now_s)
+    assert len(log.make_report(now_s).losses) == MIN_LOSSES
+    assert not log.must_report(now_s + 0.01)
+    assert log.must_report(now_s + 1.0)
+    assert len(log.make_report(now_s + 1.0).losses) == MIN_LOSSES
+    assert not log.must_report(now_s + 9.0)
 
 
 def test_an_answer_at_another_router_clears_a_part():
