Prove each request that crashes engines by its own losses

Callers saw: several requests that crash replicas, sent at the same moments, took most replicas down again and again; sound requests were refused beside them.

Cause: a loss proved nothing of a request while another endpoint was lost within 0.1 s that did not run it, so that several causes hid each other. And every request lost three times counted as a cause, also where another one explains its losses. Late or cut reports were not looked at.

Change: a request is proved by its own losses. Of what is proved, causes all of whose losses others explain are dropped, parts first; a request of a proved part too. The check against endpoints lost together remains for parts, without the losses that requests explain.

--- a/primrosepier/crash_causes.py
+++ b/primrosepier/crash_causes.py
@@ -7,7 +7,7 @@
 with requests which it ran before has not crashed.
 """
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .ids import EndpointId, Fingerprint
@@ -102,15 +102,20 @@
         )
 
 
+# A fingerprint and the losses that it explains, oldest first.
+Cause = tuple[Fingerprint, Sequence[Loss]]
+
+
 def find_causes(
     involved: Mapping[Fingerprint, Sequence[Loss]],
     losses: Sequence[Loss],
     get_answered_at_s: GetAnsweredAt,
-) -> list[tuple[Fingerprint, Sequence[Loss]]]:
+) -> list[Cause]:
     """Return the causes of losses, each with the losses that it explains.
 
     The part with the most losses explains them first, unless one that comes only
-    with it explains about as many.
+    with it explains about as many. Each request is proved by its own losses alone,
+    since several may crash endpoints at the same time.
 
     Parameters
     ----------
@@ -122,21 +127,66 @@
         Returns when the last complete answer to a request with a fingerprint began,
         seconds; minus infinity without one.
     """
-    causes: list[tuple[Fingerprint, Sequence[Loss]]] = []
+    by_request: dict[Fingerprint, Sequence[Loss]] = {}
     by_part: dict[Fingerprint, Sequence[Loss]] = {}
     for fingerprint, lost in involved.items():
         if len(lost) < MIN_LOSSES:
             continue
         ordered = sorted(lost, key=lambda loss: loss.lost_at_s)
-        if fingerprint not in ordered[0].requests:
-            by_part[fingerprint] = ordered
-        elif _is_proved(fingerprint, ordered, losses, is_request=True):
-            causes.append((fingerprint, ordered))
+        is_request = fingerprint in ordered[0].requests
+        (by_request if is_request else by_part)[fingerprint] = ordered
+    requests = [
+        (request, lost)
+        for request, lost in by_request.items()
+        if _is_proved(lost, request)
+    ]
+    explained = {loss for _, lost in requests for loss in lost}
+    unexplained = [loss for loss in losses if loss not in explained]
+    parts = _find_parts(by_part, unexplained, get_answered_at_s)
+    return _select_causes(parts, requests)
+
+
+def _select_causes(parts: Sequence[Cause], requests: Sequence[Cause]) -> list[Cause]:
+    """Drop the causes all of whose losses are explained by others.
+
+    A cause is in each of its crashes. What was merely lost beside it is in some of
+    them only, and in those of other causes.
+    """
+    candidates = [
+        *parts,
+        *(
+            (request, lost)
+            for request, lost in requests
+            if not _is_one_of(request, lost, parts)
+        ),
+    ]
+    is_part = {cause for cause, _ in parts}
+    by_weight = sorted(candidates, key=lambda x: (x[0] not in is_part, len(x[1])))
+    for cause, lost in by_weight:
+        others = [x for x in candidates if set(x[1]) != set(lost)]
+        if set(lost) <= {loss for _, other in others for loss in other}:
+            candidates.remove((cause, lost))
+    return candidates
+
+
+def _find_parts(
+    by_part: Mapping[Fingerprint, Sequence[Loss]],
+    losses: Sequence[Loss],
+    get_answered_at_s: GetAnsweredAt,
+) -> list[Cause]:
+    """Return the parts that cause losses.
+
+    Parameters
+    ----------
+    losses : sequence of Loss
+        Losses that no request is proved to cause.
+    """
+    causes: list[Cause] = []
     while True:
         proved = [
             part
             for part, lost in by_part.items()
-            if _is_proved(part, lost, losses, is_request=False)
+            if _is_proved_part(part, lost, losses)
         ]
         if not proved:
             return causes
@@ -149,6 +199,16 @@
         }
 
 
+def _is_one_of(
+    request: Fingerprint, lost: Sequence[Loss], parts: Iterable[Cause]
+) -> bool:
+    """Return whether a request is one of several that were lost with a part."""
+    own_parts = lost[0].requests[request].fingerprints.parts
+    return any(
+        part in own_parts and set(lost) < set(with_part) for part, with_part in parts
+    )
+
+
 def _choose_cause(
     proved: Sequence[Fingerprint],
     by_part: Mapping[Fingerprint, Sequence[Loss]],
@@ -173,33 +233,40 @@
     return min(alike, key=get_answered_at_s)
 
 
-def _is_proved(
-    fingerprint: Fingerprint,
-    involved: Sequence[Loss],
-    losses: Sequence[Loss],
-    is_request: bool,
+def _is_proved(involved: Sequence[Loss], request: Fingerprint) -> bool:
+    """Return whether a request was lost again each time that it was sent."""
+    if not _has_enough(involved):
+        return False
+    lost_at_s = float("-inf")
+    count = 0
+    for loss in involved:
+        if loss.requests[request].sent_at_s >= lost_at_s:
+            lost_at_s = loss.lost_at_s
+            count += 1
+    return count >= MIN_LOSSES
+
+
+def _is_proved_part(
+    part: Fingerprint, involved: Sequence[Loss], losses: Sequence[Loss]
 ) -> bool:
-    """Return whether losses prove that requests with a fingerprint cause them.
+    """Return whether losses prove that requests with a part cause them.
 
     Requests that were in progress at the same time may have been lost for one
     reason, and so may endpoints that were lost together, of which some did not run
     such a request. Repeats of one request prove nothing of the parts that it
     shares with others.
     """
-    endpoints = {loss.endpoint for loss in involved}
-    if len(involved) < MIN_LOSSES or len(endpoints) < MIN_ENDPOINTS:
+    if not _has_enough(involved):
         return False
-    margin_s = 0.0 if is_request else ORDER_MARGIN_S
     lost_at_s = float("-inf")
     counted: list[Fingerprint] = []
     for loss in involved:
         for request in loss.requests.values():
             name = request.fingerprints.request
-            is_counted = not is_request and name in counted
             if (
-                not is_counted
-                and request.sent_at_s >= lost_at_s + margin_s
-                and request.involves((fingerprint,))
+                name not in counted
+                and request.sent_at_s >= lost_at_s + ORDER_MARGIN_S
+                and request.involves((part,))
                 and _explains_coincidence(loss, involved, losses)
             ):
                 lost_at_s = loss.lost_at_s
@@ -208,6 +275,11 @@
     return len(counted) >= MIN_LOSSES
 
 
+def _has_enough(involved: Sequence[Loss]) -> bool:
+    endpoints = {loss.endpoint for loss in involved}
+    return len(involved) >= MIN_LOSSES and len(endpoints) >= MIN_ENDPOINTS
+
+
 def _explains_coincidence(
     loss: Loss, involved: Sequence[Loss], losses: Sequence[Loss]
 ) -> bool:
