Hold requests that two endpoints ended under until these are back

Cause: after a request is lost with two endpoints, it was sent on until a third crash proved it, so that several such requests kept most replicas down.

Change: a request lost at two endpoints, the second time after it was sent again, is held for 4 s, unless its losses have a known cause.

The new test fails before and passes after.

--- a/primrosepier/crash_causes.py
+++ b/primrosepier/crash_causes.py
@@ -12,10 +12,19 @@
 
 from .ids import EndpointId, Fingerprint
 
-__all__ = ["MIN_LOSSES", "Fingerprints", "Loss", "LostRequest", "find_causes"]
+__all__ = [
+    "MIN_LOSSES",
+    "Fingerprints",
+    "Loss",
+    "LostRequest",
+    "find_causes",
+    "find_repeated",
+]
 
 # Lost requests, each sent after the one before was lost, that make a cause.
 MIN_LOSSES = 3
+# Losses after which a request is held back until its endpoints are back.
+MIN_REPEATED_LOSSES = 2
 # An endpoint that resets its connections is no proof against what it was sent.
 MIN_ENDPOINTS = 2
 # Share of another part's losses at which a part that comes only with it explains them
@@ -233,17 +242,44 @@
     return min(alike, key=get_answered_at_s)
 
 
+def find_repeated(
+    involved: Mapping[Fingerprint, Sequence[Loss]], causes: Iterable[Cause]
+) -> list[tuple[Fingerprint, Loss]]:
+    """Return the requests that were lost at several endpoints, each with its last loss.
+
+    Losses that have a cause are not counted.
+    """
+    explained = {loss for _, lost in causes for loss in lost}
+    repeated = []
+    for fingerprint, lost in involved.items():
+        ordered = sorted(
+            (loss for loss in lost if loss not in explained),
+            key=lambda loss: loss.lost_at_s,
+        )
+        endpoints = {loss.endpoint for loss in ordered}
+        if (
+            len(endpoints) >= MIN_ENDPOINTS
+            and fingerprint in ordered[0].requests
+            and _count_in_sequence(ordered, fingerprint) >= MIN_REPEATED_LOSSES
+        ):
+            repeated.append((fingerprint, ordered[-1]))
+    return repeated
+
+
 def _is_proved(involved: Sequence[Loss], request: Fingerprint) -> bool:
     """Return whether a request was lost again each time that it was sent."""
-    if not _has_enough(involved):
-        return False
+    return _has_enough(involved) and _count_in_sequence(involved, request) >= MIN_LOSSES
+
+
+def _count_in_sequence(involved: Sequence[Loss], request: Fingerprint) -> int:
+    """Return how often a request was sent after it had been lost, and lost again."""
     lost_at_s = float("-inf")
     count = 0
     for loss in involved:
         if loss.requests[request].sent_at_s >= lost_at_s:
             lost_at_s = loss.lost_at_s
             count += 1
-    return count >= MIN_LOSSES
+    return count
 
 
 def _is_proved_part(
--- a/primrosepier/loss_log.py
+++ b/primrosepier/loss_log.py
@@ -5,7 +5,14 @@
 
 import msgspec
 
-from .crash_causes import MIN_LOSSES, Fingerprints, Loss, LostRequest, find_causes
+from .crash_causes import (
+    MIN_LOSSES,
+    Fingerprints,
+    Loss,
+    LostRequest,
+    find_causes,
+    find_repeated,
+)
 from .ids import EndpointId, Fingerprint
 
 __all__ = [
@@ -20,6 +27,9 @@
 SURVIVAL_S = 0.25
 # Time after which a loss is no longer held against a request.
 LOSS_TTL_S = 600.0
+# Time for which a request is held back that was lost repeatedly: about the restart time
+# of an endpoint.
+HOLD_S = 4.0
 # Requests that one endpoint loses within this time are lost in the same crash.
 SAME_LOSS_S = 2.0
 # Shortest time between two refreshes of the causes that answers and reports require;
@@ -304,6 +314,11 @@
             cause: explained[-MIN_LOSSES].lost_at_s + LOSS_TTL_S
             for cause, explained in causes
         }
+        for request, loss in find_repeated(self.involved, causes):
+            end_s = loss.lost_at_s + HOLD_S
+            if end_s > max(now_s, found.get(request, now_s)):
+                found[request] = end_s
+                self.refresh_at_s = min(self.refresh_at_s, end_s)
         self._drop_excess({loss for _, explained in causes for loss in explained})
         added = frozenset(found.keys() - self.causes.keys())
         ended = frozenset(self.causes.keys() - found.keys())
--- a/tests/test_loss_log.py
+++ b/tests/test_loss_log.py
@@ -4,6 +4,7 @@
 
 from primrosepier.crash_causes import MIN_LOSSES, Fingerprints
 from primrosepier.loss_log import (
+    HOLD_S,
     LOSS_TTL_S,
     MAX_LOSSES,
     SURVIVAL_S,
@@ -93,6 +94,17 @@
     assert not is_quarantined(log, request=1)
 
 
+def test_a_request_lost_twice_does_not_crash_endpoints_until_they_are_back():
+    log = LossLog()
+    for number in range(2):
+        at_s = 10.0 + number
+        log.record_loss(make_request(0), f"e{number}", at_s - 0.1, at_s)
+        log.record_loss(make_request(1 + number), f"e{number}", at_s - 0.1, at_s)
+    assert is_quarantined(log, request=0, now_s=11.1)
+    assert not is_quarantined(log, request=1, now_s=11.1)
+    assert not is_quarantined(log, request=0, now_s=11.0 + HOLD_S + 0.1)
+
+
 def test_one_endpoint_is_no_proof():
     log = LossLog()
     for number in range(6):
