--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -78,6 +78,7 @@
     crashed_at_s: list[float] = field(default_factory=list)
     router_started_at_s: float = 0.0
     began_at_first_attempt: bool = False
+    ended_at_s: float = 0.0
     outcome: object = None
 
 
@@ -145,6 +146,8 @@
 
     Parameters
     ----------
+    limits : dict of int to float
+        Requests per second that engines name in their answers, by number.
     is_crashing : callable
         Tells whether a call crashes each engine that runs it.
     reset_share : callable
@@ -155,6 +158,7 @@
     kinds: tuple[CallKind, ...] = (TAGS, BRIEFS)
     router_count: int = 6
     engine_count: int = 6
+    limits: dict[int, float] = field(default_factory=dict)
     is_crashing: Callable[[CallRecord], bool] = lambda record: False
     reset_share: Callable[[Engine, float], float] = lambda engine, now_s: 0.0
     calls: list[CallRecord] = field(default_factory=list)
@@ -260,6 +264,7 @@
         record.router_started_at_s = running.started_at_s
         delivery = Delivery(_ignore, EventStreamMerger(), _ignore)
         record.outcome = await running.router.app.forwarder.forward(call, delivery)
+        record.ended_at_s = anyio.current_time()
         return record
 
     @contextlib.asynccontextmanager
@@ -282,6 +287,8 @@
             self.crash(engine)
             raise httpcore.RemoteProtocolError("Server disconnected")
         headers = [(names.CALL_ID, call.attempt.encode()), (names.ENDPOINT_PROOF, b"1")]
+        if engine.number in self.limits:
+            headers.append((b"server-limit", b"%g" % self.limits[engine.number]))
         yield EngineResponse(headers, self._generate(engine, crashed))
 
     def abort_unresponsive(self, address, receive_gap_s):
