Keep the limits that replicas name over all routers

Callers saw: a replica in need named how many requests a second it takes from all routers together, and got several times as many.

Change: the head of each answer tells a replica's limit, or that it has none (endpoint_limits.py). Each limited replica has a granter, the first router by rendezvous hashing; the others ask it for a permit by datagram before they send a call there, also a retry or a resumed stream (forwarding/permits.py). Without a permit the replica is left out of the choice until the granter has room, so that a shared prefix moves to its second home; if no replica is left, the call is refused at once with the time until the next permit. If a granter does not reply to three requests, the second one grants 0.4 of the limit; routers whose entries disappear keep their rank for 10 s, so that an outage of the store does not make all routers granters. Changes are reported to peers, which report all limits to routers that start later. LimitChanged, PermitRefused, two metrics and explain tell of it.

Why granters: shares of the limit by demand cannot keep 0.4 a second over 62 routers, and equal shares cannot use it when all calls arrive at one.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -9,6 +9,7 @@
     CallPlaced,
     CallRejected,
     CallRepeated,
+    PermitRefused,
 )
 from .log_events import (
     AttemptEnded,
@@ -149,6 +150,12 @@
             f"Lost the connection to {event.endpoint} after "
             f"{event.duration_s * 1000:.1f} ms; shared parts and request: {shared}."
         )
+    elif isinstance(event, PermitRefused):
+        rate = "" if event.rate_per_s is None else f" {event.rate_per_s:g} requests/s"
+        yield (
+            f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
+            f"and has room in {event.wait_s * 1000:.0f} ms."
+        )
     elif isinstance(event, CallRepeated):
         outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
         where = f"Attempt {event.attempt} at {event.endpoint}"
--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -63,6 +63,11 @@
 HTTP_SERVER_ERROR = 500
 
 CachePlanner = Callable[[Call, Choice], CachePlan]
+RecordHead = Callable[[EndpointId, ResponseHead], None]
+
+
+def ignore_head(endpoint: EndpointId, head: ResponseHead) -> None:
+    """Do nothing; used where no one follows the heads of responses."""
 
 
 def plan_local_cache_use(call: Call, choice: Choice) -> CachePlan:
@@ -269,6 +274,8 @@
     ----------
     uncached_tokens : int
         Tokens of the prompt that the replica is expected to prefill.
+    record_head : callable
+        Called with the replica's id and the head of its response.
     responded_at_s : float or None
         Time at which the head of the response arrived, seconds.
     in_prefill : bool
@@ -280,6 +287,7 @@
     loads: ReplicaLoadTable
     prefill: PrefillTracker
     uncached_tokens: int
+    record_head: RecordHead = ignore_head
     responded_at_s: float | None = None
     in_prefill: bool = True
     is_decoding: bool = False
@@ -298,6 +306,7 @@
         """Record the head of the response, which ends the prefill."""
         self.responded_at_s = now_s
         self.loads.record_response(self.endpoint, head, now_s)
+        self.record_head(self.endpoint, head)
         succeeded = not head.not_run and head.status == HTTP_OK
         self._end_prefill(succeeded, now_s)
         if succeeded:
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -175,6 +175,9 @@
         Whether an endpoint other than the expected one responded.
     authentic : bool
         Whether the response carries the header that proves that a replica produced it.
+    rate_limit_per_s : float or None
+        Requests per second that the endpoint takes from all routers together; None if
+        it names no limit.
     """
 
     status: int
@@ -185,6 +188,7 @@
     authentic: bool = True
     load: ReportedLoad | None = None
     weights: WeightsVersionNumber | None = None
+    rate_limit_per_s: float | None = None
 
 
 class EndpointDialect(Protocol):
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -33,11 +33,19 @@
     ErrorResponse,
     deliver_error_response,
 )
-from .calls import Call, EndpointDialect
+from .calls import Call, EndpointDialect, ResponseHead
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
+from .permits import PermitExchange
 from .prefixes import PrefillTracker
-from .records import CallLost, CallPlaced, CallRepeated, ReplicaGivenUp
+from .records import (
+    CallLost,
+    CallPlaced,
+    CallRepeated,
+    LimitChanged,
+    PermitRefused,
+    ReplicaGivenUp,
+)
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
@@ -58,6 +66,7 @@
 # Tokens added to a prompt's uncached tokens when latency per token is computed. They
 # stand for the fixed cost of an engine step, so that short prompts do not look slow.
 PREFILL_BASE_TOKENS = 512
+LIMIT_REASON = "all replicas have reached the limits that they name"
 QUARANTINE_REASON = "the request or a part of its prompt crashed the replicas it ran on"
 
 SelectReplicas = Callable[
@@ -88,6 +97,8 @@
         that may serve calls, and the ids of those whose weights are outdated.
     suspects : SuspectTable
         Calls that crash replicas.
+    permits : PermitExchange
+        Permits for calls to replicas that limit their rate.
     """
 
     sender: CallSender
@@ -97,6 +108,7 @@
     ejections: Ejections
     retries: RetryBudget
     log: Log
+    permits: PermitExchange
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
@@ -131,6 +143,26 @@
     def _make_not_run(self, reason: str) -> NotRun:
         return NotRun(Step.PLACE, "-", reason, RETRY_AFTER_S)
 
+    def _make_refusal(self, service: ServiceId, tried: set[EndpointId]) -> NotRun:
+        """Return why no replica may receive a call, and when one may again."""
+        now_s = self.clock()
+        limits = self.permits.limits
+        waits_s = [
+            wait_s
+            for replica in self.read_replicas().list_replicas(service)
+            if replica.id not in tried
+            and (wait_s := limits.compute_wait_s(replica.id, now_s)) > 0
+        ]
+        if not waits_s:
+            return self._make_not_run("no replica is available")
+        return NotRun(Step.PLACE, "-", LIMIT_REASON, min(waits_s))
+
+    def _log_refused_permit(
+        self, call: Call, endpoint: EndpointId, wait_s: float
+    ) -> None:
+        rate_per_s = self.permits.limits.get_rate(endpoint)
+        self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
+
     async def _try_replicas(
         self, call: Call, service: ServiceId, delivery: Delivery
     ) -> Outcome:
@@ -147,8 +179,12 @@
                 break
             choice = self._choose_replica(call, service, tried)
             if choice is None:
-                outcome = previous or self._make_not_run("no replica is available")
+                outcome = previous or self._make_refusal(service, tried)
                 break
+            wait_s = await self.permits.acquire(choice.replica.id)
+            if wait_s > 0:
+                self._log_refused_permit(call, choice.replica.id, wait_s)
+                continue
             tried.add(choice.replica.id)
             delivery.attempts += 1
             result = await self._attempt(call, fingerprints, choice, delivery)
@@ -217,7 +253,12 @@
         selected, outdated = self.select_replicas(
             self.read_replicas().list_replicas(service)
         )
-        replicas = [replica for replica in selected if replica.id not in tried]
+        limits = self.permits.limits
+        replicas = [
+            replica
+            for replica in selected
+            if replica.id not in tried and limits.compute_wait_s(replica.id, now_s) <= 0
+        ]
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
         avoided = AvoidedReplicas(ejected, outdated)
         cache_scope = make_call_scope(call)
@@ -256,7 +297,9 @@
         endpoint = choice.replica.id
         index = self.chooser.prefixes
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
-        recorder = AttemptRecorder(self.loads, prefill, choice.uncached_tokens)
+        recorder = AttemptRecorder(
+            self.loads, prefill, choice.uncached_tokens, self._record_limit
+        )
         started_s = self.clock()
         recorder.begin(started_s)
         outcome: Outcome | ErrorResponse
@@ -278,6 +321,15 @@
             delivery.runs += 1
         return outcome
 
+    def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
+        """Record the limit that a replica names, or that it names none."""
+        if not head.authentic:
+            return
+        rate_per_s = head.rate_limit_per_s
+        if self.permits.limits.record_answer(endpoint, rate_per_s, self.clock()):
+            self.log.emit(LimitChanged(endpoint, rate_per_s))
+            self.loads.changed.set()
+
     def _record_lost_call(
         self,
         call: Call,
@@ -360,6 +412,7 @@
     chooser: ReplicaChooser,
     retries: RetryBudget,
     log: Log,
+    permits: PermitExchange,
     clock: Clock = time.monotonic,
 ) -> Forwarder:
     """Return a forwarder with empty state."""
@@ -371,5 +424,6 @@
         Ejections(),
         retries,
         log,
+        permits,
         clock,
     )
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -18,6 +18,8 @@
     table.set("primrosepier_calls_in_progress", app.in_progress)
     table.set("primrosepier_declaration_version", version)
     table.set("primrosepier_declaration_age_seconds", age_s)
+    limited = len(app.forwarder.permits.limits.list_limited())
+    table.set("primrosepier_limited_replicas", limited)
     quarantined = len(app.forwarder.suspects.loss_log.causes)
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -43,6 +43,14 @@
         "Attempts whose connection was lost before the end of the answer.",
         "Many at once: replicas crash; look for CallLost and QuarantineChanged.",
     ),
+    MetricSpec(
+        "primrosepier_refused_permits_total",
+        COUNTER,
+        "attempts",
+        (),
+        "Attempts that went elsewhere because a replica's limit was reached.",
+        "Rises with primrosepier_limited_replicas; look for LimitChanged.",
+    ),
     MetricSpec(
         "primrosepier_choices_total",
         COUNTER,
@@ -123,6 +131,14 @@
         "Replicas that may get calls.",
         "Falls: look for FleetChanged.",
     ),
+    MetricSpec(
+        "primrosepier_limited_replicas",
+        GAUGE,
+        "replicas",
+        (),
+        "Replicas that limit the requests of all routers together.",
+        "Above 0: replicas are in need; find them by LimitChanged.",
+    ),
     MetricSpec(
         "primrosepier_quarantined",
         GAUGE,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -7,7 +7,14 @@
 from ..logs import Log
 from ..metric_table import MetricTable
 from .metric_specs import ENTRY_SPECS
-from .records import CallEnded, CallLost, CallPlaced, CallRejected, CallRepeated
+from .records import (
+    CallEnded,
+    CallLost,
+    CallPlaced,
+    CallRejected,
+    CallRepeated,
+    PermitRefused,
+)
 
 __all__ = ["EntryMetrics", "make_entry_metrics"]
 
@@ -31,6 +38,8 @@
             self.add("primrosepier_repeats_total", 1, outcome=event.outcome)
         elif isinstance(event, CallLost):
             self.add("primrosepier_lost_attempts_total", 1)
+        elif isinstance(event, PermitRefused):
+            self.add("primrosepier_refused_permits_total", 1)
         elif isinstance(event, CallRejected):
             self.add("primrosepier_rejected_calls_total", 1, code=event.code)
 
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -18,12 +18,20 @@
 from anyio.abc import UDPSocket
 
 from ..clocks import Clock
+from ..endpoint_limits import SharedLimit
 from ..ids import EndpointId, HostId
 from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
 from .loading_record import LoadingRecord
+from .permits import (
+    PermitDatagram,
+    PermitExchange,
+    PermitMessage,
+    decode_permit_datagram,
+    is_permit_datagram,
+)
 from .prefixes import PrefixIndex, PrefixUpdate
 from .replica_load import PeerLoad, ReplicaLoadTable
 
@@ -85,6 +93,8 @@
         The sender's calls whose output each replica generates.
     losses : LossReport or None
         Calls that were lost with their replicas; None if there is nothing to report.
+    limits : Mapping of EndpointId to SharedLimit
+        Limits of replicas that have changed.
     """
 
     token: str
@@ -94,6 +104,7 @@
     loading_record: LoadingRecord | None = None
     decoding: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
     losses: LossReport | None = None
+    limits: Mapping[EndpointId, SharedLimit] = msgspec.field(default_factory=dict)
 
 
 def make_no_loading_record() -> LoadingRecord | None:
@@ -122,6 +133,7 @@
     token: str = field(default_factory=lambda: secrets.token_hex(TOKEN_BYTES))
     peers: dict[HostId, PeerEntry] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
+    is_registered: bool = False
 
     def update(self, mirror: Mirror) -> None:
         """Update the peers from the entries of the store."""
@@ -129,14 +141,19 @@
         for key, item in mirror.select(ROUTERS_PREFIX).items():
             entry = _decode_entry(item.value)
             host = HostId(key[len(ROUTERS_PREFIX) :])
-            if entry is not None and host != self.host:
+            if entry is not None:
                 peers[host] = entry
+        self.is_registered = peers.pop(self.host, None) is not None
         self.peers = peers
 
     def count_routers(self) -> int:
         """Return the number of known routers, including this one."""
         return 1 + len(self.peers)
 
+    def list_hosts(self) -> set[HostId]:
+        """Return the registered routers, with this one if it is registered."""
+        return {*self.peers, *((self.host,) if self.is_registered else ())}
+
     async def run(self) -> None:
         """Keep this router registered until cancelled."""
         await anyio.sleep(self.rng.uniform(0.0, START_JITTER_S))
@@ -173,6 +190,8 @@
     apply_loading_record : callable
         Called with each loading record that a peer reports.
     loss_log : LossLog
+    permits : PermitExchange or None
+        None where no replica names a limit.
 
     Attributes
     ----------
@@ -182,6 +201,8 @@
         Fencing number and serial of the last loading record that was sent.
     informed_tokens : set of str
         Tokens of the peers that were sent what crashes replicas.
+    socket : UDPSocket or None
+        Open while the exchange runs.
     """
 
     directory: PeerDirectory
@@ -191,9 +212,11 @@
     make_loading_record: Callable[[], LoadingRecord | None] = make_no_loading_record
     apply_loading_record: Callable[[LoadingRecord], None] = ignore_loading_record
     loss_log: LossLog = field(default_factory=LossLog)
+    permits: PermitExchange | None = None
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
+    socket: UDPSocket | None = None
 
     def list_pending_tokens(self) -> dict[EndpointId, int]:
         """Return the pending tokens of each replica that has enough to report."""
@@ -229,7 +252,10 @@
             return True
         if self.prefixes.pending_updates or self.loss_log.must_report(self.clock()):
             return True
-        if self.loss_log.causes and self._list_uninformed():
+        if self.permits is not None and self.permits.limits.must_report():
+            return True
+        has_news = self.loss_log.causes or self._list_limits()
+        if has_news and self._list_uninformed():
             return True
         return any(
             abs(pending_tokens.get(endpoint, 0) - self.reported_tokens.get(endpoint, 0))
@@ -237,6 +263,11 @@
             for endpoint in endpoints
         )
 
+    def _list_limits(self) -> Mapping[EndpointId, SharedLimit]:
+        if self.permits is None:
+            return {}
+        return self.permits.limits.make_summary(self.clock())
+
     def _list_uninformed(self) -> set[str]:
         """Return the tokens of peers that have started since the last report."""
         tokens = {entry.token for entry in self.directory.peers.values()}
@@ -248,6 +279,7 @@
 
     async def run(self, socket: UDPSocket) -> None:
         """Send and receive reports until cancelled."""
+        self.socket = socket
         async with anyio.create_task_group() as group:
             group.start_soon(self._receive, socket)
             await self._send_changes(socket)
@@ -286,6 +318,8 @@
         uninformed = self._list_uninformed()
         summary = self.loss_log.make_summary(now_s) if uninformed else None
         self.informed_tokens = {x.token for x in self.directory.peers.values()}
+        limits = {} if self.permits is None else self.permits.limits.make_report(now_s)
+        all_limits = self._list_limits()
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -296,6 +330,7 @@
                 loading_record,
                 self.list_decoding(),
                 summary if entry.token in uninformed else losses,
+                all_limits if entry.token in uninformed else limits,
             )
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
@@ -307,9 +342,30 @@
             host, _, port = entry.address.rpartition(":")
             await socket.sendto(data, host, int(port))
 
+    async def send_message(self, host: HostId, message: PermitMessage) -> bool:
+        """Send a message to a peer; return whether its address is known."""
+        entry = self.directory.peers.get(host)
+        if entry is None or self.socket is None:
+            return False
+        data = msgspec.msgpack.encode(PermitDatagram(entry.token, message))
+        address, _, port = entry.address.rpartition(":")
+        await self.socket.sendto(data, address, int(port))
+        return True
+
     async def _receive(self, socket: UDPSocket) -> None:
         async for data, _ in socket:
+            await self.handle(data)
+
+    async def handle(self, data: bytes) -> None:
+        """Apply a datagram: a report, or a message about permits."""
+        if not is_permit_datagram(data):
             self.receive(data)
+            return
+        message = decode_permit_datagram(data, self.directory.token)
+        if message is None:
+            self.loads.rejected_reports += 1
+        elif self.permits is not None:
+            await self.permits.receive(message)
 
     def receive(self, data: bytes) -> None:
         """Apply a datagram if it is a valid report to this router."""
@@ -329,3 +385,5 @@
             self.loss_log.merge(report.losses, now_s)
         if report.loading_record is not None:
             self.apply_loading_record(report.loading_record)
+        if self.permits is not None:
+            self.permits.limits.merge(report.limits, now_s)
--- /dev/null
+++ b/primrosepier/forwarding/permits.py
@@ -0,0 +1,250 @@
+"""Permits for requests to endpoints that limit their rate, exchanged by datagram."""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
+
+import anyio
+import msgspec
+
+from ..clocks import Clock
+from ..endpoint_limits import EndpointLimits, SharedLimit, rank_granters
+from ..ids import EndpointId, HostId
+
+__all__ = [
+    "PermitDatagram",
+    "PermitExchange",
+    "PermitMessage",
+    "PermitReply",
+    "PermitRequest",
+    "decode_permit_datagram",
+    "is_permit_datagram",
+]
+
+# Time to wait for another router's reply, seconds: several round trips.
+REPLY_TIMEOUT_S = 0.05
+# Times that a request is sent, since a datagram may be lost.
+SENDS = 2
+# Time for which a reply is kept, in case that the request comes again.
+REPLY_TTL_S = 1.0
+# Time before a permit is asked for again after a request without a reply, seconds.
+RETRY_WAIT_S = 0.1
+# Consecutive requests without a reply after which a router counts as unresponsive.
+MAX_UNANSWERED = 3
+# Time for which an unresponsive router is not asked again, seconds.
+UNRESPONSIVE_S = 1.0
+# Time for which a router that is no longer registered keeps its rank, so that the
+# others do not all become granters when the store loses their entries.
+RANK_RETENTION_S = 10.0
+NUMBER_BITS = 48
+# First byte of a short map (MessagePack specification).
+MAP_PREFIXES = frozenset(bytes([prefix]) for prefix in range(0x80, 0x90))
+
+
+class PermitRequest(msgspec.Struct, frozen=True, tag="request"):
+    """Request for a permit.
+
+    Parameters
+    ----------
+    rank : int
+        The receiver's rank among the granters of the endpoint.
+    limit : SharedLimit
+        What the sender knows of the endpoint's limit.
+    """
+
+    sender: HostId
+    number: int
+    endpoint: EndpointId
+    rank: int
+    limit: SharedLimit
+
+
+class PermitReply(msgspec.Struct, frozen=True, tag="reply"):
+    """Reply to a request for a permit.
+
+    Parameters
+    ----------
+    wait_s : float
+        0 if the permit is granted, otherwise the time before the next request.
+    """
+
+    number: int
+    wait_s: float
+
+
+PermitMessage = PermitRequest | PermitReply
+SendMessage = Callable[[HostId, PermitMessage], Awaitable[bool]]
+
+
+class PermitDatagram(msgspec.Struct, frozen=True):
+    """Message with the receiver's token, from its entry in the store."""
+
+    token: str
+    message: PermitMessage
+
+
+def is_permit_datagram(data: bytes) -> bool:
+    """Return whether a datagram holds a map, unlike the reports of load."""
+    return data[:1] in MAP_PREFIXES
+
+
+def decode_permit_datagram(data: bytes, token: str) -> PermitMessage | None:
+    """Return the message of a datagram; None if it is not one for the token's owner."""
+    try:
+        datagram = msgspec.msgpack.decode(data, type=PermitDatagram)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return datagram.message if datagram.token == token else None
+
+
+@dataclass(slots=True)
+class _Pending:
+    replied: anyio.Event = field(default_factory=anyio.Event)
+    wait_s: float = 0.0
+
+
+async def send_nowhere(host: HostId, message: PermitMessage) -> bool:
+    """Send nothing; used by a router without peers."""
+    return False
+
+
+def make_numbers() -> Iterator[int]:
+    """Return consecutive numbers that differ from those of an earlier process."""
+    return count(random.getrandbits(NUMBER_BITS))
+
+
+@dataclass(slots=True)
+class PermitExchange:
+    """Asks the granters of an endpoint for permits, and grants those of others.
+
+    Parameters
+    ----------
+    host : HostId
+    limits : EndpointLimits
+    send : callable
+        Sends a message to a router; returns whether its address is known.
+    read_token : callable
+        Returns a router's token, or None if it is not registered.
+
+    Attributes
+    ----------
+    hosts : frozenset of HostId
+        Registered routers.
+    departed : dict of HostId to float
+        Time at which the entry of a router disappeared, seconds.
+    unanswered : dict of HostId to (int, float)
+        Consecutive requests without a reply, and the time of the last, seconds.
+    replies : dict of (HostId, int) to (float, float)
+        Recent replies by the request's sender and number, with their time, seconds.
+    """
+
+    host: HostId
+    limits: EndpointLimits
+    clock: Clock
+    send: SendMessage = send_nowhere
+    hosts: frozenset[HostId] = frozenset()
+    departed: dict[HostId, float] = field(default_factory=dict)
+    unanswered: dict[HostId, tuple[int, float]] = field(default_factory=dict)
+    pending: dict[int, _Pending] = field(default_factory=dict)
+    replies: dict[tuple[HostId, int], tuple[float, float]] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=make_numbers)
+
+    def record_hosts(self, hosts: Iterable[HostId]) -> None:
+        """Record which routers are registered."""
+        now_s = self.clock()
+        current = frozenset(hosts)
+        for host in self.hosts - current:
+            self.departed[host] = now_s
+        self.departed = {
+            host: departed_at_s
+            for host, departed_at_s in self.departed.items()
+            if host not in current and now_s - departed_at_s < RANK_RETENTION_S
+        }
+        self.hosts = current
+
+    def _rank_granters(self, endpoint: EndpointId, now_s: float) -> list[HostId]:
+        departed = {
+            host
+            for host, departed_at_s in self.departed.items()
+            if now_s - departed_at_s < RANK_RETENTION_S
+        }
+        return rank_granters(endpoint, self.hosts | departed)
+
+    async def acquire(self, endpoint: EndpointId) -> float:
+        """Take a permit and return 0, or return the time until there is one, seconds.
+
+        Endpoints without a limit need no permit.
+        """
+        if self.limits.get_rate(endpoint) is None:
+            return 0.0
+        wait_s = self.limits.compute_wait_s(endpoint, self.clock())
+        if wait_s > 0:
+            return wait_s
+        wait_s = await self._ask_granters(endpoint)
+        if wait_s > 0:
+            self.limits.record_refusal(endpoint, wait_s, self.clock())
+        return wait_s
+
+    async def _ask_granters(self, endpoint: EndpointId) -> float:
+        """Return the wait that the first responsive granter replies, seconds."""
+        for rank, host in enumerate(self._rank_granters(endpoint, self.clock())):
+            if host == self.host:
+                return self.limits.grant(endpoint, rank, self.clock())
+            if host not in self.hosts or self._is_unresponsive(host):
+                continue
+            wait_s = await self._ask(host, rank, endpoint)
+            if wait_s is not None:
+                self.unanswered.pop(host, None)
+                return wait_s
+            count, _ = self.unanswered.get(host, (0, 0.0))
+            self.unanswered[host] = count + 1, self.clock()
+            return RETRY_WAIT_S
+        return RETRY_WAIT_S
+
+    def _is_unresponsive(self, host: HostId) -> bool:
+        count, asked_at_s = self.unanswered.get(host, (0, 0.0))
+        return count >= MAX_UNANSWERED and self.clock() < asked_at_s + UNRESPONSIVE_S
+
+    async def _ask(self, host: HostId, rank: int, endpoint: EndpointId) -> float | None:
+        limit = self.limits.share(endpoint, self.clock())
+        if limit is None:
+            return 0.0
+        number = next(self.numbers)
+        pending = self.pending[number] = _Pending()
+        try:
+            message = PermitRequest(self.host, number, endpoint, rank, limit)
+            for _ in range(SENDS):
+                if not await self.send(host, message):
+                    return None
+                with anyio.move_on_after(REPLY_TIMEOUT_S):
+                    await pending.replied.wait()
+                    return pending.wait_s
+            return None
+        finally:
+            del self.pending[number]
+
+    def _grant_once(self, request: PermitRequest) -> float:
+        """Return the wait before a permit; the same if the request comes again."""
+        now_s = self.clock()
+        for name in list(self.replies):
+            if self.replies[name][1] + REPLY_TTL_S > now_s:
+                break
+            del self.replies[name]
+        name = request.sender, request.number
+        if name not in self.replies:
+            self.limits.merge({request.endpoint: request.limit}, now_s)
+            wait_s = self.limits.grant(request.endpoint, request.rank, now_s)
+            self.replies[name] = wait_s, now_s
+        return self.replies[name][0]
+
+    async def receive(self, message: PermitMessage) -> None:
+        """Grant or refuse a permit, or apply a reply."""
+        if isinstance(message, PermitReply):
+            pending = self.pending.get(message.number)
+            if pending is not None:
+                pending.wait_s = message.wait_s
+                pending.replied.set()
+            return
+        wait_s = self._grant_once(message)
+        await self.send(message.sender, PermitReply(message.number, wait_s))
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -19,6 +19,8 @@
     "FORWARDING_EVENT",
     "FleetChanged",
     "MetricsUnserved",
+    "LimitChanged",
+    "PermitRefused",
     "QuarantineChanged",
     "ReplicaGivenUp",
     "RouterStarted",
@@ -230,6 +232,51 @@
         return f"quarantined what crashes replicas: {added}; no longer: {ended}"
 
 
+class LimitChanged(Event, frozen=True):
+    """A replica named another limit on its rate of requests, or none any more.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Requests per second from all routers together.
+    """
+
+    part: ClassVar[str] = "forward"
+    endpoint: EndpointId
+    rate_per_s: float | None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if self.rate_per_s is None:
+            return f"{self.endpoint} no longer limits its requests"
+        return f"{self.endpoint} takes {self.rate_per_s:g} requests/s from all routers"
+
+
+class PermitRefused(Event, frozen=True):
+    """A call had to go elsewhere because its replica's limit is reached.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Limit of the replica, requests per second.
+    wait_s : float
+        Time until a call may be sent there, seconds.
+    """
+
+    part: ClassVar[str] = "forward"
+    request: RequestId
+    endpoint: EndpointId
+    rate_per_s: float | None
+    wait_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return (
+            f"{self.request} not sent to {self.endpoint}: no permit for"
+            f" {self.wait_s:.3f} s"
+        )
+
+
 class RouterStarted(Event, frozen=True):
     """A router started."""
 
@@ -392,6 +439,8 @@
     | DutyChanged
     | EntryUnreadable
     | FleetChanged
+    | LimitChanged
+    | PermitRefused
     | QuarantineChanged
     | ReplicaGivenUp
     | RouterStarted
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -12,6 +12,7 @@
 from ..asgi import open_server
 from ..clocks import Clock
 from ..endpoint_client import EndpointClient
+from ..endpoint_limits import EndpointLimits
 from ..errors import SettingsError
 from ..ids import EndpointId, Fingerprint
 from ..lease_holder import LeaseHolder
@@ -30,6 +31,7 @@
 from .gauges import set_gauges
 from .metrics import EntryMetrics, make_entry_metrics
 from .peers import PeerDirectory, PeerExchange
+from .permits import PermitExchange
 from .records import (
     MetricsUnserved,
     QuarantineChanged,
@@ -134,10 +136,11 @@
             await anyio.sleep(REFRESH_INTERVAL_S)
             self.store_view.refresh()
             replica_lists = self.store_view.replicas.value.by_service.values()
-            registered = (
+            registered = {
                 replica.id for replicas in replica_lists for replica in replicas
-            )
+            }
             self.app.forwarder.loads.retain(registered)
+            self.app.forwarder.permits.limits.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
     def reload(self, read_settings: Callable[[], EntrySettings]) -> None:
@@ -221,6 +224,7 @@
     listeners = (
         store_view.update,
         directory.update,
+        lambda mirror: forwarder.permits.record_hosts(directory.list_hosts()),
         weights_controller.read_loading_record,
     )
     mirror_controller.mirror.listeners.extend(listeners)
@@ -248,6 +252,8 @@
     )
     peers = PeerExchange(directory, forwarder.loads, prefixes, clock, *callbacks)
     peers.loss_log = forwarder.suspects.loss_log
+    peers.permits = forwarder.permits
+    forwarder.permits.send = peers.send_message
     weights_controller.notify = peers.request_report
     return peers
 
@@ -288,6 +294,7 @@
         ReplicaChooser(settings.failure_domain, ReplicaLoadTable(), rng),
         retries,
         store_view.log,
+        PermitExchange(settings.host, EndpointLimits(), platform.clock),
         platform.clock,
     )
 
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -22,6 +22,7 @@
     "OPERATORS_PREFIX",
     "RESERVED_HEADERS",
     "PROMPT_PARTS",
+    "RATE_LIMIT",
     "REMAINING_TIME",
     "REPLICAS_PREFIX",
     "RETRY_AFTER",
@@ -52,6 +53,8 @@
 # Proves that a replica produced the response; a response without it is not relayed.
 ENDPOINT_PROOF = b"server-stamp"
 NOT_RUN = b"not-executed"
+# Requests per second from all routers together.
+RATE_LIMIT = b"server-limit"
 WEIGHTS = b"weight-versions"
 # The id of a workspace.
 WORKSPACE = b"tenant"
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -1,5 +1,6 @@
 """Decodes replicas' registrations, and the headers exchanged with replicas."""
 
+import re
 from collections.abc import Sequence
 
 import msgspec
@@ -22,6 +23,7 @@
 READY = "ready"
 DRAINING = "draining"
 MISDIRECTED = 421
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class _Model(msgspec.Struct):
@@ -119,6 +121,7 @@
             authentic=names.ENDPOINT_PROOF in values,
             load=_read_load(values.get(names.ENDPOINT_LOAD, b"")),
             weights=_read_weights(values.get(names.WEIGHTS, b"")),
+            rate_limit_per_s=_read_rate(values.get(names.RATE_LIMIT, b"")),
         )
 
 
@@ -130,5 +133,13 @@
     return ReportedLoad(running, waiting, slots)
 
 
+def _read_rate(value: bytes) -> float | None:
+    """Return a positive decimal number; None for anything else."""
+    if not DECIMAL.fullmatch(value.strip()):
+        return None
+    rate_per_s = float(value)
+    return rate_per_s if rate_per_s > 0 else None
+
+
 def _read_weights(value: bytes) -> WeightsVersionNumber | None:
     return WeightsVersionNumber(int(value)) if value.strip().isdigit() else None
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -123,7 +123,7 @@
 
     rng: random.Random
     loss: float
-    receive: dict[str, Callable[[bytes], None]] = field(default_factory=dict)
+    receive: dict[str, Callable[[bytes], Awaitable[None]]] = field(default_factory=dict)
 
     def open_socket(self, host):
         network = self
@@ -131,7 +131,7 @@
         class Socket:
             async def sendto(self, data, address, port):
                 if network.rng.random() >= network.loss and address in network.receive:
-                    network.receive[address](data)
+                    await network.receive[address](data)
 
             async def __aiter__(self):
                 await anyio.sleep(3600)
@@ -215,12 +215,14 @@
         self.entries[host] = PeerEntry(
             settings.peers_address, router.peers.directory.token
         )
-        self.network.receive[address] = router.peers.receive
+        self.network.receive[address] = router.peers.handle
         running = RunningRouter(router, anyio.current_time())
         self.routers[host] = running
         for name, other in self.routers.items():
             directory = other.router.peers.directory
             directory.peers = {k: v for k, v in self.entries.items() if k != name}
+            directory.is_registered = True
+            other.router.app.forwarder.permits.record_hosts(directory.list_hosts())
         self.group.start_soon(running.run, self.network.open_socket(address))
 
     async def _arrive(self, kind, duration_s):
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -174,6 +174,16 @@
         assert head.load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "rate_per_s"),
+    [(b"4.3", 4.3), (b"12", 12.0), (b"0", None), (b"-1", None), (b"1e3", None)]
+    + [(b"nan", None), (b"", None), (b"\xb2", None)],
+)
+def test_only_a_positive_decimal_number_limits_a_replica(value, rate_per_s):
+    head = PlatformDialect().read_head(200, [(b"Server-Limit", value)])
+    assert head.rate_limit_per_s == rate_per_s
+
+
 CACHE_STORE = CacheStore("10.0.9.9:1", "rennes")
 
 
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -13,6 +13,7 @@
     CallLost,
     CallPlaced,
     CallRejected,
+    PermitRefused,
 )
 from primrosepier.log_lines import LogReader
 from primrosepier.logs import make_log
@@ -154,6 +155,7 @@
     log = make_log("front-1", LogSettings("info", str(path)))
     log.emit(make_placed("a1"))
     log.emit(CallLost("a1", 1, "w1", 1.9, (0xAB, 0xCD)))
+    log.emit(PermitRefused("a1", "w2", 3.5, 0.25))
     log.emit(make_ended("a1"))
     log.emit(CallRejected("a2", 503, "stale_keys", 7, 4.2))
     log.close()
@@ -168,6 +170,7 @@
     assert "the call's deadline passed" in explanation
     assert "Declaration 7" in explanation
     assert "shared parts and request: 00000000000000ab, 00000000000000cd" in explanation
+    assert "Not sent to w2: it limits all routers to 3.5 requests/s" in explanation
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
     assert "17 outputs are generated" in explanation
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -16,11 +16,13 @@
 from primrosepier.demo import find_example
 from primrosepier.drift import MissCause
 from primrosepier.drift_controller import DayEntry
+from primrosepier.endpoint_limits import SharedLimit
 from primrosepier.forwarding.loading_record import (
     LOADING_RECORD_KEY,
     LoadingRecord as WeightsLoadingRecord,
 )
 from primrosepier.forwarding.peers import ROUTERS_PREFIX, PeerEntry, PeerReport
+from primrosepier.forwarding.permits import PermitDatagram, PermitReply, PermitRequest
 from primrosepier.leases import DutyRecord, make_duty_key, make_fencing_key
 from primrosepier.leaving_controller import LeavingDigest
 from primrosepier.load_reports import SharedLoad
@@ -80,10 +82,25 @@
             LossReport(
                 [SharedLoss("w1", 20, [SharedRequest(7, (8, 9), 120)])], {8: 15}
             ),
+            {"w1": SharedLimit(4.5, 20)},
         ),
-        "97a5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
+        "98a5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
         "6703a9656e64706f696e747391a27731a66c6f61645f73cb4000000000000000a67365726961"
-        "6c0481a2773103929193a27731149193079208097881080f",
+        "6c0481a2773103929193a27731149193079208097881080f"
+        "81a2773192cb401200000000000014",
+    ),
+    (
+        PermitDatagram(
+            "token", PermitRequest("front-1", 7, "w1", 1, SharedLimit(4.5, 20))
+        ),
+        "82a5746f6b656ea5746f6b656ea76d65737361676586a474797065a772657175657374a67365"
+        "6e646572a766726f6e742d31a66e756d62657207a8656e64706f696e74a27731a472616e6b01"
+        "a56c696d697492cb401200000000000014",
+    ),
+    (
+        PermitDatagram("token", PermitReply(7, 0.25)),
+        "82a5746f6b656ea5746f6b656ea76d65737361676583a474797065a57265706c79a66e756d62"
+        "657207a6776169745f73cb3fd0000000000000",
     ),
 ]
 STORED = [
@@ -139,6 +156,8 @@
     "EventsDropped": "count",
     "FleetChanged": "added removed known",
     "MetricsUnserved": "address reason",
+    "LimitChanged": "endpoint rate_per_s",
+    "PermitRefused": "request endpoint rate_per_s wait_s",
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
     "ReplicaGivenUp": "endpoint calls",
@@ -187,6 +206,13 @@
     assert read == msgspec.structs.replace(report, losses=None)
 
 
+def test_reports_of_routers_that_know_no_limits_are_read():
+    report = PeerReport("token", "front-1", {}, [], LOADING, {"w1": 3}, None)
+    array = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
+    data = msgspec.msgpack.encode(array[:7])
+    assert msgspec.msgpack.decode(data, type=PeerReport) == report
+
+
 @pytest.mark.parametrize(
     ("value", "text"), STORED, ids=lambda value: type(value).__name__
 )
