Report a limit only by the router that was told

Cause: a limit taken from a peer's report counted as a change, so that each of N routers reported it to all others: N x N datagrams for one change.

Change: only changes in answers to this router are reported. The new test fails before and passes after.

--- a/primrosepier/endpoint_limits.py
+++ b/primrosepier/endpoint_limits.py
@@ -62,12 +62,13 @@
     named_at_s : float
         Time of the answer, seconds.
     changed_at_s : float
-        Time at which the limit was last seen to change, seconds.
+        Time at which an answer to this router last changed the limit, seconds. What
+        another router has reported is not reported again.
     """
 
     rate_per_s: float | None
     named_at_s: float
-    changed_at_s: float
+    changed_at_s: float = float("-inf")
 
 
 def _is_change(known: float | None, rate_per_s: float | None) -> bool:
@@ -129,33 +130,29 @@
         self, endpoint: EndpointId, rate_per_s: float | None, now_s: float
     ) -> bool:
         """Record what an answer names; return whether the limit has changed."""
-        return self._record(endpoint, rate_per_s, now_s, now_s)
+        has_changed = self._record(endpoint, rate_per_s, now_s)
+        if has_changed:
+            self.named[endpoint].changed_at_s = now_s
+        return has_changed
 
     def _record(
-        self,
-        endpoint: EndpointId,
-        rate_per_s: float | None,
-        named_at_s: float,
-        now_s: float,
+        self, endpoint: EndpointId, rate_per_s: float | None, named_at_s: float
     ) -> bool:
         known = self.named.get(endpoint)
         if known is None:
             if rate_per_s is None:
                 return False
-            self.named[endpoint] = NamedLimit(rate_per_s, named_at_s, now_s)
+            self.named[endpoint] = NamedLimit(rate_per_s, named_at_s)
             return True
         if named_at_s < known.named_at_s:
             return False
         is_change = _is_change(known.rate_per_s, rate_per_s)
         known.named_at_s = named_at_s
         known.rate_per_s = rate_per_s
-        if not is_change:
-            return False
-        known.changed_at_s = now_s
-        if rate_per_s is None:
+        if is_change and rate_per_s is None:
             self.refused_until_s.pop(endpoint, None)
             self.buckets.pop(endpoint, None)
-        return True
+        return is_change
 
     def compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the time before a permit may be asked for again, seconds."""
@@ -215,9 +212,7 @@
         return [
             endpoint
             for endpoint, limit in shared.items()
-            if self._record(
-                endpoint, limit.rate_per_s, now_s - limit.age_ms * MS, now_s
-            )
+            if self._record(endpoint, limit.rate_per_s, now_s - limit.age_ms * MS)
         ]
 
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -46,9 +46,9 @@
     MetricSpec(
         "primrosepier_refused_permits_total",
         COUNTER,
-        "attempts",
+        "permits",
         (),
-        "Attempts that went elsewhere because a replica's limit was reached.",
+        "Permits that were refused, so that calls went elsewhere for some time.",
         "Rises with primrosepier_limited_replicas; look for LimitChanged.",
     ),
     MetricSpec(
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -186,6 +186,16 @@
     assert limits.grant(ENDPOINT, 0, 1.0) == 0.0
 
 
+def test_a_limit_that_a_peer_has_reported_is_not_reported_again():
+    limits, peer = EndpointLimits(), EndpointLimits()
+    assert limits.record_answer(ENDPOINT, 3.0, 10.0)
+    assert limits.must_report()
+    peer.merge(limits.make_report(10.0), 10.1)
+    assert peer.get_rate(ENDPOINT) == 3.0
+    assert not limits.must_report()
+    assert not peer.must_report()
+
+
 def test_an_older_answer_does_not_replace_a_newer_one():
     limits = EndpointLimits()
     limits.record_answer(ENDPOINT, 3.0, 10.0)
