Take limits from refusals too, and none from another replica's answer

Cause: only authentic answers were read for a limit, but a replica in need may refuse a call, and a refusal carries no proof of its origin; and an answer of another replica at a reused address would have set or ended the limit.

Change: a limit in any answer counts, unless the call was misdirected; that none is named counts in authentic answers only. The stand-in replica names limits. Three real routers over real sockets keep and use a limit of 2 a second at 40 calls a second, all calls are served by the other replica, and they return within 1.5 s after the limit ends. The test with refusals fails before and passes after.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -323,9 +323,10 @@
 
     def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
         """Record the limit that a replica names, or that it names none."""
-        if not head.authentic:
-            return
         rate_per_s = head.rate_limit_per_s
+        is_unsure = not head.authentic and rate_per_s is None
+        if head.misdirected or is_unsure:
+            return
         if self.permits.limits.record_answer(endpoint, rate_per_s, self.clock()):
             self.log.emit(LimitChanged(endpoint, rate_per_s))
             self.loads.changed.set()
--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -220,6 +220,9 @@
         Number of following orders that are executed but not answered.
     crash_on : str
         Id of a prompt part on which the connection is cut; empty for none.
+    rate_limit : str
+        Requests per second that the replica's answers name as its limit; empty for
+        none.
     """
 
     refuse: bool = False
@@ -229,6 +232,7 @@
     delay_s: float = 0.0
     lose_orders: int = 0
     crash_on: str = ""
+    rate_limit: str = ""
 
     def crashes(self, prompt_parts: str) -> bool:
         """Return whether a call with these prompt parts cuts its connection."""
@@ -316,6 +320,9 @@
         if self.faults.wrong_id:
             call_id = "0" * 16
         response_headers = [(names.CALL_ID.decode(), call_id)]
+        if self.faults.rate_limit:
+            limit = (names.RATE_LIMIT.decode(), self.faults.rate_limit)
+            response_headers.append(limit)
         if self.faults.refuse:
             refusal = (names.NOT_RUN.decode(), "1")
             await send_bytes(send, 503, b"", [*response_headers, refusal])
