Log the choice of a replica once its permit is granted

A call that got no permit was logged and counted as placed at the replica. The loop that looks for a replica with room has a function of its own.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -157,11 +157,25 @@
             return self._make_not_run("no replica is available")
         return NotRun(Step.PLACE, "-", LIMIT_REASON, min(waits_s))
 
-    def _log_refused_permit(
-        self, call: Call, endpoint: EndpointId, wait_s: float
-    ) -> None:
-        rate_per_s = self.permits.limits.get_rate(endpoint)
-        self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
+    async def _choose_permitted(
+        self, call: Call, service: ServiceId, tried: set[EndpointId]
+    ) -> Choice | None:
+        """Choose a replica whose limit has room; return None if there is none."""
+        while True:
+            now_s = self.clock()
+            replicas, avoided = self._list_candidates(service, tried, now_s)
+            scope = make_call_scope(call)
+            choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
+            if choice is None:
+                return None
+            endpoint = choice.replica.id
+            wait_s = await self.permits.acquire(endpoint)
+            if wait_s <= 0:
+                attempt = len(tried) + 1
+                self._log_choice(call, service, choice, attempt, len(replicas))
+                return choice
+            rate_per_s = self.permits.limits.get_rate(endpoint)
+            self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
 
     async def _try_replicas(
         self, call: Call, service: ServiceId, delivery: Delivery
@@ -177,14 +191,10 @@
                     Step.PLACE, "-", QUARANTINE_REASON, allowed.retry_after_s
                 )
                 break
-            choice = self._choose_replica(call, service, tried)
+            choice = await self._choose_permitted(call, service, tried)
             if choice is None:
                 outcome = previous or self._make_refusal(service, tried)
                 break
-            wait_s = await self.permits.acquire(choice.replica.id)
-            if wait_s > 0:
-                self._log_refused_permit(call, choice.replica.id, wait_s)
-                continue
             tried.add(choice.replica.id)
             delivery.attempts += 1
             result = await self._attempt(call, fingerprints, choice, delivery)
@@ -246,10 +256,10 @@
             allowed = False
         return allowed and self.retries.try_acquire(service, now_s)
 
-    def _choose_replica(
-        self, call: Call, service: ServiceId, tried: set[EndpointId]
-    ) -> Choice | None:
-        now_s = self.clock()
+    def _list_candidates(
+        self, service: ServiceId, tried: set[EndpointId], now_s: float
+    ) -> tuple[Sequence[Replica], AvoidedReplicas]:
+        """Return the replicas that a call may be sent to, and those to avoid."""
         selected, outdated = self.select_replicas(
             self.read_replicas().list_replicas(service)
         )
@@ -260,22 +270,28 @@
             if replica.id not in tried and limits.compute_wait_s(replica.id, now_s) <= 0
         ]
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
-        avoided = AvoidedReplicas(ejected, outdated)
-        cache_scope = make_call_scope(call)
-        choice = self.chooser.choose(call, cache_scope, replicas, avoided, now_s)
-        if choice is None:
-            return None
+        return replicas, AvoidedReplicas(ejected, outdated)
+
+    def _log_choice(
+        self,
+        call: Call,
+        service: ServiceId,
+        choice: Choice,
+        attempt: int,
+        candidates: int,
+    ) -> None:
+        now_s = self.clock()
         endpoint = choice.replica.id
         load = self.loads.get_or_create(endpoint)
         has_report = load.reported is not None
         self.log.emit(
             CallPlaced(
                 request=call.id,
-                attempt=len(tried) + 1,
+                attempt=attempt,
                 service=service,
                 endpoint=endpoint,
                 kind=choice.kind.value,
-                candidates=len(replicas),
+                candidates=candidates,
                 outstanding=load.outstanding,
                 pending_tokens=load.pending_tokens,
                 report_age_s=now_s - load.reported_at_s if has_report else None,
@@ -285,7 +301,6 @@
                 decoding=self.loads.count_decoding(endpoint, now_s),
             )
         )
-        return choice
 
     async def _attempt(
         self,
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -3,9 +3,10 @@
 A router knows its own calls at once, but learns of its peers' calls only seconds later,
 from the loads that replicas report. Each router therefore sends its peers datagrams
 that report the prompt tokens that each replica has yet to prefill for it, the calls
-that each replica decodes for it, its updates of the prefix index, its loading record
-and the calls that it lost with their replicas. The next report replaces one that was
-lost, except for the updates, which are sent once.
+that each replica decodes for it, its updates of the prefix index, its loading record,
+the calls that it lost with their replicas and the limits that replicas named. The next
+report replaces one that was lost, except for the updates, which are sent once. Messages
+about permits use the same socket.
 """
 
 import random
