--- a/primrosepier/endpoint_limits.py
+++ b/primrosepier/endpoint_limits.py
@@ -9,6 +9,7 @@
 import hashlib
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,7 @@
 __all__ = [
     "EndpointLimits",
     "NamedLimit",
+    "Rank",
     "SharedLimit",
     "rank_granters",
 ]
@@ -33,9 +35,16 @@
 MAX_WAIT_S = 10.0
 # Time for which a changed limit is repeated in the reports to other routers.
 REPEAT_S = 1.0
+MAX_RATE_PER_S = 1e9
 MS = 0.001
 
 
+Rate = Annotated[float, msgspec.Meta(gt=0.0, le=MAX_RATE_PER_S)]
+AgeMs = Annotated[int, msgspec.Meta(ge=0)]
+# Rank of a granter.
+Rank = Annotated[int, msgspec.Meta(ge=0, lt=len(GRANT_SHARES))]
+
+
 class SharedLimit(msgspec.Struct, frozen=True, array_like=True):
     """Limit of an endpoint in a message to another router.
 
@@ -47,8 +56,8 @@
         Time since the endpoint's answer, milliseconds.
     """
 
-    rate_per_s: float | None
-    age_ms: int
+    rate_per_s: Rate | None
+    age_ms: AgeMs
 
 
 @dataclass(slots=True)
--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..clocks import Clock
-from ..endpoint_limits import EndpointLimits, SharedLimit, rank_granters
+from ..endpoint_limits import EndpointLimits, Rank, SharedLimit, rank_granters
 from ..ids import EndpointId, HostId
 
 __all__ = [
@@ -56,7 +56,7 @@
     sender: HostId
     number: int
     endpoint: EndpointId
-    rank: int
+    rank: Rank
     limit: SharedLimit
 
 
@@ -124,8 +124,6 @@
     limits : EndpointLimits
     send : callable
         Sends a message to a router; returns whether its address is known.
-    read_token : callable
-        Returns a router's token, or None if it is not registered.
 
     Attributes
     ----------
@@ -133,6 +131,8 @@
         Registered routers.
     departed : dict of HostId to float
         Time at which the entry of a router disappeared, seconds.
+    pending : dict of int to _Pending
+        Requests that wait for a reply, by number.
     unanswered : dict of HostId to (int, float)
         Consecutive requests without a reply, and the time of the last, seconds.
     replies : dict of (HostId, int) to (float, float)
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -4,10 +4,17 @@
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
 import pytest
 
 from primrosepier.endpoint_limits import EndpointLimits, SharedLimit, rank_granters
-from primrosepier.forwarding.permits import RANK_RETENTION_S, PermitExchange
+from primrosepier.forwarding.permits import (
+    RANK_RETENTION_S,
+    PermitDatagram,
+    PermitExchange,
+    PermitRequest,
+    decode_permit_datagram,
+)
 from primrosepier.virtualtime import run_in_virtual_time
 
 ENDPOINT = "e1"
@@ -196,6 +203,19 @@
     assert not peer.must_report()
 
 
+@pytest.mark.parametrize(
+    ("rank", "rate_per_s", "age_ms"),
+    [(2, 3.0, 0), (-1, 3.0, 0), (0, 0.0, 0), (0, float("nan"), 0), (0, 3.0, -1)],
+)
+def test_a_message_with_values_out_of_range_does_not_stop_a_router(
+    rank, rate_per_s, age_ms
+):
+    limit = SharedLimit(rate_per_s, age_ms)
+    request = PermitRequest("front-1", 7, ENDPOINT, rank, limit)
+    data = msgspec.msgpack.encode(PermitDatagram("token", request))
+    assert decode_permit_datagram(data, "token") is None
+
+
 def test_an_older_answer_does_not_replace_a_newer_one():
     limits = EndpointLimits()
     limits.record_answer(ENDPOINT, 3.0, 10.0)
