--- a/primrosepier/crash_causes.py
+++ b/primrosepier/crash_causes.py
@@ -159,7 +159,8 @@
     """Drop the causes all of whose losses are explained by others.
 
     A cause is in each of its crashes. What was merely lost beside it is in some of
-    them only, and in those of other causes.
+    them only, and in those of other causes. Only requests that were lost more often
+    explain a request, since causes that come together are lost beside each other.
     """
     candidates = [
         *parts,
@@ -172,7 +173,11 @@
     is_part = {cause for cause, _ in parts}
     by_weight = sorted(candidates, key=lambda x: (x[0] not in is_part, len(x[1])))
     for cause, lost in by_weight:
-        others = [x for x in candidates if set(x[1]) != set(lost)]
+        others = [
+            x
+            for x in candidates
+            if set(x[1]) != set(lost) and (cause in is_part or len(x[1]) > len(lost))
+        ]
         if set(lost) <= {loss for _, other in others for loss in other}:
             candidates.remove((cause, lost))
     return candidates
