Let one task send the datagrams between routers

Callers saw refused connections: with many replicas that name a limit, routers ended within seconds ("unhandled errors in a TaskGroup").

Cause: reports, requests for permits and replies were sent by several tasks, and a UDP socket raises BusyResourceError when a second task writes. That ended the task group of the process. The class: a resource for one task, shared by several, and a failed send or a message that can't be handled ends the whole process. Read for the same: connections to replicas and to the store belong to one call each; no other socket is shared.

Change: a port owns the socket. Senders queue datagrams; one task sends them; what can't be sent or handled is dropped, counted and logged once a second at most, and a broken socket is opened again. Addresses are checked before they are sent to, since an invalid port closes asyncio's transport. A reply's wait has bounds: NaN made a call ask for permits without end.

--- a/primrosepier/endpoint_limits.py
+++ b/primrosepier/endpoint_limits.py
@@ -17,6 +17,7 @@
 from .limits import TokenBucket
 
 __all__ = [
+    "MAX_WAIT_S",
     "EndpointLimits",
     "NamedLimit",
     "Rank",
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -19,6 +19,7 @@
 from anyio.abc import UDPSocket
 
 from ..clocks import Clock
+from ..datagrams import DatagramPort, OpenSocket
 from ..endpoint_limits import SharedLimit
 from ..ids import EndpointId, HostId
 from ..loss_log import LossLog, LossReport
@@ -202,8 +203,7 @@
         Fencing number and serial of the last loading record that was sent.
     informed_tokens : set of str
         Tokens of the peers that were sent what crashes replicas.
-    socket : UDPSocket or None
-        Open while the exchange runs.
+    port : DatagramPort
     """
 
     directory: PeerDirectory
@@ -217,7 +217,10 @@
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
-    socket: UDPSocket | None = None
+    port: DatagramPort = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.port = DatagramPort(self.clock)
 
     def list_pending_tokens(self) -> dict[EndpointId, int]:
         """Return the pending tokens of each replica that has enough to report."""
@@ -278,14 +281,13 @@
         """Wake the sender, so that it reports a change without waiting."""
         self.loads.changed.set()
 
-    async def run(self, socket: UDPSocket) -> None:
+    async def run(self, socket: UDPSocket, reopen: OpenSocket) -> None:
         """Send and receive reports until cancelled."""
-        self.socket = socket
         async with anyio.create_task_group() as group:
-            group.start_soon(self._receive, socket)
-            await self._send_changes(socket)
+            group.start_soon(self.port.run, socket, reopen, self.handle)
+            await self._send_changes()
 
-    async def _send_changes(self, socket: UDPSocket) -> None:
+    async def _send_changes(self) -> None:
         sent_at_s = self.clock()
         while True:
             interval_s = max(
@@ -302,7 +304,8 @@
             )
             if must_repeat or self.must_report(pending_tokens):
                 sent_at_s = self.clock()
-                await self._send(socket, pending_tokens)
+                for entry, data in self.make_reports(pending_tokens):
+                    self.port.send(entry.address, data)
 
     def make_reports(
         self, pending_tokens: dict[EndpointId, int]
@@ -336,26 +339,13 @@
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
 
-    async def _send(
-        self, socket: UDPSocket, pending_tokens: dict[EndpointId, int]
-    ) -> None:
-        for entry, data in self.make_reports(pending_tokens):
-            host, _, port = entry.address.rpartition(":")
-            await socket.sendto(data, host, int(port))
-
     async def send_message(self, host: HostId, message: PermitMessage) -> bool:
-        """Send a message to a peer; return whether its address is known."""
+        """Send a message to a peer; return whether it is on its way."""
         entry = self.directory.peers.get(host)
-        if entry is None or self.socket is None:
+        if entry is None:
             return False
         data = msgspec.msgpack.encode(PermitDatagram(entry.token, message))
-        address, _, port = entry.address.rpartition(":")
-        await self.socket.sendto(data, address, int(port))
-        return True
-
-    async def _receive(self, socket: UDPSocket) -> None:
-        async for data, _ in socket:
-            await self.handle(data)
+        return self.port.send(entry.address, data)
 
     async def handle(self, data: bytes) -> None:
         """Apply a datagram: a report, or a message about permits."""
--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -4,12 +4,19 @@
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Annotated
 
 import anyio
 import msgspec
 
 from ..clocks import Clock
-from ..endpoint_limits import EndpointLimits, Rank, SharedLimit, rank_granters
+from ..endpoint_limits import (
+    MAX_WAIT_S,
+    EndpointLimits,
+    Rank,
+    SharedLimit,
+    rank_granters,
+)
 from ..ids import EndpointId, HostId
 
 __all__ = [
@@ -41,6 +48,8 @@
 # First byte of a short map (MessagePack specification).
 MAP_PREFIXES = frozenset(bytes([prefix]) for prefix in range(0x80, 0x90))
 
+WaitTime = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WAIT_S)]
+
 
 class PermitRequest(msgspec.Struct, frozen=True, tag="request"):
     """Request for a permit.
@@ -70,7 +79,7 @@
     """
 
     number: int
-    wait_s: float
+    wait_s: WaitTime
 
 
 PermitMessage = PermitRequest | PermitReply
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -13,6 +13,7 @@
     "CallRejected",
     "CallRepeated",
     "ContactChanged",
+    "DatagramsDropped",
     "DeclarationTaken",
     "DutyChanged",
     "EntryUnreadable",
@@ -381,6 +382,26 @@
         return f"ignores unreadable entry {self.key}: {self.reason}"
 
 
+class DatagramsDropped(Event, frozen=True):
+    """Datagrams from or to other routers were dropped.
+
+    Parameters
+    ----------
+    reason : str
+        Error of the last one.
+    count : int
+        Datagrams dropped since the last such event.
+    """
+
+    part: ClassVar[str] = "peers"
+    reason: str
+    count: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"dropped {self.count} datagrams, the last one: {self.reason}"
+
+
 class FleetChanged(Event, frozen=True):
     """Replicas that may receive calls were added or removed.
 
@@ -435,6 +456,7 @@
     | CallRejected
     | CallRepeated
     | ContactChanged
+    | DatagramsDropped
     | DeclarationTaken
     | DutyChanged
     | EntryUnreadable
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -33,6 +33,7 @@
 from .peers import PeerDirectory, PeerExchange
 from .permits import PermitExchange
 from .records import (
+    DatagramsDropped,
     MetricsUnserved,
     QuarantineChanged,
     RouterStarted,
@@ -253,6 +254,9 @@
     peers = PeerExchange(directory, forwarder.loads, prefixes, clock, *callbacks)
     peers.loss_log = forwarder.suspects.loss_log
     peers.permits = forwarder.permits
+    peers.port.notify_failure = lambda reason, count: forwarder.log.emit(
+        DatagramsDropped(reason, count)
+    )
     forwarder.permits.send = peers.send_message
     weights_controller.notify = peers.request_report
     return peers
@@ -414,8 +418,11 @@
         lambda mirror: _apply_limits(protocol, router.app.read_declaration)
     )
     host, _, port = settings.peers_address.rpartition(":")
+    open_socket = partial(
+        anyio.create_udp_socket, local_host=host, local_port=int(port)
+    )
     async with (
-        await anyio.create_udp_socket(local_host=host, local_port=int(port)) as socket,
+        await open_socket() as socket,
         anyio.create_task_group() as group,
         _open_metrics(router),
     ):
@@ -433,7 +440,7 @@
             group.start_soon(router.refresh)
             group.start_soon(router.weights_controller.run)
             group.start_soon(router.peers.directory.run)
-            group.start_soon(router.peers.run, socket)
+            group.start_soon(router.peers.run, socket, open_socket)
             yield router
         group.cancel_scope.cancel()
     await router.platform.store.close()
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -133,9 +133,14 @@
                 if network.rng.random() >= network.loss and address in network.receive:
                     await network.receive[address](data)
 
-            async def __aiter__(self):
-                await anyio.sleep(3600)
-                yield b"", host
+            async def __aenter__(self):
+                return self
+
+            async def __aexit__(self, *exception):
+                pass
+
+            async def receive(self):
+                await anyio.sleep_forever()
 
         return Socket()
 
@@ -334,7 +339,7 @@
 
     async def run(self, socket):
         with self.scope:
-            await self.router.peers.run(socket)
+            await self.router.peers.run(socket, None)
 
 
 async def _ignore(message):
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -149,6 +149,7 @@
         "request workspace service attempt endpoint prefix_blocks anchor_level "
         "prompt_tokens expected_cached_tokens reason candidates seen views"
     ),
+    "DatagramsDropped": "reason count",
     "DeclarationTaken": "version routes workspaces",
     "DutyChanged": "duty fencing held",
     "EngineAnswered": "request result",
