Log how a router's process ends

Cause: a router that ended by an error wrote the traceback to standard error alone, and the log has no line; its writer was not even closed, so that queued lines could be lost.

Change: RouterFailed names each error of the chain with its place, RouterEnded a stop as requested, in both kinds of router. The test of an error failed before, and so did the test of a requested stop with its new line.

--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -1,4 +1,7 @@
-"""Exceptions raised by the package."""
+"""Exceptions raised by the package, and the description of a chain of them."""
+
+from collections.abc import Iterator
+from traceback import extract_tb
 
 __all__ = [
     "BenchError",
@@ -12,6 +15,7 @@
     "StoreError",
     "TraceError",
     "WriterTakenError",
+    "describe_errors",
 ]
 
 
@@ -101,3 +105,26 @@
         self.field = field
         self.retry_after_s = retry_after_s
         super().__init__(message)
+
+
+def _list_chain(error: BaseException) -> Iterator[BaseException]:
+    """Yield an error, the members of a group, and what each was raised from."""
+    yield error
+    if isinstance(error, BaseExceptionGroup):
+        for member in error.exceptions:
+            yield from _list_chain(member)
+    cause = error.__cause__
+    if cause is None and not error.__suppress_context__:
+        cause = error.__context__
+    if cause is not None:
+        yield from _list_chain(cause)
+
+
+def describe_errors(error: BaseException) -> tuple[str, ...]:
+    """Return each error of a chain once, with the place where it was raised."""
+    texts = []
+    for link in _list_chain(error):
+        frames = extract_tb(link.__traceback__)
+        place = f" at {frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        texts.append(f"{type(link).__name__}: {link}{place}")
+    return tuple(dict.fromkeys(texts))
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -17,7 +17,7 @@
 from ..ids import EndpointId, Fingerprint
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
-from ..logs import Log, make_log
+from ..logs import Log, close_at_end, make_log
 from ..mirror import Backoff, Mirror, MirrorController
 from ..protocol import make_bounded_protocol, set_protocol_bounds
 from ..settings import LeaseBounds
@@ -421,30 +421,30 @@
     open_socket = partial(
         anyio.create_udp_socket, local_host=host, local_port=int(port)
     )
-    async with (
-        await open_socket() as socket,
-        anyio.create_task_group() as group,
-        _open_metrics(router),
-    ):
-        async with open_server(
-            router.app,
-            settings.callers_address,
-            router.compute_grace,
-            protocol,
-            (settings.readiness_address,),
-        ) as router.callers_address:
-            router.log.emit(
-                RouterStarted(router.callers_address, settings.failure_domain)
-            )
-            group.start_soon(router.mirror_controller.run)
-            group.start_soon(router.refresh)
-            group.start_soon(router.weights_controller.run)
-            group.start_soon(router.peers.directory.run)
-            group.start_soon(router.peers.run, socket, open_socket)
-            yield router
-        group.cancel_scope.cancel()
-    await router.platform.store.close()
-    router.log.close()
+    with close_at_end(router.log):
+        async with (
+            await open_socket() as socket,
+            anyio.create_task_group() as group,
+            _open_metrics(router),
+        ):
+            async with open_server(
+                router.app,
+                settings.callers_address,
+                router.compute_grace,
+                protocol,
+                (settings.readiness_address,),
+            ) as router.callers_address:
+                router.log.emit(
+                    RouterStarted(router.callers_address, settings.failure_domain)
+                )
+                group.start_soon(router.mirror_controller.run)
+                group.start_soon(router.refresh)
+                group.start_soon(router.weights_controller.run)
+                group.start_soon(router.peers.directory.run)
+                group.start_soon(router.peers.run, socket, open_socket)
+                yield router
+            group.cancel_scope.cancel()
+        await router.platform.store.close()
 
 
 async def run_entry_router(
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -26,6 +26,8 @@
     "RequestReceived",
     "RetryChosen",
     "ReuseObserved",
+    "RouterEnded",
+    "RouterFailed",
     "SeenCandidate",
     "SectionWritten",
     "SlideFound",
@@ -332,6 +334,34 @@
         return f"{self.result} {self.request}"
 
 
+class RouterEnded(Event, frozen=True):
+    """A router's process ends as requested."""
+
+    part: ClassVar[str] = "router"
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return "ends as requested"
+
+
+class RouterFailed(Event, frozen=True):
+    """A router's process ends by an error.
+
+    Parameters
+    ----------
+    errors : tuple of str
+        The error and the chain of its causes, each with the place where it was raised.
+    """
+
+    part: ClassVar[str] = "router"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    errors: tuple[str, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"ends by an error: {self.errors[-1]}"
+
+
 class SectionWritten(Event, frozen=True):
     """A board section was written."""
 
@@ -387,6 +417,8 @@
     | RequestRefused
     | RetryChosen
     | ReuseObserved
+    | RouterEnded
+    | RouterFailed
     | SectionWritten
     | SlideFound
 )
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -18,7 +18,7 @@
 from eliot import Action, start_action
 
 from .asgi import App, Receive, Scope, Send, find_header
-from .errors import SettingsError
+from .errors import SettingsError, describe_errors
 from .ids import HostId
 from .log_events import (
     DecisionMade,
@@ -26,6 +26,8 @@
     Event,
     EventsDropped,
     LogLevel,
+    RouterEnded,
+    RouterFailed,
     select_candidates,
 )
 from .settings import LogSettings
@@ -34,6 +36,7 @@
     "Log",
     "LoggedEngine",
     "TRACE_HEADER",
+    "close_at_end",
     "emit",
     "make_log",
     "make_trace_header",
@@ -275,6 +278,20 @@
     return Log(host, settings)
 
 
+@contextlib.contextmanager
+def close_at_end(log: Log) -> Iterator[None]:
+    """Log how the process ends, and close the log, when the context is left."""
+    try:
+        yield
+    except BaseException as error:
+        log.emit(RouterFailed(describe_errors(error)))
+        raise
+    else:
+        log.emit(RouterEnded())
+    finally:
+        log.close()
+
+
 class _TrackedSend:
     """Wrapper of ``send`` that tracks whether the response ended.
 
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -20,7 +20,7 @@
 from .endpoint_client import EndpointClient, make_endpoint_client
 from .etcd import make_etcd_store
 from .log_events import SlideFound
-from .logs import Log, make_log
+from .logs import Log, close_at_end, make_log
 from .metric_table import MetricTable
 from .metrics import Metrics, make_metrics
 from .mirror import MirrorController, make_mirror
@@ -215,21 +215,21 @@
     router = make_router(settings, make_platform(settings))
     limits = settings.limits
     protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
-    async with anyio.create_task_group() as group:
-        group.start_soon(router.mirror.run)
-        group.start_soon(router.claims.run)
-        group.start_soon(router.rollouts.run)
-        group.start_soon(router.drift.run)
-        async with (
-            open_peering(make_router_components(router), group) as router.peering,
-            open_server(
-                router.app, settings.callers_address, router.compute_grace, protocol
-            ) as router.callers_address,
-        ):
-            router.peers_address = router.peering.address
-            group.start_soon(router.prepare)
-            yield router
-        group.cancel_scope.cancel()
-    await router.platform.client.close()
-    await router.platform.store.close()
-    router.app.log.close()
+    with close_at_end(router.app.log):
+        async with anyio.create_task_group() as group:
+            group.start_soon(router.mirror.run)
+            group.start_soon(router.claims.run)
+            group.start_soon(router.rollouts.run)
+            group.start_soon(router.drift.run)
+            async with (
+                open_peering(make_router_components(router), group) as router.peering,
+                open_server(
+                    router.app, settings.callers_address, router.compute_grace, protocol
+                ) as router.callers_address,
+            ):
+                router.peers_address = router.peering.address
+                group.start_soon(router.prepare)
+                yield router
+            group.cancel_scope.cancel()
+        await router.platform.client.close()
+        await router.platform.store.close()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -1,7 +1,9 @@
 """The entry router as a process: its signals and its clock."""
 
+import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -57,11 +59,29 @@
         process.send_signal(signal.SIGTERM)
         assert process.wait(10.0) == 0
         assert "RouterStopping" in output.read_text()
+        assert "RouterEnded" in output.read_text()
     finally:
         process.kill()
         process.wait()
 
 
+@pytest.mark.sockets
+def test_a_router_that_ends_by_an_error_logs_the_chain_of_errors(tmp_path):
+    settings = tmp_path / "node.toml"
+    settings.write_text(make_settings())
+    port = int(settings.read_text().partition("[")[2].partition(",")[0])
+    command = [sys.executable, "-m", "primrosepier", "entry-router"]
+    environment = {**os.environ, "PRIMROSEPIER_CONFIG": str(settings)}
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", port))
+        result = subprocess.run(command, env=environment, capture_output=True)
+    assert result.returncode != 0
+    lines = [json.loads(line) for line in result.stdout.splitlines()]
+    (line,) = [x for x in lines if x["message_type"] == "RouterFailed"]
+    assert "in use" in line["errors"][-1]
+    assert lines[-1] == line
+
+
 def test_the_clock_includes_suspended_time():
     settings = parse_entry_settings(make_settings().encode(), "node.toml")
     platform = make_entry_platform(settings)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -173,6 +173,8 @@
         "request workspace service endpoint prompt_tokens "
         "expected_cached_tokens cached_tokens"
     ),
+    "RouterEnded": "",
+    "RouterFailed": "errors",
     "RouterStarted": "callers_address failure_domain",
     "RouterStopping": "calls_in_progress grace_s",
     "SectionWritten": "section revision",
