Log replicas' software versions and the streams that calls resume

The logs could not tell a stream that the router continued at another software version from one that its caller took up, nor an entry that was out of date. CallPlaced now tells the version of the replica and the call that brought the first event; explain shows both. Nothing is decided by them yet.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -144,6 +144,10 @@
             f"routers have {event.peer_tokens} prompt tokens pending there, and "
             f"{event.decoding} outputs are generated."
         )
+        if event.software:
+            yield f"  The replica's software is {event.software}."
+        if event.resumed_call:
+            yield f"  The stream began with {event.resumed_call}."
     elif isinstance(event, CallLost):
         shared = ", ".join(f"{fingerprint:016x}" for fingerprint in event.fingerprints)
         yield (
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -68,6 +68,9 @@
         Id of the last event that the caller received; empty for a whole response.
     output_limit : int
         Largest number of tokens to generate; 0 if the caller stated none.
+    resumed_call : RequestId
+        Id of the call that brought the first event of the stream that this one resumes;
+        empty for none.
     """
 
     id: RequestId
@@ -83,6 +86,7 @@
     parts: tuple[PromptPart, ...] = ()
     resume_after: str = ""
     output_limit: int = 0
+    resumed_call: RequestId = RequestId("")
 
     @property
     def urgency(self) -> int:
--- a/primrosepier/forwarding/fleet.py
+++ b/primrosepier/forwarding/fleet.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from ..ids import EndpointId, FailureDomain, ModelId, ServiceId
+from ..ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    ServiceId,
+    SoftwareVersion,
+)
 from .calls import WeightsVersionNumber
 
 __all__ = ["Fleet", "Replica", "ReplicaList"]
@@ -24,6 +30,8 @@
         Whether the replica is leaving and receives no new calls.
     weights : Mapping of ModelId to WeightsVersionNumber
         Version that the replica serves of each model.
+    software : SoftwareVersion
+        Version of the replica's software. A stream can't continue at another one.
     """
 
     id: EndpointId
@@ -33,6 +41,7 @@
     slots: int = 1
     draining: bool = False
     weights: Mapping[ModelId, WeightsVersionNumber] = field(default_factory=dict)
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -299,6 +299,8 @@
                 uncached_tokens=choice.uncached_tokens,
                 peer_tokens=self.loads.count_peer_tokens(endpoint, now_s),
                 decoding=self.loads.count_decoding(endpoint, now_s),
+                software=choice.replica.software,
+                resumed_call=call.resumed_call,
             )
         )
 
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -2,7 +2,14 @@
 
 from typing import ClassVar
 
-from ..ids import EndpointId, Fingerprint, RequestId, ServiceId, WorkspaceId
+from ..ids import (
+    EndpointId,
+    Fingerprint,
+    RequestId,
+    ServiceId,
+    SoftwareVersion,
+    WorkspaceId,
+)
 from ..log_events import Event
 from .declarations import RouteId
 
@@ -54,6 +61,11 @@
         Uncached prompt tokens pending at the replica for the calls of other routers.
     decoding : int
         Calls of all routers whose output the replica generates.
+    software : SoftwareVersion
+        Version of the replica's software.
+    resumed_call : RequestId
+        Id of the call that brought the first event of the stream that this one resumes;
+        empty for none.
     """
 
     part: ClassVar[str] = "forward"
@@ -70,6 +82,8 @@
     uncached_tokens: int = 0
     peer_tokens: int = 0
     decoding: int = 0
+    software: SoftwareVersion = SoftwareVersion("")
+    resumed_call: RequestId = RequestId("")
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
--- a/primrosepier/ids.py
+++ b/primrosepier/ids.py
@@ -17,6 +17,7 @@
     "RequestId",
     "Revision",
     "ServiceId",
+    "SoftwareVersion",
     "WeightsVersion",
     "WorkspaceId",
     "make_attempt_id",
@@ -36,6 +37,7 @@
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
 ServiceId = NewType("ServiceId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 WeightsVersion = NewType("WeightsVersion", str)
 WorkspaceId = NewType("WorkspaceId", str)
 
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -21,6 +21,7 @@
     "NOT_RUN",
     "OPERATORS_PREFIX",
     "RESERVED_HEADERS",
+    "RESUMED_CALL",
     "PROMPT_PARTS",
     "RATE_LIMIT",
     "REMAINING_TIME",
@@ -45,6 +46,8 @@
 # Length of the prompt and limit on the output, in tokens; nothing has been used yet.
 TOKEN_COUNTS = b"token-usage"
 LAST_EVENT = b"last-event-id"
+# The id of the call that brought the first event of the stream that is resumed.
+RESUMED_CALL = b"resumes"
 RETRY_AFTER = b"retry-after"
 
 EXPECTED_ENDPOINT = b"expect-instance"
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -14,7 +14,13 @@
     WeightsVersionNumber,
 )
 from ..forwarding.fleet import Replica
-from ..ids import EndpointId, FailureDomain, ModelId, ServiceId
+from ..ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    ServiceId,
+    SoftwareVersion,
+)
 from . import names
 
 __all__ = ["PlatformDialect", "decode_replica"]
@@ -39,6 +45,8 @@
     zone: str
     state: str
     slots: int
+    # The version of the replica's software, not of its weights.
+    version: str
     models: list[_Model] = []
 
 
@@ -69,6 +77,7 @@
         weights={
             ModelId(m.name): WeightsVersionNumber(m.version) for m in entry.models
         },
+        software=SoftwareVersion(entry.version),
     )
 
 
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -65,13 +65,23 @@
     client: HttpEndpointClient
     settings: EntrySettings
     routers: list = field(default_factory=list)
+    versions: dict[str, str] = field(default_factory=dict)
 
     def register(self, name, **changes):
         replica = self.replicas[name]
+        changes.setdefault("version", self.versions.get(name, "v1"))
         service = "writers" if name.startswith("w") else "app"
         entry = replica.make_entry(service, self.addresses[name], **changes)
         self.store.put(f"servers/{name}", entry)
 
+    def find_versions(self, attempts):
+        """Return the software versions that ran any of the given attempts."""
+        return {
+            self.versions.get(name, "v1")
+            for name, replica in self.replicas.items()
+            if any(run["attempt-id"] in attempts for run in replica.runs)
+        }
+
     def list_runs(self):
         return [run for replica in self.replicas.values() for run in replica.runs]
 
@@ -125,7 +135,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(names, configured, settings):
+async def open_fleet(names, configured, settings, versions):
     """Serve the store and replica stand-ins while the context is open."""
     async with contextlib.AsyncExitStack() as stack:
 
@@ -148,6 +158,7 @@
         stack.push_async_callback(client.close)
         fleet_settings = replace(defaults, **settings)
         fleet = EntryFleet(store, replicas, addresses, client, fleet_settings)
+        fleet.versions = versions
         if configured:
             store.put("op/config", make_configuration())
         for name in names:
@@ -156,11 +167,17 @@
         yield fleet
 
 
-def run_entry(check, names=("w1", "w2", "app1", "app2"), configured=True, **settings):
+def run_entry(
+    check,
+    names=("w1", "w2", "app1", "app2"),
+    configured=True,
+    versions=None,
+    **settings,
+):
     """Run ``check(fleet)`` with one router, once it has read the configuration."""
 
     async def run():
-        async with open_fleet(names, configured, settings) as fleet:
+        async with open_fleet(names, configured, settings, versions or {}) as fleet:
             with anyio.fail_after(45):
                 async with fleet.open_router() as router:
                     store_view = router.store_view
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -124,6 +124,8 @@
         uncached_tokens=3700,
         peer_tokens=41000,
         decoding=17,
+        software="v1.1",
+        resumed_call="a0",
     )
 
 
@@ -173,6 +175,8 @@
     assert "Not sent to w2: it limits all routers to 3.5 requests/s" in explanation
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
+    assert "software is v1.1" in explanation
+    assert "began with a0" in explanation
     assert "17 outputs are generated" in explanation
     assert "up to 180 tokens; the last event sent: 31" in explanation
     assert "marked by its connection's close, within an event" in explanation
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -139,7 +139,7 @@
     "CallPlaced": (
         "request attempt service endpoint kind candidates outstanding "
         "pending_tokens report_age_s remaining_s uncached_tokens "
-        "peer_tokens decoding"
+        "peer_tokens decoding software resumed_call"
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
