List tests of streams that go on at another software version

Four replicas of each of two versions, whose streams break off: streams go on at the other version within one answer, and over callers' tries at two other routers, also when the first has ended.

--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,169 @@
+"""Streams of replicas with two software versions, over real sockets."""
+
+import contextlib
+import re
+
+import anyio
+import httpcore
+import pytest
+from entry_fleet import HOST, KEY, run_entry
+
+from primrosepier.endpoint_client import EndpointCall
+
+pytestmark = pytest.mark.sockets
+VERSIONS = {f"w{number}": f"v{1 + number % 2}" for number in range(1, 9)}
+STREAMS = 24
+EVENT_ID = re.compile(rb"id: (\d+)\n[^\n]*\n\n")
+
+
+class TakenUp:
+    """A stream that a caller takes up until it is complete or refused."""
+
+    def __init__(self, number):
+        self.first = f"{number:016x}"
+        self.attempts = []
+        self.body = b""
+        self.status = 0
+
+    async def send(self, fleet, router):
+        """Send another attempt; return whether the stream is complete."""
+        attempt = f"{len(self.attempts):02x}{self.first[2:]}"
+        self.attempts.append(attempt)
+        headers = [("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", "2000")]
+        headers.append(("Authorization", f"Bearer {KEY}"))
+        seen = EVENT_ID.findall(self.body)
+        if seen:
+            headers.append(("Last-Event-Id", seen[-1].decode()))
+            headers.append(("Resumes", self.attempts[0]))
+        call = EndpointCall(
+            address=router.callers_address,
+            method="POST",
+            path="/stream/queries/1",
+            headers=tuple(headers),
+            body=b"",
+            connect_s=1.0,
+            request_s=3.0,
+        )
+        try:
+            async with fleet.client.open(call) as response:
+                self.status = response.status
+                async for data in response.aiter_stream():
+                    self.body += data
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return False
+        return self.status == 200
+
+
+def break_streams(fleet, names=VERSIONS):
+    for name in names:
+        fleet.replicas[name].faults.break_after = 2
+
+
+async def wait_for_replicas(fleet):
+    def know_all():
+        return all(
+            len(router.store_view.replicas.value.list_replicas("writers"))
+            == len(fleet.replicas)
+            and len(router.peers.directory.list_hosts()) == len(fleet.routers)
+            for router in fleet.routers
+        )
+
+    await fleet.wait_until(know_all)
+
+
+def run_versions(check, routers=1, **settings):
+    async def run(fleet):
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(2, routers + 1):
+                await stack.enter_async_context(fleet.open_router(f"front-{number}"))
+            await wait_for_replicas(fleet)
+            await check(fleet)
+
+    run_entry(run, names=tuple(VERSIONS), versions=VERSIONS, **settings)
+
+
+def test_a_stream_does_not_go_on_at_another_software_version_within_one_answer():
+    async def check(fleet):
+        break_streams(fleet)
+        complete = 0
+        for number in range(STREAMS):
+            stream = TakenUp(number)
+            complete += await stream.send(fleet, fleet.routers[0])
+            assert len(fleet.find_versions(stream.attempts)) == 1
+        assert complete == 0
+        break_streams(fleet, ["w1", "w2"])
+        for name in VERSIONS.keys() - {"w1", "w2"}:
+            fleet.replicas[name].faults.break_after = None
+        for number in range(STREAMS, 2 * STREAMS):
+            assert await TakenUp(number).send(fleet, fleet.routers[0])
+
+    run_versions(check, repeat_ratio=1.0)
+
+
+async def begin_streams(fleet, router, count=STREAMS):
+    """Begin streams that break off after their first event."""
+    break_streams(fleet)
+    streams = [TakenUp(number) for number in range(count)]
+    for stream in streams:
+        assert not await stream.send(fleet, router)
+        assert EVENT_ID.findall(stream.body)
+    for name in VERSIONS:
+        fleet.replicas[name].faults.break_after = None
+    return streams
+
+
+async def take_up(fleet, streams, router):
+    for stream in streams:
+        assert await stream.send(fleet, router), stream.status
+        assert EVENT_ID.findall(stream.body) == [b"1", b"2", b"3"]
+        assert len(fleet.find_versions(stream.attempts)) == 1
+
+
+def test_a_stream_taken_up_at_another_router_does_not_go_on_at_another_version():
+    async def check(fleet):
+        streams = await begin_streams(fleet, fleet.routers[0])
+        for number, stream in enumerate(streams):
+            await take_up(fleet, [stream], fleet.routers[1 + number % 2])
+
+    run_versions(check, routers=3, repeat_ratio=0.0, repeat_extra=0.0)
+
+
+def test_a_stream_whose_router_has_ended_goes_on_at_its_software_version():
+    async def check(fleet):
+        async with fleet.open_router("front-9") as ending:
+            await wait_for_replicas(fleet)
+            streams = await begin_streams(fleet, ending)
+        await take_up(fleet, streams, fleet.routers[0])
+
+    run_versions(check, routers=3, repeat_ratio=0.0, repeat_extra=0.0)
+
+
+def test_a_stream_that_no_router_knows_is_refused_beside_two_versions():
+    async def check(fleet):
+        stream = TakenUp(1)
+        stream.attempts, stream.body = ["f" * 16], b"id: 1\ndata: x\n\n"
+        with anyio.fail_after(0.5):
+            assert not await stream.send(fleet, fleet.routers[0])
+        assert stream.status == 503
+        assert fleet.count_arrivals() == 0
+
+    run_versions(check, routers=2)
+
+
+def test_a_stream_whose_software_version_no_longer_serves_is_refused():
+    async def check(fleet):
+        streams = await begin_streams(fleet, fleet.routers[0])
+        for name, version in VERSIONS.items():
+            if version == "v1":
+                fleet.store.remove(f"servers/{name}")
+        services = fleet.routers[1].store_view.replicas
+        await fleet.wait_until(
+            lambda: len(services.value.list_replicas("writers")) == len(VERSIONS) / 2
+        )
+        for stream in streams:
+            is_complete = await stream.send(fleet, fleet.routers[1])
+            assert stream.status == 200 if is_complete else 503
+            assert len(fleet.find_versions(stream.attempts)) == 1
+        assert {stream.status for stream in streams} == {200, 503}
+
+    run_versions(check, routers=3, repeat_ratio=0.0, repeat_extra=0.0)
