Move KV cache only between replicas of one software version

The choice now looks for cached prefixes per version of weights and software, and the scope of moved cache names both. The new test failed before: a replica of v1 fetched from one of v2. Prefixes are computed once for each version during a rollout; what that costs was not measured.

--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -18,7 +18,13 @@
 import xxhash
 
 from ..hash_ring import mix_hash
-from ..ids import EndpointId, FailureDomain, ModelId, WorkspaceId
+from ..ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    SoftwareVersion,
+    WorkspaceId,
+)
 from .calls import Call, PromptPart, WeightsVersionNumber
 from .fleet import Replica
 from .prefixes import Prefix, PrefixIndex, list_prefixes
@@ -117,6 +123,9 @@
     weights: WeightsVersionNumber = WeightsVersionNumber(0)
 
 
+_CacheFormat = tuple[WeightsVersionNumber, SoftwareVersion]
+
+
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     """A replica and the part of a prompt that it holds.
@@ -134,6 +143,11 @@
     cached_tokens: int
     reusable_tokens: int
 
+    @property
+    def cache_format(self) -> _CacheFormat:
+        """Versions of weights and software between which KV cache can be moved."""
+        return self.weights, self.replica.software
+
 
 @dataclass(frozen=True, slots=True)
 class _CostEstimate:
@@ -147,7 +161,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _PrefixCoverage:
-    """Part of a prompt that the replicas with the same weights hold.
+    """Part of a prompt that the replicas with the same weights and software hold.
 
     Parameters
     ----------
@@ -163,12 +177,12 @@
 
 def _find_coverage(
     candidates: Sequence[_Candidate],
-) -> dict[WeightsVersionNumber, _PrefixCoverage]:
-    coverage: dict[WeightsVersionNumber, _PrefixCoverage] = {}
+) -> dict[_CacheFormat, _PrefixCoverage]:
+    coverage: dict[_CacheFormat, _PrefixCoverage] = {}
     for candidate in candidates:
-        previous = coverage.get(candidate.weights)
+        previous = coverage.get(candidate.cache_format)
         if previous is None:
-            coverage[candidate.weights] = _PrefixCoverage(
+            coverage[candidate.cache_format] = _PrefixCoverage(
                 candidate.reusable_tokens, candidate
             )
             continue
@@ -177,7 +191,7 @@
             if previous.best_holder.cached_tokens >= candidate.cached_tokens
             else candidate
         )
-        coverage[candidate.weights] = _PrefixCoverage(
+        coverage[candidate.cache_format] = _PrefixCoverage(
             max(previous.reusable_tokens, candidate.reusable_tokens), best_holder
         )
     return coverage
@@ -274,10 +288,10 @@
         preferred = self._rank_preferred(
             compute_preference_key(scope, shared), replicas
         )
-        coverage_by_weights = _find_coverage(candidates)
+        coverage_by_format = _find_coverage(candidates)
         estimates = [
             self._estimate_cost(
-                call, candidate, coverage_by_weights[candidate.weights], preferred
+                call, candidate, coverage_by_format[candidate.cache_format], preferred
             )
             for candidate in candidates
         ]
--- a/primrosepier/forwarding/transfers.py
+++ b/primrosepier/forwarding/transfers.py
@@ -57,10 +57,10 @@
 ) -> CachePlan:
     """Return how a call uses KV cache at a chosen replica.
 
-    Cache is transferred only between replicas with the same weights version, in a scope
-    that names the version, and the replica must refuse the call if it has loaded
-    another. A replica that is about to load another version uses only its own cache,
-    since loading empties it.
+    Cache is transferred only between replicas with the same versions of weights and
+    software, in a scope that names both, and the replica must refuse the call if it has
+    loaded other weights. A replica that is about to load another version uses only its
+    own cache, since loading empties it.
 
     Parameters
     ----------
@@ -76,7 +76,7 @@
     history = requested_weights.get(call.model)
     if history is not None and history.newest_version != weights:
         return CachePlan(scope)
-    scope = f"{scope}/{weights}"
+    scope = f"{scope}/{weights}/{choice.replica.software}"
     address = "" if cache_store is None else cache_store.address
     if choice.fetch_from is None:
         return CachePlan(scope, weights, address, address)
--- a/tests/forwarding_samples.py
+++ b/tests/forwarding_samples.py
@@ -13,7 +13,7 @@
 
 def make_replica(name, service="writers", weights=1, **changes):
     domain = DOMAINS[int(name[-1]) % 3]
-    defaults = {"slots": 4, "weights": {"m0": weights}}
+    defaults = {"slots": 4, "weights": {"m0": weights}, "software": "v1"}
     return Replica(name, service, f"10.0.0.{name[-1]}:1", domain, **defaults | changes)
 
 
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -198,7 +198,7 @@
 def test_preferred_replica_uses_the_cache_store():
     preferred = make_replica("r0", weights=3)
     plan = plan_at([preferred], Choice(preferred, ChoiceKind.PREFERRED))
-    assert plan == CachePlan("m0//3", 3, CACHE_STORE.address, CACHE_STORE.address)
+    assert plan == CachePlan("m0//3/v1", 3, CACHE_STORE.address, CACHE_STORE.address)
 
 
 def test_other_replicas_fetch_from_a_prefix_holder_or_the_cache_store():
@@ -215,7 +215,7 @@
     history = WeightsHistory((RequestedWeights(4, 0.0),))
     plan = plan_at([preferred], choice, requested_weights={"m0": history})
     assert plan == CachePlan("m0/")
-    assert plan_at([preferred], choice, reported_version=4).scope == "m0//4"
+    assert plan_at([preferred], choice, reported_version=4).scope == "m0//4/v1"
 
 
 def test_short_prefixes_are_not_transferred():
--- a/tests/test_forwarding_replica_choice.py
+++ b/tests/test_forwarding_replica_choice.py
@@ -89,6 +89,18 @@
     assert choice.uncached_tokens == 3_000
 
 
+def test_no_cache_is_fetched_from_another_software_version():
+    replicas = make_replicas(3, software="v2")
+    replicas += [make_replica(f"r{number}") for number in range(3, 9)]
+    chooser = make_chooser()
+    record_prefix(chooser, "r1", is_cached=True)
+    for name in ("r0", "r1", "r2"):
+        chooser.loads.begin_call(name, 200_000)
+    choice = choose(chooser, make_call(LONG_PROMPT), replicas)
+    assert choice.replica.software == "v1"
+    assert choice.fetch_from is None
+
+
 def test_choice_time_is_not_quadratic_in_the_replicas():
     chooser = make_chooser()
     replicas = [replace(make_replica("r0"), id=f"r{n}") for n in range(2000)]
