List tests of routers that lose their links to all replicas

One of three and four of six routers; links that hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/tests/test_cut_routers.py
@@ -0,0 +1,180 @@
+"""Routers that lose their links to all replicas, over real sockets."""
+
+import asyncio
+import contextlib
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+import httpcore
+import pytest
+from entry_fleet import run_entry
+
+pytestmark = pytest.mark.sockets
+NAMES = ("w1", "w2", "w3", "app1", "app2", "app3")
+PATHS = ("/lookup/", "/booking/", "/stream/notes/", "/stream/queries/")
+CALLS_PER_S = 40.0
+CUT_S = 4.0
+# Time within which a router acts on a cut, and returns after it.
+ACTS_S = 1.0
+RETURNS_S = 3.0
+# Time for which sent bytes stay unacknowledged before the kernel gives up.
+USER_TIMEOUT_S = 1.0
+
+
+class Links(Enum):
+    HANG = "hang"
+    RESET = "are reset"
+    REFUSE = "live on while new ones are refused"
+
+
+@dataclass
+class CutBackend:
+    """Network backend that loses the links to the given addresses."""
+
+    inner: object
+    addresses: set[str]
+    cut: Links | None = None
+    streams: list = field(default_factory=list)
+
+    async def connect_tcp(self, host, port, timeout=None, **options):
+        if f"{host}:{port}" not in self.addresses:
+            return await self.inner.connect_tcp(host, port, timeout, **options)
+        if self.cut is Links.HANG:
+            await anyio.sleep(timeout)
+            raise httpcore.ConnectTimeout("no answer")
+        if self.cut is not None:
+            raise httpcore.ConnectError("connection refused")
+        stream = await self.inner.connect_tcp(host, port, timeout, **options)
+        self.streams.append(stream)
+        return stream
+
+    def begin(self, links):
+        self.cut = links
+        for stream in self.streams:
+            if links is Links.RESET:
+                stream.abort()
+            elif links is Links.HANG and not stream.buffer.transport.is_closing():
+                stream.buffer.transport.pause_reading()
+                stream.write = self._make_unsent(stream)
+        self.streams.clear()
+
+    def _make_unsent(self, stream):
+        async def write(data, timeout=None):
+            stream.has_written = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(USER_TIMEOUT_S, stream.buffer.transport.abort)
+
+        return write
+
+    def end(self):
+        self.cut = None
+
+
+def cut_links(fleet, router):
+    client = router.platform.client
+    client.backend = CutBackend(client.backend, set(fleet.addresses.values()))
+    return client.backend
+
+
+@dataclass
+class Result:
+    number: int
+    sent_at_s: float
+    path: str
+    status: int = 0
+
+    @property
+    def attempt(self):
+        return f"{self.number:016x}"
+
+
+async def send_calls(fleet, routers, duration_s, results):
+    async def send(result, router):
+        with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+            response = await fleet.send(
+                f"{result.path}{result.number}", router=router, attempt=result.attempt
+            )
+            result.status = response.status
+
+    async with anyio.create_task_group() as group:
+        for _ in range(int(duration_s * CALLS_PER_S)):
+            number = len(results)
+            path = PATHS[number // len(routers) % len(PATHS)]
+            results.append(Result(number, anyio.current_time(), path))
+            group.start_soon(send, results[-1], routers[number % len(routers)])
+            await anyio.sleep(1 / CALLS_PER_S)
+
+
+def compute_served(results):
+    return sum(result.status == 200 for result in results) / len(results)
+
+
+def check_runs(fleet, results):
+    """Check that refused calls have not run, and unsafe ones at most once."""
+    runs = Counter(run["attempt-id"] for run in fleet.list_runs())
+    for result in results:
+        count = runs[result.attempt]
+        assert result.status != 503 or count == 0
+        assert result.path == "/lookup/" or count <= 1 or "queries" in result.path
+
+
+def run_cut(check, routers):
+    async def run(fleet):
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(2, routers + 1):
+                await stack.enter_async_context(fleet.open_router(f"front-{number}"))
+            await fleet.wait_until(
+                lambda: all(
+                    len(router.peers.directory.list_hosts()) == routers
+                    and len(router.store_view.replicas.value.list_replicas("app")) == 3
+                    for router in fleet.routers
+                )
+            )
+            await check(fleet)
+
+    run_entry(run, names=NAMES)
+
+
+@pytest.mark.parametrize(("cut", "routers"), [(1, 3), (4, 6)])
+@pytest.mark.parametrize("links", Links)
+def test_callers_of_routers_that_lost_their_links_to_replicas_are_served(
+    links, cut, routers
+):
+    async def check(fleet):
+        cut_off = fleet.routers[:cut]
+        backends = [cut_links(fleet, router) for router in cut_off]
+        results = []
+        await send_calls(fleet, cut_off, 1.0, results)
+        assert compute_served(results) == 1.0
+        began_at_s = anyio.current_time()
+        for backend in backends:
+            backend.begin(links)
+        await send_calls(fleet, cut_off, CUT_S, results)
+        later = [x for x in results if x.sent_at_s >= began_at_s + ACTS_S]
+        assert compute_served(later) >= 0.95
+        for backend in backends:
+            backend.end()
+        healed = []
+        await send_calls(fleet, cut_off, RETURNS_S, results)
+        await send_calls(fleet, cut_off, 1.0, results)
+        healed = results[-int(CALLS_PER_S) :]
+        assert compute_served(healed) >= 0.95
+        assert not any(router.app.forwarder.links.is_cut for router in cut_off)
+        check_runs(fleet, results)
+
+    run_cut(check, routers)
+
+
+def test_calls_are_not_passed_on_when_replicas_are_gone():
+    async def check(fleet):
+        backends = [cut_links(fleet, router) for router in fleet.routers]
+        for backend in backends:
+            backend.begin(Links.RESET)
+        results = []
+        await send_calls(fleet, fleet.routers, 2.0, results)
+        assert {result.status for result in results} <= {502, 503}
+        assert fleet.count_arrivals() == 0
+
+    run_cut(check, 3)
