Pass calls on while a router is cut off from the replicas

Cause: a router had no other way to the replicas than its own links, and nothing told these from the replicas. The class of fault: what one router sees of the replicas is taken for the state of the replicas. Ruled out: backoff, which only shows after the cut.

Change: a router that loses most of the replicas that it contacts probes some and asks up to eight routers whether they have reached the lost ones since. If one has, it is cut off: its calls go as their callers sent them to a router that reaches the replicas, over the internal port, which serves them like any other and never passes them on. Refusals there carry a header, so that "not run" stays true and another router is tried; whatever may have run is repeated only as its route allows. Probes end the cut. CallPassedOn, LinksChanged, two metrics and explain tell of it.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -42,6 +42,8 @@
 LEAVING_HEADER = b"x-endpoint-leaving"
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 KEEPALIVE_S = 20.0
+# Idle time after which a connection that a probe opened is not used, seconds.
+PROBE_IDLE_S = 0.5
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -87,11 +89,14 @@
     is_framed : bool
         Whether a length or chunks mark the end of the body; otherwise the end of the
         connection does.
+    is_first_use : bool
+        Whether the connection was opened for this call.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     is_framed: bool
+    is_first_use: bool
 
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
@@ -108,6 +113,9 @@
     def abort_unresponsive(self, address: str, receive_gap_s: float) -> int:
         """Abort repeatable calls to an unresponsive address; return how many."""
 
+    async def probe(self, address: str, connect_s: float) -> bool:
+        """Return whether an address accepts a connection; keep it for the next call."""
+
     async def close(self) -> None:
         """Close all idle connections."""
 
@@ -140,7 +148,8 @@
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[EndpointResponse]:
         """Send a call; leaving the context cancels it if it is still in progress."""
-        stream = self._take_idle(call) or await self._connect(call)
+        idle_stream = self._take_idle(call)
+        stream = idle_stream or await self._connect(call.address, call.connect_s)
         if call.repeatable:
             self.repeatable[call.address].add(stream)
         url = httpcore.URL(f"http://{call.address}{call.path}")
@@ -157,6 +166,7 @@
         try:
             received = await _send_request(connection, request, stream)
             response = StreamedResponse(received, stream, call.request_s, call.method)
+            response.is_first_use = idle_stream is None
             yield response
         finally:
             self.repeatable[call.address].discard(stream)
@@ -201,9 +211,18 @@
             connection.stream.abort()
         return None
 
-    async def _connect(self, call: EndpointCall) -> TcpStream:
-        host, _, port = call.address.rpartition(":")
-        return await self.backend.connect_tcp(host, int(port), call.connect_s)
+    async def _connect(self, address: str, connect_s: float) -> TcpStream:
+        host, _, port = address.rpartition(":")
+        return await self.backend.connect_tcp(host, int(port), connect_s)
+
+    async def probe(self, address: str, connect_s: float) -> bool:
+        """Return whether an address accepts a connection; keep it for the next call."""
+        try:
+            stream = await self._connect(address, connect_s)
+        except CONNECT_ERRORS:
+            return False
+        await self._release(address, stream, PROBE_IDLE_S)
+        return True
 
     async def _release(
         self, address: str, stream: TcpStream, keep_alive_s: float
--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -6,6 +6,7 @@
 from .forwarding.records import (
     CallEnded,
     CallLost,
+    CallPassedOn,
     CallPlaced,
     CallRejected,
     CallRepeated,
@@ -161,6 +162,11 @@
             f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
             f"and has room in {event.wait_s * 1000:.0f} ms."
         )
+    elif isinstance(event, CallPassedOn):
+        yield (
+            f"This router was cut off from the replicas: attempt {event.attempt} went "
+            f"to {event.peer}."
+        )
     elif isinstance(event, StreamTakenUp):
         software = event.software or "an unknown version"
         yield (
--- a/primrosepier/fault_engines.py
+++ b/primrosepier/fault_engines.py
@@ -90,6 +90,7 @@
     headers: list[tuple[bytes, bytes]]
     body: AsyncIterator[bytes]
     is_framed: bool = True
+    is_first_use: bool = False
 
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
@@ -116,6 +117,10 @@
         """Return 0, because calls to a crashed fake engine fail at once."""
         return 0
 
+    async def probe(self, address: str, connect_s: float) -> bool:
+        """Return whether the engine at an address is up."""
+        return self.cluster.engines_by_address[address].alive
+
     @contextlib.asynccontextmanager
     async def open(self, call: EndpointCall) -> AsyncIterator[FakeResponse]:
         """Send a call to the engine at its address."""
--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -64,16 +64,19 @@
 HTTP_SERVER_ERROR = 500
 
 CachePlanner = Callable[[Call, Choice], CachePlan]
-RecordBegun = Callable[[RequestId, StreamOrigin], Awaitable[None]]
-RecordHead = Callable[[EndpointId, ResponseHead], None]
+RecordBegun = Callable[[RequestId, StreamOrigin], Awaitable[StreamOrigin | None]]
+RecordHead = Callable[[EndpointId, ResponseHead, bool], None]
 
 
-def ignore_head(endpoint: EndpointId, head: ResponseHead) -> None:
+def ignore_head(
+    endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
+) -> None:
     """Do nothing; used where no one follows the heads of responses."""
 
 
-async def ignore_begun(call: RequestId, origin: StreamOrigin) -> None:
-    """Do nothing; used where no stream is taken up at another router."""
+async def ignore_begun(call: RequestId, origin: StreamOrigin) -> StreamOrigin | None:
+    """Return None; used where another router knows the stream's origin."""
+    return None
 
 
 def plan_local_cache_use(call: Call, choice: Choice) -> CachePlan:
@@ -145,7 +148,8 @@
     plan_cache_use : callable
         Returns how a call uses the KV cache at a chosen replica.
     record_begun : callable
-        Called before the first event of a stream is sent to its caller.
+        Called before the first event of a stream is sent to its caller; returns where
+        the stream must go on.
     """
 
     client: EndpointClient
@@ -188,8 +192,20 @@
             idle_s=AT_MOST_ONCE_IDLE_S if at_most_once else RETRYABLE_IDLE_S,
             repeatable=not at_most_once,
         )
+        return await self.exchange(request, call, replica, delivery, recorder)
+
+    async def exchange(
+        self,
+        request: EndpointCall,
+        call: Call,
+        replica: Replica,
+        delivery: Delivery,
+        recorder: "AttemptRecorder",
+    ) -> Outcome | ErrorResponse:
+        """Send a request for a call and relay the response."""
         try:
             async with self.client.open(request) as response:
+                recorder.is_new_connection = response.is_first_use
                 return await self._relay(call, replica, response, delivery, recorder)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return _classify_relay_error(error, replica.id, call, delivery)
@@ -246,8 +262,7 @@
             if not forwarded:
                 continue
             if is_resumable and delivery.origin is None:
-                delivery.origin = replica.origin
-                await self.record_begun(call.id, replica.origin)
+                delivery.origin = await self.record_begun(call.id, replica.origin)
             if not delivery.status:
                 await delivery.begin(head.status, head.headers, self.clock())
             await send_chunk(delivery.send, forwarded)
@@ -290,13 +305,16 @@
     uncached_tokens : int
         Tokens of the prompt that the replica is expected to prefill.
     record_head : callable
-        Called with the replica's id and the head of its response.
+        Called with the replica's id, the head of its response, and whether the
+        connection was opened for the call.
     responded_at_s : float or None
         Time at which the head of the response arrived, seconds.
     in_prefill : bool
         Whether the prefill is still counted in the load.
     is_decoding : bool
         Whether the load counts the call as one whose output is generated.
+    is_new_connection : bool
+        Whether the connection was opened for this call.
     """
 
     loads: ReplicaLoadTable
@@ -306,6 +324,7 @@
     responded_at_s: float | None = None
     in_prefill: bool = True
     is_decoding: bool = False
+    is_new_connection: bool = False
 
     @property
     def endpoint(self) -> EndpointId:
@@ -321,7 +340,7 @@
         """Record the head of the response, which ends the prefill."""
         self.responded_at_s = now_s
         self.loads.record_response(self.endpoint, head, now_s)
-        self.record_head(self.endpoint, head)
+        self.record_head(self.endpoint, head, self.is_new_connection)
         succeeded = not head.not_run and head.status == HTTP_OK
         self._end_prefill(succeeded, now_s)
         if succeeded:
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -1,7 +1,7 @@
 """Calls, the options of an attempt, and the heads of responses."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NewType, Protocol
 
 from ..crash_causes import Fingerprints
@@ -71,6 +71,10 @@
     resumed_call : RequestId
         Id of the call that brought the first event of the stream that this one resumes;
         empty for none.
+    api_key : str
+        Key that the caller sent; empty for none.
+    is_passed_on : bool
+        Whether another router, which is cut off from the replicas, passed the call on.
     """
 
     id: RequestId
@@ -87,6 +91,8 @@
     resume_after: str = ""
     output_limit: int = 0
     resumed_call: RequestId = RequestId("")
+    api_key: str = field(default="", repr=False)
+    is_passed_on: bool = False
 
     @property
     def is_resumed(self) -> bool:
@@ -208,6 +214,11 @@
     ) -> Sequence[tuple[str, str]]:
         """Return the headers of one attempt."""
 
+    def write_caller_headers(
+        self, call: Call, remaining_s: float, resume_after: str
+    ) -> Sequence[tuple[str, str]]:
+        """Return the headers of a call as its caller would send it now."""
+
     def read_head(
         self, status: int, headers: Sequence[tuple[bytes, bytes]]
     ) -> ResponseHead:
--- /dev/null
+++ b/primrosepier/forwarding/cuts.py
@@ -0,0 +1,241 @@
+"""Detects that this router is cut off from the replicas while other routers are not.
+
+When many replicas are lost at once, the other routers are asked whether they reach
+replicas. If one does, this router counts as cut off: its calls are passed on, and it
+probes replicas until they accept connections again.
+"""
+
+import random
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import anyio
+import msgspec
+
+from ..clocks import Clock
+from ..ids import EndpointId, HostId
+from ..links import LinkMonitor
+from .fleet import Replica
+from .peer_requests import PeerRequests
+
+__all__ = ["CutDetector", "LinksMessage", "LinksReply", "LinksRequest"]
+
+# Time between two rounds of questions and probes, seconds.
+CHECK_INTERVAL_S = 0.25
+# Time after which routers that had to probe the replicas are asked again, seconds.
+REPEAT_INTERVAL_S = 0.05
+# Routers that are asked in a round.
+MAX_ASKED = 8
+# Lost replicas that a question names.
+MAX_NAMED = 16
+MS = 0.001
+# Replicas that are probed in a round; the cut has ended when most accept connections.
+PROBED = 3
+
+
+DurationMs = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
+
+
+class LinksRequest(msgspec.Struct, frozen=True, tag="links"):
+    """Question whether a router reaches the replicas that the sender has lost.
+
+    Parameters
+    ----------
+    lost : tuple of EndpointId
+    lost_ms : int
+        Time since the last of them was lost, milliseconds.
+    """
+
+    sender: HostId
+    number: int
+    lost: tuple[EndpointId, ...]
+    lost_ms: DurationMs
+
+
+class LinksReply(msgspec.Struct, frozen=True, tag="links_reply"):
+    """Whether the sender has reached most of these replicas since then."""
+
+    number: int
+    has_reached: bool
+
+
+LinksMessage = LinksRequest | LinksReply
+SendMessage = Callable[[HostId, LinksMessage], Awaitable[bool]]
+ProbeReplica = Callable[[Replica], Awaitable[bool]]
+NotifyCut = Callable[[bool, int, Sequence[HostId]], None]
+
+
+async def send_nowhere(host: HostId, message: LinksMessage) -> bool:
+    """Send nothing; used by a router without peers."""
+    return False
+
+
+async def probe_nothing(replica: Replica) -> bool:
+    """Return False; used where no replica is probed."""
+    return False
+
+
+def list_no_replicas() -> Sequence[Replica]:
+    """Return no replicas."""
+    return ()
+
+
+def ignore_cut(is_cut: bool, lost: int, helpers: Sequence[HostId]) -> None:
+    """Do nothing; used where no one follows the state of the links."""
+
+
+@dataclass(slots=True)
+class CutDetector:
+    """Decides whether this router is cut off from the replicas.
+
+    Parameters
+    ----------
+    host : HostId
+    rng : random.Random
+    list_replicas : callable
+        Returns the replicas of all services.
+    probe : callable
+        Returns whether a replica accepts a connection.
+    notify : callable
+        Called when a cut begins or ends, with the number of lost replicas and the
+        routers that reach replicas.
+
+    Attributes
+    ----------
+    hosts : frozenset of HostId
+        The other registered routers.
+    helpers : dict of HostId to None
+        Routers that reached replicas when they were last asked.
+    named : frozenset of EndpointId
+        Replicas that another router has lost and this one is to probe.
+    wake : anyio.Event
+        Set when the links are to be checked.
+    """
+
+    host: HostId
+    clock: Clock
+    rng: random.Random = field(default_factory=random.Random)
+    list_replicas: Callable[[], Sequence[Replica]] = list_no_replicas
+    probe: ProbeReplica = probe_nothing
+    send: SendMessage = send_nowhere
+    notify: NotifyCut = ignore_cut
+    monitor: LinkMonitor = field(default_factory=LinkMonitor)
+    requests: PeerRequests[bool] = field(default_factory=PeerRequests)
+    hosts: frozenset[HostId] = frozenset()
+    is_cut: bool = False
+    helpers: dict[HostId, None] = field(default_factory=dict)
+    named: frozenset[EndpointId] = frozenset()
+    wake: anyio.Event = field(default_factory=anyio.Event)
+
+    def record_hosts(self, hosts: Iterable[HostId]) -> None:
+        """Record which routers are registered."""
+        self.hosts = frozenset(hosts) - {self.host}
+
+    def record_reached(self, endpoint: EndpointId, is_new_connection: bool) -> None:
+        """Record a response of a replica."""
+        self.monitor.record_reached(endpoint, self.clock(), is_new_connection)
+
+    def record_failed(self, endpoint: EndpointId) -> None:
+        """Record that a replica could not be reached."""
+        self.monitor.record_failed(endpoint, self.clock())
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Check the links whenever a replica is lost, until cancelled."""
+        while True:
+            await self.wake.wait()
+            self.wake = anyio.Event()
+            is_reached = await self._check()
+            while self.is_cut or (not is_reached and self._seems_cut()):
+                await anyio.sleep(CHECK_INTERVAL_S)
+                is_reached = await self._check()
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    def _seems_cut(self) -> bool:
+        return self.monitor.seems_cut(self.clock())
+
+    async def _check(self) -> bool:
+        """Probe replicas, ask other routers, and begin or end a cut by both.
+
+        Returns
+        -------
+        bool
+            Whether most of the probed replicas accepted a connection.
+        """
+        is_reached = await self._probe()
+        if is_reached and self.is_cut:
+            self._end()
+        elif not is_reached and self._seems_cut():
+            await self._ask_routers()
+            if not self.helpers:
+                await anyio.sleep(REPEAT_INTERVAL_S)
+                await self._ask_routers()
+            if self.helpers and not self.is_cut:
+                self._begin()
+        return is_reached
+
+    async def _ask_routers(self) -> None:
+        """Find the routers that reach replicas."""
+        asked = self.rng.sample(sorted(self.hosts), min(MAX_ASKED, len(self.hosts)))
+        async with anyio.create_task_group() as group:
+            for host in asked:
+                group.start_soon(self._ask, host)
+
+    async def _ask(self, host: HostId) -> None:
+        now_s = self.clock()
+        lost = tuple(sorted(self.monitor.list_lost(now_s))[:MAX_NAMED])
+        lost_ms = int(self.monitor.compute_lost_s(now_s) / MS)
+        has_reached = await self.requests.ask(
+            lambda number: self.send(
+                host, LinksRequest(self.host, number, lost, lost_ms)
+            )
+        )
+        if has_reached:
+            self.helpers[host] = None
+        else:
+            self.helpers.pop(host, None)
+
+    async def _probe(self) -> bool:
+        """Return whether most of some replicas accept connections."""
+        replicas = self.list_replicas()
+        named, self.named = self.named, frozenset()
+        replicas = [x for x in replicas if x.id in named] or replicas
+        probed = self.rng.sample(replicas, min(PROBED, len(replicas)))
+        reached = []
+
+        async def probe(replica: Replica) -> None:
+            if await self.probe(replica):
+                reached.append(replica)
+                self.monitor.record_reached(replica.id, self.clock(), True)
+            else:
+                self.monitor.record_failed(replica.id, self.clock())
+
+        async with anyio.create_task_group() as group:
+            for replica in probed:
+                group.start_soon(probe, replica)
+        return 2 * len(reached) > len(probed)
+
+    def _begin(self) -> None:
+        self.is_cut = True
+        lost = len(self.monitor.list_lost(self.clock()))
+        self.notify(True, lost, tuple(self.helpers))
+
+    def _end(self) -> None:
+        self.is_cut = False
+        self.helpers.clear()
+        self.monitor.forget_losses()
+        self.notify(False, 0, ())
+
+    async def receive(self, message: LinksMessage) -> None:
+        """Answer another router's question, or apply its reply."""
+        if isinstance(message, LinksReply):
+            self.requests.apply(message.number, message.has_reached)
+            return
+        since_s = self.clock() - message.lost_ms * MS
+        has_reached = not self.is_cut and self.monitor.reaches(message.lost, since_s)
+        if not has_reached:
+            # A router with few calls may not know; it does when it is asked again.
+            self.named = frozenset(message.lost)
+            self.wake.set()
+        await self.send(message.sender, LinksReply(message.number, has_reached))
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -1,8 +1,9 @@
 """ASGI app that accepts callers' requests for the declared routes."""
 
+import hmac
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 import anyio
@@ -28,6 +29,7 @@
 from .events import EventStreamMerger
 from .forwarder import Forwarder
 from .freshness import Freshness
+from .peer_relay import NOT_RUN_HEADER, TOKEN_HEADER
 from .records import CallEnded, CallRejected
 from .shutdown import ShutdownSchedule
 
@@ -39,6 +41,21 @@
 # delays.
 RETRY_AFTER_SHARE = 0.3
 READY_PATH = "/readyz"
+# Statuses of this router's own responses to calls that have not run. Those of replicas
+# with such a status are never relayed.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def add_header_to_refusals(send: Send) -> Send:
+    """Wrap ``send`` to tell another router of responses to calls that have not run."""
+
+    async def send_marked(message: dict[str, Any]) -> None:
+        if message.get("status") in NOT_RUN_STATUSES:
+            headers = [*message["headers"], (NOT_RUN_HEADER, b"1")]
+            message = {**message, "headers": headers}
+        await send(message)
+
+    return send_marked
 
 
 class RequestReader(Protocol):
@@ -89,6 +106,10 @@
         Must include the time for which the machine was suspended.
     ready_port : int
         Port on which only readiness checks are served.
+    peers_port : int
+        Port on which only calls that other routers pass on are served.
+    peers_token : str
+        Token that these calls carry.
 
     Attributes
     ----------
@@ -107,6 +128,8 @@
     log: Log
     clock: Clock
     ready_port: int
+    peers_port: int
+    peers_token: str
     shutdown: ShutdownSchedule | None = None
     in_progress: int = 0
     last_call_at_s: float = float("-inf")
@@ -116,6 +139,11 @@
         if scope["server"][1] == self.ready_port:
             await self._answer_readiness(scope, send)
             return
+        if self._is_passed_on(scope):
+            if not self._remove_token(scope):
+                await send_bytes(send, 403, b"")
+                return
+            send = add_header_to_refusals(send)
         received_at_s = self.clock()
         self.last_call_at_s = received_at_s
         self.in_progress += 1
@@ -137,6 +165,20 @@
 
         return send_or_close
 
+    def _is_passed_on(self, scope: Scope) -> bool:
+        """Return whether a call comes from another router."""
+        return bool(scope["server"][1] == self.peers_port)
+
+    def _remove_token(self, scope: Scope) -> bool:
+        """Remove the other router's token; return whether it is the right one."""
+        token = self.peers_token.encode("ascii")
+        headers = scope["headers"]
+        scope["headers"] = [x for x in headers if x[0] != TOKEN_HEADER]
+        return any(
+            name == TOKEN_HEADER and hmac.compare_digest(value, token)
+            for name, value in headers
+        )
+
     def is_ready(self) -> bool:
         """Return whether a load balancer should send new connections to the router."""
         if self.shutdown is not None or self.read_declaration() is None:
@@ -167,6 +209,8 @@
             call = self.reader.make_call(scope, body, route, workspace, received_at_s)
         except MessageError as error:
             raise RequestError(400, "unreadable_header", str(error)) from error
+        if self._is_passed_on(scope):
+            call = replace(call, is_passed_on=True)
         delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
         outcome = await self._forward(call, delivery, receive)
         if outcome is not None:
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -35,9 +35,11 @@
     deliver_error_response,
 )
 from .calls import Call, EndpointDialect, ResponseHead
+from .cuts import CutDetector
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
 from .origins import OriginExchange
+from .peer_relay import PeerRelay
 from .permits import PermitExchange
 from .prefixes import PrefillTracker
 from .records import (
@@ -72,6 +74,7 @@
 # Retry-After of a stream that can't go on, seconds. A replica that crashed is back in a
 # few, and a call that comes in vain costs little.
 UNRESUMED_RETRY_AFTER_S = 1.0
+CUT_REASON = "this router is cut off from the replicas as well"
 LIMIT_REASON = "all replicas have reached the limits that they name"
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
 ABSENT_VERSION_REASON = "the software version that began the stream no longer serves"
@@ -109,6 +112,10 @@
         Permits for calls to replicas that limit their rate.
     origins : OriginExchange
         Where streams that callers take up again began.
+    links : CutDetector
+        Whether this router reaches the replicas.
+    relay : PeerRelay
+        Passes calls on while it does not.
     """
 
     sender: CallSender
@@ -120,6 +127,8 @@
     log: Log
     permits: PermitExchange
     origins: OriginExchange
+    links: CutDetector
+    relay: PeerRelay
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
@@ -135,6 +144,8 @@
             a stream was sent, ``NotRun``, ``UnknownOutcome`` and ``Refused`` mean that
             an attempt to resume the stream ended so.
         """
+        if self.links.is_cut:
+            return await self._pass_on(call, delivery)
         if call.is_resumed and call.route.retry_policy is RetryPolicy.RESUME:
             origin = delivery.origin = await self._find_origin(call)
             if origin is None:
@@ -154,6 +165,16 @@
             self.origins.record_complete(call.resumed_call or call.id)
         return outcome
 
+    async def _pass_on(self, call: Call, delivery: Delivery) -> Outcome:
+        """Serve a call through a router that reaches the replicas, if it is not one."""
+        if call.is_passed_on:
+            return self._make_not_run(CUT_REASON)
+        result = await self.relay.send(call, delivery, tuple(self.links.helpers))
+        if not isinstance(result, ErrorResponse):
+            return result
+        refused = Refused(Step.HEADERS, "-", result.head.status, b"")
+        return await self._finish_with_error(result, refused, delivery)
+
     async def _find_origin(self, call: Call) -> StreamOrigin | None:
         """Return where the stream that a call takes up began; None if unknown."""
         services = tuple(service for service, weight in call.route.services if weight)
@@ -242,6 +263,9 @@
                     Step.PLACE, "-", QUARANTINE_REASON, allowed.retry_after_s
                 )
                 break
+            if self.links.is_cut and not call.is_passed_on:
+                passed_on = await self._pass_on(call, delivery)
+                return merge_outcomes(previous, passed_on)
             origin = delivery.origin
             choice = await self._choose_permitted(call, service, tried, origin)
             if choice is None:
@@ -369,7 +393,7 @@
         index = self.chooser.prefixes
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
         recorder = AttemptRecorder(
-            self.loads, prefill, choice.uncached_tokens, self._record_limit
+            self.loads, prefill, choice.uncached_tokens, self._record_head
         )
         started_s = self.clock()
         recorder.begin(started_s)
@@ -386,12 +410,19 @@
             self.suspects.loss_log.record_answer(
                 fingerprints, endpoint, recorder.responded_at_s, self.clock()
             )
-        elif getattr(outcome, "lost", False):
+        elif getattr(outcome, "lost", False) and not self.links.is_cut:
             self._record_lost_call(call, fingerprints, endpoint, started_s, delivery)
         if not isinstance(outcome, NotRun):
             delivery.runs += 1
         return outcome
 
+    def _record_head(
+        self, endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
+    ) -> None:
+        """Record that a replica responded, and what the head of its response tells."""
+        self.links.record_reached(endpoint, is_new_connection)
+        self._record_limit(endpoint, head)
+
     def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
         """Record the limit that a replica names, or that it names none."""
         rate_per_s = head.rate_limit_per_s
@@ -436,6 +467,7 @@
         deadlines.
         """
         self.loads.record_unreachable(replica.id, now_s)
+        self.links.record_failed(replica.id)
         if (
             self.loads.get_or_create(replica.id).connection_failures
             < UNREACHABLE_FAILURES
@@ -486,6 +518,8 @@
     log: Log,
     permits: PermitExchange,
     origins: OriginExchange,
+    links: CutDetector,
+    relay: PeerRelay,
     clock: Clock = time.monotonic,
 ) -> Forwarder:
     """Return a forwarder with empty state."""
@@ -500,5 +534,7 @@
         log,
         permits,
         origins,
+        links,
+        relay,
         clock,
     )
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -23,6 +23,7 @@
     quarantined = len(app.forwarder.suspects.loss_log.causes)
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
+    table.set("primrosepier_cut_off", int(app.forwarder.links.is_cut))
     versions = app.forwarder.origins.versions
     for service, seen_at_s in versions.seen_at_s.items():
         table.set("primrosepier_software_versions", len(seen_at_s), service=service)
--- a/primrosepier/forwarding/messages.py
+++ b/primrosepier/forwarding/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from .cuts import LinksMessage
 from .origins import OriginMessage
 from .permits import PermitMessage
 
@@ -10,7 +11,7 @@
 # First byte of a short map (MessagePack specification).
 MAP_PREFIXES = frozenset(bytes([prefix]) for prefix in range(0x80, 0x90))
 
-PeerMessage = PermitMessage | OriginMessage
+PeerMessage = PermitMessage | OriginMessage | LinksMessage
 
 
 class PeerDatagram(msgspec.Struct, frozen=True):
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -59,6 +59,14 @@
         "Streams that callers took up, by how their software version was found.",
         "Many unknown: routers lose their peers, or end, during a rollout.",
     ),
+    MetricSpec(
+        "primrosepier_passed_on_total",
+        COUNTER,
+        "attempts",
+        (),
+        "Attempts that were sent to another router, which reaches the replicas.",
+        "Rises while primrosepier_cut_off is 1; look for LinksChanged.",
+    ),
     MetricSpec(
         "primrosepier_choices_total",
         COUNTER,
@@ -115,6 +123,14 @@
         "Software versions that a service's replicas had of late.",
         "Above 1: streams go on only at the version that began them.",
     ),
+    MetricSpec(
+        "primrosepier_cut_off",
+        GAUGE,
+        "boolean",
+        (),
+        "Whether this router is cut off from the replicas while others are not.",
+        "1: check the links between this host and the replicas.",
+    ),
     MetricSpec(
         "primrosepier_calls_in_progress",
         GAUGE,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -10,6 +10,7 @@
 from .records import (
     CallEnded,
     CallLost,
+    CallPassedOn,
     CallPlaced,
     CallRejected,
     CallRepeated,
@@ -41,6 +42,8 @@
             self.add("primrosepier_lost_attempts_total", 1)
         elif isinstance(event, PermitRefused):
             self.add("primrosepier_refused_permits_total", 1)
+        elif isinstance(event, CallPassedOn):
+            self.add("primrosepier_passed_on_total", 1)
         elif isinstance(event, StreamTakenUp):
             self.add("primrosepier_streams_taken_up_total", 1, result=event.result)
         elif isinstance(event, CallRejected):
--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -140,12 +140,15 @@
         for service in self.versions.record(origins, now_s):
             await self._tell(self.origins.list_own(service, now_s))
 
-    async def record_begun(self, call: RequestId, origin: StreamOrigin) -> None:
-        """Record where a stream begins, before its first event is sent."""
+    async def record_begun(
+        self, call: RequestId, origin: StreamOrigin
+    ) -> StreamOrigin | None:
+        """Record where a stream begins, before its first event is sent; return it."""
         now_s = self.clock()
         self.origins.record(call, origin, now_s, is_own=True)
         if self.versions.find_sole(origin.service, now_s) != origin.software:
             await self._tell({call: origin})
+        return origin
 
     def record_complete(self, call: RequestId) -> None:
         """Record that a stream has ended."""
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -26,6 +26,7 @@
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
+from .cuts import CutDetector, LinksReply, LinksRequest
 from .loading_record import LoadingRecord
 from .messages import (
     PeerDatagram,
@@ -34,6 +35,7 @@
     is_peer_datagram,
 )
 from .origins import OriginExchange
+from .peer_relay import PeerAddress
 from .permits import PermitExchange, PermitReply, PermitRequest
 from .prefixes import PrefixIndex, PrefixUpdate
 from .replica_load import PeerLoad, ReplicaLoadTable
@@ -68,9 +70,9 @@
     Parameters
     ----------
     address : str
-        ``IP:PORT`` for datagrams.
+        ``IP:PORT`` for datagrams, and for calls that are passed on.
     token : str
-        Secret that peers copy from this entry into their reports to the router, to
+        Secret that peers copy from this entry into their messages to the router, to
         show that they can read the store.
     """
 
@@ -153,6 +155,13 @@
         """Return the number of known routers, including this one."""
         return 1 + len(self.peers)
 
+    def list_addresses(self) -> dict[HostId, PeerAddress]:
+        """Return where the other routers accept calls that are passed on to them."""
+        return {
+            host: PeerAddress(entry.address, entry.token)
+            for host, entry in self.peers.items()
+        }
+
     def list_hosts(self) -> set[HostId]:
         """Return the registered routers, with this one if it is registered."""
         return {*self.peers, *((self.host,) if self.is_registered else ())}
@@ -197,6 +206,8 @@
         None where no replica names a limit.
     origins : OriginExchange or None
         None where no stream is taken up at another router.
+    cuts : CutDetector or None
+        None where no router is asked about its links.
 
     Attributes
     ----------
@@ -218,6 +229,7 @@
     loss_log: LossLog = field(default_factory=LossLog)
     permits: PermitExchange | None = None
     origins: OriginExchange | None = None
+    cuts: CutDetector | None = None
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
@@ -362,6 +374,9 @@
         elif isinstance(message, PermitRequest | PermitReply):
             if self.permits is not None:
                 await self.permits.receive(message)
+        elif isinstance(message, LinksRequest | LinksReply):
+            if self.cuts is not None:
+                await self.cuts.receive(message)
         elif self.origins is not None:
             await self.origins.receive(message)
 
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -5,6 +5,7 @@
 from ..ids import (
     EndpointId,
     Fingerprint,
+    HostId,
     RequestId,
     ServiceId,
     SoftwareVersion,
@@ -16,6 +17,7 @@
 __all__ = [
     "CallEnded",
     "CallLost",
+    "CallPassedOn",
     "CallPlaced",
     "CallRejected",
     "CallRepeated",
@@ -28,6 +30,7 @@
     "FleetChanged",
     "MetricsUnserved",
     "LimitChanged",
+    "LinksChanged",
     "PermitRefused",
     "QuarantineChanged",
     "ReplicaGivenUp",
@@ -91,6 +94,42 @@
         return f"sends {self.request} to {self.endpoint}: {self.kind}"
 
 
+class CallPassedOn(Event, frozen=True):
+    """A call was passed on to another router, which reaches the replicas."""
+
+    part: ClassVar[str] = "forward"
+    request: RequestId
+    attempt: int
+    peer: HostId
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"passes {self.request} on to {self.peer}"
+
+
+class LinksChanged(Event, frozen=True):
+    """The router lost its links to the replicas, or has them again.
+
+    Parameters
+    ----------
+    lost : int
+        Replicas that were not reached when the cut was found.
+    helpers : tuple of HostId
+        Routers that reach replicas, as far as is known.
+    """
+
+    part: ClassVar[str] = "links"
+    is_cut: bool
+    lost: int
+    helpers: tuple[HostId, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if not self.is_cut:
+            return "reaches the replicas again"
+        return f"cut off from {self.lost} replicas; {', '.join(self.helpers)} help"
+
+
 class CallRepeated(Event, frozen=True):
     """A call is to be retried on another replica, if there is one.
 
@@ -494,6 +533,7 @@
 FORWARDING_EVENT = (
     CallEnded
     | CallLost
+    | CallPassedOn
     | CallPlaced
     | CallRejected
     | CallRepeated
@@ -504,6 +544,7 @@
     | EntryUnreadable
     | FleetChanged
     | LimitChanged
+    | LinksChanged
     | PermitRefused
     | QuarantineChanged
     | ReplicaGivenUp
--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -182,6 +182,12 @@
         load.connection_failures += 1
         load.avoid_until_s = now_s + period_s
 
+    def end_backoff(self) -> None:
+        """Use all replicas again: the links were down, not the replicas."""
+        for load in self.loads.values():
+            load.connection_failures = 0
+            load.avoid_until_s = float("-inf")
+
     def list_unreachable(self, now_s: float) -> set[EndpointId]:
         """Return the replicas that could not be reached recently."""
         return {
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -14,7 +14,7 @@
 from ..endpoint_client import EndpointClient
 from ..endpoint_limits import EndpointLimits
 from ..errors import SettingsError
-from ..ids import EndpointId, Fingerprint
+from ..ids import EndpointId, Fingerprint, HostId
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
 from ..logs import Log, close_at_end, make_log
@@ -23,6 +23,7 @@
 from ..settings import LeaseBounds
 from ..store import Store
 from .calls import Call, EndpointDialect
+from .cuts import CutDetector
 from .declarations import Declaration
 from .entry import EntryApp, RequestReader, read_boot_clock
 from .fleet import Replica
@@ -31,10 +32,12 @@
 from .gauges import set_gauges
 from .metrics import EntryMetrics, make_entry_metrics
 from .origins import OriginExchange
+from .peer_relay import make_peer_relay
 from .peers import PeerDirectory, PeerExchange
 from .permits import PermitExchange
 from .records import (
     DatagramsDropped,
+    LinksChanged,
     MetricsUnserved,
     QuarantineChanged,
     RouterStarted,
@@ -81,6 +84,8 @@
 # Time allowed for an order to reach a replica, seconds: the time-out of its HTTP call
 # once it is connected.
 ORDER_TIMEOUT_S = 1.0
+# Connection time-out of a probe of the links to replicas, seconds.
+PROBE_TIMEOUT_S = 0.3
 # Extra delay of each further candidate for a free duty, seconds: enough for the
 # previous candidate to acquire the duty, since the store responds in milliseconds.
 CANDIDATE_DELAY_S = 0.05
@@ -146,6 +151,7 @@
             }
             self.app.forwarder.loads.retain(registered)
             self.app.forwarder.permits.limits.retain(registered)
+            self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
     def reload(self, read_settings: Callable[[], EntrySettings]) -> None:
@@ -215,6 +221,8 @@
         log,
         clock,
         int(settings.readiness_address.rpartition(":")[2]),
+        int(settings.peers_address.rpartition(":")[2]),
+        directory.token,
     )
     weights_controller = _make_weights_controller(
         settings, platform, store_view, mirror_controller, load_table
@@ -231,6 +239,7 @@
         directory.update,
         lambda mirror: forwarder.permits.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.origins.record_hosts(directory.list_hosts()),
+        lambda mirror: forwarder.links.record_hosts(directory.list_hosts()),
         weights_controller.read_loading_record,
     )
     mirror_controller.mirror.listeners.extend(listeners)
@@ -263,7 +272,9 @@
         DatagramsDropped(reason, count)
     )
     peers.origins = forwarder.origins
+    peers.cuts = forwarder.links
     forwarder.permits.send = forwarder.origins.send = peers.send_message
+    forwarder.links.send = peers.send_message
     weights_controller.notify = peers.request_report
     return peers
 
@@ -306,9 +317,15 @@
         store_view.log,
         PermitExchange(settings.host, EndpointLimits(), platform.clock),
         OriginExchange(settings.host, platform.clock),
+        CutDetector(settings.host, platform.clock, rng),
+        make_peer_relay(
+            platform.client, platform.dialect, store_view.log, platform.clock
+        ),
         platform.clock,
     )
 
+    _connect_links(forwarder, store_view, platform.client, directory)
+
     def log_causes(
         added: frozenset[Fingerprint], ended: frozenset[Fingerprint]
     ) -> None:
@@ -318,6 +335,30 @@
     return forwarder
 
 
+def _connect_links(
+    forwarder: Forwarder,
+    store_view: StoreView,
+    client: EndpointClient,
+    directory: PeerDirectory,
+) -> None:
+    """Connect the detector of cuts to the replicas and the other routers."""
+    links = forwarder.links
+    forwarder.relay.read_peers = directory.list_addresses
+
+    def list_replicas() -> Sequence[Replica]:
+        by_service = store_view.replicas.value.by_service
+        return [x for replicas in by_service.values() for x in replicas]
+
+    def log_change(is_cut: bool, lost: int, helpers: Sequence[HostId]) -> None:
+        store_view.log.emit(LinksChanged(is_cut, lost, tuple(helpers)))
+        if not is_cut:
+            forwarder.loads.end_backoff()
+
+    links.list_replicas = list_replicas
+    links.probe = lambda replica: client.probe(replica.address, PROBE_TIMEOUT_S)
+    links.notify = log_change
+
+
 def _plan_cache_use(
     store_view: StoreView, load_table: ReplicaLoadTable, call: Call, choice: Choice
 ) -> CachePlan:
@@ -439,7 +480,7 @@
                 settings.callers_address,
                 router.compute_grace,
                 protocol,
-                (settings.readiness_address,),
+                (settings.readiness_address, settings.peers_address),
             ) as router.callers_address:
                 router.log.emit(
                     RouterStarted(router.callers_address, settings.failure_domain)
@@ -449,6 +490,7 @@
                 group.start_soon(router.weights_controller.run)
                 group.start_soon(router.peers.directory.run)
                 group.start_soon(router.peers.run, socket, open_socket)
+                group.start_soon(router.app.forwarder.links.run)
                 yield router
             group.cancel_scope.cancel()
         await router.platform.store.close()
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -100,6 +100,7 @@
             model=ModelId(read_header(names.MODEL)),
             parts=_read_parts(read_header(names.PROMPT_PARTS)),
             resume_after=read_header(names.LAST_EVENT),
+            api_key=self.read_key(scope),
             resumed_call=RequestId(read_header(names.RESUMED_CALL)),
             output_limit=_read_output_limit(read_header(names.TOKEN_COUNTS)),
         )
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -110,6 +110,22 @@
         ]
         return forwarded + [(name.decode("latin-1"), value) for name, value in headers]
 
+    def write_caller_headers(
+        self, call: Call, remaining_s: float, resume_after: str
+    ) -> Sequence[tuple[str, str]]:
+        """Return the headers of a call as its caller would send it now."""
+        headers = [(names.REMAINING_TIME, str(max(1, int(remaining_s / MS))))]
+        if call.api_key:
+            headers.append((names.API_KEY, f"Bearer {call.api_key}"))
+        if resume_after:
+            headers.append((names.LAST_EVENT, resume_after))
+            if not call.is_resumed:
+                headers.append((names.RESUMED_CALL, call.id))
+        forwarded = [
+            (n.decode("latin-1"), v.decode("latin-1")) for n, v in call.headers
+        ]
+        return forwarded + [(name.decode("latin-1"), value) for name, value in headers]
+
     def read_head(
         self, status: int, headers: Sequence[tuple[bytes, bytes]]
     ) -> ResponseHead:
--- a/primrosepier/streamed.py
+++ b/primrosepier/streamed.py
@@ -78,6 +78,8 @@
     ----------
     keep_alive_s : float
         Maximum time that the connection may stay idle, seconds.
+    is_first_use : bool
+        Whether the connection was opened for this call.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.is_complete = False
         self.keep_alive_s = KEEP_ALIVE_S
         self.closes = False
+        self.is_first_use = False
         self.is_framed = method == "HEAD" or response.status in BODILESS
         self.has_body = not self.is_framed
         for name, value in response.headers:
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -112,6 +112,7 @@
     body: object
     status: int = 200
     is_framed: bool = True
+    is_first_use: bool = False
 
     def aiter_stream(self):
         return self.body
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -178,3 +178,67 @@
         assert fleet.count_arrivals() == 0
 
     run_cut(check, 3)
+
+
+def test_a_call_that_was_passed_on_is_not_passed_on_again():
+    async def check(fleet):
+        first, second, _ = fleet.routers
+        first.app.forwarder.links.is_cut = True
+        first.app.forwarder.links.helpers[second.settings.host] = None
+        second.app.forwarder.links.is_cut = True
+        second.app.forwarder.links.helpers[first.settings.host] = None
+        with anyio.fail_after(0.5):
+            response = await fleet.send("/lookup/1", router=first)
+        assert response.status == 503
+        assert fleet.count_arrivals() == 0
+
+    run_cut(check, 3)
+
+
+def test_only_routers_may_pass_calls_on():
+    async def check(fleet):
+        router = fleet.routers[0]
+        router.callers_address, address = (
+            router.settings.peers_address,
+            router.callers_address,
+        )
+        assert (await fleet.send("/lookup/1", router=router)).status == 403
+        wrong = {"X-Router-Token": "0" * 16}
+        assert (await fleet.send("/lookup/1", router=router, **wrong)).status == 403
+        router.callers_address = address
+        assert fleet.count_arrivals() == 0
+
+    run_cut(check, 1)
+
+
+@pytest.mark.parametrize(
+    ("path", "runs"), [("/booking/1", 1), ("/stream/notes/1", 1), ("/lookup/1", 2)]
+)
+def test_a_passed_on_call_runs_as_often_as_its_route_allows(path, runs):
+    async def check(fleet):
+        first, second, _ = fleet.routers
+        first.app.forwarder.links.is_cut = True
+        first.app.forwarder.links.helpers[second.settings.host] = None
+        for replica in fleet.replicas.values():
+            replica.faults.break_after = 0
+        assert (await fleet.send(path, router=first)).status == 502
+        assert len(fleet.list_runs()) == runs
+
+    run_cut(check, 3)
+
+
+def test_a_passed_on_call_carries_what_its_caller_sent():
+    async def check(fleet):
+        first, second, _ = fleet.routers
+        first.app.forwarder.links.is_cut = True
+        first.app.forwarder.links.helpers[second.settings.host] = None
+        response = await fleet.send("/booking/1", b"body", router=first, Model="m0")
+        assert (response.status, response.body) == (200, b"body")
+        (run,) = fleet.list_runs()
+        assert run["tenant"] == "litter-notes"
+        assert run["attempt-id"] == "a1"
+        assert run["model"] == "m0"
+        assert 1000 < int(run["deadline-ms"]) <= 2000
+        assert not run.keys() & {"authorization", "x-router-token"}
+
+    run_cut(check, 3)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -17,6 +17,7 @@
 from primrosepier.drift import MissCause
 from primrosepier.drift_controller import DayEntry
 from primrosepier.endpoint_limits import SharedLimit
+from primrosepier.forwarding.cuts import LinksReply, LinksRequest
 from primrosepier.forwarding.loading_record import (
     LOADING_RECORD_KEY,
     LoadingRecord as WeightsLoadingRecord,
@@ -105,6 +106,16 @@
         "82a5746f6b656ea5746f6b656ea76d65737361676583a474797065a57265706c79a66e756d62"
         "657207a6776169745f73cb3fd0000000000000",
     ),
+    (
+        PeerDatagram("token", LinksRequest("front-1", 7, ("w1",), 250)),
+        "82a5746f6b656ea5746f6b656ea76d65737361676585a474797065a56c696e6b73a673656e64"
+        "6572a766726f6e742d31a66e756d62657207a46c6f737491a27731a76c6f73745f6d73ccfa",
+    ),
+    (
+        PeerDatagram("token", LinksReply(7, True)),
+        "82a5746f6b656ea5746f6b656ea76d65737361676583a474797065ab6c696e6b735f7265706c"
+        "79a66e756d62657207ab6861735f72656163686564c3",
+    ),
     (
         PeerDatagram("token", StreamsBegun({"a1": StreamOrigin("writers", "v1")})),
         "82a5746f6b656ea5746f6b656ea76d65737361676582a474797065a773747265616d73a76f72"
@@ -158,6 +169,7 @@
         "output_limit last_event framed within_event"
     ),
     "CallLost": "request attempt endpoint duration_s fingerprints",
+    "CallPassedOn": "request attempt peer",
     "CallPlaced": (
         "request attempt service endpoint kind candidates outstanding "
         "pending_tokens report_age_s remaining_s uncached_tokens "
@@ -180,6 +192,7 @@
     "FleetChanged": "added removed known",
     "MetricsUnserved": "address reason",
     "LimitChanged": "endpoint rate_per_s",
+    "LinksChanged": "is_cut lost helpers",
     "PermitRefused": "request endpoint rate_per_s wait_s",
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
