--- a/primrosepier/forwarding/cuts.py
+++ b/primrosepier/forwarding/cuts.py
@@ -27,6 +27,9 @@
 REPEAT_INTERVAL_S = 0.05
 # Routers that are asked in a round.
 MAX_ASKED = 8
+# Longest time for which others are asked whether they have reached replicas, seconds:
+# what they reached before that may be lost by now.
+MAX_LOST_S = 2.0
 # Lost replicas that a question names.
 MAX_NAMED = 16
 MS = 0.001
@@ -34,7 +37,7 @@
 PROBED = 3
 
 
-DurationMs = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
+DurationMs = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_LOST_S / MS))]
 
 
 class LinksRequest(msgspec.Struct, frozen=True, tag="links"):
@@ -185,7 +188,8 @@
     async def _ask(self, host: HostId) -> None:
         now_s = self.clock()
         lost = tuple(sorted(self.monitor.list_lost(now_s))[:MAX_NAMED])
-        lost_ms = int(self.monitor.compute_lost_s(now_s) / MS)
+        lost_s = min(MAX_LOST_S, self.monitor.compute_lost_s(now_s))
+        lost_ms = int(lost_s / MS)
         has_reached = await self.requests.ask(
             lambda number: self.send(
                 host, LinksRequest(self.host, number, lost, lost_ms)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -264,8 +264,8 @@
                 )
                 break
             if self.links.is_cut and not call.is_passed_on:
-                passed_on = await self._pass_on(call, delivery)
-                return merge_outcomes(previous, passed_on)
+                outcome = merge_outcomes(previous, await self._pass_on(call, delivery))
+                break
             origin = delivery.origin
             choice = await self._choose_permitted(call, service, tried, origin)
             if choice is None:
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -11,6 +11,8 @@
 import pytest
 from entry_fleet import run_entry
 
+from primrosepier.forwarding.records import CallRepeated
+
 pytestmark = pytest.mark.sockets
 NAMES = ("w1", "w2", "w3", "app1", "app2", "app3")
 PATHS = ("/lookup/", "/booking/", "/stream/notes/", "/stream/queries/")
@@ -242,3 +244,19 @@
         assert not run.keys() & {"authorization", "x-router-token"}
 
     run_cut(check, 3)
+
+
+def test_an_error_of_a_replica_reaches_the_caller_when_no_router_helps_later():
+    async def check(fleet):
+        router = fleet.routers[0]
+        links = router.app.forwarder.links
+        for name in ("app1", "app2", "app3"):
+            fleet.replicas[name].faults.status = 500
+        router.log.observers.append(
+            lambda event: setattr(
+                links, "is_cut", links.is_cut or isinstance(event, CallRepeated)
+            )
+        )
+        assert (await fleet.send("/lookup/1", router=router)).status == 500
+
+    run_cut(check, 1)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,10 +3,12 @@
 import random
 
 import anyio
+import msgspec
 import pytest
 
 from primrosepier.forwarding.cuts import CutDetector
 from primrosepier.forwarding.fleet import Replica
+from primrosepier.forwarding.messages import PeerDatagram, decode_peer_datagram
 from primrosepier.links import FAILURE_TTL_S, LinkMonitor
 from primrosepier.virtualtime import run_in_virtual_time
 
@@ -53,7 +55,8 @@
 class Routers:
     """Routers, each with the set of replicas that it reaches."""
 
-    def __init__(self, count):
+    def __init__(self, count, replicas=10):
+        self.replicas = REPLICAS[:replicas]
         self.reached = {f"front-{n}": set(range(10)) for n in range(count)}
         self.changes = []
         self.detectors = {host: self.make_detector(host) for host in self.reached}
@@ -66,14 +69,17 @@
             return int(replica.id[1:]) in self.reached[host]
 
         async def send(receiver, message):
-            self.group.start_soon(self.detectors[receiver].receive, message)
+            data = msgspec.msgpack.encode(PeerDatagram("token", message))
+            received = decode_peer_datagram(data, "token")
+            assert received is not None
+            self.group.start_soon(self.detectors[receiver].receive, received)
             return True
 
         def notify(is_cut, lost, helpers):
             self.changes.append((anyio.current_time(), host, is_cut))
 
         rng = random.Random(host)
-        detector = CutDetector(host, anyio.current_time, rng, lambda: REPLICAS)
+        detector = CutDetector(host, anyio.current_time, rng, lambda: self.replicas)
         detector.probe, detector.send, detector.notify = probe, send, notify
         return detector
 
@@ -82,7 +88,7 @@
         detector = self.detectors[host]
         while True:
             await anyio.sleep(0.05)
-            number = detector.rng.randrange(10)
+            number = detector.rng.randrange(len(self.replicas))
             if number in self.reached[host]:
                 detector.record_reached(f"r{number}", True)
             else:
@@ -124,6 +130,19 @@
     routers.run(play)
 
 
+def test_a_cut_of_minutes_keeps_its_helpers():
+    routers = Routers(3, replicas=3)
+
+    async def play():
+        routers.reached["front-0"] = set()
+        for _ in range(200):
+            await anyio.sleep(1.0)
+            detector = routers.detectors["front-0"]
+            assert set(detector.helpers) == {"front-1", "front-2"}
+
+    routers.run(play)
+
+
 def test_a_router_whose_neighbours_have_no_calls_finds_one_that_reaches_replicas():
     routers = Routers(3)
 
