Tell where streams of a route with two services begin

Read in the diff: while each service has one version, no stream was told of, but a route that is split over two services leaves open at which one a stream began. Streams of such a route that callers took up at another router were refused. The test with two services failed before.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -17,7 +17,7 @@
     classify_error,
     is_connection_lost,
 )
-from ..ids import EndpointId, RequestId
+from ..ids import EndpointId, RequestId, ServiceId
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Step, UnknownOutcome
 from ..relay import read_whole_body
 from ..stream_origins import StreamOrigin
@@ -64,7 +64,9 @@
 HTTP_SERVER_ERROR = 500
 
 CachePlanner = Callable[[Call, Choice], CachePlan]
-RecordBegun = Callable[[RequestId, StreamOrigin], Awaitable[StreamOrigin | None]]
+RecordBegun = Callable[
+    [RequestId, tuple[ServiceId, ...], StreamOrigin], Awaitable[StreamOrigin | None]
+]
 RecordHead = Callable[[EndpointId, ResponseHead, bool], None]
 
 
@@ -74,7 +76,9 @@
     """Do nothing; used where no one follows the heads of responses."""
 
 
-async def ignore_begun(call: RequestId, origin: StreamOrigin) -> StreamOrigin | None:
+async def ignore_begun(
+    call: RequestId, services: tuple[ServiceId, ...], origin: StreamOrigin
+) -> StreamOrigin | None:
     """Return None; used where another router knows the stream's origin."""
     return None
 
@@ -262,7 +266,10 @@
             if not forwarded:
                 continue
             if is_resumable and delivery.origin is None:
-                delivery.origin = await self.record_begun(call.id, replica.origin)
+                services = call.route.list_services()
+                delivery.origin = await self.record_begun(
+                    call.id, services, replica.origin
+                )
             if not delivery.status:
                 await delivery.begin(head.status, head.headers, self.clock())
             await send_chunk(delivery.send, forwarded)
--- a/primrosepier/forwarding/declarations.py
+++ b/primrosepier/forwarding/declarations.py
@@ -78,6 +78,10 @@
     max_runs: int = 1
     public: bool = False
 
+    def list_services(self) -> tuple[ServiceId, ...]:
+        """Return the services that serve calls."""
+        return tuple(service for service, weight in self.services if weight)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineShape:
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -150,7 +150,7 @@
             origin = delivery.origin = await self._find_origin(call)
             if origin is None:
                 return self._make_unresumed(UNKNOWN_STREAM_REASON)
-            if origin.service not in dict(call.route.services):
+            if origin.service not in call.route.list_services():
                 return self._make_unresumed(ABSENT_VERSION_REASON)
             service: ServiceId | None = origin.service
         else:
@@ -177,7 +177,7 @@
 
     async def _find_origin(self, call: Call) -> StreamOrigin | None:
         """Return where the stream that a call takes up began; None if unknown."""
-        services = tuple(service for service, weight in call.route.services if weight)
+        services = call.route.list_services()
         found = await self.origins.find(call.resumed_call, services)
         software = None if found.origin is None else found.origin.software
         result = found.result.value
--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -141,15 +141,30 @@
             await self._tell(self.origins.list_own(service, now_s))
 
     async def record_begun(
-        self, call: RequestId, origin: StreamOrigin
+        self, call: RequestId, services: tuple[ServiceId, ...], origin: StreamOrigin
     ) -> StreamOrigin | None:
-        """Record where a stream begins, before its first event is sent; return it."""
+        """Record where a stream begins, before its first event is sent; return it.
+
+        Parameters
+        ----------
+        services : tuple of ServiceId
+            Services that might have served the stream.
+        """
         now_s = self.clock()
         self.origins.record(call, origin, now_s, is_own=True)
-        if self.versions.find_sole(origin.service, now_s) != origin.software:
+        if self._find_sole(services, now_s) != origin:
             await self._tell({call: origin})
         return origin
 
+    def _find_sole(
+        self, services: tuple[ServiceId, ...], now_s: float
+    ) -> StreamOrigin | None:
+        """Return where any stream of the services began; None if there are several."""
+        if len(services) != 1:
+            return None
+        software = self.versions.find_sole(services[0], now_s)
+        return None if software is None else StreamOrigin(services[0], software)
+
     def record_complete(self, call: RequestId) -> None:
         """Record that a stream has ended."""
         self.origins.complete(call, self.clock())
@@ -209,14 +224,10 @@
         self, number: int, call: RequestId, services: tuple[ServiceId, ...]
     ) -> OriginReply:
         now_s = self.clock()
-        sole = None
-        if len(services) == 1:
-            software = self.versions.find_sole(services[0], now_s)
-            sole = None if software is None else StreamOrigin(services[0], software)
         return OriginReply(
             number,
             self.origins.find(call, now_s),
-            sole,
+            self._find_sole(services, now_s),
             any(self.versions.is_mixed(service) for service in services),
         )
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -28,6 +28,7 @@
 
     router_count: int
     loss: float = 0.0
+    services: tuple[str, ...] = (SERVICE,)
     routers: dict[str, OriginExchange] = field(default_factory=dict)
     datagrams: int = 0
 
@@ -63,7 +64,7 @@
         """Begin streams at a router and return their origins by call."""
         begun = {f"{n:016x}": origins[n % len(origins)] for n in range(count)}
         for call, origin in begun.items():
-            await self.routers[host].record_begun(call, origin)
+            await self.routers[host].record_begun(call, self.services, origin)
         await anyio.sleep(0.1)
         return begun
 
@@ -72,7 +73,7 @@
         found = 0
         for call, origin in begun.items():
             router = self.rng.choice(list(self.routers.values()))
-            result = await router.find(call, (SERVICE,))
+            result = await router.find(call, self.services)
             assert result.origin in (origin, None)
             found += result.origin is not None
         return found
@@ -173,6 +174,19 @@
     cluster.run(play)
 
 
+def test_streams_of_a_route_with_two_services_are_known_while_each_has_one_version():
+    other = StreamOrigin("other", "v1")
+    cluster = OriginCluster(6, services=(SERVICE, "other"))
+
+    async def play():
+        await cluster.see(OLD, other)
+        await anyio.sleep(20.0)
+        begun = await cluster.begin(origins=(OLD, other))
+        assert await cluster.count_found(begun) == STREAMS
+
+    cluster.run(play)
+
+
 def test_unanswered_requests_end_soon():
     cluster = OriginCluster(6, loss=1.0)
 
