Log the age of requested weights and the forecast of a call's start

Calls began on old weights after the rollout time, and the logs could not tell why: they show neither when a router learned of the weights nor what it knew of the queue that it sent a call to.

WeightsRequested tells when a router learns of a version, with the bound of its age that it reckons with. CallPlaced tells for how long the chosen replica has been missing weights and when the call's output is expected to begin there. Calls that were sent long after the request at a small logged lag point to a late watch, those with a small lag and a forecast beyond the bound to the reserve for the queue.

The forecast is the longest of what is known: how long this router's calls waited there of late, the age of those that still wait, and the prompts ahead, of this router, of the others and as reported, over the rate at which the replica was seen to compute prompts. Nothing is decided by it yet. The new fields have defaults, so lines of earlier builds are still read.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -146,6 +146,11 @@
             f"routers have {event.peer_tokens} prompt tokens pending there, and "
             f"{event.decoding} outputs are generated."
         )
+        if event.weights_lag_s is not None:
+            yield (
+                f"  Its weights had been outdated for {event.weights_lag_s:.3f} s; the "
+                f"output was expected to begin in {event.forecast_wait_s or 0.0:.3f} s."
+            )
         if event.software:
             yield f"  The replica's software is {event.software}."
         if event.resumed_call:
--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -76,6 +76,10 @@
     """Do nothing; used where no one follows the heads of responses."""
 
 
+def ignore_output() -> None:
+    """Do nothing; used where no one follows when the output begins."""
+
+
 async def ignore_begun(
     call: RequestId, services: tuple[ServiceId, ...], origin: StreamOrigin
 ) -> StreamOrigin | None:
@@ -231,6 +235,9 @@
         if head.not_run:
             reason = f"the replica refused with status {head.status}"
             return NotRun(Step.HEADERS, replica.id, reason, RETRY_AFTER_S)
+        is_stream = call.route.streamed and head.status == HTTP_OK
+        if not is_stream:
+            recorder.record_begun()
         # A response that is not authentic may come from a proxy.
         if not head.authentic or head.status in UNRELAYED_STATUSES:
             reason = (
@@ -243,8 +250,10 @@
                 reason = "the error response is too large"
                 return UnknownOutcome(Step.HEADERS, replica.id, reason)
             return ErrorResponse(head, body)
-        if call.route.streamed and head.status == HTTP_OK:
-            return await self._relay_events(call, replica, response, head, delivery)
+        if is_stream:
+            return await self._relay_events(
+                call, replica, response, head, delivery, recorder
+            )
         return await self._relay_buffered(replica, response, head, delivery)
 
     async def _relay_events(
@@ -254,11 +263,13 @@
         response: EndpointResponse,
         head: ResponseHead,
         delivery: Delivery,
+        recorder: "AttemptRecorder",
     ) -> Outcome:
         is_resumable = call.route.retry_policy is RetryPolicy.RESUME
         delivery.merger.begin()
         delivery.boundary = EventBoundaryTracker()
         async for data in response.aiter_stream():
+            recorder.record_begun()
             delivery.boundary.feed(data)
             if delivery.boundary.is_too_large():
                 raise httpcore.RemoteProtocolError("an event is too large")
@@ -314,6 +325,9 @@
     record_head : callable
         Called with the replica's id, the head of its response, and whether the
         connection was opened for the call.
+    record_begun : callable
+        Called when the replica's output begins: with the first part of a stream's body,
+        or with the head of another response.
     responded_at_s : float or None
         Time at which the head of the response arrived, seconds.
     in_prefill : bool
@@ -328,6 +342,7 @@
     prefill: PrefillTracker
     uncached_tokens: int
     record_head: RecordHead = ignore_head
+    record_begun: Callable[[], None] = ignore_output
     responded_at_s: float | None = None
     in_prefill: bool = True
     is_decoding: bool = False
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 import anyio
 
@@ -11,7 +12,7 @@
 from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
-from ..ids import EndpointId, ServiceId
+from ..ids import EndpointId, ModelId, ServiceId
 from ..logs import Log
 from ..outcomes import (
     Completed,
@@ -54,6 +55,7 @@
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
+from .start_forecasts import StartForecasts
 
 __all__ = ["Forwarder", "make_forwarder"]
 
@@ -84,6 +86,8 @@
     [Sequence[Replica]], tuple[Sequence[Replica], frozenset[EndpointId]]
 ]
 
+ComputeLag = Callable[[Replica, ModelId], float | None]
+
 
 def select_all(
     replicas: Sequence[Replica],
@@ -92,6 +96,11 @@
     return replicas, frozenset()
 
 
+def ignore_weights(replica: Replica, model: ModelId) -> float | None:
+    """Return None; used where no weights version is required."""
+    return None
+
+
 @dataclass(slots=True)
 class Forwarder:
     """Chooses replicas for calls and retries calls that fail.
@@ -116,6 +125,11 @@
         Whether this router reaches the replicas.
     relay : PeerRelay
         Passes calls on while it does not.
+    forecasts : StartForecasts
+        When calls begin at a replica.
+    compute_lag_s : callable
+        Returns for how long a replica has been missing a model's weights; None if it
+        has them.
     """
 
     sender: CallSender
@@ -129,9 +143,11 @@
     origins: OriginExchange
     links: CutDetector
     relay: PeerRelay
+    forecasts: StartForecasts
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
+    compute_lag_s: ComputeLag = ignore_weights
     suspects: SuspectTable = field(default_factory=SuspectTable)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
@@ -379,6 +395,8 @@
                 decoding=self.loads.count_decoding(endpoint, now_s),
                 software=choice.replica.software,
                 resumed_call=call.resumed_call,
+                weights_lag_s=self.compute_lag_s(choice.replica, call.model),
+                forecast_wait_s=self.forecasts.forecast_wait_s(endpoint),
             )
         )
 
@@ -397,6 +415,8 @@
         )
         started_s = self.clock()
         recorder.begin(started_s)
+        sent = self.forecasts.record_sent(endpoint)
+        recorder.record_begun = partial(self.forecasts.record_begun, sent)
         outcome: Outcome | ErrorResponse
         try:
             with anyio.move_on_after(call.deadline_s - started_s) as timeout_scope:
@@ -405,6 +425,7 @@
                 outcome = self._make_timeout_outcome(endpoint, delivery)
         finally:
             recorder.end(self.clock())
+            self.forecasts.record_ended(sent)
         self._record_outcome(choice.replica, outcome, started_s, recorder)
         if isinstance(outcome, Completed) and recorder.responded_at_s is not None:
             self.suspects.loss_log.record_answer(
@@ -536,5 +557,6 @@
         origins,
         links,
         relay,
+        StartForecasts(chooser.loads, clock),
         clock,
     )
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -39,6 +39,7 @@
     "SettingsRead",
     "StreamTakenUp",
     "WeightsOrdered",
+    "WeightsRequested",
 ]
 
 
@@ -70,6 +71,11 @@
     resumed_call : RequestId
         Id of the call that brought the first event of the stream that this one resumes;
         empty for none.
+    weights_lag_s : float or None
+        Time for which the replica has been missing requested weights; None if it has
+        them, or if they may have been requested at any time.
+    forecast_wait_s : float or None
+        Expected time until the call's output begins.
     """
 
     part: ClassVar[str] = "forward"
@@ -88,6 +94,8 @@
     decoding: int = 0
     software: SoftwareVersion = SoftwareVersion("")
     resumed_call: RequestId = RequestId("")
+    weights_lag_s: float | None = None
+    forecast_wait_s: float | None = None
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
@@ -530,6 +538,27 @@
         return f"ordered {self.endpoint} to load version {self.weights}: {self.outcome}"
 
 
+class WeightsRequested(Event, frozen=True):
+    """The router learned of a newer version of a model's weights.
+
+    Parameters
+    ----------
+    age_s : float or None
+        Upper bound of the time since the version was requested; None if it may have
+        been at any time.
+    """
+
+    part: ClassVar[str] = "weights"
+    model: str
+    weights: int
+    age_s: float | None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        age = "some time" if self.age_s is None else f"at most {self.age_s:.3f} s"
+        return f"version {self.weights} of {self.model} was requested {age} ago"
+
+
 FORWARDING_EVENT = (
     CallEnded
     | CallLost
@@ -553,4 +582,5 @@
     | SettingsRead
     | StreamTakenUp
     | WeightsOrdered
+    | WeightsRequested
 )
--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -389,15 +389,8 @@
         mean_tokens = self.loads.mean_tokens
         report = load.read_report(now_s)
         running = load.outstanding if report is None else report.running
-        waiting = 0 if report is None else report.waiting
-        other_waiting_tokens = max(0, waiting - load.outstanding) * mean_tokens
-        pending_tokens = load.pending_tokens
-        pending_tokens += self.loads.count_peer_tokens(replica.id, now_s)
-        return (
-            pending_tokens
-            + other_waiting_tokens
-            + RUNNING_COST_SHARE * running * mean_tokens
-        )
+        pending_tokens = self.loads.count_pending_tokens(replica.id, now_s)
+        return pending_tokens + RUNNING_COST_SHARE * running * mean_tokens
 
 
 def make_scope(model: str, workspace: WorkspaceId, isolated: bool) -> str:
--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -208,6 +208,19 @@
             for peer in self._list_recent_reports(now_s)
         )
 
+    def count_pending_tokens(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the prompt tokens that a replica has yet to prefill for all callers.
+
+        Calls that it reports as waiting, and that no router reports, count as average
+        ones.
+        """
+        load = self.get_or_create(endpoint)
+        report = load.read_report(now_s)
+        waiting = 0 if report is None else report.waiting
+        other_waiting = max(0, waiting - load.outstanding)
+        peer_tokens = self.count_peer_tokens(endpoint, now_s)
+        return load.pending_tokens + peer_tokens + other_waiting * self.mean_tokens
+
     def count_decoding(self, endpoint: EndpointId, now_s: float) -> int:
         """Return the calls of all routers whose output a replica generates."""
         return self.get_or_create(endpoint).decoding + sum(
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -14,7 +14,7 @@
 from ..endpoint_client import EndpointClient
 from ..endpoint_limits import EndpointLimits
 from ..errors import SettingsError
-from ..ids import EndpointId, Fingerprint, HostId
+from ..ids import EndpointId, Fingerprint, HostId, ModelId
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
 from ..logs import Log, close_at_end, make_log
@@ -150,6 +150,7 @@
                 replica.id for replicas in replica_lists for replica in replicas
             }
             self.app.forwarder.loads.retain(registered)
+            self.app.forwarder.forecasts.retain(registered)
             self.app.forwarder.permits.limits.retain(registered)
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
@@ -233,6 +234,9 @@
     forwarder.select_replicas = partial(
         _select_replicas, settings, load_table, weights_controller, clock
     )
+    forwarder.compute_lag_s = partial(
+        _compute_lag_s, load_table, weights_controller, clock
+    )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
     listeners = (
         store_view.update,
@@ -399,6 +403,26 @@
     )
 
 
+def _compute_lag_s(
+    load_table: ReplicaLoadTable,
+    weights_controller: WeightsController,
+    clock: Clock,
+    replica: Replica,
+    model: ModelId,
+) -> float | None:
+    """Return for how long a replica has been missing weights, or None if it has them.
+
+    Only the weights of the given model count at a replica that serves it.
+    """
+    current = weights_controller.store_view.find_replica(replica.id) or replica
+    current = weights_controller.with_known_weights(current)
+    if model in current.weights:
+        current = replace(current, weights={model: current.weights[model]})
+    requested_weights = weights_controller.store_view.requested_weights.value
+    reported_version = load_table.get_or_create(replica.id).weights
+    return compute_lag_s(current, reported_version, requested_weights, clock())
+
+
 def _select_replicas(
     settings: EntrySettings,
     load_table: ReplicaLoadTable,
--- /dev/null
+++ b/primrosepier/forwarding/start_forecasts.py
@@ -0,0 +1,133 @@
+"""Forecasts of how long a call waits at a replica before its output begins."""
+
+import time
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..clocks import Clock
+from ..ids import EndpointId
+from .replica_load import ReplicaLoadTable
+
+__all__ = ["ReplicaWaits", "SentCall", "StartForecasts"]
+
+# Age up to which a wait tells of the replica's queue, seconds.
+RECENT_S = 5.0
+# Waits kept for each replica, from which the rate of its prefill is computed.
+MAX_WAITS = 32
+
+
+@dataclass(eq=False, frozen=True, slots=True)
+class SentCall:
+    """A call that was sent to a replica.
+
+    Parameters
+    ----------
+    sent_at_s : float
+        Monotonic time, seconds.
+    tokens : float
+        Prompt tokens that the replica has to compute before the call's output begins:
+        its own and those ahead of it.
+    """
+
+    endpoint: EndpointId
+    sent_at_s: float
+    tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    begun_at_s: float
+    wait_s: float
+    tokens: float
+
+
+@dataclass(slots=True)
+class ReplicaWaits:
+    """Waits of this router's calls at one replica.
+
+    Attributes
+    ----------
+    waiting : dict of SentCall
+        Calls that have not begun, in the order in which they were sent.
+    begun : deque
+        Waits of the last calls that have.
+    """
+
+    waiting: dict[SentCall, None] = field(default_factory=dict)
+    begun: deque[_Wait] = field(default_factory=lambda: deque(maxlen=MAX_WAITS))
+
+    def find_longest_wait_s(self, now_s: float) -> float:
+        """Return the longest wait of late, over calls that have begun or not."""
+        waits_s = [w.wait_s for w in self.begun if now_s - w.begun_at_s <= RECENT_S]
+        waits_s += [now_s - call.sent_at_s for call in self.waiting]
+        return max(waits_s, default=0.0)
+
+    def compute_tokens_per_s(self) -> float:
+        """Return the highest rate at which prompts were computed; 0 if unknown.
+
+        Lower rates may come from work that this router does not know of.
+        """
+        rates = [wait.tokens / wait.wait_s for wait in self.begun if wait.wait_s > 0]
+        return max(rates, default=0.0)
+
+
+@dataclass(slots=True)
+class StartForecasts:
+    """Forecasts the start of calls from the waits of earlier ones.
+
+    Parameters
+    ----------
+    loads : ReplicaLoadTable
+        Prompt tokens that the replicas have yet to compute.
+    """
+
+    loads: ReplicaLoadTable
+    clock: Clock = time.monotonic
+    replicas: dict[EndpointId, ReplicaWaits] = field(default_factory=dict)
+
+    def record_sent(self, endpoint: EndpointId) -> SentCall:
+        """Record that a call is sent, whose prompt the load contains already."""
+        now_s = self.clock()
+        tokens = self.loads.count_pending_tokens(endpoint, now_s)
+        call = SentCall(endpoint, now_s, tokens)
+        self.replicas.setdefault(endpoint, ReplicaWaits()).waiting[call] = None
+        return call
+
+    def record_begun(self, call: SentCall) -> None:
+        """Record that the output of a call begins."""
+        waits = self.replicas.get(call.endpoint)
+        if waits is None or call not in waits.waiting:
+            return
+        del waits.waiting[call]
+        now_s = self.clock()
+        waits.begun.append(_Wait(now_s, now_s - call.sent_at_s, call.tokens))
+
+    def record_ended(self, call: SentCall) -> None:
+        """Record the end of a call, which may not have begun."""
+        waits = self.replicas.get(call.endpoint)
+        if waits is not None:
+            waits.waiting.pop(call, None)
+
+    def forecast_wait_s(self, endpoint: EndpointId) -> float:
+        """Return how long a call that is sent now is expected to wait, seconds.
+
+        The forecast is 0 for a replica to which no call was sent of late.
+        """
+        waits = self.replicas.get(endpoint)
+        if waits is None:
+            return 0.0
+        now_s = self.clock()
+        wait_s = waits.find_longest_wait_s(now_s)
+        tokens_per_s = waits.compute_tokens_per_s()
+        if tokens_per_s:
+            tokens = self.loads.count_pending_tokens(endpoint, now_s)
+            wait_s = max(wait_s, (tokens + self.loads.mean_tokens) / tokens_per_s)
+        return wait_s
+
+    def retain(self, endpoints: Iterable[EndpointId]) -> None:
+        """Keep only the given replicas and those with calls that have not begun."""
+        registered = set(endpoints)
+        for endpoint, waits in list(self.replicas.items()):
+            if endpoint not in registered and not waits.waiting:
+                del self.replicas[endpoint]
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -1,5 +1,6 @@
 """View of the store: decoded entries, written to sections of the board."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
     DeclarationTaken,
     EntryUnreadable,
     FleetChanged,
+    WeightsRequested,
 )
 
 __all__ = [
@@ -173,6 +175,11 @@
                 requested_weights[model] = WeightsHistory((requested,))
             elif version > history.newest_version:
                 requested_weights[model] = history.add(requested)
+            else:
+                continue
+            age_s = self.clock() - requested_after_s
+            known_age_s = age_s if math.isfinite(age_s) else None
+            self.log.emit(WeightsRequested(model, version, known_age_s))
         if requested_weights != self.requested_weights.value:
             self.requested_weights_writer.write(requested_weights, self.clock())
 
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -206,7 +206,7 @@
         requested_weights = self.store_view.requested_weights.value
         return any(
             list_needed_weights_loads(
-                [self._with_known_weights(r) for r in replicas], requested_weights
+                [self.with_known_weights(r) for r in replicas], requested_weights
             )
             for replicas in self.store_view.replicas.value.by_service.values()
         )
@@ -254,7 +254,7 @@
         unreachable = self.list_unreachable()
         loads: list[WeightsLoad] = []
         for replicas in self.store_view.replicas.value.by_service.values():
-            current = [self._with_known_weights(replica) for replica in replicas]
+            current = [self.with_known_weights(replica) for replica in replicas]
             loads += plan_weights_loads(
                 current,
                 requested_weights,
@@ -270,7 +270,7 @@
             group.start_soon(self._run_load, load)
         self._notify_change()
 
-    def _with_known_weights(self, replica: Replica) -> Replica:
+    def with_known_weights(self, replica: Replica) -> Replica:
         """Return a replica with the newest versions that it is known to have loaded."""
         weights = {
             model: max(version, self.loaded_versions.get((replica.id, model), version))
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -126,6 +126,8 @@
         decoding=17,
         software="v1.1",
         resumed_call="a0",
+        weights_lag_s=4.5,
+        forecast_wait_s=0.75,
     )
 
 
@@ -177,6 +179,8 @@
     assert "41000 prompt tokens pending" in explanation
     assert "software is v1.1" in explanation
     assert "began with a0" in explanation
+    assert "outdated for 4.500 s" in explanation
+    assert "expected to begin in 0.750 s" in explanation
     assert "17 outputs are generated" in explanation
     assert "up to 180 tokens; the last event sent: 31" in explanation
     assert "marked by its connection's close, within an event" in explanation
--- /dev/null
+++ b/tests/test_start_forecasts.py
@@ -0,0 +1,83 @@
+"""Forecasts of when calls begin at a replica, without a network."""
+
+import pytest
+
+from primrosepier.forwarding.replica_load import PeerLoad, ReplicaLoadTable
+from primrosepier.forwarding.start_forecasts import RECENT_S, StartForecasts
+
+
+class Waits:
+    """Forecasts on a clock that the test sets."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.loads = ReplicaLoadTable()
+        self.forecasts = StartForecasts(self.loads, lambda: self.now_s)
+
+    def send(self, tokens=0):
+        self.loads.begin_call("w1", tokens)
+        return self.forecasts.record_sent("w1")
+
+    def begin(self, sent, tokens=0):
+        self.loads.end_prefill("w1", tokens)
+        self.forecasts.record_begun(sent)
+
+    def forecast(self, endpoint="w1"):
+        return self.forecasts.forecast_wait_s(endpoint)
+
+
+def test_a_replica_without_calls_is_expected_to_begin_at_once():
+    assert Waits().forecast() == 0.0
+
+
+def test_a_call_is_expected_to_wait_as_long_as_the_longest_of_late():
+    waits = Waits()
+    for wait_s in (2.5, 0.5):
+        sent = waits.send()
+        waits.now_s += wait_s
+        waits.begin(sent)
+    assert waits.forecast() == pytest.approx(2.5)
+    assert waits.forecast("w2") == 0.0
+    waits.now_s += RECENT_S
+    assert waits.forecast() == pytest.approx(0.5)
+    waits.now_s += RECENT_S
+    assert waits.forecast() == 0.0
+
+
+def test_the_age_of_a_call_that_has_not_begun_raises_the_forecast():
+    waits = Waits()
+    first = waits.send()
+    waits.now_s = 1.0
+    second = waits.send()
+    waits.now_s = 3.0
+    assert waits.forecast() == 3.0
+    waits.forecasts.record_ended(first)
+    assert waits.forecast() == 2.0
+    waits.forecasts.record_ended(second)
+    assert waits.forecast() == 0.0
+
+
+def test_prompts_ahead_are_expected_to_take_their_time():
+    waits = Waits()
+    sent = waits.send(1000)
+    waits.now_s = 0.5
+    waits.begin(sent, 1000)
+    waits.now_s = 100.0
+    waits.loads.record_peer_load("front-2", PeerLoad({"w1": 4000}, waits.now_s))
+    waits.send(2000)
+    per_token_s = 0.5 / 1000
+    expected_s = (6000 + waits.loads.mean_tokens) * per_token_s
+    assert waits.forecast() == pytest.approx(expected_s)
+
+
+def test_replicas_that_are_gone_are_forgotten():
+    waits = Waits()
+    sent = waits.send()
+    waits.forecasts.retain([])
+    waits.now_s = 1.0
+    assert waits.forecast() == 1.0
+    waits.forecasts.record_ended(sent)
+    waits.forecasts.retain([])
+    assert not waits.forecasts.replicas
+    waits.forecasts.record_begun(sent)
+    assert waits.forecast() == 0.0
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -173,7 +173,7 @@
     "CallPlaced": (
         "request attempt service endpoint kind candidates outstanding "
         "pending_tokens report_age_s remaining_s uncached_tokens "
-        "peer_tokens decoding software resumed_call"
+        "peer_tokens decoding software resumed_call weights_lag_s forecast_wait_s"
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
@@ -217,6 +217,7 @@
     "SlideFound": "workspace prefix_level base_rate recent_rate cause",
     "StreamTakenUp": "request resumed_call software result",
     "WeightsOrdered": "endpoint model weights fencing outcome",
+    "WeightsRequested": "model weights age_s",
 }
 
 
