Reproduce runs that begin on old weights after the rollout time

Weights 2 are requested while eight replicas serve, six of them stay at weights 1, and each run begins after a wait in the replica's queue. With three routers, calls every 25 ms and a rollout time of 2.4 s, runs began later than that on old weights: 12 of 54 behind a queue of 1.0 s (the last at 2.83 s) and 35 of 53 behind one of 1.8 s (3.62 s). Where the queue grows from 0.02 s to 1.2 s after the calls were sent: 4 of 58 (3.03 s). The fourth test requires that replicas with short queues are used until shortly before the end, which fails as they are left at three quarters of the rollout time: less would not be a cure.

The stand-in replica can hold calls in a queue, which they leave when their connection is closed, and records when runs begin and on which weights.

--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -24,6 +25,7 @@
     send_chunk,
     send_json,
     start_response,
+    wait_for_disconnect,
 )
 from ..errors import CompactedError
 from ..ids import Revision
@@ -39,7 +41,13 @@
 )
 from . import names
 
-__all__ = ["ReplicaFaults", "StandinReplica", "StandinStore", "StoreFaults"]
+__all__ = [
+    "ReplicaFaults",
+    "ReplicaStart",
+    "StandinReplica",
+    "StandinStore",
+    "StoreFaults",
+]
 
 MS = 0.001
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -214,6 +222,9 @@
         Status of the responses to calls that run.
     wrong_id : bool
         Respond with the id of another call.
+    queue_s : float
+        Time for which a call waits before it runs, seconds. A call whose connection is
+        closed meanwhile does not run.
     delay_s : float
         Delay before the response to a call that runs, seconds.
     lose_orders : int
@@ -229,6 +240,7 @@
     break_after: int | None = None
     status: int = 200
     wrong_id: bool = False
+    queue_s: float = 0.0
     delay_s: float = 0.0
     lose_orders: int = 0
     crash_on: str = ""
@@ -239,6 +251,24 @@
         return bool(self.crash_on) and f"{self.crash_on}:" in prompt_parts
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaStart:
+    """Start of a run.
+
+    Parameters
+    ----------
+    call_id : str
+    at_s : float
+        Monotonic time, seconds.
+    weights : int
+        Version of the replica's weights.
+    """
+
+    call_id: str
+    at_s: float
+    weights: int
+
+
 @dataclass(slots=True)
 class StandinReplica:
     """Stand-in for a replica as an ASGI app.
@@ -254,6 +284,8 @@
     ----------
     runs : list of dict
         Headers of the calls that the replica ran.
+    starts : list of ReplicaStart
+        When it began to run them.
     arrivals : int
         Number of calls received, whether run or refused.
     orders : list of dict
@@ -266,6 +298,7 @@
     weights: int = 1
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     runs: list[dict[str, str]] = field(default_factory=list)
+    starts: list[ReplicaStart] = field(default_factory=list)
     arrivals: int = 0
     orders: list[dict[str, Any]] = field(default_factory=list)
     register: Callable[[], None] = lambda: None
@@ -281,7 +314,8 @@
         elif scope["path"] == "/order":
             await self._apply_order(await read_json(receive, MAX_BODY_BYTES), send)
         else:
-            await self._run(scope, await read_body(receive, MAX_BODY_BYTES), send)
+            body = await read_body(receive, MAX_BODY_BYTES)
+            await self._run(scope, body, receive, send)
 
     def make_entry(self, service: str, address: str, **changes: Any) -> dict[str, Any]:
         """Return the replica's registration in the store."""
@@ -313,7 +347,9 @@
                 return
             await send_bytes(send, 202, b"")
 
-    async def _run(self, scope: Scope, body: bytes, send: Send) -> None:
+    async def _run(
+        self, scope: Scope, body: bytes, receive: Receive, send: Send
+    ) -> None:
         self.arrivals += 1
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         call_id = headers.get(names.CALL_ID.decode(), "")
@@ -327,7 +363,10 @@
             refusal = (names.NOT_RUN.decode(), "1")
             await send_bytes(send, 503, b"", [*response_headers, refusal])
             return
+        if self.faults.queue_s and await self._is_left_in_queue(receive):
+            return
         self.runs.append(headers)
+        self.starts.append(ReplicaStart(call_id, time.monotonic(), self.weights))
         await anyio.sleep(self.faults.delay_s)
         response_headers += [
             (names.ENDPOINT_PROOF.decode(), SERVER_STAMP),
@@ -344,6 +383,13 @@
         else:
             await self._stream(headers, response_headers, send)
 
+    async def _is_left_in_queue(self, receive: Receive) -> bool:
+        """Wait in the queue; return whether the connection was closed meanwhile."""
+        with anyio.move_on_after(self.faults.queue_s):
+            await wait_for_disconnect(receive)
+            return True
+        return False
+
     async def _stream(
         self,
         headers: dict[str, str],
--- /dev/null
+++ b/tests/test_queued_calls.py
@@ -0,0 +1,147 @@
+"""Calls queued at replicas with old weights, over real sockets."""
+
+import contextlib
+import time
+
+import anyio
+import pytest
+from entry_fleet import run_entry
+
+from primrosepier.forwarding.records import CallRepeated
+
+pytestmark = pytest.mark.sockets
+REPLICAS = tuple(f"w{number}" for number in range(1, 9))
+OUTDATED = REPLICAS[:6]
+CALL_INTERVAL_S = 0.025
+ROLLOUT_S = 2.4
+
+
+class Rollout:
+    """Calls to eight replicas while weights are requested that few of them load."""
+
+    def __init__(self, fleet, rollout_s=ROLLOUT_S):
+        self.fleet = fleet
+        self.rollout_s = rollout_s
+        self.requested_at_s = 0.0
+        self.responses = {}
+        self.repeated = set()
+        for router in fleet.routers:
+            router.log.observers.append(self.observe)
+
+    def observe(self, event):
+        if isinstance(event, CallRepeated):
+            self.repeated.add(event.request)
+
+    def request_weights(self, loaded=("w7", "w8")):
+        """Request version 2 as an operator; some replicas have it at once."""
+        for name in loaded:
+            self.fleet.replicas[name].weights = 2
+            self.fleet.register(name)
+        self.requested_at_s = time.monotonic()
+        self.fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+
+    def set_queue(self, queue_s, names=REPLICAS):
+        for name in names:
+            self.fleet.replicas[name].faults.queue_s = queue_s
+
+    async def send_calls(self, for_s):
+        """Send resumable streams and streams that may run only once, in turns."""
+        ends_at_s = time.monotonic() + for_s
+        async with anyio.create_task_group() as group:
+            while time.monotonic() < ends_at_s:
+                group.start_soon(self.send, len(self.responses))
+                self.responses[len(self.responses)] = None
+                await anyio.sleep(CALL_INTERVAL_S)
+
+    async def send(self, number):
+        kind = "queries" if number % 2 else "notes"
+        router = self.fleet.routers[number % len(self.fleet.routers)]
+        response = await self.fleet.send(
+            f"/stream/{kind}/{number}",
+            router=router,
+            attempt=f"{number:016x}",
+            limit_ms=3000,
+        )
+        self.responses[number] = response
+
+    def list_starts(self, names=REPLICAS):
+        return [x for name in names for x in self.fleet.replicas[name].starts]
+
+    def list_lags(self):
+        """Return when runs on old weights began, seconds after the request."""
+        return sorted(
+            start.at_s - self.requested_at_s
+            for start in self.list_starts()
+            if start.weights == 1
+        )
+
+    def list_late(self):
+        return [lag_s for lag_s in self.list_lags() if lag_s > self.rollout_s]
+
+
+def run_rollout(check, routers=1, rollout_s=ROLLOUT_S):
+    async def run(fleet):
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(2, routers + 1):
+                await stack.enter_async_context(fleet.open_router(f"front-{number}"))
+            for router in fleet.routers:
+                await router.weights_controller.stop(immediately=True)
+                replicas = router.store_view.replicas
+                await fleet.wait_until(
+                    lambda replicas=replicas: (
+                        len(replicas.value.list_replicas("writers")) == len(REPLICAS)
+                    )
+                )
+            await check(Rollout(fleet, rollout_s))
+
+    run_entry(run, names=REPLICAS, weights_s=rollout_s, repeat_ratio=1.0)
+
+
+@pytest.mark.parametrize("queue_s", [1.0, 1.8])
+def test_no_call_begins_on_old_weights_too_late_behind_a_long_queue(queue_s):
+    async def check(rollout):
+        rollout.set_queue(queue_s)
+        rollout.request_weights()
+        await rollout.send_calls(ROLLOUT_S)
+        assert rollout.list_late() == []
+        call_ids = [start.call_id for start in rollout.list_starts()]
+        assert len(call_ids) == len(set(call_ids))
+
+    run_rollout(check, routers=3)
+
+
+def test_a_call_whose_queue_grows_begins_on_new_weights():
+    async def check(rollout):
+        async def stall():
+            await anyio.sleep(0.7 * ROLLOUT_S)
+            rollout.set_queue(1.2, OUTDATED)
+
+        rollout.set_queue(0.02)
+        rollout.request_weights()
+        async with anyio.create_task_group() as group:
+            group.start_soon(stall)
+            await rollout.send_calls(ROLLOUT_S)
+        assert rollout.list_late() == []
+        resumable = [rollout.responses[n] for n in rollout.responses if n % 2]
+        assert {response.status for response in resumable} == {200}
+        assert all(response.body.count(b"data:") == 3 for response in resumable)
+        others = [rollout.responses[n] for n in rollout.responses if not n % 2]
+        assert {response.status for response in others} <= {200, 502}
+        call_ids = [start.call_id for start in rollout.list_starts()]
+        assert len(call_ids) == len(set(call_ids))
+        new = rollout.list_starts(REPLICAS[6:])
+        assert rollout.repeated
+        assert rollout.repeated <= {start.call_id for start in new}
+
+    run_rollout(check, routers=2)
+
+
+def test_replicas_with_old_weights_and_short_queues_are_used_until_the_end():
+    async def check(rollout):
+        rollout.set_queue(0.02)
+        rollout.request_weights(loaded=())
+        await rollout.send_calls(rollout.rollout_s)
+        assert rollout.list_lags()[-1] > 0.85 * rollout.rollout_s
+        assert rollout.list_late() == []
+
+    run_rollout(check, rollout_s=3.2)
