Bound the age of changes that were made between two watches

A router took the arrival of a watch event for the time of the change. Between two watches it waits up to half a second, so weights that were requested in that pause, and changes that arrive while a failed watch is opened again, were taken to be younger than they are, and replicas without them were used for that much too long.

An answer that comes at once was not held by the service, so its changes may be as old as the arrival of the answer before; one that was held is as old as its arrival. Stores that push events are not affected.

With a pause of 0.4 s and a change 0.1 s after the event before, the bound was the arrival itself, 0.3 s after the change; now it is 0.4 s before the arrival and 0.1 s before the change. A change during a held watch keeps its arrival, to within 0.1 s. Not ruled out: an answer that is held up by more than 0.3 s on the way counts as held.

--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -15,6 +15,9 @@
 
 NEVER_S = float("-inf")
 
+# Longest time in which the service answers a request that it does not hold, seconds.
+MAX_ANSWER_S = 0.3
+
 Listener = Callable[["Mirror"], None]
 
 
@@ -69,9 +72,13 @@
     confirmed_at_s : float
         Time up to which the mirror is guaranteed to contain all changes: the request
         time of the newest answer with that guarantee, seconds.
+    answered_at_s : float
+        Time after which changes may be missing from the mirror: the arrival of the
+        newest event or the request time of the newest snapshot, seconds.
     changed_after_s : float
-        Time of the last changes, seconds: when their watch event arrived or, for a
-        snapshot, the previous `confirmed_at_s` as a lower bound.
+        Lower bound of the time of the last changes, seconds: when their watch event
+        arrived if the service held the request until then; otherwise the previous
+        `answered_at_s` or, for a snapshot, the previous `confirmed_at_s`.
     """
 
     prefix: str
@@ -79,6 +86,7 @@
     revision: Revision = Revision(0)
     synced_at_s: float = NEVER_S
     confirmed_at_s: float = NEVER_S
+    answered_at_s: float = NEVER_S
     changed_after_s: float = NEVER_S
     listeners: list[Listener] = field(default_factory=list)
 
@@ -98,18 +106,22 @@
         self.changed_after_s = self.confirmed_at_s
         if requested_at_s is not None:
             self.confirmed_at_s = requested_at_s
+        self.answered_at_s = self.confirmed_at_s
         self.items = dict(snapshot.items)
         self._finish(snapshot.revision, now_s)
 
     def apply_event(self, event: WatchEvent, now_s: float) -> None:
         """Apply the changes of a watch event."""
+        was_held = True
         if event.requested_at_s is not None:
             self.confirmed_at_s = event.requested_at_s
+            was_held = now_s - event.requested_at_s > MAX_ANSWER_S
+        previous_answer_at_s, self.answered_at_s = self.answered_at_s, now_s
         if not event.items and not event.deleted:
             self.revision = event.revision
             self.synced_at_s = now_s
             return
-        self.changed_after_s = now_s
+        self.changed_after_s = now_s if was_held else previous_answer_at_s
         for item in event.items:
             self.items[item.key] = item
         for key in event.deleted:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """The client of the platform's key-value service, over real sockets."""
 
 import random
+import time
 
 import anyio
 import pytest
@@ -166,3 +167,34 @@
         assert contacts[0]
 
     run_store(check)
+
+
+@pytest.mark.parametrize("is_held", [True, False])
+def test_a_change_between_two_watches_is_not_taken_for_one_made_at_its_arrival(is_held):
+    async def check(client, service):
+        mirror = Mirror("op/")
+        controller = MirrorController(client, mirror, Backoff(random.Random(1)), "op/")
+        controller.get_batching_delay_s = lambda: 0.4
+
+        async def put(key):
+            service.put(key, b"1")
+            written_at_s = time.monotonic()
+            while key not in mirror.items:
+                await anyio.sleep(0.01)
+            return written_at_s
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(controller.run)
+            while not mirror.is_synced:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.1)
+            await put("op/a")
+            await anyio.sleep(1.0 if is_held else 0.1)
+            written_at_s = await put("op/b")
+            group.cancel_scope.cancel()
+        if is_held:
+            assert mirror.changed_after_s == pytest.approx(written_at_s, abs=0.1)
+        else:
+            assert written_at_s - 0.3 < mirror.changed_after_s <= written_at_s
+
+    run_store(check)
