Send calls to old weights only if they begin there in time

Callers' runs began on old weights after the time in which new ones must be in use: the calls had been sent in good time, then waited in the replica's queue.

Cause: replicas with old weights were used until three quarters of the rollout time, so the last quarter stood for the wait there, however long the queue was.

A replica with old weights is now chosen only if the forecast of a call's start there ends 0.4 s before the bound. What a forecast can't know (a queue that grows after the choice, weights requested after the call was sent, first calls) is caught by withdrawals: a call that has not begun 0.3 s before the bound, at a replica not known to have loaded the weights, loses its connection. It is retried within the usual budgets if it may run twice, and ends with 502 if not, since it may just have begun. That is no failure of the replica. One task per router sleeps until the next bound and wakes only then or when other weights are requested.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -10,6 +10,7 @@
     CallPlaced,
     CallRejected,
     CallRepeated,
+    CallWithdrawn,
     PermitRefused,
     StreamTakenUp,
 )
@@ -161,6 +162,12 @@
             f"Lost the connection to {event.endpoint} after "
             f"{event.duration_s * 1000:.1f} ms; shared parts and request: {shared}."
         )
+    elif isinstance(event, CallWithdrawn):
+        lag = "" if event.weights_lag_s is None else f" for {event.weights_lag_s:.3f} s"
+        yield (
+            f"Withdrawn from {event.endpoint}, where it had not begun after "
+            f"{event.wait_s:.3f} s: its weights had been outdated{lag}."
+        )
     elif isinstance(event, PermitRefused):
         rate = "" if event.rate_per_s is None else f" {event.rate_per_s:g} requests/s"
         yield (
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -12,7 +12,7 @@
 from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
-from ..ids import EndpointId, ModelId, ServiceId
+from ..ids import EndpointId, ServiceId
 from ..logs import Log
 from ..outcomes import (
     Completed,
@@ -47,6 +47,7 @@
     CallLost,
     CallPlaced,
     CallRepeated,
+    CallWithdrawn,
     LimitChanged,
     PermitRefused,
     ReplicaGivenUp,
@@ -55,7 +56,8 @@
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
-from .start_forecasts import StartForecasts
+from .start_forecasts import SentCall, StartForecasts
+from .withdrawals import WaitingCall, Withdrawals
 
 __all__ = ["Forwarder", "make_forwarder"]
 
@@ -80,14 +82,13 @@
 LIMIT_REASON = "all replicas have reached the limits that they name"
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
 ABSENT_VERSION_REASON = "the software version that began the stream no longer serves"
+WITHDRAWN_REASON = "the replica's weights are too old and the call had not begun"
 QUARANTINE_REASON = "the request or a part of its prompt crashed the replicas it ran on"
 
 SelectReplicas = Callable[
     [Sequence[Replica]], tuple[Sequence[Replica], frozenset[EndpointId]]
 ]
 
-ComputeLag = Callable[[Replica, ModelId], float | None]
-
 
 def select_all(
     replicas: Sequence[Replica],
@@ -96,11 +97,6 @@
     return replicas, frozenset()
 
 
-def ignore_weights(replica: Replica, model: ModelId) -> float | None:
-    """Return None; used where no weights version is required."""
-    return None
-
-
 @dataclass(slots=True)
 class Forwarder:
     """Chooses replicas for calls and retries calls that fail.
@@ -127,9 +123,8 @@
         Passes calls on while it does not.
     forecasts : StartForecasts
         When calls begin at a replica.
-    compute_lag_s : callable
-        Returns for how long a replica has been missing a model's weights; None if it
-        has them.
+    withdrawals : Withdrawals
+        Withdraws calls that would begin on old weights too late.
     """
 
     sender: CallSender
@@ -147,7 +142,7 @@
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
-    compute_lag_s: ComputeLag = ignore_weights
+    withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
@@ -395,7 +390,9 @@
                 decoding=self.loads.count_decoding(endpoint, now_s),
                 software=choice.replica.software,
                 resumed_call=call.resumed_call,
-                weights_lag_s=self.compute_lag_s(choice.replica, call.model),
+                weights_lag_s=self.withdrawals.compute_lag_s(
+                    choice.replica, call.model
+                ),
                 forecast_wait_s=self.forecasts.forecast_wait_s(endpoint),
             )
         )
@@ -416,16 +413,23 @@
         started_s = self.clock()
         recorder.begin(started_s)
         sent = self.forecasts.record_sent(endpoint)
-        recorder.record_begun = partial(self.forecasts.record_begun, sent)
         outcome: Outcome | ErrorResponse
         try:
-            with anyio.move_on_after(call.deadline_s - started_s) as timeout_scope:
+            with (
+                anyio.move_on_after(call.deadline_s - started_s) as timeout_scope,
+                self.withdrawals.watch(choice.replica, call.model) as waiting,
+            ):
+                recorder.record_begun = partial(self._record_begun, sent, waiting)
                 outcome = await self.sender.send(call, choice, delivery, recorder)
             if timeout_scope.cancelled_caught:
                 outcome = self._make_timeout_outcome(endpoint, delivery)
         finally:
             recorder.end(self.clock())
             self.forecasts.record_ended(sent)
+        if waiting.is_withdrawn and not timeout_scope.cancelled_caught:
+            self._log_withdrawal(call, waiting, delivery, sent)
+            delivery.runs += 1
+            return self._make_withdrawn_outcome(call, endpoint, delivery)
         self._record_outcome(choice.replica, outcome, started_s, recorder)
         if isinstance(outcome, Completed) and recorder.responded_at_s is not None:
             self.suspects.loss_log.record_answer(
@@ -437,6 +441,33 @@
             delivery.runs += 1
         return outcome
 
+    def _record_begun(self, sent: SentCall, waiting: WaitingCall) -> None:
+        """Record that a replica's output begins."""
+        self.forecasts.record_begun(sent)
+        self.withdrawals.record_begun(waiting)
+
+    def _log_withdrawal(
+        self, call: Call, waiting: WaitingCall, delivery: Delivery, sent: SentCall
+    ) -> None:
+        self.log.emit(
+            CallWithdrawn(
+                request=call.id,
+                attempt=delivery.attempts,
+                endpoint=sent.endpoint,
+                wait_s=self.clock() - sent.sent_at_s,
+                weights_lag_s=waiting.lag_s,
+            )
+        )
+
+    def _make_withdrawn_outcome(
+        self, call: Call, endpoint: EndpointId, delivery: Delivery
+    ) -> Outcome:
+        """Return the outcome of a call that may have begun as it was withdrawn."""
+        if delivery.status:
+            resumable = call.route.retry_policy is RetryPolicy.RESUME
+            return Interrupted(Step.RELAY, endpoint, WITHDRAWN_REASON, resumable)
+        return UnknownOutcome(Step.HEADERS, endpoint, WITHDRAWN_REASON)
+
     def _record_head(
         self, endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
     ) -> None:
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -43,6 +43,14 @@
         "Attempts whose connection was lost before the end of the answer.",
         "Many at once: replicas crash; look for CallLost and QuarantineChanged.",
     ),
+    MetricSpec(
+        "primrosepier_withdrawn_attempts_total",
+        COUNTER,
+        "attempts",
+        (),
+        "Attempts withdrawn because they would have begun on old weights too late.",
+        "Many at once: a rollout is late and queues are long; look for WeightsOrdered.",
+    ),
     MetricSpec(
         "primrosepier_refused_permits_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -14,6 +14,7 @@
     CallPlaced,
     CallRejected,
     CallRepeated,
+    CallWithdrawn,
     PermitRefused,
     StreamTakenUp,
 )
@@ -40,6 +41,8 @@
             self.add("primrosepier_repeats_total", 1, outcome=event.outcome)
         elif isinstance(event, CallLost):
             self.add("primrosepier_lost_attempts_total", 1)
+        elif isinstance(event, CallWithdrawn):
+            self.add("primrosepier_withdrawn_attempts_total", 1)
         elif isinstance(event, PermitRefused):
             self.add("primrosepier_refused_permits_total", 1)
         elif isinstance(event, CallPassedOn):
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -21,6 +21,7 @@
     "CallPlaced",
     "CallRejected",
     "CallRepeated",
+    "CallWithdrawn",
     "ContactChanged",
     "DatagramsDropped",
     "DeclarationTaken",
@@ -164,6 +165,29 @@
         return f"retries {self.request} after {self.outcome} at {self.endpoint}"
 
 
+class CallWithdrawn(Event, frozen=True):
+    """A waiting call was withdrawn from a replica whose weights become too old.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time since the call was sent, seconds.
+    weights_lag_s : float or None
+        Time for which the replica had been missing requested weights, seconds.
+    """
+
+    part: ClassVar[str] = "forward"
+    request: RequestId
+    attempt: int
+    endpoint: EndpointId
+    wait_s: float
+    weights_lag_s: float | None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"withdrew {self.request} from {self.endpoint}: its weights are too old"
+
+
 class StreamTakenUp(Event, frozen=True):
     """A caller takes up a stream that broke off.
 
@@ -566,6 +590,7 @@
     | CallPlaced
     | CallRejected
     | CallRepeated
+    | CallWithdrawn
     | ContactChanged
     | DatagramsDropped
     | DeclarationTaken
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -49,11 +49,19 @@
 from .retries import RetryBudget
 from .settings import EntrySettings
 from .shutdown import make_shutdown_schedule
+from .start_forecasts import StartForecasts
 from .store_limits import choose_batching_delay_s, limit_store
 from .store_view import StoreLayout, StoreView, make_store_view
 from .transfers import CachePlan, find_cache_store, plan_cache_use
-from .weights import MAX_CURRENT_LAG_S, OVERDUE_SHARE, WeightsClient, compute_lag_s
+from .weights import (
+    MAX_CURRENT_LAG_S,
+    START_MARGIN_S,
+    WITHDRAWAL_MARGIN_S,
+    WeightsClient,
+    compute_lag_s,
+)
 from .weights_controller import WEIGHTS_DUTY, WeightsController
+from .withdrawals import Withdrawals
 
 __all__ = ["EntryPlatform", "EntryRouter", "make_entry_router", "run_entry_router"]
 
@@ -232,10 +240,10 @@
         choose_batching_delay_s, settings, weights_controller.duty
     )
     forwarder.select_replicas = partial(
-        _select_replicas, settings, load_table, weights_controller, clock
+        _select_replicas, settings, forwarder.forecasts, weights_controller, clock
     )
-    forwarder.compute_lag_s = partial(
-        _compute_lag_s, load_table, weights_controller, clock
+    forwarder.withdrawals = _make_withdrawals(
+        settings, load_table, weights_controller, clock
     )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
     listeners = (
@@ -245,6 +253,7 @@
         lambda mirror: forwarder.origins.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.links.record_hosts(directory.list_hosts()),
         weights_controller.read_loading_record,
+        lambda mirror: forwarder.withdrawals.update_deadlines(),
     )
     mirror_controller.mirror.listeners.extend(listeners)
     peers = _make_exchange(directory, forwarder, weights_controller)
@@ -423,17 +432,41 @@
     return compute_lag_s(current, reported_version, requested_weights, clock())
 
 
-def _select_replicas(
+def _make_withdrawals(
     settings: EntrySettings,
     load_table: ReplicaLoadTable,
     weights_controller: WeightsController,
     clock: Clock,
+) -> Withdrawals:
+    max_lag_s = settings.weights_s - WITHDRAWAL_MARGIN_S
+    requested_weights = weights_controller.store_view.requested_weights
+
+    def list_deadlines() -> list[float]:
+        return [
+            requested_after_s + max_lag_s
+            for history in requested_weights.value.values()
+            for requested_after_s in history.list_request_times()
+        ]
+
+    return Withdrawals(
+        partial(_compute_lag_s, load_table, weights_controller, clock),
+        max_lag_s,
+        list_deadlines,
+        clock,
+    )
+
+
+def _select_replicas(
+    settings: EntrySettings,
+    forecasts: StartForecasts,
+    weights_controller: WeightsController,
+    clock: Clock,
     replicas: Sequence[Replica],
 ) -> tuple[Sequence[Replica], frozenset[EndpointId]]:
     """Return the replicas that may serve calls, and the outdated ones among them.
 
-    Excludes replicas that have been missing weights for more than ``OVERDUE_SHARE`` of
-    the rollout time and, while others remain, those that are loading weights.
+    Excludes replicas at which a call would begin on old weights after the rollout time
+    and, while others remain, those that are loading weights.
     """
     now_s = clock()
     requested_weights = weights_controller.store_view.requested_weights.value
@@ -441,10 +474,12 @@
     usable = []
     outdated = set()
     for replica in replicas:
-        reported_version = load_table.get_or_create(replica.id).weights
+        reported_version = forecasts.loads.get_or_create(replica.id).weights
         lag_s = compute_lag_s(replica, reported_version, requested_weights, now_s)
-        if lag_s is not None and lag_s > OVERDUE_SHARE * settings.weights_s:
-            continue
+        if lag_s is not None:
+            start_lag_s = lag_s + forecasts.forecast_wait_s(replica.id)
+            if start_lag_s > settings.weights_s - START_MARGIN_S:
+                continue
         usable.append(replica)
         if lag_s is not None and lag_s > MAX_CURRENT_LAG_S:
             outdated.add(replica.id)
@@ -515,6 +550,7 @@
                 group.start_soon(router.peers.directory.run)
                 group.start_soon(router.peers.run, socket, open_socket)
                 group.start_soon(router.app.forwarder.links.run)
+                group.start_soon(router.app.forwarder.withdrawals.run)
                 yield router
             group.cancel_scope.cancel()
         await router.platform.store.close()
--- a/primrosepier/forwarding/start_forecasts.py
+++ b/primrosepier/forwarding/start_forecasts.py
@@ -37,7 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Wait:
-    begun_at_s: float
+    """A wait that is over.
+
+    Parameters
+    ----------
+    tokens : float
+        Prompt tokens that were computed meanwhile; 0 if the call ended before it began.
+    """
+
+    ended_at_s: float
     wait_s: float
     tokens: float
 
@@ -50,25 +58,31 @@
     ----------
     waiting : dict of SentCall
         Calls that have not begun, in the order in which they were sent.
-    begun : deque
-        Waits of the last calls that have.
+    ended : deque
+        Waits of the last calls that have begun, or ended before.
     """
 
     waiting: dict[SentCall, None] = field(default_factory=dict)
-    begun: deque[_Wait] = field(default_factory=lambda: deque(maxlen=MAX_WAITS))
+    ended: deque[_Wait] = field(default_factory=lambda: deque(maxlen=MAX_WAITS))
 
     def find_longest_wait_s(self, now_s: float) -> float:
         """Return the longest wait of late, over calls that have begun or not."""
-        waits_s = [w.wait_s for w in self.begun if now_s - w.begun_at_s <= RECENT_S]
+        waits_s = [w.wait_s for w in self.ended if now_s - w.ended_at_s <= RECENT_S]
         waits_s += [now_s - call.sent_at_s for call in self.waiting]
         return max(waits_s, default=0.0)
 
+    def end(self, call: SentCall, tokens: float, now_s: float) -> None:
+        """Record that a call no longer waits, unless that is known already."""
+        if call in self.waiting:
+            del self.waiting[call]
+            self.ended.append(_Wait(now_s, now_s - call.sent_at_s, tokens))
+
     def compute_tokens_per_s(self) -> float:
         """Return the highest rate at which prompts were computed; 0 if unknown.
 
         Lower rates may come from work that this router does not know of.
         """
-        rates = [wait.tokens / wait.wait_s for wait in self.begun if wait.wait_s > 0]
+        rates = [wait.tokens / wait.wait_s for wait in self.ended if wait.wait_s > 0]
         return max(rates, default=0.0)
 
 
@@ -97,17 +111,14 @@
     def record_begun(self, call: SentCall) -> None:
         """Record that the output of a call begins."""
         waits = self.replicas.get(call.endpoint)
-        if waits is None or call not in waits.waiting:
-            return
-        del waits.waiting[call]
-        now_s = self.clock()
-        waits.begun.append(_Wait(now_s, now_s - call.sent_at_s, call.tokens))
+        if waits is not None:
+            waits.end(call, call.tokens, self.clock())
 
     def record_ended(self, call: SentCall) -> None:
-        """Record the end of a call, which may not have begun."""
+        """Record the end of a call, which may have waited in vain."""
         waits = self.replicas.get(call.endpoint)
         if waits is not None:
-            waits.waiting.pop(call, None)
+            waits.end(call, 0.0, self.clock())
 
     def forecast_wait_s(self, endpoint: EndpointId) -> float:
         """Return how long a call that is sent now is expected to wait, seconds.
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -74,6 +74,10 @@
                 return weights.requested_after_s
         return None
 
+    def list_request_times(self) -> list[float]:
+        """Return the lower bounds of the times of the requests, seconds."""
+        return [weights.requested_after_s for weights in self.requested]
+
     def add(self, requested: RequestedWeights) -> "WeightsHistory":
         """Return the history extended by a newer version."""
         return WeightsHistory((*self.requested, requested)[-MAX_HISTORY_LENGTH:])
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -19,10 +19,11 @@
 __all__ = [
     "LoadTimeAverage",
     "MAX_CURRENT_LAG_S",
-    "OVERDUE_SHARE",
     "OrderResult",
     "ReplicaState",
     "RolloutTiming",
+    "START_MARGIN_S",
+    "WITHDRAWAL_MARGIN_S",
     "WeightsClient",
     "WeightsLoad",
     "WeightsOrder",
@@ -44,9 +45,12 @@
 # calls to end.
 INITIAL_LOAD_S = 1.5
 LOAD_TIME_EWMA_ALPHA = 0.3
-# Share of the rollout time after which old weights are no longer used. The rest is
-# reserved for calls that are queued at a replica.
-OVERDUE_SHARE = 0.75
+# Time before the end of the rollout time at which a call must be expected to begin on
+# old weights, seconds.
+START_MARGIN_S = 0.4
+# Time before the end of the rollout time at which calls that have not begun on old
+# weights are withdrawn, seconds, so that the replica learns of it in time.
+WITHDRAWAL_MARGIN_S = 0.3
 # Lag above which a replica counts as outdated when replicas are chosen: its responses
 # are worth less to callers.
 MAX_CURRENT_LAG_S = 1.5
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -13,6 +13,7 @@
     CallLost,
     CallPlaced,
     CallRejected,
+    CallWithdrawn,
     PermitRefused,
 )
 from primrosepier.log_lines import LogReader
@@ -160,6 +161,7 @@
     log.emit(make_placed("a1"))
     log.emit(CallLost("a1", 1, "w1", 1.9, (0xAB, 0xCD)))
     log.emit(PermitRefused("a1", "w2", 3.5, 0.25))
+    log.emit(CallWithdrawn("a1", 2, "w3", 1.25, 5.7))
     log.emit(make_ended("a1"))
     log.emit(CallRejected("a2", 503, "stale_keys", 7, 4.2))
     log.close()
@@ -175,6 +177,7 @@
     assert "Declaration 7" in explanation
     assert "shared parts and request: 00000000000000ab, 00000000000000cd" in explanation
     assert "Not sent to w2: it limits all routers to 3.5 requests/s" in explanation
+    assert "Withdrawn from w3, where it had not begun after 1.250 s" in explanation
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
     assert "software is v1.1" in explanation
--- a/tests/test_queued_calls.py
+++ b/tests/test_queued_calls.py
@@ -75,6 +75,15 @@
             if start.weights == 1
         )
 
+    def list_repeated_runs(self):
+        """Return the streams that may run only once and began more than once."""
+        call_ids = [start.call_id for start in self.list_starts()]
+        return [
+            call_id
+            for call_id in set(call_ids)
+            if int(call_id, 16) % 2 == 0 and call_ids.count(call_id) > 1
+        ]
+
     def list_late(self):
         return [lag_s for lag_s in self.list_lags() if lag_s > self.rollout_s]
 
@@ -104,8 +113,7 @@
         rollout.request_weights()
         await rollout.send_calls(ROLLOUT_S)
         assert rollout.list_late() == []
-        call_ids = [start.call_id for start in rollout.list_starts()]
-        assert len(call_ids) == len(set(call_ids))
+        assert rollout.list_repeated_runs() == []
 
     run_rollout(check, routers=3)
 
@@ -127,11 +135,10 @@
         assert all(response.body.count(b"data:") == 3 for response in resumable)
         others = [rollout.responses[n] for n in rollout.responses if not n % 2]
         assert {response.status for response in others} <= {200, 502}
-        call_ids = [start.call_id for start in rollout.list_starts()]
-        assert len(call_ids) == len(set(call_ids))
-        new = rollout.list_starts(REPLICAS[6:])
+        assert rollout.list_repeated_runs() == []
+        new = {start.call_id for start in rollout.list_starts(REPLICAS[6:])}
         assert rollout.repeated
-        assert rollout.repeated <= {start.call_id for start in new}
+        assert rollout.repeated <= new
 
     run_rollout(check, routers=2)
 
@@ -145,3 +152,33 @@
         assert rollout.list_late() == []
 
     run_rollout(check, rollout_s=3.2)
+
+
+def test_weights_count_as_loaded_however_the_router_learns_of_them():
+    async def check(rollout):
+        (router,) = rollout.fleet.routers
+        forwarder = router.app.forwarder
+        replicas = {
+            replica.id: replica
+            for replica in router.store_view.replicas.value.list_replicas("writers")
+        }
+
+        def list_outdated(model=""):
+            compute_lag_s = forwarder.withdrawals.compute_lag_s
+            return {
+                name
+                for name, replica in replicas.items()
+                if compute_lag_s(replica, model) is not None
+            }
+
+        rollout.request_weights(loaded=())
+        await rollout.fleet.wait_until(list_outdated)
+        assert list_outdated() == list_outdated("m0") == set(REPLICAS)
+        forwarder.loads.get_or_create("w1").weights = 2
+        router.weights_controller.loaded_versions["w2", "m0"] = 2
+        rollout.fleet.replicas["w3"].weights = 2
+        rollout.fleet.register("w3")
+        await rollout.fleet.wait_until(lambda: "w3" not in list_outdated())
+        assert list_outdated() == set(REPLICAS) - {"w1", "w2", "w3"}
+
+    run_rollout(check)
--- a/tests/test_start_forecasts.py
+++ b/tests/test_start_forecasts.py
@@ -51,12 +51,33 @@
     second = waits.send()
     waits.now_s = 3.0
     assert waits.forecast() == 3.0
-    waits.forecasts.record_ended(first)
-    assert waits.forecast() == 2.0
+    waits.forecasts.record_begun(first)
+    waits.now_s = 6.0
+    assert waits.forecast() == 5.0
     waits.forecasts.record_ended(second)
+    waits.now_s += RECENT_S
+    assert waits.forecast() == 5.0
+    waits.now_s += 0.1
     assert waits.forecast() == 0.0
 
 
+def test_a_call_that_waited_in_vain_raises_the_forecast():
+    waits = Waits()
+    sent = waits.send(1000)
+    waits.now_s = 2.0
+    waits.begin(sent, 1000)
+    sent = waits.send(1000)
+    waits.now_s = 4.5
+    waits.loads.end_prefill("w1", 1000)
+    waits.forecasts.record_ended(sent)
+    waits.forecasts.record_ended(sent)
+    assert waits.forecast() == 2.5
+    waits.now_s += RECENT_S + 0.1
+    per_token_s = 2.0 / 1000
+    expected_s = waits.loads.mean_tokens * per_token_s
+    assert waits.forecast() == pytest.approx(expected_s)
+
+
 def test_prompts_ahead_are_expected_to_take_their_time():
     waits = Waits()
     sent = waits.send(1000)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -177,6 +177,7 @@
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
+    "CallWithdrawn": "request attempt endpoint wait_s weights_lag_s",
     "ClaimSettled": "request workspace result duration_s",
     "ContactChanged": "in_touch reason",
     "DecisionMade": (
