Keep the last change of each key of a watch's answer

Cause: an answer of a watch may span many revisions. Both clients of the store sorted its events into written items and deleted keys, and the local copy applied all writes and then all deletions. A key that was deleted and written again within one answer, as by a lease that lapsed and the new registration, was missing from the copy until it changed again. A duty could look free, and a router unregistered, in the same way.

Ruled out: the stand-in of the platform's store loses or reorders nothing; it listed the events of several revisions in one answer in order before, but no test wrote a key twice within one. The in-memory store and the stand-in of the other service sent one revision an event, so that none could see it there.

Change: an event maps each key to its last change, so that it can't hold a key both as written and as deleted. One factory builds it for the three stores from the changes in their order, and the copy applies them in one pass. The in-memory store and the stand-in of the other service now choose how many revisions an event spans; the stand-in of the platform's store holds an answer back for at most 50 ms until it spans as many, since an answer there must contain all earlier changes.

No listener has to know that a key vanished and came back in between. The view of replicas decodes an entry again when its revision changed; the fleet compares ids with the entries that are there now; a duty is decided by the key that is there, and its holder by its own lease; a loading record is read when its revision changed; a router that came back has a new token in its entry, by which its peers tell it from the earlier one. What is held about a replica by id (loads, limits, links) is dropped by a periodic look at the list, which missed short gaps before, too. That a replica started again under its id is told by its entry and not by a gap; no code reads that yet.

Not covered: one transaction that deletes and writes the same key, which the in-memory store records without order.

--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -25,6 +25,7 @@
     Unavailable,
     WatchEvent,
     compute_range_end,
+    make_watch_event,
 )
 
 __all__ = ["EtcdStore", "decode_item", "encode_bytes", "make_etcd_store"]
@@ -263,17 +264,11 @@
         return WatchEvent(revision, compacted=True)
     if result.get("created") and revision < start - 1:
         return WatchEvent(revision, compacted=True)
-    items = []
-    deleted = []
+    changes: list[tuple[str, Item | None]] = []
     for event in result.get("events", []):
         item = decode_item(event.get("kv", {}))
-        if event.get("type") == "DELETE":
-            deleted.append(item.key)
-        else:
-            items.append(item)
-    if not items and not deleted:
-        return None
-    return WatchEvent(revision, tuple(items), tuple(deleted))
+        changes.append((item.key, None if event.get("type") == "DELETE" else item))
+    return make_watch_event(revision, changes) if changes else None
 
 
 def make_etcd_store(address: str) -> EtcdStore:
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -117,15 +117,16 @@
             self.confirmed_at_s = event.requested_at_s
             was_held = now_s - event.requested_at_s > MAX_ANSWER_S
         previous_answer_at_s, self.answered_at_s = self.answered_at_s, now_s
-        if not event.items and not event.deleted:
+        if not event.changes:
             self.revision = event.revision
             self.synced_at_s = now_s
             return
         self.changed_after_s = now_s if was_held else previous_answer_at_s
-        for item in event.items:
-            self.items[item.key] = item
-        for key in event.deleted:
-            self.items.pop(key, None)
+        for key, item in event.changes.items():
+            if item is None:
+                self.items.pop(key, None)
+            else:
+                self.items[key] = item
         self._finish(event.revision, now_s)
 
     def _finish(self, revision: Revision, now_s: float) -> None:
@@ -205,7 +206,7 @@
                 return False
             self.record_contact(True, "watch")
             self.mirror.apply_event(event, self.clock())
-            if event.items or event.deleted:
+            if event.changes:
                 await anyio.sleep(self.get_batching_delay_s())
         self.record_contact(False, "the watch ended")
         return True
--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -52,6 +52,8 @@
 MS = 0.001
 MAX_BODY_BYTES = 4 * 1024 * 1024
 PAGE_ITEMS = 50
+# Longest time for which an answer of a watch waits for more changes, seconds.
+MAX_HOLD_S = 0.05
 SERVER_STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
@@ -77,14 +79,22 @@
 class StandinStore:
     """Stand-in for the platform's store as an ASGI app.
 
+    An answer of a watch contains all changes so far. It is held back for a moment until
+    it spans as many revisions as the store chooses.
+
+    Parameters
+    ----------
+    memory : MemoryStore or None
+        Holds the state.
+
     Attributes
     ----------
     calls : list of str
         Paths of the calls received so far.
     """
 
-    def __init__(self) -> None:
-        self.memory = MemoryStore()
+    def __init__(self, memory: MemoryStore | None = None) -> None:
+        self.memory = memory or MemoryStore()
         self.faults = StoreFaults()
         self.calls: list[str] = []
 
@@ -136,6 +146,7 @@
             with anyio.move_on_after(int(query["waitMs"]) * MS):
                 while not self._list_events(prefix, after):
                     await self.memory.wait(self.memory.changed)
+                await self._hold_back(prefix, after)
             events = self._list_events(prefix, after)
         except CompactedError:
             await send_bytes(send, 410, b"")
@@ -143,6 +154,12 @@
         body = {"events": events, "storeRevision": self.memory.revision}
         await send_json(send, 200, body)
 
+    async def _hold_back(self, prefix: str, after: int) -> None:
+        size = self.memory.choose_answer_size()
+        with anyio.move_on_after(MAX_HOLD_S):
+            while len({e["revision"] for e in self._list_events(prefix, after)}) < size:
+                await self.memory.wait(self.memory.changed)
+
     def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         events = []
         for change in self.memory.state.list_changes(after + 1):
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -32,6 +32,7 @@
     TransactOutcome,
     Unavailable,
     WatchEvent,
+    make_watch_event,
 )
 
 __all__ = ["PlatformStore", "make_platform_store"]
@@ -263,11 +264,10 @@
             if response.status != OK or isinstance(changes, Unavailable):
                 return
             position = max(position, changes.store_revision)
-            yield WatchEvent(
-                revision=Revision(position),
-                items=tuple(_make_item(i) for i in changes.events if not i.deleted),
-                deleted=tuple(i.key for i in changes.events if i.deleted),
-                requested_at_s=requested_at_s,
+            yield make_watch_event(
+                Revision(position),
+                ((i.key, None if i.deleted else _make_item(i)) for i in changes.events),
+                requested_at_s,
             )
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
--- a/primrosepier/standin_store.py
+++ b/primrosepier/standin_store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -31,7 +31,7 @@
     encode_range_result,
     encode_result,
 )
-from .store import MemoryStore, StoreFaults
+from .store import MemoryStore, StoreFaults, split_changes
 
 __all__ = ["StoreFaults", "StoreStandin"]
 
@@ -54,7 +54,8 @@
     Parameters
     ----------
     store : MemoryStore
-        Holds the state. Leases expire by its clock.
+        Holds the state. Leases expire by its clock, and answers of a watch have the
+        sizes that it chooses.
     calls : int
         Number of calls. A watch counts as one call.
     """
@@ -259,18 +260,20 @@
                 }
                 await self._send_result(send, {"header": header, **cancellation})
                 return
-            for change in changes:
-                start = change.revision + 1
-                await self._send_change(send, change, key, end)
+            for part in split_changes(changes, self.store.choose_answer_size):
+                start = part[-1].revision + 1
+                await self._send_part(send, part, key, end)
             if changed is self.store.changed:
                 await self.store.wait(changed)
 
-    async def _send_change(
-        self, send: Send, change: Change, key: bytes, end: bytes
+    async def _send_part(
+        self, send: Send, changes: Sequence[Change], key: bytes, end: bytes
     ) -> None:
-        events = encode_change(change, lambda name: is_in_range(name, key, end))
+        events: list[JsonObject] = []
+        for change in changes:
+            events += encode_change(change, lambda name: is_in_range(name, key, end))
         if events:
-            header = self.make_header(change.revision)
+            header = self.make_header(changes[-1].revision)
             await self._send_result(send, {"header": header, "events": events})
 
     async def _send_result(self, send: Send, result: JsonObject) -> None:
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -2,7 +2,14 @@
 
 import contextlib
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -41,6 +48,10 @@
     "Unavailable",
     "WatchEvent",
     "compute_range_end",
+    "make_watch_event",
+    "select_change",
+    "select_changes",
+    "split_changes",
 ]
 
 MIN_WAIT_S = 0.01
@@ -148,6 +159,8 @@
 
     Parameters
     ----------
+    changes : mapping of str to (Item or None)
+        Last change of each key; None if the key was deleted.
     compacted : bool
         Whether a new snapshot is needed, since the requested history was compacted,
         the service cancelled the watch, or the store is older than the requested
@@ -158,11 +171,36 @@
     """
 
     revision: Revision
-    items: tuple[Item, ...] = ()
-    deleted: tuple[str, ...] = ()
+    changes: Mapping[str, Item | None] = field(default_factory=dict)
     compacted: bool = False
     requested_at_s: float | None = None
 
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """Items that were written last."""
+        return tuple(item for item in self.changes.values() if item is not None)
+
+    @property
+    def deleted(self) -> tuple[str, ...]:
+        """Keys that were deleted last."""
+        return tuple(key for key, item in self.changes.items() if item is None)
+
+
+def make_watch_event(
+    revision: Revision,
+    changes: Iterable[tuple[str, Item | None]],
+    requested_at_s: float | None = None,
+) -> WatchEvent:
+    """Return the event of an answer, which may span many revisions.
+
+    Parameters
+    ----------
+    changes : iterable of (str, Item or None)
+        Keys with their items, or with None for deletions, in the order in which they
+        happened.
+    """
+    return WatchEvent(revision, dict(changes), requested_at_s=requested_at_s)
+
 
 class Store(Protocol):
     """Calls to the key-value service."""
@@ -230,14 +268,37 @@
 
 def select_change(change: Change, prefix: str) -> WatchEvent | None:
     """Return the changes of the keys with a prefix, or None when there are none."""
+    return select_changes([change], prefix)
+
+
+def select_changes(changes: Sequence[Change], prefix: str) -> WatchEvent | None:
+    """Return the changes of several revisions as one event, or None without any."""
     prefix_bytes = prefix.encode()
-    written = [r for r in change.written if r.key.startswith(prefix_bytes)]
-    deleted = [r for r in change.deleted if r.key.startswith(prefix_bytes)]
-    if not written and not deleted:
+    selected: list[tuple[str, Item | None]] = []
+    for change in changes:
+        written = [r for r in change.written if r.key.startswith(prefix_bytes)]
+        deleted = [r for r in change.deleted if r.key.startswith(prefix_bytes)]
+        selected += [(r.key.decode(), make_item(r)) for r in written]
+        selected += [(r.key.decode(), None) for r in deleted]
+    if not selected:
         return None
-    items = tuple(make_item(record) for record in written)
-    keys = tuple(record.key.decode() for record in deleted)
-    return WatchEvent(Revision(change.revision), items, keys)
+    return make_watch_event(Revision(changes[-1].revision), selected)
+
+
+def choose_single() -> int:
+    """Return 1: each revision is an answer of its own."""
+    return 1
+
+
+def split_changes(
+    changes: Sequence[Change], choose_answer_size: Callable[[], int]
+) -> Iterator[Sequence[Change]]:
+    """Yield the changes of one answer of a watch after another."""
+    start = 0
+    while start < len(changes):
+        end = start + choose_answer_size()
+        yield changes[start:end]
+        start = end
 
 
 class MemoryStore:
@@ -247,10 +308,17 @@
     ----------
     clock : Clock
         Clock for the expiry of leases.
+    choose_answer_size : callable
+        Returns how many revisions the next answer of a watch spans.
     """
 
-    def __init__(self, clock: Clock = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Clock = time.monotonic,
+        choose_answer_size: Callable[[], int] = choose_single,
+    ) -> None:
         self.state = KeyValue(clock)
+        self.choose_answer_size = choose_answer_size
         self.faults = StoreFaults()
         self.changed = anyio.Event()
 
@@ -331,9 +399,9 @@
             except CompactedError:
                 yield WatchEvent(self.revision, compacted=True)
                 return
-            for change in changes:
-                event = select_change(change, prefix)
-                position = change.revision + 1
+            for part in split_changes(changes, self.choose_answer_size):
+                event = select_changes(part, prefix)
+                position = part[-1].revision + 1
                 if event is not None:
                     yield event
             if changed is self.changed:
