Test what the last landing's build exchanges with today's

What users saw: nothing yet. Old and new builds will run side by side while machines are replaced, and must read each other's bytes in both directions.

What was recorded before: the bytes of all messages and stored values, compared with today's encoders and decoders by the same line. A field that is added there changes the line, and with it the bytes of the earlier build are gone from the test. Reports without their last fields were decoded, but not applied. Calls passed on, settings files, unknown messages and unknown fields were not covered.

The tests read the bytes with today's decoders and compare field by field, so that today's build may add fields; read today's bytes with the copied shapes; apply reports with further and without trailing fields, also in their parts; drop and count datagrams with unknown messages; and use stored records with unknown fields. Headers of calls passed on are written and read, the mark of a call that has not run is read, and a settings file with a value for each field keeps its meaning. No existing test was changed.

Conclusion: found, and not mended here: an update of the prefix index is a tuple of fixed length, so that one with a further element has the whole report refused, by the last landing too. One malformed part refuses a whole report. A header that a later build adds to a call passed on is forwarded to the replica by the last landing, which removes only the token.

--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -1,4 +1,4 @@
-"""Bytes that release 0.1.0 stored, sent and logged.
+"""Bytes that release 0.1.0 and the last landing stored, sent and logged.
 
 Routers of two releases run beside each other during a rolling upgrade. After a field of
 a message or of a stored value was renamed or moved, the other release would miss or
@@ -6,7 +6,10 @@
 """
 
 import hashlib
+from dataclasses import asdict
 
+import anyio
+import last_landing
 import msgspec
 import pytest
 
@@ -17,16 +20,37 @@
 from primrosepier.drift import MissCause
 from primrosepier.drift_controller import DayEntry
 from primrosepier.endpoint_limits import SharedLimit
+from primrosepier.forwarding.calls import Call
 from primrosepier.forwarding.cuts import LinksReply, LinksRequest
+from primrosepier.forwarding.declarations import RetryPolicy, Route
 from primrosepier.forwarding.loading_record import (
     LOADING_RECORD_KEY,
     LoadingRecord as WeightsLoadingRecord,
+    decode_loading_record,
 )
 from primrosepier.forwarding.messages import PeerDatagram
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
-from primrosepier.forwarding.peers import ROUTERS_PREFIX, PeerEntry, PeerReport
+from primrosepier.forwarding.peer_relay import (
+    NOT_RUN_HEADER,
+    TOKEN_HEADER,
+    make_peer_relay,
+)
+from primrosepier.forwarding.peers import (
+    ROUTERS_PREFIX,
+    PeerDirectory,
+    PeerEntry,
+    PeerExchange,
+    PeerReport,
+)
 from primrosepier.forwarding.permits import PermitReply, PermitRequest
-from primrosepier.leases import DutyRecord, make_duty_key, make_fencing_key
+from primrosepier.forwarding.prefixes import PrefixIndex
+from primrosepier.forwarding.replica_load import ReplicaLoadTable
+from primrosepier.leases import (
+    DutyRecord,
+    decode_duty,
+    make_duty_key,
+    make_fencing_key,
+)
 from primrosepier.leaving_controller import LeavingDigest
 from primrosepier.load_reports import SharedLoad
 from primrosepier.log_events import Event
@@ -42,9 +66,14 @@
     StatusReply,
     StatusRequest,
 )
+from primrosepier.mirror import Mirror
+from primrosepier.platform.ingress import PlatformRequestReader
+from primrosepier.platform.replicas import PlatformDialect
+from primrosepier.platform.settings import parse_entry_settings
 from primrosepier.revisions import ChangeRecord, Manifest
 from primrosepier.rollout import LoadingRecord
 from primrosepier.sharing import SharedRate, SharedSuspicion
+from primrosepier.store import Item
 from primrosepier.stream_origins import StreamOrigin
 
 MEMBER = MemberRecord("entry-1", "127.0.0.1:8081", "Rennes", 7, 1)
@@ -288,3 +317,177 @@
         if kind.__module__.startswith("primrosepier.")
     }
     assert found == EVENT_FIELDS
+
+
+def contains(whole, part):
+    """Return whether plain data has all that the other has, and at most adds to it."""
+    if isinstance(part, dict):
+        return part.keys() <= whole.keys() and all(
+            contains(whole[key], value) for key, value in part.items()
+        )
+    if isinstance(part, list):
+        return len(whole) >= len(part) and all(map(contains, whole, part))
+    return whole == part
+
+
+def is_kept(data, kind):
+    """Return whether reading MessagePack data as a type loses nothing of it."""
+    read = msgspec.msgpack.encode(msgspec.msgpack.decode(data, type=kind))
+    return contains(msgspec.msgpack.decode(read), msgspec.msgpack.decode(data))
+
+
+REPORTS_HEX = [last_landing.REPORT_HEX, last_landing.BARE_REPORT_HEX]
+
+
+@pytest.mark.parametrize("data", REPORTS_HEX)
+def test_reports_of_the_last_landing_are_read(data):
+    assert is_kept(bytes.fromhex(data), PeerReport)
+
+
+@pytest.mark.parametrize("tag", last_landing.MESSAGES_HEX)
+def test_messages_of_the_last_landing_are_read(tag):
+    assert is_kept(bytes.fromhex(last_landing.MESSAGES_HEX[tag]), PeerDatagram)
+
+
+@pytest.mark.parametrize(
+    "message", [m for m, _ in MESSAGES if isinstance(m, PeerReport | PeerDatagram)]
+)
+def test_the_last_landing_reads_messages_or_knows_that_it_does_not(message):
+    data = msgspec.msgpack.encode(message)
+    kind = getattr(last_landing, type(message).__name__)
+    plain = msgspec.msgpack.decode(data)
+    tag = plain["message"]["type"] if isinstance(plain, dict) else None
+    if tag is not None and tag not in last_landing.MESSAGES_HEX:
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.msgpack.decode(data, type=kind)
+        return
+    read = msgspec.msgpack.encode(msgspec.msgpack.decode(data, type=kind))
+    assert contains(plain, msgspec.msgpack.decode(read))
+
+
+STORED_BY_BOTH = [
+    (last_landing.PEER_ENTRY, PeerEntry, last_landing.PeerEntry),
+    (last_landing.DUTY_RECORD, DutyRecord, last_landing.DutyRecord),
+    (last_landing.LOADING_RECORD, WeightsLoadingRecord, last_landing.LoadingRecord),
+]
+
+
+@pytest.mark.parametrize(("text", "kind", "last_kind"), STORED_BY_BOTH)
+def test_stored_values_are_read_by_both_builds(text, kind, last_kind):
+    written = msgspec.json.encode(msgspec.json.decode(text, type=kind))
+    assert contains(msgspec.json.decode(written), msgspec.json.decode(text))
+    read = msgspec.json.encode(msgspec.json.decode(written, type=last_kind))
+    assert msgspec.json.decode(read) == msgspec.json.decode(text)
+
+
+def add_unknown_field(text):
+    return msgspec.json.encode(msgspec.json.decode(text) | {"later": [1]})
+
+
+@pytest.mark.parametrize(
+    ("value", "text"), STORED, ids=lambda value: type(value).__name__
+)
+def test_unknown_fields_of_stored_values_are_ignored(value, text):
+    assert msgspec.json.decode(add_unknown_field(text), type=type(value)) == value
+
+
+def test_records_with_unknown_fields_are_used():
+    directory = PeerDirectory("front-1", None, "127.0.0.1:1")
+    key = f"{ROUTERS_PREFIX}front-2"
+    item = Item(key, add_unknown_field(last_landing.PEER_ENTRY), 1)
+    directory.update(Mirror(ROUTERS_PREFIX, {key: item}))
+    assert directory.peers == {"front-2": PeerEntry("127.0.0.1:9000", "token")}
+    duty = decode_duty(add_unknown_field(last_landing.DUTY_RECORD))
+    assert duty == DutyRecord("entry-1", "token", 3)
+    data = add_unknown_field(last_landing.LOADING_RECORD)
+    assert decode_loading_record(data) == LOADING
+
+
+def handle(data):
+    """Return how many datagrams a router rejects and the tokens it is told of."""
+    directory = PeerDirectory("front-2", None, "127.0.0.1:1", "token")
+    loads = ReplicaLoadTable()
+    exchange = PeerExchange(directory, loads, PrefixIndex(), lambda: 0.0)
+    anyio.run(exchange.handle, data)
+    return loads.rejected_reports, loads.count_peer_tokens("w1", 0.0)
+
+
+@pytest.mark.parametrize(
+    "message", [{"type": "later"}, {"type": 7}, {"number": 7, "wait_s": 0.0}]
+)
+def test_datagrams_with_unknown_messages_are_dropped_and_counted(message):
+    data = msgspec.msgpack.encode({"token": "token", "message": message})
+    assert handle(data) == (1, 0)
+
+
+@pytest.mark.parametrize("tag", last_landing.MESSAGES_HEX)
+def test_messages_with_unknown_fields_are_read(tag):
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.MESSAGES_HEX[tag]))
+    plain["message"]["later"] = plain["later"] = [1]
+    assert handle(msgspec.msgpack.encode(plain)) == (0, 0)
+
+
+def test_reports_with_a_further_field_are_applied():
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    assert handle(msgspec.msgpack.encode([*plain, {"later": 1}])) == (0, 2000)
+
+
+@pytest.mark.parametrize("count", range(3, 8))
+def test_reports_without_the_last_fields_are_applied(count):
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    assert handle(msgspec.msgpack.encode(plain[:count])) == (0, 2000)
+
+
+def test_parts_of_reports_with_further_fields_are_applied():
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    plain[4]["later"] = 1
+    losses, limits = plain[6], plain[7]
+    for array in (losses, losses[0][0], losses[0][0][2][0], limits["w1"]):
+        array.append({"later": 1})
+    assert handle(msgspec.msgpack.encode(plain)) == (0, 2000)
+
+
+def make_passed_on_call():
+    route = Route("notes", "h", "/", (("writers", 1),), RetryPolicy.NEVER)
+    headers = tuple(
+        (name.encode(), value.encode())
+        for name, value in last_landing.PASSED_ON_HEADERS[:4]
+    )
+    target = "/stream/notes"
+    return Call("a1", "POST", target, headers, b"", route, None, 0.0, 9.0, api_key="k1")
+
+
+def test_calls_are_passed_on_with_the_headers_of_the_last_landing():
+    headers = PlatformDialect().write_caller_headers(make_passed_on_call(), 2.5, "3")
+    assert set(headers) >= set(last_landing.PASSED_ON_HEADERS)
+    assert TOKEN_HEADER == b"x-router-token"
+
+
+def test_calls_that_the_last_landing_passes_on_are_read():
+    passed_on = [(n.encode(), v.encode()) for n, v in last_landing.PASSED_ON_HEADERS]
+    scope = {
+        "method": "POST",
+        "raw_path": b"/stream/notes",
+        "query_string": b"",
+        "headers": passed_on,
+    }
+    sent = make_passed_on_call()
+    call = PlatformRequestReader().make_call(scope, b"", sent.route, None, 1.0)
+    assert (call.id, call.deadline_s, call.api_key) == ("a1", 3.5, "k1")
+    assert (call.resume_after, call.resumed_call) == ("3", "a1")
+    assert (call.model, call.output_limit) == ("m0", 40)
+    assert [(part.id, part.tokens) for part in call.parts] == [("a", 5), ("b", 7)]
+    assert set(call.headers) >= set(sent.headers)
+
+
+def test_the_mark_of_calls_that_have_not_run_is_read():
+    assert NOT_RUN_HEADER == b"x-router-not-run"
+    relay = make_peer_relay(None, PlatformDialect(), None, lambda: 0.0)
+    marked = relay.sender.dialect.read_head(503, [(b"X-Router-Not-Run", b"1")])
+    unmarked = relay.sender.dialect.read_head(503, [])
+    assert (marked.not_run, unmarked.not_run) == (True, False)
+
+
+def test_settings_files_of_the_last_landing_keep_their_meaning():
+    settings = parse_entry_settings(last_landing.SETTINGS_TEXT.encode(), "node.toml")
+    assert asdict(settings).items() >= last_landing.SETTINGS.items()
