Leave a free weights duty to routers that may order sooner

Cause: a router that has just started can't tell how old the last loading record is and waits from its own start on, about five seconds, before it orders. Class: own memory is taken for the state of the whole.

Ruled out: the time of the record in its value (clocks of hosts jump).

Change: such a router leaves the duty for two seconds to the others, in which it could not order anyway.

--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -50,6 +50,9 @@
 NEVER_S = float("-inf")
 # Time-out of a weights load, after which it is planned again.
 LOAD_TIMEOUT_S = 10.0
+# Time for which a router that has just started leaves a free duty to the others: it
+# can't tell how old the last loading record is, so that they may send orders sooner.
+STARTUP_DEFERRAL_S = 2.0
 # Maximum number of failures counted for the backoff between attempts to acquire the
 # duty.
 MAX_BACKOFF_FAILURES = 2
@@ -81,6 +84,8 @@
         and wrote one itself, seconds.
     record_revision : int or None
         Revision of the last loading record that was read from the store.
+    is_record_age_known : bool
+        Whether that record was written after this router began to read the store.
     loading : dict of EndpointId to WeightsLoad
         Weights loads that this router has in progress.
     peer_loading : dict of EndpointId to float
@@ -108,6 +113,7 @@
     load_time: LoadTimeAverage = field(default_factory=LoadTimeAverage)
     stopping: bool = False
     record_revision: int | None = None
+    is_record_age_known: bool = True
     newest_peer_sort_key: tuple[int, int] = (0, 0)
     serial: int = 0
     peer_record_at_s: float = NEVER_S
@@ -134,6 +140,7 @@
         if item is None or item.mod_revision == self.record_revision:
             return
         self.record_revision = item.mod_revision
+        self.is_record_age_known = mirror.changed_after_s != NEVER_S
         record = decode_loading_record(item.value)
         if record is None:
             self.log.emit(EntryUnreadable(item.key, "malformed loading record"))
@@ -190,8 +197,19 @@
 
     def _may_start_loads(self, now_s: float) -> bool:
         """Return whether this is the holder and earlier holders' orders have ended."""
+        return self._is_holder(now_s) and now_s >= self._compute_earliest_order_s()
+
+    def _compute_earliest_order_s(self) -> float:
+        """Return the time from which no order of an earlier holder can arrive."""
         wait_s = ORDER_WINDOW_S + self.duty.bounds.compute_takeover_wait_s()
-        return self._is_holder(now_s) and now_s >= self.peer_record_at_s + wait_s
+        return self.peer_record_at_s + wait_s
+
+    def _leaves_duty_to_others(self, now_s: float) -> bool:
+        """Return whether other routers should acquire a free duty first."""
+        if self.is_record_age_known or now_s >= self._compute_earliest_order_s():
+            return False
+        free_since_s = self.duty.free_since_s or now_s
+        return now_s < free_since_s + STARTUP_DEFERRAL_S
 
     def _is_holder(self, now_s: float) -> bool:
         return self.duty.may_order(honours_fencing=True, now_s=now_s)
@@ -218,6 +236,8 @@
         holder = self.mirror.items.get(make_duty_key(self.duty.name))
         action = self.duty.decide(holder, frozenset(), self.clock())
         if action is DutyAction.ACQUIRE:
+            if self._leaves_duty_to_others(self.clock()):
+                return
             self.duty.failures = min(self.duty.failures, MAX_BACKOFF_FAILURES)
             if await self.lease_holder.acquire(self.duty):
                 self.own_record_at_s = NEVER_S
--- a/tests/test_entry_weights.py
+++ b/tests/test_entry_weights.py
@@ -1,5 +1,7 @@
 """Rollout of weights by routers over real sockets."""
 
+from dataclasses import replace
+
 import anyio
 import pytest
 from entry_fleet import run_entry
@@ -67,3 +69,31 @@
             assert not first.weights_controller.duty.fencing_number
 
     run_entry(check)
+
+
+def test_a_router_that_has_just_started_does_not_delay_a_rollout():
+    writers = tuple(f"w{number}" for number in range(1, 7))
+
+    async def check(fleet):
+        (other,) = fleet.routers
+        duty = other.weights_controller.duty
+        # It acquires a free duty 0.7 s after the router that starts again would.
+        duty.bounds = replace(duty.bounds, rank_s=0.1)
+        async with fleet.open_router("front-6") as holder:
+            await other.weights_controller.stop(immediately=True)
+            await fleet.wait_until(
+                lambda: holder.weights_controller.duty.fencing_number
+            )
+            other.weights_controller.stopping = False
+            fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+            await fleet.wait_until(lambda: holder.weights_controller.loading)
+            await fleet.wait_until(lambda: other.weights_controller.peer_loading)
+        await anyio.sleep(0.5)
+        replicas = [fleet.replicas[name] for name in writers]
+        assert not any(replica.orders for replica in replicas)
+        async with fleet.open_router("front-6"):
+            await fleet.wait_until(lambda: any(replica.orders for replica in replicas))
+        orders = [order for replica in replicas for order in replica.orders]
+        assert {order["holder"] for order in orders} == {"front-1"}
+
+    run_entry(check, names=writers, apply_s=0.2, weights_s=8.0, holder_gap_s=2.5)
