Log the rest that replicas ask for, and the backoff of a chosen one

Replicas that turned calls away with Retry-After got calls all the same. The logs did not tell which of the hypotheses holds: what a refusal named was not in them, nor whether a chosen replica was in backoff.

Only a 503 asks for rest: a 429 is about the caller's rate. CallPlaced tells the backoff that the chosen replica had left; explain shows both. Nothing is exchanged between routers.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -12,6 +12,7 @@
     CallRepeated,
     CallWithdrawn,
     PermitRefused,
+    RestRequested,
     StreamTakenUp,
 )
 from .log_events import (
@@ -152,6 +153,8 @@
                 f"  Its weights had been outdated for {event.weights_lag_s:.3f} s; the "
                 f"output was expected to begin in {event.forecast_wait_s or 0.0:.3f} s."
             )
+        if event.backoff_s:
+            yield f"  It was in backoff for another {event.backoff_s:.3f} s."
         if event.software:
             yield f"  The replica's software is {event.software}."
         if event.resumed_call:
@@ -174,6 +177,11 @@
             f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
             f"and has room in {event.wait_s * 1000:.0f} ms."
         )
+    elif isinstance(event, RestRequested):
+        yield (
+            f"{event.endpoint} turned it away and wants no calls of this router for "
+            f"{event.rest_s:.3f} s (it named {event.retry_after!r})."
+        )
     elif isinstance(event, CallPassedOn):
         yield (
             f"This router was cut off from the replicas: attempt {event.attempt} went "
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -6,6 +6,7 @@
 
 from ..crash_causes import Fingerprints
 from ..ids import EndpointId, ModelId, RequestId, WorkspaceId
+from ..retry_after import RestRequest
 from ..suspects import compute_fingerprint, compute_part_fingerprint
 from .declarations import Route, Workspace
 
@@ -193,6 +194,9 @@
     rate_limit_per_s : float or None
         Requests per second that the endpoint takes from all routers together; None if
         it names no limit.
+    rest : RestRequest or None
+        Time for which the endpoint wants no calls from this router; None if it names
+        none.
     """
 
     status: int
@@ -204,6 +208,7 @@
     load: ReportedLoad | None = None
     weights: WeightsVersionNumber | None = None
     rate_limit_per_s: float | None = None
+    rest: RestRequest | None = None
 
 
 class EndpointDialect(Protocol):
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -51,6 +51,7 @@
     LimitChanged,
     PermitRefused,
     ReplicaGivenUp,
+    RestRequested,
     StreamTakenUp,
 )
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
@@ -394,6 +395,7 @@
                     choice.replica, call.model
                 ),
                 forecast_wait_s=self.forecasts.forecast_wait_s(endpoint),
+                backoff_s=max(0.0, load.avoid_until_s - now_s),
             )
         )
 
@@ -407,8 +409,15 @@
         endpoint = choice.replica.id
         index = self.chooser.prefixes
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
+
+        def record_head(
+            endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
+        ) -> None:
+            self._record_head(endpoint, head, is_new_connection)
+            self._record_rest(call, endpoint, head)
+
         recorder = AttemptRecorder(
-            self.loads, prefill, choice.uncached_tokens, self._record_head
+            self.loads, prefill, choice.uncached_tokens, record_head
         )
         started_s = self.clock()
         recorder.begin(started_s)
@@ -485,6 +494,14 @@
             self.log.emit(LimitChanged(endpoint, rate_per_s))
             self.loads.changed.set()
 
+    def _record_rest(
+        self, call: Call, endpoint: EndpointId, head: ResponseHead
+    ) -> None:
+        """Record the rest that a replica asks for."""
+        if head.rest is not None:
+            rest = head.rest
+            self.log.emit(RestRequested(call.id, endpoint, rest.text, rest.rest_s))
+
     def _record_lost_call(
         self,
         call: Call,
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -35,6 +35,7 @@
     "PermitRefused",
     "QuarantineChanged",
     "ReplicaGivenUp",
+    "RestRequested",
     "RouterStarted",
     "RouterStopping",
     "SettingsRead",
@@ -77,6 +78,8 @@
         them, or if they may have been requested at any time.
     forecast_wait_s : float or None
         Expected time until the call's output begins.
+    backoff_s : float
+        Time for which the replica should have been avoided, seconds; 0 for none.
     """
 
     part: ClassVar[str] = "forward"
@@ -97,6 +100,7 @@
     resumed_call: RequestId = RequestId("")
     weights_lag_s: float | None = None
     forecast_wait_s: float | None = None
+    backoff_s: float = 0.0
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
@@ -391,6 +395,31 @@
         )
 
 
+class RestRequested(Event, frozen=True):
+    """A replica turned a call away and asked for a time without calls.
+
+    Parameters
+    ----------
+    retry_after : str
+        What its answer named.
+    rest_s : float
+        Time that is granted, seconds; 0 if the answer named no time.
+    """
+
+    part: ClassVar[str] = "forward"
+    request: RequestId
+    endpoint: EndpointId
+    retry_after: str
+    rest_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return (
+            f"{self.endpoint} turned {self.request} away and asked for"
+            f" {self.retry_after!r}: {self.rest_s:.3f} s of rest"
+        )
+
+
 class RouterStarted(Event, frozen=True):
     """A router started."""
 
@@ -602,6 +631,7 @@
     | PermitRefused
     | QuarantineChanged
     | ReplicaGivenUp
+    | RestRequested
     | RouterStarted
     | RouterStopping
     | SettingsRead
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -8,6 +8,7 @@
     "CACHE_SCOPE",
     "CALL_ID",
     "CONFIGURATION_KEY",
+    "DATE",
     "EXPECTED_ENDPOINT",
     "EXPECTED_WEIGHTS",
     "FETCH_FROM",
@@ -49,6 +50,7 @@
 # The id of the call that brought the first event of the stream that is resumed.
 RESUMED_CALL = b"resumes"
 RETRY_AFTER = b"retry-after"
+DATE = b"date"
 
 EXPECTED_ENDPOINT = b"expect-instance"
 ENDPOINT_ID = b"instance-id"
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -1,7 +1,8 @@
 """Decodes replicas' registrations, and the headers exchanged with replicas."""
 
 import re
-from collections.abc import Sequence
+import time
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -21,6 +22,7 @@
     ServiceId,
     SoftwareVersion,
 )
+from ..retry_after import RestRequest, parse_retry_after
 from . import names
 
 __all__ = ["PlatformDialect", "decode_replica"]
@@ -29,6 +31,7 @@
 READY = "ready"
 DRAINING = "draining"
 MISDIRECTED = 421
+UNAVAILABLE = 503
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -147,6 +150,7 @@
             load=_read_load(values.get(names.ENDPOINT_LOAD, b"")),
             weights=_read_weights(values.get(names.WEIGHTS, b"")),
             rate_limit_per_s=_read_rate(values.get(names.RATE_LIMIT, b"")),
+            rest=_read_rest(status, values),
         )
 
 
@@ -166,5 +170,16 @@
     return rate_per_s if rate_per_s > 0 else None
 
 
+def _read_rest(status: int, values: Mapping[bytes, bytes]) -> RestRequest | None:
+    """Return the rest that a replica asks for when it turns a call away.
+
+    The Retry-After of a 429 is for the caller whose rate is exceeded.
+    """
+    value = values.get(names.RETRY_AFTER)
+    if status != UNAVAILABLE or value is None:
+        return None
+    return parse_retry_after(value, values.get(names.DATE, b""), time.time())
+
+
 def _read_weights(value: bytes) -> WeightsVersionNumber | None:
     return WeightsVersionNumber(int(value)) if value.strip().isdigit() else None
--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -251,6 +251,8 @@
     rate_limit : str
         Requests per second that the replica's answers name as its limit; empty for
         none.
+    retry_after : str or None
+        Value of Retry-After in refusals; None for none.
     """
 
     refuse: bool = False
@@ -262,6 +264,7 @@
     lose_orders: int = 0
     crash_on: str = ""
     rate_limit: str = ""
+    retry_after: str | None = None
 
     def crashes(self, prompt_parts: str) -> bool:
         """Return whether a call with these prompt parts cuts its connection."""
@@ -305,6 +308,8 @@
         When it began to run them.
     arrivals : int
         Number of calls received, whether run or refused.
+    arrived : list of tuple of float and str
+        Time, in seconds, and id of each of these calls.
     orders : list of dict
         Orders that the replica executed.
     """
@@ -317,6 +322,7 @@
     runs: list[dict[str, str]] = field(default_factory=list)
     starts: list[ReplicaStart] = field(default_factory=list)
     arrivals: int = 0
+    arrived: list[tuple[float, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     register: Callable[[], None] = lambda: None
 
@@ -370,6 +376,7 @@
         self.arrivals += 1
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         call_id = headers.get(names.CALL_ID.decode(), "")
+        self.arrived.append((anyio.current_time(), call_id))
         if self.faults.wrong_id:
             call_id = "0" * 16
         response_headers = [(names.CALL_ID.decode(), call_id)]
@@ -377,8 +384,11 @@
             limit = (names.RATE_LIMIT.decode(), self.faults.rate_limit)
             response_headers.append(limit)
         if self.faults.refuse:
-            refusal = (names.NOT_RUN.decode(), "1")
-            await send_bytes(send, 503, b"", [*response_headers, refusal])
+            response_headers.append((names.NOT_RUN.decode(), "1"))
+            if self.faults.retry_after is not None:
+                rest = (names.RETRY_AFTER.decode(), self.faults.retry_after)
+                response_headers.append(rest)
+            await send_bytes(send, 503, b"", response_headers)
             return
         if self.faults.queue_s and await self._is_left_in_queue(receive):
             return
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -15,6 +15,7 @@
     CallRejected,
     CallWithdrawn,
     PermitRefused,
+    RestRequested,
 )
 from primrosepier.log_lines import LogReader
 from primrosepier.logs import make_log
@@ -162,6 +163,7 @@
     log.emit(CallLost("a1", 1, "w1", 1.9, (0xAB, 0xCD)))
     log.emit(PermitRefused("a1", "w2", 3.5, 0.25))
     log.emit(CallWithdrawn("a1", 2, "w3", 1.25, 5.7))
+    log.emit(RestRequested("a1", "w3", "1.5", 1.5))
     log.emit(make_ended("a1"))
     log.emit(CallRejected("a2", 503, "stale_keys", 7, 4.2))
     log.close()
@@ -178,6 +180,9 @@
     assert "shared parts and request: 00000000000000ab, 00000000000000cd" in explanation
     assert "Not sent to w2: it limits all routers to 3.5 requests/s" in explanation
     assert "Withdrawn from w3, where it had not begun after 1.250 s" in explanation
+    assert (
+        "w3 turned it away and wants no calls of this router for 1.500" in explanation
+    )
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
     assert "software is v1.1" in explanation
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -202,7 +202,8 @@
     "CallPlaced": (
         "request attempt service endpoint kind candidates outstanding "
         "pending_tokens report_age_s remaining_s uncached_tokens "
-        "peer_tokens decoding software resumed_call weights_lag_s forecast_wait_s"
+        "peer_tokens decoding software resumed_call weights_lag_s forecast_wait_s "
+        "backoff_s"
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
@@ -233,6 +234,7 @@
     ),
     "RequestReceived": "request",
     "RequestRefused": "request status code",
+    "RestRequested": "request endpoint retry_after rest_s",
     "RetryChosen": "request attempt after reason",
     "ReuseObserved": (
         "request workspace service endpoint prompt_tokens "
