Send no calls to replicas that have asked for rest

The cause is that nothing heeded the value; a refusal led to a backoff of at most 0.8 s, which the choice falls back to when no replica is left.

rest_periods.py keeps, for each replica id, the rest that it has asked this router for, from the arrival of the answer on and 10 ms longer. A replica at rest is no candidate: for first attempts, retries, resumed streams and cached prefixes alike, nor as a last resort. A rest that is named anew counts anew and never cuts a longer one. Then calls return one at a time, at most one in 0.5 s, until one is answered that was sent after the end. Rest, limits and backoff are one decision: the wait of a replica is the longer one of its limit and its rest, and a replica that names a time gets no backoff of the router's making. When all replicas wait, calls are refused at once with the time until the first is back, spread upwards; so are calls that were refused by the last one.

A 503 counts with and without Not-Executed: whether the call ran does not change what the replica asks for. A 429 does not, nor does the refusal of another router that a call was passed on to. The orders and reads of the weights duty go on: they are not calls of callers; the probes of the cut detector only open a connection. An entry is kept until its time is over even if the replica's registration lapses; a new id at the same address owes nothing. Nothing is exchanged between routers. The old last step in _make_refusal looked at limits of all replicas; now at those that weights allow.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -155,6 +155,8 @@
             )
         if event.backoff_s:
             yield f"  It was in backoff for another {event.backoff_s:.3f} s."
+        if event.resting:
+            yield f"  {event.resting} other replicas had asked for rest."
         if event.software:
             yield f"  The replica's software is {event.software}."
         if event.resumed_call:
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import anyio
@@ -23,6 +23,7 @@
     Step,
     UnknownOutcome,
 )
+from ..rest_periods import RestPeriods, spread_return
 from ..retries import merge_outcomes
 from ..stream_origins import StreamOrigin
 from ..suspects import Quarantined, SuspectTable
@@ -81,6 +82,7 @@
 UNRESUMED_RETRY_AFTER_S = 1.0
 CUT_REASON = "this router is cut off from the replicas as well"
 LIMIT_REASON = "all replicas have reached the limits that they name"
+REST_REASON = "all replicas have asked for rest"
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
 ABSENT_VERSION_REASON = "the software version that began the stream no longer serves"
 WITHDRAWN_REASON = "the replica's weights are too old and the call had not begun"
@@ -126,6 +128,8 @@
         When calls begin at a replica.
     withdrawals : Withdrawals
         Withdraws calls that would begin on old weights too late.
+    rests : RestPeriods
+        Rest that replicas have asked this router for.
     """
 
     sender: CallSender
@@ -145,6 +149,7 @@
     select_replicas: SelectReplicas = select_all
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    rests: RestPeriods = field(default_factory=RestPeriods)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call and send the response through the delivery.
@@ -210,23 +215,39 @@
     def _make_unresumed(self, reason: str) -> NotRun:
         return NotRun(Step.PLACE, "-", reason, UNRESUMED_RETRY_AFTER_S)
 
-    def _make_refusal(
-        self, service: ServiceId, tried: set[EndpointId], origin: StreamOrigin | None
-    ) -> NotRun:
+    def _make_refusal(self, service: ServiceId, origin: StreamOrigin | None) -> NotRun:
         """Return why no replica may receive a call, and when one may again."""
-        now_s = self.clock()
         if origin is not None and not self._list_at_origin(service, origin):
             return self._make_unresumed(ABSENT_VERSION_REASON)
-        limits = self.permits.limits
-        waits_s = [
-            wait_s
-            for replica in self._list_at_origin(service, origin)
-            if replica.id not in tried
-            and (wait_s := limits.compute_wait_s(replica.id, now_s)) > 0
-        ]
-        if not waits_s:
+        wait_s, reason = self._find_first_return(service, origin)
+        if wait_s <= 0:
             return self._make_not_run("no replica is available")
-        return NotRun(Step.PLACE, "-", LIMIT_REASON, min(waits_s))
+        return NotRun(Step.PLACE, "-", reason, wait_s)
+
+    def _find_first_return(
+        self, service: ServiceId, origin: StreamOrigin | None
+    ) -> tuple[float, str]:
+        """Return the time before any replica may receive calls, and what it is for.
+
+        The time, in seconds, is 0 if one may now; the end of a rest is spread.
+        """
+        now_s = self.clock()
+        selected, _ = self.select_replicas(self._list_at_origin(service, origin))
+        if not selected:
+            return 0.0, ""
+        first = min(selected, key=lambda x: self._compute_wait_s(x.id, now_s)).id
+        limit_wait_s = self.permits.limits.compute_wait_s(first, now_s)
+        rest_wait_s = self.rests.compute_wait_s(first, now_s)
+        if rest_wait_s <= limit_wait_s:
+            return limit_wait_s, LIMIT_REASON
+        return spread_return(rest_wait_s, self.rng), REST_REASON
+
+    def _compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the time before a replica may receive a call, seconds."""
+        return max(
+            self.permits.limits.compute_wait_s(endpoint, now_s),
+            self.rests.compute_wait_s(endpoint, now_s),
+        )
 
     def _list_at_origin(
         self, service: ServiceId, origin: StreamOrigin | None
@@ -244,7 +265,7 @@
         tried: set[EndpointId],
         origin: StreamOrigin | None,
     ) -> Choice | None:
-        """Choose a replica whose limit has room; return None if there is none."""
+        """Choose a replica that takes calls now; return None if there is none."""
         while True:
             now_s = self.clock()
             replicas, avoided = self._list_candidates(service, tried, origin, now_s)
@@ -254,12 +275,13 @@
                 return None
             endpoint = choice.replica.id
             wait_s = await self.permits.acquire(endpoint)
-            if wait_s <= 0:
+            if wait_s > 0:
+                rate_per_s = self.permits.limits.get_rate(endpoint)
+                self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
+            elif self.rests.try_begin_request(endpoint, self.clock()):
                 attempt = len(tried) + 1
                 self._log_choice(call, service, choice, attempt, len(replicas))
                 return choice
-            rate_per_s = self.permits.limits.get_rate(endpoint)
-            self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
 
     async def _try_replicas(
         self, call: Call, service: ServiceId, delivery: Delivery
@@ -281,7 +303,7 @@
             origin = delivery.origin
             choice = await self._choose_permitted(call, service, tried, origin)
             if choice is None:
-                outcome = previous or self._make_refusal(service, tried, origin)
+                outcome = previous or self._make_refusal(service, origin)
                 break
             tried.add(choice.replica.id)
             delivery.attempts += 1
@@ -300,6 +322,14 @@
                 break
             self._log_retry(call, choice, outcome, delivery)
             previous = outcome
+        if (
+            isinstance(outcome, NotRun)
+            and outcome.step is not Step.PLACE
+            and not self.links.is_cut
+        ):
+            wait_s, _ = self._find_first_return(service, delivery.origin)
+            wait_s = max(wait_s, outcome.retry_after_s)
+            outcome = replace(outcome, retry_after_s=wait_s)
         if error_response is not None and not delivery.status:
             return await self._finish_with_error(error_response, outcome, delivery)
         return outcome
@@ -353,11 +383,10 @@
     ) -> tuple[Sequence[Replica], AvoidedReplicas]:
         """Return the replicas that a call may be sent to, and those to avoid."""
         selected, outdated = self.select_replicas(self._list_at_origin(service, origin))
-        limits = self.permits.limits
         replicas = [
             replica
             for replica in selected
-            if replica.id not in tried and limits.compute_wait_s(replica.id, now_s) <= 0
+            if replica.id not in tried and self._compute_wait_s(replica.id, now_s) <= 0
         ]
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
         return replicas, AvoidedReplicas(ejected, outdated)
@@ -396,6 +425,11 @@
                 ),
                 forecast_wait_s=self.forecasts.forecast_wait_s(endpoint),
                 backoff_s=max(0.0, load.avoid_until_s - now_s),
+                resting=sum(
+                    self.rests.compute_wait_s(x.id, now_s) > 0
+                    for x in self.read_replicas().list_replicas(service)
+                    if x.id != endpoint
+                ),
             )
         )
 
@@ -414,12 +448,12 @@
             endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
         ) -> None:
             self._record_head(endpoint, head, is_new_connection)
-            self._record_rest(call, endpoint, head)
+            self._record_rest(call, endpoint, head, started_s)
 
+        started_s = self.clock()
         recorder = AttemptRecorder(
             self.loads, prefill, choice.uncached_tokens, record_head
         )
-        started_s = self.clock()
         recorder.begin(started_s)
         sent = self.forecasts.record_sent(endpoint)
         outcome: Outcome | ErrorResponse
@@ -495,12 +529,15 @@
             self.loads.changed.set()
 
     def _record_rest(
-        self, call: Call, endpoint: EndpointId, head: ResponseHead
+        self, call: Call, endpoint: EndpointId, head: ResponseHead, sent_at_s: float
     ) -> None:
-        """Record the rest that a replica asks for."""
+        """Record the rest that a replica asks for, or that it asks for none."""
         if head.rest is not None:
             rest = head.rest
+            self.rests.begin(endpoint, rest.rest_s, self.clock())
             self.log.emit(RestRequested(call.id, endpoint, rest.text, rest.rest_s))
+        elif not head.misdirected and (head.not_run or head.authentic):
+            self.rests.record_answer(endpoint, sent_at_s)
 
     def _record_lost_call(
         self,
@@ -559,7 +596,8 @@
         if isinstance(outcome, NotRun):
             if outcome.step is Step.CONNECT:
                 self._record_unreachable(replica, now_s)
-            else:
+            elif self.rests.compute_wait_s(endpoint, now_s) <= 0:
+                # A replica that has named a time needs no backoff.
                 self.loads.record_refusal(endpoint, now_s)
         elif isinstance(outcome, UnknownOutcome | Interrupted | ErrorResponse):
             self.ejections.record_failure(endpoint, now_s)
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -20,6 +20,8 @@
     table.set("primrosepier_declaration_age_seconds", age_s)
     limited = len(app.forwarder.permits.limits.list_limited())
     table.set("primrosepier_limited_replicas", limited)
+    resting = app.forwarder.rests.count_resting(app.clock())
+    table.set("primrosepier_resting_replicas", resting)
     quarantined = len(app.forwarder.suspects.loss_log.causes)
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -59,6 +59,14 @@
         "Permits that were refused, so that calls went elsewhere for some time.",
         "Rises with primrosepier_limited_replicas; look for LimitChanged.",
     ),
+    MetricSpec(
+        "primrosepier_rests_total",
+        COUNTER,
+        "refusals",
+        (),
+        "Refusals of replicas that named a time without calls in Retry-After.",
+        "Rises steadily: replicas refuse again as soon as their rest is over.",
+    ),
     MetricSpec(
         "primrosepier_streams_taken_up_total",
         COUNTER,
@@ -179,6 +187,14 @@
         "Replicas that limit the requests of all routers together.",
         "Above 0: replicas are in need; find them by LimitChanged.",
     ),
+    MetricSpec(
+        "primrosepier_resting_replicas",
+        GAUGE,
+        "replicas",
+        (),
+        "Replicas that have asked this router for a time without calls.",
+        "All of a service: its calls are refused; find them by RestRequested.",
+    ),
     MetricSpec(
         "primrosepier_quarantined",
         GAUGE,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -16,6 +16,7 @@
     CallRepeated,
     CallWithdrawn,
     PermitRefused,
+    RestRequested,
     StreamTakenUp,
 )
 
@@ -45,6 +46,8 @@
             self.add("primrosepier_withdrawn_attempts_total", 1)
         elif isinstance(event, PermitRefused):
             self.add("primrosepier_refused_permits_total", 1)
+        elif isinstance(event, RestRequested):
+            self.add("primrosepier_rests_total", 1)
         elif isinstance(event, CallPassedOn):
             self.add("primrosepier_passed_on_total", 1)
         elif isinstance(event, StreamTakenUp):
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -80,6 +80,8 @@
         Expected time until the call's output begins.
     backoff_s : float
         Time for which the replica should have been avoided, seconds; 0 for none.
+    resting : int
+        Replicas of the service that were left out since they had asked for rest.
     """
 
     part: ClassVar[str] = "forward"
@@ -101,6 +103,7 @@
     weights_lag_s: float | None = None
     forecast_wait_s: float | None = None
     backoff_s: float = 0.0
+    resting: int = 0
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -160,6 +160,7 @@
             self.app.forwarder.loads.retain(registered)
             self.app.forwarder.forecasts.retain(registered)
             self.app.forwarder.permits.limits.retain(registered)
+            self.app.forwarder.rests.retain(registered, self.platform.clock())
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -130,6 +130,8 @@
         resumed_call="a0",
         weights_lag_s=4.5,
         forecast_wait_s=0.75,
+        backoff_s=0.25,
+        resting=3,
     )
 
 
@@ -185,6 +187,8 @@
     )
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
+    assert "in backoff for another 0.250 s" in explanation
+    assert "3 other replicas had asked for rest" in explanation
     assert "software is v1.1" in explanation
     assert "began with a0" in explanation
     assert "outdated for 4.500 s" in explanation
