--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -18,6 +18,7 @@
     "ENDPOINT_PROOF",
     "HOP_BY_HOP_HEADERS",
     "LAST_EVENT",
+    "LEAVING",
     "MODEL",
     "NOT_RUN",
     "OPERATORS_PREFIX",
@@ -60,6 +61,8 @@
 NOT_RUN = b"not-executed"
 # Requests per second from all routers together.
 RATE_LIMIT = b"server-limit"
+# In all answers of a replica that is leaving, with the value 1.
+LEAVING = b"server-leaving"
 WEIGHTS = b"weight-versions"
 # The id of a workspace.
 WORKSPACE = b"tenant"
