Send nothing new to replicas that say in their answers that they leave

Cause: no line read the header; a replica's leaving was taken from its entry in the store alone. That entry may still say ready, or the store may be away. The class of fault: what a replica says of itself is read from one of several places. Ruled out: a late entry; in the tests it says ready all the time.

Change: any answer that says so, refusals, errors and the reports that the weights duty reads too, with or without proof, takes this process of the replica out of this router's choice: for calls, retries, resumed streams, warm prefixes and orders to load weights. An answer that names another replica does not count. Calls in progress go on. If all replicas that a call may use leave, each is a last resort within its drain time; then calls are refused at once, to return after 1 s. The word belongs to one process: the start in the entry (`born`) is decoded, and a new start or a new id owes nothing. An entry without a start owes nothing once it has disappeared and come back. An entry of the same process that says ready again revokes nothing, since the rule has no such exception, and neither does an answer without the header, which may have been sent before. ReplicaLeaving and a gauge tell of it.

The test of orders now has a replica that only its reports show as leaving.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -67,12 +67,10 @@
 RecordBegun = Callable[
     [RequestId, tuple[ServiceId, ...], StreamOrigin], Awaitable[StreamOrigin | None]
 ]
-RecordHead = Callable[[EndpointId, ResponseHead, bool], None]
+RecordHead = Callable[[ResponseHead, bool], None]
 
 
-def ignore_head(
-    endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
-) -> None:
+def ignore_head(head: ResponseHead, is_new_connection: bool) -> None:
     """Do nothing; used where no one follows the heads of responses."""
 
 
@@ -323,8 +321,8 @@
     uncached_tokens : int
         Tokens of the prompt that the replica is expected to prefill.
     record_head : callable
-        Called with the replica's id, the head of its response, and whether the
-        connection was opened for the call.
+        Called with the head of the response, and whether the connection was opened for
+        the call.
     record_begun : callable
         Called when the replica's output begins: with the first part of a stream's body,
         or with the head of another response.
@@ -362,7 +360,7 @@
         """Record the head of the response, which ends the prefill."""
         self.responded_at_s = now_s
         self.loads.record_response(self.endpoint, head, now_s)
-        self.record_head(self.endpoint, head, self.is_new_connection)
+        self.record_head(head, self.is_new_connection)
         succeeded = not head.not_run and head.status == HTTP_OK
         self._end_prefill(succeeded, now_s)
         if succeeded:
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -197,6 +197,8 @@
     rest : RestRequest or None
         Time for which the endpoint wants no calls from this router; None if it names
         none.
+    is_leaving : bool
+        Whether the response says that its endpoint is leaving.
     """
 
     status: int
@@ -209,6 +211,7 @@
     weights: WeightsVersionNumber | None = None
     rate_limit_per_s: float | None = None
     rest: RestRequest | None = None
+    is_leaving: bool = False
 
 
 class EndpointDialect(Protocol):
--- a/primrosepier/forwarding/fleet.py
+++ b/primrosepier/forwarding/fleet.py
@@ -33,6 +33,8 @@
         Version that the replica serves of each model.
     software : SoftwareVersion
         Version of the replica's software. A stream can't continue at another one.
+    born_ms : int
+        Start of the replica's process, Unix milliseconds; 0 if unknown.
     """
 
     id: EndpointId
@@ -43,6 +45,7 @@
     draining: bool = False
     weights: Mapping[ModelId, WeightsVersionNumber] = field(default_factory=dict)
     software: SoftwareVersion = SoftwareVersion("")
+    born_ms: int = 0
 
     @property
     def origin(self) -> StreamOrigin:
@@ -112,10 +115,14 @@
             if endpoint not in self.entries and replica.address not in addresses
         }
 
+    def list_registered(self) -> list[Replica]:
+        """Return all replicas that are registered, or kept although they are not."""
+        return [*self.entries.values(), *self.missing.values()]
+
     def make_list(self, now_s: float) -> ReplicaList:
         """Return the replicas that may receive calls."""
         self._prune_missing(now_s)
-        current = [*self.entries.values(), *self.missing.values()]
+        current = self.list_registered()
         by_service: dict[ServiceId, list[Replica]] = {}
         for replica in sorted(current, key=lambda replica: replica.id):
             if not replica.draining:
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -40,6 +40,7 @@
 from .cuts import CutDetector
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
+from .leaving import LeavingReplicas
 from .origins import OriginExchange
 from .peer_relay import PeerRelay
 from .permits import PermitExchange
@@ -80,7 +81,11 @@
 # Retry-After of a stream that can't go on, seconds. A replica that crashed is back in a
 # few, and a call that comes in vain costs little.
 UNRESUMED_RETRY_AFTER_S = 1.0
+# Retry-After of a call to a service whose replicas all leave, seconds. Others are there
+# in a few.
+LEAVING_RETRY_AFTER_S = 1.0
 CUT_REASON = "this router is cut off from the replicas as well"
+LEAVING_REASON = "all replicas are leaving"
 LIMIT_REASON = "all replicas have reached the limits that they name"
 REST_REASON = "all replicas have asked for rest"
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
@@ -130,6 +135,8 @@
         Withdraws calls that would begin on old weights too late.
     rests : RestPeriods
         Rest that replicas have asked this router for.
+    leaving : LeavingReplicas
+        Replicas that say in their answers that they are leaving.
     """
 
     sender: CallSender
@@ -150,6 +157,7 @@
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
     rests: RestPeriods = field(default_factory=RestPeriods)
+    leaving: LeavingReplicas = field(default_factory=LeavingReplicas)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call and send the response through the delivery.
@@ -173,9 +181,7 @@
         else:
             service = self._choose_service(call.route)
         if service is None:
-            return self._make_not_run(
-                "no replica is registered for the route's services"
-            )
+            return self._make_unserved(call.route)
         self.retries.record_call(service, self.clock())
         outcome = await self._try_replicas(call, service, delivery)
         if delivery.origin is not None and isinstance(outcome, Completed):
@@ -202,13 +208,29 @@
         return found.origin
 
     def _choose_service(self, route: Route) -> ServiceId | None:
-        replicas = self.read_replicas()
-        options = [s for s in route.services if s[1] and replicas.list_replicas(s[0])]
+        replicas, now_s = self.read_replicas(), self.clock()
+        registered = [
+            (service, replicas.list_replicas(service[0]))
+            for service in route.services
+            if service[1]
+        ]
+        options = [s for s, known in registered if self.leaving.select_staying(known)]
+        if not options:
+            options = [
+                s for s, known in registered if self.leaving.select(known, now_s)
+            ]
         if not options:
             return None
         weights = [weight for _, weight in options]
         return self.rng.choices(options, weights)[0][0]
 
+    def _make_unserved(self, route: Route) -> NotRun:
+        """Return why no service of a route may receive a call."""
+        replicas = self.read_replicas()
+        if any(replicas.list_replicas(s) for s in route.list_services()):
+            return NotRun(Step.PLACE, "-", LEAVING_REASON, LEAVING_RETRY_AFTER_S)
+        return self._make_not_run("no replica is registered for the route's services")
+
     def _make_not_run(self, reason: str) -> NotRun:
         return NotRun(Step.PLACE, "-", reason, RETRY_AFTER_S)
 
@@ -252,11 +274,11 @@
     def _list_at_origin(
         self, service: ServiceId, origin: StreamOrigin | None
     ) -> Sequence[Replica]:
-        """Return a service's replicas; those of the version that began a stream."""
+        """Return the replicas that a call may use, at its stream's software version."""
         replicas = self.read_replicas().list_replicas(service)
-        if origin is None:
-            return replicas
-        return [x for x in replicas if x.software == origin.software]
+        if origin is not None:
+            replicas = tuple(x for x in replicas if x.software == origin.software)
+        return self.leaving.select(replicas, self.clock())
 
     async def _choose_permitted(
         self,
@@ -444,10 +466,8 @@
         index = self.chooser.prefixes
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
 
-        def record_head(
-            endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
-        ) -> None:
-            self._record_head(endpoint, head, is_new_connection)
+        def record_head(head: ResponseHead, is_new_connection: bool) -> None:
+            self._record_head(choice.replica, head, is_new_connection)
             self._record_rest(call, endpoint, head, started_s)
 
         started_s = self.clock()
@@ -512,11 +532,15 @@
         return UnknownOutcome(Step.HEADERS, endpoint, WITHDRAWN_REASON)
 
     def _record_head(
-        self, endpoint: EndpointId, head: ResponseHead, is_new_connection: bool
+        self, replica: Replica, head: ResponseHead, is_new_connection: bool
     ) -> None:
         """Record that a replica responded, and what the head of its response tells."""
+        endpoint = replica.id
         self.links.record_reached(endpoint, is_new_connection)
         self._record_limit(endpoint, head)
+        # Refusals carry no proof, so the word counts without it.
+        if head.is_leaving and not head.misdirected:
+            self.leaving.record(replica, self.clock())
 
     def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
         """Record the limit that a replica names, or that it names none."""
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -22,6 +22,8 @@
     table.set("primrosepier_limited_replicas", limited)
     resting = app.forwarder.rests.count_resting(app.clock())
     table.set("primrosepier_resting_replicas", resting)
+    leaving = map(app.forwarder.leaving.is_leaving, store_view.fleet.list_registered())
+    table.set("primrosepier_leaving_replicas", sum(leaving))
     quarantined = len(app.forwarder.suspects.loss_log.causes)
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -195,6 +195,14 @@
         "Replicas that have asked this router for a time without calls.",
         "All of a service: its calls are refused; find them by RestRequested.",
     ),
+    MetricSpec(
+        "primrosepier_leaving_replicas",
+        GAUGE,
+        "replicas",
+        (),
+        "Replicas that say in their answers that they are leaving.",
+        "Above 0 for long: they do not end; find them by ReplicaLeaving.",
+    ),
     MetricSpec(
         "primrosepier_quarantined",
         GAUGE,
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -35,6 +35,7 @@
     "PermitRefused",
     "QuarantineChanged",
     "ReplicaGivenUp",
+    "ReplicaLeaving",
     "RestRequested",
     "RouterStarted",
     "RouterStopping",
@@ -373,6 +374,25 @@
         return f"{self.endpoint} takes {self.rate_per_s:g} requests/s from all routers"
 
 
+class ReplicaLeaving(Event, frozen=True):
+    """A replica said for the first time in an answer that it is leaving.
+
+    Parameters
+    ----------
+    born_ms : int
+        Start of the replica's process, Unix milliseconds; 0 if unknown.
+    """
+
+    part: ClassVar[str] = "forward"
+    endpoint: EndpointId
+    service: ServiceId
+    born_ms: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"{self.endpoint} of {self.service} says that it is leaving"
+
+
 class PermitRefused(Event, frozen=True):
     """A call had to go elsewhere because its replica's limit is reached.
 
@@ -630,6 +650,7 @@
     | EntryUnreadable
     | FleetChanged
     | LimitChanged
+    | ReplicaLeaving
     | LinksChanged
     | PermitRefused
     | QuarantineChanged
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -30,6 +30,7 @@
 from .forwarder import Forwarder, make_forwarder
 from .freshness import Freshness
 from .gauges import set_gauges
+from .leaving import LeavingReplicas
 from .metrics import EntryMetrics, make_entry_metrics
 from .origins import OriginExchange
 from .peer_relay import make_peer_relay
@@ -40,6 +41,7 @@
     LinksChanged,
     MetricsUnserved,
     QuarantineChanged,
+    ReplicaLeaving,
     RouterStarted,
     RouterStopping,
     SettingsRead,
@@ -161,6 +163,7 @@
             self.app.forwarder.forecasts.retain(registered)
             self.app.forwarder.permits.limits.retain(registered)
             self.app.forwarder.rests.retain(registered, self.platform.clock())
+            _retain_leaving(self.app.forwarder, self.store_view)
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
@@ -237,6 +240,12 @@
     weights_controller = _make_weights_controller(
         settings, platform, store_view, mirror_controller, load_table
     )
+    forwarder.leaving = weights_controller.leaving = LeavingReplicas(
+        settings.drain_s,
+        lambda replica: log.emit(
+            ReplicaLeaving(replica.id, replica.service, replica.born_ms)
+        ),
+    )
     mirror_controller.get_batching_delay_s = partial(
         choose_batching_delay_s, settings, weights_controller.duty
     )
@@ -253,6 +262,7 @@
         lambda mirror: forwarder.permits.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.origins.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.links.record_hosts(directory.list_hosts()),
+        lambda mirror: _retain_leaving(forwarder, store_view),
         weights_controller.read_loading_record,
         lambda mirror: forwarder.withdrawals.update_deadlines(),
     )
@@ -269,6 +279,11 @@
     return EntryRouter(settings, platform, log, *components)
 
 
+def _retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
+    registered = store_view.fleet.list_registered()
+    forwarder.leaving.retain(registered, forwarder.clock())
+
+
 def _make_exchange(
     directory: PeerDirectory,
     forwarder: Forwarder,
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -94,11 +94,14 @@
         Whether the replica is carrying out an order.
     order_count : int
         Number of orders that the replica has accepted since it started.
+    is_leaving : bool
+        Whether the replica says that it is leaving.
     """
 
     weights: Mapping[ModelId, WeightsVersionNumber]
     is_busy: bool
     order_count: int
+    is_leaving: bool = False
 
 
 class OrderResult(Enum):
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -1,6 +1,6 @@
 """Rollout of requested weights to replicas, by the holder of the weights duty."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -16,6 +16,7 @@
 from ..store import Applied, Put
 from .calls import WeightsVersionNumber
 from .fleet import Replica
+from .leaving import LeavingReplicas
 from .loading_record import LOADING_RECORD_KEY, LoadingRecord, decode_loading_record
 from .records import DutyChanged, EntryUnreadable, WeightsOrdered
 from .store_view import StoreView
@@ -76,6 +77,8 @@
         Returns the replicas that cannot be reached.
     notify : callable
         Called when this router's loading record changes.
+    leaving : LeavingReplicas
+        Replicas that say in their answers that they are leaving; they load nothing.
 
     Attributes
     ----------
@@ -110,6 +113,7 @@
     count_calls: Callable[[EndpointId], int]
     list_unreachable: Callable[[], Collection[EndpointId]] = tuple
     notify: Callable[[], None] = ignore_change
+    leaving: LeavingReplicas = field(default_factory=LeavingReplicas)
     load_time: LoadTimeAverage = field(default_factory=LoadTimeAverage)
     stopping: bool = False
     record_revision: int | None = None
@@ -223,9 +227,7 @@
         """Return whether any replica is missing requested weights."""
         requested_weights = self.store_view.requested_weights.value
         return any(
-            list_needed_weights_loads(
-                [self.with_known_weights(r) for r in replicas], requested_weights
-            )
+            list_needed_weights_loads(self._list_staying(replicas), requested_weights)
             for replicas in self.store_view.replicas.value.by_service.values()
         )
 
@@ -274,9 +276,8 @@
         unreachable = self.list_unreachable()
         loads: list[WeightsLoad] = []
         for replicas in self.store_view.replicas.value.by_service.values():
-            current = [self.with_known_weights(replica) for replica in replicas]
             loads += plan_weights_loads(
-                current,
+                self._list_staying(replicas),
                 requested_weights,
                 self.loading,
                 timing,
@@ -290,6 +291,13 @@
             group.start_soon(self._run_load, load)
         self._notify_change()
 
+    def _list_staying(self, replicas: Sequence[Replica]) -> list[Replica]:
+        """Return the replicas that are not leaving, with their known weights."""
+        return [
+            self.with_known_weights(replica)
+            for replica in self.leaving.select_staying(replicas)
+        ]
+
     def with_known_weights(self, replica: Replica) -> Replica:
         """Return a replica with the newest versions that it is known to have loaded."""
         weights = {
@@ -329,6 +337,8 @@
         state = await self.weights_client.read_state(load.replica)
         if state is None:
             return False
+        if state.is_leaving:
+            self.leaving.record(load.replica, self.clock())
         if self._is_done(load, state):
             return True
         if state.is_busy:
@@ -359,12 +369,12 @@
         return False
 
     def _is_done(self, load: WeightsLoad, state: ReplicaState | None) -> bool:
-        """Return whether a replica has the weights, is draining or not registered.
+        """Return whether a replica has the weights, is leaving or not registered.
 
         Records the version as loaded in the first case.
         """
         replica = self.store_view.find_replica(load.replica.id)
-        if replica is None or replica.draining:
+        if replica is None or replica.draining or self.leaving.is_leaving(replica):
             return True
         version = replica.weights.get(load.model, 0)
         if state is not None:
--- a/primrosepier/platform/orders.py
+++ b/primrosepier/platform/orders.py
@@ -12,6 +12,7 @@
 from ..ids import ModelId
 from ..relay import read_whole_body
 from . import names
+from .replicas import read_leaving
 
 __all__ = ["PlatformOrders"]
 
@@ -57,6 +58,13 @@
     switch_mode: str = SWITCH_MODE
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformOrders:
     """Reads replicas' weights states and sends orders to them."""
@@ -66,16 +74,18 @@
     async def read_state(self, replica: Replica) -> ReplicaState | None:
         """Return a replica's state, or None if it sends no valid response."""
         response = await self._call(replica, "GET", "/report", b"")
-        if response is None or response[0] != OK:
+        if response is None or response.status != OK:
             return None
         try:
-            report = msgspec.json.decode(response[1], type=_Report)
+            report = msgspec.json.decode(response.body, type=_Report)
         except (msgspec.DecodeError, UnicodeDecodeError):
             return None
         weights = {
             ModelId(m.name): WeightsVersionNumber(m.version) for m in report.models
         }
-        return ReplicaState(weights, report.busy, report.seq)
+        return ReplicaState(
+            weights, report.busy, report.seq, read_leaving(response.headers)
+        )
 
     async def send(self, order: WeightsOrder) -> OrderResult:
         """Send an order."""
@@ -92,12 +102,12 @@
         response = await self._call(load.replica, "POST", "/order", body)
         if response is None:
             return OrderResult.UNKNOWN
-        return RESULTS.get(response[0], OrderResult.REFUSED)
+        return RESULTS.get(response.status, OrderResult.REFUSED)
 
     async def _call(
         self, replica: Replica, method: str, path: str, body: bytes
-    ) -> tuple[int, bytes] | None:
-        """Return the status and body of the response, or None if there is none."""
+    ) -> _Response | None:
+        """Return the response, or None if there is none."""
         headers = [(names.EXPECTED_ENDPOINT.decode("ascii"), str(replica.id))]
         if body:
             headers.append(("content-type", "application/json"))
@@ -114,6 +124,8 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S + CALL_TIMEOUT_S):
                 async with self.client.open(call) as response:
                     data = await read_whole_body(response, MAX_REPORT_BYTES)
-                    return None if data is None else (response.status, data)
+                    if data is None:
+                        return None
+                    return _Response(response.status, tuple(response.headers), data)
         except (*CONNECT_ERRORS, *RELAY_ERRORS, TimeoutError):
             return None
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -2,7 +2,7 @@
 
 import re
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -25,13 +25,14 @@
 from ..retry_after import RestRequest, parse_retry_after
 from . import names
 
-__all__ = ["PlatformDialect", "decode_replica"]
+__all__ = ["PlatformDialect", "decode_replica", "read_leaving"]
 
 MS = 0.001
 READY = "ready"
 DRAINING = "draining"
 MISDIRECTED = 421
 UNAVAILABLE = 503
+LEAVING_VALUE = b"1"
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -51,6 +52,8 @@
     # The version of the replica's software, not of its weights.
     version: str
     models: list[_Model] = []
+    # Unix milliseconds of the replica's start.
+    born: int = 0
 
 
 def decode_replica(name: str, value: bytes) -> Replica:
@@ -81,6 +84,7 @@
             ModelId(m.name): WeightsVersionNumber(m.version) for m in entry.models
         },
         software=SoftwareVersion(entry.version),
+        born_ms=entry.born,
     )
 
 
@@ -151,9 +155,18 @@
             weights=_read_weights(values.get(names.WEIGHTS, b"")),
             rate_limit_per_s=_read_rate(values.get(names.RATE_LIMIT, b"")),
             rest=_read_rest(status, values),
+            is_leaving=read_leaving(headers),
         )
 
 
+def read_leaving(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether the headers of an answer say that its replica is leaving."""
+    return any(
+        name.lower() == names.LEAVING and value.strip() == LEAVING_VALUE
+        for name, value in headers
+    )
+
+
 def _read_load(value: bytes) -> ReportedLoad | None:
     parts = value.split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -184,6 +184,42 @@
     assert head.rate_limit_per_s == rate_per_s
 
 
+@pytest.mark.parametrize(
+    ("header", "is_leaving"),
+    [((b"Server-Leaving", b"1"), True), ((b"server-leaving", b" 1 "), True)]
+    + [((b"Server-Leaving", value), False) for value in (b"0", b"", b"11", b"\xb9")]
+    + [((b"a", b"1"), False)],
+)
+@pytest.mark.parametrize("status", [200, 429, 500, 503])
+def test_only_the_header_with_the_value_1_says_that_a_replica_leaves(
+    status, header, is_leaving
+):
+    head = PlatformDialect().read_head(status, [(b"a", b"b"), header])
+    assert head.is_leaving is is_leaving
+
+
+ENTRY = {
+    "service": "writers",
+    "address": "10.0.0.1:1",
+    "zone": "rennes",
+    "state": "ready",
+    "slots": 4,
+    "version": "v1",
+}
+
+
+def test_the_start_of_a_replica_is_read_from_its_entry():
+    entry = {**ENTRY, "born": 1_700_000_000_001}
+    assert decode_replica("w1", msgspec.json.encode(entry)).born_ms == entry["born"]
+    assert decode_replica("w1", msgspec.json.encode(ENTRY)).born_ms == 0
+
+
+@pytest.mark.parametrize("born", ["1", 1.5, None, [1]])
+def test_an_entry_with_a_malformed_start_names_no_replica(born):
+    with pytest.raises(MessageError):
+        decode_replica("w1", msgspec.json.encode({**ENTRY, "born": born}))
+
+
 CACHE_STORE = CacheStore("10.0.9.9:1", "rennes")
 
 
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -168,14 +168,19 @@
 def test_a_leaving_replica_gets_no_order_to_load_weights():
     async def check(fleet):
         (router,) = fleet.routers
-        leaving, staying = (fleet.replicas[name] for name in TWO_WRITERS)
-        leaving.faults.leaving = True
+        # The first says so in an answer to a call, the second only in its reports.
+        *leaving, staying = fleet.replicas.values()
+        leaving[0].faults.leaving = True
         callers = Callers(fleet)
-        while not leaving.arrived:
+        while not leaving[0].arrived:
             await callers.send(router)
+        leaving[1].faults.leaving = True
         fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
-        await fleet.wait_until(lambda: staying.weights == 2)
+        table = router.app.forwarder.leaving
+        await fleet.wait_until(
+            lambda: staying.weights == 2 and len(table.told_at_s) == 2
+        )
         await anyio.sleep(0.5)
-        assert not leaving.orders
+        assert not any(replica.orders for replica in leaving)
 
-    run_leaving(check, names=TWO_WRITERS, weights_s=4.0)
+    run_leaving(check, names=WRITERS[:3], weights_s=4.0)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -228,6 +228,7 @@
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
     "ReplicaGivenUp": "endpoint calls",
+    "ReplicaLeaving": "endpoint service born_ms",
     "RequestEnded": (
         "request workspace service outcome step peer reason prompt_tokens "
         "cached_tokens duration_s ttft_s"
