Show in tests that killed routers join streams of two software versions

What callers saw: after all routers were killed, streams taken up 8 to 16 s after the start hold events of two software versions, and where the old version still serves most are refused. Class of fault: a process's own memory is taken for evidence of what was before it.

The tests kill routers without a graceful stop (their tasks are cancelled) and shorten the 10 s after which one version counts as the only one.

--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -135,7 +135,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(names, configured, settings, versions):
+async def open_fleet(names, configured, settings, versions, registered=None):
     """Serve the store and replica stand-ins while the context is open."""
     async with contextlib.AsyncExitStack() as stack:
 
@@ -162,7 +162,8 @@
         if configured:
             store.put("op/config", make_configuration())
         for name in names:
-            fleet.register(name)
+            if registered is None or name in registered:
+                fleet.register(name)
             replicas[name].register = functools.partial(fleet.register, name)
         yield fleet
 
--- /dev/null
+++ b/tests/test_killed_routers.py
@@ -0,0 +1,229 @@
+"""Streams that are taken up after routers were killed, over real sockets."""
+
+import contextlib
+
+import anyio
+import pytest
+from entry_fleet import open_fleet
+from test_software_versions import EVENT_ID, STREAMS, VERSIONS, TakenUp, break_streams
+
+from primrosepier import stream_origins
+
+pytestmark = pytest.mark.sockets
+OLD = [name for name, version in VERSIONS.items() if version == "v1"]
+NEW = [name for name, version in VERSIONS.items() if version == "v2"]
+HOSTS = ("front-1", "front-2", "front-3")
+# Time that routers run before the streams begin, seconds: enough to take duties.
+SETTLE_S = 1.5
+# Time between the kill and the start, and from the start to the callers' return.
+DOWN_S = 0.2
+RETURN_S = 1.2
+
+
+@pytest.fixture(autouse=True)
+def shorten_waits(monkeypatch):
+    monkeypatch.setattr(stream_origins, "SOLE_VERSION_S", 0.4)
+
+
+class KilledFleet:
+    """Routers that run in tasks of their own, and end without a graceful stop."""
+
+    def __init__(self, fleet, group):
+        self.fleet = fleet
+        self.group = group
+        self.scopes = {}
+
+    async def start(self, hosts=HOSTS):
+        async def run(host, started):
+            with self.scopes[host]:
+                async with self.fleet.open_router(host) as router:
+                    started[host] = router
+                    await anyio.sleep_forever()
+
+        started = {}
+        for host in hosts:
+            self.scopes[host] = anyio.CancelScope()
+            self.group.start_soon(run, host, started)
+
+        def are_ready():
+            return len(started) == len(hosts) and all(
+                router.store_view.declaration.value is not None
+                for router in started.values()
+            )
+
+        await self.fleet.wait_until(are_ready)
+
+    async def wait_for_peers(self):
+        """Wait until all routers know the present tokens of the others."""
+        routers = self.fleet.routers
+        tokens = {x.settings.host: x.peers.directory.token for x in routers}
+
+        def know_all():
+            return all(
+                tokens[router.settings.host] == tokens[host]
+                or router.peers.directory.peers[host].token == tokens[host]
+                for router in routers
+                for host in tokens.keys() & {*router.peers.directory.list_hosts()}
+            ) and all(
+                len(x.peers.directory.list_hosts()) == len(HOSTS) for x in routers
+            )
+
+        await self.fleet.wait_until(know_all)
+
+    async def kill(self, hosts=HOSTS):
+        for host in hosts:
+            self.scopes[host].cancel()
+        await anyio.sleep(DOWN_S)
+        self.fleet.routers[:] = [
+            router
+            for router in self.fleet.routers
+            if not self.scopes[router.settings.host].cancel_called
+        ]
+
+    def replace(self, leaving, coming):
+        for name in coming:
+            self.fleet.register(name)
+        for name in leaving:
+            self.fleet.store.remove(f"servers/{name}")
+
+    async def begin(self, settle_s=SETTLE_S):
+        """Begin streams at all routers that break off after their first event.
+
+        A router's first retry is always allowed, so its first stream breaks off at two
+        replicas and is held as one that crashes them; it is left out.
+        """
+        await anyio.sleep(settle_s)
+        await self.wait_for_peers()
+        break_streams(self.fleet)
+        count = len(self.fleet.routers)
+        streams = [TakenUp(number) for number in range(STREAMS + count)]
+        for number, stream in enumerate(streams):
+            routers = self.fleet.routers
+            assert not await stream.send(self.fleet, routers[number % len(routers)])
+            assert EVENT_ID.findall(stream.body)
+        for name in VERSIONS:
+            self.fleet.replicas[name].faults.break_after = None
+        return streams[count:]
+
+    async def take_up(self, streams):
+        """Take streams up at other routers; return the share that goes on."""
+        await anyio.sleep(RETURN_S)
+        complete = 0
+        for number, stream in enumerate(streams):
+            routers = self.fleet.routers
+            router = routers[(number + 1) % len(routers)]
+            complete += await stream.send(self.fleet, router)
+            assert stream.status in (200, 503)
+            assert len(self.fleet.find_versions(stream.attempts)) == 1
+        return complete / len(streams)
+
+
+def run_killed(check, registered=tuple(OLD), **settings):
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            fleet = await stack.enter_async_context(
+                open_fleet(
+                    tuple(VERSIONS),
+                    True,
+                    {"repeat_ratio": 0.0, "repeat_extra": 0.0, **settings},
+                    VERSIONS,
+                    registered,
+                )
+            )
+            with anyio.fail_after(30):
+                async with anyio.create_task_group() as group:
+                    killed = KilledFleet(fleet, group)
+                    await killed.start()
+                    await check(killed)
+                    group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_no_stream_is_joined_when_all_replicas_are_replaced_before_all_routers_die():
+    async def check(killed):
+        streams = await killed.begin()
+        killed.replace(OLD, NEW)
+        await killed.kill()
+        await killed.start()
+        assert await killed.take_up(streams) == 0
+
+    run_killed(check)
+
+
+def test_no_stream_is_joined_when_all_replicas_are_replaced_while_routers_are_down():
+    async def check(killed):
+        streams = await killed.begin()
+        await killed.kill()
+        killed.replace(OLD, NEW)
+        await killed.start()
+        assert await killed.take_up(streams) == 0
+
+    run_killed(check)
+
+
+def test_streams_of_a_version_that_stays_go_on_after_all_routers_died_in_a_release():
+    async def check(killed):
+        streams = await killed.begin()
+        # Streams that began within the last batch interval may be lost.
+        await anyio.sleep(1.2)
+        await killed.kill()
+        await killed.start()
+        assert await killed.take_up(streams) >= 0.9
+
+    run_killed(check, registered=tuple(VERSIONS))
+
+
+def test_streams_go_on_at_the_last_old_replica_after_a_release_while_routers_are_down():
+    async def check(killed):
+        streams = await killed.begin()
+        await killed.kill()
+        killed.replace(OLD[1:], NEW)
+        await killed.start()
+        assert await killed.take_up(streams) >= 0.9
+
+    run_killed(check)
+
+
+def test_streams_of_the_only_version_go_on_as_soon_as_killed_routers_are_back():
+    async def check(killed):
+        streams = await killed.begin()
+        await killed.kill()
+        await killed.start()
+        assert await killed.take_up(streams) >= 0.9
+
+    stream_origins.SOLE_VERSION_S = 10.0
+    run_killed(check)
+
+
+@pytest.mark.parametrize("killed_hosts", [HOSTS[:1], HOSTS[:2]])
+def test_streams_go_on_at_their_version_after_some_routers_died_in_a_release(
+    killed_hosts,
+):
+    async def check(killed):
+        streams = await killed.begin()
+        await anyio.sleep(1.2)
+        await killed.kill(killed_hosts)
+        await killed.start(killed_hosts)
+        await killed.wait_for_peers()
+        assert await killed.take_up(streams) >= 0.9
+
+    run_killed(check, registered=tuple(VERSIONS))
+
+
+def test_no_stream_is_joined_when_the_store_is_away_as_killed_routers_start():
+    async def check(killed):
+        streams = await killed.begin()
+        await killed.kill()
+        killed.replace(OLD, NEW)
+        killed.fleet.store.faults.status = 503
+        killed.group.start_soon(killed.start)
+        await anyio.sleep(1.0)
+        for stream in streams[:4]:
+            routers = killed.fleet.routers
+            assert not await stream.send(killed.fleet, routers[0])
+            assert stream.status == 503
+        killed.fleet.store.faults.status = 0
+        assert await killed.take_up(streams) == 0
+
+    run_killed(check)
