Keep the software versions of services in the store

What callers saw: after a kill of all routers, streams that began at one software version went on at another, or were refused though their version still served.

Cause: a router that had seen one version for 10 s since its own start took it for the one at which any stream began. Class of fault: a process's own memory is taken for evidence of what was before it.

Ruled out: a longer time. However long a router watches, it can't see what was before its start, and callers come back sooner.

Change: the key software-versions, without a lease, names the versions of each service. Any router adds a version that it sees registered, on condition of the key's revision; the holder of the weights duty alone creates the record, tells when it is complete, and drops a version after it has missed it for 120 s of its own tenure. It is complete from the first start on (firstStart), else once the writer has watched for 120 s. A router takes a version for the only origin only if a complete record and all it has seen name no other. Streams that began while that was not so are told to two routers, as before.

Streams of before a kill of all routers that no router knows began at the version that the record named alone at the routers' start; that holds for 20 s, after all routers have been asked.

Why it works: whichever routers die, the record lives, and a version is in it before routers that batch their changes send streams there. Builds without the record ignore the key; what they answer about the only version is still believed, as before.

Tests of VersionHistory that let 10 s or 20 s pass to prove a version the only one now put it into the record; that time alone proves nothing is asserted instead.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -78,12 +78,14 @@
 # Tokens added to a prompt's uncached tokens when latency per token is computed. They
 # stand for the fixed cost of an engine step, so that short prompts do not look slow.
 PREFILL_BASE_TOKENS = 512
-# Retry-After of a stream that can't go on, seconds. A replica that crashed is back in a
-# few, and a call that comes in vain costs little.
+# Retry-After of a stream whose version may be back soon, seconds. A replica that
+# crashed is back in a few, and a call that comes in vain costs little.
 UNRESUMED_RETRY_AFTER_S = 1.0
 # Retry-After of a call to a service whose replicas all leave, seconds. Others are there
 # in a few.
 LEAVING_RETRY_AFTER_S = 1.0
+# Retry-After of a stream that will never go on: as long as its caller honours it.
+NEVER_RESUMED_RETRY_AFTER_S = float("inf")
 CUT_REASON = "this router is cut off from the replicas as well"
 LEAVING_REASON = "all replicas are leaving"
 LIMIT_REASON = "all replicas have reached the limits that they name"
@@ -174,9 +176,9 @@
         if call.is_resumed and call.route.retry_policy is RetryPolicy.RESUME:
             origin = delivery.origin = await self._find_origin(call)
             if origin is None:
-                return self._make_unresumed(UNKNOWN_STREAM_REASON)
+                return self._make_unresumed(UNKNOWN_STREAM_REASON, is_final=True)
             if origin.service not in call.route.list_services():
-                return self._make_unresumed(ABSENT_VERSION_REASON)
+                return self._make_unresumed(ABSENT_VERSION_REASON, is_final=True)
             service: ServiceId | None = origin.service
         else:
             service = self._choose_service(call.route)
@@ -234,13 +236,16 @@
     def _make_not_run(self, reason: str) -> NotRun:
         return NotRun(Step.PLACE, "-", reason, RETRY_AFTER_S)
 
-    def _make_unresumed(self, reason: str) -> NotRun:
-        return NotRun(Step.PLACE, "-", reason, UNRESUMED_RETRY_AFTER_S)
+    def _make_unresumed(self, reason: str, is_final: bool) -> NotRun:
+        """Return the refusal of a stream; a final one asks its caller to stay away."""
+        after_s = NEVER_RESUMED_RETRY_AFTER_S if is_final else UNRESUMED_RETRY_AFTER_S
+        return NotRun(Step.PLACE, "-", reason, after_s)
 
     def _make_refusal(self, service: ServiceId, origin: StreamOrigin | None) -> NotRun:
         """Return why no replica may receive a call, and when one may again."""
         if origin is not None and not self._list_at_origin(service, origin):
-            return self._make_unresumed(ABSENT_VERSION_REASON)
+            is_final = self.origins.is_lost(origin)
+            return self._make_unresumed(ABSENT_VERSION_REASON, is_final)
         wait_s, reason = self._find_first_return(service, origin)
         if wait_s <= 0:
             return self._make_not_run("no replica is available")
--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -14,7 +14,7 @@
 
 from ..clocks import Clock
 from ..host_ranking import rank_hosts
-from ..ids import HostId, RequestId, ServiceId
+from ..ids import HostId, RequestId, ServiceId, SoftwareVersion
 from ..stream_origins import StreamOrigin, StreamOrigins, VersionHistory
 from .peer_requests import PeerRequests
 
@@ -33,6 +33,8 @@
 # Routers that are asked for an origin: one more than keep it, since a router that has
 # just joined may have taken the place of a keeper.
 ASKED = KEEPERS + 1
+# Time within which a replica that crashed is back, seconds.
+REPLICA_RESTART_S = 10.0
 # Limits the size of a datagram.
 MAX_TOLD = 500
 
@@ -87,6 +89,7 @@
     RECORDED = "recorded by this router"
     REPLIED = "replied by another router"
     SOLE = "the only version of late"
+    FORMER = "the only version before the router's start"
     UNKNOWN = "unknown"
 
 
@@ -117,6 +120,8 @@
     ----------
     hosts : frozenset of HostId
         The other registered routers.
+    sole : dict of ServiceId to SoftwareVersion or None
+        The only version of each service at the last look.
     """
 
     host: HostId
@@ -125,6 +130,7 @@
     hosts: frozenset[HostId] = frozenset()
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     versions: VersionHistory = field(default_factory=VersionHistory)
+    sole: dict[ServiceId, SoftwareVersion | None] = field(default_factory=dict)
     requests: PeerRequests[OriginReply] = field(default_factory=PeerRequests)
 
     def record_hosts(self, hosts: Iterable[HostId]) -> None:
@@ -137,8 +143,12 @@
         Streams that began while there was one version were not told of.
         """
         now_s = self.clock()
-        for service in self.versions.record(origins, now_s):
-            await self._tell(self.origins.list_own(service, now_s))
+        self.versions.record(origins, now_s)
+        for service in list(self.versions.seen_at_s):
+            sole = self.versions.find_sole(service)
+            if self.sole.get(service) not in (None, sole):
+                await self._tell(self.origins.list_own(service, now_s))
+            self.sole[service] = sole
 
     async def record_begun(
         self, call: RequestId, services: tuple[ServiceId, ...], origin: StreamOrigin
@@ -152,19 +162,24 @@
         """
         now_s = self.clock()
         self.origins.record(call, origin, now_s, is_own=True)
-        if self._find_sole(services, now_s) != origin:
+        self.versions.record([origin], now_s)
+        if self._find_sole(services) != origin:
             await self._tell({call: origin})
         return origin
 
-    def _find_sole(
-        self, services: tuple[ServiceId, ...], now_s: float
-    ) -> StreamOrigin | None:
+    def _find_sole(self, services: tuple[ServiceId, ...]) -> StreamOrigin | None:
         """Return where any stream of the services began; None if there are several."""
         if len(services) != 1:
             return None
-        software = self.versions.find_sole(services[0], now_s)
+        software = self.versions.find_sole(services[0])
         return None if software is None else StreamOrigin(services[0], software)
 
+    def is_lost(self, origin: StreamOrigin) -> bool:
+        """Return whether a version that no longer serves has left for good."""
+        seen_at_s = self.versions.get_seen_at_s(origin)
+        started_at_s = self.versions.started_at_s or 0.0
+        return self.clock() - max(seen_at_s, started_at_s) > REPLICA_RESTART_S
+
     def record_complete(self, call: RequestId) -> None:
         """Record that a stream has ended."""
         self.origins.complete(call, self.clock())
@@ -187,21 +202,49 @@
         origin = self.origins.find(call, self.clock())
         if origin is not None:
             return FoundOrigin(origin, OriginResult.RECORDED)
-        replies = await self._ask_keepers(call, services)
+        keepers = rank_hosts(call, self.hosts)[:ASKED]
+        replies = await self._ask(keepers, call, services)
         for reply in replies:
             if reply.origin is not None:
                 self.origins.record(call, reply.origin, self.clock())
                 return FoundOrigin(reply.origin, OriginResult.REPLIED)
         replies.append(self._make_reply(0, call, services))
         sole = {reply.sole for reply in replies if reply.sole is not None}
-        if len(sole) != 1 or any(reply.is_mixed for reply in replies):
-            return FoundOrigin(None, OriginResult.UNKNOWN)
-        return FoundOrigin(sole.pop(), OriginResult.SOLE)
+        if len(sole) == 1 and not any(reply.is_mixed for reply in replies):
+            return FoundOrigin(sole.pop(), OriginResult.SOLE)
+        return await self._find_former(call, services)
 
-    async def _ask_keepers(
+    async def _find_former(
         self, call: RequestId, services: tuple[ServiceId, ...]
+    ) -> FoundOrigin:
+        """Return where a stream that no router knows began before the routers' start.
+
+        All routers are asked, since those that keep a stream may not have known of one
+        another yet when it began.
+        """
+        former = self._get_former(services)
+        if former is None:
+            return FoundOrigin(None, OriginResult.UNKNOWN)
+        others = rank_hosts(call, self.hosts)[ASKED:]
+        for reply in await self._ask(others, call, services):
+            if reply.origin is not None:
+                self.origins.record(call, reply.origin, self.clock())
+                return FoundOrigin(reply.origin, OriginResult.REPLIED)
+        return FoundOrigin(former, OriginResult.FORMER)
+
+    def _get_former(self, services: tuple[ServiceId, ...]) -> StreamOrigin | None:
+        if len(services) != 1:
+            return None
+        software = self.versions.find_former(services[0], self.clock())
+        return None if software is None else StreamOrigin(services[0], software)
+
+    async def _ask(
+        self,
+        hosts: Iterable[HostId],
+        call: RequestId,
+        services: tuple[ServiceId, ...],
     ) -> list[OriginReply]:
-        """Return the replies of all keepers, or those up to the first with a record."""
+        """Return the replies of routers, or those up to the first with a record."""
         replies: list[OriginReply] = []
 
         async def ask(host: HostId) -> None:
@@ -216,7 +259,7 @@
                     group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
-            for host in rank_hosts(call, self.hosts)[:ASKED]:
+            for host in hosts:
                 group.start_soon(ask, host)
         return replies
 
@@ -227,7 +270,7 @@
         return OriginReply(
             number,
             self.origins.find(call, now_s),
-            self._find_sole(services, now_s),
+            self._find_sole(services),
             any(self.versions.is_mixed(service) for service in services),
         )
 
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -41,6 +41,8 @@
     "RouterStopping",
     "SettingsRead",
     "StreamTakenUp",
+    "VersionsRecorded",
+    "VersionsUnrecorded",
     "WeightsOrdered",
     "WeightsRequested",
 ]
@@ -599,6 +601,38 @@
         return f"{'holds' if self.held else 'no longer holds'} the duty {self.duty}"
 
 
+class VersionsRecorded(Event, frozen=True):
+    """The record of software versions in the store has changed.
+
+    Parameters
+    ----------
+    versions : tuple of str
+        Each service and version that has served of late.
+    is_complete : bool
+        Whether no other version has.
+    """
+
+    part: ClassVar[str] = "fleet"
+    versions: tuple[str, ...]
+    is_complete: bool
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        known = "complete" if self.is_complete else "not complete yet"
+        return f"recorded software versions, {known}: {', '.join(self.versions)}"
+
+
+class VersionsUnrecorded(Event, frozen=True):
+    """The record of software versions could not be written."""
+
+    part: ClassVar[str] = "fleet"
+    reason: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"could not record software versions: {self.reason}"
+
+
 class WeightsOrdered(Event, frozen=True):
     """A replica was ordered to load other weights."""
 
@@ -660,6 +694,8 @@
     | RouterStopping
     | SettingsRead
     | StreamTakenUp
+    | VersionsRecorded
+    | VersionsUnrecorded
     | WeightsOrdered
     | WeightsRequested
 )
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -55,6 +55,7 @@
 from .store_limits import choose_batching_delay_s, limit_store
 from .store_view import StoreLayout, StoreView, make_store_view
 from .transfers import CachePlan, find_cache_store, plan_cache_use
+from .version_recorder import VersionRecorder
 from .weights import (
     MAX_CURRENT_LAG_S,
     START_MARGIN_S,
@@ -141,6 +142,7 @@
     weights_controller: WeightsController
     peers: PeerExchange
     metrics: EntryMetrics
+    version_recorder: VersionRecorder
     callers_address: str = ""
 
     def compute_grace(self) -> float:
@@ -153,7 +155,7 @@
             await anyio.sleep(REFRESH_INTERVAL_S)
             self.store_view.refresh()
             await self.app.forwarder.origins.record_versions(
-                replica.origin for replica in self.store_view.fleet.entries.values()
+                self.store_view.list_origins()
             )
             replica_lists = self.store_view.replicas.value.by_service.values()
             registered = {
@@ -256,6 +258,17 @@
         settings, load_table, weights_controller, clock
     )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
+    version_recorder = VersionRecorder(
+        platform.store,
+        mirror_controller.mirror,
+        weights_controller.duty,
+        forwarder.origins.versions,
+        store_view.list_origins,
+        log,
+        clock,
+        random.Random(settings.host),
+        settings.is_first_start,
+    )
     listeners = (
         store_view.update,
         directory.update,
@@ -265,6 +278,7 @@
         lambda mirror: _retain_leaving(forwarder, store_view),
         weights_controller.read_loading_record,
         lambda mirror: forwarder.withdrawals.update_deadlines(),
+        version_recorder.read,
     )
     mirror_controller.mirror.listeners.extend(listeners)
     peers = _make_exchange(directory, forwarder, weights_controller)
@@ -275,6 +289,7 @@
         weights_controller,
         peers,
         metrics,
+        version_recorder,
     )
     return EntryRouter(settings, platform, log, *components)
 
@@ -563,6 +578,7 @@
                 group.start_soon(router.mirror_controller.run)
                 group.start_soon(router.refresh)
                 group.start_soon(router.weights_controller.run)
+                group.start_soon(router.version_recorder.run)
                 group.start_soon(router.peers.directory.run)
                 group.start_soon(router.peers.run, socket, open_socket)
                 group.start_soon(router.app.forwarder.links.run)
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -42,6 +42,8 @@
         Time for which a draining replica still serves.
     heartbeat_s : float
         Interval at which a replica renews its registration.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     host: HostId
@@ -64,4 +66,5 @@
     apply_s: float = 2.0
     drain_s: float = 2.0
     heartbeat_s: float = 1.2
+    is_first_start: bool = False
     logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -11,6 +11,7 @@
 from ..logs import Log
 from ..mirror import Mirror
 from ..store import Item
+from ..stream_origins import StreamOrigin
 from .calls import WeightsVersionNumber
 from .declarations import Declaration
 from .fleet import Fleet, Replica, ReplicaList
@@ -226,6 +227,10 @@
             removed = tuple(sorted(previous_ids - current_ids))
             self.log.emit(FleetChanged(added, removed, len(current_ids)))
 
+    def list_origins(self) -> set[StreamOrigin]:
+        """Return the services with the software versions that are registered."""
+        return {replica.origin for replica in self.fleet.entries.values()}
+
     def find_replica(self, endpoint: EndpointId) -> Replica | None:
         """Return a registered replica, draining or not, or None."""
         return self.fleet.entries.get(endpoint)
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -70,6 +70,8 @@
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_ms: float = 1200.0
+    # Whether the whole system starts for the first time.
+    first_start: bool = False
 
 
 def load_entry_settings(environment: Mapping[str, str] = os.environ) -> EntrySettings:
@@ -128,4 +130,5 @@
         drain_s=bounds.drain_ms * MS,
         weights_s=bounds.version_ms * MS,
         heartbeat_s=file_settings.heartbeat_ms * MS,
+        is_first_start=file_settings.first_start,
     )
--- a/primrosepier/stream_origins.py
+++ b/primrosepier/stream_origins.py
@@ -3,17 +3,24 @@
 Replicas of several software versions may serve side by side, and what two versions
 generate can't be joined. Each stream that a router begins has a record here, and so has
 each stream that another router has told of. A stream without a record began at the only
-version that a service has had for some time, if there is such a version.
+version that the service has had of late, if there is such a version. What a router has
+seen since its own start does not tell; a record in the store does.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from .ids import RequestId, ServiceId, SoftwareVersion
 
-__all__ = ["StreamOrigin", "StreamOrigins", "VersionHistory"]
+__all__ = [
+    "StreamOrigin",
+    "StreamOrigins",
+    "VersionHistory",
+    "VersionRecord",
+    "make_version_record",
+]
 
 # Time for which a stream's origin is kept after its router last heard of it, seconds:
 # above the time-outs of streams.
@@ -21,14 +28,14 @@
 # Time for which the origin of a complete stream is kept, seconds: its caller may have
 # lost the end of the response.
 COMPLETE_TTL_S = 5.0
+NEVER_S = float("-inf")
 # Bounds the memory; the oldest origins are dropped first.
 MAX_ORIGINS = 50_000
 # Time for which a version that no longer serves still counts, seconds.
 VERSION_TTL_S = ORIGIN_TTL_S
-# Time without another version after which a stream without a record counts as begun at
-# the only one, seconds: replicas that have left serve on for a few seconds, and callers
-# come back within a few more.
-SOLE_VERSION_S = 10.0
+# Time after a router's start for which a stream that no router knows counts as begun at
+# the version that was the only one then, seconds: callers come back sooner.
+FORMER_VERSION_S = 20.0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -102,48 +109,125 @@
             del self.records[call]
 
 
+class VersionRecord(msgspec.Struct, frozen=True):
+    """Software versions that services have had of late, as stored for all routers.
+
+    Parameters
+    ----------
+    is_complete : bool
+        Whether a version that is missing has served no stream that may be taken up.
+    """
+
+    versions: Mapping[ServiceId, tuple[SoftwareVersion, ...]]
+    is_complete: bool = False
+
+    def list_origins(self) -> set[StreamOrigin]:
+        """Return the services with their versions."""
+        return {
+            StreamOrigin(service, software)
+            for service, versions in self.versions.items()
+            for software in versions
+        }
+
+    def find_only(self, service: ServiceId) -> SoftwareVersion | None:
+        """Return the only version of a service of late; None if that is not known."""
+        versions = self.versions.get(service, ())
+        return versions[0] if self.is_complete and len(versions) == 1 else None
+
+
+def make_version_record(
+    origins: Iterable[StreamOrigin], is_complete: bool
+) -> VersionRecord:
+    """Return the record of services with their versions."""
+    versions: dict[ServiceId, tuple[SoftwareVersion, ...]] = {}
+    for origin in sorted(set(origins), key=lambda x: (x.service, x.software)):
+        known = versions.get(origin.service, ())
+        versions[origin.service] = (*known, origin.software)
+    return VersionRecord(versions, is_complete)
+
+
 @dataclass(slots=True)
 class VersionHistory:
     """Software versions that the replicas of each service have had.
 
     Attributes
     ----------
-    seen_since_s : dict of ServiceId to float
-        Time at which a replica of the service was first seen, seconds.
     seen_at_s : dict of ServiceId to dict of SoftwareVersion to float
-        Time at which a replica of the version was last seen, seconds.
+        Time at which this router last saw a replica of the version, seconds.
+    recorded : VersionRecord or None
+        The newest record in the store; None before the first.
+    former : VersionRecord or None
+        The record in the store at this router's start.
+    started_at_s : float or None
+        Time at which this router first read the store, seconds.
     """
 
-    seen_since_s: dict[ServiceId, float] = field(default_factory=dict)
     seen_at_s: dict[ServiceId, dict[SoftwareVersion, float]] = field(
         default_factory=dict
     )
-
-    def record(self, origins: Iterable[StreamOrigin], now_s: float) -> set[ServiceId]:
-        """Record the versions that serve; return services with another one."""
-        changed = set()
-        for service, software in {(x.service, x.software) for x in origins}:
-            self.seen_since_s.setdefault(service, now_s)
-            versions = self.seen_at_s.setdefault(service, {})
-            if versions and software not in versions:
-                changed.add(service)
-            versions[software] = now_s
+    recorded: VersionRecord | None = None
+    former: VersionRecord | None = None
+    started_at_s: float | None = None
+
+    def record(self, origins: Iterable[StreamOrigin], now_s: float) -> None:
+        """Record the versions that serve."""
+        for origin in set(origins):
+            self.seen_at_s.setdefault(origin.service, {})[origin.software] = now_s
         for versions in self.seen_at_s.values():
             newest_at_s = max(versions.values())
             for software in list(versions):
                 if versions[software] < min(newest_at_s, now_s - VERSION_TTL_S):
                     del versions[software]
-        return changed
+
+    def apply_record(self, recorded: VersionRecord | None, now_s: float) -> None:
+        """Apply the record in the store; None if it holds none.
+
+        The first one is what was known before this router's start.
+        """
+        if self.started_at_s is None:
+            self.started_at_s = now_s
+            self.former = recorded
+        self.recorded = recorded
+
+    def list_seen(self) -> set[StreamOrigin]:
+        """Return the services with the versions that this router has seen of late."""
+        return {
+            StreamOrigin(service, software)
+            for service, versions in self.seen_at_s.items()
+            for software in versions
+        }
+
+    def has_watched(self, now_s: float) -> bool:
+        """Return whether this router has seen all versions that matter itself."""
+        if self.started_at_s is None:
+            return False
+        return now_s - self.started_at_s >= VERSION_TTL_S
 
     def is_mixed(self, service: ServiceId) -> bool:
         """Return whether a service has had several versions of late."""
-        return len(self.seen_at_s.get(service, ())) > 1
+        return len(self._list_versions(service)) > 1
+
+    def find_sole(self, service: ServiceId) -> SoftwareVersion | None:
+        """Return the version at which any stream of a service began, if there is one.
+
+        None if there may be several.
+        """
+        if self.recorded is None or self.is_mixed(service):
+            return None
+        return self.recorded.find_only(service)
 
-    def find_sole(self, service: ServiceId, now_s: float) -> SoftwareVersion | None:
-        """Return the only version of a service for at least ``SOLE_VERSION_S``."""
-        versions = self.seen_at_s.get(service, {})
-        if len(versions) != 1:
+    def find_former(self, service: ServiceId, now_s: float) -> SoftwareVersion | None:
+        """Return the only version of a service before this router's recent start."""
+        if self.started_at_s is None or self.former is None:
             return None
-        if now_s - self.seen_since_s[service] < SOLE_VERSION_S:
+        if now_s - self.started_at_s >= FORMER_VERSION_S:
             return None
-        return next(iter(versions))
+        return self.former.find_only(service)
+
+    def get_seen_at_s(self, origin: StreamOrigin) -> float:
+        """Return when a version was last seen, seconds; minus infinity if never."""
+        return self.seen_at_s.get(origin.service, {}).get(origin.software, NEVER_S)
+
+    def _list_versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        recorded = self.recorded.versions if self.recorded is not None else {}
+        return {*self.seen_at_s.get(service, ()), *recorded.get(service, ())}
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -89,9 +89,10 @@
         return sum(replica.arrivals for replica in self.replicas.values())
 
     @contextlib.asynccontextmanager
-    async def open_router(self, host="front-1"):
+    async def open_router(self, host="front-1", **changes):
         settings = replace(
             self.settings,
+            **changes,
             host=host,
             callers_address=f"127.0.0.1:{find_free_port()}",
             readiness_address=f"127.0.0.1:{find_free_port()}",
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -7,8 +7,6 @@
 from entry_fleet import open_fleet
 from test_software_versions import EVENT_ID, STREAMS, VERSIONS, TakenUp, break_streams
 
-from primrosepier import stream_origins
-
 pytestmark = pytest.mark.sockets
 OLD = [name for name, version in VERSIONS.items() if version == "v1"]
 NEW = [name for name, version in VERSIONS.items() if version == "v2"]
@@ -20,11 +18,6 @@
 RETURN_S = 1.2
 
 
-@pytest.fixture(autouse=True)
-def shorten_waits(monkeypatch):
-    monkeypatch.setattr(stream_origins, "SOLE_VERSION_S", 0.4)
-
-
 class KilledFleet:
     """Routers that run in tasks of their own, and end without a graceful stop."""
 
@@ -32,11 +25,16 @@
         self.fleet = fleet
         self.group = group
         self.scopes = {}
+        self.started = set()
 
     async def start(self, hosts=HOSTS):
         async def run(host, started):
             with self.scopes[host]:
-                async with self.fleet.open_router(host) as router:
+                is_first_start = host not in self.started
+                self.started.add(host)
+                async with self.fleet.open_router(
+                    host, is_first_start=is_first_start
+                ) as router:
                     started[host] = router
                     await anyio.sleep_forever()
 
@@ -140,10 +138,14 @@
     anyio.run(run)
 
 
-def test_no_stream_is_joined_when_all_replicas_are_replaced_before_all_routers_die():
+@pytest.mark.parametrize("before_s", [0.0, 0.8])
+def test_no_stream_is_joined_when_all_replicas_are_replaced_before_all_routers_die(
+    before_s,
+):
     async def check(killed):
         streams = await killed.begin()
         killed.replace(OLD, NEW)
+        await anyio.sleep(before_s)
         await killed.kill()
         await killed.start()
         assert await killed.take_up(streams) == 0
@@ -192,7 +194,6 @@
         await killed.start()
         assert await killed.take_up(streams) >= 0.9
 
-    stream_origins.SOLE_VERSION_S = 10.0
     run_killed(check)
 
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -45,6 +45,7 @@
 from primrosepier.forwarding.permits import PermitReply, PermitRequest
 from primrosepier.forwarding.prefixes import PrefixIndex
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
+from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 from primrosepier.leases import (
     DutyRecord,
     decode_duty,
@@ -74,7 +75,7 @@
 from primrosepier.rollout import LoadingRecord
 from primrosepier.sharing import SharedRate, SharedSuspicion
 from primrosepier.store import Item
-from primrosepier.stream_origins import StreamOrigin
+from primrosepier.stream_origins import StreamOrigin, VersionRecord
 
 MEMBER = MemberRecord("entry-1", "127.0.0.1:8081", "Rennes", 7, 1)
 DIGEST = DigestRecord("load", "entry-1", 7, 3, 5000, b"\x01\x02", True)
@@ -176,6 +177,10 @@
         '{"host":"entry-1","token":"token","fencing":3}',
     ),
     (LOADING, '{"fencing":3,"endpoints":["w1"],"load_s":2.0,"serial":4}'),
+    (
+        VersionRecord({"writers": ("v1", "v2")}, True),
+        '{"versions":{"writers":["v1","v2"]},"is_complete":true}',
+    ),
     (
         PeerEntry("127.0.0.1:9000", "token"),
         '{"address":"127.0.0.1:9000","token":"token"}',
@@ -249,6 +254,8 @@
     "SettingsRead": "changed error",
     "SlideFound": "workspace prefix_level base_rate recent_rate cause",
     "StreamTakenUp": "request resumed_call software result",
+    "VersionsRecorded": "versions is_complete",
+    "VersionsUnrecorded": "reason",
     "WeightsOrdered": "endpoint model weights fencing outcome",
     "WeightsRequested": "model weights age_s",
 }
@@ -297,6 +304,7 @@
 def test_stored_keys_and_miss_causes_stay():
     assert make_duty_key("x") == "/primrosepier/state/duties/x"
     assert make_fencing_key("x") == "/primrosepier/fencing/x"
+    assert VERSIONS_KEY == "/primrosepier/state/software-versions"
     assert LOADING_RECORD_KEY == "/primrosepier/state/weights-orders"
     assert ROUTERS_PREFIX == "/primrosepier/state/routers/"
     assert [cause.value for cause in MissCause] == MISS_CAUSES
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -9,11 +9,14 @@
 from primrosepier.forwarding.origins import OriginExchange, OriginResult
 from primrosepier.stream_origins import (
     COMPLETE_TTL_S,
+    FORMER_VERSION_S,
     MAX_ORIGINS,
     ORIGIN_TTL_S,
     StreamOrigin,
     StreamOrigins,
     VersionHistory,
+    VersionRecord,
+    make_version_record,
 )
 from primrosepier.virtualtime import run_in_virtual_time
 
@@ -60,6 +63,13 @@
         for router in list(self.routers.values()):
             await router.record_versions(origins)
 
+    async def see_recorded(self, *origins, is_complete=True):
+        """See versions that the record in the store names."""
+        record = make_version_record(origins, is_complete)
+        for router in self.routers.values():
+            router.versions.apply_record(record, anyio.current_time())
+        await self.see(*origins)
+
     async def begin(self, host="front-0", origins=(OLD, NEW), count=STREAMS):
         """Begin streams at a router and return their origins by call."""
         begun = {f"{n:016x}": origins[n % len(origins)] for n in range(count)}
@@ -118,9 +128,7 @@
     cluster = OriginCluster(6)
 
     async def play():
-        await cluster.see(OLD)
-        await anyio.sleep(20.0)
-        await cluster.see(OLD)
+        await cluster.see_recorded(OLD)
         begun = await cluster.begin(origins=(OLD,))
         assert cluster.datagrams == 0
         await cluster.see(OLD, NEW)
@@ -136,21 +144,19 @@
     cluster = OriginCluster(6)
 
     async def play():
-        await cluster.see(OLD)
-        await anyio.sleep(20.0)
+        await cluster.see_recorded(OLD)
         begun = await cluster.begin(origins=(NEW,))
         assert await cluster.count_found(begun) == STREAMS
 
     cluster.run(play)
 
 
-def test_an_unknown_stream_began_at_the_only_version_that_any_router_has_seen():
+def test_an_unknown_stream_began_at_the_only_version_that_the_record_names():
     cluster = OriginCluster(6)
 
     async def play():
-        await cluster.see(OLD)
-        await anyio.sleep(20.0)
-        await cluster.see(OLD)
+        await cluster.see_recorded(OLD)
+        await anyio.sleep(FORMER_VERSION_S)
         cluster.add_router("front-new")
         found = await cluster.routers["front-new"].find("f" * 16, (SERVICE,))
         assert (found.origin, found.result) == (OLD, OriginResult.SOLE)
@@ -162,12 +168,50 @@
     cluster.run(play)
 
 
+def test_what_a_router_has_seen_since_its_start_does_not_tell_the_only_version():
+    cluster = OriginCluster(3)
+
+    async def play():
+        await cluster.see(OLD)
+        await anyio.sleep(600.0)
+        await cluster.see(OLD)
+        for router in cluster.routers.values():
+            assert (await router.find("f" * 16, (SERVICE,))).origin is None
+        await cluster.see_recorded(OLD, is_complete=False)
+        for router in cluster.routers.values():
+            assert (await router.find("f" * 16, (SERVICE,))).origin is None
+        begun = await cluster.begin(origins=(OLD,))
+        assert await cluster.count_found(begun) == STREAMS
+
+    cluster.run(play)
+
+
+@pytest.mark.parametrize("routers", [1, 3, 6, 62])
+def test_streams_from_before_all_routers_died_go_on_at_the_version_of_then(routers):
+    cluster = OriginCluster(routers)
+
+    async def play():
+        await cluster.see_recorded(OLD)
+        await cluster.see_recorded(OLD, NEW)
+        cluster.loss = 1.0
+        begun = await cluster.begin(origins=(NEW,))
+        cluster.loss = 0.0
+        for router in cluster.routers.values():
+            found = await router.find("f" * 16, (SERVICE,))
+            assert (found.origin, found.result) == (OLD, OriginResult.FORMER)
+        assert await cluster.count_found(begun) == STREAMS
+        await anyio.sleep(FORMER_VERSION_S)
+        for router in cluster.routers.values():
+            assert (await router.find("f" * 16, (SERVICE,))).origin is None
+
+    cluster.run(play)
+
+
 def test_an_unknown_stream_of_two_services_is_not_guessed():
     cluster = OriginCluster(1)
 
     async def play():
-        await cluster.see(OLD, StreamOrigin("other", "v1"))
-        await anyio.sleep(20.0)
+        await cluster.see_recorded(OLD, StreamOrigin("other", "v1"))
         found = await cluster.routers["front-0"].find("f" * 16, (SERVICE, "other"))
         assert found.origin is None
 
@@ -179,8 +223,7 @@
     cluster = OriginCluster(6, services=(SERVICE, "other"))
 
     async def play():
-        await cluster.see(OLD, other)
-        await anyio.sleep(20.0)
+        await cluster.see_recorded(OLD, other)
         begun = await cluster.begin(origins=(OLD, other))
         assert await cluster.count_found(begun) == STREAMS
 
@@ -228,13 +271,23 @@
 
 def test_a_version_that_has_left_still_counts_for_some_time():
     history = VersionHistory()
-    assert history.record([OLD], 0.0) == set()
-    assert history.find_sole(SERVICE, 9.0) is None
-    assert history.find_sole(SERVICE, 10.0) == "v1"
-    assert history.record([OLD, NEW], 20.0) == {SERVICE}
-    assert history.record([NEW], 21.0) == set()
+    history.apply_record(make_version_record([OLD], is_complete=True), 0.0)
+    assert history.find_sole(SERVICE) == "v1"
+    history.record([OLD], 0.0)
+    assert history.find_sole(SERVICE) == "v1"
+    history.record([OLD, NEW], 20.0)
+    assert history.is_mixed(SERVICE)
+    history.record([NEW], 21.0)
+    history.apply_record(make_version_record([NEW], is_complete=True), 22.0)
     assert history.is_mixed(SERVICE)
-    assert history.find_sole(SERVICE, 60.0) is None
+    assert history.find_sole(SERVICE) is None
     history.record([NEW], 20.0 + ORIGIN_TTL_S + 1.0)
     assert not history.is_mixed(SERVICE)
-    assert history.find_sole(SERVICE, 20.0 + ORIGIN_TTL_S + 1.0) == "v2"
+    assert history.find_sole(SERVICE) == "v2"
+
+
+def test_a_record_names_the_only_version_only_if_it_is_complete():
+    assert VersionRecord({SERVICE: ("v1",)}, True).find_only(SERVICE) == "v1"
+    assert VersionRecord({SERVICE: ("v1",)}).find_only(SERVICE) is None
+    assert VersionRecord({SERVICE: ("v1", "v2")}, True).find_only(SERVICE) is None
+    assert VersionRecord({}, True).find_only(SERVICE) is None
