Store where running streams of a release began

What callers saw: after a kill of all routers in a release, the streams of a version that still serves were refused: only the routers' memory told where they had begun.

Change: while a service is not known to have one version only, each router writes the running streams that it began every 0.5 s to four slots of its own in turn, under one lease of 60 s that it renews while streams begin. When a version appears, streams that began before it are written too; complete ones are left out. A router looks into its mirror before it asks others, and decodes slots only then. A store that refuses is logged once in a row and blocks no stream; slots whose lease was lost are written again.

Why it works: the slots lie in the store until their lease ends, and each started router mirrors them with its first read.

--- /dev/null
+++ b/primrosepier/forwarding/origin_journal.py
@@ -0,0 +1,193 @@
+"""Origins of running streams, kept in the store so that they survive all routers.
+
+Each router writes what it began to a few keys of its own in turn, in batches. Their
+lease outlives the router, so that nobody has to clean up.
+"""
+
+import secrets
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from ..clocks import Clock
+from ..ids import HostId, RequestId, Revision, ServiceId, SoftwareVersion
+from ..logs import Log
+from ..mirror import Mirror
+from ..revisions import STATE_PREFIX
+from ..store import Applied, LeaseGranted, LeaseLost, Put, Store, Unavailable
+from ..stream_origins import StreamOrigin
+from .records import EntryUnreadable, StreamsUnstored
+
+__all__ = ["STREAMS_PREFIX", "OriginJournal", "StoredStreams"]
+
+STREAMS_PREFIX = STATE_PREFIX + "streams/"
+# Time between writes, seconds: streams that began within it are lost with all routers.
+BATCH_INTERVAL_S = 0.5
+# Time for which streams are added to one slot, seconds, and number of slots. Together
+# they cover the time-outs of streams and the return of their callers.
+SLOT_S = 10.0
+SLOTS = 4
+RETAINED_S = SLOT_S * SLOTS
+# Time to live of the slots after their last renewal, seconds.
+JOURNAL_TTL_S = 60.0
+RENEWAL_INTERVAL_S = JOURNAL_TTL_S / 3
+# Bounds the size of a slot; further streams are not stored.
+MAX_SLOT_STREAMS = 20_000
+PROCESS_BYTES = 4
+
+
+class StoredStreams(msgspec.Struct, frozen=True):
+    """Streams that a router began, by service and software version."""
+
+    streams: Mapping[ServiceId, Mapping[SoftwareVersion, Sequence[RequestId]]]
+
+    def list_origins(self) -> dict[RequestId, StreamOrigin]:
+        """Return the origins of the streams by call."""
+        return {
+            call: StreamOrigin(service, software)
+            for service, versions in self.streams.items()
+            for software, calls in versions.items()
+            for call in calls
+        }
+
+
+def encode_origins(origins: Mapping[RequestId, StreamOrigin]) -> bytes:
+    """Return the stored value for the origins of streams."""
+    streams: dict[ServiceId, dict[SoftwareVersion, list[RequestId]]] = {}
+    for call, origin in origins.items():
+        versions = streams.setdefault(origin.service, {})
+        versions.setdefault(origin.software, []).append(call)
+    return msgspec.json.encode(StoredStreams(streams))
+
+
+def make_process_name() -> str:
+    """Return a name that no earlier process of this router has had."""
+    return secrets.token_hex(PROCESS_BYTES)
+
+
+@dataclass(slots=True)
+class OriginJournal:
+    """Writes this router's origins of streams to the store, and finds all routers'.
+
+    Attributes
+    ----------
+    slots : dict of int to dict of RequestId to StreamOrigin
+        What this router began, by number of the slot; the numbers grow with time.
+    unwritten : set of int
+        Numbers of the slots that have changed since their last write.
+    lease : int
+        Lease of the slots in the store; 0 if there is none.
+    decoded : dict of str to (Revision, dict of RequestId to StreamOrigin)
+        Slots of all routers that were read from the store, by key.
+    """
+
+    host: HostId
+    store: Store
+    mirror: Mirror
+    log: Log
+    clock: Clock
+    interval_s: float = BATCH_INTERVAL_S
+    process: str = field(default_factory=make_process_name)
+    slots: dict[int, dict[RequestId, StreamOrigin]] = field(default_factory=dict)
+    unwritten: set[int] = field(default_factory=set)
+    lease: int = 0
+    renewed_at_s: float = 0.0
+    is_failing: bool = False
+    decoded: dict[str, tuple[Revision, dict[RequestId, StreamOrigin]]] = field(
+        default_factory=dict
+    )
+
+    def add(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
+        """Add streams that this router began, to be written with the next batch."""
+        number = int(self.clock() // SLOT_S)
+        slot = self.slots.setdefault(number, {})
+        if len(slot) + len(origins) <= MAX_SLOT_STREAMS:
+            slot.update(origins)
+            self.unwritten.add(number)
+
+    def complete(self, call: RequestId) -> None:
+        """Leave a stream that has ended out of the next batch."""
+        for slot in self.slots.values():
+            slot.pop(call, None)
+
+    def find(self, call: RequestId) -> StreamOrigin | None:
+        """Return where a stream began, if the store tells it."""
+        items = self.mirror.select(STREAMS_PREFIX)
+        self.decoded = {k: v for k, v in self.decoded.items() if k in items}
+        for key, item in items.items():
+            known = self.decoded.get(key)
+            if known is None or known[0] != item.mod_revision:
+                known = (item.mod_revision, self._decode(key, item.value))
+                self.decoded[key] = known
+            if call in known[1]:
+                return known[1][call]
+        return None
+
+    def _decode(self, key: str, value: bytes) -> dict[RequestId, StreamOrigin]:
+        try:
+            return msgspec.json.decode(value, type=StoredStreams).list_origins()
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            self.log.emit(EntryUnreadable(key, "malformed origins of streams"))
+            return {}
+
+    async def run(self) -> None:
+        """Write what this router began until cancelled."""
+        while True:
+            await anyio.sleep(self.interval_s)
+            self._drop_old_slots()
+            if not self.slots:
+                self.lease = 0
+                continue
+            await self._renew()
+            reason = await self._write()
+            if reason and not self.is_failing:
+                self.log.emit(StreamsUnstored(reason))
+            self.is_failing = bool(reason)
+
+    def _drop_old_slots(self) -> None:
+        oldest = int(self.clock() // SLOT_S) - SLOTS + 1
+        self.slots = {n: slot for n, slot in self.slots.items() if n >= oldest}
+        self.unwritten &= self.slots.keys()
+
+    async def _renew(self) -> None:
+        """Renew the lease if it is due."""
+        now_s = self.clock()
+        if not self.lease or now_s < self.renewed_at_s + RENEWAL_INTERVAL_S:
+            return
+        outcome = await self.store.keep_alive(self.lease)
+        if isinstance(outcome, LeaseGranted):
+            self.renewed_at_s = now_s
+        elif isinstance(outcome, LeaseLost):
+            self._lose_lease()
+
+    def _lose_lease(self) -> None:
+        """Have all slots written again, as they were removed with their lease."""
+        self.lease = 0
+        self.unwritten.update(self.slots)
+
+    async def _write(self) -> str:
+        """Write the slots that have changed; return why that failed, or nothing."""
+        numbers = {n for n in self.unwritten if self.slots[n]}
+        if not numbers:
+            return ""
+        if not self.lease:
+            requested_at_s = self.clock()
+            granted = await self.store.grant_lease(JOURNAL_TTL_S)
+            if isinstance(granted, Unavailable):
+                return granted.reason
+            self.lease, self.renewed_at_s = granted.lease, requested_at_s
+        puts = [self._make_put(number) for number in sorted(numbers)]
+        self.unwritten -= numbers
+        outcome = await self.store.transact([], puts)
+        if isinstance(outcome, Applied):
+            return ""
+        self.unwritten |= numbers
+        if isinstance(outcome, LeaseLost):
+            self._lose_lease()
+        return type(outcome).__name__
+
+    def _make_put(self, number: int) -> Put:
+        key = f"{STREAMS_PREFIX}{self.host}/{self.process}/{number % SLOTS}"
+        return Put(key, encode_origins(self.slots[number]), self.lease)
--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -2,7 +2,7 @@
 
 While a service has several software versions, each stream that begins is told to a few
 routers that are found by its call's id, so that any router can ask for it, also after
-the one that began it has ended.
+the one that began it has ended. It is stored as well, for the case that all end.
 """
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
@@ -16,6 +16,7 @@
 from ..host_ranking import rank_hosts
 from ..ids import HostId, RequestId, ServiceId, SoftwareVersion
 from ..stream_origins import StreamOrigin, StreamOrigins, VersionHistory
+from .origin_journal import OriginJournal
 from .peer_requests import PeerRequests
 
 __all__ = [
@@ -88,6 +89,7 @@
 
     RECORDED = "recorded by this router"
     REPLIED = "replied by another router"
+    STORED = "stored by a router"
     SOLE = "the only version of late"
     FORMER = "the only version before the router's start"
     UNKNOWN = "unknown"
@@ -115,6 +117,8 @@
     host : HostId
     send : callable
         Sends a message to a router; returns whether it is on its way.
+    journal : OriginJournal or None
+        None where nothing is stored.
 
     Attributes
     ----------
@@ -127,6 +131,7 @@
     host: HostId
     clock: Clock
     send: SendMessage = send_nowhere
+    journal: OriginJournal | None = None
     hosts: frozenset[HostId] = frozenset()
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     versions: VersionHistory = field(default_factory=VersionHistory)
@@ -183,8 +188,13 @@
     def record_complete(self, call: RequestId) -> None:
         """Record that a stream has ended."""
         self.origins.complete(call, self.clock())
+        if self.journal is not None:
+            self.journal.complete(call)
 
     async def _tell(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
+        """Tell the keepers of streams where they began, and store it."""
+        if self.journal is not None and origins:
+            self.journal.add(origins)
         by_keeper: dict[HostId, dict[RequestId, StreamOrigin]] = {}
         for call, origin in origins.items():
             for host in rank_hosts(call, self.hosts)[:KEEPERS]:
@@ -202,6 +212,10 @@
         origin = self.origins.find(call, self.clock())
         if origin is not None:
             return FoundOrigin(origin, OriginResult.RECORDED)
+        stored = None if self.journal is None else self.journal.find(call)
+        if stored is not None:
+            self.origins.record(call, stored, self.clock())
+            return FoundOrigin(stored, OriginResult.STORED)
         keepers = rank_hosts(call, self.hosts)[:ASKED]
         replies = await self._ask(keepers, call, services)
         for reply in replies:
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -41,6 +41,7 @@
     "RouterStopping",
     "SettingsRead",
     "StreamTakenUp",
+    "StreamsUnstored",
     "VersionsRecorded",
     "VersionsUnrecorded",
     "WeightsOrdered",
@@ -601,6 +602,17 @@
         return f"{'holds' if self.held else 'no longer holds'} the duty {self.duty}"
 
 
+class StreamsUnstored(Event, frozen=True):
+    """The origins of streams could not be written to the store; said once in a row."""
+
+    part: ClassVar[str] = "forward"
+    reason: str
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"could not store where streams began: {self.reason}"
+
+
 class VersionsRecorded(Event, frozen=True):
     """The record of software versions in the store has changed.
 
@@ -694,6 +706,7 @@
     | RouterStopping
     | SettingsRead
     | StreamTakenUp
+    | StreamsUnstored
     | VersionsRecorded
     | VersionsUnrecorded
     | WeightsOrdered
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -32,6 +32,7 @@
 from .gauges import set_gauges
 from .leaving import LeavingReplicas
 from .metrics import EntryMetrics, make_entry_metrics
+from .origin_journal import OriginJournal
 from .origins import OriginExchange
 from .peer_relay import make_peer_relay
 from .peers import PeerDirectory, PeerExchange
@@ -143,6 +144,7 @@
     peers: PeerExchange
     metrics: EntryMetrics
     version_recorder: VersionRecorder
+    origin_journal: OriginJournal
     callers_address: str = ""
 
     def compute_grace(self) -> float:
@@ -258,6 +260,10 @@
         settings, load_table, weights_controller, clock
     )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
+    origin_journal = OriginJournal(
+        settings.host, platform.store, mirror_controller.mirror, log, clock
+    )
+    forwarder.origins.journal = origin_journal
     version_recorder = VersionRecorder(
         platform.store,
         mirror_controller.mirror,
@@ -290,6 +296,7 @@
         peers,
         metrics,
         version_recorder,
+        origin_journal,
     )
     return EntryRouter(settings, platform, log, *components)
 
@@ -579,6 +586,7 @@
                 group.start_soon(router.refresh)
                 group.start_soon(router.weights_controller.run)
                 group.start_soon(router.version_recorder.run)
+                group.start_soon(router.origin_journal.run)
                 group.start_soon(router.peers.directory.run)
                 group.start_soon(router.peers.run, socket, open_socket)
                 group.start_soon(router.app.forwarder.links.run)
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -50,6 +50,12 @@
     assert settings.revoke_s == 5.0
     assert settings.weights_s == 12.0
     assert settings.peers_address == "127.0.0.1:7340"
+    assert not settings.is_first_start
+
+
+def test_the_first_start_of_the_whole_system_is_read():
+    settings = parse_entry_settings(("firstStart = true" + SETTINGS).encode(), "a.toml")
+    assert settings.is_first_start
 
 
 def test_revocation_time_is_limited_only_if_strict():
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -29,6 +29,7 @@
     decode_loading_record,
 )
 from primrosepier.forwarding.messages import PeerDatagram
+from primrosepier.forwarding.origin_journal import STREAMS_PREFIX, StoredStreams
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
 from primrosepier.forwarding.peer_relay import (
     NOT_RUN_HEADER,
@@ -181,6 +182,10 @@
         VersionRecord({"writers": ("v1", "v2")}, True),
         '{"versions":{"writers":["v1","v2"]},"is_complete":true}',
     ),
+    (
+        StoredStreams({"writers": {"v1": ["a1", "a2"]}}),
+        '{"streams":{"writers":{"v1":["a1","a2"]}}}',
+    ),
     (
         PeerEntry("127.0.0.1:9000", "token"),
         '{"address":"127.0.0.1:9000","token":"token"}',
@@ -254,6 +259,7 @@
     "SettingsRead": "changed error",
     "SlideFound": "workspace prefix_level base_rate recent_rate cause",
     "StreamTakenUp": "request resumed_call software result",
+    "StreamsUnstored": "reason",
     "VersionsRecorded": "versions is_complete",
     "VersionsUnrecorded": "reason",
     "WeightsOrdered": "endpoint model weights fencing outcome",
@@ -305,6 +311,7 @@
     assert make_duty_key("x") == "/primrosepier/state/duties/x"
     assert make_fencing_key("x") == "/primrosepier/fencing/x"
     assert VERSIONS_KEY == "/primrosepier/state/software-versions"
+    assert STREAMS_PREFIX == "/primrosepier/state/streams/"
     assert LOADING_RECORD_KEY == "/primrosepier/state/weights-orders"
     assert ROUTERS_PREFIX == "/primrosepier/state/routers/"
     assert [cause.value for cause in MissCause] == MISS_CAUSES
