Heed the rest that endpoints ask for on the router's own interface

Endpoints of model services and of plain ones that answered 503 with Retry-After got further requests at once; the header was read by nothing.

The same rest_periods.py is kept beside this router's other observations of endpoints. An endpoint at rest is no candidate and adds no capacity to the gate, requests return one at a time, and while all endpoints of a service rest, a request is refused before the queue, with the time until the first is back, spread. Answers of plain services are passed on as before, a 503 too. Polls of loads and orders go on: they are no requests. RestRequested moves to the events that both interfaces log, with its name and fields; metrics and explain tell of it here as well. Entries of endpoints that the configuration no longer has are dropped once their rest is over.

The new tests failed in 4 of 4 cases before (model and plain service; two of four endpoints at rest, and all) and pass now. Still open: requests that wait in the queue when the last endpoint asks for rest stay there until their time in the queue is over.

--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -21,6 +21,7 @@
     EndpointResponse,
     classify_error,
     is_leaving,
+    read_rest,
 )
 from .ids import AttemptId, EndpointId, make_attempt_id
 from .logs import TRACE_HEADER
@@ -34,8 +35,9 @@
     UnknownOutcome,
 )
 from .relay import Tail, read_whole_body, relay_stream
-from .request_log import AttemptRecord, record_attempt
+from .request_log import AttemptRecord, record_attempt, record_rest
 from .requests import ModelRequest
+from .rest_periods import RestPeriods
 from .settings import Limits
 from .stream_continuation import StreamContinuation, StreamState
 
@@ -146,12 +148,15 @@
     observe_leaving : callable
         Called for each response with its endpoint and whether the response states
         that the endpoint is leaving.
+    rests : RestPeriods
+        Rest that endpoints have asked this router for.
     """
 
     client: EndpointClient
     limits: Limits
     clock: Clock = time.monotonic
     observe_leaving: ObserveLeaving = ignore_leaving
+    rests: RestPeriods = field(default_factory=RestPeriods)
     counts: Counter[RelayCount] = field(default_factory=Counter)
 
     async def run(
@@ -195,6 +200,7 @@
         delivery: Delivery,
         record: AttemptRecord,
     ) -> Outcome:
+        sent_at_s = self.clock()
         try:
             async with self.client.open(call) as response:
                 delivery.headers_at_s = self.clock()
@@ -205,6 +211,10 @@
                     self.counts[RelayCount.CROSSED_ANSWER] += 1
                     reason = "the answer of another attempt arrived"
                     return UnknownOutcome(Step.HEADERS, endpoint.id, reason)
+                rest = read_rest(response)
+                self.rests.record(endpoint.id, rest, sent_at_s, delivery.headers_at_s)
+                if rest is not None:
+                    record_rest(request, endpoint.id, rest)
                 return await self._relay(
                     request, endpoint, response, identity, delivery
                 )
--- a/primrosepier/candidates.py
+++ b/primrosepier/candidates.py
@@ -11,12 +11,14 @@
 from .hash_ring import Ring, RingCache
 from .ids import EndpointId, Incarnation, ServiceId, WeightsVersion
 from .placement import EndpointView
+from .rest_periods import RestPeriods
 from .suspects import Allowed, SuspectTable
 
-__all__ = ["CandidateTable", "Candidates", "EngineIdentity"]
+__all__ = ["REST_REASON", "CandidateTable", "Candidates", "EngineIdentity"]
 
 REPORT_MAX_AGE_S = 10.0
 CAPACITY_REFRESH_S_PER_ENDPOINT = 1e-4
+REST_REASON = "all endpoints have asked for rest"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,8 @@
     identities : dict of EndpointId to EngineIdentity
         Identity in the last answer of each endpoint; removed after a failed attempt
         and when the endpoint loads weights.
+    rests : RestPeriods
+        Rest that endpoints have asked this router for.
     """
 
     board: Board
@@ -59,6 +63,7 @@
     suspects: SuspectTable = field(default_factory=SuspectTable)
     outstanding: Counter[EndpointId] = field(default_factory=Counter)
     identities: dict[EndpointId, EngineIdentity] = field(default_factory=dict)
+    rests: RestPeriods = field(default_factory=RestPeriods)
     rings: RingCache = field(default_factory=RingCache)
     serving: dict[ServiceId, _ServingEndpoints] = field(default_factory=dict)
     capacities: dict[ServiceId, tuple[_ServingEndpoints, float, int]] = field(
@@ -94,13 +99,34 @@
         return serving
 
     def list_usable(self, service: Service, now_s: float) -> list[Endpoint]:
-        """Return the endpoints that are not leaving, loading or ejected."""
+        """Return the endpoints that are not leaving, loading, ejected or at rest."""
         serving = self._find_serving(service.id)
         if serving is None:
             return []
         endpoints = serving.endpoints
         ejected = self.ejections.list_ejected(endpoints, now_s)
-        return [e for e in endpoints.values() if e.id not in ejected]
+        unusable = ejected | self._list_resting(endpoints, now_s)
+        return [e for e in endpoints.values() if e.id not in unusable]
+
+    def _list_resting(
+        self, endpoints: Collection[EndpointId], now_s: float
+    ) -> frozenset[EndpointId]:
+        waits_s = {e: self.rests.compute_wait_s(e, now_s) for e in self.rests.periods}
+        return frozenset(
+            e for e, wait_s in waits_s.items() if wait_s and e in endpoints
+        )
+
+    def compute_rest_s(self, service: Service, now_s: float) -> float:
+        """Return the time before the rest of the first endpoint ends, seconds.
+
+        It is 0 if any endpoint that serves has no rest.
+        """
+        serving = self._find_serving(service.id)
+        endpoints = serving.endpoints if serving else {}
+        if len(self.rests.periods) < len(endpoints):
+            return 0.0
+        rests_s = (self.rests.compute_rest_s(e, now_s) for e in endpoints)
+        return min(rests_s, default=0.0)
 
     def compute_capacity(self, service: Service, now_s: float) -> int:
         """Return how many requests this router may have in progress at a service.
@@ -120,6 +146,9 @@
             self.outstanding[endpoint.id] + self._count_free(endpoint, now_s)
             for endpoint in endpoints
         )
+        # Requests in progress at endpoints that rest take none of the others' room.
+        resting = self._list_resting(serving.endpoints, now_s)
+        capacity += sum(self.outstanding[endpoint] for endpoint in resting)
         self.capacities[service.id] = (serving, now_s, capacity)
         return capacity
 
@@ -152,7 +181,11 @@
         if serving is None:
             return None
         endpoints = serving.endpoints
-        excluded = {*tried, *self.ejections.list_ejected(endpoints, now_s)}
+        excluded = {
+            *tried,
+            *self.ejections.list_ejected(endpoints, now_s),
+            *self._list_resting(endpoints, now_s),
+        }
         permitted = allowed.endpoints
         if is_suspect:
             remaining = [
--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -11,7 +11,7 @@
 from .asgi import Send
 from .attempt import AttemptRunner, Delivery, can_continue, make_delivery
 from .board import Board
-from .candidates import Candidates, EngineIdentity
+from .candidates import REST_REASON, Candidates, EngineIdentity
 from .clocks import Clock
 from .configuration import Endpoint
 from .crash_causes import Fingerprints
@@ -31,6 +31,7 @@
 from .prompts import BLOCK_TOKENS
 from .request_log import record_decision, record_retry, record_reuse
 from .requests import ModelRequest, make_fingerprints
+from .rest_periods import spread_return
 from .retries import GiveUp, RetryBudget, decide_retry, merge_outcomes
 from .settings import Limits
 from .suspects import Quarantined, Suspicion
@@ -110,6 +111,9 @@
         return Demand(routers=1 + len(self.board.peers.value))
 
     async def _wait_and_run(self, request: ModelRequest, send: Send) -> Outcome:
+        after_s = self._compute_return_s(request)
+        if after_s > 0:
+            return NotRun(Step.PLACE, "-", REST_REASON, after_s)
         gate = self._get_gate(request.service.id)
 
         def read_capacity() -> int:
@@ -121,9 +125,18 @@
         if isinstance(ticket, Shed):
             return NotRun(Step.QUEUE, "-", ticket.reason, ticket.retry_after_s)
         try:
-            return await self._run(request, make_delivery(request, send))
+            outcome = await self._run(request, make_delivery(request, send))
         finally:
             gate.leave(ticket, read_capacity)
+        if isinstance(outcome, NotRun):
+            after_s = max(outcome.retry_after_s, self._compute_return_s(request))
+            return replace(outcome, retry_after_s=after_s)
+        return outcome
+
+    def _compute_return_s(self, request: ModelRequest) -> float:
+        """Return when a caller may return if all endpoints rest, seconds; else 0."""
+        rest_s = self.candidates.compute_rest_s(request.service, self.clock())
+        return spread_return(rest_s, self.rng) if rest_s > 0 else 0.0
 
     def _get_gate(self, service: ServiceId) -> Gate:
         if service not in self.gates:
@@ -201,6 +214,7 @@
         suspects = self.candidates.suspects
         outcome: Outcome | None = None
         suspects.record_start(fingerprints.request, endpoint.id)
+        self.candidates.rests.try_begin_request(endpoint.id, self.clock())
         self.candidates.outstanding[endpoint.id] += 1
         started_s = self.clock()
         try:
@@ -289,4 +303,6 @@
     clock: Clock = time.monotonic,
 ) -> Dispatcher:
     """Return a dispatcher that shares suspicions with no peers."""
-    return Dispatcher(board, attempts, placement, limits, Candidates(board), clock)
+    candidates = Candidates(board)
+    attempts.rests = candidates.rests
+    return Dispatcher(board, attempts, placement, limits, candidates, clock)
--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -12,6 +12,7 @@
 
 from .clocks import Clock
 from .outcomes import NotRun, Step, UnknownOutcome
+from .retry_after import RestRequest, parse_retry_after
 from .streamed import StreamedResponse
 from .transport import TcpBackend, TcpStream
 
@@ -26,6 +27,7 @@
     "is_connection_lost",
     "is_leaving",
     "make_endpoint_client",
+    "read_rest",
 ]
 
 CONNECT_ERRORS = (
@@ -40,6 +42,7 @@
     httpcore.TimeoutException,
 )
 LEAVING_HEADER = b"x-endpoint-leaving"
+HTTP_UNAVAILABLE = 503
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 KEEPALIVE_S = 20.0
 # Idle time after which a connection that a probe opened is not used, seconds.
@@ -287,6 +290,18 @@
     )
 
 
+def read_rest(response: EndpointResponse) -> RestRequest | None:
+    """Return the rest that an endpoint asks for when it turns a request away.
+
+    The Retry-After of a 429 is for the caller whose rate is exceeded.
+    """
+    values = {name.lower(): value for name, value in response.headers}
+    value = values.get(b"retry-after")
+    if response.status != HTTP_UNAVAILABLE or value is None:
+        return None
+    return parse_retry_after(value, values.get(b"date", b""), time.time())
+
+
 def classify_error(error: Exception, peer: str) -> NotRun | UnknownOutcome:
     """Return the outcome of a call that failed before its answer was forwarded."""
     if isinstance(error, CONNECT_ERRORS):
--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -12,7 +12,6 @@
     CallRepeated,
     CallWithdrawn,
     PermitRefused,
-    RestRequested,
     StreamTakenUp,
 )
 from .log_events import (
@@ -23,6 +22,7 @@
     Event,
     RequestEnded,
     RequestRefused,
+    RestRequested,
     RetryChosen,
     ReuseObserved,
     SeenCandidate,
@@ -109,6 +109,11 @@
         yield f"Sent to {event.endpoint}."
     elif isinstance(event, AttemptEnded):
         yield _describe_attempt(event)
+    elif isinstance(event, RestRequested):
+        yield (
+            f"{event.endpoint} turned it away and wants no calls of this router for "
+            f"{event.rest_s:.3f} s (it named {event.retry_after!r})."
+        )
     elif isinstance(event, ReuseObserved):
         yield _describe_reuse(event)
     elif isinstance(event, ClaimSettled):
@@ -179,11 +184,6 @@
             f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
             f"and has room in {event.wait_s * 1000:.0f} ms."
         )
-    elif isinstance(event, RestRequested):
-        yield (
-            f"{event.endpoint} turned it away and wants no calls of this router for "
-            f"{event.rest_s:.3f} s (it named {event.retry_after!r})."
-        )
     elif isinstance(event, CallPassedOn):
         yield (
             f"This router was cut off from the replicas: attempt {event.attempt} went "
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
 from ..ids import EndpointId, ServiceId
+from ..log_events import RestRequested
 from ..logs import Log
 from ..outcomes import (
     Completed,
@@ -53,7 +54,6 @@
     LimitChanged,
     PermitRefused,
     ReplicaGivenUp,
-    RestRequested,
     StreamTakenUp,
 )
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..asgi import Receive, Scope, Send, send_bytes
-from ..log_events import Event
+from ..log_events import Event, RestRequested
 from ..logs import Log
 from ..metric_table import MetricTable
 from .metric_specs import ENTRY_SPECS
@@ -16,7 +16,6 @@
     CallRepeated,
     CallWithdrawn,
     PermitRefused,
-    RestRequested,
     StreamTakenUp,
 )
 
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -36,7 +36,6 @@
     "QuarantineChanged",
     "ReplicaGivenUp",
     "ReplicaLeaving",
-    "RestRequested",
     "RouterStarted",
     "RouterStopping",
     "SettingsRead",
@@ -421,31 +420,6 @@
         )
 
 
-class RestRequested(Event, frozen=True):
-    """A replica turned a call away and asked for a time without calls.
-
-    Parameters
-    ----------
-    retry_after : str
-        What its answer named.
-    rest_s : float
-        Time that is granted, seconds; 0 if the answer named no time.
-    """
-
-    part: ClassVar[str] = "forward"
-    request: RequestId
-    endpoint: EndpointId
-    retry_after: str
-    rest_s: float
-
-    def describe(self) -> str:
-        """Return the event as one short sentence."""
-        return (
-            f"{self.endpoint} turned {self.request} away and asked for"
-            f" {self.retry_after!r}: {self.rest_s:.3f} s of rest"
-        )
-
-
 class RouterStarted(Event, frozen=True):
     """A router started."""
 
@@ -701,7 +675,6 @@
     | PermitRefused
     | QuarantineChanged
     | ReplicaGivenUp
-    | RestRequested
     | RouterStarted
     | RouterStopping
     | SettingsRead
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -24,6 +24,7 @@
     "RequestEnded",
     "RequestRefused",
     "RequestReceived",
+    "RestRequested",
     "RetryChosen",
     "ReuseObserved",
     "RouterEnded",
@@ -241,6 +242,31 @@
         return f"ended at {self.endpoint} as {self.outcome} for {self.request}"
 
 
+class RestRequested(Event, frozen=True):
+    """An endpoint turned a request away and asked for a time without requests.
+
+    Parameters
+    ----------
+    retry_after : str
+        What its answer named.
+    rest_s : float
+        Time that is granted, seconds; 0 if the answer named no time.
+    """
+
+    part: ClassVar[str] = "attempt"
+    request: RequestId
+    endpoint: EndpointId
+    retry_after: str
+    rest_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return (
+            f"{self.endpoint} turned {self.request} away and asked for"
+            f" {self.retry_after!r}: {self.rest_s:.3f} s of rest"
+        )
+
+
 class ReuseObserved(Event, frozen=True):
     """Prefix cache reuse that an answer reported, and the expected reuse."""
 
@@ -415,6 +441,7 @@
     | RequestEnded
     | RequestReceived
     | RequestRefused
+    | RestRequested
     | RetryChosen
     | ReuseObserved
     | RouterEnded
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -123,6 +123,22 @@
         "Requests that went on to another endpoint.",
         "A rise follows failing endpoints; the retry budget bounds it.",
     ),
+    MetricSpec(
+        "primrosepier_rests_total",
+        MetricKind.COUNTER,
+        "refusals",
+        (),
+        "Refusals of endpoints that named a time without requests in Retry-After.",
+        "Rises steadily: endpoints refuse again as soon as their rest is over.",
+    ),
+    MetricSpec(
+        "primrosepier_resting_endpoints",
+        MetricKind.GAUGE,
+        "endpoints",
+        (),
+        "Endpoints that have asked this router for a time without requests.",
+        "All of a service: its requests are refused; find them by RestRequested.",
+    ),
     MetricSpec(
         "primrosepier_relay_events_total",
         MetricKind.COUNTER,
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -10,6 +10,7 @@
     Event,
     RequestEnded,
     RequestRefused,
+    RestRequested,
     RetryChosen,
     ReuseObserved,
     SlideFound,
@@ -56,6 +57,8 @@
             self.add("primrosepier_attempts_total", 1, outcome=event.outcome)
         elif isinstance(event, RetryChosen):
             self.add("primrosepier_retries_total", 1)
+        elif isinstance(event, RestRequested):
+            self.add("primrosepier_rests_total", 1)
         elif isinstance(event, ClaimSettled):
             self.add("primrosepier_claims_total", 1, result=event.result)
         elif isinstance(event, RequestRefused):
--- a/primrosepier/plain.py
+++ b/primrosepier/plain.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from .asgi import Scope, Send, send_bytes
-from .candidates import Candidates
+from .candidates import REST_REASON, Candidates
 from .clocks import Clock
 from .configuration import Configuration, Endpoint, Service, ServiceKind, Workspace
 from .endpoint_client import (
@@ -15,13 +15,15 @@
     EndpointClient,
     EndpointResponse,
     classify_error,
+    read_rest,
 )
 from .errors import RequestError
 from .ids import AttemptId, EndpointId, RequestId, ServiceId, make_attempt_id
 from .logs import TRACE_HEADER
 from .outcomes import Completed, NotRun, Outcome, Step, UnknownOutcome
 from .relay import read_whole_body
-from .request_log import AttemptRecord, record_attempt
+from .request_log import AttemptRecord, record_attempt, record_rest
+from .rest_periods import spread_return
 from .retries import GiveUp, RetryBudget, decide_retry, merge_outcomes
 from .settings import Limits
 
@@ -206,8 +208,7 @@
         while True:
             endpoint = self.choose(request.service, tried)
             if endpoint is None:
-                reason = "no endpoint of the service can be used"
-                return NotRun(Step.PLACE, request.service.id, reason, 1.0)
+                return self._make_refusal(request.service)
             previous = outcome if tried else None
             tried.add(endpoint.id)
             latest = await self._attempt(request, endpoint, send)
@@ -222,6 +223,14 @@
             if isinstance(verdict, GiveUp) or not has_untried:
                 return outcome
 
+    def _make_refusal(self, service: Service) -> NotRun:
+        rest_s = self.candidates.compute_rest_s(service, self.clock())
+        if rest_s > 0:
+            after_s = spread_return(rest_s, self.rng)
+            return NotRun(Step.PLACE, service.id, REST_REASON, after_s)
+        reason = "no endpoint of the service can be used"
+        return NotRun(Step.PLACE, service.id, reason, 1.0)
+
     def choose(self, service: Service, tried: Iterable[EndpointId]) -> Endpoint | None:
         """Return an untried endpoint with the fewest outstanding calls, or None."""
         usable: Sequence[Endpoint] = [
@@ -240,6 +249,7 @@
     ) -> Outcome:
         if self.clock() >= request.send_by_s:
             return NotRun(Step.CLAIM, endpoint.id, "the claim lapsed before", 1.0)
+        self.candidates.rests.try_begin_request(endpoint.id, self.clock())
         self.candidates.outstanding[endpoint.id] += 1
         attempt = make_attempt_id()
         try:
@@ -259,9 +269,14 @@
         send: Send,
         record: AttemptRecord,
     ) -> Outcome:
+        sent_at_s = self.clock()
         try:
             async with self.client.open(call) as response:
                 record.record_headers()
+                rest = read_rest(response)
+                self.candidates.rests.record(endpoint.id, rest, sent_at_s, self.clock())
+                if rest is not None:
+                    record_rest(request, endpoint.id, rest)
                 return await self._relay(request, endpoint, response, send)
         except (*CONNECT_ERRORS, *RELAY_ERRORS) as error:
             return classify_error(error, endpoint.id)
--- a/primrosepier/request_log.py
+++ b/primrosepier/request_log.py
@@ -16,6 +16,7 @@
     AttemptStarted,
     DecisionMade,
     RequestEnded,
+    RestRequested,
     RetryChosen,
     ReuseObserved,
 )
@@ -23,6 +24,7 @@
 from .outcomes import Completed, Outcome, Refused
 from .placement import Decision, EndpointView
 from .requests import ModelRequest
+from .retry_after import RestRequest
 
 __all__ = [
     "AttemptRecord",
@@ -32,6 +34,7 @@
     "record_attempt",
     "record_decision",
     "record_request",
+    "record_rest",
     "record_retry",
     "record_reuse",
 ]
@@ -201,6 +204,13 @@
     emit(RetryChosen(request.id, tried + 1, after, _read_reason(last)))
 
 
+def record_rest(
+    request: LoggedRequest, endpoint: EndpointId, rest: RestRequest
+) -> None:
+    """Log that an endpoint asked for a time without requests."""
+    emit(RestRequested(request.id, endpoint, rest.text, rest.rest_s))
+
+
 def record_reuse(request: ModelRequest, decision: Decision, outcome: Completed) -> None:
     """Log how much of the prompt was cached and how much was expected to be."""
     event = ReuseObserved(
--- a/primrosepier/rest_periods.py
+++ b/primrosepier/rest_periods.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from .ids import EndpointId
+from .retry_after import RestRequest
 
 __all__ = ["RestPeriod", "RestPeriods", "spread_return"]
 
@@ -66,6 +67,24 @@
         if period is None or until_s > period.until_s:
             self.periods[endpoint] = RestPeriod(until_s, until_s)
 
+    def record(
+        self,
+        endpoint: EndpointId,
+        rest: RestRequest | None,
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Record an answer; ``sent_at_s`` is the time of its request, seconds."""
+        if rest is None:
+            self.record_answer(endpoint, sent_at_s)
+        else:
+            self.begin(endpoint, rest.rest_s, now_s)
+
+    def compute_rest_s(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the time before an endpoint's rest ends, seconds."""
+        period = self.periods.get(endpoint)
+        return max(0.0, period.until_s - now_s) if period else 0.0
+
     def compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the time before a request may be sent, seconds."""
         period = self.periods.get(endpoint)
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -23,7 +23,7 @@
 from .logs import Log, close_at_end, make_log
 from .metric_table import MetricTable
 from .metrics import Metrics, make_metrics
-from .mirror import MirrorController, make_mirror
+from .mirror import Mirror, MirrorController, make_mirror
 from .orders import EndpointOrders
 from .peering import Peering, RouterComponents, open_peering
 from .plain import PlainDispatcher
@@ -125,6 +125,14 @@
         platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
     )
     mirror.mirror.listeners.append(controller.update)
+
+    def retain_rests(mirror: Mirror) -> None:
+        configuration = board.configuration.value
+        if configuration is not None:
+            rests = dispatcher.candidates.rests
+            rests.retain(configuration.endpoints, platform.clock())
+
+    mirror.mirror.listeners.append(retain_rests)
     rollouts = _make_rollouts(settings, board, platform, mirror)
     drift = _make_drift_controller(platform.store, placement.drift, log)
     _register_gauges(metrics, dispatcher, controller)
@@ -184,6 +192,8 @@
     def set_gauges(table: MetricTable) -> None:
         outstanding = sum(dispatcher.candidates.outstanding.values())
         table.set("primrosepier_attempts_in_progress", outstanding)
+        resting = dispatcher.candidates.rests.count_resting(dispatcher.clock())
+        table.set("primrosepier_resting_endpoints", resting)
         for kind, count in dispatcher.attempts.counts.items():
             table.set("primrosepier_relay_events_total", count, kind=kind.value)
         table.set("primrosepier_configuration_revision", controller.revision)
--- /dev/null
+++ b/tests/test_endpoints_at_rest.py
@@ -0,0 +1,116 @@
+import contextlib
+
+import anyio
+import pytest
+from test_dispatch import CONFIGURATION, make_request
+
+from primrosepier.attempt import AttemptRunner
+from primrosepier.board import make_board
+from primrosepier.clocks import ManualClock
+from primrosepier.configuration import Endpoint
+from primrosepier.dispatch import make_dispatcher
+from primrosepier.outcomes import Completed, NotRun
+from primrosepier.plain import PlainDispatcher, PlainRequest
+from primrosepier.reuse_placement import make_placement
+from primrosepier.settings import Limits
+
+
+class StandinResponse:
+    is_framed = is_first_use = True
+
+    def __init__(self, status, headers):
+        self.status = status
+        self.headers = headers
+
+    async def aiter_stream(self):
+        yield b"{}"
+
+
+class RestingClient:
+    """Client of endpoints, some of which turn requests away and ask for rest."""
+
+    def __init__(self, resting, retry_after=b"1.5"):
+        self.resting = set(resting)
+        self.retry_after = retry_after
+        self.sent = []
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        self.sent.append(call.address)
+        if call.address in self.resting:
+            yield StandinResponse(503, [(b"Retry-After", self.retry_after)])
+        else:
+            yield StandinResponse(200, [])
+
+
+class Calls:
+    """Requests to all endpoints of a model service or of a plain one."""
+
+    def __init__(self, client, is_plain):
+        self.clock = ManualClock()
+        board = make_board()
+        board.configuration.take_writer("test").write(CONFIGURATION, 0.0)
+        attempts = AttemptRunner(client, Limits(), self.clock)
+        placement = make_placement("d")
+        self.model = make_dispatcher(board, attempts, placement, Limits(), self.clock)
+        candidates = self.model.candidates
+        self.plain = PlainDispatcher(client, candidates, Limits(), self.clock)
+        self.is_plain = is_plain
+        self.statuses = []
+
+    async def receive(self, message):
+        if message["type"] == "http.response.start":
+            self.statuses.append(message["status"])
+
+    async def send(self, number=0):
+        request = make_request(f"{number} " * 4000)
+        if not self.is_plain:
+            return await self.model.dispatch(request, self.receive, self.clock())
+        plain = PlainRequest(
+            id="req-1",
+            workspace=request.workspace,
+            service=request.service,
+            method="GET",
+            target="/",
+            headers=(),
+            body=b"",
+            repeatable=True,
+            needs_claim=False,
+        )
+        return await self.plain.dispatch(plain, self.receive)
+
+
+def list_addresses():
+    endpoints = CONFIGURATION.endpoints.values()
+    return [e.address for e in endpoints if isinstance(e, Endpoint)]
+
+
+@pytest.mark.parametrize("is_plain", [False, True])
+def test_endpoints_that_ask_for_rest_get_no_requests_until_it_ends(is_plain):
+    resting = list_addresses()[:2]
+    client = RestingClient(resting)
+    calls = Calls(client, is_plain)
+    for number in range(40):
+        anyio.run(calls.send, number)
+        calls.clock.advance(0.01)
+    assert all(client.sent.count(address) == 1 for address in resting)
+    client.resting.clear()
+    calls.clock.advance(1.6)
+    for number in range(40, 80):
+        assert isinstance(anyio.run(calls.send, number), Completed)
+    assert all(client.sent.count(address) > 1 for address in resting)
+
+
+@pytest.mark.parametrize("is_plain", [False, True])
+def test_requests_are_refused_with_the_time_left_while_all_rest(is_plain):
+    client = RestingClient(list_addresses(), b"2")
+    calls = Calls(client, is_plain)
+    for number in range(8):
+        anyio.run(calls.send, number)
+    assert sorted(client.sent) == sorted(list_addresses())
+    calls.clock.advance(0.5)
+    outcomes = [anyio.run(calls.send, number) for number in range(8)]
+    assert len(client.sent) == len(list_addresses())
+    assert all(isinstance(x, NotRun) and x.retry_after_s >= 1.5 for x in outcomes)
+    assert all(x.retry_after_s <= 2.0 for x in outcomes)
+    assert len({x.retry_after_s for x in outcomes}) == len(outcomes)
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -15,8 +15,8 @@
     CallRejected,
     CallWithdrawn,
     PermitRefused,
-    RestRequested,
 )
+from primrosepier.log_events import RestRequested
 from primrosepier.log_lines import LogReader
 from primrosepier.logs import make_log
 from primrosepier.platform.checks import check_platform_file
