--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -168,6 +168,21 @@
     cluster.run(play)
 
 
+def test_the_word_of_another_router_does_not_stand_against_the_record():
+    cluster = OriginCluster(3)
+
+    async def play():
+        await cluster.see_recorded(OLD)
+        router = cluster.routers["front-0"]
+        router.versions = VersionHistory()
+        record = make_version_record([OLD, NEW], is_complete=True)
+        router.versions.apply_record(record, anyio.current_time())
+        found = await router.find("f" * 16, (SERVICE,))
+        assert (found.origin, found.result) == (None, OriginResult.UNKNOWN)
+
+    cluster.run(play)
+
+
 def test_what_a_router_has_seen_since_its_start_does_not_tell_the_only_version():
     cluster = OriginCluster(3)
 
