--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "API_KEY",
+    "BRITTLENESS",
     "CACHE_SCOPE",
     "CALL_ID",
     "CONFIGURATION_KEY",
@@ -63,6 +64,8 @@
 RATE_LIMIT = b"server-limit"
 # In all answers of a replica that is leaving, with the value 1.
 LEAVING = b"server-leaving"
+# Calls that a brittle replica may turn away within a second without falling over.
+BRITTLENESS = b"server-brittle"
 WEIGHTS = b"weight-versions"
 # The id of a workspace.
 WORKSPACE = b"tenant"
--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -40,6 +40,7 @@
     select_change,
 )
 from . import names
+from .standin_room import Room
 
 __all__ = [
     "ReplicaFaults",
@@ -306,6 +307,8 @@
         a new start.
     born : int
         Time of the last start, Unix milliseconds.
+    room : Room or None
+        Calls that it takes at the same time; None for any number.
 
     Attributes
     ----------
@@ -317,6 +320,8 @@
         Time, in seconds, and id of each call that arrived, whether run or refused.
     orders : list of dict
         Orders that the replica executed.
+    free_slots : anyio.Semaphore or None
+        Slots of the room that are free; None before the first call.
     """
 
     id: str
@@ -330,6 +335,8 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     register: Callable[[], None] = lambda: None
     born: int = BORN_MS
+    room: Room | None = None
+    free_slots: anyio.Semaphore | None = None
 
     @property
     def arrivals(self) -> int:
@@ -345,6 +352,9 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call."""
+        if self.room is not None and self.room.is_down(time.monotonic()):
+            abort_connection(send)
+            return
         expected = find_header(scope, names.EXPECTED_ENDPOINT.decode())
         if expected not in ("", self.id):
             identity = (names.ENDPOINT_ID.decode(), self.id)
@@ -411,6 +421,9 @@
                 response_headers.append(rest)
             await send_bytes(send, 503, b"", response_headers)
             return
+        if self.room is not None:
+            await self._run_in_room(self.room, response_headers, send)
+            return
         if self.faults.queue_s and await self._is_left_in_queue(receive):
             return
         self.runs.append(headers)
@@ -431,6 +444,31 @@
         else:
             await self._stream(headers, response_headers, send)
 
+    async def _run_in_room(
+        self, room: Room, headers: Sequence[tuple[str, str]], send: Send
+    ) -> None:
+        if not room.try_enter(time.monotonic()):
+            if room.is_down(time.monotonic()):
+                abort_connection(send)
+                return
+            refusal = (names.NOT_RUN.decode(), "1")
+            await send_bytes(send, 503, b"", [*headers, *room.list_headers(), refusal])
+            return
+        falls = len(room.fallen_at_s)
+        try:
+            if self.free_slots is None:
+                self.free_slots = anyio.Semaphore(room.slots)
+            async with self.free_slots:
+                if len(room.fallen_at_s) == falls:
+                    await anyio.sleep(self.faults.delay_s)
+        finally:
+            room.leave()
+        if len(room.fallen_at_s) > falls:
+            abort_connection(send)
+            return
+        proof = (names.ENDPOINT_PROOF.decode(), SERVER_STAMP)
+        await send_bytes(send, 200, b"done", [*headers, *room.list_headers(), proof])
+
     async def _is_left_in_queue(self, receive: Receive) -> bool:
         """Wait in the queue; return whether the connection was closed meanwhile."""
         with anyio.move_on_after(self.faults.queue_s):
