Keep calls within the room of brittle replicas, over all routers

Callers of replicas that said they were brittle got connection errors and refusals without a time to come back, while most of the room stood empty.

Cause: no line read the header, and each router sent what it had to replicas whose fill it could not know, since the other routers send there as well. The class of fault: a quantity that only the sum over all routers determines was left to each router by itself.

A brittle replica now gets calls with a permit only. Its granter, the router that grants permits for limited rates, counts the calls that all routers have in progress there and grants no more than a window: the slots and one more call. A call that the replica turned away for want of room shrinks the window to what it had taken; while the window binds it grows by one call at a time, which causes at most a quarter of the refusals that the replica survives. A request for a permit and the notice of a call's end each state how many calls the sender has there, so lost datagrams and restarted granters put themselves right. Routers tell each other which replicas are brittle. A refusal that reports free slots, as while weights load, does not count. Calls without a permit are refused here at once, by the reason and time of _make_refusal.

The second granter grants whole windows, other than for rates: a router that is gone is likelier than two that do not know of each other, and refusals shrink the windows of both.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -334,6 +334,8 @@
         Whether the load counts the call as one whose output is generated.
     is_new_connection : bool
         Whether the connection was opened for this call.
+    lacked_room : bool
+        Whether the replica turned the call away because it was full.
     """
 
     loads: ReplicaLoadTable
@@ -345,6 +347,7 @@
     in_prefill: bool = True
     is_decoding: bool = False
     is_new_connection: bool = False
+    lacked_room: bool = False
 
     @property
     def endpoint(self) -> EndpointId:
@@ -359,6 +362,7 @@
     def record_response(self, head: ResponseHead, now_s: float) -> None:
         """Record the head of the response, which ends the prefill."""
         self.responded_at_s = now_s
+        self.lacked_room = head.lacks_room
         self.loads.record_response(self.endpoint, head, now_s)
         self.record_head(head, self.is_new_connection)
         succeeded = not head.not_run and head.status == HTTP_OK
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -23,6 +23,9 @@
     "WeightsVersionNumber",
 ]
 
+# Status of a call that a full endpoint turns away.
+FULL_STATUS = 503
+
 # Number of route priorities that are distinguished within one workspace priority:
 # three workspace priorities fit into the range of urgencies.
 ROUTE_PRIORITIES = 3
@@ -199,6 +202,9 @@
         none.
     is_leaving : bool
         Whether the response says that its endpoint is leaving.
+    refusals_per_s : float or None
+        Calls that a brittle endpoint may turn away in a second without falling over;
+        None if it is not brittle.
     """
 
     status: int
@@ -212,6 +218,14 @@
     rate_limit_per_s: float | None = None
     rest: RestRequest | None = None
     is_leaving: bool = False
+    refusals_per_s: float | None = None
+
+    @property
+    def lacks_room(self) -> bool:
+        """Whether the endpoint turned the call away because it is full."""
+        if not self.not_run or self.status != FULL_STATUS:
+            return False
+        return self.load is None or self.load.running >= self.load.slots
 
 
 class EndpointDialect(Protocol):
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
+from ..endpoint_windows import Brittleness
 from ..ids import EndpointId, ServiceId
 from ..log_events import RestRequested
 from ..logs import Log
@@ -47,6 +48,7 @@
 from .permits import PermitExchange
 from .prefixes import PrefillTracker
 from .records import (
+    BrittlenessChanged,
     CallLost,
     CallPlaced,
     CallRepeated,
@@ -263,7 +265,9 @@
         if not selected:
             return 0.0, ""
         first = min(selected, key=lambda x: self._compute_wait_s(x.id, now_s)).id
-        limit_wait_s = self.permits.limits.compute_wait_s(first, now_s)
+        limit_wait_s = self.permits.compute_wait_s(first, now_s)
+        if limit_wait_s and self.permits.windows.get_brittleness(first):
+            limit_wait_s = max(limit_wait_s, RETRY_AFTER_S)
         rest_wait_s = self.rests.compute_wait_s(first, now_s)
         if rest_wait_s <= limit_wait_s:
             return limit_wait_s, LIMIT_REASON
@@ -272,7 +276,7 @@
     def _compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the time before a replica may receive a call, seconds."""
         return max(
-            self.permits.limits.compute_wait_s(endpoint, now_s),
+            self.permits.compute_wait_s(endpoint, now_s),
             self.rests.compute_wait_s(endpoint, now_s),
         )
 
@@ -494,6 +498,7 @@
         finally:
             recorder.end(self.clock())
             self.forecasts.record_ended(sent)
+            await self.permits.release(endpoint, recorder.lacked_room)
         if waiting.is_withdrawn and not timeout_scope.cancelled_caught:
             self._log_withdrawal(call, waiting, delivery, sent)
             delivery.runs += 1
@@ -546,6 +551,7 @@
         # Refusals carry no proof, so the word counts without it.
         if head.is_leaving and not head.misdirected:
             self.leaving.record(replica, self.clock())
+        self._record_brittleness(endpoint, head)
 
     def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
         """Record the limit that a replica names, or that it names none."""
@@ -568,6 +574,27 @@
         elif not head.misdirected and (head.not_run or head.authentic):
             self.rests.record_answer(endpoint, sent_at_s)
 
+    def _record_brittleness(self, endpoint: EndpointId, head: ResponseHead) -> None:
+        """Record whether the replica says that it is brittle."""
+        refusals_per_s = head.refusals_per_s
+        if head.misdirected or (not head.authentic and refusals_per_s is None):
+            return
+        brittleness = None
+        if refusals_per_s is not None:
+            load = self.loads.get_or_create(endpoint).reported
+            slots = self._get_slots(endpoint) if load is None else load.slots
+            brittleness = Brittleness(refusals_per_s, max(1, slots))
+        windows = self.permits.windows
+        if windows.record_answer(endpoint, brittleness, self.clock()):
+            self.log.emit(BrittlenessChanged(endpoint, refusals_per_s))
+            self.loads.changed.set()
+
+    def _get_slots(self, endpoint: EndpointId) -> int:
+        """Return the slots that a replica has registered; 1 if it is not registered."""
+        services = self.read_replicas().by_service.values()
+        replicas = (replica for group in services for replica in group)
+        return next((x.slots for x in replicas if x.id == endpoint), 1)
+
     def _record_lost_call(
         self,
         call: Call,
@@ -660,6 +687,7 @@
 ) -> Forwarder:
     """Return a forwarder with empty state."""
     sender = CallSender(client, dialect, clock, record_begun=origins.record_begun)
+    permits.count_calls = lambda x: chooser.loads.get_or_create(x).outstanding
     return Forwarder(
         sender,
         read_replicas,
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -21,6 +21,7 @@
 from ..clocks import Clock
 from ..datagrams import DatagramPort, OpenSocket
 from ..endpoint_limits import SharedLimit
+from ..endpoint_windows import SharedBrittleness
 from ..ids import EndpointId, HostId
 from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
@@ -36,7 +37,7 @@
 )
 from .origins import OriginExchange
 from .peer_relay import PeerAddress
-from .permits import PermitExchange, PermitReply, PermitRequest
+from .permits import PermitExchange, PermitMessage
 from .prefixes import PrefixIndex, PrefixUpdate
 from .replica_load import PeerLoad, ReplicaLoadTable
 
@@ -100,6 +101,8 @@
         Calls that were lost with their replicas; None if there is nothing to report.
     limits : Mapping of EndpointId to SharedLimit
         Limits of replicas that have changed.
+    brittle : Mapping of EndpointId to SharedBrittleness
+        Replicas that became or ceased to be brittle.
     """
 
     token: str
@@ -110,6 +113,9 @@
     decoding: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
     losses: LossReport | None = None
     limits: Mapping[EndpointId, SharedLimit] = msgspec.field(default_factory=dict)
+    brittle: Mapping[EndpointId, SharedBrittleness] = msgspec.field(
+        default_factory=dict
+    )
 
 
 def make_no_loading_record() -> LoadingRecord | None:
@@ -272,9 +278,11 @@
             return True
         if self.prefixes.pending_updates or self.loss_log.must_report(self.clock()):
             return True
-        if self.permits is not None and self.permits.limits.must_report():
+        if self.permits is not None and (
+            self.permits.limits.must_report() or self.permits.windows.must_report()
+        ):
             return True
-        has_news = self.loss_log.causes or self._list_limits()
+        has_news = self.loss_log.causes or self._list_limits() or self._list_brittle()
         if has_news and self._list_uninformed():
             return True
         return any(
@@ -288,6 +296,11 @@
             return {}
         return self.permits.limits.make_summary(self.clock())
 
+    def _list_brittle(self) -> Mapping[EndpointId, SharedBrittleness]:
+        if self.permits is None:
+            return {}
+        return self.permits.windows.make_summary(self.clock())
+
     def _list_uninformed(self) -> set[str]:
         """Return the tokens of peers that have started since the last report."""
         tokens = {entry.token for entry in self.directory.peers.values()}
@@ -340,6 +353,10 @@
         self.informed_tokens = {x.token for x in self.directory.peers.values()}
         limits = {} if self.permits is None else self.permits.limits.make_report(now_s)
         all_limits = self._list_limits()
+        brittle = (
+            {} if self.permits is None else self.permits.windows.make_report(now_s)
+        )
+        all_brittle = self._list_brittle()
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -351,6 +368,7 @@
                 self.list_decoding(),
                 summary if entry.token in uninformed else losses,
                 all_limits if entry.token in uninformed else limits,
+                all_brittle if entry.token in uninformed else brittle,
             )
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
@@ -371,7 +389,7 @@
         message = decode_peer_datagram(data, self.directory.token)
         if message is None:
             self.loads.rejected_reports += 1
-        elif isinstance(message, PermitRequest | PermitReply):
+        elif isinstance(message, PermitMessage):
             if self.permits is not None:
                 await self.permits.receive(message)
         elif isinstance(message, LinksRequest | LinksReply):
@@ -400,3 +418,4 @@
             self.apply_loading_record(report.loading_record)
         if self.permits is not None:
             self.permits.limits.merge(report.limits, now_s)
+            self.permits.windows.merge(report.brittle, now_s)
--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -14,14 +14,17 @@
     SharedLimit,
     rank_granters,
 )
+from ..endpoint_windows import Brittleness, EndpointWindows
 from ..ids import EndpointId, HostId
 from .peer_requests import PeerRequests
 
 __all__ = [
     "PermitExchange",
     "PermitMessage",
+    "PermitRelease",
     "PermitReply",
     "PermitRequest",
+    "WindowRequest",
 ]
 
 # Time for which a reply is kept, in case that the request comes again.
@@ -35,11 +38,29 @@
 # Time for which a router that is no longer registered keeps its rank, so that the
 # others do not all become granters when the store loses their entries.
 RANK_RETENTION_S = 10.0
+# Age of a limit that is not known, so that it replaces none, milliseconds.
+UNKNOWN_AGE_MS = 10**9
 
+CallCount = Annotated[int, msgspec.Meta(ge=0)]
 WaitTime = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WAIT_S)]
 
 
-class PermitRequest(msgspec.Struct, frozen=True, tag="request"):
+class WindowRequest(msgspec.Struct, frozen=True, array_like=True):
+    """What a request for a permit tells of a brittle endpoint.
+
+    Parameters
+    ----------
+    brittleness : Brittleness
+        What the endpoint named last, as far as the sender knows.
+    held : int
+        The sender's calls at the endpoint or on their way, with this one.
+    """
+
+    brittleness: Brittleness
+    held: CallCount
+
+
+class PermitRequest(msgspec.Struct, frozen=True, tag="request", omit_defaults=True):
     """Request for a permit.
 
     Parameters
@@ -48,6 +69,8 @@
         The receiver's rank among the granters of the endpoint.
     limit : SharedLimit
         What the sender knows of the endpoint's limit.
+    window : WindowRequest or None
+        None if the endpoint is not brittle.
     """
 
     sender: HostId
@@ -55,6 +78,7 @@
     endpoint: EndpointId
     rank: Rank
     limit: SharedLimit
+    window: WindowRequest | None = None
 
 
 class PermitReply(msgspec.Struct, frozen=True, tag="reply"):
@@ -70,10 +94,33 @@
     wait_s: WaitTime
 
 
-PermitMessage = PermitRequest | PermitReply
+class PermitRelease(msgspec.Struct, frozen=True, tag="release"):
+    """Notice that a call at a brittle endpoint has ended.
+
+    Parameters
+    ----------
+    held : int
+        The sender's calls at the endpoint or on their way.
+    was_refused : bool
+        Whether the endpoint turned the call away for want of room.
+    """
+
+    sender: HostId
+    endpoint: EndpointId
+    held: CallCount
+    was_refused: bool
+
+
+PermitMessage = PermitRequest | PermitReply | PermitRelease
+CountCalls = Callable[[EndpointId], int]
 SendMessage = Callable[[HostId, PermitMessage], Awaitable[bool]]
 
 
+def count_none(endpoint: EndpointId) -> int:
+    """Return 0; used by a router without calls in progress."""
+    return 0
+
+
 async def send_nowhere(host: HostId, message: PermitMessage) -> bool:
     """Send nothing; used by a router without peers."""
     return False
@@ -89,6 +136,9 @@
     limits : EndpointLimits
     send : callable
         Sends a message to a router; returns whether its address is known.
+    windows : EndpointWindows
+    count_calls : callable
+        Returns this router's calls in progress at an endpoint.
 
     Attributes
     ----------
@@ -108,6 +158,8 @@
     limits: EndpointLimits
     clock: Clock
     send: SendMessage = send_nowhere
+    windows: EndpointWindows = field(default_factory=EndpointWindows)
+    count_calls: CountCalls = count_none
     hosts: frozenset[HostId] = frozenset()
     departed: dict[HostId, float] = field(default_factory=dict)
     unanswered: dict[HostId, tuple[int, float]] = field(default_factory=dict)
@@ -126,6 +178,7 @@
             if host not in current and now_s - departed_at_s < RANK_RETENTION_S
         }
         self.hosts = current
+        self.windows.retain_holders({*current, *self.departed, self.host})
 
     def _rank_granters(self, endpoint: EndpointId, now_s: float) -> list[HostId]:
         departed = {
@@ -138,26 +191,82 @@
     async def acquire(self, endpoint: EndpointId) -> float:
         """Take a permit and return 0, or return the time until there is one, seconds.
 
-        Endpoints without a limit need no permit.
+        Endpoints that neither name a limit nor are brittle need no permit.
         """
-        if self.limits.get_rate(endpoint) is None:
+        is_brittle = self.windows.get_brittleness(endpoint) is not None
+        if self.limits.get_rate(endpoint) is None and not is_brittle:
             return 0.0
-        wait_s = self.limits.compute_wait_s(endpoint, self.clock())
+        wait_s = self.compute_wait_s(endpoint, self.clock())
         if wait_s > 0:
             return wait_s
-        wait_s = await self._ask_granters(endpoint)
+        with self.windows.count_asking(endpoint) as asking:
+            held = self.count_calls(endpoint) + asking
+            wait_s = await self._ask_granters(endpoint, held)
         if wait_s > 0:
             self.limits.record_refusal(endpoint, wait_s, self.clock())
+            self.windows.record_refusal(endpoint, wait_s, self.clock())
+        return wait_s
+
+    def compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the time before a permit may be asked for again, seconds."""
+        return max(
+            self.limits.compute_wait_s(endpoint, now_s),
+            self.windows.compute_wait_s(endpoint, now_s),
+        )
+
+    async def release(self, endpoint: EndpointId, was_refused: bool) -> None:
+        """Tell the granters of a brittle endpoint that a call there has ended."""
+        if self.windows.get_brittleness(endpoint) is None:
+            return
+        now_s = self.clock()
+        held = self.count_calls(endpoint) + self.windows.asking.get(endpoint, 0)
+        for host in self._rank_granters(endpoint, now_s):
+            if host == self.host:
+                self.windows.record_end(endpoint, host, held, was_refused, now_s)
+            elif host in self.hosts:
+                release = PermitRelease(self.host, endpoint, held, was_refused)
+                await self.send(host, release)
+
+    def _make_window_request(
+        self, endpoint: EndpointId, held: int
+    ) -> WindowRequest | None:
+        brittleness = self.windows.get_brittleness(endpoint)
+        return None if brittleness is None else WindowRequest(brittleness, held)
+
+    def _grant(
+        self,
+        endpoint: EndpointId,
+        rank: int,
+        holder: HostId,
+        request: WindowRequest | None,
+    ) -> float:
+        """Grant a permit and return 0, or return the time until there is one."""
+        now_s = self.clock()
+        if request is not None:
+            wait_s = self.windows.grant(
+                endpoint,
+                request.brittleness,
+                holder,
+                request.held,
+                len(self.hosts),
+                now_s,
+            )
+            if wait_s > 0:
+                return wait_s
+        wait_s = self.limits.grant(endpoint, rank, now_s)
+        if wait_s > 0 and request is not None:
+            self.windows.record_end(endpoint, holder, request.held - 1, False, now_s)
         return wait_s
 
-    async def _ask_granters(self, endpoint: EndpointId) -> float:
+    async def _ask_granters(self, endpoint: EndpointId, held: int) -> float:
         """Return the wait that the first responsive granter replies, seconds."""
         for rank, host in enumerate(self._rank_granters(endpoint, self.clock())):
             if host == self.host:
-                return self.limits.grant(endpoint, rank, self.clock())
+                request = self._make_window_request(endpoint, held)
+                return self._grant(endpoint, rank, host, request)
             if host not in self.hosts or self._is_unresponsive(host):
                 continue
-            wait_s = await self._ask(host, rank, endpoint)
+            wait_s = await self._ask(host, rank, endpoint, held)
             if wait_s is not None:
                 self.unanswered.pop(host, None)
                 return wait_s
@@ -170,13 +279,18 @@
         count, asked_at_s = self.unanswered.get(host, (0, 0.0))
         return count >= MAX_UNANSWERED and self.clock() < asked_at_s + UNRESPONSIVE_S
 
-    async def _ask(self, host: HostId, rank: int, endpoint: EndpointId) -> float | None:
+    async def _ask(
+        self, host: HostId, rank: int, endpoint: EndpointId, held: int
+    ) -> float | None:
         limit = self.limits.share(endpoint, self.clock())
+        window = self._make_window_request(endpoint, held)
         if limit is None:
-            return 0.0
+            if window is None:
+                return 0.0
+            limit = SharedLimit(None, UNKNOWN_AGE_MS)
         return await self.requests.ask(
             lambda number: self.send(
-                host, PermitRequest(self.host, number, endpoint, rank, limit)
+                host, PermitRequest(self.host, number, endpoint, rank, limit, window)
             )
         )
 
@@ -190,7 +304,9 @@
         name = request.sender, request.number
         if name not in self.replies:
             self.limits.merge({request.endpoint: request.limit}, now_s)
-            wait_s = self.limits.grant(request.endpoint, request.rank, now_s)
+            wait_s = self._grant(
+                request.endpoint, request.rank, request.sender, request.window
+            )
             self.replies[name] = wait_s, now_s
         return self.replies[name][0]
 
@@ -199,5 +315,14 @@
         if isinstance(message, PermitReply):
             self.requests.apply(message.number, message.wait_s)
             return
+        if isinstance(message, PermitRelease):
+            self.windows.record_end(
+                message.endpoint,
+                message.sender,
+                message.held,
+                message.was_refused,
+                self.clock(),
+            )
+            return
         wait_s = self._grant_once(message)
         await self.send(message.sender, PermitReply(message.number, wait_s))
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -30,6 +30,7 @@
     "FORWARDING_EVENT",
     "FleetChanged",
     "MetricsUnserved",
+    "BrittlenessChanged",
     "LimitChanged",
     "LinksChanged",
     "PermitRefused",
@@ -395,6 +396,30 @@
         return f"{self.endpoint} of {self.service} says that it is leaving"
 
 
+class BrittlenessChanged(Event, frozen=True):
+    """A replica began or ceased to say that it is brittle.
+
+    Parameters
+    ----------
+    refusals_per_s : float or None
+        Calls that it may turn away in a second without falling over; None if it is no
+        longer brittle.
+    """
+
+    part: ClassVar[str] = "forward"
+    endpoint: EndpointId
+    refusals_per_s: float | None
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if self.refusals_per_s is None:
+            return f"{self.endpoint} is no longer brittle"
+        return (
+            f"{self.endpoint} is brittle: falls over after {self.refusals_per_s:g}"
+            " refusals in a second"
+        )
+
+
 class PermitRefused(Event, frozen=True):
     """A call had to go elsewhere because its replica's limit is reached.
 
@@ -656,7 +681,8 @@
 
 
 FORWARDING_EVENT = (
-    CallEnded
+    BrittlenessChanged
+    | CallEnded
     | CallLost
     | CallPassedOn
     | CallPlaced
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -168,6 +168,7 @@
             self.app.forwarder.permits.limits.retain(registered)
             self.app.forwarder.rests.retain(registered, self.platform.clock())
             _retain_leaving(self.app.forwarder, self.store_view)
+            self.app.forwarder.permits.windows.retain(registered)
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -156,6 +156,7 @@
             rate_limit_per_s=_read_rate(values.get(names.RATE_LIMIT, b"")),
             rest=_read_rest(status, values),
             is_leaving=read_leaving(headers),
+            refusals_per_s=_read_number(values.get(names.BRITTLENESS, b"")),
         )
 
 
@@ -177,10 +178,13 @@
 
 def _read_rate(value: bytes) -> float | None:
     """Return a positive decimal number; None for anything else."""
-    if not DECIMAL.fullmatch(value.strip()):
-        return None
-    rate_per_s = float(value)
-    return rate_per_s if rate_per_s > 0 else None
+    rate_per_s = _read_number(value)
+    return rate_per_s if rate_per_s else None
+
+
+def _read_number(value: bytes) -> float | None:
+    """Return a decimal number, 0 or positive; None for anything else."""
+    return float(value) if DECIMAL.fullmatch(value.strip()) else None
 
 
 def _read_rest(status: int, values: Mapping[bytes, bytes]) -> RestRequest | None:
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -20,6 +20,7 @@
 from primrosepier.drift import MissCause
 from primrosepier.drift_controller import DayEntry
 from primrosepier.endpoint_limits import SharedLimit
+from primrosepier.endpoint_windows import Brittleness, SharedBrittleness
 from primrosepier.forwarding.calls import Call
 from primrosepier.forwarding.cuts import LinksReply, LinksRequest
 from primrosepier.forwarding.declarations import RetryPolicy, Route
@@ -43,7 +44,12 @@
     PeerExchange,
     PeerReport,
 )
-from primrosepier.forwarding.permits import PermitReply, PermitRequest
+from primrosepier.forwarding.permits import (
+    PermitRelease,
+    PermitReply,
+    PermitRequest,
+    WindowRequest,
+)
 from primrosepier.forwarding.prefixes import PrefixIndex
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
 from primrosepier.forwarding.version_recorder import VERSIONS_KEY
@@ -118,11 +124,13 @@
                 [SharedLoss("w1", 20, [SharedRequest(7, (8, 9), 120)])], {8: 15}
             ),
             {"w1": SharedLimit(4.5, 20)},
+            {"w1": SharedBrittleness(Brittleness(8.0, 4), 20)},
         ),
-        "98a5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
+        "99a5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
         "6703a9656e64706f696e747391a27731a66c6f61645f73cb4000000000000000a67365726961"
         "6c0481a2773103929193a27731149193079208097881080f"
-        "81a2773192cb401200000000000014",
+        "81a2773192cb401200000000000014"
+        "81a277319292cb40200000000000000414",
     ),
     (
         PeerDatagram(
@@ -132,6 +140,28 @@
         "6e646572a766726f6e742d31a66e756d62657207a8656e64706f696e74a27731a472616e6b01"
         "a56c696d697492cb401200000000000014",
     ),
+    (
+        PeerDatagram("token", PermitRelease("front-1", "w1", 3, True)),
+        "82a5746f6b656ea5746f6b656ea76d65737361676585a474797065a772656c65617365a67365"
+        "6e646572a766726f6e742d31a8656e64706f696e74a27731a468656c6403ab7761735f726566"
+        "75736564c3",
+    ),
+    (
+        PeerDatagram(
+            "token",
+            PermitRequest(
+                "front-1",
+                7,
+                "w1",
+                0,
+                SharedLimit(None, 20),
+                WindowRequest(Brittleness(8.0, 4), 3),
+            ),
+        ),
+        "82a5746f6b656ea5746f6b656ea76d65737361676587a474797065a772657175657374a67365"
+        "6e646572a766726f6e742d31a66e756d62657207a8656e64706f696e74a27731a472616e6b00"
+        "a56c696d697492c014a677696e646f779292cb40200000000000000403",
+    ),
     (
         PeerDatagram("token", PermitReply(7, 0.25)),
         "82a5746f6b656ea5746f6b656ea76d65737361676583a474797065a57265706c79a66e756d62"
@@ -232,6 +262,7 @@
     "EventsDropped": "count",
     "FleetChanged": "added removed known",
     "MetricsUnserved": "address reason",
+    "BrittlenessChanged": "endpoint refusals_per_s",
     "LimitChanged": "endpoint rate_per_s",
     "LinksChanged": "is_cut lost helpers",
     "PermitRefused": "request endpoint rate_per_s wait_s",
@@ -299,6 +330,38 @@
     assert msgspec.msgpack.decode(data, type=PeerReport) == report
 
 
+def test_reports_and_routers_that_know_no_brittleness_read_each_other():
+    brittle = {"w1": SharedBrittleness(Brittleness(8.0, 4), 20)}
+    report = PeerReport("token", "front-1", {}, [], LOADING, {"w1": 3}, None, {})
+    known = msgspec.structs.replace(report, brittle=brittle)
+    earlier_fields = [
+        (field.name, field.type) for field in msgspec.structs.fields(PeerReport)[:8]
+    ]
+    earlier = msgspec.defstruct("EarlierReport", earlier_fields, array_like=True)
+    data = msgspec.msgpack.encode(known)
+    read = msgspec.msgpack.decode(data, type=earlier)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(read), type=PeerReport) == (
+        report
+    )
+
+
+def test_requests_for_windows_ask_earlier_routers_for_a_permit():
+    request = PermitRequest(
+        "front-1",
+        7,
+        "w1",
+        0,
+        SharedLimit(None, 20),
+        WindowRequest(Brittleness(8.0, 4), 3),
+    )
+    earlier_fields = [
+        (field.name, field.type) for field in msgspec.structs.fields(PermitRequest)[:5]
+    ]
+    earlier = msgspec.defstruct("EarlierRequest", earlier_fields, tag="request")
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(request), type=earlier)
+    assert (read.endpoint, read.limit) == ("w1", SharedLimit(None, 20))
+
+
 @pytest.mark.parametrize(
     ("value", "text"), STORED, ids=lambda value: type(value).__name__
 )
@@ -446,7 +509,9 @@
 
 
 def test_reports_with_a_further_field_are_applied():
-    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    data = bytes.fromhex(last_landing.REPORT_HEX)
+    report = msgspec.msgpack.decode(data, type=PeerReport)
+    plain = msgspec.msgpack.decode(msgspec.msgpack.encode(report))
     assert handle(msgspec.msgpack.encode([*plain, {"later": 1}])) == (0, 2000)
 
 
