End a watch of the store's stand-in when its caller is gone

Each test with entry routers waited for up to a second at its end, until the stand-in's server gave up a watch that no one read any more.

--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -123,7 +123,7 @@
         if path == "/kv-range":
             await self._answer_range(query, send)
         elif path == "/kv-watch":
-            await self._answer_watch(query, send)
+            await self._answer_watch(query, receive, send)
         elif path == "/kv-txn":
             await self._answer_transaction(
                 await read_json(receive, MAX_BODY_BYTES), send
@@ -142,12 +142,15 @@
         }
         await send_json(send, 200, page)
 
-    async def _answer_watch(self, query: dict[str, str], send: Send) -> None:
+    async def _answer_watch(
+        self, query: dict[str, str], receive: Receive, send: Send
+    ) -> None:
         prefix, after = query["pathPrefix"], int(query["after"])
         try:
             with anyio.move_on_after(int(query["waitMs"]) * MS):
                 while not self._list_events(prefix, after):
-                    await self.memory.wait(self.memory.changed)
+                    if await self._wait_for_change(receive):
+                        return
                 await self._hold_back(prefix, after)
             events = self._list_events(prefix, after)
         except CompactedError:
@@ -162,6 +165,22 @@
             while len({e["revision"] for e in self._list_events(prefix, after)}) < size:
                 await self.memory.wait(self.memory.changed)
 
+    async def _wait_for_change(self, receive: Receive) -> bool:
+        """Wait for a change; return whether the caller disconnected before."""
+        is_gone = False
+
+        async def watch_caller() -> None:
+            nonlocal is_gone
+            await wait_for_disconnect(receive)
+            is_gone = True
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch_caller)
+            await self.memory.wait(self.memory.changed)
+            group.cancel_scope.cancel()
+        return is_gone
+
     def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         events = []
         for change in self.memory.state.list_changes(after + 1):
