Move what replicas ask for in their answers to a module of its own

No behaviour changes: notices.py records them and tells which replicas may receive calls, and the forwarder asks it. tests/crash_cluster.py and two tests follow the new names.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -12,9 +12,7 @@
 from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
-from ..endpoint_windows import Brittleness
 from ..ids import EndpointId, ServiceId
-from ..log_events import RestRequested
 from ..logs import Log
 from ..outcomes import (
     Completed,
@@ -25,7 +23,6 @@
     Step,
     UnknownOutcome,
 )
-from ..rest_periods import RestPeriods, spread_return
 from ..retries import merge_outcomes
 from ..stream_origins import StreamOrigin
 from ..suspects import Quarantined, SuspectTable
@@ -42,18 +39,16 @@
 from .cuts import CutDetector
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
-from .leaving import LeavingReplicas
+from .notices import ReplicaNotices
 from .origins import OriginExchange
 from .peer_relay import PeerRelay
 from .permits import PermitExchange
 from .prefixes import PrefillTracker
 from .records import (
-    BrittlenessChanged,
     CallLost,
     CallPlaced,
     CallRepeated,
     CallWithdrawn,
-    LimitChanged,
     PermitRefused,
     ReplicaGivenUp,
     StreamTakenUp,
@@ -90,8 +85,6 @@
 NEVER_RESUMED_RETRY_AFTER_S = float("inf")
 CUT_REASON = "this router is cut off from the replicas as well"
 LEAVING_REASON = "all replicas are leaving"
-LIMIT_REASON = "all replicas have reached the limits that they name"
-REST_REASON = "all replicas have asked for rest"
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
 ABSENT_VERSION_REASON = "the software version that began the stream no longer serves"
 WITHDRAWN_REASON = "the replica's weights are too old and the call had not begun"
@@ -125,8 +118,8 @@
         that may serve calls, and the ids of those whose weights are outdated.
     suspects : SuspectTable
         Calls that crash replicas.
-    permits : PermitExchange
-        Permits for calls to replicas that limit their rate.
+    notices : ReplicaNotices
+        What replicas ask for, and which of them may receive calls.
     origins : OriginExchange
         Where streams that callers take up again began.
     links : CutDetector
@@ -137,10 +130,6 @@
         When calls begin at a replica.
     withdrawals : Withdrawals
         Withdraws calls that would begin on old weights too late.
-    rests : RestPeriods
-        Rest that replicas have asked this router for.
-    leaving : LeavingReplicas
-        Replicas that say in their answers that they are leaving.
     """
 
     sender: CallSender
@@ -150,7 +139,7 @@
     ejections: Ejections
     retries: RetryBudget
     log: Log
-    permits: PermitExchange
+    notices: ReplicaNotices
     origins: OriginExchange
     links: CutDetector
     relay: PeerRelay
@@ -160,8 +149,6 @@
     select_replicas: SelectReplicas = select_all
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
-    rests: RestPeriods = field(default_factory=RestPeriods)
-    leaving: LeavingReplicas = field(default_factory=LeavingReplicas)
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call and send the response through the delivery.
@@ -218,10 +205,14 @@
             for service in route.services
             if service[1]
         ]
-        options = [s for s, known in registered if self.leaving.select_staying(known)]
+        options = [
+            s for s, known in registered if self.notices.leaving.select_staying(known)
+        ]
         if not options:
             options = [
-                s for s, known in registered if self.leaving.select(known, now_s)
+                s
+                for s, known in registered
+                if self.notices.leaving.select(known, now_s)
             ]
         if not options:
             return None
@@ -248,38 +239,12 @@
         if origin is not None and not self._list_at_origin(service, origin):
             is_final = self.origins.is_lost(origin)
             return self._make_unresumed(ABSENT_VERSION_REASON, is_final)
-        wait_s, reason = self._find_first_return(service, origin)
+        selected, _ = self.select_replicas(self._list_at_origin(service, origin))
+        wait_s, reason = self.notices.find_first_return(selected)
         if wait_s <= 0:
             return self._make_not_run("no replica is available")
         return NotRun(Step.PLACE, "-", reason, wait_s)
 
-    def _find_first_return(
-        self, service: ServiceId, origin: StreamOrigin | None
-    ) -> tuple[float, str]:
-        """Return the time before any replica may receive calls, and what it is for.
-
-        The time, in seconds, is 0 if one may now; the end of a rest is spread.
-        """
-        now_s = self.clock()
-        selected, _ = self.select_replicas(self._list_at_origin(service, origin))
-        if not selected:
-            return 0.0, ""
-        first = min(selected, key=lambda x: self._compute_wait_s(x.id, now_s)).id
-        limit_wait_s = self.permits.compute_wait_s(first, now_s)
-        if limit_wait_s and self.permits.windows.get_brittleness(first):
-            limit_wait_s = max(limit_wait_s, RETRY_AFTER_S)
-        rest_wait_s = self.rests.compute_wait_s(first, now_s)
-        if rest_wait_s <= limit_wait_s:
-            return limit_wait_s, LIMIT_REASON
-        return spread_return(rest_wait_s, self.rng), REST_REASON
-
-    def _compute_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
-        """Return the time before a replica may receive a call, seconds."""
-        return max(
-            self.permits.compute_wait_s(endpoint, now_s),
-            self.rests.compute_wait_s(endpoint, now_s),
-        )
-
     def _list_at_origin(
         self, service: ServiceId, origin: StreamOrigin | None
     ) -> Sequence[Replica]:
@@ -287,7 +252,7 @@
         replicas = self.read_replicas().list_replicas(service)
         if origin is not None:
             replicas = tuple(x for x in replicas if x.software == origin.software)
-        return self.leaving.select(replicas, self.clock())
+        return self.notices.leaving.select(replicas, self.clock())
 
     async def _choose_permitted(
         self,
@@ -305,11 +270,11 @@
             if choice is None:
                 return None
             endpoint = choice.replica.id
-            wait_s = await self.permits.acquire(endpoint)
+            wait_s = await self.notices.permits.acquire(endpoint)
             if wait_s > 0:
-                rate_per_s = self.permits.limits.get_rate(endpoint)
+                rate_per_s = self.notices.permits.limits.get_rate(endpoint)
                 self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
-            elif self.rests.try_begin_request(endpoint, self.clock()):
+            elif self.notices.rests.try_begin_request(endpoint, self.clock()):
                 attempt = len(tried) + 1
                 self._log_choice(call, service, choice, attempt, len(replicas))
                 return choice
@@ -358,7 +323,9 @@
             and outcome.step is not Step.PLACE
             and not self.links.is_cut
         ):
-            wait_s, _ = self._find_first_return(service, delivery.origin)
+            at_origin = self._list_at_origin(service, delivery.origin)
+            selected, _ = self.select_replicas(at_origin)
+            wait_s, _ = self.notices.find_first_return(selected)
             wait_s = max(wait_s, outcome.retry_after_s)
             outcome = replace(outcome, retry_after_s=wait_s)
         if error_response is not None and not delivery.status:
@@ -417,7 +384,8 @@
         replicas = [
             replica
             for replica in selected
-            if replica.id not in tried and self._compute_wait_s(replica.id, now_s) <= 0
+            if replica.id not in tried
+            and self.notices.compute_wait_s(replica.id, now_s) <= 0
         ]
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
         return replicas, AvoidedReplicas(ejected, outdated)
@@ -434,6 +402,7 @@
         endpoint = choice.replica.id
         load = self.loads.get_or_create(endpoint)
         has_report = load.reported is not None
+        registered = self.read_replicas().list_replicas(service)
         self.log.emit(
             CallPlaced(
                 request=call.id,
@@ -456,10 +425,8 @@
                 ),
                 forecast_wait_s=self.forecasts.forecast_wait_s(endpoint),
                 backoff_s=max(0.0, load.avoid_until_s - now_s),
-                resting=sum(
-                    self.rests.compute_wait_s(x.id, now_s) > 0
-                    for x in self.read_replicas().list_replicas(service)
-                    if x.id != endpoint
+                resting=self.notices.count_resting(
+                    [x for x in registered if x.id != endpoint], now_s
                 ),
             )
         )
@@ -476,8 +443,8 @@
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
 
         def record_head(head: ResponseHead, is_new_connection: bool) -> None:
-            self._record_head(choice.replica, head, is_new_connection)
-            self._record_rest(call, endpoint, head, started_s)
+            self.links.record_reached(endpoint, is_new_connection)
+            self.notices.record_head(call.id, choice.replica, head, started_s)
 
         started_s = self.clock()
         recorder = AttemptRecorder(
@@ -498,7 +465,7 @@
         finally:
             recorder.end(self.clock())
             self.forecasts.record_ended(sent)
-            await self.permits.release(endpoint, recorder.lacked_room)
+            await self.notices.permits.release(endpoint, recorder.lacked_room)
         if waiting.is_withdrawn and not timeout_scope.cancelled_caught:
             self._log_withdrawal(call, waiting, delivery, sent)
             delivery.runs += 1
@@ -541,60 +508,6 @@
             return Interrupted(Step.RELAY, endpoint, WITHDRAWN_REASON, resumable)
         return UnknownOutcome(Step.HEADERS, endpoint, WITHDRAWN_REASON)
 
-    def _record_head(
-        self, replica: Replica, head: ResponseHead, is_new_connection: bool
-    ) -> None:
-        """Record that a replica responded, and what the head of its response tells."""
-        endpoint = replica.id
-        self.links.record_reached(endpoint, is_new_connection)
-        self._record_limit(endpoint, head)
-        # Refusals carry no proof, so the word counts without it.
-        if head.is_leaving and not head.misdirected:
-            self.leaving.record(replica, self.clock())
-        self._record_brittleness(endpoint, head)
-
-    def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
-        """Record the limit that a replica names, or that it names none."""
-        rate_per_s = head.rate_limit_per_s
-        is_unsure = not head.authentic and rate_per_s is None
-        if head.misdirected or is_unsure:
-            return
-        if self.permits.limits.record_answer(endpoint, rate_per_s, self.clock()):
-            self.log.emit(LimitChanged(endpoint, rate_per_s))
-            self.loads.changed.set()
-
-    def _record_rest(
-        self, call: Call, endpoint: EndpointId, head: ResponseHead, sent_at_s: float
-    ) -> None:
-        """Record the rest that a replica asks for, or that it asks for none."""
-        if head.rest is not None:
-            rest = head.rest
-            self.rests.begin(endpoint, rest.rest_s, self.clock())
-            self.log.emit(RestRequested(call.id, endpoint, rest.text, rest.rest_s))
-        elif not head.misdirected and (head.not_run or head.authentic):
-            self.rests.record_answer(endpoint, sent_at_s)
-
-    def _record_brittleness(self, endpoint: EndpointId, head: ResponseHead) -> None:
-        """Record whether the replica says that it is brittle."""
-        refusals_per_s = head.refusals_per_s
-        if head.misdirected or (not head.authentic and refusals_per_s is None):
-            return
-        brittleness = None
-        if refusals_per_s is not None:
-            load = self.loads.get_or_create(endpoint).reported
-            slots = self._get_slots(endpoint) if load is None else load.slots
-            brittleness = Brittleness(refusals_per_s, max(1, slots))
-        windows = self.permits.windows
-        if windows.record_answer(endpoint, brittleness, self.clock()):
-            self.log.emit(BrittlenessChanged(endpoint, refusals_per_s))
-            self.loads.changed.set()
-
-    def _get_slots(self, endpoint: EndpointId) -> int:
-        """Return the slots that a replica has registered; 1 if it is not registered."""
-        services = self.read_replicas().by_service.values()
-        replicas = (replica for group in services for replica in group)
-        return next((x.slots for x in replicas if x.id == endpoint), 1)
-
     def _record_lost_call(
         self,
         call: Call,
@@ -652,7 +565,7 @@
         if isinstance(outcome, NotRun):
             if outcome.step is Step.CONNECT:
                 self._record_unreachable(replica, now_s)
-            elif self.rests.compute_wait_s(endpoint, now_s) <= 0:
+            elif self.notices.rests.compute_wait_s(endpoint, now_s) <= 0:
                 # A replica that has named a time needs no backoff.
                 self.loads.record_refusal(endpoint, now_s)
         elif isinstance(outcome, UnknownOutcome | Interrupted | ErrorResponse):
@@ -696,7 +609,7 @@
         Ejections(),
         retries,
         log,
-        permits,
+        ReplicaNotices(permits, chooser.loads, read_replicas, log, clock, chooser.rng),
         origins,
         links,
         relay,
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -165,10 +165,10 @@
             }
             self.app.forwarder.loads.retain(registered)
             self.app.forwarder.forecasts.retain(registered)
-            self.app.forwarder.permits.limits.retain(registered)
-            self.app.forwarder.rests.retain(registered, self.platform.clock())
+            self.app.forwarder.notices.permits.limits.retain(registered)
+            self.app.forwarder.notices.rests.retain(registered, self.platform.clock())
             _retain_leaving(self.app.forwarder, self.store_view)
-            self.app.forwarder.permits.windows.retain(registered)
+            self.app.forwarder.notices.permits.windows.retain(registered)
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
@@ -245,7 +245,7 @@
     weights_controller = _make_weights_controller(
         settings, platform, store_view, mirror_controller, load_table
     )
-    forwarder.leaving = weights_controller.leaving = LeavingReplicas(
+    forwarder.notices.leaving = weights_controller.leaving = LeavingReplicas(
         settings.drain_s,
         lambda replica: log.emit(
             ReplicaLeaving(replica.id, replica.service, replica.born_ms)
@@ -279,7 +279,7 @@
     listeners = (
         store_view.update,
         directory.update,
-        lambda mirror: forwarder.permits.record_hosts(directory.list_hosts()),
+        lambda mirror: forwarder.notices.permits.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.origins.record_hosts(directory.list_hosts()),
         lambda mirror: forwarder.links.record_hosts(directory.list_hosts()),
         lambda mirror: _retain_leaving(forwarder, store_view),
@@ -304,7 +304,7 @@
 
 def _retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
     registered = store_view.fleet.list_registered()
-    forwarder.leaving.retain(registered, forwarder.clock())
+    forwarder.notices.leaving.retain(registered, forwarder.clock())
 
 
 def _make_exchange(
@@ -319,13 +319,13 @@
     )
     peers = PeerExchange(directory, forwarder.loads, prefixes, clock, *callbacks)
     peers.loss_log = forwarder.suspects.loss_log
-    peers.permits = forwarder.permits
+    peers.permits = forwarder.notices.permits
     peers.port.notify_failure = lambda reason, count: forwarder.log.emit(
         DatagramsDropped(reason, count)
     )
     peers.origins = forwarder.origins
     peers.cuts = forwarder.links
-    forwarder.permits.send = forwarder.origins.send = peers.send_message
+    forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
     weights_controller.notify = peers.request_report
     return peers
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -228,7 +228,9 @@
             directory = other.router.peers.directory
             directory.peers = {k: v for k, v in self.entries.items() if k != name}
             directory.is_registered = True
-            other.router.app.forwarder.permits.record_hosts(directory.list_hosts())
+            other.router.app.forwarder.notices.permits.record_hosts(
+                directory.list_hosts()
+            )
         self.group.start_soon(running.run, self.network.open_socket(address))
 
     async def _arrive(self, kind, duration_s):
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -84,7 +84,7 @@
 
 def test_a_refusal_tells_the_limit_of_a_replica():
     async def check(fleet):
-        limits = fleet.routers[0].app.forwarder.permits.limits
+        limits = fleet.routers[0].app.forwarder.notices.permits.limits
         fleet.replicas["app1"].faults.refuse = True
         fleet.replicas["app1"].faults.rate_limit = f"{RATE_PER_S}"
         await fleet.send("/lookup/1", method="GET")
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -176,7 +176,7 @@
             await callers.send(router)
         leaving[1].faults.leaving = True
         fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
-        table = router.app.forwarder.leaving
+        table = router.app.forwarder.notices.leaving
         await fleet.wait_until(
             lambda: staying.weights == 2 and len(table.told_at_s) == 2
         )
