--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(PYTHON) -m ruff check --fix .
 
 test: lint
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n 3 --dist loadfile
 
 capacity: $(STAMP)
 	$(PYTHON) -m primrosepier bench scale --json > docs/capacity.json
