Ask each replica once for a permit to send a call

A replica that had no permit became a candidate again after 20 ms, so a call before many full replicas could ask them in turn without end, past its deadline, in place of being refused at once; a router that grants its own permits would have blocked. The loop is older; short waits of brittle replicas made it reachable.

Now each replica is asked once per attempt. The new test failed before: a call with two full replicas had asked them again and again after a second.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -261,15 +261,22 @@
         tried: set[EndpointId],
         origin: StreamOrigin | None,
     ) -> Choice | None:
-        """Choose a replica that takes calls now; return None if there is none."""
+        """Choose a replica that takes calls now; return None if there is none.
+
+        Each replica is asked once, since the first may have room again before the last
+        has refused.
+        """
+        asked: set[EndpointId] = set()
         while True:
             now_s = self.clock()
-            replicas, avoided = self._list_candidates(service, tried, origin, now_s)
+            unusable = tried | asked
+            replicas, avoided = self._list_candidates(service, unusable, origin, now_s)
             scope = make_call_scope(call)
             choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
             if choice is None:
                 return None
             endpoint = choice.replica.id
+            asked.add(endpoint)
             wait_s = await self.notices.permits.acquire(endpoint)
             if wait_s > 0:
                 rate_per_s = self.notices.permits.limits.get_rate(endpoint)
--- a/tests/test_entry_brittle.py
+++ b/tests/test_entry_brittle.py
@@ -1,8 +1,10 @@
 """Brittle replicas before three entry routers over real sockets."""
 
 import anyio
+from entry_fleet import run_entry
 from test_entry_limits import run_routers
 
+from primrosepier.forwarding.permits import PermitExchange
 from primrosepier.platform.standin_room import Room
 
 NAMES = ("app1", "app2", "app3", "app4")
@@ -55,3 +57,21 @@
     assert len(served) >= 0.9 * ROOM_PER_S * MEASURED_S
     assert len(served) + len(refused) == len(results)
     assert all(float(x.headers["retry-after"]) > 0 for x, _ in refused)
+
+
+def test_a_call_does_not_ask_full_replicas_without_end(monkeypatch):
+    asked = []
+
+    async def refuse(permits, endpoint):
+        asked.append(endpoint)
+        await anyio.sleep(0.02)
+        return 0.01
+
+    async def check(fleet):
+        with anyio.move_on_after(1.0):
+            response = await fleet.send("/lookup/1", method="GET")
+            assert response.status == 503
+        assert sorted(asked) == ["app1", "app2"]
+
+    monkeypatch.setattr(PermitExchange, "acquire", refuse)
+    run_entry(check, names=("app1", "app2"))
