Keep brittle replicas whose entries lapse, and calls that run for long

Found in review. A brittle replica was forgotten with its entry in the store, so one that had fallen over came back to routers that sent without permits; and calls that said nothing for 30 s no longer counted, though routes allow 60 s. Both let more calls reach a replica than it has room for. Now what a replica named is kept for 60 s after its last answer, and calls count for 120 s; a router that ends is forgotten by its entry as before. The new tests failed before: the endpoint was forgotten at once, and no call counted after 60 s.

--- a/primrosepier/endpoint_windows.py
+++ b/primrosepier/endpoint_windows.py
@@ -29,8 +29,12 @@
 PROBE_SHARE = 0.25
 # Shortest time between two steps of growth, seconds.
 MIN_GROWTH_S = 0.1
-# Time after which a router that said nothing counts as having no call, seconds.
-HOLDER_TTL_S = 30.0
+# Time after which a router that said nothing counts as having no call, seconds: above
+# the time-outs of calls, which say nothing while they run.
+HOLDER_TTL_S = 120.0
+# Time for which an endpoint that is no longer registered stays brittle, seconds: one
+# that fell over is back within it, and its calls run on when only its entry lapsed.
+RETENTION_S = 60.0
 # Time before a call that found a full window may ask again, seconds, and requests a
 # second that a granter answers for one endpoint.
 MIN_WAIT_S = 0.02
@@ -297,9 +301,13 @@
             window.limit = max(1, min(window.limit, window.count_held(now_s)))
             window.changed_at_s = now_s
 
-    def retain(self, endpoints: Iterable[EndpointId]) -> None:
-        """Keep only the given endpoints."""
-        kept = set(endpoints)
+    def retain(self, endpoints: Iterable[EndpointId], now_s: float) -> None:
+        """Forget the other endpoints a while after their last answer."""
+        kept = set(endpoints) | {
+            endpoint
+            for endpoint, named in self.named.items()
+            if now_s < named.named_at_s + RETENTION_S
+        }
         for table in (self.named, self.refused_until_s, self.windows):
             for endpoint in [x for x in table if x not in kept]:
                 del table[endpoint]
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -168,7 +168,9 @@
             self.app.forwarder.notices.permits.limits.retain(registered)
             self.app.forwarder.notices.rests.retain(registered, self.platform.clock())
             _retain_leaving(self.app.forwarder, self.store_view)
-            self.app.forwarder.notices.permits.windows.retain(registered)
+            self.app.forwarder.notices.permits.windows.retain(
+                registered, self.platform.clock()
+            )
             self.app.forwarder.links.monitor.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
--- a/tests/test_endpoint_windows.py
+++ b/tests/test_endpoint_windows.py
@@ -3,6 +3,7 @@
 from primrosepier.endpoint_windows import (
     EXTRA_CALLS,
     HOLDER_TTL_S,
+    RETENTION_S,
     Brittleness,
     EndpointWindows,
 )
@@ -74,3 +75,20 @@
     assert windows.record_answer(ENDPOINT, None, 2.0)
     windows.merge(other.make_summary(3.0), 3.0)
     assert windows.get_brittleness(ENDPOINT) is None
+
+
+def test_an_endpoint_whose_entry_lapses_stays_brittle_and_full():
+    windows = EndpointWindows()
+    windows.record_answer(ENDPOINT, BRITTLE, 0.0)
+    held = fill(windows)
+    windows.retain([], 1.0)
+    assert windows.get_brittleness(ENDPOINT) == BRITTLE
+    assert windows.windows[ENDPOINT].count_held(1.0) == held
+    windows.retain([], RETENTION_S)
+    assert windows.get_brittleness(ENDPOINT) is None
+
+
+def test_calls_that_run_for_long_keep_their_place():
+    windows = EndpointWindows()
+    held = fill(windows)
+    assert windows.windows[ENDPOINT].count_held(60.0) == held
