Bound the age of changes that are read after a freeze

A router whose host was frozen, or that stood still for another reason, read the answer of its watch long after it had arrived and took that moment for the time of the change: weights that were requested during a freeze counted as that much younger, and old ones were used for as much too long. Each watch now tells how long the store holds it; an answer that is read later than that is dated by the answer before, and bounds later changes by its own request. The new test failed before: a change of at most 0.1 s was dated 5.0 s.

--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -74,10 +74,11 @@
         time of the newest answer with that guarantee, seconds.
     answered_at_s : float
         Time after which changes may be missing from the mirror: the arrival of the
-        newest event or the request time of the newest snapshot, seconds.
+        newest event or, if it came late, its request; the request time of the newest
+        snapshot, seconds.
     changed_after_s : float
         Lower bound of the time of the last changes, seconds: when their watch event
-        arrived if the service held the request until then; otherwise the previous
+        arrived if the service held the request for that long; otherwise the previous
         `answered_at_s` or, for a snapshot, the previous `confirmed_at_s`.
     """
 
@@ -112,16 +113,20 @@
 
     def apply_event(self, event: WatchEvent, now_s: float) -> None:
         """Apply the changes of a watch event."""
-        was_held = True
+        is_timely, answered_at_s = True, now_s
         if event.requested_at_s is not None:
             self.confirmed_at_s = event.requested_at_s
-            was_held = now_s - event.requested_at_s > MAX_ANSWER_S
-        previous_answer_at_s, self.answered_at_s = self.answered_at_s, now_s
+            wait_s = now_s - event.requested_at_s
+            if wait_s > event.hold_s + MAX_ANSWER_S:
+                # This process or its host stood still; the answer may be as old.
+                answered_at_s = event.requested_at_s
+            is_timely = MAX_ANSWER_S < wait_s <= event.hold_s + MAX_ANSWER_S
+        previous_answer_at_s, self.answered_at_s = self.answered_at_s, answered_at_s
         if not event.changes:
             self.revision = event.revision
             self.synced_at_s = now_s
             return
-        self.changed_after_s = now_s if was_held else previous_answer_at_s
+        self.changed_after_s = now_s if is_timely else previous_answer_at_s
         for key, item in event.changes.items():
             if item is None:
                 self.items.pop(key, None)
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -268,6 +268,7 @@
                 Revision(position),
                 ((i.key, None if i.deleted else _make_item(i)) for i in changes.events),
                 requested_at_s,
+                self.watch_s,
             )
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -168,12 +168,15 @@
     requested_at_s : float or None
         Time at which the answer was requested, seconds, if the service guarantees that
         the answer contains all earlier changes. Such an event may contain no changes.
+    hold_s : float
+        Longest time for which the service holds the request, seconds.
     """
 
     revision: Revision
     changes: Mapping[str, Item | None] = field(default_factory=dict)
     compacted: bool = False
     requested_at_s: float | None = None
+    hold_s: float = float("inf")
 
     @property
     def items(self) -> tuple[Item, ...]:
@@ -190,6 +193,7 @@
     revision: Revision,
     changes: Iterable[tuple[str, Item | None]],
     requested_at_s: float | None = None,
+    hold_s: float = float("inf"),
 ) -> WatchEvent:
     """Return the event of an answer, which may span many revisions.
 
@@ -199,7 +203,9 @@
         Keys with their items, or with None for deletions, in the order in which they
         happened.
     """
-    return WatchEvent(revision, dict(changes), requested_at_s=requested_at_s)
+    return WatchEvent(
+        revision, dict(changes), requested_at_s=requested_at_s, hold_s=hold_s
+    )
 
 
 class Store(Protocol):
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -13,7 +13,7 @@
 from primrosepier.platform.standins import StandinStore
 from primrosepier.platform.store import make_platform_store
 from primrosepier.standin_store import StoreStandin
-from primrosepier.store import MemoryStore, Put
+from primrosepier.store import Item, MemoryStore, Put, Snapshot, WatchEvent
 
 pytestmark = pytest.mark.sockets
 
@@ -136,3 +136,18 @@
                 assert mirror.items == memory.items
 
     anyio.run(run)
+
+
+def make_event(revision, requested_at_s, *keys):
+    changes = {key: Item(key, b"1", revision) for key in keys}
+    return WatchEvent(revision, changes, requested_at_s=requested_at_s, hold_s=1.5)
+
+
+def test_a_change_that_is_read_after_a_freeze_is_not_taken_for_a_new_one():
+    mirror = Mirror(PREFIX)
+    mirror.apply_snapshot(Snapshot(1, {}), 0.0, 0.0)
+    mirror.apply_event(make_event(2, 0.1, KEYS[0]), 5.0)
+    assert mirror.changed_after_s <= 0.1
+    mirror.apply_event(make_event(2, 5.1), 10.0)
+    mirror.apply_event(make_event(3, 10.0, KEYS[1]), 10.01)
+    assert mirror.changed_after_s <= 5.1
