Ignore loads in answers whose numbers are too large to send on

Found in review. The slots that a brittle replica reports go into datagrams to other routers, whose numbers have 64 bits; a larger one would have ended the router. The new case of the test failed before: the load was read.

--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -33,7 +33,9 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503
 LEAVING_VALUE = b"1"
+MAX_SLOTS = 10**9
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+INTEGER = re.compile(rb"[0-9]{1,9}")
 
 
 class _Model(msgspec.Struct):
@@ -78,7 +80,7 @@
         service=ServiceId(entry.service),
         address=entry.address,
         failure_domain=FailureDomain(entry.zone),
-        slots=max(1, entry.slots),
+        slots=min(max(1, entry.slots), MAX_SLOTS),
         draining=entry.state == DRAINING,
         weights={
             ModelId(m.name): WeightsVersionNumber(m.version) for m in entry.models
@@ -170,7 +172,7 @@
 
 def _read_load(value: bytes) -> ReportedLoad | None:
     parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(INTEGER.fullmatch(part.strip()) for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return ReportedLoad(running, waiting, slots)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -169,7 +169,7 @@
 
 
 def test_malformed_load_headers_are_ignored():
-    for value in (b"", b"1,2", b"a,b,c", b"1,2,-3"):
+    for value in (b"", b"1,2", b"a,b,c", b"1,2,-3", b"0,0," + b"9" * 20):
         head = PlatformDialect().read_head(200, [(b"Instance-Load", value)])
         assert head.load is None
 
