Let queued requests return one at a time when a rest ends

Found in review, on the router's own interface. When the rest of an endpoint ended, the gate counted all its free places, so that as many queued requests were let in while one might go there; the others were refused with time left in the queue. An endpoint counts one place until it has answered a request after its rest. The new test failed before: 8 places at four endpoints, where four requests may return.

--- a/primrosepier/candidates.py
+++ b/primrosepier/candidates.py
@@ -155,7 +155,9 @@
     def _count_free(self, endpoint: Endpoint, now_s: float) -> int:
         limit = int(self.limits.get(endpoint.id, endpoint.concurrent).value)
         peer_requests = self._count_peer_requests(endpoint, now_s)
-        return max(0, limit - peer_requests - self.outstanding[endpoint.id])
+        free = max(0, limit - peer_requests - self.outstanding[endpoint.id])
+        # After a rest, requests return one at a time.
+        return min(free, 1) if endpoint.id in self.rests.periods else free
 
     def _count_peer_requests(self, endpoint: Endpoint, now_s: float) -> int:
         report = self.board.load.value.get(endpoint.id)
--- a/tests/test_endpoints_at_rest.py
+++ b/tests/test_endpoints_at_rest.py
@@ -114,3 +114,14 @@
     assert all(isinstance(x, NotRun) and x.retry_after_s >= 1.5 for x in outcomes)
     assert all(x.retry_after_s <= 2.0 for x in outcomes)
     assert len({x.retry_after_s for x in outcomes}) == len(outcomes)
+
+
+def test_queued_requests_do_not_all_return_when_a_rest_ends():
+    calls = Calls(RestingClient(list_addresses(), b"1"), is_plain=False)
+    candidates, clock = calls.model.candidates, calls.clock
+    service = make_request("0").service
+    for number in range(8):
+        anyio.run(calls.send, number)
+    candidates.limits.by_endpoint.clear()
+    clock.advance(1.1)
+    assert candidates.compute_capacity(service, clock()) == len(list_addresses())
