Tell cut links from responses, since proxies accept connections

What callers saw: at routers whose connections to the replicas are accepted and then reset, as behind a proxy, next to no call is served until the links are back.

Cause: such a router probed the replicas by opening connections, took each accepted one for the replica's word, and so never counted as cut off. The class of fault: a step on the way is taken for the end of it.

Ruled out: that the losses are not noticed (calls that end without a response are recorded as failures to reach the replica, and three quarters of the replicas were lost).

Change: an accepted connection proves nothing any more. While most of the replicas seem lost, here or at a router that asks, a probe is a request for the replica's report over a new connection, and any response counts. Otherwise a probe still opens a connection only, so a single lost replica costs no request.

Before, the four new cases over real sockets and the two in virtual time failed.

--- a/primrosepier/forwarding/cuts.py
+++ b/primrosepier/forwarding/cuts.py
@@ -2,7 +2,7 @@
 
 When many replicas are lost at once, the other routers are asked whether they reach
 replicas. If one does, this router counts as cut off: its calls are passed on, and it
-probes replicas until they accept connections again.
+probes replicas until they are reached again.
 """
 
 import random
@@ -33,7 +33,7 @@
 # Lost replicas that a question names.
 MAX_NAMED = 16
 MS = 0.001
-# Replicas that are probed in a round; the cut has ended when most accept connections.
+# Replicas that are probed in a round; the cut has ended when most are reached.
 PROBED = 3
 
 
@@ -100,6 +100,8 @@
         Returns the replicas of all services.
     probe : callable
         Returns whether a replica accepts a connection.
+    ask : callable
+        Returns whether a replica responds, at the price of a request.
     notify : callable
         Called when a cut begins or ends, with the number of lost replicas and the
         routers that reach replicas.
@@ -121,6 +123,7 @@
     rng: random.Random = field(default_factory=random.Random)
     list_replicas: Callable[[], Sequence[Replica]] = list_no_replicas
     probe: ProbeReplica = probe_nothing
+    ask: ProbeReplica = probe_nothing
     send: SendMessage = send_nowhere
     notify: NotifyCut = ignore_cut
     monitor: LinkMonitor = field(default_factory=LinkMonitor)
@@ -164,7 +167,7 @@
         Returns
         -------
         bool
-            Whether most of the probed replicas accepted a connection.
+            Whether most of the probed replicas were reached.
         """
         is_reached = await self._probe()
         if is_reached and self.is_cut:
@@ -201,19 +204,24 @@
             self.helpers.pop(host, None)
 
     async def _probe(self) -> bool:
-        """Return whether most of some replicas accept connections."""
+        """Return whether most of some replicas are reached.
+
+        They have to respond if there seems to be a cut, here or at a router that asked.
+        """
         replicas = self.list_replicas()
         named, self.named = self.named, frozenset()
         replicas = [x for x in replicas if x.id in named] or replicas
+        must_ask = self.is_cut or bool(named) or self._seems_cut()
         probed = self.rng.sample(replicas, min(PROBED, len(replicas)))
         reached = []
 
         async def probe(replica: Replica) -> None:
-            if await self.probe(replica):
-                reached.append(replica)
-                self.monitor.record_reached(replica.id, self.clock(), True)
-            else:
+            if not await (self.ask if must_ask else self.probe)(replica):
                 self.monitor.record_failed(replica.id, self.clock())
+                return
+            reached.append(replica)
+            if must_ask:
+                self.monitor.record_reached(replica.id, self.clock(), True)
 
         async with anyio.create_task_group() as group:
             for replica in probed:
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -378,7 +378,7 @@
         platform.clock,
     )
 
-    _connect_links(forwarder, store_view, platform.client, directory)
+    _connect_links(forwarder, store_view, platform, directory)
 
     def log_causes(
         added: frozenset[Fingerprint], ended: frozenset[Fingerprint]
@@ -392,7 +392,7 @@
 def _connect_links(
     forwarder: Forwarder,
     store_view: StoreView,
-    client: EndpointClient,
+    platform: EntryPlatform,
     directory: PeerDirectory,
 ) -> None:
     """Connect the detector of cuts to the replicas and the other routers."""
@@ -408,8 +408,18 @@
         if not is_cut:
             forwarder.loads.end_backoff()
 
+    async def probe(replica: Replica) -> bool:
+        return await platform.client.probe(replica.address, PROBE_TIMEOUT_S)
+
+    async def ask(replica: Replica) -> bool:
+        # The new connection is the one that the request uses.
+        return await probe(replica) and await platform.weights_client.is_responding(
+            replica
+        )
+
     links.list_replicas = list_replicas
-    links.probe = lambda replica: client.probe(replica.address, PROBE_TIMEOUT_S)
+    links.probe = probe
+    links.ask = ask
     links.notify = log_change
 
 
--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -139,6 +139,9 @@
     async def read_state(self, replica: Replica) -> ReplicaState | None:
         """Return a replica's state, or None if there is no valid response."""
 
+    async def is_responding(self, replica: Replica) -> bool:
+        """Return whether a replica responds, whatever it responds."""
+
     async def send(self, order: WeightsOrder) -> OrderResult:
         """Send an order and return its result."""
 
--- a/primrosepier/links.py
+++ b/primrosepier/links.py
@@ -2,7 +2,8 @@
 
 A replica that ends or falls silent is lost for all routers; a router that is cut off
 loses many replicas at once. Only attempts to connect count, since old connections may
-live on while new ones are refused, and those whose sent bytes stay unacknowledged.
+live on while new ones are refused, and those whose sent bytes stay unacknowledged. An
+accepted connection proves nothing: what accepts it may be a proxy.
 """
 
 from collections.abc import Collection, Iterable
@@ -40,7 +41,7 @@
     def record_reached(
         self, endpoint: EndpointId, now_s: float, is_new_connection: bool
     ) -> None:
-        """Record a response, or a new connection that a replica accepted."""
+        """Record a response."""
         self.reached_at_s[endpoint] = now_s
         if is_new_connection:
             self.failed_at_s.pop(endpoint, None)
--- a/primrosepier/platform/orders.py
+++ b/primrosepier/platform/orders.py
@@ -87,6 +87,10 @@
             weights, report.busy, report.seq, read_leaving(response.headers)
         )
 
+    async def is_responding(self, replica: Replica) -> bool:
+        """Return whether a replica responds, whatever it responds."""
+        return await self._call(replica, "GET", "/report", b"") is not None
+
     async def send(self, order: WeightsOrder) -> OrderResult:
         """Send an order."""
         load = order.load
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -31,6 +31,11 @@
     HANG = "hang"
     RESET = "are reset"
     REFUSE = "live on while new ones are refused"
+    ACCEPT = "are reset, and new ones with their first request"
+    ACCEPT_NEW = "live on while new ones are reset with their first request"
+
+
+ACCEPTING = (Links.ACCEPT, Links.ACCEPT_NEW)
 
 
 @dataclass
@@ -48,16 +53,18 @@
         if self.cut is Links.HANG:
             await anyio.sleep(timeout)
             raise httpcore.ConnectTimeout("no answer")
-        if self.cut is not None:
+        if self.cut is not None and self.cut not in ACCEPTING:
             raise httpcore.ConnectError("connection refused")
         stream = await self.inner.connect_tcp(host, port, timeout, **options)
+        if self.cut in ACCEPTING:
+            stream.write = self._make_reset(stream)
         self.streams.append(stream)
         return stream
 
     def begin(self, links):
         self.cut = links
         for stream in self.streams:
-            if links is Links.RESET:
+            if links in (Links.RESET, Links.ACCEPT):
                 stream.abort()
             elif links is Links.HANG and not stream.buffer.transport.is_closing():
                 stream.buffer.transport.pause_reading()
@@ -72,6 +79,13 @@
 
         return write
 
+    def _make_reset(self, stream):
+        async def write(data, timeout=None):
+            stream.has_written = True
+            stream.abort()
+
+        return write
+
     def end(self):
         self.cut = None
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -53,10 +53,14 @@
 
 
 class Routers:
-    """Routers, each with the set of replicas that it reaches."""
+    """Routers, each with the set of replicas that it reaches.
 
-    def __init__(self, count, replicas=10):
+    Proxies accept connections also to replicas that are not reached.
+    """
+
+    def __init__(self, count, replicas=10, has_proxies=False):
         self.replicas = REPLICAS[:replicas]
+        self.has_proxies = has_proxies
         self.reached = {f"front-{n}": set(range(10)) for n in range(count)}
         self.changes = []
         self.detectors = {host: self.make_detector(host) for host in self.reached}
@@ -64,10 +68,13 @@
             detector.record_hosts(self.reached)
 
     def make_detector(self, host):
-        async def probe(replica):
+        async def ask(replica):
             await anyio.sleep(0.001)
             return int(replica.id[1:]) in self.reached[host]
 
+        async def probe(replica):
+            return await ask(replica) or self.has_proxies
+
         async def send(receiver, message):
             data = msgspec.msgpack.encode(PeerDatagram("token", message))
             received = decode_peer_datagram(data, "token")
@@ -80,7 +87,8 @@
 
         rng = random.Random(host)
         detector = CutDetector(host, anyio.current_time, rng, lambda: self.replicas)
-        detector.probe, detector.send, detector.notify = probe, send, notify
+        detector.probe, detector.ask = probe, ask
+        detector.send, detector.notify = send, notify
         return detector
 
     async def call(self, host):
@@ -107,9 +115,12 @@
         run_in_virtual_time(run)
 
 
+@pytest.mark.parametrize("has_proxies", [False, True])
 @pytest.mark.parametrize("cut", [1, 5])
-def test_cut_routers_know_it_within_a_second_and_return_within_seconds(cut):
-    routers = Routers(6)
+def test_cut_routers_know_it_within_a_second_and_return_within_seconds(
+    cut, has_proxies
+):
+    routers = Routers(6, has_proxies=has_proxies)
     hosts = [f"front-{number}" for number in range(cut)]
 
     async def play():
@@ -154,9 +165,10 @@
     routers.run(play, callers=["front-0"])
 
 
+@pytest.mark.parametrize("has_proxies", [False, True])
 @pytest.mark.parametrize("left", [0, 1, 6, 9])
-def test_replicas_that_are_lost_for_all_routers_are_no_cut(left):
-    routers = Routers(6)
+def test_replicas_that_are_lost_for_all_routers_are_no_cut(left, has_proxies):
+    routers = Routers(6, has_proxies=has_proxies)
 
     async def play():
         await anyio.sleep(3.0)
