Release the weights duty on a router that is cut off

What callers saw: the router that holds the weights duty is cut off from the replicas while the others reach them. No replica is ordered to load, and from the rollout time on every router refuses all calls of the service with 503, until the links are back.

Cause: the duty depends on the store alone, which such a router still reaches, so it keeps its lease and sends orders that do not arrive. Ruled out: the other routers' detection of the cut, since the holder itself passes its calls on.

A router that is cut off now releases the duty and acquires none. Another one that reaches the replicas takes it, as after a stop.

The new test timed out before, after 5 s without an order.

--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -253,6 +253,7 @@
             ReplicaLeaving(replica.id, replica.service, replica.born_ms)
         ),
     )
+    weights_controller.is_cut_off = lambda: forwarder.links.is_cut
     mirror_controller.get_batching_delay_s = partial(
         choose_batching_delay_s, settings, weights_controller.duty
     )
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -63,6 +63,11 @@
     """Default for ``notify``: do nothing, as peers also read the store."""
 
 
+def is_never_cut_off() -> bool:
+    """Default for ``is_cut_off``: return False."""
+    return False
+
+
 @dataclass(slots=True)
 class WeightsController:
     """Acquires the weights duty and, as its holder, has replicas load weights.
@@ -75,6 +80,8 @@
         Returns the calls in progress at a replica.
     list_unreachable : callable
         Returns the replicas that cannot be reached.
+    is_cut_off : callable
+        Returns whether this router is cut off from the replicas while others are not.
     notify : callable
         Called when this router's loading record changes.
     leaving : LeavingReplicas
@@ -112,6 +119,7 @@
     weights_s: float
     count_calls: Callable[[EndpointId], int]
     list_unreachable: Callable[[], Collection[EndpointId]] = tuple
+    is_cut_off: Callable[[], bool] = is_never_cut_off
     notify: Callable[[], None] = ignore_change
     leaving: LeavingReplicas = field(default_factory=LeavingReplicas)
     load_time: LoadTimeAverage = field(default_factory=LoadTimeAverage)
@@ -233,6 +241,10 @@
 
     async def _maintain_duty(self) -> None:
         previous_fencing = self.duty.fencing_number
+        if self.is_cut_off():
+            if previous_fencing:
+                await self._release()
+            return
         if not previous_fencing and (self.stopping or not self.store_view.is_connected):
             return
         holder = self.mirror.items.get(make_duty_key(self.duty.name))
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -138,7 +138,7 @@
         assert result.path == "/lookup/" or count <= 1 or "queries" in result.path
 
 
-def run_cut(check, routers):
+def run_cut(check, routers, **settings):
     async def run(fleet):
         async with contextlib.AsyncExitStack() as stack:
             for number in range(2, routers + 1):
@@ -152,7 +152,7 @@
             )
             await check(fleet)
 
-    run_entry(run, names=NAMES)
+    run_entry(run, names=NAMES, **settings)
 
 
 @pytest.mark.parametrize(("cut", "routers"), [(1, 3), (4, 6)])
@@ -275,3 +275,25 @@
         assert (await fleet.send("/lookup/1", router=router)).status == 500
 
     run_cut(check, 1)
+
+
+def test_a_rollout_goes_on_while_the_holder_of_its_duty_is_cut_off():
+    async def check(fleet):
+        await fleet.wait_until(lambda: find_holder(fleet))
+        holder = find_holder(fleet)
+        cut_links(fleet, holder).begin(Links.REFUSE)
+        holder.app.forwarder.links.is_cut = True
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        replicas = [fleet.replicas[name] for name in NAMES]
+        await fleet.wait_until(lambda: any(x.weights == 2 for x in replicas), 5.0)
+        assert find_holder(fleet) is not holder
+
+    run_cut(check, 2, apply_s=0.2)
+
+
+def find_holder(fleet):
+    """Return the router that holds the weights duty, or None."""
+    for router in fleet.routers:
+        if router.weights_controller.duty.fencing_number:
+            return router
+    return None
