Plan weights loads among the replicas that are reachable

What callers saw: part of a service's replicas are registered but unreachable when weights are requested. The others are ordered late, or never: from the rollout time on, no replica may be used and all calls are refused with 503.

Cause: unreachable replicas counted as loading, so they used up the share of the service that may load at once, a third, or two thirds when time is short. With as many of them nothing is ordered. Those that the holder did not know to be unreachable were planned first, as they had no calls, and kept their places for the time-out of a load, ten seconds. Ruled out: the lease, which was held all the while.

The share is now one of the reachable replicas. A replica that does not answer the question for its state counts as unreachable until it does. One that has answered, and so may have been ordered, counts as loading even if it can't be reached later, so that loads never add up to more than the share.

The new test over sockets, in which four of six replicas refuse connections and no call tells the holder so, failed before after 3 s.

Not measured: a service so full that a second replica loading at once makes calls late.

--- a/primrosepier/forwarding/weights.py
+++ b/primrosepier/forwarding/weights.py
@@ -260,18 +260,20 @@
     count_calls : callable
         Returns the calls in progress at a replica.
     unreachable : collection of EndpointId
-        Replicas that cannot be reached. They serve no calls and count as loading.
+        Replicas that cannot be reached. Unless they are loading, the others are planned
+        without them, since they serve no calls and cannot be ordered.
     """
-    loads = list_needed_weights_loads(replicas, requested_weights)
+    lost = {*unreachable}.difference(loading)
+    reachable = [replica for replica in replicas if replica.id not in lost]
+    loads = list_needed_weights_loads(reachable, requested_weights)
     if not loads:
         return []
     lags = _compute_lags(loads, requested_weights, timing.now_s)
     max_loading = compute_max_concurrent_loads(
-        len(replicas), list(lags.values()), timing
+        len(reachable), list(lags.values()), timing
     )
-    unavailable = {*loading, *unreachable}
-    unavailable_count = sum(replica.id in unavailable for replica in replicas)
-    startable = [load for load in loads if load.replica.id not in unavailable]
+    loading_count = sum(replica.id in loading for replica in reachable)
+    startable = [load for load in loads if load.replica.id not in loading]
 
     def compute_priority(load: WeightsLoad) -> tuple[bool, int, EndpointId]:
         endpoint = load.replica.id
@@ -279,4 +281,4 @@
         return remaining_s > timing.load_s, count_calls(endpoint), endpoint
 
     startable.sort(key=compute_priority)
-    return startable[: max(0, max_loading - unavailable_count)]
+    return startable[: max(0, max_loading - loading_count)]
--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -104,6 +104,9 @@
         Fencing number and serial of that record.
     serial : int
         Number of changes to this router's loading record.
+    answered, unanswered : set of EndpointId
+        Replicas of these loads that have told their state, and those that were asked in
+        vain so far.
     loaded_versions : dict of (EndpointId, ModelId) to WeightsVersionNumber
         Newest version that each replica is known to have loaded; its entry in the
         store may still show an older one.
@@ -132,6 +135,8 @@
     own_record_at_s: float = NEVER_S
     loading: dict[EndpointId, WeightsLoad] = field(default_factory=dict)
     peer_loading: dict[EndpointId, float] = field(default_factory=dict)
+    answered: set[EndpointId] = field(default_factory=set)
+    unanswered: set[EndpointId] = field(default_factory=set)
     loaded_versions: dict[tuple[EndpointId, ModelId], WeightsVersionNumber] = field(
         default_factory=dict
     )
@@ -285,13 +290,14 @@
     async def _start_loads(self, group: TaskGroup) -> None:
         requested_weights = self.store_view.requested_weights.value
         timing = RolloutTiming(self.clock(), self.weights_s, self.load_time.mean_s)
-        unreachable = self.list_unreachable()
+        unreachable = {*self.list_unreachable(), *self.unanswered}
+        loading = self.loading.keys() - self.unanswered
         loads: list[WeightsLoad] = []
         for replicas in self.store_view.replicas.value.by_service.values():
             loads += plan_weights_loads(
                 self._list_staying(replicas),
                 requested_weights,
-                self.loading,
+                loading,
                 timing,
                 self.count_calls,
                 unreachable,
@@ -340,6 +346,8 @@
                 self.load_time.add(self.clock() - started_s)
         finally:
             self.loading.pop(load.replica.id, None)
+            self.answered.discard(load.replica.id)
+            self.unanswered.discard(load.replica.id)
             self._notify_change()
 
     async def _try_load(self, load: WeightsLoad) -> bool:
@@ -348,7 +356,11 @@
             return True
         state = await self.weights_client.read_state(load.replica)
         if state is None:
+            if load.replica.id not in self.answered:
+                self.unanswered.add(load.replica.id)
             return False
+        self.answered.add(load.replica.id)
+        self.unanswered.discard(load.replica.id)
         if state.is_leaving:
             self.leaving.record(load.replica, self.clock())
         if self._is_done(load, state):
--- a/tests/test_entry_weights.py
+++ b/tests/test_entry_weights.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 from entry_fleet import run_entry
+from ports import find_free_port
 
 pytestmark = pytest.mark.sockets
 
@@ -97,3 +98,20 @@
         assert {order["holder"] for order in orders} == {"front-1"}
 
     run_entry(check, names=writers, apply_s=0.2, weights_s=8.0, holder_gap_s=2.5)
+
+
+def test_replicas_that_do_not_answer_do_not_hold_up_a_rollout():
+    writers = tuple(f"w{number}" for number in range(1, 7))
+    silent, others = writers[:4], writers[4:]
+
+    async def check(fleet):
+        (holder,) = fleet.routers
+        await fleet.wait_until(lambda: holder.weights_controller.duty.fencing_number)
+        for name in silent:
+            fleet.addresses[name] = f"127.0.0.1:{find_free_port()}"
+            fleet.register(name)
+        fleet.store.put("op/version/m0", {"model": "m0", "version": 2})
+        replicas = [fleet.replicas[name] for name in others]
+        await fleet.wait_until(lambda: all(x.weights == 2 for x in replicas), 3.0)
+
+    run_entry(check, names=writers, weights_s=6.0)
