Tell the other routers how long calls wait at old weights

What callers saw: with many routers that send a few calls each, calls that may run only once end with 502 during a rollout: they were sent to replicas with old weights and long queues, did not begin in time and were withdrawn.

Cause: a router forecasts the wait at a replica from its own calls of the last five seconds there. With few calls for each pair of a router and a replica it often has sent none, and then forecasts no wait, though others know better. Ruled out: the age of the request (all routers knew it to within half a second) and queues that grew after the choice (they were constant).

Routers now add to their reports how long their calls wait, or waited of late, at replicas with old weights, if that is 0.25 s or more and the rollout time has not passed. Such reports are repeated each half second, like those of running outputs. The forecast is the longest wait that this router or another one knows. The new field is the last one of the report and has a default: earlier builds ignore it and send none.

The new test over sockets failed before: the router that had sent nothing forecast no wait.

--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -4,9 +4,10 @@
 from the loads that replicas report. Each router therefore sends its peers datagrams
 that report the prompt tokens that each replica has yet to prefill for it, the calls
 that each replica decodes for it, its updates of the prefix index, its loading record,
-the calls that it lost with their replicas and the limits that replicas named. The next
-report replaces one that was lost, except for the updates, which are sent once. Messages
-about permits and the origins of streams use the same socket.
+the calls that it lost with their replicas, the limits that replicas named and how long
+its calls wait at replicas with old weights. The next report replaces one that was lost,
+except for the updates, which are sent once. Messages about permits and the origins of
+streams use the same socket.
 """
 
 import random
@@ -39,7 +40,7 @@
 from .peer_relay import PeerAddress
 from .permits import PermitExchange, PermitMessage
 from .prefixes import PrefixIndex, PrefixUpdate
-from .replica_load import PeerLoad, ReplicaLoadTable
+from .replica_load import MS, PeerLoad, ReplicaLoadTable
 
 __all__ = ["PeerDirectory", "PeerExchange", "PeerEntry", "PeerReport"]
 
@@ -103,6 +104,8 @@
         Limits of replicas that have changed.
     brittle : Mapping of EndpointId to SharedBrittleness
         Replicas that became or ceased to be brittle.
+    waits_ms : Mapping of EndpointId to int
+        How long the sender's calls wait at replicas with old weights, milliseconds.
     """
 
     token: str
@@ -116,6 +119,7 @@
     brittle: Mapping[EndpointId, SharedBrittleness] = msgspec.field(
         default_factory=dict
     )
+    waits_ms: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
 
 
 def make_no_loading_record() -> LoadingRecord | None:
@@ -123,6 +127,11 @@
     return None
 
 
+def list_no_waits() -> dict[EndpointId, float]:
+    """Return no waits; used where no weights version is required."""
+    return {}
+
+
 def ignore_loading_record(loading_record: LoadingRecord) -> None:
     """Ignore a peer's loading record."""
 
@@ -214,6 +223,8 @@
         None where no stream is taken up at another router.
     cuts : CutDetector or None
         None where no router is asked about its links.
+    list_waits : callable
+        Returns how long calls wait at replicas with old weights, seconds.
 
     Attributes
     ----------
@@ -236,6 +247,7 @@
     permits: PermitExchange | None = None
     origins: OriginExchange | None = None
     cuts: CutDetector | None = None
+    list_waits: Callable[[], Mapping[EndpointId, float]] = list_no_waits
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
@@ -263,7 +275,7 @@
     def _must_repeat(self, pending_tokens: Mapping[EndpointId, int]) -> bool:
         """Return whether the report must be repeated before it expires at the peers."""
         loading_record = self.make_loading_record()
-        return bool(pending_tokens or self.list_decoding()) or (
+        return bool(pending_tokens or self.list_decoding() or self.list_waits()) or (
             loading_record is not None and bool(loading_record.endpoints)
         )
 
@@ -328,8 +340,8 @@
             await anyio.sleep(max(0.0, sent_at_s + interval_s - self.clock()))
             pending_tokens = self.list_pending_tokens()
             must_repeat = (
-                self._must_repeat(pending_tokens)
-                and self.clock() > sent_at_s + MAX_REPORT_INTERVAL_S
+                self.clock() > sent_at_s + MAX_REPORT_INTERVAL_S
+                and self._must_repeat(pending_tokens)
             )
             if must_repeat or self.must_report(pending_tokens):
                 sent_at_s = self.clock()
@@ -357,6 +369,7 @@
             {} if self.permits is None else self.permits.windows.make_report(now_s)
         )
         all_brittle = self._list_brittle()
+        waits_ms = {x: int(wait_s / MS) for x, wait_s in self.list_waits().items()}
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -369,6 +382,7 @@
                 summary if entry.token in uninformed else losses,
                 all_limits if entry.token in uninformed else limits,
                 all_brittle if entry.token in uninformed else brittle,
+                waits_ms,
             )
             reports.append((entry, msgspec.msgpack.encode(report)))
         return reports
@@ -409,7 +423,7 @@
             self.loads.rejected_reports += 1
             return
         now_s = self.clock()
-        peer_load = PeerLoad(report.tokens, now_s, report.decoding)
+        peer_load = PeerLoad(report.tokens, now_s, report.decoding, report.waits_ms)
         self.loads.record_peer_load(report.sender, peer_load)
         self.prefixes.apply_updates(report.prefixes, now_s)
         if report.losses is not None:
--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -1,7 +1,8 @@
 """Load of each replica, from this router's calls and from reports.
 
 Replicas report their running and waiting calls in responses; peers report the prompt
-tokens that replicas have yet to prefill for them, and the calls that they decode.
+tokens that replicas have yet to prefill for them, the calls that they decode and how
+long calls wait there.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -12,7 +13,7 @@
 from ..ids import EndpointId, HostId
 from .calls import ReportedLoad, ResponseHead, WeightsVersionNumber
 
-__all__ = ["PeerLoad", "ReplicaLoad", "ReplicaLoadTable"]
+__all__ = ["MS", "PeerLoad", "ReplicaLoad", "ReplicaLoadTable"]
 
 # Backoff after a failure to reach a replica. It starts at about the restart time of a
 # process and doubles up to a few heartbeats.
@@ -32,6 +33,7 @@
 # there are pending tokens, so one lost datagram is usually tolerated.
 PEER_REPORT_TTL_S = 1.2
 MEAN_TOKENS_EWMA_ALPHA = 0.05
+MS = 0.001
 
 
 @dataclass(slots=True)
@@ -96,11 +98,14 @@
         Prompt tokens that the replica has yet to prefill.
     decoding : Mapping of EndpointId to int
         Calls whose output the replica generates.
+    waits_ms : Mapping of EndpointId to int
+        How long calls wait at the replica, milliseconds.
     """
 
     pending_tokens: Mapping[EndpointId, int]
     received_at_s: float
     decoding: Mapping[EndpointId, int] = field(default_factory=dict)
+    waits_ms: Mapping[EndpointId, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -227,6 +232,13 @@
             peer.decoding.get(endpoint, 0) for peer in self._list_recent_reports(now_s)
         )
 
+    def find_peer_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
+        """Return the longest wait at a replica that a peer reports, seconds."""
+        waits_ms = (
+            peer.waits_ms.get(endpoint, 0) for peer in self._list_recent_reports(now_s)
+        )
+        return MS * max(waits_ms, default=0)
+
     def _list_recent_reports(self, now_s: float) -> Iterator[PeerLoad]:
         return (
             peer
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -101,6 +101,8 @@
 # Extra delay of each further candidate for a free duty, seconds: enough for the
 # previous candidate to acquire the duty, since the store responds in milliseconds.
 CANDIDATE_DELAY_S = 0.05
+# Names no model, so that all models of a replica count.
+ANY_MODEL = ModelId("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,6 +329,9 @@
         DatagramsDropped(reason, count)
     )
     peers.origins = forwarder.origins
+    peers.list_waits = partial(
+        _list_outdated_waits, forwarder, weights_controller.store_view
+    )
     peers.cuts = forwarder.links
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
@@ -334,6 +339,26 @@
     return peers
 
 
+def _list_outdated_waits(
+    forwarder: Forwarder, store_view: StoreView
+) -> dict[EndpointId, float]:
+    """Return how long calls wait at replicas with old weights, seconds.
+
+    There are none once the rollout time of the last request has passed.
+    """
+    now_s, withdrawals = forwarder.clock(), forwarder.withdrawals
+    waits_s: dict[EndpointId, float] = {}
+    if all(at_s <= now_s for at_s in withdrawals.deadlines_s):
+        return waits_s
+    for endpoint, wait_s in forwarder.forecasts.list_long_waits().items():
+        replica = store_view.find_replica(endpoint)
+        if replica is None:
+            continue
+        if withdrawals.compute_lag_s(replica, ANY_MODEL) is not None:
+            waits_s[endpoint] = wait_s
+    return waits_s
+
+
 def _make_mirror_controller(
     settings: EntrySettings, platform: EntryPlatform, store_view: StoreView
 ) -> MirrorController:
@@ -473,7 +498,8 @@
 ) -> float | None:
     """Return for how long a replica has been missing weights, or None if it has them.
 
-    Only the weights of the given model count at a replica that serves it.
+    Only the weights of the given model count at a replica that serves it, and all of
+    them at other replicas.
     """
     current = weights_controller.store_view.find_replica(replica.id) or replica
     current = weights_controller.with_known_weights(current)
--- a/primrosepier/forwarding/start_forecasts.py
+++ b/primrosepier/forwarding/start_forecasts.py
@@ -15,6 +15,9 @@
 RECENT_S = 5.0
 # Waits kept for each replica, from which the rate of its prefill is computed.
 MAX_WAITS = 32
+# Shortest wait that is reported to the other routers, seconds: shorter ones end within
+# the reserve of each forecast.
+MIN_REPORTED_WAIT_S = 0.25
 
 
 @dataclass(eq=False, frozen=True, slots=True)
@@ -123,19 +126,26 @@
     def forecast_wait_s(self, endpoint: EndpointId) -> float:
         """Return how long a call that is sent now is expected to wait, seconds.
 
-        The forecast is 0 for a replica to which no call was sent of late.
+        The forecast is 0 for a replica to which no router has sent a call of late.
         """
+        now_s = self.clock()
+        wait_s = self.loads.find_peer_wait_s(endpoint, now_s)
         waits = self.replicas.get(endpoint)
         if waits is None:
-            return 0.0
-        now_s = self.clock()
-        wait_s = waits.find_longest_wait_s(now_s)
+            return wait_s
+        wait_s = max(wait_s, waits.find_longest_wait_s(now_s))
         tokens_per_s = waits.compute_tokens_per_s()
         if tokens_per_s:
             tokens = self.loads.count_pending_tokens(endpoint, now_s)
             wait_s = max(wait_s, (tokens + self.loads.mean_tokens) / tokens_per_s)
         return wait_s
 
+    def list_long_waits(self) -> dict[EndpointId, float]:
+        """Return the longest waits of this router's calls that others should know."""
+        now_s = self.clock()
+        waits_s = {x: y.find_longest_wait_s(now_s) for x, y in self.replicas.items()}
+        return {x: y for x, y in waits_s.items() if y >= MIN_REPORTED_WAIT_S}
+
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
         """Keep only the given replicas and those with calls that have not begun."""
         registered = set(endpoints)
--- a/tests/test_queued_calls.py
+++ b/tests/test_queued_calls.py
@@ -53,9 +53,9 @@
                 self.responses[len(self.responses)] = None
                 await anyio.sleep(CALL_INTERVAL_S)
 
-    async def send(self, number):
+    async def send(self, number, router=None):
         kind = "queries" if number % 2 else "notes"
-        router = self.fleet.routers[number % len(self.fleet.routers)]
+        router = router or self.fleet.routers[number % len(self.fleet.routers)]
         response = await self.fleet.send(
             f"/stream/{kind}/{number}",
             router=router,
@@ -154,6 +154,26 @@
     run_rollout(check, rollout_s=3.2)
 
 
+def test_a_router_without_calls_at_a_replica_knows_how_long_those_of_others_wait():
+    async def check(rollout):
+        first, second = rollout.fleet.routers
+        forecasts = second.app.forwarder.forecasts
+
+        def list_known():
+            return {name for name in REPLICAS if forecasts.forecast_wait_s(name) > 0.3}
+
+        await rollout.fleet.wait_until(lambda: first.peers.directory.peers)
+        await rollout.fleet.wait_until(lambda: second.peers.directory.peers)
+        rollout.set_queue(1.2)
+        rollout.request_weights()
+        async with anyio.create_task_group() as group:
+            for number in range(len(REPLICAS)):
+                group.start_soon(rollout.send, 2 * number + 1, first)
+            await rollout.fleet.wait_until(lambda: list_known() == set(OUTDATED), 2.0)
+
+    run_rollout(check, routers=2)
+
+
 def test_weights_count_as_loaded_however_the_router_learns_of_them():
     async def check(rollout):
         (router,) = rollout.fleet.routers
--- a/tests/test_start_forecasts.py
+++ b/tests/test_start_forecasts.py
@@ -2,8 +2,16 @@
 
 import pytest
 
-from primrosepier.forwarding.replica_load import PeerLoad, ReplicaLoadTable
-from primrosepier.forwarding.start_forecasts import RECENT_S, StartForecasts
+from primrosepier.forwarding.replica_load import (
+    PEER_REPORT_TTL_S,
+    PeerLoad,
+    ReplicaLoadTable,
+)
+from primrosepier.forwarding.start_forecasts import (
+    MIN_REPORTED_WAIT_S,
+    RECENT_S,
+    StartForecasts,
+)
 
 
 class Waits:
@@ -91,6 +99,35 @@
     assert waits.forecast() == pytest.approx(expected_s)
 
 
+def test_waits_that_others_report_raise_the_forecast_until_they_expire():
+    waits = Waits()
+    report = PeerLoad({}, waits.now_s, waits_ms={"w1": 2500, "w2": 400})
+    waits.loads.record_peer_load("front-2", report)
+    waits.loads.record_peer_load("front-3", PeerLoad({}, 0.0, waits_ms={"w1": 900}))
+    assert waits.forecast() == pytest.approx(2.5)
+    assert waits.forecast("w2") == pytest.approx(0.4)
+    sent = waits.send()
+    waits.now_s = 1.0
+    assert waits.forecast() == pytest.approx(2.5)
+    waits.forecasts.record_ended(sent)
+    waits.now_s = PEER_REPORT_TTL_S
+    assert waits.forecast() == 1.0
+    assert waits.forecast("w2") == 0.0
+
+
+def test_only_long_waits_of_late_are_listed_for_others():
+    waits = Waits()
+    short, long = waits.send(), waits.forecasts.record_sent("w2")
+    waits.now_s = MIN_REPORTED_WAIT_S / 2
+    waits.begin(short)
+    assert waits.forecasts.list_long_waits() == {}
+    waits.now_s = 1.5
+    assert waits.forecasts.list_long_waits() == {"w2": 1.5}
+    waits.forecasts.record_begun(long)
+    waits.now_s += RECENT_S + 0.1
+    assert waits.forecasts.list_long_waits() == {}
+
+
 def test_replicas_that_are_gone_are_forgotten():
     waits = Waits()
     sent = waits.send()
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -125,12 +125,14 @@
             ),
             {"w1": SharedLimit(4.5, 20)},
             {"w1": SharedBrittleness(Brittleness(8.0, 4), 20)},
+            {"w1": 2500},
         ),
-        "99a5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
+        "9aa5746f6b656ea766726f6e742d3181a27731cd07d0919405a2773101c384a766656e63696e"
         "6703a9656e64706f696e747391a27731a66c6f61645f73cb4000000000000000a67365726961"
         "6c0481a2773103929193a27731149193079208097881080f"
         "81a2773192cb401200000000000014"
-        "81a277319292cb40200000000000000414",
+        "81a277319292cb40200000000000000414"
+        "81a27731cd09c4",
     ),
     (
         PeerDatagram(
@@ -345,6 +347,20 @@
     )
 
 
+def test_reports_and_routers_that_share_no_waits_read_each_other():
+    report = PeerReport("token", "front-1", {}, [], LOADING, {"w1": 3}, None, {})
+    known = msgspec.structs.replace(report, waits_ms={"w1": 2500})
+    earlier_fields = [
+        (field.name, field.type) for field in msgspec.structs.fields(PeerReport)[:9]
+    ]
+    earlier = msgspec.defstruct("EarlierReport", earlier_fields, array_like=True)
+    data = msgspec.msgpack.encode(known)
+    read = msgspec.msgpack.decode(data, type=earlier)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(read), type=PeerReport) == (
+        report
+    )
+
+
 def test_requests_for_windows_ask_earlier_routers_for_a_permit():
     request = PermitRequest(
         "front-1",
