Retry calls that are withdrawn before their connection is open

What callers saw: a call that may run only once ends with 502 if it is sent to a replica with old weights that does not accept the connection, shortly before the time at which such calls are withdrawn.

Cause: a call that is withdrawn counted as one that may have begun, even if no byte of it had been written.

The client of endpoints now tells when the connection is open. A call that is withdrawn before has not run: it is sent to another replica, as after a failed connection, or refused with 503.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -4,7 +4,7 @@
 import ssl
 import time
 from collections import defaultdict
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -50,6 +50,10 @@
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
 
+def ignore_connected() -> None:
+    """Do nothing; used where no one follows when a connection is open."""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
     """An HTTP request to one endpoint.
@@ -69,6 +73,8 @@
     repeatable : bool
         Whether the call may run more than once. Only such calls are aborted when
         the endpoint is unresponsive.
+    record_connected : callable
+        Called when the connection is open, before a byte of the request is written.
     """
 
     address: str
@@ -82,6 +88,7 @@
     streamed: bool = False
     idle_s: float = KEEPALIVE_S
     repeatable: bool = False
+    record_connected: Callable[[], None] = ignore_connected
 
 
 class EndpointResponse(Protocol):
@@ -153,6 +160,7 @@
         """Send a call; leaving the context cancels it if it is still in progress."""
         idle_stream = self._take_idle(call)
         stream = idle_stream or await self._connect(call.address, call.connect_s)
+        call.record_connected()
         if call.repeatable:
             self.repeatable[call.address].add(stream)
         url = httpcore.URL(f"http://{call.address}{call.path}")
--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -197,6 +197,7 @@
             streamed=call.route.streamed,
             idle_s=AT_MOST_ONCE_IDLE_S if at_most_once else RETRYABLE_IDLE_S,
             repeatable=not at_most_once,
+            record_connected=recorder.record_connected,
         )
         return await self.exchange(request, call, replica, delivery, recorder)
 
@@ -336,6 +337,8 @@
         Whether the connection was opened for this call.
     lacked_room : bool
         Whether the replica turned the call away because it was full.
+    may_be_sent : bool
+        Whether a byte of the call may have been written to the connection.
     """
 
     loads: ReplicaLoadTable
@@ -348,6 +351,7 @@
     is_decoding: bool = False
     is_new_connection: bool = False
     lacked_room: bool = False
+    may_be_sent: bool = False
 
     @property
     def endpoint(self) -> EndpointId:
@@ -359,6 +363,10 @@
         self.loads.begin_call(self.endpoint, self.uncached_tokens)
         self.prefill.begin(now_s)
 
+    def record_connected(self) -> None:
+        """Record that the connection is open and the call is about to be written."""
+        self.may_be_sent = True
+
     def record_response(self, head: ResponseHead, now_s: float) -> None:
         """Record the head of the response, which ends the prefill."""
         self.responded_at_s = now_s
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -475,6 +475,8 @@
             await self.notices.permits.release(endpoint, recorder.lacked_room)
         if waiting.is_withdrawn and not timeout_scope.cancelled_caught:
             self._log_withdrawal(call, waiting, delivery, sent)
+            if not recorder.may_be_sent:
+                return NotRun(Step.CONNECT, endpoint, WITHDRAWN_REASON, RETRY_AFTER_S)
             delivery.runs += 1
             return self._make_withdrawn_outcome(call, endpoint, delivery)
         self._record_outcome(choice.replica, outcome, started_s, recorder)
--- a/tests/test_queued_calls.py
+++ b/tests/test_queued_calls.py
@@ -4,10 +4,11 @@
 import time
 
 import anyio
+import httpcore
 import pytest
 from entry_fleet import run_entry
 
-from primrosepier.forwarding.records import CallRepeated
+from primrosepier.forwarding.records import CallRepeated, CallWithdrawn
 
 pytestmark = pytest.mark.sockets
 REPLICAS = tuple(f"w{number}" for number in range(1, 9))
@@ -143,6 +144,43 @@
     run_rollout(check, routers=2)
 
 
+def test_a_call_that_is_withdrawn_before_its_connection_is_open_is_served():
+    async def check(rollout):
+        (router,) = rollout.fleet.routers
+        forwarder, withdrawn = router.app.forwarder, []
+        router.log.observers.append(
+            lambda event: isinstance(event, CallWithdrawn) and withdrawn.append(event)
+        )
+        outdated = {rollout.fleet.addresses[name] for name in OUTDATED}
+        hang_connections(forwarder.sender.client, outdated)
+        rollout.request_weights()
+        await rollout.fleet.wait_until(lambda: forwarder.withdrawals.deadlines_s)
+        (deadline_s,) = forwarder.withdrawals.deadlines_s
+        await anyio.sleep(deadline_s - forwarder.clock() - 0.35)
+        async with anyio.create_task_group() as group:
+            for number in range(0, 2 * len(REPLICAS), 2):
+                group.start_soon(rollout.send, number)
+        assert len(withdrawn) == len(OUTDATED)
+        statuses = {response.status for response in rollout.responses.values()}
+        assert statuses == {200}
+        assert rollout.list_repeated_runs() == []
+
+    run_rollout(check)
+
+
+def hang_connections(client, addresses):
+    """Let new connections to some addresses wait until their time-out."""
+    connect = client._connect
+
+    async def connect_or_hang(address, connect_s):
+        if address in addresses:
+            await anyio.sleep(connect_s)
+            raise httpcore.ConnectTimeout(address)
+        return await connect(address, connect_s)
+
+    client._connect = connect_or_hang
+
+
 def test_replicas_with_old_weights_and_short_queues_are_used_until_the_end():
     async def check(rollout):
         rollout.set_queue(0.02)
