Use another service of a route while all replicas of one want no calls

Callers of a route with several services were refused while all replicas of one of them rested or had reached the limits that they name, though the other service had room.

Cause: the service is chosen by weight before the replicas are looked at, and a call stays with it; only services without replicas and those whose replicas all leave were left out.

Change: services that may receive a call now come first; if none may, the one that may first is chosen, so that the refusal names the right time. A call that finds no replica there after all, for want of a permit or since it was turned away, goes on at another service of its route that has room, within its attempts and the retry budget. A stream that has begun stays where it began. Routes with one service are chosen for as before.

The two new tests failed before ([200, 503, ...] for 16 calls) and pass.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -1,8 +1,9 @@
 """Forwards a call to a replica, and retries it on others if an attempt fails."""
 
+import math
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -198,12 +199,18 @@
         self.log.emit(StreamTakenUp(call.id, call.resumed_call, software, result))
         return found.origin
 
-    def _choose_service(self, route: Route) -> ServiceId | None:
+    def _choose_service(
+        self, route: Route, excluded: Collection[ServiceId] = ()
+    ) -> ServiceId | None:
+        """Choose by weight among a route's services that may receive a call now.
+
+        If none may, the one that may first is chosen.
+        """
         replicas, now_s = self.read_replicas(), self.clock()
         registered = [
             (service, replicas.list_replicas(service[0]))
             for service in route.services
-            if service[1]
+            if service[1] and service[0] not in excluded
         ]
         options = [
             s for s, known in registered if self.notices.leaving.select_staying(known)
@@ -216,9 +223,30 @@
             ]
         if not options:
             return None
+        if len(options) > 1:
+            waits_s = {s: self._compute_service_wait_s(s, now_s) for s, _ in options}
+            shortest_s = min(waits_s.values())
+            options = [option for option in options if waits_s[option[0]] <= shortest_s]
         weights = [weight for _, weight in options]
         return self.rng.choices(options, weights)[0][0]
 
+    def _choose_other_service(
+        self, call: Call, refusing: Collection[ServiceId], delivery: Delivery
+    ) -> ServiceId | None:
+        """Choose another service that may receive a call now; None if there is none."""
+        if call.is_resumed or delivery.origin is not None or delivery.status:
+            return None
+        service = self._choose_service(call.route, refusing)
+        if service is None or self._compute_service_wait_s(service, self.clock()) > 0:
+            return None
+        return service
+
+    def _compute_service_wait_s(self, service: ServiceId, now_s: float) -> float:
+        """Return the time before any replica of a service may receive calls."""
+        selected, _ = self.select_replicas(self._list_at_origin(service, None))
+        waits_s = (self.notices.compute_wait_s(x.id, now_s) for x in selected)
+        return min(waits_s, default=math.inf)
+
     def _make_unserved(self, route: Route) -> NotRun:
         """Return why no service of a route may receive a call."""
         replicas = self.read_replicas()
@@ -290,6 +318,7 @@
         self, call: Call, service: ServiceId, delivery: Delivery
     ) -> Outcome:
         tried: set[EndpointId] = set()
+        refusing: list[ServiceId] = []
         previous: Outcome | None = None
         error_response: ErrorResponse | None = None
         fingerprints = call.make_fingerprints()
@@ -306,6 +335,11 @@
             origin = delivery.origin
             choice = await self._choose_permitted(call, service, tried, origin)
             if choice is None:
+                refusing.append(service)
+                other = self._choose_other_service(call, refusing, delivery)
+                if other is not None:
+                    service = other
+                    continue
                 outcome = previous or self._make_refusal(service, origin)
                 break
             tried.add(choice.replica.id)
--- a/tests/test_replicas_at_rest.py
+++ b/tests/test_replicas_at_rest.py
@@ -210,3 +210,34 @@
                 assert count_first_calls(replica, router, recovered_at_s, 0.25) == 1
 
     run_fleet(check)
+
+
+async def split_lookups(fleet):
+    route = make_route("lookup", "/lookup/", "idempotent", "app")
+    del route["service"]
+    split = [{"service": name, "weight": 1} for name in ("writers", "app")]
+    configuration = make_configuration(2, [{**route, "split": split}])
+    fleet.store.put("op/config", configuration)
+    view = fleet.routers[0].store_view
+    await fleet.wait_until(lambda: view.declaration.value.version == 2)
+
+
+@pytest.mark.parametrize("need", ["rest", "limit"])
+def test_calls_are_not_refused_while_another_service_of_their_route_has_room(need):
+    async def check(fleet):
+        await split_lookups(fleet)
+        writers = [fleet.replicas[name] for name in ("w1", "w2")]
+        for writer in writers:
+            if need == "rest":
+                refuse(fleet, [writer.id], "30")
+            else:
+                writer.faults.rate_limit = "0.05"
+        while not all(writer.arrivals for writer in writers):
+            await fleet.send("/lookup/1")
+        arrivals = [writer.arrivals for writer in writers]
+        replies = [await fleet.send(f"/lookup/{number}") for number in range(16)]
+        assert [reply.status for reply in replies] == [200] * len(replies)
+        if need == "rest":
+            assert [writer.arrivals for writer in writers] == arrivals
+
+    run_entry(check)
