Let cut-off routers learn which replicas leave from what they pass on

A router that is cut off has its calls served by another one and passes the responses on. When its links were back, it sent calls to replicas whose responses, passed on by itself, had said that they leave: the first call to each, also later than the drain time.

Cause: such a response says that its replica leaves, not which replica that is, and what it says was not read.

Change: a response that is passed on for another router names the leaving process, by id and start, in a header between routers (x-router-leaving), which that router removes. The word counts there as in a response of its own, for a process that it has registered. Refusals and errors that are not passed on name none. A build without this removes no such header, so that its callers see it, and sends none: nothing changes then. The headers between routers move to a module of their own.

The new test failed before (a call reached the replica: 2 arrivals, not 1) and passes.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import httpcore
 
@@ -25,6 +25,7 @@
 from .declarations import RetryPolicy
 from .events import EventBoundaryTracker, EventStreamMerger
 from .fleet import Replica
+from .peer_headers import write_leaving_process
 from .prefixes import PrefillTracker
 from .replica_choice import Choice, make_call_scope
 from .replica_load import ReplicaLoadTable
@@ -231,6 +232,9 @@
             reason = f"the response carries the id of another call: {head.call_id}"
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
         recorder.record_response(head, self.clock())
+        if head.is_leaving and call.is_passed_on:
+            headers = (*head.headers, write_leaving_process(replica))
+            head = replace(head, headers=headers)
         if head.not_run:
             reason = f"the replica refused with status {head.status}"
             return NotRun(Step.HEADERS, replica.id, reason, RETRY_AFTER_S)
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -202,6 +202,9 @@
         none.
     is_leaving : bool
         Whether the response says that its endpoint is leaving.
+    leaving_process : tuple of (EndpointId, int) or None
+        Id and start, in Unix milliseconds, of the leaving endpoint that another router
+        names; None if it names none.
     refusals_per_s : float or None
         Calls that a brittle endpoint may turn away in a second without falling over;
         None if it is not brittle.
@@ -219,6 +222,7 @@
     rest: RestRequest | None = None
     is_leaving: bool = False
     refusals_per_s: float | None = None
+    leaving_process: tuple[EndpointId, int] | None = None
 
     @property
     def lacks_room(self) -> bool:
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -29,7 +29,7 @@
 from .events import EventStreamMerger
 from .forwarder import Forwarder
 from .freshness import Freshness
-from .peer_relay import NOT_RUN_HEADER, TOKEN_HEADER
+from .peer_headers import NOT_RUN_HEADER, TOKEN_HEADER
 from .records import CallEnded, CallRejected
 from .shutdown import ShutdownSchedule
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -644,6 +644,10 @@
     """Return a forwarder with empty state."""
     sender = CallSender(client, dialect, clock, record_begun=origins.record_begun)
     permits.count_calls = lambda x: chooser.loads.get_or_create(x).outstanding
+    notices = ReplicaNotices(
+        permits, chooser.loads, read_replicas, log, clock, chooser.rng
+    )
+    relay.record_leaving = notices.record_leaving
     return Forwarder(
         sender,
         read_replicas,
@@ -652,7 +656,7 @@
         Ejections(),
         retries,
         log,
-        ReplicaNotices(permits, chooser.loads, read_replicas, log, clock, chooser.rng),
+        notices,
         origins,
         links,
         relay,
--- a/primrosepier/forwarding/notices.py
+++ b/primrosepier/forwarding/notices.py
@@ -98,6 +98,13 @@
         self._record_brittleness(replica.id, head)
         self._record_rest(call, replica.id, head, sent_at_s)
 
+    def record_leaving(self, endpoint: EndpointId, born_ms: int) -> None:
+        """Record that a process of a replica told another router that it is leaving."""
+        for replicas in self.read_replicas().by_service.values():
+            for replica in replicas:
+                if (replica.id, replica.born_ms) == (endpoint, born_ms):
+                    self.leaving.record(replica, self.clock())
+
     def _record_limit(self, endpoint: EndpointId, head: ResponseHead) -> None:
         """Record the limit that a replica names, or that it names none."""
         rate_per_s = head.rate_limit_per_s
--- /dev/null
+++ b/primrosepier/forwarding/peer_headers.py
@@ -0,0 +1,37 @@
+"""Headers that routers add to the calls that they pass on, and to the responses."""
+
+from ..ids import EndpointId
+from .calls import CallHeaders
+from .fleet import Replica
+
+__all__ = [
+    "LEAVING_HEADER",
+    "NOT_RUN_HEADER",
+    "TOKEN_HEADER",
+    "read_leaving_process",
+    "write_leaving_process",
+]
+
+# Shows a router that a call comes from another one.
+TOKEN_HEADER = b"x-router-token"
+# In a router's own response to another one: the call has not run.
+NOT_RUN_HEADER = b"x-router-not-run"
+# Names the process of the replica whose response says that it is leaving.
+LEAVING_HEADER = b"x-router-leaving"
+
+
+def write_leaving_process(replica: Replica) -> tuple[bytes, bytes]:
+    """Return the header that tells another router which replica is leaving."""
+    return LEAVING_HEADER, f"{replica.id} {replica.born_ms}".encode("latin-1")
+
+
+def read_leaving_process(headers: CallHeaders) -> tuple[EndpointId, int] | None:
+    """Return the id and the start, in Unix milliseconds, of the leaving replica.
+
+    It is None if no replica is named.
+    """
+    for name, value in headers:
+        endpoint, _, born_ms = value.decode("latin-1").rpartition(" ")
+        if name.lower() == LEAVING_HEADER and born_ms.isdecimal():
+            return EndpointId(endpoint), int(born_ms)
+    return None
--- a/primrosepier/forwarding/peer_relay.py
+++ b/primrosepier/forwarding/peer_relay.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -33,6 +33,12 @@
 )
 from .declarations import RetryPolicy
 from .fleet import Replica
+from .peer_headers import (
+    LEAVING_HEADER,
+    NOT_RUN_HEADER,
+    TOKEN_HEADER,
+    read_leaving_process,
+)
 from .prefixes import PrefillTracker, PrefixIndex
 from .records import CallPassedOn
 from .replica_load import ReplicaLoadTable
@@ -45,10 +51,6 @@
     "make_peer_relay",
 ]
 
-# Shows a router that a call comes from another one.
-TOKEN_HEADER = b"x-router-token"
-# In a router's own response to another one: the call has not run.
-NOT_RUN_HEADER = b"x-router-not-run"
 # Routers to which a call is sent that each of them refuses.
 MAX_HELPERS = 3
 # Maximum idle time of a reused connection to a router, seconds.
@@ -56,6 +58,9 @@
 NO_HELPER_REASON = "no other router reaches the replicas"
 
 
+RecordLeaving = Callable[[EndpointId, int], None]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
     """Where a router accepts calls from others, and the token that it expects."""
@@ -86,7 +91,9 @@
         head = self.inner.read_head(status, headers)
         if any(name.lower() == NOT_RUN_HEADER for name, _ in headers):
             return ResponseHead(status, (), not_run=True)
-        return head
+        forwarded = tuple(x for x in head.headers if x[0].lower() != LEAVING_HEADER)
+        leaving = read_leaving_process(head.headers)
+        return replace(head, headers=forwarded, leaving_process=leaving)
 
 
 def list_no_peers() -> Mapping[HostId, PeerAddress]:
@@ -94,6 +101,10 @@
     return {}
 
 
+def ignore_leaving(endpoint: EndpointId, born_ms: int) -> None:
+    """Do nothing; used where no one is told of leaving replicas."""
+
+
 @dataclass(slots=True)
 class PeerRelay:
     """Sends calls to other routers and relays their responses.
@@ -102,6 +113,9 @@
     ----------
     read_peers : callable
         Returns the registered routers.
+    record_leaving : callable
+        Called with the id and the start, in Unix milliseconds, of a replica whose
+        response says that it is leaving.
     """
 
     sender: CallSender
@@ -110,6 +124,7 @@
     rng: random.Random = field(default_factory=random.Random)
     read_peers: Callable[[], Mapping[HostId, PeerAddress]] = list_no_peers
     loads: ReplicaLoadTable = field(default_factory=ReplicaLoadTable)
+    record_leaving: RecordLeaving = ignore_leaving
 
     async def send(
         self, call: Call, delivery: Delivery, helpers: Sequence[HostId]
@@ -140,7 +155,12 @@
             EndpointId(host), ServiceId("-"), peer.address, FailureDomain("-")
         )
         prefill = PrefillTracker(PrefixIndex(), (), replica.id, WeightsVersionNumber(0))
-        recorder = AttemptRecorder(self.loads, prefill, 0)
+
+        def record_head(head: ResponseHead, is_new_connection: bool) -> None:
+            if head.leaving_process is not None:
+                self.record_leaving(*head.leaving_process)
+
+        recorder = AttemptRecorder(self.loads, prefill, 0, record_head)
         recorder.begin(self.clock())
         remaining_s = call.deadline_s - self.clock()
         outcome: Outcome | ErrorResponse
--- a/tests/test_leaving_replicas.py
+++ b/tests/test_leaving_replicas.py
@@ -193,3 +193,25 @@
         assert not any(replica.orders for replica in leaving)
 
     run_leaving(check, names=WRITERS[:3], weights_s=4.0)
+
+
+def test_a_router_that_was_cut_off_knows_which_replicas_left_meanwhile():
+    async def check(fleet):
+        first, second = fleet.routers
+        leaving, staying = fleet.replicas.values()
+        await fleet.wait_until(lambda: len(first.peers.directory.list_hosts()) == 2)
+        links = first.app.forwarder.links
+        links.is_cut = True
+        links.helpers[second.settings.host] = None
+        leaving.faults.leaving = staying.faults.refuse = True
+        callers = Callers(fleet)
+        reply = await callers.send(first)
+        assert (reply.status, reply.headers["server-leaving"]) == (200, "1")
+        assert "x-router-leaving" not in reply.headers
+        links.is_cut = staying.faults.refuse = False
+        before = leaving.arrivals
+        for _ in range(8):
+            assert (await callers.send(first)).status == 200
+        assert leaving.arrivals == before
+
+    run_leaving(check, 2, TWO_WRITERS)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -587,6 +587,19 @@
     assert (marked.not_run, unmarked.not_run) == (True, False)
 
 
+def test_the_leaving_replica_that_another_router_names_is_read():
+    process = ("w 1", 1764547200000)
+    headers = [(b"x-router-leaving", b"w 1 1764547200000"), (b"server-leaving", b"1")]
+    relay = make_peer_relay(None, PlatformDialect(), None, lambda: 0.0)
+    head = relay.sender.dialect.read_head(200, headers)
+    assert (head.leaving_process, head.headers) == (process, tuple(headers[1:]))
+    for value in (b"", b"w1", b"w1 x"):
+        head = relay.sender.dialect.read_head(200, [(b"X-Router-Leaving", value)])
+        assert (head.leaving_process, head.headers) == (None, ())
+    # The build of the last landing names none.
+    assert relay.sender.dialect.read_head(200, headers[1:]).leaving_process is None
+
+
 def test_settings_files_of_the_last_landing_keep_their_meaning():
     settings = parse_entry_settings(last_landing.SETTINGS_TEXT.encode(), "node.toml")
     assert asdict(settings).items() >= last_landing.SETTINGS.items()
