Refuse queued requests when the last endpoint asks for rest

On the router's own interface, requests that waited in the queue when the last endpoint of their service asked for rest stayed there until their time in the queue was over, and were then told to return after 1 s or what the queue's length suggested, not when an endpoint is back. Requests that came later were refused at once with that time.

Cause: only a request that arrives looks at the rest of all endpoints; the queue sees no more than a capacity of 0, which may change at any moment.

Change: a request that waits leaves the queue when all endpoints rest, within the interval at which the queue looks at its capacity, and is told the time until the first is back, spread. A request that would have been served at the end of a short rest now returns by itself, as those that arrive during it do.

The new test hangs in the queue before (TimeoutError) and passes.

--- a/primrosepier/dispatch.py
+++ b/primrosepier/dispatch.py
@@ -119,10 +119,21 @@
         def read_capacity() -> int:
             return self.candidates.compute_capacity(request.service, self.clock())
 
+        def all_rest() -> bool:
+            now_s = self.clock()
+            return self.candidates.compute_rest_s(request.service, now_s) > 0
+
         ticket = await gate.enter(
-            request.workspace, request.priority, self.limits.queue_s, read_capacity
+            request.workspace,
+            request.priority,
+            self.limits.queue_s,
+            read_capacity,
+            all_rest,
         )
         if isinstance(ticket, Shed):
+            after_s = self._compute_return_s(request)
+            if after_s > 0:
+                return NotRun(Step.QUEUE, "-", REST_REASON, after_s)
             return NotRun(Step.QUEUE, "-", ticket.reason, ticket.retry_after_s)
         try:
             outcome = await self._run(request, make_delivery(request, send))
--- a/primrosepier/gate.py
+++ b/primrosepier/gate.py
@@ -14,6 +14,11 @@
 CAPACITY_CHECK_S = 0.1
 
 
+def is_never_closed() -> bool:
+    """Return False; used where waiting requests are never turned away."""
+    return False
+
+
 @dataclass(slots=True)
 class Gate:
     """Blocks requests until the admission queue admits them.
@@ -34,6 +39,7 @@
         priority: int,
         wait_s: float,
         read_capacity: Callable[[], int],
+        is_closed: Callable[[], bool] = is_never_closed,
     ) -> Ticket | Shed:
         """Wait until the request is admitted or shed.
 
@@ -43,6 +49,8 @@
             Maximum wait in seconds.
         read_capacity : callable
             Returns the number of requests that may run at the same time.
+        is_closed : callable
+            Returns whether no request that waits is to be admitted.
         """
         now_s = self.clock()
         result, displaced = self.queue.offer(
@@ -54,7 +62,7 @@
             self._wake(displaced)
         self.events[result] = anyio.Event()
         try:
-            await self._wait(result, read_capacity)
+            await self._wait(result, read_capacity, is_closed)
         except BaseException:
             self.leave(result, read_capacity)
             raise
@@ -62,9 +70,17 @@
             self.events.pop(result, None)
         return self._get_result(result)
 
-    async def _wait(self, ticket: Ticket, read_capacity: Callable[[], int]) -> None:
+    async def _wait(
+        self,
+        ticket: Ticket,
+        read_capacity: Callable[[], int],
+        is_closed: Callable[[], bool],
+    ) -> None:
         self.admit_waiting(read_capacity)
         while ticket.state is TicketState.WAITING:
+            if is_closed():
+                self.queue.leave(ticket, self.clock())
+                return
             left_s = ticket.deadline_s - self.clock()
             with anyio.move_on_after(max(0.0, min(CAPACITY_CHECK_S, left_s))):
                 await self.events[ticket].wait()
@@ -76,6 +92,8 @@
         wait_s = max(1.0, self.queue.estimate_wait(self.clock()))
         if ticket.state is TicketState.DISPLACED:
             return Shed("the queue is full", wait_s)
+        if ticket.state is TicketState.LEFT:
+            return Shed("no waiting request is admitted", wait_s)
         return Shed("no endpoint had room before the deadline", wait_s)
 
     def admit_waiting(self, read_capacity: Callable[[], int]) -> None:
--- a/tests/test_endpoints_at_rest.py
+++ b/tests/test_endpoints_at_rest.py
@@ -9,7 +9,7 @@
 from primrosepier.clocks import ManualClock
 from primrosepier.configuration import Endpoint
 from primrosepier.dispatch import make_dispatcher
-from primrosepier.outcomes import Completed, NotRun
+from primrosepier.outcomes import Completed, NotRun, Step
 from primrosepier.plain import PlainDispatcher, PlainRequest
 from primrosepier.reuse_placement import make_placement
 from primrosepier.settings import Limits
@@ -125,3 +125,51 @@
     candidates.limits.by_endpoint.clear()
     clock.advance(1.1)
     assert candidates.compute_capacity(service, clock()) == len(list_addresses())
+
+
+class HeldClient(RestingClient):
+    """Client of endpoints that answer no request until they are released."""
+
+    def __init__(self):
+        super().__init__(list_addresses(), b"2")
+        self.clock = ManualClock()
+        self.released = anyio.Event()
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        self.sent.append(call.address)
+        await self.released.wait()
+        self.clock.advance(0.001)
+        yield StandinResponse(503, [(b"Retry-After", self.retry_after)])
+
+
+def test_queued_requests_are_refused_at_once_when_the_last_endpoint_asks_for_rest():
+    client = HeldClient()
+    calls = Calls(client, is_plain=False)
+    client.clock = calls.clock
+    queued = 8
+
+    async def check():
+        outcomes = []
+        service = make_request("0").service
+        running = calls.model.candidates.compute_capacity(service, calls.clock())
+
+        async def send(number):
+            outcomes.append(await calls.send(number))
+
+        async with anyio.create_task_group() as group:
+            for number in range(running + queued):
+                group.start_soon(send, number)
+            with anyio.fail_after(5):
+                while len(client.sent) < running:
+                    await anyio.sleep(0.01)
+            client.released.set()
+            with anyio.fail_after(2):
+                while len(outcomes) < running + queued:
+                    await anyio.sleep(0.01)
+        assert len(client.sent) == running
+        after_s = [x.retry_after_s for x in outcomes if x.step is Step.QUEUE]
+        assert len(set(after_s)) == len(after_s) == queued
+        assert 2.0 <= min(after_s) <= max(after_s) <= 2.6
+
+    anyio.run(check)
