--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -237,7 +237,10 @@
             head = replace(head, headers=headers)
         if head.not_run:
             reason = f"the replica refused with status {head.status}"
-            return NotRun(Step.HEADERS, replica.id, reason, RETRY_AFTER_S)
+            after_s = head.retry_after_s
+            if after_s is None:
+                after_s = RETRY_AFTER_S
+            return NotRun(Step.HEADERS, replica.id, reason, after_s)
         is_stream = call.route.streamed and head.status == HTTP_OK
         if not is_stream:
             recorder.record_begun()
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -205,6 +205,9 @@
     leaving_process : tuple of (EndpointId, int) or None
         Id and start, in Unix milliseconds, of the leaving endpoint that another router
         names; None if it names none.
+    retry_after_s : float or None
+        Time after which another router expects room for the call that it refused,
+        seconds; None if it names none.
     refusals_per_s : float or None
         Calls that a brittle endpoint may turn away in a second without falling over;
         None if it is not brittle.
@@ -223,6 +226,7 @@
     is_leaving: bool = False
     refusals_per_s: float | None = None
     leaving_process: tuple[EndpointId, int] | None = None
+    retry_after_s: float | None = None
 
     @property
     def lacks_room(self) -> bool:
--- a/primrosepier/forwarding/peer_relay.py
+++ b/primrosepier/forwarding/peer_relay.py
@@ -90,7 +90,8 @@
     ) -> ResponseHead:
         head = self.inner.read_head(status, headers)
         if any(name.lower() == NOT_RUN_HEADER for name, _ in headers):
-            return ResponseHead(status, (), not_run=True)
+            after_s = head.rest.rest_s if head.rest is not None else 0.0
+            return ResponseHead(status, (), not_run=True, retry_after_s=after_s or None)
         forwarded = tuple(x for x in head.headers if x[0].lower() != LEAVING_HEADER)
         leaving = read_leaving_process(head.headers)
         return replace(head, headers=forwarded, leaving_process=leaving)
--- a/tests/test_replicas_at_rest.py
+++ b/tests/test_replicas_at_rest.py
@@ -241,3 +241,26 @@
             assert [writer.arrivals for writer in writers] == arrivals
 
     run_entry(check)
+
+
+def test_a_router_that_is_cut_off_tells_how_long_its_helper_has_no_replica():
+    async def check(fleet):
+        async with fleet.open_router("front-2"):
+            first, second = fleet.routers
+            await fleet.wait_until(
+                lambda: (
+                    len(first.peers.directory.list_hosts()) == 2
+                    and second.store_view.declaration.value is not None
+                    and second.store_view.replicas.value.list_replicas("app")
+                )
+            )
+            links = first.app.forwarder.links
+            links.is_cut = True
+            links.helpers[second.settings.host] = None
+            refuse(fleet, fleet.replicas, "30")
+            for _ in range(3):
+                reply = await fleet.send("/lookup/1", router=first, limit_ms=3000)
+            assert reply.status == 503
+            assert 0.4 <= float(reply.headers["retry-after"]) <= 0.9
+
+    run_entry(check)
