Let calls be refused by one replica at the end of its rest, not by several

While most replicas rested and asked for it anew each time, callers were refused though the others had room: one call in eight with rests of 0.7 s.

Cause: a replica whose rest is over looks idle, so the next call goes there; if it is refused, its retry goes to the next such replica. Each refusal uses one of the call's four attempts and one of the retry budget, and when that is used up, a call that meets such a replica is refused.

Change: a call that has been turned away, or that could not be retried for want of budget, goes to replicas that are known to take calls, if one of them is not in backoff. 1 s after the end of its rest a replica is like any other, so that it comes back also while the budget stays used up. Otherwise the first call still goes there when the rest ends.

The new tests failed before (503 instead of 200; nine arrivals where seven are allowed) and pass.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -422,12 +422,15 @@
     ) -> tuple[Sequence[Replica], AvoidedReplicas]:
         """Return the replicas that a call may be sent to, and those to avoid."""
         selected, outdated = self.select_replicas(self._list_at_origin(service, origin))
-        replicas = [
+        replicas: Sequence[Replica] = [
             replica
             for replica in selected
             if replica.id not in tried
             and self.notices.compute_wait_s(replica.id, now_s) <= 0
         ]
+        if tried or not self.retries.has_left(service, now_s):
+            # The call could not be retried again if such a replica refused it.
+            replicas = self.notices.select_proven(replicas, now_s)
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
         return replicas, AvoidedReplicas(ejected, outdated)
 
--- a/primrosepier/forwarding/notices.py
+++ b/primrosepier/forwarding/notices.py
@@ -77,6 +77,16 @@
             return limit_wait_s, LIMIT_REASON
         return spread_return(rest_wait_s, self.rng), REST_REASON
 
+    def select_proven(
+        self, replicas: Sequence[Replica], now_s: float
+    ) -> Sequence[Replica]:
+        """Leave out replicas whose rest has just ended, if another one takes calls."""
+        proven = [x for x in replicas if not self.rests.is_unproven(x.id, now_s)]
+        takes_calls = any(
+            self.loads.get_or_create(x.id).avoid_until_s <= now_s for x in proven
+        )
+        return proven if takes_calls else replicas
+
     def count_resting(self, replicas: Sequence[Replica], now_s: float) -> int:
         """Return how many of the replicas have asked for rest."""
         return sum(self.rests.compute_wait_s(x.id, now_s) > 0 for x in replicas)
--- a/primrosepier/forwarding/retries.py
+++ b/primrosepier/forwarding/retries.py
@@ -61,14 +61,18 @@
         """Count the first attempt of a call."""
         self._get_recent(service, now_s).first_attempts.append(now_s)
 
-    def try_acquire(self, service: ServiceId, now_s: float) -> bool:
-        """Count a retry and return True, or return False if none is left."""
+    def has_left(self, service: ServiceId, now_s: float) -> bool:
+        """Return whether a retry is left."""
         recent = self._get_recent(service, now_s)
         share = EXTRA_RETRY_SHARE * self.extra / self.count_routers()
         allowed = max(MIN_RETRIES, share + self.ratio * len(recent.first_attempts))
-        if len(recent.retries) + 1 > allowed:
+        return len(recent.retries) + 1 <= allowed
+
+    def try_acquire(self, service: ServiceId, now_s: float) -> bool:
+        """Count a retry and return True, or return False if none is left."""
+        if not self.has_left(service, now_s):
             return False
-        recent.retries.append(now_s)
+        self._get_recent(service, now_s).retries.append(now_s)
         return True
 
     def _get_recent(self, service: ServiceId, now_s: float) -> ServiceRetries:
--- a/primrosepier/rest_periods.py
+++ b/primrosepier/rest_periods.py
@@ -18,6 +18,9 @@
 # Time between requests to an endpoint whose rest is over, until one is answered,
 # seconds. A request without an answer does not keep the endpoint unused for longer.
 TRIAL_INTERVAL_S = 0.5
+# Time after a rest in which calls prefer endpoints that are known to take them,
+# seconds.
+MAX_TRIAL_DELAY_S = 1.0
 # Share of the time left of a rest that is added to it at random, and the longest time
 # that is added to a short one, seconds.
 RETURN_SPREAD_SHARE = 0.25
@@ -100,6 +103,11 @@
         period.next_request_at_s = now_s + TRIAL_INTERVAL_S
         return True
 
+    def is_unproven(self, endpoint: EndpointId, now_s: float) -> bool:
+        """Return whether a rest ended of late and no answer has come since then."""
+        period = self.periods.get(endpoint)
+        return period is not None and now_s < period.until_s + MAX_TRIAL_DELAY_S
+
     def record_answer(self, endpoint: EndpointId, sent_at_s: float) -> None:
         """Record an answer that asks for no rest.
 
--- a/tests/test_replicas_at_rest.py
+++ b/tests/test_replicas_at_rest.py
@@ -264,3 +264,24 @@
             assert 0.4 <= float(reply.headers["retry-after"]) <= 0.9
 
     run_entry(check)
+
+
+@pytest.mark.parametrize("retries", [0, 1000])
+def test_calls_are_not_refused_by_one_replica_after_the_other_when_rests_end(
+    retries, monkeypatch
+):
+    monkeypatch.setattr("primrosepier.rest_periods.MAX_TRIAL_DELAY_S", 60.0)
+    names = NAMES[:4]
+
+    async def check(fleet):
+        traffic = Traffic(fleet)
+        refuse(fleet, names[1:], "0.05")
+        await learn_of_all(traffic, 0)
+        for _ in range(10):
+            await anyio.sleep(0.07)
+            arrivals = fleet.count_arrivals()
+            assert (await traffic.send(0)).status == 200
+            assert fleet.count_arrivals() <= arrivals + (2 if retries else 1)
+
+    settings = {"repeat_ratio": 0.0, "repeat_extra": retries, "repeat_window_s": 60.0}
+    run_entry(check, names=names, **settings)
--- a/tests/test_rest_periods.py
+++ b/tests/test_rest_periods.py
@@ -77,3 +77,13 @@
     dialect = make_peer_relay(None, PlatformDialect(), None, None).sender.dialect
     headers = [(b"retry-after", b"1.5"), (NOT_RUN_HEADER, b"1")]
     assert dialect.read_head(503, headers).rest is None
+
+
+def test_an_endpoint_is_unproven_for_a_time_until_it_answers_after_its_rest():
+    rests = RestPeriods()
+    assert not rests.is_unproven("e1", 0.0)
+    rests.begin("e1", 1.0, 0.0)
+    assert rests.is_unproven("e1", 1.5)
+    assert not rests.is_unproven("e1", 3.0)
+    rests.record_answer("e1", 1.5)
+    assert not rests.is_unproven("e1", 1.6)
