Repeat lost requests for permits soon, and bound the time a call asks

Callers beyond the room of brittle replicas waited for their refusal for over 0.1 s when datagrams were lost. Besides, a granter counted a call whose reply was lost, or that ended while it asked, until its router spoke of that replica again.

For brittle replicas a request is now repeated after 0.01 s and 0.02 s under the same number, which the granter answers once, and given up after 0.06 s (0.1 s before). A call asks for their permits for 0.08 s in all, over its replicas and attempts. A request that is given up or cancelled is followed by a notice of the calls that its router has there.

Ruled out: replies that were slow for another reason, as the network of these tests delivers at once or not at all. Ruled out by a trial: the same for replicas that limit their rate.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -117,6 +117,8 @@
         Follows the event stream of the last response.
     origin : StreamOrigin or None
         Where the stream began, once the caller has received an event; None before.
+    asking_s : float
+        Time for which permits of brittle replicas were asked for, seconds.
     """
 
     send: Send
@@ -129,6 +131,7 @@
     is_framed: bool | None = None
     boundary: EventBoundaryTracker = field(default_factory=EventBoundaryTracker)
     origin: StreamOrigin | None = None
+    asking_s: float = 0.0
 
     async def begin(self, status: int, headers: CallHeaders, now_s: float) -> None:
         """Send the status and the headers."""
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -67,6 +67,9 @@
 MAX_ATTEMPTS = 4
 # Minimum remaining time for another attempt, seconds: no replica responds faster.
 MIN_REMAINING_S = 0.005
+# Time for which one call may ask for permits of brittle replicas, over all attempts,
+# seconds: a call that gets none is refused soon, even if datagrams are lost.
+MAX_ASKING_S = 0.08
 # Consecutive connection failures after which a replica counts as terminated. Its
 # unresponsive calls are then aborted, to be retried on other replicas.
 UNREACHABLE_FAILURES = 2
@@ -287,7 +290,7 @@
         call: Call,
         service: ServiceId,
         tried: set[EndpointId],
-        origin: StreamOrigin | None,
+        delivery: Delivery,
     ) -> Choice | None:
         """Choose a replica that takes calls now; return None if there is none.
 
@@ -295,25 +298,41 @@
         has refused.
         """
         asked: set[EndpointId] = set()
+        permits = self.notices.permits
         while True:
             now_s = self.clock()
-            unusable = tried | asked
-            replicas, avoided = self._list_candidates(service, unusable, origin, now_s)
+            replicas, avoided = self._list_candidates(
+                service, tried | asked, delivery.origin, now_s
+            )
             scope = make_call_scope(call)
             choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
             if choice is None:
                 return None
             endpoint = choice.replica.id
             asked.add(endpoint)
-            wait_s = await self.notices.permits.acquire(endpoint)
+            if permits.windows.get_brittleness(endpoint) is None:
+                wait_s = await permits.acquire(endpoint)
+            else:
+                wait_s = await self._acquire_soon(endpoint, delivery)
             if wait_s > 0:
-                rate_per_s = self.notices.permits.limits.get_rate(endpoint)
+                rate_per_s = permits.limits.get_rate(endpoint)
                 self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
             elif self.notices.rests.try_begin_request(endpoint, self.clock()):
                 attempt = len(tried) + 1
                 self._log_choice(call, service, choice, attempt, len(replicas))
                 return choice
 
+    async def _acquire_soon(self, endpoint: EndpointId, delivery: Delivery) -> float:
+        """Ask for a permit until the call has asked for long enough in all."""
+        remaining_s = MAX_ASKING_S - delivery.asking_s
+        wait_s = RETRY_AFTER_S
+        if remaining_s > 0:
+            started_s = self.clock()
+            with anyio.move_on_after(remaining_s):
+                wait_s = await self.notices.permits.acquire(endpoint)
+            delivery.asking_s += self.clock() - started_s
+        return wait_s
+
     async def _try_replicas(
         self, call: Call, service: ServiceId, delivery: Delivery
     ) -> Outcome:
@@ -333,7 +352,7 @@
                 outcome = merge_outcomes(previous, await self._pass_on(call, delivery))
                 break
             origin = delivery.origin
-            choice = await self._choose_permitted(call, service, tried, origin)
+            choice = await self._choose_permitted(call, service, tried, delivery)
             if choice is None:
                 refusing.append(service)
                 other = self._choose_other_service(call, refusing, delivery)
--- a/primrosepier/forwarding/peer_requests.py
+++ b/primrosepier/forwarding/peer_requests.py
@@ -1,19 +1,18 @@
 """Requests to other routers over datagrams, and their replies."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from typing import Generic, TypeVar
 
 import anyio
 
-__all__ = ["PeerRequests"]
+__all__ = ["REPLY_TIMEOUTS_S", "PeerRequests"]
 
-# Time to wait for another router's reply, seconds: several round trips.
-REPLY_TIMEOUT_S = 0.05
-# Times that a request is sent, since a datagram may be lost.
-SENDS = 2
+# Times to wait for another router's reply before a request is sent again or, after the
+# last, given up, seconds: several round trips each, since a datagram may be lost.
+REPLY_TIMEOUTS_S = (0.05, 0.05)
 NUMBER_BITS = 48
 
 Reply = TypeVar("Reply")
@@ -37,21 +36,27 @@
     pending: dict[int, _Pending[Reply]] = field(default_factory=dict)
     numbers: Iterator[int] = field(default_factory=make_numbers)
 
-    async def ask(self, send: Callable[[int], Awaitable[bool]]) -> Reply | None:
+    async def ask(
+        self,
+        send: Callable[[int], Awaitable[bool]],
+        timeouts_s: Sequence[float] = REPLY_TIMEOUTS_S,
+    ) -> Reply | None:
         """Send a request and return its reply; None if none comes.
 
         Parameters
         ----------
         send : callable
             Sends the request with a number; returns whether it is on its way.
+        timeouts_s : sequence of float
+            Time to wait for the reply after each time that it is sent, seconds.
         """
         number = next(self.numbers)
         pending = self.pending[number] = _Pending[Reply]()
         try:
-            for _ in range(SENDS):
+            for timeout_s in timeouts_s:
                 if not await send(number):
                     return None
-                with anyio.move_on_after(REPLY_TIMEOUT_S):
+                with anyio.move_on_after(timeout_s):
                     await pending.replied.wait()
                     return pending.reply
             return None
--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
+import anyio
 import msgspec
 
 from ..clocks import Clock
@@ -16,7 +17,7 @@
 )
 from ..endpoint_windows import Brittleness, EndpointWindows
 from ..ids import EndpointId, HostId
-from .peer_requests import PeerRequests
+from .peer_requests import REPLY_TIMEOUTS_S, PeerRequests
 
 __all__ = [
     "PermitExchange",
@@ -27,6 +28,9 @@
     "WindowRequest",
 ]
 
+# Times to wait for a reply about a brittle endpoint before the request is sent again or
+# given up, seconds: shorter than for others, since its permits return at once.
+BRITTLE_REPLY_TIMEOUTS_S = (0.01, 0.02, 0.03)
 # Time for which a reply is kept, in case that the request comes again.
 REPLY_TTL_S = 1.0
 # Time before a permit is asked for again after a request without a reply, seconds.
@@ -191,7 +195,8 @@
     async def acquire(self, endpoint: EndpointId) -> float:
         """Take a permit and return 0, or return the time until there is one, seconds.
 
-        Endpoints that neither name a limit nor are brittle need no permit.
+        Endpoints that neither name a limit nor are brittle need no permit. May be
+        cancelled: a call that asks no longer does not keep its place.
         """
         is_brittle = self.windows.get_brittleness(endpoint) is not None
         if self.limits.get_rate(endpoint) is None and not is_brittle:
@@ -199,9 +204,17 @@
         wait_s = self.compute_wait_s(endpoint, self.clock())
         if wait_s > 0:
             return wait_s
-        with self.windows.count_asking(endpoint) as asking:
-            held = self.count_calls(endpoint) + asking
-            wait_s = await self._ask_granters(endpoint, held)
+        reply: float | None = None
+        try:
+            with self.windows.count_asking(endpoint) as asking:
+                held = self.count_calls(endpoint) + asking
+                reply = await self._ask_granters(endpoint, held)
+        finally:
+            # The permit may have been granted and the reply lost.
+            if reply is None:
+                with anyio.CancelScope(shield=True):
+                    await self.release(endpoint, was_refused=False)
+        wait_s = RETRY_WAIT_S if reply is None else reply
         if wait_s > 0:
             self.limits.record_refusal(endpoint, wait_s, self.clock())
             self.windows.record_refusal(endpoint, wait_s, self.clock())
@@ -258,8 +271,11 @@
             self.windows.record_end(endpoint, holder, request.held - 1, False, now_s)
         return wait_s
 
-    async def _ask_granters(self, endpoint: EndpointId, held: int) -> float:
-        """Return the wait that the first responsive granter replies, seconds."""
+    async def _ask_granters(self, endpoint: EndpointId, held: int) -> float | None:
+        """Return the wait that the first responsive granter replies, seconds.
+
+        Returns None if it does not reply in time, or none is responsive.
+        """
         for rank, host in enumerate(self._rank_granters(endpoint, self.clock())):
             if host == self.host:
                 request = self._make_window_request(endpoint, held)
@@ -267,13 +283,13 @@
             if host not in self.hosts or self._is_unresponsive(host):
                 continue
             wait_s = await self._ask(host, rank, endpoint, held)
-            if wait_s is not None:
+            if wait_s is None:
+                count, _ = self.unanswered.get(host, (0, 0.0))
+                self.unanswered[host] = count + 1, self.clock()
+            else:
                 self.unanswered.pop(host, None)
-                return wait_s
-            count, _ = self.unanswered.get(host, (0, 0.0))
-            self.unanswered[host] = count + 1, self.clock()
-            return RETRY_WAIT_S
-        return RETRY_WAIT_S
+            return wait_s
+        return None
 
     def _is_unresponsive(self, host: HostId) -> bool:
         count, asked_at_s = self.unanswered.get(host, (0, 0.0))
@@ -291,7 +307,8 @@
         return await self.requests.ask(
             lambda number: self.send(
                 host, PermitRequest(self.host, number, endpoint, rank, limit, window)
-            )
+            ),
+            REPLY_TIMEOUTS_S if window is None else BRITTLE_REPLY_TIMEOUTS_S,
         )
 
     def _grant_once(self, request: PermitRequest) -> float:
