Let routers ask fast brittle replicas again as soon as their calls end

Of ten brittle replicas whose calls run for 0.02 s, 0.1 s and 0.5 s, three routers used less than nine tenths of the room. A router that was refused a permit did not ask again for 0.02 s, while at the fast replicas a call ends each 0.005 s. The class of fault: a constant stood for a quantity that can be measured.

The granter now names the mean interval between the ends of calls there, at most the 0.02 s of before and at least what keeps requests to 500/s.

The new test failed before: a wait of 0.02 s.

--- a/primrosepier/endpoint_windows.py
+++ b/primrosepier/endpoint_windows.py
@@ -35,10 +35,12 @@
 # Time for which an endpoint that is no longer registered stays brittle, seconds: one
 # that fell over is back within it, and its calls run on when only its entry lapsed.
 RETENTION_S = 60.0
-# Time before a call that found a full window may ask again, seconds, and requests a
-# second that a granter answers for one endpoint.
-MIN_WAIT_S = 0.02
+# Longest time before a call that found a full window may ask again, seconds, and
+# requests a second that a granter answers for one endpoint.
+MAX_WAIT_S = 0.02
 REQUESTS_PER_S = 500.0
+# Weight of a new interval between two ends of calls in their mean.
+INTERVAL_WEIGHT = 0.1
 # Time for which a change is repeated in the reports to other routers, seconds.
 REPEAT_S = 1.0
 MS = 0.001
@@ -112,11 +114,17 @@
     ----------
     held : dict of HostId to (int, float)
         Calls in progress by router, with the time of its last message, seconds.
+    ended_at_s : float or None
+        Time of the last end of a call, seconds; None before the first.
+    end_interval_s : float
+        Mean interval between the ends of calls, seconds.
     """
 
     limit: int
     changed_at_s: float
     held: dict[HostId, tuple[int, float]] = field(default_factory=dict)
+    ended_at_s: float | None = None
+    end_interval_s: float = MAX_WAIT_S
 
     def count_held(self, now_s: float) -> int:
         """Return the calls in progress of all routers."""
@@ -124,6 +132,13 @@
             held for held, at_s in self.held.values() if now_s < at_s + HOLDER_TTL_S
         )
 
+    def record_end(self, now_s: float) -> None:
+        """Record that a call has ended."""
+        if self.ended_at_s is not None:
+            interval_s = min(MAX_WAIT_S, now_s - self.ended_at_s)
+            self.end_interval_s += INTERVAL_WEIGHT * (interval_s - self.end_interval_s)
+        self.ended_at_s = now_s
+
 
 @dataclass(slots=True)
 class EndpointWindows:
@@ -260,7 +275,7 @@
             if window.count_held(now_s) <= window.limit:
                 return 0.0
         window.held[holder] = held - 1, now_s
-        return max(MIN_WAIT_S, routers / REQUESTS_PER_S)
+        return max(window.end_interval_s, routers / REQUESTS_PER_S)
 
     def _get_or_create(
         self, endpoint: EndpointId, brittleness: Brittleness, now_s: float
@@ -297,6 +312,7 @@
                 return
             window = self._get_or_create(endpoint, brittleness, now_s)
         window.held[holder] = held, now_s
+        window.record_end(now_s)
         if was_refused:
             window.limit = max(1, min(window.limit, window.count_held(now_s)))
             window.changed_at_s = now_s
--- a/tests/test_endpoint_windows.py
+++ b/tests/test_endpoint_windows.py
@@ -92,3 +92,13 @@
     windows = EndpointWindows()
     held = fill(windows)
     assert windows.windows[ENDPOINT].count_held(60.0) == held
+
+
+def test_a_call_may_ask_again_as_soon_as_one_of_many_short_calls_ends():
+    windows = EndpointWindows()
+    held = fill(windows)
+    for step in range(40):
+        now_s = 0.005 * step
+        windows.record_end(ENDPOINT, "front-1", held - 1, False, now_s)
+        assert grant(windows, "front-1", held, now_s) == 0
+    assert 0 < grant(windows, "front-1", held + 1, 0.05) <= 0.008
