Tell all routers at once that a replica has become brittle

A trace of those that fell: none or one refusal before it began, then eight or nine within 75 ms, of calls that were sent without a permit. The first router knew of each replica within 25 ms, but for three of ten replicas the others learned only after 0.16 s: that router had reported another replica just before, and reports to 61 peers are 0.15 s apart. The class of fault: a bound on the rate of routine news also held back what could not wait.

A report that brittleness has begun now waits for 0.02 s at most after the one before. News of its end, and all else, waits as before. The other falls, within 30 ms, come from refusals before any answer could tell; they remain.

The new test failed before: the second replica was unknown after 0.03 s.

--- a/primrosepier/endpoint_windows.py
+++ b/primrosepier/endpoint_windows.py
@@ -197,6 +197,13 @@
         """Return whether brittleness began or ended since the last report."""
         return any(x.changed_at_s > self.reported_at_s for x in self.named.values())
 
+    def is_urgent(self) -> bool:
+        """Return whether brittleness began since the last report."""
+        return any(
+            x.changed_at_s > self.reported_at_s and x.brittleness is not None
+            for x in self.named.values()
+        )
+
     def make_report(self, now_s: float) -> dict[EndpointId, SharedBrittleness]:
         """Return what has changed recently."""
         self.reported_at_s = now_s
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -337,7 +337,7 @@
             with anyio.move_on_after(MAX_REPORT_INTERVAL_S):
                 await self.loads.changed.wait()
             self.loads.changed = anyio.Event()
-            await anyio.sleep(max(0.0, sent_at_s + interval_s - self.clock()))
+            await self._wait_for_turn(sent_at_s, sent_at_s + interval_s)
             pending_tokens = self.list_pending_tokens()
             must_repeat = (
                 self.clock() > sent_at_s + MAX_REPORT_INTERVAL_S
@@ -348,6 +348,25 @@
                 for entry, data in self.make_reports(pending_tokens):
                     self.port.send(entry.address, data)
 
+    async def _wait_for_turn(self, sent_at_s: float, turn_at_s: float) -> None:
+        """Wait until the next report may be sent; urgent news waits for less.
+
+        Parameters
+        ----------
+        sent_at_s : float
+            Time of the last report, seconds.
+        turn_at_s : float
+            Time at which the next one is due, seconds.
+        """
+        await anyio.sleep(max(0.0, sent_at_s + MIN_REPORT_INTERVAL_S - self.clock()))
+        while not self._has_urgent_news() and self.clock() < turn_at_s:
+            with anyio.move_on_after(turn_at_s - self.clock()):
+                await self.loads.changed.wait()
+            self.loads.changed = anyio.Event()
+
+    def _has_urgent_news(self) -> bool:
+        return self.permits is not None and self.permits.windows.is_urgent()
+
     def make_reports(
         self, pending_tokens: dict[EndpointId, int]
     ) -> list[tuple[PeerEntry, bytes]]:
--- a/tests/test_brittle_replicas.py
+++ b/tests/test_brittle_replicas.py
@@ -2,9 +2,11 @@
 
 import functools
 
+import anyio
 import pytest
 from brittle_cluster import BRITTLE_AT_S, STABLE_S, BrittleCluster, make_kind
 
+from primrosepier.endpoint_windows import Brittleness
 from primrosepier.outcomes import Completed
 from primrosepier.virtualtime import run_in_virtual_time
 
@@ -52,3 +54,22 @@
     from_s = UNTIL_S + 2.0
     assert cluster.count_ended(from_s, from_s + 2.0) >= 0.95 * cluster.room_per_s * 2.0
     assert cluster.count_falls() <= MAX_FALLS
+
+
+def test_many_routers_learn_of_each_brittle_replica_before_it_falls_over():
+    cluster = BrittleCluster(1, (), 62, REPLICAS)
+    cluster.network.loss = 0.0
+
+    async def check():
+        await anyio.sleep(1.0)
+        routers = [x.router.app.forwarder for x in cluster.routers.values()]
+        for engine in cluster.engines[:3]:
+            windows = routers[0].notices.permits.windows
+            windows.record_answer(engine.id, Brittleness(8.0, 4), anyio.current_time())
+            routers[0].loads.changed.set()
+            await anyio.sleep(0.03)
+            assert all(
+                x.notices.permits.windows.get_brittleness(engine.id) for x in routers
+            )
+
+    run_in_virtual_time(cluster.run, 0.0, check)
