Do not trust a record of versions that the store has restored from a copy

What callers saw: all, most or one of the routers are killed in a release, and the store comes back from a copy of before it. Streams of the new version that broke off go on at the old one, within one stream.

Cause: the restored record names the old version alone, and a router that starts takes that for the only version before its start. Class of fault: a copy of the past is taken for the present; the store's own number for that, Store-Era, was read nowhere.

The holder of the duty writes it into the record, once for each number, and with all versions that it has seen itself. A router that starts on a record of another number takes its version for the former one only while no other has been seen. The field is left out when it is 0; records without it are read as before.

Tests that failed before: the play in test_killed_routers, two in test_version_recorder, one in test_platform_store. The stand-ins can be restored, and send the number.

--- a/primrosepier/forwarding/version_recorder.py
+++ b/primrosepier/forwarding/version_recorder.py
@@ -101,7 +101,7 @@
         record = None if item is None else decode_version_record(item.value)
         if item is not None and record is None:
             self.log.emit(EntryUnreadable(item.key, "malformed version record"))
-        self.history.apply_record(record, self.clock())
+        self.history.apply_record(record, self.clock(), mirror.restores)
 
     async def run(self) -> None:
         """Keep the record current until cancelled."""
@@ -154,14 +154,14 @@
             if recorded is None:
                 return None
             origins = recorded.list_origins() | registered
-            return make_version_record(origins, recorded.is_complete)
+            return make_version_record(origins, recorded.is_complete, recorded.restores)
         origins = registered | self._list_kept(registered, now_s)
         is_complete = (
             (self.is_first_start and self.history.former is None)
             or self.history.has_watched(now_s)
             or (recorded is not None and recorded.is_complete)
         )
-        return make_version_record(origins, is_complete)
+        return make_version_record(origins, is_complete, self.mirror.restores)
 
     def _list_kept(
         self, registered: set[StreamOrigin], now_s: float
@@ -171,8 +171,9 @@
             self.fencing = self.duty.fencing_number
             self.missed_since_s.clear()
         recorded = self.history.recorded
-        known = self.history.list_seen() if recorded is None else set()
-        known |= recorded.list_origins() if recorded is not None else set()
+        known = recorded.list_origins() if recorded is not None else set()
+        if recorded is None or recorded.restores != self.mirror.restores:
+            known |= self.history.list_seen()
         for origin in known - registered:
             self.missed_since_s.setdefault(origin, now_s)
         self.missed_since_s = {
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -80,6 +80,8 @@
         Lower bound of the time of the last changes, seconds: when their watch event
         arrived if the service held the request for that long; otherwise the previous
         `answered_at_s` or, for a snapshot, the previous `confirmed_at_s`.
+    restores : int
+        Rises whenever the store is restored from a copy; of the newest snapshot.
     """
 
     prefix: str
@@ -89,6 +91,7 @@
     confirmed_at_s: float = NEVER_S
     answered_at_s: float = NEVER_S
     changed_after_s: float = NEVER_S
+    restores: int = 0
     listeners: list[Listener] = field(default_factory=list)
 
     @property
@@ -109,6 +112,7 @@
             self.confirmed_at_s = requested_at_s
         self.answered_at_s = self.confirmed_at_s
         self.items = dict(snapshot.items)
+        self.restores = snapshot.restores
         self._finish(snapshot.revision, now_s)
 
     def apply_event(self, event: WatchEvent, now_s: float) -> None:
@@ -207,7 +211,7 @@
         start = Revision(self.mirror.revision + 1)
         async for event in self.store.watch(self.mirror.prefix, start):
             self.backoff.reset()
-            if event.compacted:
+            if event.compacted or event.restores > self.mirror.restores:
                 return False
             self.record_contact(True, "watch")
             self.mirror.apply_event(event, self.clock())
--- a/primrosepier/platform/names.py
+++ b/primrosepier/platform/names.py
@@ -30,6 +30,7 @@
     "REMAINING_TIME",
     "REPLICAS_PREFIX",
     "RETRY_AFTER",
+    "STORE_ERA",
     "TOKEN_COUNTS",
     "URGENCY",
     "WEIGHTS",
@@ -67,6 +68,8 @@
 # Calls that a brittle replica may turn away within a second without falling over.
 BRITTLENESS = b"server-brittle"
 WEIGHTS = b"weight-versions"
+# In all answers of the store; rises by 1 when it comes back from an older copy.
+STORE_ERA = b"store-era"
 # The id of a workspace.
 WORKSPACE = b"tenant"
 CACHE_SCOPE = b"cache-salt"
--- a/primrosepier/platform/standins.py
+++ b/primrosepier/platform/standins.py
@@ -116,7 +116,7 @@
         if self.faults.unresponsive:
             await anyio.sleep_forever()
         if self.faults.status:
-            await send_bytes(send, self.faults.status, b"")
+            await send_bytes(send, self.faults.status, b"", self._list_headers())
             return
         pairs = parse_qs(scope["query_string"].decode(), keep_blank_values=True)
         query = {name: values[0] for name, values in pairs.items()}
@@ -131,6 +131,10 @@
         else:
             await self._answer_lease(path, receive, send)
 
+    def _list_headers(self) -> list[tuple[str, str]]:
+        """Return the headers of all answers."""
+        return [(names.STORE_ERA.decode(), str(1 + self.memory.restores))]
+
     async def _answer_range(self, query: dict[str, str], send: Send) -> None:
         matching = self.memory.select(query["pathPrefix"])
         after = query.get("after", "")
@@ -140,24 +144,29 @@
             "truncated": len(items) > PAGE_ITEMS,
             "storeRevision": self.memory.revision,
         }
-        await send_json(send, 200, page)
+        await send_json(send, 200, page, self._list_headers())
 
     async def _answer_watch(
         self, query: dict[str, str], receive: Receive, send: Send
     ) -> None:
         prefix, after = query["pathPrefix"], int(query["after"])
+        restores = self.memory.restores
         try:
+            if after > self.memory.revision:
+                raise CompactedError(self.memory.revision)
             with anyio.move_on_after(int(query["waitMs"]) * MS):
                 while not self._list_events(prefix, after):
                     if await self._wait_for_change(receive):
                         return
+                    if restores != self.memory.restores:
+                        raise CompactedError(self.memory.revision)
                 await self._hold_back(prefix, after)
             events = self._list_events(prefix, after)
         except CompactedError:
-            await send_bytes(send, 410, b"")
+            await send_bytes(send, 410, b"", self._list_headers())
             return
         body = {"events": events, "storeRevision": self.memory.revision}
-        await send_json(send, 200, body)
+        await send_json(send, 200, body, self._list_headers())
 
     async def _hold_back(self, prefix: str, after: int) -> None:
         size = self.memory.choose_answer_size()
@@ -209,12 +218,14 @@
             self.faults.lose_answers -= 1
             abort_connection(send)
         elif isinstance(outcome, Applied):
-            await send_json(send, 200, {"revision": outcome.revision})
+            await send_json(
+                send, 200, {"revision": outcome.revision}, self._list_headers()
+            )
         elif isinstance(outcome, LeaseLost):
-            await send_bytes(send, 404, b"")
+            await send_bytes(send, 404, b"", self._list_headers())
         else:
             items = [_write_item(item) for item in outcome.items.values()]
-            await send_json(send, 412, {"items": items})
+            await send_json(send, 412, {"items": items}, self._list_headers())
 
     async def _answer_lease(self, path: str, receive: Receive, send: Send) -> None:
         _, call, *rest = path.split("/")
@@ -222,18 +233,25 @@
             ttl_ms = (await read_json(receive, MAX_BODY_BYTES))["ttlMs"]
             granted = await self.memory.grant_lease(ttl_ms * MS)
             assert isinstance(granted, LeaseGranted)
-            await send_json(send, 200, {"lease": granted.lease, "ttlMs": ttl_ms})
+            await send_json(
+                send,
+                200,
+                {"lease": granted.lease, "ttlMs": ttl_ms},
+                self._list_headers(),
+            )
         elif call == "kv-keep":
             kept = await self.memory.keep_alive(int(rest[0]))
             if isinstance(kept, LeaseGranted):
-                await send_json(send, 200, {"ttlMs": kept.ttl_s / MS})
+                await send_json(
+                    send, 200, {"ttlMs": kept.ttl_s / MS}, self._list_headers()
+                )
             else:
-                await send_bytes(send, 404, b"")
+                await send_bytes(send, 404, b"", self._list_headers())
         elif call == "kv-lease-end":
             await self.memory.revoke_lease(int(rest[0]))
-            await send_bytes(send, 200, b"{}")
+            await send_bytes(send, 200, b"{}", self._list_headers())
         else:
-            await send_bytes(send, 404, b"")
+            await send_bytes(send, 404, b"", self._list_headers())
 
 
 def _write_item(item: Item) -> dict[str, Any]:
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -34,6 +34,7 @@
     WatchEvent,
     make_watch_event,
 )
+from . import names
 
 __all__ = ["PlatformStore", "make_platform_store"]
 
@@ -48,6 +49,7 @@
 OK, NOT_FOUND, GONE, PRECONDITION_FAILED = 200, 404, 410, 412
 # Statuses of calls that the service has not executed.
 REFUSED = frozenset({429, 503})
+MAX_RESTORES_DIGITS = 18
 
 
 class _Item(msgspec.Struct):
@@ -89,6 +91,14 @@
     body: bytes
 
 
+def _read_restores(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return how often the store was restored; 0 if it does not tell."""
+    for name, value in headers:
+        if name.lower() == names.STORE_ERA and value.isdigit():
+            return int(value[:MAX_RESTORES_DIGITS])
+    return 0
+
+
 T = TypeVar("T")
 
 
@@ -115,6 +125,11 @@
         Returns the time at which a watch is sent.
     watch_s : float
         Longest time that a watch waits for changes, seconds.
+
+    Attributes
+    ----------
+    restores : int
+        Newest number in an answer that rises when the store is restored from a copy.
     """
 
     def __init__(
@@ -126,6 +141,7 @@
         self.address = address
         self.clock = clock
         self.watch_s = watch_s
+        self.restores = 0
         self.client = HttpEndpointClient()
 
     async def _call(
@@ -154,6 +170,7 @@
         if response.status in REFUSED:
             reason = f"refused with status {response.status}"
             return Unavailable(Step.HEADERS, self.address, reason)
+        self.restores = max(self.restores, _read_restores(response.headers))
         return _Response(response.status, b"".join(parts))
 
     async def _read(
@@ -180,17 +197,18 @@
         that a watch from it includes changes made between the pages.
         """
         items: dict[str, Item] = {}
-        revision = Revision(0)
+        revision, restores = Revision(0), 0
         after = ""
         while True:
             query = {"pathPrefix": prefix} | ({"after": after} if after else {})
             page = await self._read(f"/kv-range?{urlencode(query)}", _Range)
             if isinstance(page, Unavailable):
                 return page
-            revision = revision or Revision(page.store_revision)
+            if not revision:
+                revision, restores = Revision(page.store_revision), self.restores
             items.update((i.key, _make_item(i)) for i in page.items)
             if not page.truncated or not page.items:
-                return Snapshot(revision, items)
+                return Snapshot(revision, items, restores)
             after = page.items[-1].key
 
     async def transact(
@@ -269,6 +287,7 @@
                 ((i.key, None if i.deleted else _make_item(i)) for i in changes.events),
                 requested_at_s,
                 self.watch_s,
+                self.restores,
             )
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -69,10 +69,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All items with a prefix at one revision."""
+    """All items with a prefix at one revision.
+
+    Parameters
+    ----------
+    restores : int
+        Rises whenever the store is restored from a copy, so that writes are lost; 0
+        where the store does not tell.
+    """
 
     revision: Revision
     items: dict[str, Item]
+    restores: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +178,8 @@
         the answer contains all earlier changes. Such an event may contain no changes.
     hold_s : float
         Longest time for which the service holds the request, seconds.
+    restores : int
+        As in a snapshot. A new snapshot is needed if it has risen.
     """
 
     revision: Revision
@@ -177,6 +187,7 @@
     compacted: bool = False
     requested_at_s: float | None = None
     hold_s: float = float("inf")
+    restores: int = 0
 
     @property
     def items(self) -> tuple[Item, ...]:
@@ -194,6 +205,7 @@
     changes: Iterable[tuple[str, Item | None]],
     requested_at_s: float | None = None,
     hold_s: float = float("inf"),
+    restores: int = 0,
 ) -> WatchEvent:
     """Return the event of an answer, which may span many revisions.
 
@@ -204,7 +216,11 @@
         happened.
     """
     return WatchEvent(
-        revision, dict(changes), requested_at_s=requested_at_s, hold_s=hold_s
+        revision,
+        dict(changes),
+        requested_at_s=requested_at_s,
+        hold_s=hold_s,
+        restores=restores,
     )
 
 
@@ -327,6 +343,13 @@
         self.choose_answer_size = choose_answer_size
         self.faults = StoreFaults()
         self.changed = anyio.Event()
+        self.restores = 0
+
+    def restore(self, state: KeyValue) -> None:
+        """Go back to an earlier copy of the state."""
+        self.state = state
+        self.restores += 1
+        self.notify()
 
     @property
     def revision(self) -> Revision:
@@ -352,7 +375,7 @@
     async def read(self, prefix: str) -> Snapshot | Unavailable:
         """Return the items whose keys start with a prefix."""
         failure = await self._apply_faults()
-        return failure or Snapshot(self.revision, self.select(prefix))
+        return failure or Snapshot(self.revision, self.select(prefix), self.restores)
 
     def select(self, prefix: str) -> dict[str, Item]:
         """Return the items whose keys start with a prefix, ordered by key."""
@@ -395,10 +418,14 @@
     async def watch(self, prefix: str, revision: Revision) -> AsyncIterator[WatchEvent]:
         """Yield the changes from a revision on, until the store is down."""
         position = int(revision)
+        restores = self.restores
         if self.revision < revision - 1:
             yield WatchEvent(self.revision, compacted=True)
             return
         while not self.faults.down:
+            if restores != self.restores:
+                yield WatchEvent(self.revision, compacted=True)
+                return
             changed = self.changed
             try:
                 changes = self.state.list_changes(position)
--- a/primrosepier/stream_origins.py
+++ b/primrosepier/stream_origins.py
@@ -109,17 +109,21 @@
             del self.records[call]
 
 
-class VersionRecord(msgspec.Struct, frozen=True):
+class VersionRecord(msgspec.Struct, frozen=True, omit_defaults=True):
     """Software versions that services have had of late, as stored for all routers.
 
     Parameters
     ----------
     is_complete : bool
         Whether a version that is missing has served no stream that may be taken up.
+    restores : int
+        What the store told at the last change by the holder of the duty; it rises when
+        the store is restored from a copy.
     """
 
     versions: Mapping[ServiceId, tuple[SoftwareVersion, ...]]
     is_complete: bool = False
+    restores: int = 0
 
     def list_origins(self) -> set[StreamOrigin]:
         """Return the services with their versions."""
@@ -136,14 +140,14 @@
 
 
 def make_version_record(
-    origins: Iterable[StreamOrigin], is_complete: bool
+    origins: Iterable[StreamOrigin], is_complete: bool, restores: int = 0
 ) -> VersionRecord:
     """Return the record of services with their versions."""
     versions: dict[ServiceId, tuple[SoftwareVersion, ...]] = {}
     for origin in sorted(set(origins), key=lambda x: (x.service, x.software)):
         known = versions.get(origin.service, ())
         versions[origin.service] = (*known, origin.software)
-    return VersionRecord(versions, is_complete)
+    return VersionRecord(versions, is_complete, restores)
 
 
 @dataclass(slots=True)
@@ -160,6 +164,9 @@
         The record in the store at this router's start.
     started_at_s : float or None
         Time at which this router first read the store, seconds.
+    is_former_outdated : bool
+        Whether the record at this router's start was restored from a copy, so that it
+        may lack versions that served before.
     """
 
     seen_at_s: dict[ServiceId, dict[SoftwareVersion, float]] = field(
@@ -168,6 +175,7 @@
     recorded: VersionRecord | None = None
     former: VersionRecord | None = None
     started_at_s: float | None = None
+    is_former_outdated: bool = False
 
     def record(self, origins: Iterable[StreamOrigin], now_s: float) -> None:
         """Record the versions that serve."""
@@ -179,7 +187,9 @@
                 if versions[software] < min(newest_at_s, now_s - VERSION_TTL_S):
                     del versions[software]
 
-    def apply_record(self, recorded: VersionRecord | None, now_s: float) -> None:
+    def apply_record(
+        self, recorded: VersionRecord | None, now_s: float, restores: int = 0
+    ) -> None:
         """Apply the record in the store; None if it holds none.
 
         The first one is what was known before this router's start.
@@ -187,6 +197,8 @@
         if self.started_at_s is None:
             self.started_at_s = now_s
             self.former = recorded
+            if recorded is not None:
+                self.is_former_outdated = recorded.restores != restores
         self.recorded = recorded
 
     def list_seen(self) -> set[StreamOrigin]:
@@ -222,6 +234,8 @@
             return None
         if now_s - self.started_at_s >= FORMER_VERSION_S:
             return None
+        if self.is_former_outdated and self.is_mixed(service):
+            return None
         return self.former.find_only(service)
 
     def get_seen_at_s(self, origin: StreamOrigin) -> float:
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -1,6 +1,7 @@
 """Streams that are taken up after routers were killed, over real sockets."""
 
 import contextlib
+import copy
 
 import anyio
 import pytest
@@ -254,6 +255,33 @@
     assert await killed.take_up(streams) >= 0.9
 
 
+@play(registered=OLD)
+async def test_no_stream_is_joined_when_the_store_forgets_a_release_of_killed_routers(
+    killed,
+):
+    memory = killed.fleet.store.memory
+    await killed.wait_for_record()
+    earlier = copy.deepcopy(memory.state)
+    killed.replace(OLD[2:], NEW)
+    await anyio.sleep(0.8)
+    streams = await killed.begin()
+    await killed.kill()
+    memory.restore(earlier)
+    killed.replace(OLD[2:], NEW)
+    await killed.start()
+    await killed.take_up(streams)
+
+
+@play(registered=OLD)
+async def test_streams_go_on_after_the_store_came_back_from_a_copy(killed):
+    streams = await killed.begin()
+    earlier = copy.deepcopy(killed.fleet.store.memory.state)
+    await killed.kill()
+    killed.fleet.store.memory.restore(earlier)
+    await killed.start()
+    assert await killed.take_up(streams) >= 0.9
+
+
 async def check_some_killed(killed, hosts):
     streams = await killed.begin()
     await killed.kill(hosts)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,6 @@
 """The client of the platform's key-value service, over real sockets."""
 
+import copy
 import random
 import time
 
@@ -198,3 +199,34 @@
             assert written_at_s - 0.3 < mirror.changed_after_s <= written_at_s
 
     run_store(check)
+
+
+def test_a_copy_is_read_anew_when_the_store_was_restored_beyond_its_revision():
+    async def check(client, service):
+        earlier = copy.deepcopy(service.memory.state)
+        service.put("state/a", b"1")
+        client.watch_s = 0.1
+        mirror = Mirror("")
+        controller = MirrorController(
+            client, mirror, Backoff(random.Random(1), 0.1, 0.1), "op/"
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(controller.run)
+            while not mirror.is_synced:
+                await anyio.sleep(0.01)
+            restores = mirror.restores
+            # No watch is held while the store is away.
+            service.faults.status = 503
+            await anyio.sleep(0.3)
+            service.memory.restore(earlier)
+            for number in range(3):
+                service.put(f"state/b{number}", b"2")
+            await anyio.sleep(0.3)
+            service.faults.status = 0
+            with anyio.fail_after(3.0):
+                while "state/a" in mirror.items or mirror.restores == restores:
+                    await anyio.sleep(0.01)
+            assert {"state/b0", "state/b1", "state/b2"} <= mirror.items.keys()
+            group.cancel_scope.cancel()
+
+    run_store(check)
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -1,5 +1,6 @@
 """Record of software versions in the store, in virtual time."""
 
+import copy
 import random
 from dataclasses import dataclass, field
 
@@ -233,3 +234,45 @@
         assert fleet.read_versions() == ("v1", "v2")
 
     fleet.run(play)
+
+
+def test_a_restored_record_tells_no_former_version_beside_another():
+    fleet = RecordedFleet()
+
+    async def play():
+        await fleet.start("a", is_first_start=True, holds=True)
+        earlier = copy.deepcopy(fleet.store.state)
+        fleet.registered = {OLD, NEW}
+        await anyio.sleep(1.0)
+        await fleet.kill()
+        fleet.store.restore(earlier)
+        fleet.registered = {OLD}
+        await fleet.start("b")
+        history = fleet.recorders["b"].history
+        assert history.find_former("writers", anyio.current_time()) == "v1"
+        fleet.registered = {OLD, NEW}
+        await anyio.sleep(1.0)
+        assert history.find_former("writers", anyio.current_time()) is None
+
+    fleet.run(play)
+
+
+def test_a_holder_writes_a_restored_record_again_once_with_all_it_has_seen():
+    fleet = RecordedFleet()
+
+    async def play():
+        await fleet.start("a", is_first_start=True, holds=True)
+        earlier = copy.deepcopy(fleet.store.state)
+        fleet.registered = {OLD, NEW}
+        await anyio.sleep(1.0)
+        fleet.registered = {NEW}
+        await anyio.sleep(1.0)
+        fleet.store.restore(earlier)
+        await anyio.sleep(5.0)
+        assert fleet.read_versions() == ("v1", "v2")
+        assert fleet.read().restores == 1
+        revision = fleet.store.items[VERSIONS_KEY].mod_revision
+        await anyio.sleep(5.0)
+        assert fleet.store.items[VERSIONS_KEY].mod_revision == revision
+
+    fleet.run(play)
