Read updates of the prefix index that a later build extends

What callers would see: during an upgrade to a build that adds an element to these updates, a router of this build would refuse each report that holds one, and with it the pending tokens, the limits and the lost calls in it. Nothing is sent so today.

Cause: an update was declared as a tuple, whose length msgspec requires. All other parts of a report are structs, which ignore further elements.

Ruled out: a named tuple, whose length is required as well (tried).

Change: the update is a struct that is sent as an array. Its bytes are the same, as the recorded ones show. The sample in the test of exact bytes is written as that struct for this reason; its bytes were not changed.

Before: the test of parts with further fields, extended to updates, failed, since the report was refused. After: it passes.

--- a/primrosepier/forwarding/prefixes.py
+++ b/primrosepier/forwarding/prefixes.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
 from ..ids import EndpointId
@@ -24,9 +25,6 @@
 ]
 
 PrefixKey = int
-# Key of the prefix, replica, version of the replica's weights, and whether the replica
-# has cached the prefix or is still computing it.
-PrefixUpdate = tuple[PrefixKey, EndpointId, WeightsVersionNumber, bool]
 
 # Shorter prefixes are computed faster than they are fetched.
 MIN_PREFIX_TOKENS = 1024
@@ -39,6 +37,23 @@
 MAX_UPDATES_PER_REPORT = 32
 
 
+class PrefixUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Change of a prefix at one replica, as reported to peers.
+
+    Parameters
+    ----------
+    weights : WeightsVersionNumber
+        Version of the replica's weights.
+    is_cached : bool
+        Whether the replica has cached the prefix; otherwise it is computing it.
+    """
+
+    key: PrefixKey
+    endpoint: EndpointId
+    weights: WeightsVersionNumber
+    is_cached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Prefix:
     """A chain of leading parts of a prompt.
@@ -149,8 +164,18 @@
 
     def apply_updates(self, updates: Sequence[PrefixUpdate], now_s: float) -> None:
         """Apply a peer's updates."""
-        for key, endpoint, weights, is_cached in updates:
-            self.record(key, endpoint, weights, is_cached, now_s)
+        for update in updates:
+            self._apply(update, now_s)
+
+    def report(self, update: PrefixUpdate, now_s: float) -> None:
+        """Apply an update of this router's calls, and have it reported to peers."""
+        self._apply(update, now_s)
+        self.pending_updates.append(update)
+
+    def _apply(self, update: PrefixUpdate, now_s: float) -> None:
+        self.record(
+            update.key, update.endpoint, update.weights, update.is_cached, now_s
+        )
 
     def prune(self, now_s: float) -> None:
         """Remove expired entries, then the prefixes added first if too many remain."""
@@ -197,6 +222,6 @@
 
     def _record(self, is_cached: bool, now_s: float) -> None:
         for prefix in self.prefixes:
-            update = (prefix.key, self.endpoint, self.weights, is_cached)
-            self.index.record(*update, now_s)
-            self.index.pending_updates.append(update)
+            self.index.report(
+                PrefixUpdate(prefix.key, self.endpoint, self.weights, is_cached), now_s
+            )
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -50,7 +50,7 @@
     PermitRequest,
     WindowRequest,
 )
-from primrosepier.forwarding.prefixes import PrefixIndex
+from primrosepier.forwarding.prefixes import PrefixIndex, PrefixUpdate
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
 from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 from primrosepier.leases import (
@@ -117,7 +117,7 @@
             "token",
             "front-1",
             {"w1": 2000},
-            [(5, "w1", 1, True)],
+            [PrefixUpdate(5, "w1", 1, True)],
             LOADING,
             {"w1": 3},
             LossReport(
@@ -540,8 +540,8 @@
 def test_parts_of_reports_with_further_fields_are_applied():
     plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
     plain[4]["later"] = 1
-    losses, limits = plain[6], plain[7]
-    for array in (losses, losses[0][0], losses[0][0][2][0], limits["w1"]):
+    (update,), losses, limits = plain[3], plain[6], plain[7]
+    for array in (update, losses, losses[0][0], losses[0][0][2][0], limits["w1"]):
         array.append({"later": 1})
     assert handle(msgspec.msgpack.encode(plain)) == (0, 2000)
 
