Apply a report although one of its parts can't be read

What callers would see: during an upgrade to a build that sends one part of a report in another form, a router of this build would refuse the whole report: it would not know of the others' pending tokens, of lost calls and of limits, although their form is the same.

Cause: a report is decoded as a whole, so one part that can't be read costs all.

Change: parts that can't be read are left out. They are named in the log line for dropped datagrams and counted there. Reports that can be decoded as a whole are decoded as before. A report whose token or sender can't be read is rejected and counted, as before; so is one that is no array or ends early.

--- a/primrosepier/datagrams.py
+++ b/primrosepier/datagrams.py
@@ -61,13 +61,13 @@
     ----------
     clock : Clock
     notify_failure : callable
-        Called with the error of a dropped datagram and the number of datagrams dropped
-        since the last call.
+        Called with the error of a datagram that was dropped, or not read in full, and
+        the number of such datagrams since the last call.
 
     Attributes
     ----------
     unreported_failures : int
-        Dropped datagrams that ``notify_failure`` was not called for.
+        Such datagrams that ``notify_failure`` was not called for.
     """
 
     clock: Clock
@@ -82,15 +82,15 @@
         """Queue a datagram; return whether it will be sent."""
         parsed = parse_address(address)
         if parsed is None:
-            self._record_failure(f"{address!r} is not IP:PORT")
+            self.record_failure(f"{address!r} is not IP:PORT")
             return False
         if len(data) > MAX_DATAGRAM_BYTES:
-            self._record_failure(f"a message of {len(data)} bytes is too long")
+            self.record_failure(f"a message of {len(data)} bytes is too long")
             return False
         try:
             self.queue[0].send_nowait((data, parsed))
         except anyio.WouldBlock:
-            self._record_failure("too many datagrams wait for the socket")
+            self.record_failure("too many datagrams wait for the socket")
             return False
         return True
 
@@ -111,14 +111,14 @@
             try:
                 return await reopen()
             except OSError as error:
-                self._record_failure(repr(error))
+                self.record_failure(repr(error))
 
     async def _send_queued(self, socket: UDPSocket) -> None:
         async for data, (host, port) in self.queue[1]:
             try:
                 await socket.sendto(data, host, port)
             except (OSError, anyio.BrokenResourceError) as error:
-                self._record_failure(repr(error))
+                self.record_failure(repr(error))
 
     async def _receive(self, socket: UDPSocket, handle: HandleDatagram) -> None:
         """Handle datagrams until the socket breaks."""
@@ -126,15 +126,16 @@
             try:
                 data, _ = await socket.receive()
             except (OSError, anyio.BrokenResourceError) as error:
-                self._record_failure(repr(error))
+                self.record_failure(repr(error))
                 return
             try:
                 await handle(data)
             # A peer's message must not end the router, whatever it holds.
             except Exception as error:
-                self._record_failure(f"a message could not be handled: {error!r}")
+                self.record_failure(f"a message could not be handled: {error!r}")
 
-    def _record_failure(self, reason: str) -> None:
+    def record_failure(self, reason: str) -> None:
+        """Count a datagram that was dropped, or that could not be read in full."""
         self.unreported_failures += 1
         now_s = self.clock()
         if now_s < self.reported_at_s + REPORT_INTERVAL_S:
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -14,6 +14,7 @@
 import secrets
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import msgspec
@@ -110,7 +111,7 @@
 
     token: str
     sender: HostId
-    tokens: Mapping[EndpointId, int]
+    tokens: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
     prefixes: Sequence[PrefixUpdate] = ()
     loading_record: LoadingRecord | None = None
     decoding: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
@@ -122,6 +123,32 @@
     waits_ms: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
 
 
+def decode_report(data: bytes) -> tuple[PeerReport, list[str]]:
+    """Return a report, and the names of its parts that can't be read.
+
+    These are left out of the report, since a later build may have changed them.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The data is no report, or its token or sender can't be read.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=PeerReport), []
+    except (msgspec.ValidationError, UnicodeDecodeError):
+        parts = msgspec.msgpack.decode(data, type=list[msgspec.Raw])
+    read: dict[str, Any] = {}
+    unreadable = []
+    for part, raw in zip(msgspec.structs.fields(PeerReport), parts, strict=False):
+        try:
+            read[part.name] = msgspec.msgpack.decode(raw, type=part.type)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            unreadable.append(part.name)
+    if not {"token", "sender"} <= read.keys():
+        raise msgspec.DecodeError("the token or the sender can't be read")
+    return PeerReport(**read), unreadable
+
+
 def make_no_loading_record() -> LoadingRecord | None:
     """Return None: this router never holds the weights duty."""
     return None
@@ -432,15 +459,17 @@
             await self.origins.receive(message)
 
     def receive(self, data: bytes) -> None:
-        """Apply a datagram if it is a valid report to this router."""
+        """Apply the readable parts of a datagram that is a report to this router."""
         try:
-            report = msgspec.msgpack.decode(data, type=PeerReport)
+            report, unreadable = decode_report(data)
         except (msgspec.DecodeError, UnicodeDecodeError):
             self.loads.rejected_reports += 1
             return
         if report.token != self.directory.token:
             self.loads.rejected_reports += 1
             return
+        if unreadable:
+            self.port.record_failure(f"unreadable in a report: {', '.join(unreadable)}")
         now_s = self.clock()
         peer_load = PeerLoad(report.tokens, now_s, report.decoding, report.waits_ms)
         self.loads.record_peer_load(report.sender, peer_load)
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -550,14 +550,14 @@
 
 
 class DatagramsDropped(Event, frozen=True):
-    """Datagrams from or to other routers were dropped.
+    """Datagrams from or to other routers were dropped, or could not be read in full.
 
     Parameters
     ----------
     reason : str
         Error of the last one.
     count : int
-        Datagrams dropped since the last such event.
+        Such datagrams since the last event.
     """
 
     part: ClassVar[str] = "peers"
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -546,6 +546,56 @@
     assert handle(msgspec.msgpack.encode(plain)) == (0, 2000)
 
 
+REPORT_PARTS = {
+    "prefixes": 3,
+    "loading_record": 4,
+    "decoding": 5,
+    "losses": 6,
+    "limits": 7,
+    "brittle": 8,
+}
+
+
+@pytest.mark.parametrize("value", ["later", [{"later": 1}], {"w1": {"later": 1}}])
+@pytest.mark.parametrize("name", REPORT_PARTS)
+def test_an_unreadable_part_does_not_cost_the_rest_of_a_report(name, value):
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    plain = [*plain, {}]
+    plain[REPORT_PARTS[name]] = value
+    directory = PeerDirectory("front-2", None, "127.0.0.1:1", "token")
+    records = []
+    exchange = PeerExchange(
+        directory,
+        ReplicaLoadTable(),
+        PrefixIndex(),
+        lambda: 0.0,
+        apply_loading_record=records.append,
+    )
+    failures = []
+    exchange.port.notify_failure = lambda *failure: failures.append(failure)
+    anyio.run(exchange.handle, msgspec.msgpack.encode(plain))
+    assert failures == [(f"unreadable in a report: {name}", 1)]
+    assert exchange.loads.rejected_reports == 0
+    assert exchange.loads.count_peer_tokens("w1", 0.0) == 2000
+    assert exchange.loads.count_decoding("w1", 0.0) == (0 if name == "decoding" else 3)
+    assert records == ([] if name == "loading_record" else [LOADING])
+    assert len(exchange.prefixes.holders) == (0 if name == "prefixes" else 1)
+    assert bool(exchange.loss_log.losses) == (name != "losses")
+
+
+def test_pending_tokens_that_cannot_be_read_do_not_cost_the_rest_of_a_report():
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    plain[2] = {"w1": "later"}
+    assert handle(msgspec.msgpack.encode(plain)) == (0, 0)
+
+
+@pytest.mark.parametrize("index", [0, 1])
+def test_reports_without_a_readable_token_or_sender_are_rejected(index):
+    plain = msgspec.msgpack.decode(bytes.fromhex(last_landing.REPORT_HEX))
+    plain[index] = [1]
+    assert handle(msgspec.msgpack.encode(plain)) == (1, 0)
+
+
 def make_passed_on_call():
     route = Route("notes", "h", "/", (("writers", 1),), RetryPolicy.NEVER)
     headers = tuple(
