Keep headers between routers from replicas and callers

What callers would see: nothing today. During an upgrade to a build that adds a header to the calls that a cut router passes on, this build would send it on to the replica; one that it adds to its responses would reach the caller.

Cause: the router that receives such a call removed the token alone, by its name, and the one that sent it relayed all headers of the response. A caller's own header of that name was passed on beside the token, so that a later build could have taken it for the other router's word.

Ruled out: the NOT_RUN mark, which is never relayed, since its response is not.

Change: all headers whose names begin with x-router- are between routers. They are removed from what a router passes on for its caller, from what it receives from another router, and from the other's responses. Calls that are not passed on keep theirs, as all other headers. A caller's header with such a name no longer reaches the replica while its router is cut off.

--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -29,7 +29,7 @@
 from .events import EventStreamMerger
 from .forwarder import Forwarder
 from .freshness import Freshness
-from .peer_headers import NOT_RUN_HEADER, TOKEN_HEADER
+from .peer_headers import NOT_RUN_HEADER, TOKEN_HEADER, is_routers_header
 from .records import CallEnded, CallRejected
 from .shutdown import ShutdownSchedule
 
@@ -140,7 +140,7 @@
             await self._answer_readiness(scope, send)
             return
         if self._is_passed_on(scope):
-            if not self._remove_token(scope):
+            if not self._remove_routers_headers(scope):
                 await send_bytes(send, 403, b"")
                 return
             send = add_header_to_refusals(send)
@@ -169,11 +169,11 @@
         """Return whether a call comes from another router."""
         return bool(scope["server"][1] == self.peers_port)
 
-    def _remove_token(self, scope: Scope) -> bool:
-        """Remove the other router's token; return whether it is the right one."""
+    def _remove_routers_headers(self, scope: Scope) -> bool:
+        """Remove what the other router added; return whether its token is right."""
         token = self.peers_token.encode("ascii")
         headers = scope["headers"]
-        scope["headers"] = [x for x in headers if x[0] != TOKEN_HEADER]
+        scope["headers"] = [x for x in headers if not is_routers_header(x[0])]
         return any(
             name == TOKEN_HEADER and hmac.compare_digest(value, token)
             for name, value in headers
--- a/primrosepier/forwarding/peer_headers.py
+++ b/primrosepier/forwarding/peer_headers.py
@@ -8,10 +8,14 @@
     "LEAVING_HEADER",
     "NOT_RUN_HEADER",
     "TOKEN_HEADER",
+    "is_routers_header",
     "read_leaving_process",
     "write_leaving_process",
 ]
 
+# Begins the names of all headers between routers. None of them reaches a replica or a
+# caller, so that a later build may add some.
+ROUTERS_HEADER_PREFIX = b"x-router-"
 # Shows a router that a call comes from another one.
 TOKEN_HEADER = b"x-router-token"
 # In a router's own response to another one: the call has not run.
@@ -20,6 +24,11 @@
 LEAVING_HEADER = b"x-router-leaving"
 
 
+def is_routers_header(name: bytes) -> bool:
+    """Return whether a header is one between routers."""
+    return name.lower().startswith(ROUTERS_HEADER_PREFIX)
+
+
 def write_leaving_process(replica: Replica) -> tuple[bytes, bytes]:
     """Return the header that tells another router which replica is leaving."""
     return LEAVING_HEADER, f"{replica.id} {replica.born_ms}".encode("latin-1")
--- a/primrosepier/forwarding/peer_relay.py
+++ b/primrosepier/forwarding/peer_relay.py
@@ -34,22 +34,16 @@
 from .declarations import RetryPolicy
 from .fleet import Replica
 from .peer_headers import (
-    LEAVING_HEADER,
     NOT_RUN_HEADER,
     TOKEN_HEADER,
+    is_routers_header,
     read_leaving_process,
 )
 from .prefixes import PrefillTracker, PrefixIndex
 from .records import CallPassedOn
 from .replica_load import ReplicaLoadTable
 
-__all__ = [
-    "NOT_RUN_HEADER",
-    "PeerAddress",
-    "PeerRelay",
-    "TOKEN_HEADER",
-    "make_peer_relay",
-]
+__all__ = ["PeerAddress", "PeerRelay", "make_peer_relay"]
 
 # Routers to which a call is sent that each of them refuses.
 MAX_HELPERS = 3
@@ -57,7 +51,6 @@
 IDLE_S = 2.0
 NO_HELPER_REASON = "no other router reaches the replicas"
 
-
 RecordLeaving = Callable[[EndpointId, int], None]
 
 
@@ -83,7 +76,8 @@
     def write_caller_headers(
         self, call: Call, remaining_s: float, resume_after: str
     ) -> Sequence[tuple[str, str]]:
-        return self.inner.write_caller_headers(call, remaining_s, resume_after)
+        headers = self.inner.write_caller_headers(call, remaining_s, resume_after)
+        return [x for x in headers if not is_routers_header(x[0].encode("latin-1"))]
 
     def read_head(
         self, status: int, headers: Sequence[tuple[bytes, bytes]]
@@ -92,7 +86,7 @@
         if any(name.lower() == NOT_RUN_HEADER for name, _ in headers):
             after_s = head.rest.rest_s if head.rest is not None else 0.0
             return ResponseHead(status, (), not_run=True, retry_after_s=after_s or None)
-        forwarded = tuple(x for x in head.headers if x[0].lower() != LEAVING_HEADER)
+        forwarded = tuple(x for x in head.headers if not is_routers_header(x[0]))
         leaving = read_leaving_process(head.headers)
         return replace(head, headers=forwarded, leaving_process=leaving)
 
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -10,7 +10,8 @@
 import anyio
 import httpcore
 import pytest
-from entry_fleet import run_entry
+from clients import call
+from entry_fleet import HOST, KEY, run_entry
 
 from primrosepier.forwarding.records import CallRepeated
 
@@ -261,6 +262,29 @@
     run_cut(check, 3)
 
 
+def test_headers_that_later_routers_add_to_calls_do_not_reach_replicas():
+    async def check(fleet):
+        router = fleet.routers[0]
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": "a1",
+            "Authorization": f"Bearer {KEY}",
+            "X-Router-Token": router.peers.directory.token,
+            "X-Router-Later": "1",
+            "X-Later": "1",
+        }
+        address = router.peers.directory.address
+        response = await call(
+            fleet.client, address, "POST", "/booking/1", b"", headers.items()
+        )
+        assert response.status == 200
+        (run,) = fleet.list_runs()
+        assert run["x-later"] == "1"
+        assert not run.keys() & {"x-router-token", "x-router-later"}
+
+    run_cut(check, 3)
+
+
 def test_an_error_of_a_replica_reaches_the_caller_when_no_router_helps_later():
     async def check(fleet):
         router = fleet.routers[0]
--- a/tests/test_rest_periods.py
+++ b/tests/test_rest_periods.py
@@ -1,6 +1,7 @@
 import pytest
 
-from primrosepier.forwarding.peer_relay import NOT_RUN_HEADER, make_peer_relay
+from primrosepier.forwarding.peer_headers import NOT_RUN_HEADER
+from primrosepier.forwarding.peer_relay import make_peer_relay
 from primrosepier.platform.replicas import PlatformDialect
 from primrosepier.rest_periods import MARGIN_S, TRIAL_INTERVAL_S, RestPeriods
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 import anyio
 import last_landing
@@ -32,11 +32,8 @@
 from primrosepier.forwarding.messages import PeerDatagram
 from primrosepier.forwarding.origin_journal import STREAMS_PREFIX, StoredStreams
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
-from primrosepier.forwarding.peer_relay import (
-    NOT_RUN_HEADER,
-    TOKEN_HEADER,
-    make_peer_relay,
-)
+from primrosepier.forwarding.peer_headers import NOT_RUN_HEADER, TOKEN_HEADER
+from primrosepier.forwarding.peer_relay import make_peer_relay
 from primrosepier.forwarding.peers import (
     ROUTERS_PREFIX,
     PeerDirectory,
@@ -650,6 +647,23 @@
     assert relay.sender.dialect.read_head(200, headers[1:]).leaving_process is None
 
 
+def test_headers_that_later_routers_add_to_responses_are_not_relayed():
+    relay = make_peer_relay(None, PlatformDialect(), None, lambda: 0.0)
+    headers = [(b"X-Router-Later", b"1"), (b"server", b"s")]
+    head = relay.sender.dialect.read_head(200, headers)
+    assert head.headers == ((b"server", b"s"),)
+
+
+def test_headers_of_callers_do_not_pass_for_those_of_routers():
+    relay = make_peer_relay(None, PlatformDialect(), None, lambda: 0.0)
+    call = make_passed_on_call()
+    forged = replace(call, headers=(*call.headers, (b"x-router-later", b"1")))
+    dialect = relay.sender.dialect
+    headers = dialect.write_caller_headers(call, 2.5, "3")
+    assert dialect.write_caller_headers(forged, 2.5, "3") == headers
+    assert set(headers) >= set(last_landing.PASSED_ON_HEADERS)
+
+
 def test_settings_files_of_the_last_landing_keep_their_meaning():
     settings = parse_entry_settings(last_landing.SETTINGS_TEXT.encode(), "node.toml")
     assert asdict(settings).items() >= last_landing.SETTINGS.items()
