Do not trust a record of versions that another build has not kept

What callers would see: after a roll back to the last landing's build and a second upgrade, a stream that began at the version of the meantime would be taken for one of an earlier version: refused for good, or joined from two versions where both serve.

Cause: the record of software versions stays in the store while routers run that do not know it. A router that starts later takes it for what was true before its own start, for 20 s.

Ruled out: a record that another router of this build has kept; it then holds each version that has served meanwhile, and names no only one.

Change: a stream is unknown if a router that was asked names another version as the only one. Routers of the last landing's build do so in their replies, since they keep no record.

Before: the new test failed with two and with six routers, since the stream was taken for one of the recorded version. After: both pass. The tests of killed routers pass unchanged: none of their routers names another version.

--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -226,24 +226,37 @@
         sole = {reply.sole for reply in replies if reply.sole is not None}
         if len(sole) == 1 and not any(reply.is_mixed for reply in replies):
             return FoundOrigin(sole.pop(), OriginResult.SOLE)
-        return await self._find_former(call, services)
+        return await self._find_former(call, services, sole)
 
     async def _find_former(
-        self, call: RequestId, services: tuple[ServiceId, ...]
+        self,
+        call: RequestId,
+        services: tuple[ServiceId, ...],
+        sole: set[StreamOrigin],
     ) -> FoundOrigin:
         """Return where a stream that no router knows began before the routers' start.
 
         All routers are asked, since those that keep a stream may not have known of one
-        another yet when it began.
+        another yet when it began. One that names another version as the only one is of
+        a build that does not keep the record, and has run since.
+
+        Parameters
+        ----------
+        sole : set of StreamOrigin
+            What the routers that were asked before name as the only version.
         """
         former = self._get_former(services)
         if former is None:
             return FoundOrigin(None, OriginResult.UNKNOWN)
         others = rank_hosts(call, self.hosts)[ASKED:]
-        for reply in await self._ask(others, call, services):
+        replies = await self._ask(others, call, services)
+        for reply in replies:
             if reply.origin is not None:
                 self.origins.record(call, reply.origin, self.clock())
                 return FoundOrigin(reply.origin, OriginResult.REPLIED)
+        named = sole | {reply.sole for reply in replies if reply.sole is not None}
+        if named - {former}:
+            return FoundOrigin(None, OriginResult.UNKNOWN)
         return FoundOrigin(former, OriginResult.FORMER)
 
     def _get_former(self, services: tuple[ServiceId, ...]) -> StreamOrigin | None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -222,6 +222,26 @@
     cluster.run(play)
 
 
+@pytest.mark.parametrize("routers", [2, 6])
+def test_a_record_that_another_build_has_not_kept_does_not_tell_the_former_version(
+    routers,
+):
+    """Guards against streams of two versions after a roll back and a second upgrade."""
+    cluster = OriginCluster(routers - 1)
+
+    async def play():
+        await cluster.see_recorded(NEW)
+        cluster.add_router("front-new")
+        started = cluster.routers["front-new"]
+        record = make_version_record([OLD], is_complete=True)
+        started.versions.apply_record(record, anyio.current_time())
+        await started.record_versions([NEW])
+        found = await started.find("f" * 16, (SERVICE,))
+        assert (found.origin, found.result) == (None, OriginResult.UNKNOWN)
+
+    cluster.run(play)
+
+
 def test_an_unknown_stream_of_two_services_is_not_guessed():
     cluster = OriginCluster(1)
 
