Show how many datagrams of other routers are rejected

What operators saw: nothing. Datagrams that can't be read, as those of another build may be, were counted in a field that no metric and no log line showed.

Change: primrosepier_rejected_datagrams_total. A few carry the token of a process that has ended; more tell that two builds do not read each other.

Before: the new test failed, since there was no such metric. After: it passes.

--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -25,6 +25,8 @@
     table.set("primrosepier_resting_replicas", resting)
     leaving = map(notices.leaving.is_leaving, store_view.fleet.list_registered())
     table.set("primrosepier_leaving_replicas", sum(leaving))
+    rejected = app.forwarder.loads.rejected_reports
+    table.set("primrosepier_rejected_datagrams_total", rejected)
     quarantined = len(app.forwarder.suspects.loss_log.causes)
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -219,6 +219,14 @@
         "Whether this router holds a duty.",
         "0 on all routers for long: weights are not loaded.",
     ),
+    MetricSpec(
+        "primrosepier_rejected_datagrams_total",
+        COUNTER,
+        "datagrams",
+        (),
+        "Datagrams of other routers that could not be read or carried a wrong token.",
+        "Some after a start; rises steadily: two builds do not read each other.",
+    ),
     MetricSpec(
         "primrosepier_log_lines_dropped_total",
         COUNTER,
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -4,6 +4,7 @@
 import socket
 from dataclasses import replace
 
+import msgspec
 import pytest
 from clients import call
 from entry_fleet import run_entry
@@ -55,6 +56,23 @@
     run_entry(check)
 
 
+def test_datagrams_that_cannot_be_read_are_counted_where_operators_see_it():
+    async def check(fleet):
+        fleet.settings = replace(
+            fleet.settings, metrics_address=f"127.0.0.1:{find_free_port()}"
+        )
+        async with fleet.open_router("front-2") as router:
+            name = "primrosepier_rejected_datagrams_total"
+            assert (await read_metrics(fleet, router))[name] == 0
+            token = router.peers.directory.token
+            later = {"token": token, "message": {"type": "later"}}
+            for data in (msgspec.msgpack.encode(later), b"\x91\x07"):
+                await router.peers.handle(data)
+            assert (await read_metrics(fleet, router))[name] == 2
+
+    run_entry(check)
+
+
 def test_a_router_serves_calls_when_its_metrics_address_is_in_use():
     async def check(fleet):
         with socket.socket() as taken:
