Test that a refusal names the first service of its route that is back

Where replicas of all services of a route rest, the service that may receive a call first was chosen since the last change of the choice, but no test showed it.

--- a/tests/test_replicas_at_rest.py
+++ b/tests/test_replicas_at_rest.py
@@ -216,7 +216,8 @@
     route = make_route("lookup", "/lookup/", "idempotent", "app")
     del route["service"]
     split = [{"service": name, "weight": 1} for name in ("writers", "app")]
-    configuration = make_configuration(2, [{**route, "split": split}])
+    route |= {"split": split, "timeoutMs": LIMIT_MS}
+    configuration = make_configuration(2, [route])
     fleet.store.put("op/config", configuration)
     view = fleet.routers[0].store_view
     await fleet.wait_until(lambda: view.declaration.value.version == 2)
@@ -243,6 +244,21 @@
     run_entry(check)
 
 
+def test_a_refusal_tells_when_the_first_service_of_the_route_is_back():
+    async def check(fleet):
+        await split_lookups(fleet)
+        refuse(fleet, ["w1", "w2"], "30")
+        refuse(fleet, ["app1", "app2"], "3")
+        while not all(replica.arrivals for replica in fleet.replicas.values()):
+            await fleet.send("/lookup/1", limit_ms=LIMIT_MS)
+        for _ in range(8):
+            reply = await fleet.send("/lookup/1", limit_ms=LIMIT_MS)
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) <= 4.0
+
+    run_entry(check)
+
+
 def test_a_router_that_is_cut_off_tells_how_long_its_helper_has_no_replica():
     async def check(fleet):
         async with fleet.open_router("front-2"):
