Pause permits for a brittle replica that refuses calls until one ends

A granter that learns that a replica is brittle does not know the calls that routers have there which did not ask it yet. When it granted one to a full replica, the refusal gave the place back, and the next router got the permit for the next refusal.

After a refusal nothing is granted until a call ends there, or for 0.5 s. Where the window is right that changes nothing, as it is full until a call ends.

The new test failed before: the second permit was granted at once.

--- a/primrosepier/endpoint_windows.py
+++ b/primrosepier/endpoint_windows.py
@@ -41,6 +41,9 @@
 REQUESTS_PER_S = 500.0
 # Weight of a new interval between two ends of calls in their mean.
 INTERVAL_WEIGHT = 0.1
+# Time after a refusal for which nothing is granted unless a call ends, seconds: the
+# endpoint may be full of calls whose routers have not asked yet.
+REFUSAL_PAUSE_S = 0.5
 # Time for which a change is repeated in the reports to other routers, seconds.
 REPEAT_S = 1.0
 MS = 0.001
@@ -118,6 +121,8 @@
         Time of the last end of a call, seconds; None before the first.
     end_interval_s : float
         Mean interval between the ends of calls, seconds.
+    paused_until_s : float
+        Time before which nothing is granted, seconds.
     """
 
     limit: int
@@ -125,6 +130,7 @@
     held: dict[HostId, tuple[int, float]] = field(default_factory=dict)
     ended_at_s: float | None = None
     end_interval_s: float = MAX_WAIT_S
+    paused_until_s: float = float("-inf")
 
     def count_held(self, now_s: float) -> int:
         """Return the calls in progress of all routers."""
@@ -132,8 +138,15 @@
             held for held, at_s in self.held.values() if now_s < at_s + HOLDER_TTL_S
         )
 
+    def record_refusal(self, now_s: float) -> None:
+        """Shrink to the calls in progress, and pause."""
+        self.limit = max(1, min(self.limit, self.count_held(now_s)))
+        self.changed_at_s = now_s
+        self.paused_until_s = now_s + REFUSAL_PAUSE_S
+
     def record_end(self, now_s: float) -> None:
-        """Record that a call has ended."""
+        """Record that a call has ended for which there was room."""
+        self.paused_until_s = float("-inf")
         if self.ended_at_s is not None:
             interval_s = min(MAX_WAIT_S, now_s - self.ended_at_s)
             self.end_interval_s += INTERVAL_WEIGHT * (interval_s - self.end_interval_s)
@@ -274,9 +287,10 @@
         """
         window = self._get_or_create(endpoint, brittleness, now_s)
         window.held[holder] = held, now_s
-        if window.count_held(now_s) <= window.limit:
+        is_paused = now_s < window.paused_until_s
+        if not is_paused and window.count_held(now_s) <= window.limit:
             return 0.0
-        if self._may_grow(window, brittleness, now_s):
+        if not is_paused and self._may_grow(window, brittleness, now_s):
             window.limit += 1
             window.changed_at_s = now_s
             if window.count_held(now_s) <= window.limit:
@@ -319,10 +333,10 @@
                 return
             window = self._get_or_create(endpoint, brittleness, now_s)
         window.held[holder] = held, now_s
-        window.record_end(now_s)
         if was_refused:
-            window.limit = max(1, min(window.limit, window.count_held(now_s)))
-            window.changed_at_s = now_s
+            window.record_refusal(now_s)
+        else:
+            window.record_end(now_s)
 
     def retain(self, endpoints: Iterable[EndpointId], now_s: float) -> None:
         """Forget the other endpoints a while after their last answer."""
--- a/tests/test_endpoint_windows.py
+++ b/tests/test_endpoint_windows.py
@@ -3,6 +3,7 @@
 from primrosepier.endpoint_windows import (
     EXTRA_CALLS,
     HOLDER_TTL_S,
+    REFUSAL_PAUSE_S,
     RETENTION_S,
     Brittleness,
     EndpointWindows,
@@ -102,3 +103,16 @@
         windows.record_end(ENDPOINT, "front-1", held - 1, False, now_s)
         assert grant(windows, "front-1", held, now_s) == 0
     assert 0 < grant(windows, "front-1", held + 1, 0.05) <= 0.008
+
+
+def test_calls_that_a_granter_does_not_know_of_do_not_cause_refusals_in_a_row():
+    windows = EndpointWindows()
+    assert grant(windows, "front-1", 1, 0.0) == 0
+    windows.record_end(ENDPOINT, "front-1", 0, True, 0.0)
+    assert grant(windows, "front-2", 1, 0.01) > 0
+    windows.record_end(ENDPOINT, "front-3", 1, False, 0.02)
+    windows.record_end(ENDPOINT, "front-3", 0, False, 0.03)
+    assert grant(windows, "front-2", 1, 0.04) == 0
+    windows.record_end(ENDPOINT, "front-2", 0, True, 0.05)
+    assert grant(windows, "front-2", 1, 0.06) > 0
+    assert grant(windows, "front-2", 1, 0.05 + REFUSAL_PAUSE_S) == 0
