Pass calls on while a started router can't tell how old weights are

What callers saw: a router starts after new weights were requested and before any replica has loaded them. It refuses all calls with 503 until the first replica has, though the other routers still use the old weights.

Cause: the store does not tell when weights were requested, so a router that has just started takes the request for infinitely old and uses no replica that misses them. Own memory is taken for the state of the whole. Ruled out: the time of the request in the entry (the operator writes it, and clocks of hosts jump), and asking the others for it, since they can answer only once the new router is registered, up to 1.5 s after its start.

A router that may use no replica, for weights of unknown age, now passes the call on to another one, as a router does that is cut off. That one knows the age and serves the call, or refuses it as not run; it never passes it on again. From the rollout time after its start on, a router refuses as before, since what was requested before the start is too old by then.

The new test failed before with 503.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -186,8 +186,8 @@
         )
     elif isinstance(event, CallPassedOn):
         yield (
-            f"This router was cut off from the replicas: attempt {event.attempt} went "
-            f"to {event.peer}."
+            f"This router had no replica that it could use: attempt {event.attempt} "
+            f"went to {event.peer}."
         )
     elif isinstance(event, StreamTakenUp):
         software = event.software or "an unknown version"
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -78,7 +78,7 @@
     api_key : str
         Key that the caller sent; empty for none.
     is_passed_on : bool
-        Whether another router, which is cut off from the replicas, passed the call on.
+        Whether another router, which could use no replica, passed the call on.
     """
 
     id: RequestId
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -13,7 +13,7 @@
 from ..crash_causes import Fingerprints
 from ..ejection import Ejections
 from ..endpoint_client import EndpointClient
-from ..ids import EndpointId, ServiceId
+from ..ids import EndpointId, HostId, ServiceId
 from ..logs import Log
 from ..outcomes import (
     Completed,
@@ -106,6 +106,11 @@
     return replicas, frozenset()
 
 
+def know_request_ages(replicas: Sequence[Replica]) -> bool:
+    """Return True; used where no weights version is required."""
+    return True
+
+
 @dataclass(slots=True)
 class Forwarder:
     """Chooses replicas for calls and retries calls that fail.
@@ -120,6 +125,8 @@
     select_replicas : callable
         Filters a service's replicas by their weights versions. Returns the replicas
         that may serve calls, and the ids of those whose weights are outdated.
+    knows_request_ages : callable
+        Returns whether it is known for how long replicas have been missing weights.
     suspects : SuspectTable
         Calls that crash replicas.
     notices : ReplicaNotices
@@ -151,6 +158,7 @@
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
+    knows_request_ages: Callable[[Sequence[Replica]], bool] = know_request_ages
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
 
@@ -165,7 +173,7 @@
             an attempt to resume the stream ended so.
         """
         if self.links.is_cut:
-            return await self._pass_on(call, delivery)
+            return await self._pass_on(call, delivery, tuple(self.links.helpers))
         if call.is_resumed and call.route.retry_policy is RetryPolicy.RESUME:
             origin = delivery.origin = await self._find_origin(call)
             if origin is None:
@@ -183,16 +191,33 @@
             self.origins.record_complete(call.resumed_call or call.id)
         return outcome
 
-    async def _pass_on(self, call: Call, delivery: Delivery) -> Outcome:
-        """Serve a call through a router that reaches the replicas, if it is not one."""
+    async def _pass_on(
+        self, call: Call, delivery: Delivery, helpers: Sequence[HostId]
+    ) -> Outcome:
+        """Serve a call through one of the given routers, if it is not one already."""
         if call.is_passed_on:
             return self._make_not_run(CUT_REASON)
-        result = await self.relay.send(call, delivery, tuple(self.links.helpers))
+        result = await self.relay.send(call, delivery, helpers)
         if not isinstance(result, ErrorResponse):
             return result
         refused = Refused(Step.HEADERS, "-", result.head.status, b"")
         return await self._finish_with_error(result, refused, delivery)
 
+    async def _serve_elsewhere(
+        self, call: Call, service: ServiceId, delivery: Delivery
+    ) -> Outcome:
+        """Refuse a call, unless another router may know a replica that can serve it.
+
+        A router that has just started uses no replica that is missing weights, since
+        it can't tell for how long.
+        """
+        refusal = self._make_refusal(service, delivery.origin)
+        at_origin = self._list_at_origin(service, delivery.origin)
+        if call.is_passed_on or self.knows_request_ages(at_origin):
+            return refusal
+        outcome = await self._pass_on(call, delivery, tuple(self.relay.read_peers()))
+        return refusal if isinstance(outcome, NotRun) else outcome
+
     async def _find_origin(self, call: Call) -> StreamOrigin | None:
         """Return where the stream that a call takes up began; None if unknown."""
         services = call.route.list_services()
@@ -349,9 +374,10 @@
                 )
                 break
             if self.links.is_cut and not call.is_passed_on:
-                outcome = merge_outcomes(previous, await self._pass_on(call, delivery))
+                helpers = tuple(self.links.helpers)
+                outcome = await self._pass_on(call, delivery, helpers)
+                outcome = merge_outcomes(previous, outcome)
                 break
-            origin = delivery.origin
             choice = await self._choose_permitted(call, service, tried, delivery)
             if choice is None:
                 refusing.append(service)
@@ -359,7 +385,9 @@
                 if other is not None:
                     service = other
                     continue
-                outcome = previous or self._make_refusal(service, origin)
+                outcome = previous or await self._serve_elsewhere(
+                    call, service, delivery
+                )
                 break
             tried.add(choice.replica.id)
             delivery.attempts += 1
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -80,8 +80,8 @@
         COUNTER,
         "attempts",
         (),
-        "Attempts that were sent to another router, which reaches the replicas.",
-        "Rises while primrosepier_cut_off is 1; look for LinksChanged.",
+        "Attempts that were sent to another router, which may use replicas.",
+        "Rises while primrosepier_cut_off is 1, and after a start during a rollout.",
     ),
     MetricSpec(
         "primrosepier_choices_total",
--- a/primrosepier/forwarding/peer_relay.py
+++ b/primrosepier/forwarding/peer_relay.py
@@ -1,4 +1,4 @@
-"""Passes calls on to other routers while this one is cut off from the replicas.
+"""Passes calls on to other routers while this one can use no replica.
 
 A call is passed on as its caller sent it, to a router that serves it like any other and
 never passes it on again.
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -115,7 +115,7 @@
 
 
 class CallPassedOn(Event, frozen=True):
-    """A call was passed on to another router, which reaches the replicas."""
+    """A call was passed on to another router, which may use replicas."""
 
     part: ClassVar[str] = "forward"
     request: RequestId
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -1,6 +1,7 @@
 """The entry router process: composition, start and graceful shutdown."""
 
 import contextlib
+import math
 import random
 import signal
 from collections.abc import AsyncIterator, Callable, Sequence
@@ -265,6 +266,9 @@
     forwarder.withdrawals = _make_withdrawals(
         settings, load_table, weights_controller, clock
     )
+    forwarder.knows_request_ages = partial(
+        _knows_request_ages, forwarder, clock() + settings.weights_s
+    )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
     origin_journal = OriginJournal(
         settings.host, platform.store, mirror_controller.mirror, log, clock
@@ -565,6 +569,22 @@
     return serving or usable, frozenset(outdated)
 
 
+def _knows_request_ages(
+    forwarder: Forwarder, known_from_s: float, replicas: Sequence[Replica]
+) -> bool:
+    """Return whether it is known for how long replicas have been missing weights.
+
+    Parameters
+    ----------
+    known_from_s : float
+        Time from which all requests before the router's start are too old, seconds.
+    """
+    if forwarder.clock() >= known_from_s:
+        return True
+    compute_lag_s = forwarder.withdrawals.compute_lag_s
+    return all(compute_lag_s(x, ANY_MODEL) != math.inf for x in replicas)
+
+
 def _apply_limits(
     protocol: type, read_declaration: Callable[[], Declaration | None]
 ) -> None:
--- a/tests/test_queued_calls.py
+++ b/tests/test_queued_calls.py
@@ -212,6 +212,30 @@
     run_rollout(check, routers=2)
 
 
+def test_a_router_that_has_just_started_serves_calls_while_only_old_weights_are_left():
+    async def check(rollout):
+        (router,) = rollout.fleet.routers
+        await rollout.fleet.wait_until(lambda: router.peers.directory.is_registered)
+        rollout.request_weights(loaded=())
+        await rollout.fleet.wait_until(router.app.forwarder.withdrawals.list_deadlines)
+        async with rollout.fleet.open_router("front-2") as started:
+            await rollout.fleet.wait_until(
+                lambda: (
+                    started.store_view.declaration.value is not None
+                    and started.store_view.replicas.value.by_service
+                )
+            )
+            async with anyio.create_task_group() as group:
+                for number in range(8):
+                    group.start_soon(rollout.send, number, started)
+        statuses = {response.status for response in rollout.responses.values()}
+        assert statuses == {200}
+        call_ids = [start.call_id for start in rollout.list_starts()]
+        assert len(call_ids) == len(set(call_ids)) == len(rollout.responses)
+
+    run_rollout(check, rollout_s=6.0)
+
+
 def test_weights_count_as_loaded_however_the_router_learns_of_them():
     async def check(rollout):
         (router,) = rollout.fleet.routers
