Tell two routers of each stream, also while its service has one version

What callers saw: one or most of the routers are killed while a service has one software version, and a second one appears before they are back. The streams of the dead routers are refused, though their version still serves.

Cause: streams of the only version were told to nobody until a second one appeared, and the dead routers did not live to see that. Those that live on can't take the old version for the only one any more. Class of fault: what must outlive a process is written when it is needed, not when it is known.

Ruled out: taking the version of before the release for that of any unknown stream.

Change: each stream that begins is told to its two keepers at once.

Failed before: test_streams_go_on_when_most_routers_die_before_a_release_that_others_see. Messages are as before; builds that do not tell are asked as before.

--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -1,8 +1,8 @@
 """Origins of streams, told to the routers that keep them and asked for by the others.
 
-While a service has several software versions, each stream that begins is told to a few
-routers that are found by its call's id, so that any router can ask for it, also after
-the one that began it has ended. It is stored as well, for the case that all end.
+Each stream that begins is told to a few routers that are found by its call's id, so
+that any router can ask for it, also after the one that began it has ended. While a
+service has several software versions it is stored as well, for the case that all end.
 """
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
@@ -151,16 +151,18 @@
         self.hosts = frozenset(hosts) - {self.host}
 
     async def record_versions(self, origins: Iterable[StreamOrigin]) -> None:
-        """Record the versions that serve; tell of streams that began before a new one.
+        """Record the versions that serve; store streams that began before a new one.
 
-        Streams that began while there was one version were not told of.
+        They are told again, as the routers that kept them may have ended.
         """
         now_s = self.clock()
         self.versions.record(origins, now_s)
         for service in list(self.versions.seen_at_s):
             sole = self.versions.find_sole(service)
             if self.sole.get(service) not in (None, sole):
-                await self._tell(self.origins.list_own(service, now_s))
+                own = self.origins.list_own(service, now_s)
+                self._store(own)
+                await self._tell(own)
             self.sole[service] = sole
         async with anyio.create_task_group() as group:
             for origin in self.versions.list_unrecorded():
@@ -196,7 +198,8 @@
         self.origins.record(call, origin, now_s, is_own=True)
         self.versions.record([origin], now_s)
         if self._find_sole(services) != origin:
-            await self._tell({call: origin})
+            self._store({call: origin})
+        await self._tell({call: origin})
         return origin
 
     def _find_sole(self, services: tuple[ServiceId, ...]) -> StreamOrigin | None:
@@ -226,10 +229,12 @@
         if self.journal is not None:
             self.journal.complete(call)
 
-    async def _tell(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
-        """Tell the keepers of streams where they began, and store it."""
+    def _store(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
         if self.journal is not None and origins:
             self.journal.add(origins)
+
+    async def _tell(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
+        """Tell the keepers of streams where they began."""
         by_keeper: dict[HostId, dict[RequestId, StreamOrigin]] = {}
         for call, origin in origins.items():
             for host in rank_hosts(call, self.hosts)[:KEEPERS]:
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -282,6 +282,20 @@
     assert await killed.take_up(streams) >= 0.9
 
 
+@play(registered=OLD)
+async def test_streams_go_on_when_most_routers_die_before_a_release_that_others_see(
+    killed,
+):
+    streams = await killed.begin()
+    await killed.kill(HOSTS[:2])
+    killed.replace(OLD[2:], NEW)
+    # The router that lives on adds the version to the record meanwhile.
+    await anyio.sleep(1.0)
+    await killed.start(HOSTS[:2])
+    await killed.wait_for_peers()
+    assert await killed.take_up(streams) >= 0.9
+
+
 async def check_some_killed(killed, hosts):
     streams = await killed.begin()
     await killed.kill(hosts)
