Do not take a short pause of a granter for its end

A router that did not get replies to three requests asked the second granter for a second. The three were to be consecutive, but calls that ask at the same time were counted one by one, so a pause of 0.06 s was enough. Two granters then each granted a whole window. The class of fault: a count of events stood for a duration.

A request now counts only if it was sent after the one counted before was given up, so a granter is silent for 0.18 s at least (0.3 s for replicas that limit their rate).

The new test failed before.

--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -35,7 +35,8 @@
 REPLY_TTL_S = 1.0
 # Time before a permit is asked for again after a request without a reply, seconds.
 RETRY_WAIT_S = 0.1
-# Consecutive requests without a reply after which a router counts as unresponsive.
+# Consecutive requests without a reply after which a router counts as unresponsive, each
+# sent after the one before was given up: a short pause fails many at once.
 MAX_UNANSWERED = 3
 # Time for which an unresponsive router is not asked again, seconds.
 UNRESPONSIVE_S = 1.0
@@ -282,15 +283,20 @@
                 return self._grant(endpoint, rank, host, request)
             if host not in self.hosts or self._is_unresponsive(host):
                 continue
+            asked_at_s = self.clock()
             wait_s = await self._ask(host, rank, endpoint, held)
             if wait_s is None:
-                count, _ = self.unanswered.get(host, (0, 0.0))
-                self.unanswered[host] = count + 1, self.clock()
+                self._record_unanswered(host, asked_at_s)
             else:
                 self.unanswered.pop(host, None)
             return wait_s
         return None
 
+    def _record_unanswered(self, host: HostId, asked_at_s: float) -> None:
+        count, given_up_at_s = self.unanswered.get(host, (0, float("-inf")))
+        if asked_at_s >= given_up_at_s:
+            self.unanswered[host] = count + 1, self.clock()
+
     def _is_unresponsive(self, host: HostId) -> bool:
         count, asked_at_s = self.unanswered.get(host, (0, 0.0))
         return count >= MAX_UNANSWERED and self.clock() < asked_at_s + UNRESPONSIVE_S
--- a/tests/test_permit_exchange.py
+++ b/tests/test_permit_exchange.py
@@ -4,7 +4,7 @@
 import pytest
 
 from primrosepier.endpoint_limits import EndpointLimits, rank_granters
-from primrosepier.endpoint_windows import Brittleness
+from primrosepier.endpoint_windows import EXTRA_CALLS, Brittleness
 from primrosepier.forwarding.permits import (
     PermitExchange,
     PermitReply,
@@ -79,3 +79,20 @@
         assert pair.count_held() == 0
 
     run_in_virtual_time(check)
+
+
+def test_a_short_pause_of_a_granter_does_not_let_a_second_one_grant_as_well():
+    async def check():
+        pair = Pair()
+        room = BRITTLE.slots + EXTRA_CALLS
+        pair.granter.count_calls = lambda endpoint: room - 1
+        assert await pair.granter.acquire(ENDPOINT) == 0
+        pair.lost = [PermitRequest]
+        async with anyio.create_task_group() as group:
+            for _ in range(10):
+                group.start_soon(pair.asker.acquire, ENDPOINT)
+        pair.lost = []
+        await anyio.sleep(0.2)
+        assert await pair.asker.acquire(ENDPOINT) > 0
+
+    run_in_virtual_time(check)
