Let one call at a time find out whether a silent granter is back

While routers were cut off from each other, calls for brittle replicas were refused only after 0.06 s to 0.08 s: once in a second a silent granter was asked again, and all calls that came before that request was given up asked it as well, in place of the second one.

Now one request tries it, and other calls go to the second granter meanwhile.

The new test failed before: ten requests.

--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -284,6 +284,7 @@
             if host not in self.hosts or self._is_unresponsive(host):
                 continue
             asked_at_s = self.clock()
+            self._begin_trial(host, asked_at_s)
             wait_s = await self._ask(host, rank, endpoint, held)
             if wait_s is None:
                 self._record_unanswered(host, asked_at_s)
@@ -292,6 +293,12 @@
             return wait_s
         return None
 
+    def _begin_trial(self, host: HostId, now_s: float) -> None:
+        """Let one request alone find out whether a router has become responsive."""
+        count, _ = self.unanswered.get(host, (0, 0.0))
+        if count >= MAX_UNANSWERED:
+            self.unanswered[host] = count, now_s
+
     def _record_unanswered(self, host: HostId, asked_at_s: float) -> None:
         count, given_up_at_s = self.unanswered.get(host, (0, float("-inf")))
         if asked_at_s >= given_up_at_s:
--- a/tests/test_permit_exchange.py
+++ b/tests/test_permit_exchange.py
@@ -6,6 +6,8 @@
 from primrosepier.endpoint_limits import EndpointLimits, rank_granters
 from primrosepier.endpoint_windows import EXTRA_CALLS, Brittleness
 from primrosepier.forwarding.permits import (
+    MAX_UNANSWERED,
+    UNRESPONSIVE_S,
     PermitExchange,
     PermitReply,
     PermitRequest,
@@ -96,3 +98,20 @@
         assert await pair.asker.acquire(ENDPOINT) > 0
 
     run_in_virtual_time(check)
+
+
+def test_one_call_at_a_time_finds_out_whether_a_granter_is_back():
+    async def check():
+        pair = Pair()
+        pair.lost = [PermitRequest]
+        for _ in range(MAX_UNANSWERED):
+            await pair.asker._ask_granters(ENDPOINT, 1)
+        await anyio.sleep(UNRESPONSIVE_S)
+        async with anyio.create_task_group() as group:
+            for _ in range(10):
+                group.start_soon(pair.asker.acquire, ENDPOINT)
+            await anyio.sleep(0.005)
+            asked = len(pair.asker.requests.pending)
+        assert asked == 1
+
+    run_in_virtual_time(check)
