Store where streams began soon enough for short streams

What callers saw: after a kill of all routers in a release, most streams of a version that still served were refused.

Cause: origins are stored in batches each 0.5 s, and streams of this route run for some tenths of a second, so most that a kill breaks off began within the last batch interval. The log shows it: all that were unknown had been placed at most 0.5 s before the kill. Class: a constant stands for a quantity that depends on the load. It also took no account of the number of routers: 300 of them would exceed the store's rate.

Ruled out: lost datagrams and keepers (all routers died), a store that refuses (StreamsUnstored was not logged), and versions that had left.

Change: a router writes each 0.1 s, or as seldom as lets all routers keep to 0.3 of the store's rate of writes: 0.52 s with 62 routers and 400 writes a second, as before.

The new test failed before: of the streams that six routers had running, under half were found again.

--- a/primrosepier/forwarding/origin_journal.py
+++ b/primrosepier/forwarding/origin_journal.py
@@ -5,7 +5,7 @@
 """
 
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -23,8 +23,11 @@
 __all__ = ["STREAMS_PREFIX", "OriginJournal", "StoredStreams"]
 
 STREAMS_PREFIX = STATE_PREFIX + "streams/"
-# Time between writes, seconds: streams that began within it are lost with all routers.
-BATCH_INTERVAL_S = 0.5
+# Shortest time between writes, seconds: streams that began within it are lost with all
+# routers, and many run for only some tenths of a second.
+BATCH_INTERVAL_S = 0.1
+# Share of the store's rate of writes that all routers use together for streams.
+WRITE_SHARE = 0.3
 # Time for which streams are added to one slot, seconds, and number of slots. Together
 # they cover the time-outs of streams and the return of their callers.
 SLOT_S = 10.0
@@ -62,6 +65,11 @@
     return msgspec.json.encode(StoredStreams(streams))
 
 
+def count_one() -> int:
+    """Return 1; used by a router without peers."""
+    return 1
+
+
 def make_process_name() -> str:
     """Return a name that no earlier process of this router has had."""
     return secrets.token_hex(PROCESS_BYTES)
@@ -71,6 +79,13 @@
 class OriginJournal:
     """Writes this router's origins of streams to the store, and finds all routers'.
 
+    Parameters
+    ----------
+    writes_per_s : float
+        Writes that the store takes from all routers in a second.
+    count_routers : callable
+        Returns the number of routers that share this rate.
+
     Attributes
     ----------
     slots : dict of int to dict of RequestId to StreamOrigin
@@ -88,7 +103,8 @@
     mirror: Mirror
     log: Log
     clock: Clock
-    interval_s: float = BATCH_INTERVAL_S
+    writes_per_s: float = float("inf")
+    count_routers: Callable[[], int] = count_one
     process: str = field(default_factory=make_process_name)
     slots: dict[int, dict[RequestId, StreamOrigin]] = field(default_factory=dict)
     unwritten: set[int] = field(default_factory=set)
@@ -135,7 +151,7 @@
     async def run(self) -> None:
         """Write what this router began until cancelled."""
         while True:
-            await anyio.sleep(self.interval_s)
+            await anyio.sleep(self._compute_interval_s())
             self._drop_old_slots()
             if not self.slots:
                 self.lease = 0
@@ -146,6 +162,11 @@
                 self.log.emit(StreamsUnstored(reason))
             self.is_failing = bool(reason)
 
+    def _compute_interval_s(self) -> float:
+        """Return the time between two writes of this router, seconds."""
+        shared_s = self.count_routers() / (WRITE_SHARE * self.writes_per_s)
+        return max(BATCH_INTERVAL_S, shared_s)
+
     def _drop_old_slots(self) -> None:
         oldest = int(self.clock() // SLOT_S) - SLOTS + 1
         self.slots = {n: slot for n, slot in self.slots.items() if n >= oldest}
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -271,7 +271,13 @@
     )
     forwarder.sender.plan_cache_use = partial(_plan_cache_use, store_view, load_table)
     origin_journal = OriginJournal(
-        settings.host, platform.store, mirror_controller.mirror, log, clock
+        settings.host,
+        platform.store,
+        mirror_controller.mirror,
+        log,
+        clock,
+        settings.store_writes_per_s,
+        directory.count_routers,
     )
     forwarder.origins.journal = origin_journal
     version_recorder = VersionRecorder(
--- a/tests/test_origin_journal.py
+++ b/tests/test_origin_journal.py
@@ -42,11 +42,17 @@
     def emit(self, event):
         self.events.append(event)
 
-    def start(self, host, interval_s=BATCH_INTERVAL_S):
+    def start(self, host):
         clock = anyio.current_time
         mirror = make_mirror(self.store, "", "op/", seed=1, clock=clock)
         journal = OriginJournal(
-            host, self.store, mirror.mirror, self, clock, interval_s=interval_s
+            host,
+            self.store,
+            mirror.mirror,
+            self,
+            clock,
+            writes_per_s=400.0,
+            count_routers=lambda: len(self.scopes),
         )
         scope = self.scopes[host] = anyio.CancelScope()
 
@@ -110,6 +116,40 @@
     fleet.run(play)
 
 
+def test_most_streams_of_a_few_tenths_of_a_second_outlive_all_routers():
+    fleet = JournalFleet()
+    per_s, run_s = 110, 0.3
+
+    async def play():
+        journals = [fleet.start(f"front-{n}") for n in range(6)]
+
+        async def run_stream(number):
+            journal, call = journals[number % 6], f"{number:016x}"
+            journal.add({call: (OLD, NEW)[number % 2]})
+            running.append(call)
+            await anyio.sleep(run_s)
+            journal.complete(call)
+            running.remove(call)
+
+        running = []
+        async with anyio.create_task_group() as group:
+            # The routers write together, at multiples of the interval.
+            for number in range(int(4.45 * per_s)):
+                group.start_soon(run_stream, number)
+                await anyio.sleep(1 / per_s)
+            cut_off = list(running)
+            for scope in fleet.scopes.values():
+                scope.cancel()
+            group.cancel_scope.cancel()
+        started = fleet.start("front-0")
+        await anyio.sleep(1.0)
+        known = [call for call in cut_off if started.find(call)]
+        assert len(known) >= 0.5 * len(cut_off)
+        assert fleet.store.writes < 0.4 * 400 * 4.45
+
+    fleet.run(play)
+
+
 def test_complete_streams_are_left_out():
     fleet = JournalFleet()
 
