Reject deeply nested documents wherever bytes of others are decoded

Operators saw: another writer left a deeply nested entry among those of the replicas, and all routers that read the list ended, again at each start.

Cause: the decoder raises RecursionError for it, which no handler named; each of 30 places named its own errors. The class of fault: what can go wrong in decoding is known to each caller, not to one place.

Change: decoding.py decodes JSON and MessagePack within bounds on size and depth, and raises MessageError alone. Nothing that leaves a process has changed.

Three routers over real sockets, an entry nested 5,000 deep below seven keys: before, all ended with five of them; now none ends, and no call fails while one replica joins and another leaves. Decoders are fed with nested and arbitrary bytes (seeded).

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -9,7 +9,8 @@
 import msgspec
 import uvicorn
 
-from .errors import RequestError
+from .decoding import decode_json
+from .errors import MessageError, RequestError
 
 __all__ = [
     "App",
@@ -92,8 +93,8 @@
     """Read a request body that holds a JSON object."""
     body = await read_body(receive, limit_bytes, limit_s)
     try:
-        return msgspec.json.decode(body or b"{}", type=dict[str, Any])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as cause:
+        return decode_json(body or b"{}", dict[str, Any])
+    except MessageError as cause:
         text = f"The body is not a JSON object: {cause}"
         raise RequestError(400, "invalid_json", text) from cause
 
--- a/primrosepier/attempt.py
+++ b/primrosepier/attempt.py
@@ -13,6 +13,7 @@
 from .asgi import JSON_TYPE, Send, send_bytes, start_response
 from .clocks import Clock
 from .configuration import Endpoint
+from .decoding import is_json
 from .endpoint_client import (
     CONNECT_ERRORS,
     RELAY_ERRORS,
@@ -311,9 +312,7 @@
         data = await read_whole_body(response)
         if data is None:
             return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is too large")
-        try:
-            msgspec.json.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        if not is_json(data):
             return UnknownOutcome(Step.RELAY, endpoint.id, "the answer is not JSON")
         headers = [JSON_TYPE, ("x-request-id", request.id)]
         await send_bytes(delivery.send, HTTP_OK, data, headers)
--- a/primrosepier/claims.py
+++ b/primrosepier/claims.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import HostId, RequestId, Revision, WorkspaceId
 from .outcomes import NotRun, Step, UnknownOutcome
 from .store import (
@@ -401,8 +403,8 @@
 def decode_record(value: bytes) -> ClaimRecord | None:
     """Decode a claim record; return None when the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=ClaimRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_json(value, ClaimRecord)
+    except MessageError:
         return None
 
 
--- a/primrosepier/configuration.py
+++ b/primrosepier/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .decoding import decode_json
 from .errors import ConfigurationError
 from .ids import (
     AdapterId,
@@ -169,10 +170,10 @@
 
     Raises
     ------
-    msgspec.ValidationError
-        The JSON is not a valid configuration.
+    MessageError
+        The data is not a valid configuration.
     """
-    return msgspec.json.decode(data, type=Configuration)
+    return decode_json(data, Configuration)
 
 
 def load_configuration(paths: list[Path]) -> Configuration:
--- a/primrosepier/datagrams.py
+++ b/primrosepier/datagrams.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from ipaddress import ip_address
 
 import anyio
 from anyio.abc import UDPSocket
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from .addresses import Address, parse_address
 from .clocks import Clock
 
-__all__ = ["DatagramPort", "OpenSocket", "parse_address"]
+__all__ = ["DatagramPort", "OpenSocket"]
 
 # Limit on the content of a datagram (RFC 768), less the headers of IPv4.
 MAX_DATAGRAM_BYTES = 65_507
@@ -20,27 +20,13 @@
 REPORT_INTERVAL_S = 1.0
 # Time before a broken socket is opened again, seconds.
 REOPEN_DELAY_S = 0.5
-MAX_PORT = 65_535
 
-Address = tuple[str, int]
 Datagram = tuple[bytes, Address]
 OpenSocket = Callable[[], Awaitable[UDPSocket]]
 HandleDatagram = Callable[[bytes], Awaitable[None]]
 NotifyFailure = Callable[[str, int], None]
 
 
-def parse_address(text: str) -> Address | None:
-    """Parse ``IP:PORT``; return None if it is not an address that can be sent to."""
-    host, _, port = text.rpartition(":")
-    try:
-        ip_address(host)
-    except ValueError:
-        return None
-    if not (port.isascii() and port.isdigit()) or not 0 < int(port) <= MAX_PORT:
-        return None
-    return host, int(port)
-
-
 def ignore_failure(reason: str, count: int) -> None:
     """Do nothing; used where no one follows the failures."""
 
--- a/primrosepier/drift_controller.py
+++ b/primrosepier/drift_controller.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from .clocks import Clock
+from .decoding import decode_msgpack
 from .drift import (
     DAY_S,
     HOUR_S,
@@ -22,6 +23,7 @@
     MissCause,
     SeriesKey,
 )
+from .errors import MessageError
 from .ids import Revision, WorkspaceId
 from .store import Applied, Compare, Conflict, Put, Snapshot, Store, Unavailable
 
@@ -57,8 +59,8 @@
 def decode_day(value: bytes) -> dict[SeriesKey, DayTotals]:
     """Decode the token counts of a day; invalid bytes give an empty day."""
     try:
-        entries = msgspec.msgpack.decode(value, type=list[DayEntry])
-    except msgspec.DecodeError:
+        entries = decode_msgpack(value, list[DayEntry])
+    except MessageError:
         return {}
     return {
         (e.workspace, e.level): DayTotals(e.prompt, e.cached, Counter(e.missed))
--- a/primrosepier/etcd.py
+++ b/primrosepier/etcd.py
@@ -9,6 +9,8 @@
 import httpcore
 import msgspec
 
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import Revision
 from .outcomes import Step
 from .store import (
@@ -46,7 +48,7 @@
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
-    msgspec.DecodeError,
+    MessageError,
 )
 MALFORMED_ERRORS = (ValueError, TypeError, AttributeError, KeyError, ArithmeticError)
 MAX_LINE_BYTES = 16 * 1024 * 1024
@@ -148,7 +150,7 @@
                 )
                 if response.status != HTTP_OK:
                     return self._classify(response)
-                return msgspec.json.decode(response.content, type=dict[str, Any])
+                return decode_json(response.content, dict[str, Any])
         except NOT_SENT_ERRORS as error:
             return Unavailable(Step.CONNECT, self.address, repr(error))
         except (*ANSWER_LOST_ERRORS, TimeoutError) as error:
@@ -258,7 +260,7 @@
 def _decode_watch_line(line: bytes, start: Revision) -> WatchEvent | None:
     if not line.strip():
         return None
-    result = msgspec.json.decode(line, type=dict[str, Any]).get("result", {})
+    result = decode_json(line, dict[str, Any]).get("result", {})
     revision = _read_revision(result)
     if result.get("canceled") or int(result.get("compact_revision", 0)):
         return WatchEvent(revision, compacted=True)
--- a/primrosepier/forwarding/loading_record.py
+++ b/primrosepier/forwarding/loading_record.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..ids import EndpointId, FencingNumber
 from ..revisions import STATE_PREFIX
 
@@ -40,6 +42,6 @@
 def decode_loading_record(value: bytes) -> LoadingRecord | None:
     """Return the record in a stored value, or None if the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=LoadingRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(value, LoadingRecord)
+    except MessageError:
         return None
--- a/primrosepier/forwarding/messages.py
+++ b/primrosepier/forwarding/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..decoding import decode_msgpack
+from ..errors import MessageError
 from .cuts import LinksMessage
 from .origins import OriginMessage
 from .permits import PermitMessage
@@ -29,7 +31,7 @@
 def decode_peer_datagram(data: bytes, token: str) -> PeerMessage | None:
     """Return the message of a datagram; None if it is not one for the token's owner."""
     try:
-        datagram = msgspec.msgpack.decode(data, type=PeerDatagram)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        datagram = decode_msgpack(data, PeerDatagram)
+    except MessageError:
         return None
     return datagram.message if datagram.token == token else None
--- a/primrosepier/forwarding/origin_journal.py
+++ b/primrosepier/forwarding/origin_journal.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from ..clocks import Clock
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..ids import HostId, RequestId, Revision, ServiceId, SoftwareVersion
 from ..logs import Log
 from ..mirror import Mirror
@@ -143,8 +145,8 @@
 
     def _decode(self, key: str, value: bytes) -> dict[RequestId, StreamOrigin]:
         try:
-            return msgspec.json.decode(value, type=StoredStreams).list_origins()
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            return decode_json(value, StoredStreams).list_origins()
+        except MessageError:
             self.log.emit(EntryUnreadable(key, "malformed origins of streams"))
             return {}
 
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -22,8 +22,10 @@
 
 from ..clocks import Clock
 from ..datagrams import DatagramPort, OpenSocket
+from ..decoding import decode_json, decode_msgpack
 from ..endpoint_limits import SharedLimit
 from ..endpoint_windows import SharedBrittleness
+from ..errors import MessageError
 from ..ids import EndpointId, HostId
 from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
@@ -43,7 +45,14 @@
 from .prefixes import PrefixIndex, PrefixUpdate
 from .replica_load import MS, PeerLoad, ReplicaLoadTable
 
-__all__ = ["PeerDirectory", "PeerExchange", "PeerEntry", "PeerReport"]
+__all__ = [
+    "PeerDirectory",
+    "PeerEntry",
+    "PeerExchange",
+    "PeerReport",
+    "decode_peer_entry",
+    "decode_report",
+]
 
 ROUTERS_PREFIX = STATE_PREFIX + "routers/"
 TOKEN_BYTES = 8
@@ -130,22 +139,22 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    MessageError
         The data is no report, or its token or sender can't be read.
     """
     try:
-        return msgspec.msgpack.decode(data, type=PeerReport), []
-    except (msgspec.ValidationError, UnicodeDecodeError):
-        parts = msgspec.msgpack.decode(data, type=list[msgspec.Raw])
+        return decode_msgpack(data, PeerReport), []
+    except MessageError:
+        parts = decode_msgpack(data, list[msgspec.Raw])
     read: dict[str, Any] = {}
     unreadable = []
     for part, raw in zip(msgspec.structs.fields(PeerReport), parts, strict=False):
         try:
-            read[part.name] = msgspec.msgpack.decode(raw, type=part.type)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            read[part.name] = decode_msgpack(bytes(raw), part.type)
+        except MessageError:
             unreadable.append(part.name)
     if not {"token", "sender"} <= read.keys():
-        raise msgspec.DecodeError("the token or the sender can't be read")
+        raise MessageError("the token or the sender can't be read")
     return PeerReport(**read), unreadable
 
 
@@ -163,10 +172,11 @@
     """Ignore a peer's loading record."""
 
 
-def _decode_entry(value: bytes) -> PeerEntry | None:
+def decode_peer_entry(value: bytes) -> PeerEntry | None:
+    """Return the entry in a stored value, or None if the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=PeerEntry)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(value, PeerEntry)
+    except MessageError:
         return None
 
 
@@ -186,7 +196,7 @@
         """Update the peers from the entries of the store."""
         peers = {}
         for key, item in mirror.select(ROUTERS_PREFIX).items():
-            entry = _decode_entry(item.value)
+            entry = decode_peer_entry(item.value)
             host = HostId(key[len(ROUTERS_PREFIX) :])
             if entry is not None:
                 peers[host] = entry
@@ -462,7 +472,7 @@
         """Apply the readable parts of a datagram that is a report to this router."""
         try:
             report, unreadable = decode_report(data)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MessageError:
             self.loads.rejected_reports += 1
             return
         if report.token != self.directory.token:
--- a/primrosepier/forwarding/version_recorder.py
+++ b/primrosepier/forwarding/version_recorder.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from ..clocks import Clock
+from ..decoding import decode_json
+from ..errors import MessageError
 from ..ids import FencingNumber, Revision
 from ..leases import Duty
 from ..logs import Log
@@ -42,8 +44,8 @@
 def decode_version_record(value: bytes) -> VersionRecord | None:
     """Return the record in a stored value, or None if the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=VersionRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(value, VersionRecord)
+    except MessageError:
         return None
 
 
--- a/primrosepier/hosts.py
+++ b/primrosepier/hosts.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from .configuration import Configuration
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import EndpointId
 from .leaving import ListedState
 from .outcomes import Step
@@ -46,8 +48,8 @@
 def decode_hosts(data: bytes) -> list[HostGroup] | PeerFailure:
     """Decode a host list."""
     try:
-        return msgspec.json.decode(data, type=list[HostGroup])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decode_json(data, list[HostGroup], MAX_LIST_BYTES)
+    except MessageError as error:
         return PeerFailure(Step.HEADERS, "host list", str(error))
 
 
--- a/primrosepier/leases.py
+++ b/primrosepier/leases.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import FencingNumber, HostId, Revision
 from .revisions import STATE_PREFIX
 from .settings import LeaseBounds
@@ -66,8 +68,8 @@
 def decode_duty(value: bytes) -> DutyRecord | None:
     """Decode a duty record; return None when the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=DutyRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_json(value, DutyRecord)
+    except MessageError:
         return None
 
 
--- a/primrosepier/leaving_controller.py
+++ b/primrosepier/leaving_controller.py
@@ -9,6 +9,8 @@
 
 from .board import Board, SectionWriter
 from .clocks import Clock
+from .decoding import decode_msgpack
+from .errors import MessageError
 from .gossip import Gossip
 from .hosts import HostGroup, HostListClient, list_routers, match_hosts
 from .ids import EndpointId
@@ -120,10 +122,8 @@
                 continue
             self.merged_versions[peer] = digest.version
             try:
-                received = msgspec.msgpack.decode(
-                    digest.record.data, type=LeavingDigest
-                )
-            except msgspec.DecodeError:
+                received = decode_msgpack(digest.record.data, LeavingDigest)
+            except MessageError:
                 continue
             state = PeerLeavingState(
                 frozenset(received.announced),
--- a/primrosepier/load_reports.py
+++ b/primrosepier/load_reports.py
@@ -15,7 +15,9 @@
 from .board import Board, SectionWriter
 from .clocks import Clock
 from .configuration import Configuration, Endpoint, ServiceKind
+from .decoding import decode_msgpack
 from .endpoint_client import EndpointCall, EndpointClient, is_leaving
+from .errors import MessageError
 from .gossip import Gossip
 from .hash_ring import Ring, make_ring
 from .ids import EndpointId, HostId
@@ -238,8 +240,8 @@
     merged: dict[EndpointId, EndpointLoad], data: bytes, received_at_s: float
 ) -> None:
     try:
-        shared = msgspec.msgpack.decode(data, type=list[SharedLoad])
-    except msgspec.DecodeError:
+        shared = decode_msgpack(data, list[SharedLoad])
+    except MessageError:
         return
     for entry in shared:
         reported_at_s = received_at_s - entry.age_ms / MS_PER_S
--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -80,7 +80,7 @@
         return None
     try:
         return EVENT_DECODER.decode(line.raw)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/primrosepier/messages.py
+++ b/primrosepier/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from .decoding import Count, decode_msgpack
 from .errors import MessageError
 
 __all__ = [
@@ -34,7 +35,6 @@
 MAX_TTL_MS = 24 * 3600 * 1000
 
 Name = Annotated[str, msgspec.Meta(max_length=128)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 TtlMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TTL_MS)]
 
 
@@ -152,12 +152,7 @@
     MessageError
         The bytes are too long or not a valid message.
     """
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise MessageError(f"the message has {len(data)} bytes")
-    try:
-        return msgspec.msgpack.decode(data, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as cause:
-        raise MessageError(str(cause)) from cause
+    return decode_msgpack(data, message_type, MAX_MESSAGE_BYTES)
 
 
 class PeerCodec(CodecBase):
--- a/primrosepier/orders.py
+++ b/primrosepier/orders.py
@@ -6,12 +6,14 @@
 import msgspec
 
 from .configuration import Endpoint
+from .decoding import decode_json
 from .endpoint_client import (
     CONNECT_ERRORS,
     RELAY_ERRORS,
     EndpointCall,
     EndpointClient,
 )
+from .errors import MessageError
 from .ids import FencingNumber, ModelId, WeightsVersion
 
 __all__ = [
@@ -112,9 +114,9 @@
         try:
             status, data = await self._call(endpoint, "POST", body, timeout_s)
             if status == HTTP_CONFLICT:
-                refusal = msgspec.json.decode(data, type=Refusal)
+                refusal = decode_json(data, Refusal)
                 return OrderRefused(refusal.fencing)
-        except (*CONNECT_ERRORS, *RELAY_ERRORS, msgspec.DecodeError) as error:
+        except (*CONNECT_ERRORS, *RELAY_ERRORS, MessageError) as error:
             return OrderFailed(repr(error))
         return OrderAccepted() if status == HTTP_OK else OrderFailed(f"status {status}")
 
@@ -124,8 +126,8 @@
             status, data = await self._call(endpoint, "GET", b"", READ_TIMEOUT_S)
             if status != HTTP_OK:
                 return None
-            return msgspec.json.decode(data, type=EngineState)
-        except (*CONNECT_ERRORS, *RELAY_ERRORS, msgspec.DecodeError):
+            return decode_json(data, EngineState)
+        except (*CONNECT_ERRORS, *RELAY_ERRORS, MessageError):
             return None
 
     async def _call(
--- a/primrosepier/platform/declarations.py
+++ b/primrosepier/platform/declarations.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..errors import MessageError
+from ..decoding import decode_json
 from ..forwarding.calls import WeightsVersionNumber
 from ..forwarding.declarations import (
     CacheStore,
@@ -100,10 +100,7 @@
     MessageError
         The value is not a valid configuration.
     """
-    try:
-        configuration = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
-        raise MessageError(str(cause)) from cause
+    configuration = decode_json(value, _Configuration)
     return Declaration(
         version=DeclarationVersion(configuration.version),
         routes=tuple(_make_route(route) for route in configuration.routes),
@@ -178,8 +175,5 @@
     MessageError
         The value is not valid.
     """
-    try:
-        weights = msgspec.json.decode(value, type=_Weights)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
-        raise MessageError(str(cause)) from cause
+    weights = decode_json(value, _Weights)
     return ModelId(weights.model), WeightsVersionNumber(weights.version)
--- a/primrosepier/platform/orders.py
+++ b/primrosepier/platform/orders.py
@@ -5,7 +5,9 @@
 import anyio
 import msgspec
 
+from ..decoding import decode_json
 from ..endpoint_client import CONNECT_ERRORS, RELAY_ERRORS, EndpointCall, EndpointClient
+from ..errors import MessageError
 from ..forwarding.calls import WeightsVersionNumber
 from ..forwarding.fleet import Replica
 from ..forwarding.weights import OrderResult, ReplicaState, WeightsOrder
@@ -77,8 +79,8 @@
         if response is None or response.status != OK:
             return None
         try:
-            report = msgspec.json.decode(response.body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            report = decode_json(response.body, _Report)
+        except MessageError:
             return None
         weights = {
             ModelId(m.name): WeightsVersionNumber(m.version) for m in report.models
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from ..errors import MessageError
 from ..forwarding.calls import (
     AttemptOptions,
@@ -66,10 +67,7 @@
     MessageError
         The entry is not a valid registration.
     """
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
-        raise MessageError(str(cause)) from cause
+    entry = decode_json(value, _Entry)
     if entry.state not in (READY, DRAINING):
         raise MessageError(f"state {entry.state!r} is unknown")
     host, _, port = entry.address.rpartition(":")
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -11,12 +11,14 @@
 import msgspec
 
 from ..clocks import Clock
+from ..decoding import decode_json
 from ..endpoint_client import (
     CONNECT_ERRORS,
     RELAY_ERRORS,
     EndpointCall,
     HttpEndpointClient,
 )
+from ..errors import MessageError
 from ..ids import Revision
 from ..outcomes import Step
 from ..store import (
@@ -104,8 +106,8 @@
 
 def _decode(response: _Response, schema: type[T]) -> T | Unavailable:
     try:
-        return msgspec.json.decode(response.body, type=schema)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        return decode_json(response.body, schema)
+    except MessageError as cause:
         return Unavailable(Step.RELAY, "store", f"malformed response: {cause}")
 
 
--- a/primrosepier/replay.py
+++ b/primrosepier/replay.py
@@ -12,6 +12,7 @@
 import anyio
 import msgspec
 
+from .decoding import decode_json
 from .endpoint_client import (
     CONNECT_ERRORS,
     RELAY_ERRORS,
@@ -19,7 +20,7 @@
     EndpointClient,
     make_endpoint_client,
 )
-from .errors import TraceError
+from .errors import MessageError, TraceError
 from .prompts import BLOCK_TOKENS
 from .relay import Tail
 from .standin_engine import make_output_tokens
@@ -254,10 +255,10 @@
                 raise TraceError(
                     f"{url}/v1/models answered with status {response.status}"
                 )
-        return str(msgspec.json.decode(data)["data"][0]["id"])
+        return str(decode_json(data, dict[str, Any])["data"][0]["id"])
     except (*CONNECT_ERRORS, *RELAY_ERRORS) as cause:
         raise TraceError(f"{url} can't be reached: {cause!r}") from cause
-    except (msgspec.DecodeError, LookupError, TypeError) as cause:
+    except (MessageError, LookupError, TypeError) as cause:
         raise TraceError(f"{url}/v1/models lists no model") from cause
     finally:
         await client.close()
--- a/primrosepier/responses.py
+++ b/primrosepier/responses.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .asgi import Send, send_bytes, send_chunk, send_json
+from .decoding import is_json
 from .errors import RequestError
 from .ids import RequestId
 from .outcomes import Interrupted, NotRun, Refused, UnknownOutcome
@@ -77,9 +78,7 @@
 async def send_refusal(request: RequestId, outcome: Refused, send: Send) -> None:
     """Forward an endpoint's error response, wrapped when it is not JSON."""
     data = outcome.body
-    try:
-        msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    if not is_json(data):
         message = f"The endpoint refused with status {outcome.status}."
         step, peer = outcome.step.value, outcome.peer
         body = make_error_body("endpoint_refused", message, request, step, peer)
--- a/primrosepier/revisions.py
+++ b/primrosepier/revisions.py
@@ -8,7 +8,8 @@
 import xxhash
 
 from .configuration import Configuration, decode_configuration, encode_configuration
-from .errors import ConfigurationError
+from .decoding import decode_json
+from .errors import ConfigurationError, MessageError
 from .ids import Revision
 from .store import Item
 
@@ -126,8 +127,8 @@
 def decode_manifest(value: bytes) -> Manifest | None:
     """Decode a stored manifest; return None if it is invalid."""
     try:
-        return msgspec.json.decode(value, type=Manifest)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_json(value, Manifest)
+    except MessageError:
         return None
 
 
@@ -217,7 +218,7 @@
                 return None
             try:
                 parts[name] = decode_configuration(item.value)
-            except (msgspec.DecodeError, msgspec.ValidationError):
+            except MessageError:
                 return None
         return parts
 
@@ -243,8 +244,8 @@
         if revision <= self.revision:
             return False
         try:
-            export = msgspec.json.decode(data, type=RevisionExport)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+            export = decode_json(data, RevisionExport)
+        except MessageError:
             return False
         if export.manifest.revision != revision:
             return False
--- a/primrosepier/rollout.py
+++ b/primrosepier/rollout.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from .decoding import decode_json
+from .errors import MessageError
 from .ids import EndpointId, FailureDomain, ModelId, ServiceId, WeightsVersion
 from .revisions import STATE_PREFIX
 
@@ -53,8 +55,8 @@
 def decode_loading_record(value: bytes) -> LoadingRecord | None:
     """Decode a loading record; return None when the value is malformed."""
     try:
-        return msgspec.json.decode(value, type=LoadingRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+        return decode_json(value, LoadingRecord)
+    except MessageError:
         return None
 
 
--- a/primrosepier/sharing.py
+++ b/primrosepier/sharing.py
@@ -8,7 +8,9 @@
 
 from .board import SectionWriter
 from .clocks import Clock
+from .decoding import decode_msgpack
 from .digests import Digest
+from .errors import MessageError
 from .gossip import Gossip
 from .ids import EndpointId, HostId, WorkspaceId
 from .limits import Demand, WorkspaceLimiter
@@ -146,8 +148,8 @@
     def _merge_losses(self, now_s: float) -> None:
         for digest in self._read_new_digests(LOSSES_DIGEST_NAME, now_s):
             try:
-                report = msgspec.msgpack.decode(digest.record.data, type=LossReport)
-            except msgspec.DecodeError:
+                report = decode_msgpack(digest.record.data, LossReport)
+            except MessageError:
                 continue
             self.suspects.loss_log.merge(report, digest.received_at_s)
 
@@ -186,8 +188,8 @@
 
 def _decode_suspicions(data: bytes, received_at_s: float) -> Iterable[Suspicion]:
     try:
-        shared = msgspec.msgpack.decode(data, type=list[SharedSuspicion])
-    except msgspec.DecodeError:
+        shared = decode_msgpack(data, list[SharedSuspicion])
+    except MessageError:
         return []
     return [
         Suspicion(
@@ -199,6 +201,6 @@
 
 def _decode_rates(data: bytes) -> list[SharedRate]:
     try:
-        return msgspec.msgpack.decode(data, type=list[SharedRate])
-    except msgspec.DecodeError:
+        return decode_msgpack(data, list[SharedRate])
+    except MessageError:
         return []
--- a/primrosepier/stream_continuation.py
+++ b/primrosepier/stream_continuation.py
@@ -14,6 +14,9 @@
 import msgspec
 import xxhash
 
+from .decoding import decode_json
+from .errors import MessageError
+
 __all__ = [
     "Position",
     "StreamContinuation",
@@ -294,8 +297,8 @@
         if payload == END_PAYLOAD:
             return self._process_end_marker()
         try:
-            value = msgspec.json.decode(payload, type=_Event)
-        except msgspec.DecodeError:
+            value = decode_json(payload, _Event)
+        except MessageError:
             self.state = StreamState.MISMATCHED
             return b""
         if value.error is not None:
