Reject entries with addresses, numbers or names out of range

Cause: an address was accepted if its port was made of digits, of any script and length, and what the connect then raised was no connection error. The class of fault: the form of a value was checked, not whether it can be used. Numbers had no range at all (a version of weights with 40 digits was spread to peers, the store and headers), and digits of other scripts or more than 4,300 of them raised an error in headers, event ids and the store's answers.

Change: addresses are parsed by the standard library, with ports 1 to 65,535; counts are 0 to 2^63 - 1 and durations at most a week; names and versions must fit a header; digits are ASCII and at most 18. An entry outside of that is treated as if it were not there.

Three routers over real sockets, one replica joins and one leaves: three of the odd entries cost calls before (any status but 200), none does now.

--- a/primrosepier/addresses.py
+++ b/primrosepier/addresses.py
@@ -3,7 +3,7 @@
 import re
 from ipaddress import ip_address
 
-__all__ = ["Address", "parse_address"]
+__all__ = ["Address", "parse_address", "parse_port"]
 
 PORT = re.compile(r"[0-9]{1,5}")
 MAX_PORT = 65_535
@@ -11,13 +11,19 @@
 Address = tuple[str, int]
 
 
+def parse_port(text: str) -> int | None:
+    """Parse a port; 0 stands for any. Return None for anything else."""
+    if not PORT.fullmatch(text) or int(text) > MAX_PORT:
+        return None
+    return int(text)
+
+
 def parse_address(text: str) -> Address | None:
     """Parse ``IP:PORT``; return None if it is not an address that can be sent to."""
-    host, _, port = text.rpartition(":")
+    host, _, port_text = text.rpartition(":")
     try:
         ip_address(host)
     except ValueError:
         return None
-    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
-        return None
-    return host, int(port)
+    port = parse_port(port_text)
+    return (host, port) if port else None
--- a/primrosepier/decoding.py
+++ b/primrosepier/decoding.py
@@ -24,7 +24,7 @@
 # Nested arrays and objects of a JSON document. The interpreter's own limit depends on
 # the depth of the call.
 MAX_DEPTH = 256
-MAX_COUNT = 2**62
+MAX_COUNT = 2**63 - 1
 # Decimal digits of the largest number that is parsed, less than those of MAX_COUNT.
 MAX_DIGITS = 18
 MAX_DURATION_MS = 7 * 24 * 3600 * 1000
--- a/primrosepier/forwarding/events.py
+++ b/primrosepier/forwarding/events.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from ..decoding import parse_count
+
 __all__ = ["EventBoundaryTracker", "EventStreamMerger"]
 
 EVENT_ENDS = (b"\n\n", b"\n\r\n")
@@ -88,11 +90,8 @@
         if match is None:
             return True
         event_id = match[1].decode("latin-1")
-        if (
-            event_id.isdigit()
-            and self.last_id.isdigit()
-            and int(event_id) <= int(self.last_id)
-        ):
+        number, last_number = parse_count(event_id), parse_count(self.last_id)
+        if number is not None and last_number is not None and number <= last_number:
             return False
         self.last_id = event_id
         return True
--- a/primrosepier/forwarding/peer_headers.py
+++ b/primrosepier/forwarding/peer_headers.py
@@ -1,5 +1,6 @@
 """Headers that routers add to the calls that they pass on, and to the responses."""
 
+from ..decoding import parse_count
 from ..ids import EndpointId
 from .calls import CallHeaders
 from .fleet import Replica
@@ -40,7 +41,8 @@
     It is None if no replica is named.
     """
     for name, value in headers:
-        endpoint, _, born_ms = value.decode("latin-1").rpartition(" ")
-        if name.lower() == LEAVING_HEADER and born_ms.isdecimal():
-            return EndpointId(endpoint), int(born_ms)
+        endpoint, _, text = value.decode("latin-1").rpartition(" ")
+        born_ms = parse_count(text)
+        if name.lower() == LEAVING_HEADER and born_ms is not None:
+            return EndpointId(endpoint), born_ms
     return None
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -20,6 +20,7 @@
 import msgspec
 from anyio.abc import UDPSocket
 
+from ..addresses import parse_address
 from ..clocks import Clock
 from ..datagrams import DatagramPort, OpenSocket
 from ..decoding import decode_json, decode_msgpack
@@ -175,9 +176,10 @@
 def decode_peer_entry(value: bytes) -> PeerEntry | None:
     """Return the entry in a stored value, or None if the value is malformed."""
     try:
-        return decode_json(value, PeerEntry)
+        entry = decode_json(value, PeerEntry)
     except MessageError:
         return None
+    return entry if parse_address(entry.address) is not None else None
 
 
 @dataclass(slots=True)
--- a/primrosepier/ini.py
+++ b/primrosepier/ini.py
@@ -2,13 +2,16 @@
 
 import configparser
 import math
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from .addresses import parse_port
 from .errors import ConfigurationError, SettingsError
 
 __all__ = ["SectionReader", "parse_ini"]
 
+INTEGER = re.compile(r"-?[0-9]{1,18}")
 TRUE_WORDS = frozenset({"yes", "true", "on"})
 FALSE_WORDS = frozenset({"no", "false", "off"})
 
@@ -73,7 +76,7 @@
     def read_int(self, key: str, default: int, minimum: int = 0) -> int:
         """Return an integer of at least ``minimum``."""
         text = self.read_text(key, str(default))
-        if not text.lstrip("-").isdigit() or int(text) < minimum:
+        if not INTEGER.fullmatch(text) or int(text) < minimum:
             raise self.make_error(
                 key, f"{text!r} is not a whole number of {minimum} or more"
             )
@@ -116,7 +119,7 @@
         """Return an address of the form ``IP:PORT``."""
         text = self.read_text(key, default)
         host, separator, port = text.rpartition(":")
-        if not host or not separator or not port.isdigit() or int(port) > 65535:
+        if not host or not separator or parse_port(port) is None:
             raise self.make_error(
                 key, f"{text!r} is not an address of the form IP:PORT"
             )
--- a/primrosepier/lease_holder.py
+++ b/primrosepier/lease_holder.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .clocks import Clock
+from .decoding import parse_count
 from .ids import Revision
 from .leases import (
     AcquisitionAttempt,
@@ -31,7 +32,7 @@
 
 
 def _read_fencing_number(item: Item | None) -> int:
-    return int(item.value) if item is not None and item.value.isdigit() else 0
+    return 0 if item is None else parse_count(item.value) or 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/platform/declarations.py
+++ b/primrosepier/platform/declarations.py
@@ -1,8 +1,10 @@
 """Decodes the operators' configuration and the weights versions that they request."""
 
+from typing import Annotated
+
 import msgspec
 
-from ..decoding import decode_json
+from ..decoding import MAX_COUNT, Count, DurationMs, HeaderText, decode_json
 from ..forwarding.calls import WeightsVersionNumber
 from ..forwarding.declarations import (
     CacheStore,
@@ -24,11 +26,13 @@
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 
+Priority = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+
 
 class _Split(msgspec.Struct):
-    service: str
+    service: HeaderText
     # The service's share of the calls, relative to the other services of the route.
-    weight: int
+    weight: Count
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -36,49 +40,49 @@
     host: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 0
+    timeout_ms: DurationMs
+    target_latency_ms: DurationMs = 1000.0
+    priority: Priority = 0
     # Limits only the attempts that may have run; refused ones do not count.
-    max_attempts: int = 1
-    service: str = ""
+    max_attempts: Count = 1
+    service: HeaderText = ""
     split: list[_Split] = []
     public: bool = False
     resumable: bool = False
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int
+    slots: Count
     # Size of the KV cache, in tokens, for running requests and cached prompts. In the
     # names of the platform's store, "kv" stands for key-value instead.
-    kv_capacity: int
+    kv_capacity: Count
 
 
 class _Service(msgspec.Struct, rename="camel"):
-    name: str
+    name: HeaderText
     engine: _Engine | None = None
     # Both are set only for a service that stores KV cache. The zone is its failure
     # domain.
-    kv_store_addr: str = ""
-    zone: str = ""
+    kv_store_addr: HeaderText = ""
+    zone: HeaderText = ""
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int | None = None
-    max_body_bytes: int | None = None
-    header_timeout_ms: float | None = None
-    idle_timeout_ms: float | None = None
+    max_header_bytes: Count | None = None
+    max_body_bytes: Count | None = None
+    header_timeout_ms: DurationMs | None = None
+    idle_timeout_ms: DurationMs | None = None
 
 
 class _Workspace(msgspec.Struct, rename="camel"):
-    name: str
+    name: HeaderText
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Priority | None = None
     isolated: bool = False
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -87,9 +91,9 @@
 
 
 class _Weights(msgspec.Struct):
-    model: str
+    model: HeaderText
     # The version of the weights, not of the configuration.
-    version: int
+    version: Count
 
 
 def decode_declaration(value: bytes) -> Declaration:
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from ..asgi import Scope
+from ..decoding import parse_count
 from ..errors import MessageError
 from ..forwarding.calls import Call, PartId, PromptPart
 from ..forwarding.declarations import Route, Workspace
@@ -14,6 +15,8 @@
 
 MS = 0.001
 BEARER = "bearer "
+# Characters of an odd value that an error message shows.
+MAX_SHOWN = 64
 
 
 def _make_header_map(scope: Scope) -> dict[bytes, bytes]:
@@ -25,16 +28,16 @@
     parts = []
     for entry in filter(None, (text.strip() for text in value.split(","))):
         name, _, tokens = entry.rpartition(":")
-        if not tokens.isdigit():
-            raise MessageError(f"prompt part {entry!r} has no length")
-        parts.append(PromptPart(PartId(name), int(tokens)))
+        length = parse_count(tokens)
+        if length is None:
+            raise MessageError(f"prompt part {entry[:MAX_SHOWN]!r} has no length")
+        parts.append(PromptPart(PartId(name), length))
     return tuple(parts)
 
 
 def _read_output_limit(value: str) -> int:
     """Parse the second of two token counts; 0 without a valid one."""
-    limit = value.partition(",")[2].strip()
-    return int(limit) if limit.isdecimal() else 0
+    return parse_count(value.partition(",")[2]) or 0
 
 
 class PlatformRequestReader:
@@ -60,8 +63,9 @@
 
     def read_caller_timeout_s(self, scope: Scope) -> float:
         """Return the time-out that a caller sent, seconds; infinite without one."""
-        remaining_ms = _make_header_map(scope).get(names.REMAINING_TIME, b"")
-        return int(remaining_ms) * MS if remaining_ms.isdigit() else math.inf
+        value = _make_header_map(scope).get(names.REMAINING_TIME, b"")
+        remaining_ms = parse_count(value)
+        return math.inf if remaining_ms is None else remaining_ms * MS
 
     def make_call(
         self,
--- a/primrosepier/platform/orders.py
+++ b/primrosepier/platform/orders.py
@@ -5,7 +5,7 @@
 import anyio
 import msgspec
 
-from ..decoding import decode_json
+from ..decoding import Count, HeaderText, decode_json
 from ..endpoint_client import CONNECT_ERRORS, RELAY_ERRORS, EndpointCall, EndpointClient
 from ..errors import MessageError
 from ..forwarding.calls import WeightsVersionNumber
@@ -35,16 +35,16 @@
 
 
 class _Model(msgspec.Struct):
-    name: str
+    name: HeaderText
     # The version of the model's weights.
-    version: int
+    version: Count
 
 
 class _Report(msgspec.Struct):
     models: list[_Model]
     busy: bool
     # Number of orders accepted so far, unlike "seq" in a registration.
-    seq: int
+    seq: Count
 
 
 class _Order(msgspec.Struct, rename="camel"):
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from ..decoding import decode_json
+from ..addresses import parse_address
+from ..decoding import Count, HeaderText, decode_json, parse_count
 from ..errors import MessageError
 from ..forwarding.calls import (
     AttemptOptions,
@@ -35,28 +36,32 @@
 UNAVAILABLE = 503
 LEAVING_VALUE = b"1"
 MAX_SLOTS = 10**9
+# Characters of an odd value that a log line shows.
+MAX_SHOWN = 64
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A name that is a value of a header.
+NAME = re.compile(r"[!-~\xa1-\xff]{1,1024}")
 INTEGER = re.compile(rb"[0-9]{1,9}")
 
 
 class _Model(msgspec.Struct):
-    name: str
+    name: HeaderText
     # The version of the model's weights.
-    version: int
+    version: Count
 
 
 class _Entry(msgspec.Struct):
-    service: str
+    service: HeaderText
     address: str
     # The replica's failure domain.
-    zone: str
+    zone: HeaderText
     state: str
-    slots: int
+    slots: Count
     # The version of the replica's software, not of its weights.
-    version: str
+    version: HeaderText
     models: list[_Model] = []
     # Unix milliseconds of the replica's start.
-    born: int = 0
+    born: Count = 0
 
 
 def decode_replica(name: str, value: bytes) -> Replica:
@@ -68,11 +73,12 @@
         The entry is not a valid registration.
     """
     entry = decode_json(value, _Entry)
+    if not NAME.fullmatch(name):
+        raise MessageError(f"the name {name[:MAX_SHOWN]!r} does not fit a header")
     if entry.state not in (READY, DRAINING):
-        raise MessageError(f"state {entry.state!r} is unknown")
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise MessageError(f"address {entry.address!r} is not IP:PORT")
+        raise MessageError(f"state {entry.state[:MAX_SHOWN]!r} is unknown")
+    if parse_address(entry.address) is None:
+        raise MessageError(f"address {entry.address[:MAX_SHOWN]!r} is not IP:PORT")
     return Replica(
         id=EndpointId(name),
         service=ServiceId(entry.service),
@@ -199,4 +205,5 @@
 
 
 def _read_weights(value: bytes) -> WeightsVersionNumber | None:
-    return WeightsVersionNumber(int(value)) if value.strip().isdigit() else None
+    version = parse_count(value)
+    return None if version is None else WeightsVersionNumber(version)
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..clocks import Clock
-from ..decoding import decode_json
+from ..decoding import Count, DurationMs, decode_json, parse_count
 from ..endpoint_client import (
     CONNECT_ERRORS,
     RELAY_ERRORS,
@@ -51,31 +51,30 @@
 OK, NOT_FOUND, GONE, PRECONDITION_FAILED = 200, 404, 410, 412
 # Statuses of calls that the service has not executed.
 REFUSED = frozenset({429, 503})
-MAX_RESTORES_DIGITS = 18
 
 
 class _Item(msgspec.Struct):
     key: str
     # Revision of the key's last change.
-    revision: int
+    revision: Count
     value: str = ""
-    lease: int = 0
+    lease: Count = 0
     deleted: bool = False
 
 
 class _Range(msgspec.Struct, rename="camel"):
     items: list[_Item]
     truncated: bool
-    store_revision: int
+    store_revision: Count
 
 
 class _Events(msgspec.Struct, rename="camel"):
     events: list[_Item]
-    store_revision: int
+    store_revision: Count
 
 
 class _TransactionResult(msgspec.Struct):
-    revision: int
+    revision: Count
 
 
 class _ConflictItems(msgspec.Struct):
@@ -83,8 +82,8 @@
 
 
 class _Lease(msgspec.Struct, rename="camel"):
-    ttl_ms: float
-    lease: int = 0
+    ttl_ms: DurationMs
+    lease: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,8 +95,8 @@
 def _read_restores(headers: Iterable[tuple[bytes, bytes]]) -> int:
     """Return how often the store was restored; 0 if it does not tell."""
     for name, value in headers:
-        if name.lower() == names.STORE_ERA and value.isdigit():
-            return int(value[:MAX_RESTORES_DIGITS])
+        if name.lower() == names.STORE_ERA:
+            return parse_count(value) or 0
     return 0
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -44,6 +44,17 @@
 }
 
 
+ODD_REPLICAS = {
+    "a port out of range": make_entry(address="127.0.0.1:99999"),
+    "a port that is a digit but no number": make_entry(address="127.0.0.1:²"),
+    "a port of 5,000 digits": make_entry(address="127.0.0.1:" + "9" * 5000),
+    "a host with spaces": make_entry(address="127.0.0.1 x:80"),
+    "a version that no header can hold": make_entry(version="v1\r\nx: y"),
+    "text": b"not a document",
+    "a list": [],
+}
+
+
 class Callers:
     """Callers of all routers, one after the other."""
 
@@ -100,3 +111,19 @@
 @pytest.mark.parametrize("key", NESTED_ENTRIES)
 def test_a_deeply_nested_entry_ends_no_router(key):
     run_odd_entry(key, NESTED_ENTRIES[key])
+
+
+@pytest.mark.parametrize("odd", ODD_REPLICAS)
+def test_an_odd_entry_of_a_replica_costs_no_call(odd):
+    run_odd_entry("servers/w9", ODD_REPLICAS[odd])
+
+
+def test_an_odd_name_of_a_replica_costs_no_call():
+    run_odd_entry("servers/w 9\r\nx: y", REPLICA)
+
+
+@pytest.mark.parametrize("version", [-1, HUGE, "1", None], ids=str)
+def test_an_odd_version_of_weights_costs_no_call(version):
+    value = {"model": "m0", "version": version}
+    text = b'{"model":"m0","version":%d}' % HUGE
+    run_odd_entry("op/version/m0", text if version == HUGE else value)
