Apply the readable parts of a configuration, and keep a replica over a bad update

What callers would see: one odd route in the configuration kept everything else of that version from taking effect, so that a revoked key stayed in use. A replica whose entry was overwritten by something unreadable got no calls until its next heartbeat; if that happened to all, all calls were refused.

Cause: a document was taken or left as a whole, and what could not be read was taken for gone. Decided: parts of a configuration that are not valid are left out, so that their routes and keys are refused (404, 401) and the rest applies; a configuration without a valid version or lists is not applied. A replica keeps its last readable entry as long as its key exists. Each unreadable entry is logged once a revision; requested weights were logged with each change of the store before.

Before, the new tests failed: the old key was served, and 503 for all calls.

--- a/primrosepier/forwarding/declarations.py
+++ b/primrosepier/forwarding/declarations.py
@@ -151,6 +151,8 @@
     ----------
     workspaces : Mapping of str to Workspace, or None
         Workspaces by API key; None if none are declared, so that no route needs a key.
+    unreadable : tuple of str
+        Parts that were left out because they are not valid, with the reasons.
     """
 
     version: DeclarationVersion
@@ -158,6 +160,7 @@
     services: Mapping[ServiceId, Service]
     limits: CallerLimits = CallerLimits()
     workspaces: Mapping[str, Workspace] | None = None
+    unreadable: tuple[str, ...] = ()
     _by_host: dict[str, list[Route]] = field(default_factory=dict, compare=False)
 
     def __post_init__(self) -> None:
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -7,7 +7,7 @@
 from ..board import Section, SectionWriter
 from ..clocks import Clock
 from ..errors import MessageError
-from ..ids import EndpointId, ModelId
+from ..ids import EndpointId, ModelId, Revision
 from ..logs import Log
 from ..mirror import Mirror
 from ..store import Item
@@ -31,6 +31,8 @@
     "make_store_view",
 ]
 
+# Parts of a declaration that can't be read and are logged one by one.
+MAX_LOGGED_PARTS = 8
 # Requested versions kept per model. Far fewer are requested while one replica loads
 # weights.
 MAX_HISTORY_LENGTH = 32
@@ -118,6 +120,8 @@
         Replica entries by key, kept to decode only those that changed.
     declaration_item : Item or None
         Store entry of the last declaration that was read, valid or not.
+    unreadable : dict of str to Revision
+        Revisions of the requested weights that can't be read, by key.
     """
 
     layout: StoreLayout
@@ -133,6 +137,7 @@
     is_connected: bool = False
     decoded: dict[str, tuple[Item, Replica | None]] = field(default_factory=dict)
     declaration_item: Item | None = None
+    unreadable: dict[str, Revision] = field(default_factory=dict)
 
     def record_contact(self, is_connected: bool, reason: str) -> None:
         """Record whether the store responds."""
@@ -161,6 +166,8 @@
         if current is not None and declaration.version <= current.version:
             return
         self.declaration_writer.write(declaration, self.clock())
+        for part in declaration.unreadable[:MAX_LOGGED_PARTS]:
+            self.log.emit(EntryUnreadable(item.key, part))
         key_count = len(declaration.workspaces or ())
         self.log.emit(
             DeclarationTaken(declaration.version, len(declaration.routes), key_count)
@@ -168,10 +175,14 @@
 
     def _apply_weights(self, items: dict[str, Item], requested_after_s: float) -> None:
         requested_weights = dict(self.requested_weights.value)
+        self.unreadable = {k: v for k, v in self.unreadable.items() if k in items}
         for item in items.values():
+            if self.unreadable.get(item.key) == item.mod_revision:
+                continue
             try:
                 model, version = self.layout.decode_weights(item.value)
             except MessageError as error:
+                self.unreadable[item.key] = item.mod_revision
                 self.log.emit(EntryUnreadable(item.key, str(error)))
                 continue
             history = requested_weights.get(model)
@@ -192,12 +203,10 @@
         replicas = []
         decoded = {}
         for key, item in items.items():
-            previous = self.decoded.get(key)
-            replica = (
-                self._decode(item) if previous is None or previous[0] != item else None
-            )
-            if previous is not None and previous[0] == item:
-                replica = previous[1]
+            previous_item, replica = self.decoded.get(key, (None, None))
+            if previous_item != item:
+                # A replica whose new entry can't be read keeps the one before.
+                replica = self._decode(item) or replica
             decoded[key] = (item, replica)
             if replica is not None:
                 replicas.append(replica)
--- a/primrosepier/platform/declarations.py
+++ b/primrosepier/platform/declarations.py
@@ -1,10 +1,12 @@
 """Decodes the operators' configuration and the weights versions that they request."""
 
-from typing import Annotated
+from collections.abc import Sequence
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from ..decoding import MAX_COUNT, Count, DurationMs, HeaderText, decode_json
+from ..errors import MessageError
 from ..forwarding.calls import WeightsVersionNumber
 from ..forwarding.declarations import (
     CacheStore,
@@ -96,22 +98,70 @@
     version: Count
 
 
+class _ConfigurationParts(msgspec.Struct):
+    """A configuration whose parts are decoded one by one."""
+
+    version: Count
+    routes: list[msgspec.Raw]
+    services: list[msgspec.Raw]
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
+    tenants: list[msgspec.Raw] | None = None
+
+
+T = TypeVar("T")
+
+
 def decode_declaration(value: bytes) -> Declaration:
     """Decode a stored configuration into a declaration.
 
+    Parts that are not valid are left out and named, so that the others, and the keys
+    that were revoked, take effect. Limits that are not valid are the defaults.
+
     Raises
     ------
     MessageError
-        The value is not a valid configuration.
+        The value is not a configuration, or its version is not valid.
     """
-    configuration = decode_json(value, _Configuration)
+    unreadable: list[str] = []
+    try:
+        configuration = decode_json(value, _Configuration)
+    except MessageError:
+        configuration = _decode_by_parts(value, unreadable)
     return Declaration(
         version=DeclarationVersion(configuration.version),
         routes=tuple(_make_route(route) for route in configuration.routes),
         services={ServiceId(s.name): _make_service(s) for s in configuration.services},
         limits=_make_limits(configuration.limits),
         workspaces=_make_workspaces(configuration.tenants),
+        unreadable=tuple(unreadable),
+    )
+
+
+def _decode_by_parts(value: bytes, unreadable: list[str]) -> _Configuration:
+    """Decode the valid parts of a configuration, and append why others are not."""
+    parts = decode_json(value, _ConfigurationParts)
+    routes = _decode_list("routes", _Route, parts.routes, unreadable)
+    services = _decode_list("services", _Service, parts.services, unreadable)
+    limits = _decode_list("limits", _Limits, [parts.limits], unreadable)
+    tenants = (
+        None
+        if parts.tenants is None
+        else _decode_list("tenants", _Workspace, parts.tenants, unreadable)
     )
+    limits = limits or [_Limits()]
+    return _Configuration(parts.version, routes, services, limits[0], tenants)
+
+
+def _decode_list(
+    name: str, schema: type[T], items: Sequence[msgspec.Raw], unreadable: list[str]
+) -> list[T]:
+    decoded = []
+    for number, item in enumerate(items):
+        try:
+            decoded.append(decode_json(bytes(item), schema))
+        except MessageError as error:
+            unreadable.append(f"{name}[{number}]: {error}")
+    return decoded
 
 
 def _make_route(route: _Route) -> Route:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,15 +1,17 @@
 """Routers before a store in which another writer left an odd entry."""
 
 import contextlib
+import json
 from itertools import count
 
 import anyio
 import pytest
-from entry_fleet import run_entry
+from entry_fleet import make_configuration, make_route, run_entry
 
 from primrosepier.forwarding.loading_record import LOADING_RECORD_KEY
 from primrosepier.forwarding.origin_journal import STREAMS_PREFIX
 from primrosepier.forwarding.peers import ROUTERS_PREFIX
+from primrosepier.forwarding.records import EntryUnreadable
 from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 from primrosepier.forwarding.weights_controller import WEIGHTS_DUTY
 from primrosepier.leases import make_duty_key
@@ -79,13 +81,14 @@
             await anyio.sleep(0.01)
 
 
-async def check_odd_entry(fleet, key, value):
-    """Check that an odd entry costs no call while one replica follows another."""
+async def check_odd_entries(fleet, entries):
+    """Check that odd entries cost no call while one replica follows another."""
     async with contextlib.AsyncExitStack() as stack:
         for host in ("front-2", "front-3"):
             await stack.enter_async_context(fleet.open_router(host=host))
         await anyio.sleep(0.5)
-        fleet.store.put(key, value)
+        for key, value in entries.items():
+            fleet.store.put(key, value)
         callers = Callers(fleet)
         async with anyio.create_task_group() as group:
             group.start_soon(callers.run, SECONDS)
@@ -100,30 +103,93 @@
         assert fleet.replicas["w1"].arrivals == arrivals
 
 
-def run_odd_entry(key, value, **settings):
+def run_odd_entries(entries):
     async def check(fleet):
         fleet.store.remove("servers/w3")
-        await check_odd_entry(fleet, key, value)
+        await check_odd_entries(fleet, entries)
 
-    run_entry(check, names=("w1", "w2", "w3", "app1", "app2"), **settings)
+    run_entry(check, names=("w1", "w2", "w3", "app1", "app2"))
 
 
-@pytest.mark.parametrize("key", NESTED_ENTRIES)
-def test_a_deeply_nested_entry_ends_no_router(key):
-    run_odd_entry(key, NESTED_ENTRIES[key])
+def test_deeply_nested_entries_end_no_router():
+    run_odd_entries(NESTED_ENTRIES)
 
 
-@pytest.mark.parametrize("odd", ODD_REPLICAS)
-def test_an_odd_entry_of_a_replica_costs_no_call(odd):
-    run_odd_entry("servers/w9", ODD_REPLICAS[odd])
+def test_odd_entries_of_replicas_cost_no_call():
+    entries = {f"servers/w9{n}": x for n, x in enumerate(ODD_REPLICAS.values())}
+    run_odd_entries(entries | {"servers/w 9\r\nx: y": REPLICA})
 
 
-def test_an_odd_name_of_a_replica_costs_no_call():
-    run_odd_entry("servers/w 9\r\nx: y", REPLICA)
+def test_odd_versions_of_weights_cost_no_call():
+    document = '{"model":"m0","version":%s}'
+    versions = ("-1", str(HUGE), '"1"', "null")
+    run_odd_entries(
+        {f"op/version/m{n}": (document % x).encode() for n, x in enumerate(versions)}
+    )
 
 
-@pytest.mark.parametrize("version", [-1, HUGE, "1", None], ids=str)
-def test_an_odd_version_of_weights_costs_no_call(version):
-    value = {"model": "m0", "version": version}
-    text = b'{"model":"m0","version":%d}' % HUGE
-    run_odd_entry("op/version/m0", text if version == HUGE else value)
+def test_a_replica_whose_update_can_not_be_read_is_used_as_before():
+    async def check(fleet):
+        router = fleet.routers[0]
+        for name in ("w1", "w2", "app1", "app2"):
+            fleet.store.put(f"servers/{name}", DEEP)
+        await anyio.sleep(0.5)
+        callers = Callers(fleet)
+        await callers.run(0.5)
+        assert set(callers.statuses) == {200}
+        fleet.store.remove("servers/w1")
+        await fleet.wait_until(lambda: router.store_view.find_replica("w1") is None)
+
+    run_entry(check)
+
+
+ODD_ROUTES = {
+    "huge": {**make_route("odd", "/odd/", "idempotent", "app"), "priority": HUGE},
+    "negative time": make_route("odd", "/odd/", "idempotent", "app", timeoutMs=-1),
+    "no name": {"host": "apps.example"},
+    "text": "odd",
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ROUTES)
+def test_an_odd_part_of_a_configuration_does_not_keep_a_key_in_use(odd):
+    async def check(fleet):
+        events = []
+        router = fleet.routers[0]
+        router.log.observers.append(events.append)
+        configuration = make_configuration(version=2, keys=("another",))
+        configuration["routes"].append(ODD_ROUTES[odd])
+        configuration["services"].append({"name": 5})
+        configuration["tenants"].append({"name": "second", "apiKeys": "x"})
+        fleet.store.put("op/config", json.dumps(configuration).encode())
+        await fleet.wait_until(lambda: router.store_view.declaration.value.version == 2)
+        assert (await fleet.send("/lookup/1")).status == 401
+        assert (await fleet.send("/lookup/1", key="another")).status == 200
+        assert (await fleet.send("/odd/1", key="another")).status == 404
+        reasons = [x.reason for x in events if isinstance(x, EntryUnreadable)]
+        assert [x.partition(":")[0] for x in reasons] == [
+            "routes[4]",
+            "services[2]",
+            "tenants[1]",
+        ]
+
+    run_entry(check)
+
+
+def test_unreadable_entries_are_logged_once_a_revision():
+    async def check(fleet):
+        events = []
+        router = fleet.routers[0]
+        router.log.observers.append(events.append)
+        keys = ["servers/w9", "op/version/m9", ROUTERS_PREFIX + "front-9"]
+        for key in keys:
+            fleet.store.put(key, DEEP)
+        for number in range(5):
+            fleet.store.put("op/other", {"number": number})
+            await anyio.sleep(0.1)
+        unreadable = [x.key for x in events if isinstance(x, EntryUnreadable)]
+        assert sorted(unreadable) == sorted(keys)
+        text = router.metrics.render().decode()
+        assert "primrosepier_unreadable_entries_total 3" in text
+
+    run_entry(check, apply_s=0.1)
