Follow the store after an error that was not foreseen

Change: what one part can't apply is logged (MirrorFailed, with the chain of errors) and counted, and the others see the change; the task that follows the store begins anew after an error of its own, with the usual backoff. Both kinds of router. A second counter tells of unreadable entries, and entries of routers are decoded only when they have changed.

Before, the two new tests of the mirror failed by the error.

--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -51,6 +51,22 @@
         "Attempts withdrawn because they would have begun on old weights too late.",
         "Many at once: a rollout is late and queues are long; look for WeightsOrdered.",
     ),
+    MetricSpec(
+        "primrosepier_unreadable_entries_total",
+        COUNTER,
+        "entries",
+        (),
+        "Entries of the store, or parts of the declaration, that can't be read.",
+        "Rises: another program writes there; EntryUnreadable names key and reason.",
+    ),
+    MetricSpec(
+        "primrosepier_mirror_failures_total",
+        COUNTER,
+        "failures",
+        (),
+        "Changes of the store that met an unexpected error.",
+        "Stays at nought; MirrorFailed names the error. Report it as a fault.",
+    ),
     MetricSpec(
         "primrosepier_refused_permits_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..asgi import Receive, Scope, Send, send_bytes
-from ..log_events import Event, RestRequested
+from ..log_events import Event, MirrorFailed, RestRequested
 from ..logs import Log
 from ..metric_table import MetricTable
 from .metric_specs import ENTRY_SPECS
@@ -15,6 +15,7 @@
     CallRejected,
     CallRepeated,
     CallWithdrawn,
+    EntryUnreadable,
     PermitRefused,
     StreamTakenUp,
 )
@@ -47,6 +48,10 @@
             self.add("primrosepier_refused_permits_total", 1)
         elif isinstance(event, RestRequested):
             self.add("primrosepier_rests_total", 1)
+        elif isinstance(event, EntryUnreadable):
+            self.add("primrosepier_unreadable_entries_total", 1)
+        elif isinstance(event, MirrorFailed):
+            self.add("primrosepier_mirror_failures_total", 1)
         elif isinstance(event, CallPassedOn):
             self.add("primrosepier_passed_on_total", 1)
         elif isinstance(event, StreamTakenUp):
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -31,7 +31,7 @@
 from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
-from ..store import Applied, LeaseGranted, LeaseLost, Put, Store
+from ..store import Applied, Item, LeaseGranted, LeaseLost, Put, Store
 from .cuts import CutDetector, LinksReply, LinksRequest
 from .loading_record import LoadingRecord
 from .messages import (
@@ -173,6 +173,10 @@
     """Ignore a peer's loading record."""
 
 
+def ignore_key(key: str) -> None:
+    """Do nothing; used where no one follows unreadable entries."""
+
+
 def decode_peer_entry(value: bytes) -> PeerEntry | None:
     """Return the entry in a stored value, or None if the value is malformed."""
     try:
@@ -184,7 +188,18 @@
 
 @dataclass(slots=True)
 class PeerDirectory:
-    """Registers this router in the store and lists its peers."""
+    """Registers this router in the store and lists its peers.
+
+    Parameters
+    ----------
+    notify_unreadable : callable
+        Called with the key of an entry that can't be read.
+
+    Attributes
+    ----------
+    decoded : dict of str to (Item, PeerEntry or None)
+        Entries of the routers by key, kept to decode only those that changed.
+    """
 
     host: HostId
     store: Store
@@ -193,18 +208,32 @@
     peers: dict[HostId, PeerEntry] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
     is_registered: bool = False
+    decoded: dict[str, tuple[Item, PeerEntry | None]] = field(default_factory=dict)
+    notify_unreadable: Callable[[str], None] = ignore_key
 
     def update(self, mirror: Mirror) -> None:
         """Update the peers from the entries of the store."""
-        peers = {}
+        decoded = {}
         for key, item in mirror.select(ROUTERS_PREFIX).items():
-            entry = decode_peer_entry(item.value)
-            host = HostId(key[len(ROUTERS_PREFIX) :])
-            if entry is not None:
-                peers[host] = entry
+            previous_item, entry = self.decoded.get(key, (None, None))
+            if previous_item != item:
+                entry = self._decode(item)
+            decoded[key] = item, entry
+        self.decoded = decoded
+        peers = {
+            HostId(key[len(ROUTERS_PREFIX) :]): entry
+            for key, (_, entry) in decoded.items()
+            if entry is not None
+        }
         self.is_registered = peers.pop(self.host, None) is not None
         self.peers = peers
 
+    def _decode(self, item: Item) -> PeerEntry | None:
+        entry = decode_peer_entry(item.value)
+        if entry is None:
+            self.notify_unreadable(item.key)
+        return entry
+
     def count_routers(self) -> int:
         """Return the number of known routers, including this one."""
         return 1 + len(self.peers)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -14,10 +14,11 @@
 from ..clocks import Clock
 from ..endpoint_client import EndpointClient
 from ..endpoint_limits import EndpointLimits
-from ..errors import SettingsError
+from ..errors import SettingsError, describe_errors
 from ..ids import EndpointId, Fingerprint, HostId, ModelId
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
+from ..log_events import MirrorFailed
 from ..logs import Log, close_at_end, make_log
 from ..mirror import Backoff, Mirror, MirrorController
 from ..protocol import make_bounded_protocol, set_protocol_bounds
@@ -40,6 +41,7 @@
 from .permits import PermitExchange
 from .records import (
     DatagramsDropped,
+    EntryUnreadable,
     LinksChanged,
     MetricsUnserved,
     QuarantineChanged,
@@ -234,6 +236,9 @@
     store_view = make_store_view(platform.layout, log, clock)
     mirror_controller = _make_mirror_controller(settings, platform, store_view)
     directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
+    directory.notify_unreadable = lambda key: log.emit(
+        EntryUnreadable(key, "malformed entry of a router")
+    )
     forwarder = _make_forwarder(settings, platform, store_view, directory)
     load_table = forwarder.loads
     app = EntryApp(
@@ -375,9 +380,13 @@
     backoff = Backoff(
         random.Random(settings.host), STORE_BACKOFF_S, STORE_MAX_BACKOFF_S
     )
+    mirror = Mirror(platform.watched_prefix)
+    mirror.notify_failure = lambda error: store_view.log.emit(
+        MirrorFailed(describe_errors(error))
+    )
     return MirrorController(
         platform.store,
-        Mirror(platform.watched_prefix),
+        mirror,
         backoff,
         platform.layout.declaration_key,
         platform.clock,
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -28,6 +28,7 @@
     "RetryChosen",
     "ReuseObserved",
     "RouterEnded",
+    "MirrorFailed",
     "RouterFailed",
     "SeenCandidate",
     "SectionWritten",
@@ -388,6 +389,24 @@
         return f"ends by an error: {self.errors[-1]}"
 
 
+class MirrorFailed(Event, frozen=True):
+    """A change of the store met an unexpected error, and may not be applied in full.
+
+    Parameters
+    ----------
+    errors : tuple of str
+        The error and the chain of its causes, each with the place where it was raised.
+    """
+
+    part: ClassVar[str] = "store"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    errors: tuple[str, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"could not apply a change of the store in full: {self.errors[-1]}"
+
+
 class SectionWritten(Event, frozen=True):
     """A board section was written."""
 
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -131,6 +131,14 @@
         "Refusals of endpoints that named a time without requests in Retry-After.",
         "Rises steadily: endpoints refuse again as soon as their rest is over.",
     ),
+    MetricSpec(
+        "primrosepier_mirror_failures_total",
+        MetricKind.COUNTER,
+        "failures",
+        (),
+        "Changes of the store that met an unexpected error.",
+        "Stays at nought; MirrorFailed names the error. Report it as a fault.",
+    ),
     MetricSpec(
         "primrosepier_resting_endpoints",
         MetricKind.GAUGE,
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -8,6 +8,7 @@
     AttemptEnded,
     ClaimSettled,
     Event,
+    MirrorFailed,
     RequestEnded,
     RequestRefused,
     RestRequested,
@@ -59,6 +60,8 @@
             self.add("primrosepier_retries_total", 1)
         elif isinstance(event, RestRequested):
             self.add("primrosepier_rests_total", 1)
+        elif isinstance(event, MirrorFailed):
+            self.add("primrosepier_mirror_failures_total", 1)
         elif isinstance(event, ClaimSettled):
             self.add("primrosepier_claims_total", 1, result=event.result)
         elif isinstance(event, RequestRefused):
--- a/primrosepier/mirror.py
+++ b/primrosepier/mirror.py
@@ -19,12 +19,18 @@
 MAX_ANSWER_S = 0.3
 
 Listener = Callable[["Mirror"], None]
+NotifyFailure = Callable[[Exception], None]
 
 
 def ignore_contact(connected: bool, reason: str) -> None:
     """Ignore whether the service answered."""
 
 
+def raise_failure(error: Exception) -> None:
+    """Raise the error; used where no one follows the failures."""
+    raise error
+
+
 def no_batching_delay() -> float:
     """Return a delay of 0: request each change immediately."""
     return 0.0
@@ -66,6 +72,8 @@
     prefix : str
     listeners : list of callable
         Called with the mirror after each change.
+    notify_failure : callable
+        Called with the error of a listener; the others are called all the same.
 
     Attributes
     ----------
@@ -93,6 +101,7 @@
     changed_after_s: float = NEVER_S
     restores: int = 0
     listeners: list[Listener] = field(default_factory=list)
+    notify_failure: NotifyFailure = raise_failure
 
     @property
     def is_synced(self) -> bool:
@@ -142,7 +151,11 @@
         self.revision = revision
         self.synced_at_s = now_s
         for listener in self.listeners:
-            listener(self)
+            try:
+                listener(self)
+            # What one of them can't apply must not keep the change from the others.
+            except Exception as error:
+                self.notify_failure(error)
 
 
 @dataclass(slots=True)
@@ -173,6 +186,15 @@
     get_batching_delay_s: Callable[[], float] = no_batching_delay
 
     async def run(self) -> None:
+        """Keep the mirror current, and begin anew after an unexpected error."""
+        while True:
+            try:
+                await self._keep_current()
+            except Exception as error:
+                self.mirror.notify_failure(error)
+            await anyio.sleep(self.backoff.next_wait_s())
+
+    async def _keep_current(self) -> None:
         """Read once, then watch; read again only when the watch cannot be resumed."""
         while True:
             await self._synchronize()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -18,8 +18,9 @@
 from .drift import DriftAlert, DriftTracker
 from .drift_controller import DriftController
 from .endpoint_client import EndpointClient, make_endpoint_client
+from .errors import describe_errors
 from .etcd import make_etcd_store
-from .log_events import SlideFound
+from .log_events import MirrorFailed, SlideFound
 from .logs import Log, close_at_end, make_log
 from .metric_table import MetricTable
 from .metrics import Metrics, make_metrics
@@ -124,6 +125,9 @@
     mirror = make_mirror(
         platform.store, STATE_PREFIX, MANIFEST_KEY, clock=platform.clock
     )
+    mirror.mirror.notify_failure = lambda error: log.emit(
+        MirrorFailed(describe_errors(error))
+    )
     mirror.mirror.listeners.append(controller.update)
 
     def retain_rests(mirror: Mirror) -> None:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -151,3 +151,59 @@
     mirror.apply_event(make_event(2, 5.1), 10.0)
     mirror.apply_event(make_event(3, 10.0, KEYS[1]), 10.01)
     assert mirror.changed_after_s <= 5.1
+
+
+class FailingStore:
+    """Store whose reads raise an unexpected error as often as is asked for."""
+
+    def __init__(self, memory, failures):
+        self.memory = memory
+        self.failures = failures
+
+    async def read(self, prefix):
+        if self.failures:
+            self.failures -= 1
+            raise KeyError("unexpected")
+        return await self.memory.read(prefix)
+
+    def watch(self, prefix, revision):
+        return self.memory.watch(prefix, revision)
+
+
+def test_a_listener_that_fails_does_not_keep_changes_from_the_others():
+    async def run():
+        memory = MemoryStore()
+        failures, seen = [], []
+
+        def fail(mirror):
+            raise KeyError("unexpected")
+
+        async with open_mirror(memory) as mirror:
+            mirror.notify_failure = failures.append
+            mirror.listeners += [fail, lambda mirror: seen.append(mirror.revision)]
+            for number in range(3):
+                memory.commit([], [Put(KEYS[number], b"1")])
+                await wait_for_revision(mirror, memory.revision)
+        assert seen[-1] == memory.revision
+        assert {type(error) for error in failures} == {KeyError}
+
+    anyio.run(run)
+
+
+def test_the_store_is_followed_again_after_an_unexpected_error():
+    async def run():
+        memory = MemoryStore()
+        memory.commit([], [Put(KEYS[0], b"1")])
+        failures = []
+        mirror = Mirror(PREFIX, notify_failure=failures.append)
+        store = FailingStore(memory, failures=2)
+        backoff = Backoff(random.Random(1), 0.01, 0.05)
+        controller = MirrorController(store, mirror, backoff, PREFIX)
+        async with anyio.create_task_group() as group:
+            group.start_soon(controller.run)
+            await wait_for_revision(mirror, memory.revision)
+            group.cancel_scope.cancel()
+        assert mirror.items == memory.items
+        assert len(failures) == 2
+
+    anyio.run(run)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -260,6 +260,7 @@
     "EntryUnreadable": "key reason",
     "EventsDropped": "count",
     "FleetChanged": "added removed known",
+    "MirrorFailed": "errors",
     "MetricsUnserved": "address reason",
     "BrittlenessChanged": "endpoint refusals_per_s",
     "LimitChanged": "endpoint rate_per_s",
