Find out at a router out of step where a stream began, or refuse it

Cause: a router that got no reply from the routers that keep a stream took its own view, the only version as far as it had seen, for where the stream began; so did one that had started within 20 s, with the version before its start. The class of fault: what one router has not seen is taken for what is not.

Change: the only version counts if both keepers of the stream have replied that they do not know it, or if a read of the store made for this call (shared, given up after 0.4 s) lists no other. Beside two versions, with silent keepers, the version before the start counts only if the store, read again after the others have written what they began, does not hold the stream. Else the call is refused as not run. A router also replies to one whose entry has expired because it is cut off from the store.

Builds side by side: nothing new is sent.

--- a/primrosepier/forwarding/origin_journal.py
+++ b/primrosepier/forwarding/origin_journal.py
@@ -18,7 +18,8 @@
 from ..logs import Log
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
-from ..store import Applied, LeaseGranted, LeaseLost, Put, Store, Unavailable
+from ..shared_reads import SharedRead
+from ..store import Applied, Item, LeaseGranted, LeaseLost, Put, Store, Unavailable
 from ..stream_origins import StreamOrigin
 from .records import EntryUnreadable, StreamsUnstored
 
@@ -41,6 +42,10 @@
 # Bounds the size of a slot; further streams are not stored.
 MAX_SLOT_STREAMS = 20_000
 PROCESS_BYTES = 4
+# Time in which a write reaches the store, seconds, and one for a read that a caller
+# waits for.
+WRITE_TIME_S = 0.1
+READ_TIMEOUT_S = 0.4
 
 
 class StoredStreams(msgspec.Struct, frozen=True):
@@ -98,6 +103,8 @@
         Lease of the slots in the store; 0 if there is none.
     decoded : dict of str to (Revision, dict of RequestId to StreamOrigin)
         Slots of all routers that were read from the store, by key.
+    shared_read : SharedRead
+        Reads the slots of all routers from the store.
     """
 
     host: HostId
@@ -116,6 +123,10 @@
     decoded: dict[str, tuple[Revision, dict[RequestId, StreamOrigin]]] = field(
         default_factory=dict
     )
+    shared_read: SharedRead[Mapping[str, Item]] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.shared_read = SharedRead(self._read, READ_TIMEOUT_S, self.clock)
 
     def add(self, origins: Mapping[RequestId, StreamOrigin]) -> None:
         """Add streams that this router began, to be written with the next batch."""
@@ -131,8 +142,38 @@
             slot.pop(call, None)
 
     def find(self, call: RequestId) -> StreamOrigin | None:
-        """Return where a stream began, if the store tells it."""
-        items = self.mirror.select(STREAMS_PREFIX)
+        """Return where a stream began, if the mirror of the store tells it."""
+        return self._find_in(self.mirror.select(STREAMS_PREFIX), call)
+
+    async def find_written(
+        self, call: RequestId, since_s: float
+    ) -> tuple[bool, StreamOrigin | None]:
+        """Wait until routers have written what they began before; find a stream in it.
+
+        Parameters
+        ----------
+        since_s : float
+            Time before which the stream has begun, seconds.
+
+        Returns
+        -------
+        (bool, StreamOrigin or None)
+            Whether the store could be read, and where the stream began if it tells it.
+        """
+        written_at_s = since_s + self._compute_interval_s() + WRITE_TIME_S
+        await anyio.sleep(max(0.0, written_at_s - self.clock()))
+        items = await self.shared_read.get()
+        if items is None:
+            return False, None
+        return True, self._find_in(items, call)
+
+    async def _read(self) -> Mapping[str, Item] | None:
+        snapshot = await self.store.read(STREAMS_PREFIX)
+        return None if isinstance(snapshot, Unavailable) else snapshot.items
+
+    def _find_in(
+        self, items: Mapping[str, Item], call: RequestId
+    ) -> StreamOrigin | None:
         self.decoded = {k: v for k, v in self.decoded.items() if k in items}
         for key, item in items.items():
             known = self.decoded.get(key)
--- a/primrosepier/forwarding/origins.py
+++ b/primrosepier/forwarding/origins.py
@@ -5,7 +5,7 @@
 service has several software versions it is stored as well, for the case that all end.
 """
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -86,6 +86,7 @@
 
 OriginMessage = StreamsBegun | OriginRequest | OriginReply
 SendMessage = Callable[[HostId, OriginMessage], Awaitable[bool]]
+ReadRegistered = Callable[[], Awaitable[Collection[StreamOrigin] | None]]
 
 
 class OriginResult(Enum):
@@ -112,6 +113,10 @@
     return False
 
 
+async def read_nothing() -> None:
+    """Return None; used where no store tells what is registered."""
+
+
 @dataclass(slots=True)
 class OriginExchange:
     """Records where streams begin, and finds the origins of those taken up here.
@@ -123,6 +128,9 @@
         Sends a message to a router; returns whether it is on its way.
     journal : OriginJournal or None
         None where nothing is stored.
+    read_registered : callable
+        Reads from the store which services have had which versions of late, no earlier
+        than it is called; returns None if the store does not answer in time.
 
     Attributes
     ----------
@@ -139,6 +147,7 @@
     clock: Clock
     send: SendMessage = send_nowhere
     journal: OriginJournal | None = None
+    read_registered: ReadRegistered = read_nothing
     hosts: frozenset[HostId] = frozenset()
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     versions: VersionHistory = field(default_factory=VersionHistory)
@@ -176,7 +185,7 @@
         of. Once they have ended, no one else tells where these began.
         """
         asked = rank_hosts(service, self.hosts)[:ASKED_AT_START]
-        replies = await self._ask(asked, NO_CALL, (service,))
+        replies = list((await self._ask(asked, NO_CALL, (service,))).values())
         if not replies:
             return
         named = {reply.sole for reply in replies if reply.sole is not None}
@@ -249,23 +258,72 @@
         self, call: RequestId, services: tuple[ServiceId, ...]
     ) -> FoundOrigin:
         """Return where a stream began that one of the services may have served."""
-        origin = self.origins.find(call, self.clock())
+        asked_at_s = self.clock()
+        origin = self.origins.find(call, asked_at_s)
         if origin is not None:
             return FoundOrigin(origin, OriginResult.RECORDED)
         stored = None if self.journal is None else self.journal.find(call)
         if stored is not None:
             self.origins.record(call, stored, self.clock())
             return FoundOrigin(stored, OriginResult.STORED)
-        keepers = rank_hosts(call, self.hosts)[:ASKED]
-        replies = await self._ask(keepers, call, services)
+        asked = rank_hosts(call, self.hosts)[:ASKED]
+        replies = await self._ask(asked, call, services)
+        replied = self._record_reply(call, replies.values())
+        if replied is not None:
+            return replied
+        have_keepers_replied = replies.keys() >= set(asked[:KEEPERS])
+        if not have_keepers_replied and not await self._read_versions():
+            return FoundOrigin(None, OriginResult.UNKNOWN)
+        known = [*replies.values(), self._make_reply(0, call, services)]
+        sole = {reply.sole for reply in known if reply.sole is not None}
+        is_mixed = any(reply.is_mixed for reply in known)
+        if len(sole) == 1 and not is_mixed:
+            return FoundOrigin(sole.pop(), OriginResult.SOLE)
+        if is_mixed and not have_keepers_replied:
+            return await self._find_written(call, services, sole, asked_at_s)
+        return await self._find_former(call, services, sole)
+
+    def _record_reply(
+        self, call: RequestId, replies: Iterable[OriginReply]
+    ) -> FoundOrigin | None:
+        """Record and return the origin that a router replied; None if none did."""
         for reply in replies:
             if reply.origin is not None:
                 self.origins.record(call, reply.origin, self.clock())
                 return FoundOrigin(reply.origin, OriginResult.REPLIED)
-        replies.append(self._make_reply(0, call, services))
-        sole = {reply.sole for reply in replies if reply.sole is not None}
-        if len(sole) == 1 and not any(reply.is_mixed for reply in replies):
-            return FoundOrigin(sole.pop(), OriginResult.SOLE)
+        return None
+
+    async def _read_versions(self) -> bool:
+        """Record the versions that the store lists now; return False if it fails.
+
+        What this router has seen before does not tell where a stream began, as it may
+        have been cut off or stood still while a version came.
+        """
+        registered = await self.read_registered()
+        if registered is None:
+            return False
+        self.versions.record(registered, self.clock())
+        return True
+
+    async def _find_written(
+        self,
+        call: RequestId,
+        services: tuple[ServiceId, ...],
+        sole: set[StreamOrigin],
+        asked_at_s: float,
+    ) -> FoundOrigin:
+        """Return where a stream began whose keepers are silent beside two versions.
+
+        It began before the routers' start only if none of them has stored it since.
+        """
+        if self.journal is None or self._get_former(services) is None:
+            return FoundOrigin(None, OriginResult.UNKNOWN)
+        is_read, stored = await self.journal.find_written(call, asked_at_s)
+        if stored is not None:
+            self.origins.record(call, stored, self.clock())
+            return FoundOrigin(stored, OriginResult.STORED)
+        if not is_read:
+            return FoundOrigin(None, OriginResult.UNKNOWN)
         return await self._find_former(call, services, sole)
 
     async def _find_former(
@@ -290,11 +348,10 @@
             return FoundOrigin(None, OriginResult.UNKNOWN)
         others = rank_hosts(call, self.hosts)[ASKED:]
         replies = await self._ask(others, call, services)
-        for reply in replies:
-            if reply.origin is not None:
-                self.origins.record(call, reply.origin, self.clock())
-                return FoundOrigin(reply.origin, OriginResult.REPLIED)
-        named = sole | {reply.sole for reply in replies if reply.sole is not None}
+        replied = self._record_reply(call, replies.values())
+        if replied is not None:
+            return replied
+        named = sole | {x.sole for x in replies.values() if x.sole is not None}
         if named - {former}:
             return FoundOrigin(None, OriginResult.UNKNOWN)
         return FoundOrigin(former, OriginResult.FORMER)
@@ -310,9 +367,9 @@
         hosts: Iterable[HostId],
         call: RequestId,
         services: tuple[ServiceId, ...],
-    ) -> list[OriginReply]:
+    ) -> dict[HostId, OriginReply]:
         """Return the replies of routers, or those up to the first with a record."""
-        replies: list[OriginReply] = []
+        replies: dict[HostId, OriginReply] = {}
 
         async def ask(host: HostId) -> None:
             reply = await self.requests.ask(
@@ -321,7 +378,7 @@
                 )
             )
             if reply is not None:
-                replies.append(reply)
+                replies[host] = reply
                 if reply.origin is not None:
                     group.cancel_scope.cancel()
 
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -75,6 +75,8 @@
 # that is reported at once: about what several engines together prefill in a
 # millisecond.
 MIN_REPORTED_TOKENS = 1000
+# Routers that are no longer registered whose entries are kept.
+MAX_FORMER = 256
 
 
 class PeerEntry(msgspec.Struct, frozen=True):
@@ -199,6 +201,8 @@
     ----------
     decoded : dict of str to (Item, PeerEntry or None)
         Entries of the routers by key, kept to decode only those that changed.
+    former : dict of HostId to PeerEntry
+        Last entries of routers that are no longer registered, the newest last.
     """
 
     host: HostId
@@ -210,6 +214,7 @@
     is_registered: bool = False
     decoded: dict[str, tuple[Item, PeerEntry | None]] = field(default_factory=dict)
     notify_unreadable: Callable[[str], None] = ignore_key
+    former: dict[HostId, PeerEntry] = field(default_factory=dict)
 
     def update(self, mirror: Mirror) -> None:
         """Update the peers from the entries of the store."""
@@ -226,8 +231,19 @@
             if entry is not None
         }
         self.is_registered = peers.pop(self.host, None) is not None
+        former = {**self.former, **self.peers}
+        names = [host for host in former if host not in peers][-MAX_FORMER:]
+        self.former = {host: former[host] for host in names}
         self.peers = peers
 
+    def find(self, host: HostId) -> PeerEntry | None:
+        """Return a router's entry, also if it has expired.
+
+        A router that is cut off from the store can't renew its entry, and still asks
+        and answers the others.
+        """
+        return self.peers.get(host) or self.former.get(host)
+
     def _decode(self, item: Item) -> PeerEntry | None:
         entry = decode_peer_entry(item.value)
         if entry is None:
@@ -476,7 +492,7 @@
 
     async def send_message(self, host: HostId, message: PeerMessage) -> bool:
         """Send a message to a peer; return whether it is on its way."""
-        entry = self.directory.peers.get(host)
+        entry = self.directory.find(host)
         if entry is None:
             return False
         data = msgspec.msgpack.encode(PeerDatagram(entry.token, message))
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -50,6 +50,7 @@
     RouterStopping,
     SettingsRead,
 )
+from .registered_versions import make_registered_versions
 from .replica_choice import Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
@@ -285,6 +286,10 @@
         directory.count_routers,
     )
     forwarder.origins.journal = origin_journal
+    registered_versions = make_registered_versions(
+        platform.store, platform.layout, clock
+    )
+    forwarder.origins.read_registered = registered_versions.get
     version_recorder = VersionRecorder(
         platform.store,
         mirror_controller.mirror,
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -6,9 +6,10 @@
 import anyio
 import httpcore
 import pytest
-from entry_fleet import HOST, KEY, run_entry
+from entry_fleet import HOST, KEY, open_fleet, run_entry
 
 from primrosepier.endpoint_client import EndpointCall
+from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 
 pytestmark = pytest.mark.sockets
 VERSIONS = {f"w{number}": f"v{1 + number % 2}" for number in range(1, 9)}
@@ -171,3 +172,118 @@
         assert {stream.status for stream in streams} == {200, 503}
 
     run_versions(check, routers=3, repeat_ratio=0.0, repeat_extra=0.0)
+
+
+class Cut:
+    """Cuts a router off from the store, from the other routers, or both."""
+
+    def __init__(self, fleet, router, from_store, from_routers):
+        self.fleet = fleet
+        self.host = router.settings.host
+        self.store = router.platform.store.store
+        self.client = self.store.client
+        self.sends = [x.app.forwarder.origins.send for x in fleet.routers]
+        self.from_store, self.from_routers = from_store, from_routers
+
+    def begin(self):
+        if self.from_routers:
+            for router, send in zip(self.fleet.routers, self.sends, strict=True):
+                host = router.settings.host
+                router.app.forwarder.origins.send = self._make_lossy(host, send)
+        if self.from_store:
+            self.store.client = UnreachableClient()
+
+    def _make_lossy(self, sender, send):
+        async def send_or_lose(host, message):
+            return self.host in (sender, host) or await send(host, message)
+
+        return send_or_lose
+
+    def end(self):
+        self.store.client = self.client
+        for router, send in zip(self.fleet.routers, self.sends, strict=True):
+            router.app.forwarder.origins.send = send
+
+
+class UnreachableClient:
+    def open(self, call):
+        raise httpcore.ConnectError("connection refused")
+
+
+CUTS = {
+    "from routers": (False, True),
+    "from the store": (True, False),
+    "from both": (True, True),
+}
+
+
+def knows_all(router):
+    return len(router.store_view.replicas.value.list_replicas("writers")) == 8
+
+
+async def count_complete(fleet, streams, router):
+    """Take streams up, none at another version; return how many went on."""
+    complete = 0
+    for stream in streams:
+        complete += await stream.send(fleet, router)
+        assert stream.status in (200, 503)
+        assert len(fleet.find_versions(stream.attempts)) == 1
+    return complete
+
+
+@pytest.mark.parametrize("cut", CUTS)
+def test_streams_do_not_go_on_at_another_version_at_a_router_that_was_cut_off(cut):
+    """Guards against a release of which the router has seen nothing."""
+
+    async def check(fleet):
+        first, second, third = fleet.routers
+        new = [name for name, version in VERSIONS.items() if version == "v2"]
+        await anyio.sleep(0.5)
+        cut_off = Cut(fleet, third, *CUTS[cut])
+        cut_off.begin()
+        from_store = CUTS[cut][0]
+        # The watch that was open before ends first.
+        await fleet.wait_until(
+            lambda: not from_store or not third.store_view.is_connected
+        )
+        for name in new:
+            fleet.register(name)
+        await fleet.wait_until(lambda: knows_all(first) and knows_all(second))
+        streams = await begin_streams(fleet, first)
+        complete = await count_complete(fleet, streams, third)
+        # It knows no replica of the new version, or not where streams began.
+        share = 0.0 if all(CUTS[cut]) else 0.5 if from_store else 1.0
+        assert complete >= 0.9 * share * STREAMS - 1
+        cut_off.end()
+        await fleet.wait_until(lambda: knows_all(third))
+        refused = [stream for stream in streams if stream.status == 503]
+        complete += await count_complete(fleet, refused, third)
+        assert complete >= 0.9 * STREAMS
+
+    async def run(fleet):
+        async with contextlib.AsyncExitStack() as stack:
+            for number in (2, 3):
+                await stack.enter_async_context(fleet.open_router(f"front-{number}"))
+            await fleet.wait_until(
+                lambda: all(
+                    VERSIONS_KEY in x.mirror_controller.mirror.items
+                    and len(x.peers.directory.list_hosts()) == 3
+                    for x in fleet.routers
+                )
+            )
+            await check(fleet)
+
+    old = [name for name, version in VERSIONS.items() if version == "v1"]
+    settings = {"repeat_ratio": 0.0, "repeat_extra": 0.0, "is_first_start": True}
+
+    async def play():
+        names = tuple(VERSIONS)
+        async with open_fleet(names, True, settings, VERSIONS, old) as fleet:
+            with anyio.fail_after(30):
+                async with fleet.open_router() as router:
+                    await fleet.wait_until(
+                        lambda: router.store_view.declaration.value is not None
+                    )
+                    await run(fleet)
+
+    anyio.run(play)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -45,6 +45,10 @@
     services: tuple[str, ...] = (SERVICE,)
     routers: dict[str, OriginExchange] = field(default_factory=dict)
     datagrams: int = 0
+    # What the store lists, and routers that do not reach it or one another.
+    registered: tuple[StreamOrigin, ...] = ()
+    without_store: set[str] = field(default_factory=set)
+    without_peers: set[str] = field(default_factory=set)
 
     def __post_init__(self):
         self.rng = random.Random(self.router_count)
@@ -54,11 +58,19 @@
     def add_router(self, host):
         async def send(receiver, message):
             self.datagrams += 1
-            if receiver in self.routers and self.rng.random() >= self.loss:
+            is_cut = bool(self.without_peers & {host, receiver})
+            is_lost = is_cut or self.rng.random() < self.loss
+            if receiver in self.routers and not is_lost:
                 self.group.start_soon(self._deliver, receiver, message)
             return True
 
-        self.routers[host] = OriginExchange(host, anyio.current_time, send)
+        async def read_registered():
+            await anyio.sleep(0.004)
+            return None if host in self.without_store else set(self.registered)
+
+        router = OriginExchange(host, anyio.current_time, send)
+        router.read_registered = read_registered
+        self.routers[host] = router
         self.register()
 
     def register(self):
@@ -71,8 +83,10 @@
             await self.routers[receiver].receive(message)
 
     async def see(self, *origins):
-        for router in list(self.routers.values()):
-            await router.record_versions(origins)
+        self.registered = origins
+        for host, router in list(self.routers.items()):
+            if host not in self.without_store:
+                await router.record_versions(origins)
 
     async def see_recorded(self, *origins, is_complete=True):
         """See versions that the record in the store names."""
@@ -430,3 +444,72 @@
     assert VersionRecord({SERVICE: ("v1",)}).find_only(SERVICE) is None
     assert VersionRecord({SERVICE: ("v1", "v2")}, True).find_only(SERVICE) is None
     assert VersionRecord({}, True).find_only(SERVICE) is None
+
+
+CUTS = {
+    "from routers": (True, False),
+    "from the store": (False, True),
+    "both": (True, True),
+}
+
+
+@pytest.mark.parametrize("routers", [2, 3, 60, 195])
+@pytest.mark.parametrize("cut", CUTS)
+@pytest.mark.parametrize("is_started_of_late", [False, True])
+def test_a_router_out_of_step_during_a_release_does_not_guess_where_streams_began(
+    routers, cut, is_started_of_late
+):
+    cluster = OriginCluster(routers)
+    peers, store = CUTS[cut]
+
+    async def play():
+        await cluster.see_recorded(OLD)
+        if not is_started_of_late:
+            await anyio.sleep(FORMER_VERSION_S)
+        cluster.without_peers = {"front-0"} if peers else set()
+        cluster.without_store = {"front-0"} if store else set()
+        await cluster.see(OLD, NEW)
+        begun = await cluster.begin("front-1")
+        router = cluster.routers["front-0"]
+        found = [await router.find(call, (SERVICE,)) for call in begun]
+        for result, origin in zip(found, begun.values(), strict=True):
+            assert result.origin in (origin, None)
+        cluster.without_peers = cluster.without_store = set()
+        await cluster.see(OLD, NEW)
+        for call, origin in begun.items():
+            assert (await router.find(call, (SERVICE,))).origin == origin
+
+    cluster.run(play)
+
+
+@pytest.mark.parametrize("routers", [2, 3, 60])
+def test_a_release_that_is_taken_back_unseen_by_a_router_is_not_guessed_away(routers):
+    cluster = OriginCluster(routers)
+
+    async def play():
+        await cluster.see_recorded(OLD)
+        await anyio.sleep(FORMER_VERSION_S)
+        cluster.without_peers = cluster.without_store = {"front-0"}
+        await cluster.see(OLD, NEW)
+        begun = await cluster.begin("front-1", origins=(NEW,))
+        await cluster.see(OLD)
+        found = [await cluster.routers["front-0"].find(x, (SERVICE,)) for x in begun]
+        assert {result.origin for result in found} == {None}
+
+    cluster.run(play)
+
+
+@pytest.mark.parametrize("routers", [1, 2, 6])
+def test_a_stream_that_no_one_knows_goes_on_while_the_store_tells_the_only_version(
+    routers,
+):
+    cluster = OriginCluster(routers)
+
+    async def play():
+        await cluster.see_recorded(OLD)
+        await anyio.sleep(FORMER_VERSION_S)
+        cluster.without_peers = set(cluster.routers)
+        found = await cluster.routers["front-0"].find("f" * 16, (SERVICE,))
+        assert (found.origin, found.result) == (OLD, OriginResult.SOLE)
+
+    cluster.run(play)
