--- a/primrosepier/forwarding/cuts.py
+++ b/primrosepier/forwarding/cuts.py
@@ -25,8 +25,18 @@
 CHECK_INTERVAL_S = 0.25
 # Time after which routers that had to probe the replicas are asked again, seconds.
 REPEAT_INTERVAL_S = 0.05
-# Routers that are asked in a round.
+# Routers that are asked in a round, and how many of them have not helped so far.
 MAX_ASKED = 8
+MIN_NEW = 2
+# Times to wait for a reply before a question is repeated or, after the last, given up,
+# seconds: a busy router takes longer than the round trip.
+REPLY_TIMEOUTS_S = (0.05, 0.1, 0.2)
+# Time for which a router counts as a helper after it last said that it reaches
+# replicas, seconds: several rounds, as a reply may be lost or late.
+HELPER_TTL_S = 1.5
+# Time within which a helper must have reached replicas, seconds: longer than a round,
+# as a router with few calls reaches them only when it is asked.
+RENEWAL_S = 1.0
 # Longest time for which others are asked whether they have reached replicas, seconds:
 # what they reached before that may be lost by now.
 MAX_LOST_S = 2.0
@@ -56,17 +66,25 @@
     lost_ms: DurationMs
 
 
-class LinksReply(msgspec.Struct, frozen=True, tag="links_reply"):
-    """Whether the sender has reached most of these replicas since then."""
+class LinksReply(msgspec.Struct, frozen=True, tag="links_reply", omit_defaults=True):
+    """Whether the sender has reached most of these replicas since then.
+
+    Parameters
+    ----------
+    is_cut : bool
+        Whether the sender is cut off itself; otherwise it may only not know.
+    """
 
     number: int
     has_reached: bool
+    is_cut: bool = False
 
 
 LinksMessage = LinksRequest | LinksReply
 SendMessage = Callable[[HostId, LinksMessage], Awaitable[bool]]
 ProbeReplica = Callable[[Replica], Awaitable[bool]]
 NotifyCut = Callable[[bool, int, Sequence[HostId]], None]
+NotifyLost = Callable[[HostId, str, float], None]
 
 
 async def send_nowhere(host: HostId, message: LinksMessage) -> bool:
@@ -88,6 +106,10 @@
     """Do nothing; used where no one follows the state of the links."""
 
 
+def ignore_lost_helper(host: HostId, reason: str, age_s: float) -> None:
+    """Do nothing; used where no one follows the helpers."""
+
+
 @dataclass(slots=True)
 class CutDetector:
     """Decides whether this router is cut off from the replicas.
@@ -105,13 +127,16 @@
     notify : callable
         Called when a cut begins or ends, with the number of lost replicas and the
         routers that reach replicas.
+    notify_lost : callable
+        Called with a router that no longer helps, the reason, and the time since it
+        last said that it reaches replicas, seconds.
 
     Attributes
     ----------
     hosts : frozenset of HostId
         The other registered routers.
-    helpers : dict of HostId to None
-        Routers that reached replicas when they were last asked.
+    helpers : dict of HostId to float
+        When routers that reach replicas last said so, seconds.
     named : frozenset of EndpointId
         Replicas that another router has lost and this one is to probe.
     wake : anyio.Event
@@ -126,11 +151,12 @@
     ask: ProbeReplica = probe_nothing
     send: SendMessage = send_nowhere
     notify: NotifyCut = ignore_cut
+    notify_lost: NotifyLost = ignore_lost_helper
     monitor: LinkMonitor = field(default_factory=LinkMonitor)
-    requests: PeerRequests[bool] = field(default_factory=PeerRequests)
+    requests: PeerRequests[LinksReply] = field(default_factory=PeerRequests)
     hosts: frozenset[HostId] = frozenset()
     is_cut: bool = False
-    helpers: dict[HostId, None] = field(default_factory=dict)
+    helpers: dict[HostId, float] = field(default_factory=dict)
     named: frozenset[EndpointId] = frozenset()
     wake: anyio.Event = field(default_factory=anyio.Event)
 
@@ -177,31 +203,52 @@
             if not self.helpers:
                 await anyio.sleep(REPEAT_INTERVAL_S)
                 await self._ask_routers()
-            if self.helpers and not self.is_cut:
-                self._begin()
         return is_reached
 
     async def _ask_routers(self) -> None:
-        """Find the routers that reach replicas."""
-        asked = self.rng.sample(sorted(self.hosts), min(MAX_ASKED, len(self.hosts)))
+        """Find the routers that reach replicas, and give up those that no longer do."""
         async with anyio.create_task_group() as group:
-            for host in asked:
+            for host in self._choose_asked():
                 group.start_soon(self._ask, host)
+        now_s = self.clock()
+        for host, confirmed_at_s in list(self.helpers.items()):
+            if host not in self.hosts:
+                self._give_up(host, "it is no longer registered")
+            elif now_s >= confirmed_at_s + HELPER_TTL_S:
+                self._give_up(host, "it has not said that it reaches replicas")
+
+    def _choose_asked(self) -> list[HostId]:
+        """Return helpers, and others that may help."""
+        helpers = [host for host in self.helpers if host in self.hosts]
+        helpers = helpers[: MAX_ASKED - MIN_NEW]
+        others = sorted(self.hosts - set(helpers))
+        count = min(MAX_ASKED - len(helpers), len(others))
+        return helpers + self.rng.sample(others, count)
+
+    def _give_up(self, host: HostId, reason: str) -> None:
+        self.notify_lost(host, reason, self.clock() - self.helpers.pop(host))
 
     async def _ask(self, host: HostId) -> None:
         now_s = self.clock()
         lost = tuple(sorted(self.monitor.list_lost(now_s))[:MAX_NAMED])
-        lost_s = min(MAX_LOST_S, self.monitor.compute_lost_s(now_s))
-        lost_ms = int(lost_s / MS)
-        has_reached = await self.requests.ask(
+        lost_s = self.monitor.compute_lost_s(now_s)
+        if self.is_cut:
+            lost_s = max(lost_s, RENEWAL_S)
+        lost_ms = int(min(MAX_LOST_S, lost_s) / MS)
+        reply = await self.requests.ask(
             lambda number: self.send(
                 host, LinksRequest(self.host, number, lost, lost_ms)
-            )
+            ),
+            REPLY_TIMEOUTS_S,
         )
-        if has_reached:
-            self.helpers[host] = None
-        else:
-            self.helpers.pop(host, None)
+        if reply is None:
+            return
+        if reply.has_reached:
+            self.helpers[host] = self.clock()
+            if not self.is_cut:
+                self._begin()
+        elif reply.is_cut and host in self.helpers:
+            self._give_up(host, "it is cut off itself")
 
     async def _probe(self) -> bool:
         """Return whether most of some replicas are reached.
@@ -242,7 +289,7 @@
     async def receive(self, message: LinksMessage) -> None:
         """Answer another router's question, or apply its reply."""
         if isinstance(message, LinksReply):
-            self.requests.apply(message.number, message.has_reached)
+            self.requests.apply(message.number, message)
             return
         since_s = self.clock() - message.lost_ms * MS
         has_reached = not self.is_cut and self.monitor.reaches(message.lost, since_s)
@@ -250,4 +297,5 @@
             # A router with few calls may not know; it does when it is asked again.
             self.named = frozenset(message.lost)
             self.wake.set()
-        await self.send(message.sender, LinksReply(message.number, has_reached))
+        reply = LinksReply(message.number, has_reached, self.is_cut)
+        await self.send(message.sender, reply)
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -114,6 +114,25 @@
         return f"sends {self.request} to {self.endpoint}: {self.kind}"
 
 
+class HelperGivenUp(Event, frozen=True):
+    """A router gets no more calls of this one, which is cut off, until it helps again.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since it last said that it reaches replicas, seconds.
+    """
+
+    part: ClassVar[str] = "links"
+    router: HostId
+    reason: str
+    age_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"{self.router} no longer helps: {self.reason} ({self.age_s:.1f} s ago)"
+
+
 class CallPassedOn(Event, frozen=True):
     """A call was passed on to another router, which may use replicas."""
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -42,6 +42,7 @@
 from .records import (
     DatagramsDropped,
     EntryUnreadable,
+    HelperGivenUp,
     LinksChanged,
     MetricsUnserved,
     QuarantineChanged,
@@ -471,6 +472,9 @@
     links.probe = probe
     links.ask = ask
     links.notify = log_change
+    links.notify_lost = lambda host, reason, age_s: store_view.log.emit(
+        HelperGivenUp(host, reason, age_s)
+    )
 
 
 def _plan_cache_use(
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -202,9 +202,9 @@
     async def check(fleet):
         first, second, _ = fleet.routers
         first.app.forwarder.links.is_cut = True
-        first.app.forwarder.links.helpers[second.settings.host] = None
+        first.app.forwarder.links.helpers[second.settings.host] = float("inf")
         second.app.forwarder.links.is_cut = True
-        second.app.forwarder.links.helpers[first.settings.host] = None
+        second.app.forwarder.links.helpers[first.settings.host] = float("inf")
         with anyio.fail_after(0.5):
             response = await fleet.send("/lookup/1", router=first)
         assert response.status == 503
@@ -236,7 +236,7 @@
     async def check(fleet):
         first, second, _ = fleet.routers
         first.app.forwarder.links.is_cut = True
-        first.app.forwarder.links.helpers[second.settings.host] = None
+        first.app.forwarder.links.helpers[second.settings.host] = float("inf")
         for replica in fleet.replicas.values():
             replica.faults.break_after = 0
         assert (await fleet.send(path, router=first)).status == 502
@@ -249,7 +249,7 @@
     async def check(fleet):
         first, second, _ = fleet.routers
         first.app.forwarder.links.is_cut = True
-        first.app.forwarder.links.helpers[second.settings.host] = None
+        first.app.forwarder.links.helpers[second.settings.host] = float("inf")
         response = await fleet.send("/booking/1", b"body", router=first, Model="m0")
         assert (response.status, response.body) == (200, b"body")
         (run,) = fleet.list_runs()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -58,8 +58,11 @@
     Proxies accept connections also to replicas that are not reached.
     """
 
-    def __init__(self, count, replicas=10, has_proxies=False):
+    def __init__(self, count, replicas=10, has_proxies=False, loss=0.0, delay_s=0.0):
         self.replicas = REPLICAS[:replicas]
+        self.loss = loss
+        self.delay_s = delay_s
+        self.rng = random.Random(count)
         self.has_proxies = has_proxies
         self.reached = {f"front-{n}": set(range(10)) for n in range(count)}
         self.changes = []
@@ -79,9 +82,14 @@
             data = msgspec.msgpack.encode(PeerDatagram("token", message))
             received = decode_peer_datagram(data, "token")
             assert received is not None
-            self.group.start_soon(self.detectors[receiver].receive, received)
+            if self.rng.random() >= self.loss:
+                self.group.start_soon(deliver, receiver, received)
             return True
 
+        async def deliver(receiver, message):
+            await anyio.sleep(self.rng.uniform(0.0, self.delay_s))
+            await self.detectors[receiver].receive(message)
+
         def notify(is_cut, lost, helpers):
             self.changes.append((anyio.current_time(), host, is_cut))
 
@@ -190,3 +198,45 @@
 
     routers.run(play)
     assert not routers.changes
+
+
+@pytest.mark.parametrize("callers", [["front-0"], None])
+@pytest.mark.parametrize(
+    ("loss", "delay_s"), [(0.0, 0.0), (0.1, 0.0), (0.0, 0.12), (0.1, 0.08)]
+)
+@pytest.mark.parametrize("count", [3, 6])
+def test_a_cut_router_has_a_helper_all_along(count, loss, delay_s, callers):
+    """Guards against helpers that are all given up over one late or unsure reply."""
+    routers = Routers(count, loss=loss, delay_s=delay_s)
+
+    async def play():
+        await anyio.sleep(3.0)
+        routers.reached["front-0"] = set()
+        await anyio.sleep(1.5)
+        detector = routers.detectors["front-0"]
+        without = 0
+        for _ in range(3000):
+            await anyio.sleep(0.01)
+            without += not detector.helpers
+        assert without == 0
+
+    routers.run(play, callers=callers)
+
+
+def test_a_helper_that_is_cut_off_as_well_is_given_up_within_two_seconds():
+    routers = Routers(3)
+
+    async def play():
+        await anyio.sleep(3.0)
+        routers.reached["front-0"] = set()
+        await anyio.sleep(1.5)
+        detector = routers.detectors["front-0"]
+        assert set(detector.helpers) == {"front-1", "front-2"}
+        routers.reached["front-1"] = set()
+        await anyio.sleep(2.0)
+        assert set(detector.helpers) == {"front-2"}
+        routers.reached["front-1"] = set(range(10))
+        await anyio.sleep(2.0)
+        assert set(detector.helpers) == {"front-1", "front-2"}
+
+    routers.run(play)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -263,6 +263,7 @@
     "MirrorFailed": "errors",
     "MetricsUnserved": "address reason",
     "BrittlenessChanged": "endpoint refusals_per_s",
+    "HelperGivenUp": "router reason age_s",
     "LimitChanged": "endpoint rate_per_s",
     "LinksChanged": "is_cut lost helpers",
     "PermitRefused": "request endpoint rate_per_s wait_s",
