--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -5,7 +5,8 @@
 long calls wait there.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -108,6 +109,25 @@
     waits_ms: Mapping[EndpointId, int] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class PeerTotals:
+    """Sums of the peers' reports by replica, kept so that no placement adds them up."""
+
+    pending_tokens: Counter[EndpointId] = field(default_factory=Counter)
+    decoding: Counter[EndpointId] = field(default_factory=Counter)
+
+    def add(self, peer_load: PeerLoad, sign: int) -> None:
+        """Add a report, or subtract it if the sign is negative."""
+        for totals, counts in (
+            (self.pending_tokens, peer_load.pending_tokens),
+            (self.decoding, peer_load.decoding),
+        ):
+            for endpoint, count in counts.items():
+                totals[endpoint] += sign * count
+                if not totals[endpoint]:
+                    del totals[endpoint]
+
+
 @dataclass(slots=True)
 class ReplicaLoadTable:
     """Loads of all replicas, updated by this router's calls and by reports.
@@ -116,6 +136,10 @@
     ----------
     mean_tokens : float
         Moving average of the uncached prompt tokens of a call.
+    peer_loads : dict of HostId to PeerLoad
+        Recent reports, the oldest first.
+    peer_totals : PeerTotals
+        Their sums.
     changed : anyio.Event
         Set when there may be a change to report to peers.
     rejected_reports : int
@@ -125,6 +149,7 @@
     loads: dict[EndpointId, ReplicaLoad] = field(default_factory=dict)
     mean_tokens: float = 0.0
     peer_loads: dict[HostId, PeerLoad] = field(default_factory=dict)
+    peer_totals: PeerTotals = field(default_factory=PeerTotals)
     changed: anyio.Event = field(default_factory=anyio.Event)
     rejected_reports: int = 0
 
@@ -204,14 +229,27 @@
 
     def record_peer_load(self, host: HostId, peer_load: PeerLoad) -> None:
         """Record a peer's report, replacing its previous one."""
+        self._drop_peer_load(host)
         self.peer_loads[host] = peer_load
+        self.peer_totals.add(peer_load, 1)
+
+    def _drop_peer_load(self, host: HostId) -> None:
+        peer_load = self.peer_loads.pop(host, None)
+        if peer_load is not None:
+            self.peer_totals.add(peer_load, -1)
+
+    def _drop_expired(self, now_s: float) -> None:
+        """Drop reports that are too old; the oldest come first."""
+        while self.peer_loads:
+            host, peer_load = next(iter(self.peer_loads.items()))
+            if now_s - peer_load.received_at_s < PEER_REPORT_TTL_S:
+                return
+            self._drop_peer_load(host)
 
     def count_peer_tokens(self, endpoint: EndpointId, now_s: float) -> int:
         """Return the pending prompt tokens of all peers at a replica."""
-        return sum(
-            peer.pending_tokens.get(endpoint, 0)
-            for peer in self._list_recent_reports(now_s)
-        )
+        self._drop_expired(now_s)
+        return self.peer_totals.pending_tokens[endpoint]
 
     def count_pending_tokens(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the prompt tokens that a replica has yet to prefill for all callers.
@@ -228,24 +266,16 @@
 
     def count_decoding(self, endpoint: EndpointId, now_s: float) -> int:
         """Return the calls of all routers whose output a replica generates."""
-        return self.get_or_create(endpoint).decoding + sum(
-            peer.decoding.get(endpoint, 0) for peer in self._list_recent_reports(now_s)
-        )
+        self._drop_expired(now_s)
+        peers_decoding = self.peer_totals.decoding[endpoint]
+        return self.get_or_create(endpoint).decoding + peers_decoding
 
     def find_peer_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the longest wait at a replica that a peer reports, seconds."""
-        waits_ms = (
-            peer.waits_ms.get(endpoint, 0) for peer in self._list_recent_reports(now_s)
-        )
+        self._drop_expired(now_s)
+        waits_ms = (x.waits_ms.get(endpoint, 0) for x in self.peer_loads.values())
         return MS * max(waits_ms, default=0)
 
-    def _list_recent_reports(self, now_s: float) -> Iterator[PeerLoad]:
-        return (
-            peer
-            for peer in self.peer_loads.values()
-            if now_s - peer.received_at_s < PEER_REPORT_TTL_S
-        )
-
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
         """Keep only the given replicas and those with a call in progress."""
         registered = set(endpoints)
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -271,6 +271,21 @@
     assert table.count_peer_tokens("r0", 9.0) == 0
 
 
+def test_peers_totals_are_those_of_their_recent_reports():
+    table, rng, latest = ReplicaLoadTable(), random.Random(1), {}
+    for step in range(500):
+        now_s = 0.02 * step
+        host = f"front-{rng.randrange(40)}"
+        counts = {f"r{rng.randrange(4)}": rng.randrange(3) for _ in range(2)}
+        latest[host] = PeerLoad(counts, now_s, counts)
+        table.record_peer_load(host, latest[host])
+        recent = [x for x in latest.values() if now_s - x.received_at_s < 1.2]
+        for endpoint in ("r0", "r1", "r2", "r3"):
+            expected = sum(x.decoding.get(endpoint, 0) for x in recent)
+            assert table.count_peer_tokens(endpoint, now_s) == expected
+            assert table.count_decoding(endpoint, now_s) == expected
+
+
 def make_exchange(token="t1"):
     directory = PeerDirectory("front-1", None, "127.0.0.1:1", token)
     return PeerExchange(directory, ReplicaLoadTable(), PrefixIndex(), lambda: 0.0)
