--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,11 +2,16 @@
 
 import contextlib
 import json
+import os
+import subprocess
+import sys
 from itertools import count
 
 import anyio
 import pytest
-from entry_fleet import make_configuration, make_route, run_entry
+from clients import call
+from entry_fleet import HOST, KEY, make_configuration, make_route, run_entry
+from ports import find_free_port
 
 from primrosepier.forwarding.loading_record import LOADING_RECORD_KEY
 from primrosepier.forwarding.origin_journal import STREAMS_PREFIX
@@ -193,3 +198,58 @@
         assert "primrosepier_unreadable_entries_total 3" in text
 
     run_entry(check, apply_s=0.1)
+
+
+SETTINGS = """
+nodeName = "front-9"
+ip = "127.0.0.1"
+zone = "rennes"
+internalPorts = [{ports[0]}, {ports[0]}]
+[listen]
+frontend = "127.0.0.1:{ports[1]}"
+readiness = "127.0.0.1:{ports[2]}"
+[platform]
+address = "{store}"
+"""
+
+
+def test_a_router_process_starts_and_stays_beside_odd_entries(tmp_path):
+    async def check(fleet):
+        for key, value in NESTED_ENTRIES.items():
+            fleet.store.put(key, value)
+        for number, value in enumerate(ODD_REPLICAS.values()):
+            fleet.store.put(f"servers/w9{number}", value)
+        ports = [find_free_port() for _ in range(3)]
+        settings = tmp_path / "node.toml"
+        store = fleet.settings.store_address
+        settings.write_text(SETTINGS.format(ports=ports, store=store))
+        environment = {**os.environ, "PRIMROSEPIER_CONFIG": str(settings)}
+        command = [sys.executable, "-m", "primrosepier", "entry-router"]
+        output = tmp_path / "output"
+        with output.open("wb") as stream:
+            process = subprocess.Popen(command, env=environment, stdout=stream)
+        try:
+            await fleet.wait_until(lambda: "FleetChanged" in output.read_text())
+            fleet.store.put("servers/w9", DEEP + b" ")
+            address = f"127.0.0.1:{ports[1]}"
+            for number in range(40):
+                headers = {
+                    "Host": HOST,
+                    "Attempt-Id": f"{number:016x}",
+                    "Authorization": f"Bearer {KEY}",
+                    "Deadline-Ms": "2000",
+                }
+                path = f"/lookup/{number}"
+                reply = await call(
+                    fleet.client, address, "POST", path, b"", headers.items()
+                )
+                assert reply.status == 200
+                await anyio.sleep(0.02)
+            assert process.poll() is None
+            assert "EntryUnreadable" in output.read_text()
+            assert "RouterFailed" not in output.read_text()
+        finally:
+            process.kill()
+            process.wait()
+
+    run_entry(check)
