Pass reports of many routers on in groups, in place of each to each

From 24 routers on, each reports to the two collectors of its group, which lies in one failure domain and has about the square root of all as its size; collectors exchange the reports of their groups and pass all on to their members. The two work side by side, so that the end of one loses nothing, and copies are recognized by their bytes. What keeps limits, permits, rollouts and quarantines goes to all directly, as before.

Builds side by side: an entry of a router names its failure domain only in builds that pass reports on; while any router's entry has none, each reports to each. Reports keep their bytes; the two new messages are sent to builds that know them alone.

--- a/primrosepier/forwarding/messages.py
+++ b/primrosepier/forwarding/messages.py
@@ -7,13 +7,16 @@
 from .cuts import LinksMessage
 from .origins import OriginMessage
 from .permits import PermitMessage
+from .report_groups import CollectedReports, GroupReport
 
 __all__ = ["PeerDatagram", "PeerMessage", "decode_peer_datagram", "is_peer_datagram"]
 
 # First byte of a short map (MessagePack specification).
 MAP_PREFIXES = frozenset(bytes([prefix]) for prefix in range(0x80, 0x90))
 
-PeerMessage = PermitMessage | OriginMessage | LinksMessage
+PeerMessage = (
+    PermitMessage | OriginMessage | LinksMessage | GroupReport | CollectedReports
+)
 
 
 class PeerDatagram(msgspec.Struct, frozen=True):
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -27,7 +27,7 @@
 from ..endpoint_limits import SharedLimit
 from ..endpoint_windows import SharedBrittleness
 from ..errors import MessageError
-from ..ids import EndpointId, HostId
+from ..ids import EndpointId, FailureDomain, HostId
 from ..loss_log import LossLog, LossReport
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
@@ -45,6 +45,13 @@
 from .permits import PermitExchange, PermitMessage
 from .prefixes import PrefixIndex, PrefixUpdate
 from .replica_load import MS, PeerLoad, ReplicaLoadTable
+from .report_groups import (
+    CollectedReports,
+    GroupReport,
+    ReportCollector,
+    ReportPlan,
+    plan_reports,
+)
 
 __all__ = [
     "PeerDirectory",
@@ -69,6 +76,9 @@
 # loading weights.
 MIN_REPORT_INTERVAL_S = 0.02
 MAX_REPORT_INTERVAL_S = 0.5
+# Shortest time between two reports to the collectors of a group, and between two
+# times that these pass reports on.
+GROUP_INTERVAL_S = 0.4
 # Rate of datagrams to all peers together.
 DATAGRAMS_PER_S = 400.0
 # Smallest number of pending tokens of a replica that is reported, and smallest change
@@ -79,7 +89,7 @@
 MAX_FORMER = 256
 
 
-class PeerEntry(msgspec.Struct, frozen=True):
+class PeerEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """A router's entry in the store.
 
     Parameters
@@ -89,10 +99,13 @@
     token : str
         Secret that peers copy from this entry into their messages to the router, to
         show that they can read the store.
+    failure_domain : FailureDomain or None
+        None for a router of a build that passes no reports on.
     """
 
     address: str
     token: str
+    failure_domain: FailureDomain | None = None
 
 
 class PeerReport(msgspec.Struct, frozen=True, array_like=True):
@@ -196,6 +209,7 @@
     ----------
     notify_unreadable : callable
         Called with the key of an entry that can't be read.
+    failure_domain : FailureDomain or None
 
     Attributes
     ----------
@@ -203,6 +217,8 @@
         Entries of the routers by key, kept to decode only those that changed.
     former : dict of HostId to PeerEntry
         Last entries of routers that are no longer registered, the newest last.
+    plan : ReportPlan or None
+        Whom this router reports to; None if all report to each other.
     """
 
     host: HostId
@@ -215,6 +231,8 @@
     decoded: dict[str, tuple[Item, PeerEntry | None]] = field(default_factory=dict)
     notify_unreadable: Callable[[str], None] = ignore_key
     former: dict[HostId, PeerEntry] = field(default_factory=dict)
+    failure_domain: FailureDomain | None = None
+    plan: ReportPlan | None = None
 
     def update(self, mirror: Mirror) -> None:
         """Update the peers from the entries of the store."""
@@ -234,6 +252,10 @@
         former = {**self.former, **self.peers}
         names = [host for host in former if host not in peers][-MAX_FORMER:]
         self.former = {host: former[host] for host in names}
+        if peers != self.peers:
+            domains = {host: entry.failure_domain for host, entry in peers.items()}
+            domains[self.host] = self.failure_domain
+            self.plan = plan_reports(self.host, domains)
         self.peers = peers
 
     def find(self, host: HostId) -> PeerEntry | None:
@@ -277,7 +299,9 @@
             await anyio.sleep(RETRY_INTERVAL_S * self.rng.uniform(0.5, 1.5))
 
     async def _register(self, lease: int) -> bool:
-        value = msgspec.json.encode(PeerEntry(self.address, self.token))
+        value = msgspec.json.encode(
+            PeerEntry(self.address, self.token, self.failure_domain)
+        )
         put = Put(ROUTERS_PREFIX + self.host, value, lease)
         return isinstance(await self.store.transact([], [put]), Applied)
 
@@ -319,6 +343,13 @@
     informed_tokens : set of str
         Tokens of the peers that were sent what crashes replicas.
     port : DatagramPort
+    collector : ReportCollector
+        Reports that wait to be passed on.
+    collected : anyio.Event
+        Set when there is one.
+    group_reports : int
+        Reports sent to the collectors; the number takes the place of the token, whose
+        datagram it is in has the receiver's, so that no two reports are equal.
     """
 
     directory: PeerDirectory
@@ -336,6 +367,9 @@
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
     port: DatagramPort = field(init=False)
+    collector: ReportCollector = field(default_factory=ReportCollector)
+    collected: anyio.Event = field(default_factory=anyio.Event)
+    group_reports: int = 0
 
     def __post_init__(self) -> None:
         self.port = DatagramPort(self.clock)
@@ -410,17 +444,27 @@
         """Send and receive reports until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.port.run, socket, reopen, self.handle)
+            group.start_soon(self._pass_on_collected)
             await self._send_changes()
 
+    async def _pass_on_collected(self) -> None:
+        """Pass on what members of the group and other collectors report."""
+        while True:
+            await self.collected.wait()
+            await anyio.sleep(GROUP_INTERVAL_S)
+            self.collected = anyio.Event()
+            plan = self.directory.plan
+            if plan is not None:
+                for host, message in self.collector.take(plan):
+                    await self.send_message(host, message)
+
     async def _send_changes(self) -> None:
         sent_at_s = self.clock()
         while True:
-            interval_s = max(
-                MIN_REPORT_INTERVAL_S, len(self.directory.peers) / DATAGRAMS_PER_S
-            )
             with anyio.move_on_after(MAX_REPORT_INTERVAL_S):
                 await self.loads.changed.wait()
             self.loads.changed = anyio.Event()
+            interval_s = self._compute_interval_s()
             await self._wait_for_turn(sent_at_s, sent_at_s + interval_s)
             pending_tokens = self.list_pending_tokens()
             must_repeat = (
@@ -429,8 +473,57 @@
             )
             if must_repeat or self.must_report(pending_tokens):
                 sent_at_s = self.clock()
-                for entry, data in self.make_reports(pending_tokens):
-                    self.port.send(entry.address, data)
+                await self._report(pending_tokens)
+
+    def _compute_interval_s(self) -> float:
+        """Return the time between two reports, seconds."""
+        if self.directory.plan is not None and not self._concerns_all():
+            return GROUP_INTERVAL_S
+        return max(MIN_REPORT_INTERVAL_S, len(self.directory.peers) / DATAGRAMS_PER_S)
+
+    async def _report(self, pending_tokens: dict[EndpointId, int]) -> None:
+        """Report to all routers, or to the collectors of the group.
+
+        What keeps limits, permits, rollouts and quarantines goes to all at once.
+        """
+        plan = self.directory.plan
+        if plan is None or self._concerns_all():
+            for entry, data in self.make_reports(pending_tokens):
+                self.port.send(entry.address, data)
+            return
+        self.informed_tokens = {x.token for x in self.directory.peers.values()}
+        self.reported_tokens = pending_tokens
+        self.group_reports += 1
+        report = PeerReport(
+            str(self.group_reports),
+            self.directory.host,
+            pending_tokens,
+            self.prefixes.take_updates(),
+            None,
+            self.list_decoding(),
+        )
+        data = msgspec.msgpack.encode(report)
+        for host in plan.collectors:
+            await self.send_message(host, GroupReport(data))
+        if plan.is_collector:
+            self._collect(data)
+
+    def _concerns_all(self) -> bool:
+        """Return whether a report holds more than loads and prefixes."""
+        if self.make_loading_record() is not None or self.list_waits():
+            return True
+        if self.loss_log.must_report(self.clock()):
+            return True
+        if self.permits is not None and (
+            self.permits.limits.must_report() or self.permits.windows.must_report()
+        ):
+            return True
+        has_news = self.loss_log.causes or self._list_limits() or self._list_brittle()
+        return bool(has_news and self._list_uninformed())
+
+    def _collect(self, report: bytes) -> None:
+        self.collector.add_own(report)
+        self.collected.set()
 
     async def _wait_for_turn(self, sent_at_s: float, turn_at_s: float) -> None:
         """Wait until the next report may be sent; urgent news waits for less.
@@ -512,9 +605,30 @@
         elif isinstance(message, LinksRequest | LinksReply):
             if self.cuts is not None:
                 await self.cuts.receive(message)
+        elif isinstance(message, GroupReport):
+            self._receive_passed_on(message.report)
+            self._collect(message.report)
+        elif isinstance(message, CollectedReports):
+            for report in message.reports:
+                self._receive_passed_on(report)
+            if not message.is_final:
+                self.collector.add_received(message.reports)
+                self.collected.set()
         elif self.origins is not None:
             await self.origins.receive(message)
 
+    def _receive_passed_on(self, data: bytes) -> None:
+        """Apply another router's report if it is new."""
+        if not self.collector.is_new(data):
+            return
+        try:
+            report, unreadable = decode_report(data)
+        except MessageError:
+            self.loads.rejected_reports += 1
+            return
+        if report.sender != self.directory.host:
+            self._apply(report, unreadable)
+
     def receive(self, data: bytes) -> None:
         """Apply the readable parts of a datagram that is a report to this router."""
         try:
@@ -525,6 +639,10 @@
         if report.token != self.directory.token:
             self.loads.rejected_reports += 1
             return
+        self._apply(report, unreadable)
+
+    def _apply(self, report: PeerReport, unreadable: Sequence[str]) -> None:
+        """Apply the readable parts of a report."""
         if unreadable:
             self.port.record_failure(f"unreadable in a report: {', '.join(unreadable)}")
         now_s = self.clock()
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -238,6 +238,7 @@
     store_view = make_store_view(platform.layout, log, clock)
     mirror_controller = _make_mirror_controller(settings, platform, store_view)
     directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
+    directory.failure_domain = settings.failure_domain
     directory.notify_unreadable = lambda key: log.emit(
         EntryUnreadable(key, "malformed entry of a router")
     )
--- /dev/null
+++ b/tests/test_report_groups.py
@@ -0,0 +1,216 @@
+"""Reports among many routers, passed on by the collectors of their groups."""
+
+import random
+from collections import Counter
+
+import anyio
+import msgspec
+import pytest
+
+from primrosepier.forwarding.messages import PeerDatagram
+from primrosepier.forwarding.peers import (
+    DATAGRAMS_PER_S,
+    GROUP_INTERVAL_S,
+    PeerDirectory,
+    PeerEntry,
+    PeerExchange,
+)
+from primrosepier.forwarding.prefixes import PrefixIndex
+from primrosepier.forwarding.replica_load import ReplicaLoadTable
+from primrosepier.forwarding.report_groups import (
+    COLLECTORS,
+    MAX_COLLECTED_BYTES,
+    MIN_ROUTERS,
+    ReportCollector,
+    ReportPlan,
+    plan_reports,
+)
+from primrosepier.virtualtime import run_in_virtual_time
+
+DOMAINS = ("rennes", "brest", "vannes", "lorient", "quimper")
+
+
+def make_domains(count):
+    return {f"front-{n}": DOMAINS[n % len(DOMAINS)] for n in range(count)}
+
+
+class Network:
+    """Routers that report their pending tokens over a network that may lose some."""
+
+    def __init__(self, count, domains=None):
+        self.domains = domains or make_domains(count)
+        self.sent = Counter()
+        self.between_domains = 0
+        self.dead = set()
+        self.exchanges = {host: self.make_exchange(host) for host in self.domains}
+        entries = {
+            host: PeerEntry(host, host, domain) for host, domain in self.domains.items()
+        }
+        for host, exchange in self.exchanges.items():
+            directory = exchange.directory
+            directory.peers = {k: v for k, v in entries.items() if k != host}
+            directory.plan = plan_reports(host, self.domains)
+
+    def make_exchange(self, host):
+        directory = PeerDirectory(host, None, host, host)
+        directory.failure_domain = self.domains[host]
+        exchange = PeerExchange(
+            directory, ReplicaLoadTable(), PrefixIndex(), anyio.current_time
+        )
+        exchange.port = Port(self, host)
+        return exchange
+
+    def list_informed(self, sender):
+        """Return the routers that know a router's pending tokens."""
+        return {
+            host
+            for host, exchange in self.exchanges.items()
+            if sender in exchange.loads.peer_loads
+        }
+
+    def run(self, play):
+        async def run():
+            async with anyio.create_task_group() as self.group:
+                for exchange in self.exchanges.values():
+                    self.group.start_soon(exchange._pass_on_collected)
+                    self.group.start_soon(exchange._send_changes)
+                await play()
+                self.group.cancel_scope.cancel()
+
+        run_in_virtual_time(run)
+
+
+class Port:
+    """Delivers datagrams within the network; an address is the name of its router."""
+
+    def __init__(self, network, host):
+        self.network = network
+        self.host = host
+
+    def send(self, address, data):
+        network = self.network
+        network.sent[self.host] += 1
+        if network.domains[self.host] != network.domains[address]:
+            network.between_domains += len(data)
+        if not {self.host, address} & network.dead:
+            network.group.start_soon(network.exchanges[address].handle, data)
+        return True
+
+
+def load(exchange, tokens=5000):
+    exchange.loads.get_or_create("w1").pending_tokens = tokens
+    exchange.request_report()
+
+
+@pytest.mark.parametrize("count", [24, 88, 195, 939])
+def test_all_routers_find_the_same_groups(count):
+    domains = make_domains(count)
+    plans = {host: plan_reports(host, domains) for host in domains}
+    reached = Counter()
+    for host, plan in plans.items():
+        assert all(domains[x] == domains[host] for x in plan.collectors)
+        for collector in plan.collectors:
+            assert host in plans[collector].members
+        if plan.is_collector:
+            reached.update(plan.others)
+            reached.update(plan.members)
+            assert len(plan.others) + len(plan.members) <= 5 * count**0.5
+        assert 1 <= len(plan.collectors) + plan.is_collector <= COLLECTORS
+    assert set(reached) == set(domains)
+
+
+def test_few_groups_change_when_a_router_leaves():
+    domains = make_domains(195)
+    before = {host: plan_reports(host, domains).collectors for host in domains}
+    del domains["front-7"]
+    changed = [x for x in domains if plan_reports(x, domains).collectors != before[x]]
+    assert len(changed) <= 0.15 * len(domains)
+
+
+def test_routers_report_to_all_while_they_are_few_or_one_passes_nothing_on():
+    assert plan_reports("front-0", make_domains(MIN_ROUTERS - 1)) is None
+    domains = {**make_domains(88), "front-5": None}
+    assert plan_reports("front-0", domains) is None
+
+
+@pytest.mark.parametrize("count", [24, 88, 195])
+def test_a_report_reaches_all_routers_soon(count):
+    network = Network(count)
+
+    async def play():
+        await anyio.sleep(1.0)
+        load(network.exchanges["front-3"])
+        await anyio.sleep(3 * GROUP_INTERVAL_S + 0.05)
+        assert network.list_informed("front-3") == network.exchanges.keys() - {
+            "front-3"
+        }
+
+    network.run(play)
+
+
+@pytest.mark.parametrize("count", [24, 88, 195])
+def test_the_end_of_a_collector_loses_no_report(count):
+    network = Network(count)
+    collectors = [
+        x for x, y in network.exchanges.items() if y.directory.plan.is_collector
+    ]
+    network.dead = {random.Random(count).choice(collectors)}
+
+    async def play():
+        for exchange in network.exchanges.values():
+            load(exchange)
+        await anyio.sleep(5 * GROUP_INTERVAL_S)
+        living = network.exchanges.keys() - network.dead
+        for host in living:
+            assert network.list_informed(host) >= living - {host}
+
+    network.run(play)
+
+
+@pytest.mark.parametrize(("count", "share"), [(88, 0.35), (195, 0.25)])
+def test_grouped_reports_take_few_datagrams(count, share):
+    network = Network(count)
+    rng = random.Random(1)
+
+    async def play():
+        for _ in range(50):
+            for exchange in network.exchanges.values():
+                load(exchange, rng.randrange(20) * 2000)
+            await anyio.sleep(0.1)
+
+    network.run(play)
+    seconds = 50 * 0.1
+    to_all = min(DATAGRAMS_PER_S, 10 * count) * count * seconds
+    assert sum(network.sent.values()) <= share * to_all
+    assert max(network.sent.values()) <= DATAGRAMS_PER_S * seconds
+
+
+def test_what_concerns_all_is_reported_to_all_directly():
+    network = Network(88)
+    exchange = network.exchanges["front-3"]
+    exchange.list_waits = lambda: {"w1": 2.0}
+
+    async def play():
+        load(exchange)
+        await anyio.sleep(88 / DATAGRAMS_PER_S + 0.01)
+        assert len(network.list_informed("front-3")) == 87
+        assert network.sent == {"front-3": 87}
+
+    network.run(play)
+
+
+def test_collected_reports_fit_their_datagrams():
+    collector = ReportCollector()
+    for _ in range(100):
+        collector.add_own(b"x" * 300)
+    collector.add_received([b"y" * 300] * 100)
+    assert collector.has_waiting()
+    plan = ReportPlan((), True, ("front-1",), ("front-2",))
+    messages = collector.take(plan)
+    received = Counter()
+    for host, message in messages:
+        data = msgspec.msgpack.encode(PeerDatagram("t" * 16, message))
+        assert len(data) <= MAX_COLLECTED_BYTES + 1000
+        received[host] += len(message.reports)
+    assert received == {"front-1": 200, "front-2": 100}
+    assert not collector.has_waiting()
