Give no calls to a replica whose new entry names an unknown state

A replica whose entry is overwritten by one with a state that this build does not know kept its calls, as over one that can't be read.

An entry that can be read and says that it is neither ready nor draining is no bad update: it may be the word of a later build.

--- a/primrosepier/errors.py
+++ b/primrosepier/errors.py
@@ -14,6 +14,7 @@
     "SettingsError",
     "StoreError",
     "TraceError",
+    "UnknownStateError",
     "WriterTakenError",
     "describe_errors",
 ]
@@ -62,6 +63,10 @@
     """Bytes received from a peer are not a valid message."""
 
 
+class UnknownStateError(MessageError):
+    """A registration can be read, but its state is none that gets calls."""
+
+
 class StoreError(PrimrosepierError):
     """The key-value service gave no usable answer."""
 
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -6,7 +6,7 @@
 
 from ..board import Section, SectionWriter
 from ..clocks import Clock
-from ..errors import MessageError
+from ..errors import MessageError, UnknownStateError
 from ..ids import EndpointId, ModelId, Revision
 from ..logs import Log
 from ..mirror import Mirror
@@ -205,8 +205,7 @@
         for key, item in items.items():
             previous_item, replica = self.decoded.get(key, (None, None))
             if previous_item != item:
-                # A replica whose new entry can't be read keeps the one before.
-                replica = self._decode(item) or replica
+                replica = self._decode(item, replica)
             decoded[key] = (item, replica)
             if replica is not None:
                 replicas.append(replica)
@@ -214,13 +213,17 @@
         self.fleet.replace(replicas, self.clock())
         self.refresh()
 
-    def _decode(self, item: Item) -> Replica | None:
+    def _decode(self, item: Item, previous: Replica | None) -> Replica | None:
+        """Return a replica, or the previous one if its new entry can't be read."""
         endpoint = item.key[len(self.layout.replicas_prefix) :]
         try:
             return self.layout.decode_replica(endpoint, item.value)
-        except MessageError as error:
+        except UnknownStateError as error:
             self.log.emit(EntryUnreadable(item.key, str(error)))
             return None
+        except MessageError as error:
+            self.log.emit(EntryUnreadable(item.key, str(error)))
+            return previous
 
     def refresh(self) -> None:
         """Publish the list of replicas if it changed."""
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -8,7 +8,7 @@
 
 from ..addresses import parse_address
 from ..decoding import Count, HeaderText, decode_json, parse_count
-from ..errors import MessageError
+from ..errors import MessageError, UnknownStateError
 from ..forwarding.calls import (
     AttemptOptions,
     Call,
@@ -69,6 +69,8 @@
 
     Raises
     ------
+    UnknownStateError
+        The entry names a state that is neither ready nor draining.
     MessageError
         The entry is not a valid registration.
     """
@@ -76,7 +78,7 @@
     if not NAME.fullmatch(name):
         raise MessageError(f"the name {name[:MAX_SHOWN]!r} does not fit a header")
     if entry.state not in (READY, DRAINING):
-        raise MessageError(f"state {entry.state[:MAX_SHOWN]!r} is unknown")
+        raise UnknownStateError(f"state {entry.state[:MAX_SHOWN]!r} is unknown")
     if parse_address(entry.address) is None:
         raise MessageError(f"address {entry.address[:MAX_SHOWN]!r} is not IP:PORT")
     return Replica(
