--- a/tests/test_report_groups.py
+++ b/tests/test_report_groups.py
@@ -4,9 +4,11 @@
 from collections import Counter
 
 import anyio
+import last_landing
 import msgspec
 import pytest
 
+from primrosepier.forwarding.cuts import LinksReply
 from primrosepier.forwarding.messages import PeerDatagram
 from primrosepier.forwarding.peers import (
     DATAGRAMS_PER_S,
@@ -14,6 +16,7 @@
     PeerDirectory,
     PeerEntry,
     PeerExchange,
+    decode_peer_entry,
 )
 from primrosepier.forwarding.prefixes import PrefixIndex
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
@@ -214,3 +217,19 @@
         received[host] += len(message.reports)
     assert received == {"front-1": 200, "front-2": 100}
     assert not collector.has_waiting()
+
+
+def test_the_last_landing_reads_entries_and_is_reported_to_directly():
+    entry = PeerEntry("127.0.0.1:9000", "token", "rennes")
+    read = msgspec.json.decode(msgspec.json.encode(entry), type=last_landing.PeerEntry)
+    assert (read.address, read.token) == (entry.address, entry.token)
+    known = decode_peer_entry(last_landing.PEER_ENTRY.encode())
+    assert known is not None and known.failure_domain is None
+    assert plan_reports("front-0", {**make_domains(195), "front-9": None}) is None
+
+
+def test_the_last_landing_reads_replies_of_cut_routers():
+    message = PeerDatagram("token", LinksReply(7, False, is_cut=True))
+    data = msgspec.msgpack.encode(message)
+    read = msgspec.msgpack.decode(data, type=last_landing.PeerDatagram)
+    assert read.message == last_landing.LinksReply(7, False)
