--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -6,8 +6,9 @@
 that each replica decodes for it, its updates of the prefix index, its loading record,
 the calls that it lost with their replicas, the limits that replicas named and how long
 its calls wait at replicas with old weights. The next report replaces one that was lost,
-except for the updates, which are sent once. Messages about permits and the origins of
-streams use the same socket.
+except for the updates, which are sent once. Among many routers, loads and prefixes are
+passed on by the collectors of groups. Messages about permits and the origins of streams
+use the same socket.
 """
 
 import random
@@ -349,8 +350,8 @@
     collected : anyio.Event
         Set when there is one.
     group_reports : int
-        Reports sent to the collectors; the number takes the place of the token, whose
-        datagram it is in has the receiver's, so that no two reports are equal.
+        Number of reports sent to collectors. It stands in place of their token, so that
+        no two are equal; their datagrams have the receiver's token.
     """
 
     directory: PeerDirectory
