Wake an idle router only when there is something to do

Cause: four parts polled.

Change: each waits for its event. The servers still update the date once a second, and a router without the weights duty looks at the versions once a second in case it was not woken.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -39,6 +39,8 @@
 
 START_POLL_S = 0.005
 KEEP_ALIVE_S = 30
+# Resolution of the date of responses, seconds (RFC 9110, section 5.6.7).
+DATE_INTERVAL_S = 1.0
 SHUTDOWN_GRACE_S = 1.0
 JSON_TYPE = ("content-type", "application/json")
 
@@ -159,12 +161,27 @@
 
 
 class _EmbeddedServer(uvicorn.Server):
-    """Server that installs no signal handlers."""
+    """Server that installs no signal handlers and does not poll for its end."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.stop_requested = anyio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def main_loop(self) -> None:
+        """Update the date of responses until the server is to stop."""
+        while not await self.on_tick(0):
+            with anyio.move_on_after(DATE_INTERVAL_S):
+                await self.stop_requested.wait()
+
+    def stop(self) -> None:
+        """Stop accepting connections and finish the requests in progress."""
+        self.should_exit = True
+        self.stop_requested.set()
+
 
 def _make_config(app: App, address: str, protocol: Any) -> uvicorn.Config:
     host, _, port = address.rpartition(":")
@@ -237,4 +254,4 @@
             yield f"{bound[0]}:{bound[1]}"
         finally:
             config.timeout_graceful_shutdown = compute_grace()  # type: ignore[assignment]
-            server.should_exit = True
+            server.stop()
--- a/primrosepier/forwarding/origin_journal.py
+++ b/primrosepier/forwarding/origin_journal.py
@@ -105,6 +105,8 @@
         Slots of all routers that were read from the store, by key.
     shared_read : SharedRead
         Reads the slots of all routers from the store.
+    added : anyio.Event
+        Set when streams are added.
     """
 
     host: HostId
@@ -124,6 +126,7 @@
         default_factory=dict
     )
     shared_read: SharedRead[Mapping[str, Item]] = field(init=False)
+    added: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
         self.shared_read = SharedRead(self._read, READ_TIMEOUT_S, self.clock)
@@ -135,6 +138,7 @@
         if len(slot) + len(origins) <= MAX_SLOT_STREAMS:
             slot.update(origins)
             self.unwritten.add(number)
+        self.added.set()
 
     def complete(self, call: RequestId) -> None:
         """Leave a stream that has ended out of the next batch."""
@@ -198,6 +202,8 @@
             self._drop_old_slots()
             if not self.slots:
                 self.lease = 0
+                self.added = anyio.Event()
+                await self.added.wait()
                 continue
             await self._renew()
             reason = await self._write()
--- a/primrosepier/forwarding/version_recorder.py
+++ b/primrosepier/forwarding/version_recorder.py
@@ -33,7 +33,10 @@
 __all__ = ["VERSIONS_KEY", "VersionRecorder", "decode_version_record"]
 
 VERSIONS_KEY = STATE_PREFIX + "software-versions"
+# Time between two looks at the record, seconds: of the holder, or of a router that is
+# about to write it, and of any other one, which is woken by each change of the store.
 INTERVAL_S = 0.1
+STANDBY_INTERVAL_S = 1.0
 # Random delay before a router without the duty adds a version, seconds, so that few
 # routers write the same.
 ADD_SPREAD_S = 0.3
@@ -76,6 +79,8 @@
         Tenure of the duty to which these times belong.
     due_at_s : float or None
         Time at which this router adds a version, seconds; None if all are recorded.
+    changed : anyio.Event
+        Set when the mirror of the store has changed.
     """
 
     store: Store
@@ -91,9 +96,11 @@
     missed_since_s: dict[StreamOrigin, float] = field(default_factory=dict)
     fencing: FencingNumber = FencingNumber(0)
     due_at_s: float | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
 
     def read(self, mirror: Mirror) -> None:
         """Read the registered versions and the record from the mirror of the store."""
+        self.changed.set()
         self.history.record(self.list_registered(), self.clock())
         item = mirror.items.get(VERSIONS_KEY)
         revision = Revision(0) if item is None else item.mod_revision
@@ -111,6 +118,10 @@
             await anyio.sleep(INTERVAL_S)
             if self.mirror.is_synced and not await self._write_change():
                 await anyio.sleep(RETRY_S)
+            if not self.duty.fencing_number and self.due_at_s is None:
+                with anyio.move_on_after(STANDBY_INTERVAL_S - INTERVAL_S):
+                    await self.changed.wait()
+            self.changed = anyio.Event()
 
     async def _write_change(self) -> bool:
         """Write the record if it has to change; return False if that failed."""
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -76,6 +76,7 @@
     queue: deque[dict[str, Any]] = field(default_factory=deque)
     lost_lines: int = 0
     stopping: threading.Event = field(default_factory=threading.Event)
+    has_lines: threading.Event = field(default_factory=threading.Event)
     thread: threading.Thread = field(init=False)
 
     def __post_init__(self) -> None:
@@ -87,10 +88,13 @@
         if len(self.queue) >= MAX_QUEUED_EVENTS:
             return False
         self.queue.append(line)
+        if not self.has_lines.is_set():
+            self.has_lines.set()
         return True
 
     def _run(self) -> None:
-        while not self.stopping.wait(FLUSH_INTERVAL_S):
+        while self.has_lines.wait() and not self.stopping.wait(FLUSH_INTERVAL_S):
+            self.has_lines.clear()
             self._drain()
         self._drain()
 
@@ -107,6 +111,7 @@
     def close(self) -> None:
         """Write the queued lines and stop the thread, within ``JOIN_TIMEOUT_S``."""
         self.stopping.set()
+        self.has_lines.set()
         self.thread.join(JOIN_TIMEOUT_S)
         if self.owns_stream and not self.thread.is_alive():
             with contextlib.suppress(OSError):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -17,7 +17,9 @@
 from primrosepier.grpc_traces import trace_channel, trace_server
 from primrosepier.log_events import EventsDropped, RequestEnded, RequestReceived
 from primrosepier.logs import (
+    FLUSH_INTERVAL_S,
     MAX_QUEUED_EVENTS,
+    _Writer,
     emit,
     make_log,
     make_trace_header,
@@ -128,6 +130,25 @@
     log.close()
 
 
+def test_the_writer_of_a_silent_log_sleeps(tmp_path, monkeypatch):
+    drained = []
+    drain = _Writer._drain
+
+    def count(writer):
+        drained.append(1)
+        drain(writer)
+
+    monkeypatch.setattr(_Writer, "_drain", count)
+    log = make_file_log(tmp_path)
+    time.sleep(10 * FLUSH_INTERVAL_S)
+    assert not drained
+    log.emit(RequestReceived("req-1"))
+    time.sleep(10 * FLUSH_INTERVAL_S)
+    assert len(drained) == 1
+    assert len(read_lines(tmp_path)) == 1
+    log.close()
+
+
 class Codec(CodecBase):
     __content_subtype__ = "raw"
 
--- a/tests/test_origin_journal.py
+++ b/tests/test_origin_journal.py
@@ -239,3 +239,23 @@
         assert fleet.store.bytes / seconds < 100_000
 
     fleet.run(play)
+
+
+def test_a_router_that_begins_no_streams_has_nothing_to_wake_up_for():
+    fleet = JournalFleet()
+    read = []
+
+    def count_routers():
+        read.append(1)
+        return 1
+
+    async def play():
+        journal = fleet.start("a")
+        journal.count_routers = count_routers
+        await anyio.sleep(60.0)
+        assert len(read) <= 1
+        journal.add({"1": OLD})
+        await anyio.sleep(BATCH_S)
+        assert fleet.count_keys() == 1
+
+    fleet.run(play)
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -30,10 +30,15 @@
     scopes: dict = field(default_factory=dict)
     recorders: dict = field(default_factory=dict)
     events: list = field(default_factory=list)
+    listed: int = 0
 
     def emit(self, event):
         self.events.append(event)
 
+    def list_registered(self):
+        self.listed += 1
+        return self.registered
+
     async def start(self, host, is_first_start=False, holds=False):
         """Start a router; the duty's key lapses with its last holder."""
         clock = anyio.current_time
@@ -44,7 +49,7 @@
             mirror.mirror,
             duty,
             VersionHistory(),
-            lambda: self.registered,
+            self.list_registered,
             self,
             clock,
             random.Random(host),
@@ -276,3 +281,31 @@
         assert fleet.store.items[VERSIONS_KEY].mod_revision == revision
 
     fleet.run(play)
+
+
+def test_a_router_without_the_duty_looks_for_changes_once_a_second():
+    fleet = RecordedFleet()
+
+    async def play():
+        await fleet.start("a")
+        fleet.listed = 0
+        await anyio.sleep(60.0)
+        assert fleet.listed <= 60 + 1
+
+    fleet.run(play)
+
+
+def test_a_new_version_is_recorded_soon_after_its_replica_is_registered():
+    fleet = RecordedFleet()
+
+    async def play():
+        await fleet.start("a", is_first_start=True, holds=True)
+        fleet.scopes["a"].cancel()
+        await fleet.start("b")
+        await anyio.sleep(2.0)
+        fleet.registered = {OLD, NEW}
+        await fleet.store.transact([], [Put("servers/w9", b"")])
+        await anyio.sleep(0.6)
+        assert fleet.read_versions() == ("v1", "v2")
+
+    fleet.run(play)
