Reject pages of the store that do not follow one another

Cause: an answer that says that more keys follow, and holds the same keys again, was read without end; the router's event loop and memory were gone (a fuzzed read in the test took 2.8 GB in ten minutes before it was ended). Change: a page whose last key does not lie after the one before is malformed, and the read counts as unavailable. The test did not end before.

--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -210,6 +210,9 @@
             items.update((i.key, _make_item(i)) for i in page.items)
             if not page.truncated or not page.items:
                 return Snapshot(revision, items, restores)
+            if page.items[-1].key <= after:
+                reason = "malformed response: a page does not follow the one before"
+                return Unavailable(Step.RELAY, "store", reason)
             after = page.items[-1].key
 
     async def transact(
--- /dev/null
+++ b/tests/test_service_answers.py
@@ -0,0 +1,141 @@
+"""Answers of the store and of replicas to orders, fed with odd documents."""
+
+import contextlib
+import copy
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+from hypothesis import settings
+
+from primrosepier.forwarding.fleet import Replica
+from primrosepier.platform.store import PlatformStore
+from primrosepier.store import (
+    Ambiguous,
+    Applied,
+    Compare,
+    Conflict,
+    LeaseGranted,
+    LeaseLost,
+    Put,
+    Snapshot,
+    Unavailable,
+    WatchEvent,
+)
+
+FUZZED = settings(max_examples=120, deadline=None, derandomize=True)
+STATUSES = [200, 202, 404, 409, 410, 412, 429, 500, 503]
+ITEM = {"key": "servers/w1", "value": "e30=", "revision": 7, "lease": 3}
+ANSWERS = {
+    "read": {"items": [ITEM], "truncated": False, "storeRevision": 9},
+    "watch": {"events": [ITEM, {**ITEM, "deleted": True}], "storeRevision": 9},
+    "transact": {"revision": 9, "items": [ITEM]},
+    "grant_lease": {"lease": 5, "ttlMs": 6000.0},
+    "keep_alive": {"lease": 5, "ttlMs": 6000.0},
+}
+STATE = {"models": [{"name": "m0", "version": 3}], "busy": False, "seq": 4}
+REPLICA = Replica("w1", "writers", "127.0.0.1:8000", "rennes")
+ODD_VALUES = [
+    None,
+    -1,
+    2**63,
+    10**40,
+    1e999,
+    1.5,
+    "",
+    "²",
+    "é",
+    "not base64!",
+    "e30",
+    "e30=" * 3 + "=",
+    True,
+    [],
+    {},
+    [[]],
+    [None],
+]
+
+
+@dataclass
+class Answer:
+    """Stands for a response, and for the client that receives it."""
+
+    status: int
+    body: bytes
+    headers: tuple = ()
+
+    @contextlib.asynccontextmanager
+    async def open(self, call):
+        yield self
+
+    async def aiter_stream(self):
+        yield self.body
+
+
+async def call_store(name, answer):
+    store = PlatformStore("127.0.0.1:1")
+    store.client = answer
+    if name == "read":
+        return await store.read("")
+    if name == "transact":
+        return await store.transact([Compare("a", 1)], [Put("a", b"1", 3)])
+    if name == "watch":
+        async for event in store.watch("", 1):
+            return event
+        return Unavailable("-", "-", "the watch ended")
+    if name == "grant_lease":
+        return await store.grant_lease(6.0)
+    return await store.keep_alive(5)
+
+
+OUTCOMES = {
+    "read": Snapshot | Unavailable,
+    "watch": WatchEvent | Unavailable,
+    "transact": Applied | Conflict | LeaseLost | Ambiguous | Unavailable,
+    "grant_lease": LeaseGranted | Unavailable,
+    "keep_alive": LeaseGranted | LeaseLost | Unavailable,
+}
+
+
+def list_paths(document, path=()):
+    """Return the path of each value of a document."""
+    children = (
+        document.items()
+        if isinstance(document, dict)
+        else enumerate(document)
+        if isinstance(document, list)
+        else ()
+    )
+    paths = [path] if path else []
+    for key, child in children:
+        paths += list_paths(child, (*path, key))
+    return paths
+
+
+def change(document, path, value):
+    changed = copy.deepcopy(document)
+    target = changed
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = value
+    return changed
+
+
+def encode(document):
+    return msgspec.json.encode(document).replace(b"Infinity", b"1e999")
+
+
+def list_odd_documents(document):
+    for path in list_paths(document):
+        for value in ODD_VALUES:
+            yield encode(change(document, path, value))
+        yield encode(change(document, path, 0)).replace(b"0", b"[" * 5000, 1)
+
+
+def test_a_page_that_repeats_the_one_before_is_malformed():
+    async def check():
+        body = encode({**ANSWERS["read"], "truncated": True})
+        with anyio.fail_after(5.0):
+            return await call_store("read", Answer(200, body))
+
+    assert isinstance(anyio.run(check), Unavailable)
