Reject deeply nested files of settings by their name

Cause: the readers of files that an operator names (settings, deploy file, reports of benchmarks) listed the decoder's errors themselves, without that for deep nesting, and ended with its traceback. Change: they use decoding.py, which has a decoder for TOML now. Two of three new tests failed before (nested 500 and 5,000 deep).

--- a/primrosepier/commands_bench_load.py
+++ b/primrosepier/commands_bench_load.py
@@ -11,7 +11,8 @@
 from .bench_compare import Ratio, compare_reports
 from .bench_load import LoadPlan, LoadReport, run_load
 from .bench_load_plot import plot_reports
-from .errors import PrimrosepierError
+from .decoding import decode_json
+from .errors import MessageError, PrimrosepierError
 from .experiments import load_experiment, run_experiment
 
 __all__ = ["BenchCompareCommand", "BenchExperimentCommand", "BenchLoadCommand"]
@@ -75,7 +76,7 @@
 
 
 def _read_report(path: str) -> LoadReport:
-    return msgspec.json.decode(Path(path).read_bytes(), type=LoadReport)
+    return decode_json(Path(path).read_bytes(), LoadReport)
 
 
 class BenchCompareCommand(Command):
@@ -94,7 +95,7 @@
         paths = (self.argument("first"), self.argument("second"))
         try:
             first, second = (_read_report(path) for path in paths)
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, MessageError) as error:
             self.line_error(str(error))
             return 1
         ratios = compare_reports(first, second)
--- a/primrosepier/commands_bench_scale.py
+++ b/primrosepier/commands_bench_scale.py
@@ -9,6 +9,8 @@
 
 from .bench_scale import ScaleReport, run_scale
 from .capacity_page import render_capacity_page
+from .decoding import decode_json
+from .errors import MessageError
 
 __all__ = ["BenchScaleCommand", "CapacityPageCommand"]
 
@@ -54,8 +56,8 @@
         """Run the command."""
         try:
             data = Path(self.argument("report")).read_bytes()
-            report = msgspec.json.decode(data, type=ScaleReport)
-        except (OSError, msgspec.DecodeError) as error:
+            report = decode_json(data, ScaleReport)
+        except (OSError, MessageError) as error:
             self.line_error(str(error))
             return 1
         self.io.output.write(render_capacity_page(report), type=OutputType.RAW)
--- a/primrosepier/decoding.py
+++ b/primrosepier/decoding.py
@@ -16,6 +16,7 @@
     "HeaderText",
     "decode_json",
     "decode_msgpack",
+    "decode_toml",
     "is_json",
     "parse_count",
 ]
@@ -93,6 +94,21 @@
         raise MessageError(str(cause)) from cause
 
 
+def decode_toml(data: bytes, schema: type[T], max_bytes: int = MAX_DOCUMENT_BYTES) -> T:
+    """Decode TOML as a type.
+
+    Raises
+    ------
+    MessageError
+        The data is too long, nested too deep, or not a valid document of the type.
+    """
+    _check_size(data, max_bytes)
+    try:
+        return msgspec.toml.decode(data, type=schema)
+    except (ValueError, RecursionError) as cause:
+        raise MessageError(str(cause)) from cause
+
+
 def is_json(data: bytes) -> bool:
     """Return whether the data is a JSON document."""
     try:
--- a/primrosepier/platform/checks.py
+++ b/primrosepier/platform/checks.py
@@ -1,11 +1,13 @@
 """Validates the platform's settings and deploy files."""
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from ..cli import COMMANDS
-from ..errors import SettingsError
+from ..decoding import decode_toml
+from ..errors import MessageError, SettingsError
 from .settings import METRICS_PORT, parse_entry_settings
 
 __all__ = ["check_platform_file"]
@@ -42,8 +44,8 @@
     """
     try:
         text = path.read_bytes()
-        content = msgspec.toml.decode(text)
-    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as cause:
+        content = decode_toml(text, dict[str, Any])
+    except (OSError, MessageError) as cause:
         raise SettingsError(str(path), "-", "-", str(cause)) from cause
     if "roles" in content:
         return _check_deploy(text, str(path))
@@ -53,8 +55,8 @@
 
 def _check_deploy(text: bytes, file: str) -> str:
     try:
-        deploy = msgspec.toml.decode(text, type=_Deploy)
-    except msgspec.DecodeError as cause:
+        deploy = decode_toml(text, _Deploy)
+    except MessageError as cause:
         raise SettingsError(file, "-", "-", str(cause)) from cause
     for name, role in deploy.roles.items():
         command = role.run.removeprefix(RUN_PREFIX).split(" ")[0]
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from ..errors import SettingsError
+from ..decoding import decode_toml
+from ..errors import MessageError, SettingsError
 from ..forwarding.settings import EntrySettings
 from ..ids import FailureDomain, HostId
 
@@ -102,8 +103,8 @@
         The text is not TOML, or a value is missing or invalid.
     """
     try:
-        file_settings = msgspec.toml.decode(text, type=_Settings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        file_settings = decode_toml(text, _Settings)
+    except MessageError as cause:
         raise SettingsError(file, "-", "-", str(cause)) from cause
     if file_settings.platform.form != STORE_FORM:
         problem = f"only the form {STORE_FORM} is supported"
--- a/tests/test_service_answers.py
+++ b/tests/test_service_answers.py
@@ -14,6 +14,7 @@
 from primrosepier.forwarding.fleet import Replica
 from primrosepier.forwarding.weights import ReplicaState
 from primrosepier.platform.orders import PlatformOrders
+from primrosepier.platform.settings import parse_entry_settings
 from primrosepier.platform.store import PlatformStore
 from primrosepier.store import (
     Ambiguous,
@@ -210,3 +211,17 @@
     lines[line] = text
     with contextlib.suppress(SettingsError):
         parse_configuration({"a.ini": "\n".join(lines)})
+
+
+@pytest.mark.parametrize("depth", [10, 500, 5000])
+def test_a_deeply_nested_settings_file_is_rejected(depth):
+    text = b"x = " + b"[" * depth + b"]" * depth
+    with pytest.raises(SettingsError):
+        parse_entry_settings(text, "node.toml")
+
+
+@FUZZED
+@given(text=st.binary(max_size=200))
+def test_any_settings_file_is_rejected(text):
+    with pytest.raises(SettingsError):
+        parse_entry_settings(text, "node.toml")
