--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -11,6 +11,8 @@
     CallRejected,
     CallRepeated,
     CallWithdrawn,
+    HelperGivenUp,
+    LinksChanged,
     PermitRefused,
     StreamTakenUp,
 )
@@ -43,6 +45,9 @@
     "RouterFailed": "the router failed on it",
     "Cut": "the router stopped serving it",
 }
+LINKS_PART = LinksChanged.part
+# Time before a request for which changes of its router's links are shown, seconds.
+LINKS_BEFORE_S = 5.0
 END_EVENTS = RequestEnded | RequestRefused | CallEnded | CallRejected
 
 
@@ -70,7 +75,24 @@
         if entry.line.request != request:
             continue
         _add(explanation, entry.at_s, entry.line)
-    return explanation if explanation.events else None
+    if not explanation.events:
+        return None
+    _add_links(explanation, timeline)
+    return explanation
+
+
+def _add_links(explanation: Explanation, timeline: Timeline) -> None:
+    """Add what its routers found of their links, shortly before it and within it."""
+    start_s, end_s = explanation.events[0][0], explanation.events[-1][0]
+    links = [
+        (entry.at_s, event)
+        for entry in timeline.entries
+        if entry.line.part == LINKS_PART
+        and entry.line.host in explanation.routers
+        and start_s - LINKS_BEFORE_S <= entry.at_s <= end_s
+        and (event := decode_event(entry.line)) is not None
+    ]
+    explanation.events = sorted(explanation.events + links, key=lambda x: x[0])
 
 
 def _add(explanation: Explanation, at_s: float, line: LogLine) -> None:
@@ -86,7 +108,11 @@
     """Return the explanation as lines of text."""
     routers = ", ".join(explanation.routers) or "no router whose log was given"
     lines = [f"Request {explanation.request}, handled by {routers}."]
-    start_s = explanation.events[0][0]
+    start_s = next(
+        at_s
+        for at_s, event in explanation.events
+        if not isinstance(event, LinksChanged | HelperGivenUp)
+    )
     ended = False
     for at_s, event in explanation.events:
         ended = ended or isinstance(event, END_EVENTS)
@@ -189,6 +215,8 @@
             f"This router had no replica that it could use: attempt {event.attempt} "
             f"went to {event.peer}."
         )
+    elif isinstance(event, LinksChanged | HelperGivenUp):
+        yield f"The router's links to the replicas: {event.describe()}."
     elif isinstance(event, StreamTakenUp):
         software = event.software or "an unknown version"
         yield (
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -717,6 +717,8 @@
     | LimitChanged
     | ReplicaLeaving
     | LinksChanged
+    | HelperGivenUp
+    | MetricsUnserved
     | PermitRefused
     | QuarantineChanged
     | ReplicaGivenUp
--- a/tests/test_cut_routers.py
+++ b/tests/test_cut_routers.py
@@ -14,6 +14,7 @@
 from entry_fleet import HOST, KEY, run_entry
 
 from primrosepier.forwarding.records import CallRepeated
+from primrosepier.platform.standin_room import Room
 
 pytestmark = pytest.mark.sockets
 NAMES = ("w1", "w2", "w3", "app1", "app2", "app3")
@@ -185,6 +186,36 @@
     run_cut(check, routers)
 
 
+def test_what_helpers_refuse_for_one_service_or_replica_does_not_concern_others():
+    async def check(fleet):
+        cut_off = fleet.routers[0]
+        helpers = {router.settings.host for router in fleet.routers[1:]}
+        backend = cut_links(fleet, cut_off)
+        results = []
+        await send_calls(fleet, [cut_off], 0.5, results)
+        backend.begin(Links.RESET)
+        await send_calls(fleet, [cut_off], ACTS_S, results)
+        assert cut_off.app.forwarder.links.is_cut
+        for name in ("app1", "app2", "app3"):
+            fleet.store.remove(f"servers/{name}")
+        fleet.replicas["w1"].room = Room(0, 0)
+        await anyio.sleep(1.5)
+        assert all(
+            not router.store_view.replicas.value.list_replicas("app")
+            for router in fleet.routers
+        )
+        later = []
+        await send_calls(fleet, [cut_off], 3.0, later)
+        streams = [x for x in later if x.path.startswith("/stream/")]
+        others = [x for x in later if not x.path.startswith("/stream/")]
+        assert {x.status for x in others} == {503}
+        assert compute_served(streams) >= 0.95
+        assert set(cut_off.app.forwarder.links.helpers) == helpers
+        check_runs(fleet, later)
+
+    run_cut(check, 3)
+
+
 def test_calls_are_not_passed_on_when_replicas_are_gone():
     async def check(fleet):
         backends = [cut_links(fleet, router) for router in fleet.routers]
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -1,6 +1,7 @@
 """Settings and deploy files of the platform, and the log of an entry router."""
 
 from pathlib import Path
+from typing import get_args
 
 import pytest
 from cleo.testers.application_tester import ApplicationTester
@@ -8,12 +9,15 @@
 from primrosepier.cli import make_application
 from primrosepier.errors import SettingsError
 from primrosepier.explain import explain_request, render_explanation
+from primrosepier.forwarding import records
 from primrosepier.forwarding.records import (
     CallEnded,
     CallLost,
     CallPlaced,
     CallRejected,
     CallWithdrawn,
+    HelperGivenUp,
+    LinksChanged,
     PermitRefused,
 )
 from primrosepier.log_events import RestRequested
@@ -205,3 +209,37 @@
     explanation = "\n".join(render_explanation(explain_request(timeline, "a2")))
     assert "status 503, stale_keys" in explanation
     assert "4.2 s before" in explanation
+
+
+def test_explain_tells_why_a_cut_off_router_gave_its_helpers_up(tmp_path):
+    path = tmp_path / "front.log"
+    log = make_log("front-1", LogSettings("info", str(path)))
+    log.emit(LinksChanged(True, 12, ("front-2", "front-3")))
+    log.emit(HelperGivenUp("front-2", "it is cut off itself", 0.4))
+    log.emit(make_placed("a1"))
+    log.emit(make_ended("a1"))
+    log.emit(HelperGivenUp("front-3", "it is no longer registered", 0.1))
+    log.close()
+    other = tmp_path / "other.log"
+    log = make_log("front-9", LogSettings("info", str(other)))
+    log.emit(HelperGivenUp("front-8", "it is cut off itself", 0.2))
+    log.close()
+    reader = LogReader()
+    reader.read_files([path, other])
+    timeline = merge_lines(reader.lines)
+    lines = render_explanation(explain_request(timeline, "a1"))
+    text = "\n".join(lines)
+    assert "cut off from 12 replicas" in text
+    assert "front-2 no longer helps: it is cut off itself (0.4 s ago)" in text
+    assert "front-3 no longer helps" not in text
+    assert "front-8" not in text
+    assert any("0.0 ms  Chose w1" in line for line in lines)
+
+
+def test_every_event_of_the_forwarding_can_be_read_from_the_log():
+    events = {
+        value
+        for value in vars(records).values()
+        if isinstance(value, type) and value.__module__ == records.__name__
+    }
+    assert events == set(get_args(records.FORWARDING_EVENT))
