Send reports once to each failure domain, and compress them

Each collector passed its group's reports on to one collector of every other group, so that a report crossed to the four other domains some 22 times, and the ids of replicas, which are the same in all reports, were sent in full.

Change: a collector passes reports on to one collector of each other domain, which passes them on to the groups of its own; with the two collectors of a group that is two crossings to each domain. Reports that are passed on together are compressed (zlib, level 1).

--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -49,9 +49,11 @@
 from .report_groups import (
     CollectedReports,
     GroupReport,
+    Reach,
     ReportCollector,
     ReportPlan,
     plan_reports,
+    unpack_reports,
 )
 
 __all__ = [
@@ -613,14 +615,23 @@
             self._receive_passed_on(message.report)
             self._collect(message.report)
         elif isinstance(message, CollectedReports):
-            for report in message.reports:
-                self._receive_passed_on(report)
-            if not message.is_final:
-                self.collector.add_received(message.reports)
-                self.collected.set()
+            self._receive_collected(message)
         elif self.origins is not None:
             await self.origins.receive(message)
 
+    def _receive_collected(self, message: CollectedReports) -> None:
+        """Apply the reports that a collector passes on, and pass them on if asked."""
+        try:
+            reports = unpack_reports(message.packed)
+        except MessageError:
+            self.loads.rejected_reports += 1
+            return
+        for report in reports:
+            self._receive_passed_on(report)
+        if message.reach is not Reach.ROUTER:
+            self.collector.add_received(reports, message.reach)
+            self.collected.set()
+
     def _receive_passed_on(self, data: bytes) -> None:
         """Apply another router's report if it is new."""
         if not self.collector.is_new(data):
--- a/primrosepier/forwarding/report_groups.py
+++ b/primrosepier/forwarding/report_groups.py
@@ -2,34 +2,47 @@
 
 Among few routers each one reports to each other. Among many, the datagrams of all to
 all cost more than what they tell. There, each router reports to the collectors of its
-group; these exchange the reports of their groups and pass all of them on to their
-members. The two collectors of a group work side by side, so that the end of one loses
-nothing.
+group. These pass the reports on to the other groups of their failure domain and to one
+group of each other domain, which passes them on within it; all of them pass what they
+receive on to their members. The two collectors of a group work side by side, so that
+the end of one loses nothing.
 """
 
 import hashlib
 import math
+import zlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 import msgspec
 
+from ..decoding import decode_msgpack
+from ..errors import MessageError
 from ..host_ranking import rank_hosts
 from ..ids import FailureDomain, HostId
 
 __all__ = [
     "CollectedReports",
     "GroupReport",
+    "Reach",
     "ReportCollector",
     "ReportPlan",
+    "pack_reports",
     "plan_reports",
+    "unpack_reports",
 ]
 
 # Smallest number of routers that form groups.
 MIN_ROUTERS = 24
 COLLECTORS = 2
-# Content of a datagram, bytes: few packets, as the loss of one loses them all.
+# Reports in a datagram, bytes before compression: few packets, as the loss of one loses
+# them all.
 MAX_COLLECTED_BYTES = 8000
+# Longest datagram after decompression, bytes: one report may be longer than the rest.
+MAX_UNPACKED_BYTES = 64 * 1024
+# The fastest level of zlib; the ids of replicas repeat in all reports.
+COMPRESSION_LEVEL = 1
 # Reports that wait to be passed on; older ones are dropped.
 MAX_WAITING = 2000
 # Reports that are remembered to recognize copies.
@@ -42,17 +55,51 @@
     report: bytes
 
 
+class Reach(Enum):
+    """Whom the receiver of reports passes them on to."""
+
+    ROUTER = "router"
+    GROUP = "group"
+    DOMAIN = "domain"
+
+
 class CollectedReports(msgspec.Struct, frozen=True, tag="collected"):
     """Reports that a collector passes on.
 
     Parameters
     ----------
-    is_final : bool
-        Whether the receiver is a member, which passes them on to no one.
+    packed : bytes
+        The reports, as `pack_reports` returns them.
+    reach : Reach
+        Whether the receiver keeps them to itself, passes them on to the members of its
+        group, or also to the other groups of its failure domain.
     """
 
-    reports: tuple[bytes, ...]
-    is_final: bool
+    packed: bytes
+    reach: Reach
+
+
+def pack_reports(reports: Sequence[bytes]) -> bytes:
+    """Return reports in compressed form."""
+    return zlib.compress(msgspec.msgpack.encode(reports), COMPRESSION_LEVEL)
+
+
+def unpack_reports(packed: bytes) -> list[bytes]:
+    """Return the reports that were packed.
+
+    Raises
+    ------
+    MessageError
+        The data is not compressed, too long, or holds no reports.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(packed, MAX_UNPACKED_BYTES)
+    except zlib.error as cause:
+        raise MessageError(str(cause)) from cause
+    if not decompressor.eof:
+        raise MessageError("compressed reports are cut off or too long")
+    return decode_msgpack(data, list[bytes])
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,14 +114,18 @@
         Whether it is one.
     members : tuple of HostId
         The other members of its group if it is a collector.
-    others : tuple of HostId
-        The collectors of the other groups with which it exchanges reports.
+    neighbours : tuple of HostId
+        The collectors of the other groups of its failure domain that it passes reports
+        on to.
+    remote : tuple of HostId
+        One collector in each other failure domain.
     """
 
     collectors: tuple[HostId, ...]
     is_collector: bool = False
     members: tuple[HostId, ...] = ()
-    others: tuple[HostId, ...] = ()
+    neighbours: tuple[HostId, ...] = ()
+    remote: tuple[HostId, ...] = ()
 
 
 def plan_reports(
@@ -94,24 +145,32 @@
     if len(domains) < MIN_ROUTERS or None in domains.values():
         return None
     groups = _make_groups(domains)
-    plan_rank, own_group = -1, ""
-    collectors = {}
+    collectors = {x: rank_hosts(x, hosts)[:COLLECTORS] for x, hosts in groups.items()}
+    own_group = next(x for x, hosts in groups.items() if host in hosts)
+    own = collectors[own_group]
+    others = tuple(x for x in own if x != host)
+    if host not in own:
+        return ReportPlan(others)
+    rank = own.index(host)
+
+    def choose_collector(group: str) -> HostId:
+        ranked = collectors[group]
+        return ranked[min(rank, len(ranked) - 1)]
+
+    by_domain: dict[FailureDomain | None, list[str]] = {}
     for group, hosts in groups.items():
-        ranked = rank_hosts(group, hosts)[:COLLECTORS]
-        collectors[group] = ranked
-        if host in hosts:
-            own_group = group
-            plan_rank = ranked.index(host) if host in ranked else -1
-    own = tuple(x for x in collectors[own_group] if x != host)
-    if plan_rank < 0:
-        return ReportPlan(own)
-    others = tuple(
-        ranked[min(plan_rank, len(ranked) - 1)]
-        for group, ranked in collectors.items()
-        if group != own_group
+        by_domain.setdefault(domains[hosts[0]], []).append(group)
+    neighbours = by_domain.pop(domains[host])
+    return ReportPlan(
+        others,
+        True,
+        tuple(x for x in groups[own_group] if x != host),
+        tuple(choose_collector(x) for x in neighbours if x != own_group),
+        tuple(
+            choose_collector(_choose_group(HostId(own_group), names))
+            for names in by_domain.values()
+        ),
     )
-    members = tuple(x for x in groups[own_group] if x != host)
-    return ReportPlan(own, True, members, others)
 
 
 def _make_groups(
@@ -148,14 +207,17 @@
     ----------
     own : list of bytes
         Reports of this router's group.
-    received : list of bytes
-        Reports of other groups, for the members alone.
+    remote : list of bytes
+        Reports of other failure domains, for the members and the neighbours.
+    neighbours : list of bytes
+        Reports that neighbours have passed on, for the members alone.
     seen : dict of bytes to None
         Reports that were received of late, the oldest first.
     """
 
     own: list[bytes] = field(default_factory=list)
-    received: list[bytes] = field(default_factory=list)
+    remote: list[bytes] = field(default_factory=list)
+    neighbours: list[bytes] = field(default_factory=list)
     seen: dict[bytes, None] = field(default_factory=dict)
 
     def is_new(self, report: bytes) -> bool:
@@ -172,26 +234,29 @@
         self.own.append(report)
         del self.own[:-MAX_WAITING]
 
-    def add_received(self, reports: Sequence[bytes]) -> None:
+    def add_received(self, reports: Sequence[bytes], reach: Reach) -> None:
         """Add reports that a collector of another group has passed on."""
-        self.received.extend(reports)
-        del self.received[:-MAX_WAITING]
+        waiting = self.remote if reach is Reach.DOMAIN else self.neighbours
+        waiting.extend(reports)
+        del waiting[:-MAX_WAITING]
 
     def has_waiting(self) -> bool:
         """Return whether there is anything to pass on."""
-        return bool(self.own or self.received)
+        return bool(self.own or self.remote or self.neighbours)
 
     def take(self, plan: ReportPlan) -> list[tuple[HostId, CollectedReports]]:
         """Return what is to be passed on to whom, and forget it."""
-        own, received = self.own, self.received
-        self.own, self.received = [], []
+        own, remote, neighbours = self.own, self.remote, self.neighbours
+        self.own, self.remote, self.neighbours = [], [], []
         messages = []
-        for chunk in _split(own):
-            message = CollectedReports(chunk, is_final=False)
-            messages += [(host, message) for host in plan.others]
-        for chunk in _split([*own, *received]):
-            message = CollectedReports(chunk, is_final=True)
-            messages += [(host, message) for host in plan.members]
+        for reports, receivers, reach in (
+            (own, plan.remote, Reach.DOMAIN),
+            ([*own, *remote], plan.neighbours, Reach.GROUP),
+            ([*own, *remote, *neighbours], plan.members, Reach.ROUTER),
+        ):
+            for part in _split(reports) if receivers else ():
+                message = CollectedReports(pack_reports(part), reach)
+                messages += [(host, message) for host in receivers]
         return messages
 
 
--- a/tests/test_report_groups.py
+++ b/tests/test_report_groups.py
@@ -1,13 +1,16 @@
 """Reports among many routers, passed on by the collectors of their groups."""
 
 import random
+import zlib
 from collections import Counter
+from dataclasses import dataclass, field
 
 import anyio
 import last_landing
 import msgspec
 import pytest
 
+from primrosepier.errors import MessageError
 from primrosepier.forwarding.cuts import LinksReply
 from primrosepier.forwarding.messages import PeerDatagram
 from primrosepier.forwarding.peers import (
@@ -19,15 +22,20 @@
     PeerExchange,
     decode_peer_entry,
 )
-from primrosepier.forwarding.prefixes import PrefixIndex
+from primrosepier.forwarding.prefixes import PrefixIndex, PrefixUpdate
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
 from primrosepier.forwarding.report_groups import (
     COLLECTORS,
     MAX_COLLECTED_BYTES,
+    MAX_UNPACKED_BYTES,
     MIN_ROUTERS,
+    CollectedReports,
+    Reach,
     ReportCollector,
     ReportPlan,
+    pack_reports,
     plan_reports,
+    unpack_reports,
 )
 from primrosepier.virtualtime import run_in_virtual_time
 
@@ -45,6 +53,7 @@
         self.domains = domains or make_domains(count)
         self.sent = Counter()
         self.between_domains = 0
+        self.collected = []
         self.dead = set()
         self.exchanges = {host: self.make_exchange(host) for host in self.domains}
         entries = {
@@ -62,6 +71,7 @@
             directory, ReplicaLoadTable(), PrefixIndex(), anyio.current_time
         )
         exchange.port = Port(self, host)
+        exchange.collector = RecordedCollector(recorded=self.collected)
         return exchange
 
     def list_informed(self, sender):
@@ -84,6 +94,17 @@
         run_in_virtual_time(run)
 
 
+@dataclass(slots=True)
+class RecordedCollector(ReportCollector):
+    """Records the reports of the group."""
+
+    recorded: list = field(default_factory=list)
+
+    def add_own(self, report):
+        self.recorded.append(report)
+        ReportCollector.add_own(self, report)
+
+
 class Port:
     """Delivers datagrams within the network; an address is the name of its router."""
 
@@ -116,9 +137,12 @@
         for collector in plan.collectors:
             assert host in plans[collector].members
         if plan.is_collector:
-            reached.update(plan.others)
+            others = plan.neighbours + plan.remote
+            assert all(domains[x] == domains[host] for x in plan.neighbours)
+            assert len({domains[x] for x in plan.remote}) == len(DOMAINS) - 1
+            reached.update(others)
             reached.update(plan.members)
-            assert len(plan.others) + len(plan.members) <= 5 * count**0.5
+            assert len(others) + len(plan.members) <= 5 * count**0.5
         assert 1 <= len(plan.collectors) + plan.is_collector <= COLLECTORS
     assert set(reached) == set(domains)
 
@@ -212,6 +236,54 @@
     assert max(network.sent.values()) <= DATAGRAMS_PER_S * seconds
 
 
+def test_reports_cross_twice_to_each_other_failure_domain():
+    """Load of 195 routers: calls at three replicas and with four prefixes a report."""
+    network = Network(195)
+    rng = random.Random(1)
+    replicas = [f"i-{rng.getrandbits(40):010x}" for _ in range(54)]
+
+    async def play():
+        for _ in range(4):
+            for exchange in network.exchanges.values():
+                for replica in rng.sample(replicas, 3):
+                    load = exchange.loads.get_or_create(replica)
+                    load.pending_tokens = rng.randrange(2, 40) * 1000
+                exchange.prefixes.pending_updates += [
+                    PrefixUpdate(rng.getrandbits(64), rng.choice(replicas), 7, True)
+                    for _ in range(4)
+                ]
+                exchange.request_report()
+            await anyio.sleep(GROUP_INTERVAL_S)
+        # Each of the two collectors of a group takes every report of it.
+        collected = sum(len(x) for x in network.collected)
+        assert 0 < network.between_domains <= (len(DOMAINS) - 1) * collected
+
+    network.run(play)
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [
+        b"",
+        b"not compressed",
+        zlib.compress(b"no reports"),
+        pack_reports([b"x" * 500])[:-4],
+        pack_reports([b"x" * (2 * MAX_UNPACKED_BYTES)]),
+        zlib.compress(b"\x91" * 5000),
+    ],
+    ids=len,
+)
+def test_odd_collected_reports_are_rejected_and_counted(packed):
+    with pytest.raises(MessageError):
+        unpack_reports(packed)
+    network = Network(24)
+    exchange = network.exchanges["front-3"]
+    message = PeerDatagram("front-3", CollectedReports(packed, Reach.DOMAIN))
+    anyio.run(exchange.handle, msgspec.msgpack.encode(message))
+    assert exchange.loads.rejected_reports == 1
+    assert not exchange.collector.has_waiting()
+
+
 def test_what_concerns_all_is_reported_to_all_directly():
     network = Network(88)
     exchange = network.exchanges["front-3"]
@@ -230,16 +302,17 @@
     collector = ReportCollector()
     for _ in range(100):
         collector.add_own(b"x" * 300)
-    collector.add_received([b"y" * 300] * 100)
+    collector.add_received([b"y" * 300] * 100, Reach.DOMAIN)
+    collector.add_received([b"z" * 300] * 100, Reach.GROUP)
     assert collector.has_waiting()
-    plan = ReportPlan((), True, ("front-1",), ("front-2",))
+    plan = ReportPlan((), True, ("front-1",), ("front-2",), ("front-3",))
     messages = collector.take(plan)
     received = Counter()
     for host, message in messages:
         data = msgspec.msgpack.encode(PeerDatagram("t" * 16, message))
         assert len(data) <= MAX_COLLECTED_BYTES + 1000
-        received[host] += len(message.reports)
-    assert received == {"front-1": 200, "front-2": 100}
+        received[host] += len(unpack_reports(message.packed))
+    assert received == {"front-1": 300, "front-2": 200, "front-3": 100}
     assert not collector.has_waiting()
 
 
