--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -48,6 +48,7 @@
 LINKS_PART = LinksChanged.part
 # Time before a request for which changes of its router's links are shown, seconds.
 LINKS_BEFORE_S = 5.0
+LINKS_EVENTS = LinksChanged | HelperGivenUp
 END_EVENTS = RequestEnded | RequestRefused | CallEnded | CallRejected
 
 
@@ -111,7 +112,7 @@
     start_s = next(
         at_s
         for at_s, event in explanation.events
-        if not isinstance(event, LinksChanged | HelperGivenUp)
+        if not isinstance(event, LINKS_EVENTS)
     )
     ended = False
     for at_s, event in explanation.events:
@@ -215,7 +216,7 @@
             f"This router had no replica that it could use: attempt {event.attempt} "
             f"went to {event.peer}."
         )
-    elif isinstance(event, LinksChanged | HelperGivenUp):
+    elif isinstance(event, LINKS_EVENTS):
         yield f"The router's links to the replicas: {event.describe()}."
     elif isinstance(event, StreamTakenUp):
         software = event.software or "an unknown version"
--- a/primrosepier/forwarding/report_groups.py
+++ b/primrosepier/forwarding/report_groups.py
@@ -147,29 +147,21 @@
     groups = _make_groups(domains)
     collectors = {x: rank_hosts(x, hosts)[:COLLECTORS] for x, hosts in groups.items()}
     own_group = next(x for x, hosts in groups.items() if host in hosts)
-    own = collectors[own_group]
-    others = tuple(x for x in own if x != host)
-    if host not in own:
+    others = tuple(x for x in collectors[own_group] if x != host)
+    if host not in collectors[own_group]:
         return ReportPlan(others)
-    rank = own.index(host)
-
-    def choose_collector(group: str) -> HostId:
-        ranked = collectors[group]
-        return ranked[min(rank, len(ranked) - 1)]
-
+    rank = collectors[own_group].index(host)
+    peers = {x: ranked[min(rank, len(ranked) - 1)] for x, ranked in collectors.items()}
     by_domain: dict[FailureDomain | None, list[str]] = {}
     for group, hosts in groups.items():
         by_domain.setdefault(domains[hosts[0]], []).append(group)
-    neighbours = by_domain.pop(domains[host])
+    own_domain = by_domain.pop(domains[host])
     return ReportPlan(
         others,
         True,
         tuple(x for x in groups[own_group] if x != host),
-        tuple(choose_collector(x) for x in neighbours if x != own_group),
-        tuple(
-            choose_collector(_choose_group(HostId(own_group), names))
-            for names in by_domain.values()
-        ),
+        tuple(peers[x] for x in own_domain if x != own_group),
+        tuple(peers[_choose_group(own_group, x)] for x in by_domain.values()),
     )
 
 
@@ -190,11 +182,11 @@
     return groups
 
 
-def _choose_group(host: HostId, names: Sequence[str]) -> str:
-    """Return a router's group, which few changes of their number change."""
+def _choose_group(key: str, names: Sequence[str]) -> str:
+    """Return the group for a router or another group; few change with their number."""
 
     def compute_score(name: str) -> bytes:
-        return hashlib.blake2b(f"{host}/{name}".encode(), digest_size=8).digest()
+        return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
 
     return min(names, key=compute_score)
 
