Create the record of software versions as soon as the duty is held

Change: while there is no record, a router looks for the duty ten times a second, as before. The new test failed before.

--- a/primrosepier/forwarding/version_recorder.py
+++ b/primrosepier/forwarding/version_recorder.py
@@ -33,8 +33,8 @@
 __all__ = ["VERSIONS_KEY", "VersionRecorder", "decode_version_record"]
 
 VERSIONS_KEY = STATE_PREFIX + "software-versions"
-# Time between two looks at the record, seconds: of the holder, or of a router that is
-# about to write it, and of any other one, which is woken by each change of the store.
+# Time between two looks at the record, seconds: of the holder, of a router that is
+# about to write it or finds none, and of any other, which the store's changes wake.
 INTERVAL_S = 0.1
 STANDBY_INTERVAL_S = 1.0
 # Random delay before a router without the duty adds a version, seconds, so that few
@@ -118,11 +118,17 @@
             await anyio.sleep(INTERVAL_S)
             if self.mirror.is_synced and not await self._write_change():
                 await anyio.sleep(RETRY_S)
-            if not self.duty.fencing_number and self.due_at_s is None:
+            if self._is_standby():
                 with anyio.move_on_after(STANDBY_INTERVAL_S - INTERVAL_S):
                     await self.changed.wait()
             self.changed = anyio.Event()
 
+    def _is_standby(self) -> bool:
+        """Return whether there is nothing to write before the store changes."""
+        is_holder = bool(self.duty.fencing_number)
+        is_created = self.history.recorded is not None
+        return is_created and not is_holder and self.due_at_s is None
+
     async def _write_change(self) -> bool:
         """Write the record if it has to change; return False if that failed."""
         now_s = self.clock()
--- a/tests/test_version_recorder.py
+++ b/tests/test_version_recorder.py
@@ -287,7 +287,10 @@
     fleet = RecordedFleet()
 
     async def play():
+        await fleet.start("b", is_first_start=True, holds=True)
+        fleet.scopes["b"].cancel()
         await fleet.start("a")
+        await anyio.sleep(10.0)
         fleet.listed = 0
         await anyio.sleep(60.0)
         assert fleet.listed <= 60 + 1
@@ -309,3 +312,19 @@
         assert fleet.read_versions() == ("v1", "v2")
 
     fleet.run(play)
+
+
+def test_a_record_is_created_as_soon_as_its_router_has_the_duty():
+    fleet = RecordedFleet()
+
+    async def play():
+        await fleet.start("a", is_first_start=True)
+        await anyio.sleep(5.4)
+        recorder = fleet.recorders["a"]
+        # The router's copy of the store does not show the duty yet.
+        recorder.mirror.listeners.clear()
+        await LeaseHolder(fleet.store, anyio.current_time).acquire(recorder.duty)
+        await anyio.sleep(0.25)
+        assert fleet.read_versions() == ("v1",)
+
+    fleet.run(play)
