--- a/tests/test_service_answers.py
+++ b/tests/test_service_answers.py
@@ -11,6 +11,7 @@
 
 from primrosepier.configuration import parse_configuration
 from primrosepier.errors import SettingsError
+from primrosepier.etcd import EtcdStore
 from primrosepier.forwarding.fleet import Replica
 from primrosepier.forwarding.weights import ReplicaState
 from primrosepier.platform.orders import PlatformOrders
@@ -78,9 +79,13 @@
         yield self.body
 
 
-async def call_store(name, answer):
+def make_store(answer):
     store = PlatformStore("127.0.0.1:1")
     store.client = answer
+    return store
+
+
+async def call_store(name, store):
     if name == "read":
         return await store.read("")
     if name == "transact":
@@ -142,7 +147,7 @@
     async def check():
         body = encode({**ANSWERS["read"], "truncated": True})
         with anyio.fail_after(5.0):
-            return await call_store("read", Answer(200, body))
+            return await call_store("read", make_store(Answer(200, body)))
 
     assert isinstance(anyio.run(check), Unavailable)
 
@@ -152,7 +157,7 @@
 def test_an_odd_answer_of_the_store_is_an_outcome_and_no_error(name, status):
     async def check():
         for body in list_odd_documents(ANSWERS[name]):
-            outcome = await call_store(name, Answer(status, body))
+            outcome = await call_store(name, make_store(Answer(status, body)))
             assert isinstance(outcome, OUTCOMES[name])
 
     anyio.run(check)
@@ -162,10 +167,55 @@
 @FUZZED
 @given(status=st.sampled_from(STATUSES), body=st.binary(max_size=200))
 def test_any_answer_of_the_store_is_an_outcome_and_no_error(name, status, body):
-    outcome = anyio.run(call_store, name, Answer(status, body))
+    outcome = anyio.run(call_store, name, make_store(Answer(status, body)))
     assert isinstance(outcome, OUTCOMES[name])
 
 
+KV = {"key": "YQ==", "value": "e30=", "mod_revision": "7", "lease": "3"}
+ETCD_ANSWERS = {
+    "read": {"header": {"revision": "9"}, "kvs": [KV]},
+    "watch": {
+        "result": {"header": {"revision": "9"}, "events": [{"type": "PUT", "kv": KV}]}
+    },
+    "transact": {
+        "header": {"revision": "9"},
+        "succeeded": False,
+        "responses": [{"response_range": {"kvs": [KV]}}],
+    },
+    "grant_lease": {"ID": "5", "TTL": "6"},
+    "keep_alive": {"result": {"ID": "5", "TTL": "6"}},
+}
+
+
+@dataclass
+class Pool:
+    """Stands for the connections to an etcd service, and for its response."""
+
+    content: bytes
+    status: int = 200
+
+    async def request(self, *args, **options):
+        return self
+
+    @contextlib.asynccontextmanager
+    async def stream(self, *args, **options):
+        yield self
+
+    async def aiter_stream(self):
+        yield self.content + b"\n"
+
+
+@pytest.mark.parametrize("name", ETCD_ANSWERS)
+def test_an_odd_answer_of_an_etcd_service_is_an_outcome_and_no_error(name):
+    async def check():
+        for body in list_odd_documents(ETCD_ANSWERS[name]):
+            store = EtcdStore("127.0.0.1:1")
+            store.pool = Pool(body)
+            assert isinstance(await call_store(name, store), OUTCOMES[name])
+
+    anyio.run(check)
+
+
 def read_state(answer):
     return anyio.run(PlatformOrders(answer).read_state, REPLICA)
 
