--- a/review/harness.py
+++ b/review/harness.py
@@ -371,6 +371,9 @@
                 supervisor.cancel()
             for router in routers:
                 router.kill()
+                if "KEEP_LOGS" in os.environ:
+                    target = Path(os.environ["KEEP_LOGS"]) / router.log.name
+                    target.write_bytes(router.log.read_bytes())
 
 
 def run_case(check, folder: Path) -> None:
