--- a/review/2/replica.py
+++ b/review/2/replica.py
@@ -93,11 +93,13 @@
         self.record.write(
             f"{self.name} ({software}) runs {attempt} from event {first} on"
         )
-        writer.write(
-            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: x.{self.name}"
-            f"\r\nWeight-Versions: 1\r\nInstance-Load: 1,0,64\r\n"
-            f"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
+            f"Server-Stamp: x.{self.name}\r\nWeight-Versions: 1\r\n"
+            "Instance-Load: 1,0,64\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
         )
+        writer.write(head.encode())
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {software} {self.name}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
--- a/review/harness.py
+++ b/review/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -18,6 +19,8 @@
 HOST = "apps.example"
 KEY = "key-of-litter-notes"
 BROKEN, HELD, UNUSABLE = 1, 0, 2
+# Descriptors that the platform allows a process (maxFds).
+MAX_FDS = 4100
 # Delay after which the platform starts a process again that ended, seconds.
 RESTART_S = 1.0
 
@@ -43,7 +46,7 @@
 cpuShare = 0.537
 cores = 2
 memoryMb = 300
-maxFds = 4100
+maxFds = {max_fds}
 [bounds]
 stableWindowMs = 3000
 drainMs = 2000
@@ -127,6 +130,7 @@
             readiness=self.ports[1],
             first=str(self.first).lower(),
             store=self.store,
+            max_fds=MAX_FDS,
         )
         self.settings.write_text(text)
         self.first = False
@@ -144,6 +148,8 @@
                 stdout=stream,
                 stderr=stream,
             )
+        # The platform limits the descriptors of each process.
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
         self.record.write(f"{self.name} started, process {self.process.pid}")
 
     async def supervise(self) -> None:
@@ -182,6 +188,10 @@
             self.process.kill()
             self.process.wait()
 
+    def count_descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     async def is_ready(self) -> bool:
         """Return whether the router says that it is ready."""
         try:
