--- a/review/2/replica.py
+++ b/review/2/replica.py
@@ -1,108 +1,108 @@
-"""Stand-in for a replica that streams events and can be upgraded in place."""
+"""Stand-in for a replica that takes a limited number of channels.
 
-import asyncio
-import time
+Usage: replica.py ID ADDRESS MAX_CONNS. Further channels are reset as soon as they are
+accepted. It speaks HTTP/1.1 with kept channels: /report, /order and /healthz.
+"""
 
-EVENT_INTERVAL_S = 0.1
+import json
+import socket
+import struct
+import sys
+import threading
 
+RESET = struct.pack("ii", 1, 0)
 
-class Replica:
-    """Replica with a fixed id and address, whose software changes with a restart.
-
-    It registers before it accepts channels, and each of its events names the version
-    of the software that wrote it.
-    """
 
-    def __init__(self, name, service, port, store, record, events):
-        self.name, self.service, self.port = name, service, port
-        self.store, self.record, self.events = store, record, events
-        self.software = ""
-        self.server = None
-        self.writers = set()
-        self.runs = {}
-
-    async def start(self, software):
-        """Start with a version of the software, and register."""
-        self.software = software
-        entry = {
-            "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
-            "zone": "rennes",
-            "version": software,
-            "slots": 64,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "seq": 1,
-            "models": self._list_models(),
-            "born": int(time.time() * 1000),
-        }
-        self.store.put(f"servers/{self.name}", entry)
-        self.record.write(f"{self.name} has registered with software {software}")
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+class Replica:
+    """State of the replica."""
 
-    def _list_models(self):
-        if self.service != "writers":
-            return []
-        return [{"name": "m0", "version": 1, "adapters": []}]
+    def __init__(self, name: str, max_channels: int) -> None:
+        self.name = name
+        self.max_channels = max_channels
+        self.channels = 0
+        self.weights = 1
+        self.orders = 0
+        self.newest_fence = 0
+        self.lock = threading.Lock()
 
-    def crash(self):
-        """End at once: all channels break and no new ones are accepted."""
-        self.record.write(f"{self.name} ends")
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+    def serve(self, listener: socket.socket) -> None:
+        """Accept channels, and reset those beyond the limit."""
+        while True:
+            channel, _ = listener.accept()
+            if self.channels >= self.max_channels:
+                channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                channel.close()
+                continue
+            with self.lock:
+                self.channels += 1
+            threading.Thread(target=self.handle, args=(channel,), daemon=True).start()
 
-    async def _serve(self, reader, writer):
-        self.writers.add(writer)
+    def handle(self, channel: socket.socket) -> None:
+        """Answer the requests on one channel."""
         try:
+            stream = channel.makefile("rb")
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                request, *lines = head.strip().split("\r\n")
+                line = stream.readline()
+                if not line:
+                    return
                 headers = {}
-                for line in lines:
-                    name, _, value = line.partition(":")
+                while (header := stream.readline().strip()) != b"":
+                    name, _, value = header.decode("latin-1").partition(":")
                     headers[name.lower()] = value.strip()
-                await reader.readexactly(int(headers.get("content-length", 0)))
-                await self._answer(request.split()[1], headers, writer)
-        except (OSError, EOFError):
+                body = stream.read(int(headers.get("content-length", 0)))
+                status, answer = self.answer(line.split()[1].decode(), headers, body)
+                head = (
+                    f"HTTP/1.1 {status} X\r\nInstance-Id: {self.name}\r\n"
+                    f"Content-Type: application/json\r\n"
+                    f"Content-Length: {len(answer)}\r\n\r\n"
+                )
+                channel.sendall(head.encode() + answer)
+        except OSError:
             pass
         finally:
-            self.writers.discard(writer)
-            writer.close()
+            channel.close()
+            with self.lock:
+                self.channels -= 1
 
-    async def _answer(self, path, headers, writer):
+    def answer(self, path: str, headers: dict, body: bytes) -> tuple[int, bytes]:
+        """Return the status and the body of an answer."""
         if headers.get("expect-instance", self.name) != self.name:
-            head = f"HTTP/1.1 421 X\r\nInstance-Id: {self.name}\r\n"
-            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-        elif path == "/report":
-            body = (
-                b'{"stage":"both","models":[{"name":"m0","version":1,"adapters":[]}],'
-                b'"busy":false,"seq":0,"waiting":0,"running":1,"kvUsed":0,'
-                b'"kvTotal":100000,"handles":0}'
-            )
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-            writer.write(head.encode() + body)
-        else:
-            await self._stream(headers, writer)
-        await writer.drain()
+            return 421, b""
+        if path == "/report":
+            model = {"name": "m0", "version": self.weights, "adapters": []}
+            report = {"stage": "both", "models": [model], "busy": False}
+            load = {"waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 100_000}
+            rest = {"seq": self.orders, "handles": 0}
+            return 200, json.dumps({**report, **load, **rest}).encode()
+        if path == "/order":
+            return self.apply(json.loads(body)), b""
+        return 200, b""
+
+    def apply(self, order: dict) -> int:
+        """Apply an order; return the status of its answer."""
+        with self.lock:
+            if order["fence"] < self.newest_fence:
+                return 412
+            if order["precondition"] != self.orders:
+                return 409
+            self.newest_fence = order["fence"]
+            if order["version"] == self.weights:
+                return 200
+            self.orders += 1
+            self.weights = order["version"]
+            print(json.dumps(order), flush=True)
+            return 202
+
+
+def main() -> None:
+    """Serve until killed."""
+    name, address, max_channels = sys.argv[1:]
+    host, _, port = address.rpartition(":")
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(256)
+    Replica(name, int(max_channels)).serve(listener)
+
 
-    async def _stream(self, headers, writer):
-        attempt = headers["attempt-id"]
-        software = self.software
-        first = int(headers.get("last-event-id", 0)) + 1
-        self.record.write(
-            f"{self.name} ({software}) runs {attempt} from event {first} on"
-        )
-        head = (
-            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
-            f"Server-Stamp: x.{self.name}\r\nWeight-Versions: 1\r\n"
-            "Instance-Load: 1,0,64\r\nContent-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
-        )
-        writer.write(head.encode())
-        for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {software} {self.name}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b"0\r\n\r\n")
+main()
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,81 +1,85 @@
-"""Streams are joined from two versions of the software while replicas are upgraded."""
+"""A replica at its limit of channels ends the router that reads its state."""
 
 import asyncio
 import contextlib
-import re
+import subprocess
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path[:0] = [str(FOLDER), str(FOLDER.parent)]
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 from harness import Channel, make_headers  # noqa: E402
-from replica import Replica  # noqa: E402
 
 from primrosepier.asgi import open_server  # noqa: E402
-from primrosepier.platform.standins import StandinStore  # noqa: E402
-
-ROUTERS = ("frontend-rennes-1", "frontend-rennes-2", "frontend-rennes-3")
-CONSUMERS_PER_ROUTER = 16
-EVENTS = 30
-# Time for which a replica that is replaced is down, and time by which those of the one
-# service come before those of the other, seconds.
-DOWN_S = 1.0
-APART_S = 0.2
-# Time for which consumers ask before the releases, seconds.
-CALM_S = 3.0
-# The rule allows two streams.
-ALLOWED = 2
-WRITTEN_BY = re.compile(rb"data: (\S+) (\S+)")
-
-
-async def receive_stream(router, attempt, record):
-    """Receive one stream; return the versions of the software that wrote its events."""
-    channel = await Channel.open(router.address)
-    headers = make_headers(attempt, 15000, Model="m0", Token_Usage="300,60")
-    headers["Prefix-Hash"] = f"{hash(attempt) & 0xFFFFFFFF:08x}:100,91bd3f06:200"
-    answer = await channel.call("POST", "/query/q", headers, attempt.encode(), 20.0)
-    channel.close()
-    if answer is None:
-        record.write(f"{attempt}: channel closed without an answer")
-        return set()
-    sources = []
-    for software, name in WRITTEN_BY.findall(answer.body):
-        source = f"{software.decode()} at {name.decode()}"
-        if not sources or sources[-1] != source:
-            sources.append(source)
-    end = "whole" if answer.whole else "broken off"
-    record.write(f"{attempt}: {answer.status}, {end}: {' then '.join(sources)}")
-    return {source.split()[0] for source in sources}
-
-
-async def consume(router, name, record, seen, stopped):
-    """Receive one stream after another."""
-    count = 0
-    while not stopped.is_set():
-        seen.append(await receive_stream(router, f"{name}-{count}", record))
-        count += 1
-        await asyncio.sleep(0.1)
-
-
-async def release(replicas):
-    """Replace the replicas of a service in place, one after the other.
+from primrosepier.platform.standins import StandinReplica, StandinStore  # noqa: E402
 
-    The next one ends as soon as the one before has registered and serves.
-    """
-    for replica in replicas:
-        replica.crash()
-        await asyncio.sleep(DOWN_S)
-        await replica.start("v2")
+MAX_CONNS = 16
+LENGTH_S = 90.0
+# Time of one request at the application's replicas, seconds.
+WORK_S = 0.3
+CHANNELS = 8
+# The rule: on two machines at least, processes end by themselves three times.
+MACHINES, ENDS = 2, 3
 
 
-async def release_both(apps, writers):
-    """Replace the replicas of both services."""
-    async with asyncio.TaskGroup() as group:
-        group.create_task(release(apps))
-        await asyncio.sleep(APART_S)
-        group.create_task(release(writers))
+async def send_bookings(router, number, sent, lost, record, ends_at_s):
+    """Send requests on one kept channel after another."""
+    count = 0
+    while time.monotonic() < ends_at_s:
+        try:
+            channel = await Channel.open(router.address)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.2)
+            continue
+        try:
+            while time.monotonic() < ends_at_s:
+                attempt = f"{router.name}-{number}-{count}"
+                count += 1
+                sent.append(attempt)
+                answer = await channel.call(
+                    "POST", "/booking/dog", make_headers(attempt, 5000), b"book"
+                )
+                if answer is None:
+                    record.write(f"{attempt}: channel closed without an answer")
+                    lost.append(attempt)
+                    break
+                if answer.status != 200:
+                    record.write(f"{attempt}: answered {answer.status}")
+                    lost.append(attempt)
+        finally:
+            channel.close()
+        await asyncio.sleep(0.05)
+
+
+@contextlib.contextmanager
+def run_writers(names, record):
+    """Run the replicas with a limit of channels as processes."""
+    processes, addresses = [], {}
+    try:
+        for name in names:
+            port = harness.find_free_port()
+            addresses[name] = f"127.0.0.1:{port}"
+            command = ["python3", str(FOLDER / "replica.py"), name]
+            command += [addresses[name], str(MAX_CONNS)]
+            processes.append(subprocess.Popen(command, stdout=record.file))
+        yield addresses
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+
+async def fill_channels(addresses, record):
+    """Take all channels of the replicas, as other callers of theirs."""
+    held = []
+    for name, address in addresses.items():
+        for _ in range(MAX_CONNS):
+            held.append(await Channel.open(address))
+        record.write(f"{name}: other callers hold all {MAX_CONNS} channels")
+    return held
 
 
 async def check(record):
@@ -86,42 +90,63 @@
         )
         store.put("op/config", harness.make_config())
         store.put("op/version/m0", {"model": "m0", "version": 1})
-
-        async def start(service, names):
-            replicas = []
-            for name in names:
-                port = harness.find_free_port()
-                replicas.append(Replica(name, service, port, store, record, EVENTS))
-                await replicas[-1].start("v1")
-            return replicas
-
-        apps = await start("app", ("a1", "a2", "a3", "a4"))
-        writers = await start("writers", ("w1", "w2", "w3", "w4"))
+        apps = {}
+        for name in ("a1", "a2"):
+            apps[name] = StandinReplica(name, model="app")
+            apps[name].faults.delay_s = WORK_S
+            address = await stack.enter_async_context(
+                open_server(apps[name], "127.0.0.1:0")
+            )
+            entry = apps[name].make_entry("app", address, slots=32, models=[])
+            store.put(f"servers/{name}", entry)
+        writers = stack.enter_context(run_writers(("w1", "w2", "w3"), record))
+        await asyncio.sleep(0.5)
+        for name, address in writers.items():
+            entry = StandinReplica(name).make_entry("writers", address)
+            store.put(f"servers/{name}", entry)
+        names = ("frontend-rennes-1", "frontend-rennes-2")
         routers = await stack.enter_async_context(
-            harness.run_routers(ROUTERS, store_address, record)
+            harness.run_routers(names, store_address, record)
         )
         await harness.wait_until_ready(routers)
+        held = await fill_channels(writers, record) if harness.has_trouble() else []
         await asyncio.sleep(3.0)
-        seen, stopped = [], asyncio.Event()
-        consumers = [
+        sent, lost = [], []
+        ends_at_s = time.monotonic() + LENGTH_S
+        senders = [
             asyncio.create_task(
-                consume(router, f"{router.name}-{number:02}", record, seen, stopped)
+                send_bookings(router, number, sent, lost, record, ends_at_s)
             )
             for router in routers
-            for number in range(CONSUMERS_PER_ROUTER)
+            for number in range(CHANNELS)
         ]
-        await asyncio.sleep(CALM_S)
-        if harness.has_trouble():
-            await release_both(apps, writers)
-        await asyncio.sleep(CALM_S)
-        stopped.set()
-        await asyncio.gather(*consumers)
-        joined = sum(len(versions) > 1 for versions in seen)
+        await asyncio.sleep(2.0)
+        store.put("op/version/m0", {"model": "m0", "version": 2})
+        record.write("version 2 of m0 is named")
+        while time.monotonic() < ends_at_s and not is_broken(routers):
+            await asyncio.sleep(0.1)
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        for channel in held:
+            channel.close()
+        arrived = {call for app in apps.values() for _, call in app.arrived}
+        failed = [attempt for attempt in lost if attempt in arrived]
+        for router in routers:
+            for line in router.log.read_text().splitlines():
+                if "RouterFailed" in line:
+                    record.write(f"log of {router.name}: {line[:600]}")
+            record.write(f"{router.name} ended by itself {len(router.ends)} times")
         record.write(
-            f"{joined} of {len(seen)} streams hold events of two versions of the "
-            f"software; the rule allows {ALLOWED}"
+            f"{len(sent)} requests sent, {len(arrived)} reached a sound replica; "
+            f"{len(failed)} of these got 500 or a closed channel"
         )
-        return harness.BROKEN if joined > ALLOWED else harness.HELD
+        return harness.BROKEN if is_broken(routers) else harness.HELD
+
+
+def is_broken(routers):
+    """Return whether processes have ended by themselves too often."""
+    return sum(len(router.ends) >= ENDS for router in routers) >= MACHINES
 
 
 harness.run_case(check, FOLDER)
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,110 +1,101 @@
-"""Replicas that have left keep descriptors of the routers until none is free."""
+"""After a drill of the store, a second holder orders with the first one's number."""
 
 import asyncio
 import contextlib
+import copy
+import json
 import sys
 import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path[:0] = [str(FOLDER), str(FOLDER.parent)]
+sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
-from harness import Channel, make_headers, make_route  # noqa: E402
-from replica import SLOTS, Replica  # noqa: E402
 
 from primrosepier.asgi import open_server  # noqa: E402
-from primrosepier.platform.standins import StandinStore  # noqa: E402
-
-SERVICES = ("rosters", "litters", "kennels")
-# Replicas that are replaced for each service, one after the other.
-REPLACED = 20
-# Time after which routers know of a change, and for which a replica serves after it has
-# reported that it leaves, seconds.
-KNOWN_S = 0.7
-DRAIN_S = 2.2
-# Consumers that keep a channel open, and those that try to open one after them.
-KEPT = 200
-TOGETHER = 20
-TRIES = 2
-LATER = 8
-# The rule: no new channel for stableWindowMs, while seven consumers or more try.
-STABLE_S = 3.0
-
-
-async def send_burst(router, channels, service, number, record):
-    """Send a request on each of the kept channels of a service at once."""
-    names = [f"{service}-{number}-{i}" for i in range(SLOTS)]
-
-    async def send(i):
-        if channels[i] is None:
-            channels[i] = await Channel.open(router.address)
-        headers = make_headers(names[i], 3000)
-        answer = await channels[i].call("GET", f"/{service}/x", headers)
-        if answer is None:
-            channels[i].close()
-            channels[i] = None
-        return answer.status if answer else None
-
-    results = await asyncio.gather(*map(send, range(SLOTS)), return_exceptions=True)
-    counts = {str(x): results.count(x) for x in results if isinstance(x, int)}
-    record.write(f"{service}: burst {number}: {counts or results[:2]}")
-
-
-async def replace_replicas(router, service, store, record):
-    """Replace the replica of a service again and again; the new one starts first."""
-    channels = [None] * SLOTS
-    leaving = []
-    replica = Replica(service, store)
-    await replica.start()
-    await asyncio.sleep(KNOWN_S)
-    await send_burst(router, channels, service, 0, record)
-    for number in range(1, REPLACED + 1):
-        if harness.has_trouble():
-            old, replica = replica, Replica(service, store)
-            await replica.start()
-            await asyncio.sleep(KNOWN_S)
-            leaving.append(asyncio.create_task(old.leave(DRAIN_S)))
-        await asyncio.sleep(KNOWN_S)
-        await send_burst(router, channels, service, number, record)
-    for channel in channels:
-        if channel is not None:
-            channel.close()
-    await asyncio.gather(*leaving)
-
-
-async def poll_readiness(router, statuses):
-    """Ask on a kept channel once a second whether the router is ready."""
-    channel = await Channel.open(router.readiness)
-    while True:
-        answer = await channel.call("GET", "/readyz", {"Host": "x"}, limit_s=1.0)
-        statuses.append(answer.status if answer else None)
-        await asyncio.sleep(1.0)
-
-
-async def open_kept(router, number):
-    """Open a channel, send a request and keep the channel; None without an answer."""
-    try:
-        channel = await Channel.open(router.address)
-    except (OSError, TimeoutError):
-        return None
-    headers = make_headers(f"kept-{number}", 1000)
-    answer = await channel.call("GET", "/rosters/x", headers, limit_s=1.0)
-    if answer is None:
-        channel.close()
-        return None
-    return channel
+from primrosepier.platform.standins import StandinReplica, StandinStore  # noqa: E402
+
+ROUTERS = (
+    "frontend-rennes-1",
+    "frontend-rennes-2",
+    "frontend-brest-1",
+    "frontend-brest-2",
+    "frontend-vannes-2",
+    "frontend-vannes-1",
+)
+# All machines start within this time, in any order, seconds.
+START_SPREAD_S = 0.3
+REPLICAS = ("w1", "w2", "w3")
+# Age of the copy from which the store comes back, and for how long it is away before,
+# seconds.
+COPY_AGE_S = 5.0
+AWAY_S = 1.0
+COPY_INTERVAL_S = 0.1
+# Another drill is played, so long after the one before, if the same router became the
+# holder again; and how many at most. Its copy is from after the one before, too.
+NEXT_DRILL_S = 5.3
+DRILLS = 3
+DUTY_KEY_END = "duties/weights"
+
+
+class Replica(StandinReplica):
+    """Replica that records all orders that arrive."""
+
+    record: harness.Record
+    arrived_orders: list
+
+    async def _apply_order(self, order, send):
+        self.arrived_orders.append(order)
+        fence, holder, version = order["fence"], order["holder"], order["version"]
+        self.record.write(
+            f"{self.id}: order to load version {version} from {holder}, epoch number "
+            f"{fence}"
+        )
+        await super()._apply_order(order, send)
 
 
-async def try_to_connect(router, number, until_s):
-    """Open new channels until a request is answered; return whether one was."""
-    while time.monotonic() < until_s:
-        channel = await open_kept(router, f"later-{number}-{time.monotonic():.3f}")
-        if channel is not None:
-            channel.close()
-            return True
-        await asyncio.sleep(0.1)
-    return False
+async def keep_copies(memory, copies):
+    """Copy the state of the store again and again."""
+    while True:
+        copies.append((time.monotonic(), copy.deepcopy(memory.state)))
+        del copies[: max(0, len(copies) - 200)]
+        await asyncio.sleep(COPY_INTERVAL_S)
+
+
+def find_holder(store):
+    """Return the name and the number of the holder in the store; None without one."""
+    for key, item in store.memory.items.items():
+        if key.endswith(DUTY_KEY_END):
+            holder = json.loads(item.value)
+            return holder["host"], holder["fencing"]
+    return None
+
+
+async def play_drill(store, copies, write_again, record):
+    """Take the store away for a moment and bring it back from a copy."""
+    asked_at_s = time.monotonic()
+    store.faults.status = 503
+    record.write(f"drill: the store is away; holder: {find_holder(store)}")
+    await asyncio.sleep(AWAY_S)
+    at_s, state = next(x for x in reversed(copies) if x[0] <= asked_at_s - COPY_AGE_S)
+    # No lease is given out twice.
+    state.next_lease = store.memory.state.next_lease
+    store.memory.restore(state)
+    write_again()
+    store.faults.status = 0
+    record.write(f"drill: the store is back from a copy {asked_at_s - at_s:.1f} s old")
+
+
+def find_shared_numbers(replicas):
+    """Return the epoch numbers that two holders used at one replica."""
+    shared = []
+    for replica in replicas:
+        holders = {}
+        for order in replica.arrived_orders:
+            holders.setdefault(order["fence"], set()).add(order["holder"])
+        shared += [(replica.id, f, h) for f, h in holders.items() if len(h) > 1]
+    return shared
 
 
 async def check(record):
@@ -113,55 +104,68 @@
         store_address = await stack.enter_async_context(
             open_server(store, "127.0.0.1:0")
         )
-        config = harness.make_config()
-        config["routes"] = [
-            make_route(name, f"/{name}/", "idempotent", name) for name in SERVICES
-        ]
-        config["services"] = [{"name": name} for name in SERVICES]
-        store.put("op/config", config)
+        versions = [1]
+        replicas, addresses = [], {}
+        for name in REPLICAS:
+            replica = Replica(name)
+            replica.record, replica.arrived_orders = record, []
+            replicas.append(replica)
+            addresses[name] = await stack.enter_async_context(
+                open_server(replica, "127.0.0.1:0")
+            )
+
+        def register(replica):
+            entry = replica.make_entry("writers", addresses[replica.id])
+            store.put(f"servers/{replica.id}", entry)
+
+        def name_version(version):
+            versions.append(version)
+            store.put("op/version/m0", {"model": "m0", "version": version})
+            record.write(f"version {version} of m0 is named")
+
+        def write_again():
+            """Write again what the operator and the replicas have written."""
+            store.put("op/config", harness.make_config())
+            store.put("op/version/m0", {"model": "m0", "version": versions[-1]})
+            for replica in replicas:
+                register(replica)
+
+        write_again()
+        for replica in replicas:
+            replica.register = lambda replica=replica: register(replica)
+        copies = []
+        copying = asyncio.create_task(keep_copies(store.memory, copies))
+        stack.callback(copying.cancel)
+        await asyncio.sleep(COPY_AGE_S)
         routers = await stack.enter_async_context(
-            harness.run_routers(("frontend-rennes-1",), store_address, record)
+            harness.run_routers(ROUTERS, store_address, record, START_SPREAD_S)
         )
         await harness.wait_until_ready(routers)
-        router = routers[0]
-        await asyncio.sleep(STABLE_S)
-
-        async def watch_descriptors():
-            while True:
-                record.write(f"{router.name}: {router.count_descriptors()} descriptors")
-                await asyncio.sleep(2.0)
-
-        watch = asyncio.create_task(watch_descriptors())
-        stack.callback(watch.cancel)
-        await asyncio.gather(
-            *(replace_replicas(router, name, store, record) for name in SERVICES)
+        await harness.wait_until(lambda: find_holder(store), 10.0, "no holder")
+        record.write(f"first holder: {find_holder(store)}")
+        await asyncio.sleep(0.5)
+        name_version(2)
+        await harness.wait_until(
+            lambda: all(x.weights == 2 for x in replicas), 20.0, "version 2 not loaded"
         )
-        record.write("all replicas that were replaced have ended")
-        statuses = []
-        polling = asyncio.create_task(poll_readiness(router, statuses))
-        stack.callback(polling.cancel)
-        await asyncio.sleep(STABLE_S)
-        kept = []
-        in_vain = 0
-        while len(kept) < KEPT and in_vain < TRIES:
-            numbers = range(len(kept), len(kept) + TOGETHER)
-            opened = await asyncio.gather(*(open_kept(router, i) for i in numbers))
-            kept += [channel for channel in opened if channel is not None]
-            in_vain = 0 if any(opened) else in_vain + 1
-        record.write(f"{len(kept)} of {KEPT} consumers keep a channel open")
-        statuses.clear()
-        until_s = time.monotonic() + STABLE_S + 1.0
-        served = await asyncio.gather(
-            *(try_to_connect(router, number, until_s) for number in range(LATER))
+        first_holder = find_holder(store)
+        for number in range(DRILLS if harness.has_trouble() else 0):
+            await asyncio.sleep(NEXT_DRILL_S if number else 0.0)
+            await play_drill(store, copies, write_again, record)
+            await harness.wait_until(lambda: find_holder(store), 20.0, "no holder")
+            record.write(f"holder: {find_holder(store)}")
+            if find_holder(store)[0] != first_holder[0]:
+                break
+        await asyncio.sleep(2.0)
+        name_version(3)
+        await harness.wait_until(
+            lambda: all(x.weights == 3 for x in replicas), 30.0, "version 3 not loaded"
         )
-        record.write(
-            f"{sum(served)} of {LATER} consumers that came later got a channel; "
-            f"readiness meanwhile: {statuses}; {router.count_descriptors()} descriptors"
-        )
-        for channel in kept:
-            channel.close()
-        is_ready = bool(statuses) and set(statuses) == {200}
-        return harness.BROKEN if is_ready and not any(served) else harness.HELD
+        await asyncio.sleep(1.0)
+        shared = find_shared_numbers(replicas)
+        for name, fence, holders in shared:
+            record.write(f"{name}: epoch number {fence} was used by {sorted(holders)}")
+        return harness.BROKEN if shared else harness.HELD
 
 
 harness.run_case(check, FOLDER)
