Start the fencing numbers after each restore of the store at a higher one

Cause: a drill of the store takes back the counter of fencing numbers and the revisions, and both were trusted to rise. The next holder got the former one's number; a condition on a revision held for a peer's key; a kept lease could be a peer's; a delayed answer was taken for the state after the restore; a loading record under a revision that had been seen was not read.

Change: each answer of the store carries how often it had been restored. Numbers after a restore start at 2^24 times that; an acquisition, a renewal and a loading record count only behind the restore that they belong to; an answer from before a known restore counts as lost. Stored values keep their form.

Why it works: the number of restores only rises, so two holders share a number only within one life of the store, where the condition on the counter's revision holds.

--- a/primrosepier/forwarding/weights_controller.py
+++ b/primrosepier/forwarding/weights_controller.py
@@ -13,7 +13,7 @@
 from ..leases import Duty, DutyAction, make_duty_key
 from ..logs import Log
 from ..mirror import Mirror
-from ..store import Applied, Put
+from ..store import Applied, Item, Put
 from .calls import WeightsVersionNumber
 from .fleet import Replica
 from .leaving import LeavingReplicas
@@ -92,8 +92,8 @@
     peer_record_at_s, own_record_at_s : float
         Times at which this router last read a peer's loading record from the store
         and wrote one itself, seconds.
-    record_revision : int or None
-        Revision of the last loading record that was read from the store.
+    record_item : Item or None
+        Last loading record that was read from the store.
     is_record_age_known : bool
         Whether that record was written after this router began to read the store.
     loading : dict of EndpointId to WeightsLoad
@@ -127,7 +127,7 @@
     leaving: LeavingReplicas = field(default_factory=LeavingReplicas)
     load_time: LoadTimeAverage = field(default_factory=LoadTimeAverage)
     stopping: bool = False
-    record_revision: int | None = None
+    record_item: Item | None = None
     is_record_age_known: bool = True
     newest_peer_sort_key: tuple[int, int] = (0, 0)
     serial: int = 0
@@ -154,9 +154,9 @@
     def read_loading_record(self, mirror: Mirror) -> None:
         """Read the loading record from the store and apply it if it is a peer's."""
         item = mirror.items.get(LOADING_RECORD_KEY)
-        if item is None or item.mod_revision == self.record_revision:
+        if item is None or item == self.record_item:
             return
-        self.record_revision = item.mod_revision
+        self.record_item = item
         self.is_record_age_known = mirror.changed_after_s != NEVER_S
         record = decode_loading_record(item.value)
         if record is None:
@@ -209,6 +209,9 @@
         )
         if not isinstance(outcome, Applied):
             return False
+        if outcome.restores != self.duty.restores:
+            # The revision in the condition may now be that of a peer's acquisition.
+            return False
         self.own_record_at_s = now_s
         return True
 
--- a/primrosepier/lease_holder.py
+++ b/primrosepier/lease_holder.py
@@ -11,6 +11,7 @@
     AcquisitionAttempt,
     Duty,
     DutyRecord,
+    compute_next_fencing,
     decode_duty,
     make_duty_key,
     make_fencing_key,
@@ -61,13 +62,15 @@
         if isinstance(snapshot, Unavailable):
             return False
         granted = await self.store.grant_lease(duty.bounds.ttl_s)
-        if isinstance(granted, Unavailable):
+        if isinstance(granted, Unavailable) or granted.restores != snapshot.restores:
             return False
         counter = snapshot.items.get(make_fencing_key(duty.name))
         record = DutyRecord(
             host=duty.host,
             token=secrets.token_hex(TOKEN_BYTES),
-            fencing=_read_fencing_number(counter) + 1,
+            fencing=compute_next_fencing(
+                _read_fencing_number(counter), snapshot.restores
+            ),
         )
         attempt = AcquisitionAttempt(
             name=duty.name,
@@ -75,6 +78,7 @@
             lease=granted.lease,
             requested_at_s=requested_at_s,
             counter_revision=counter.mod_revision if counter else Revision(0),
+            restores=snapshot.restores,
         )
         if await self._write(duty, attempt):
             return True
@@ -85,7 +89,7 @@
         outcome = await self.store.transact(
             attempt.make_compares(), attempt.make_puts()
         )
-        if isinstance(outcome, Applied):
+        if isinstance(outcome, Applied) and outcome.restores == attempt.restores:
             duty.become_holder(attempt, outcome.revision, self.clock())
             return True
         if isinstance(outcome, Ambiguous):
@@ -93,22 +97,44 @@
         return False
 
     async def _read_back(self, duty: Duty, attempt: AcquisitionAttempt) -> bool:
-        key = make_duty_key(duty.name)
-        snapshot = await self.store.read(key)
-        item = None if isinstance(snapshot, Unavailable) else snapshot.items.get(key)
-        record = decode_duty(item.value) if item else None
-        if item is None or record is None or record.token != attempt.record.token:
+        item = await self._read_acquisition(
+            duty.name, attempt.record.token, attempt.restores
+        )
+        if item is None:
             return False
         duty.become_holder(attempt, item.mod_revision, self.clock())
         return True
 
+    async def _read_acquisition(
+        self, name: str, token: str, restores: int
+    ) -> Item | None:
+        """Return a duty's item if it is that of an acquisition and a restore."""
+        key = make_duty_key(name)
+        snapshot = await self.store.read(key)
+        if isinstance(snapshot, Unavailable) or snapshot.restores != restores:
+            return None
+        item = snapshot.items.get(key)
+        record = decode_duty(item.value) if item else None
+        return item if record is not None and record.token == token else None
+
     async def keep_alive(self, duty: Duty) -> None:
-        """Renew the holder's lease; step down at once when it is lost."""
+        """Renew the holder's lease; step down at once when it is lost.
+
+        After a restore of the store the lease may have been granted to a peer, so the
+        holder steps down unless the duty's key still shows its own acquisition.
+        """
         requested_at_s = self.clock()
         outcome = await self.store.keep_alive(duty.lease)
         if isinstance(outcome, LeaseLost):
             duty.step_down()
         elif not isinstance(outcome, Unavailable):
+            restores = outcome.restores
+            if restores != duty.restores:
+                item = await self._read_acquisition(duty.name, duty.token, restores)
+                if item is None:
+                    duty.step_down()
+                    return
+                duty.restores = restores
             duty.record_renewal(requested_at_s)
 
     async def release(self, duty: Duty) -> None:
--- a/primrosepier/leases.py
+++ b/primrosepier/leases.py
@@ -24,6 +24,7 @@
     "Duty",
     "DutyRecord",
     "DutyAction",
+    "compute_next_fencing",
     "compute_rank",
     "decode_duty",
     "make_duty_key",
@@ -36,6 +37,9 @@
 MAX_DOUBLINGS = 10
 MAX_RETRY_S = 60.0
 FENCING_PREFIX = "/primrosepier/fencing/"
+# Fencing numbers between two restores of the store: more than the acquisitions of many
+# months, and few enough that JSON readers represent the numbers exactly.
+FENCING_NUMBERS_PER_RESTORE = 2**24
 
 
 class DutyRecord(msgspec.Struct, frozen=True):
@@ -73,6 +77,22 @@
         return None
 
 
+def compute_next_fencing(counter: int, restores: int) -> int:
+    """Return the fencing number of the next acquisition.
+
+    A store that was restored from a copy may have lost the newest values of the
+    counter, so the numbers after each restore start at a higher one.
+
+    Parameters
+    ----------
+    counter : int
+        Last fencing number according to the store; 0 without one.
+    restores : int
+        How often the store was restored; 0 if it does not tell.
+    """
+    return max(counter, restores * FENCING_NUMBERS_PER_RESTORE) + 1
+
+
 def compute_rank(name: str, host: HostId, peers: frozenset[HostId]) -> int:
     """Return how many peers rank before a host as candidates for a duty.
 
@@ -91,13 +111,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AcquisitionAttempt:
-    """An attempt to acquire a free duty under a newly granted lease."""
+    """An attempt to acquire a free duty under a newly granted lease.
+
+    Parameters
+    ----------
+    restores : int
+        How often the store had been restored when the counter was read. After another
+        restore the revision of the counter no longer identifies its value.
+    """
 
     name: str
     record: DutyRecord
     lease: int
     requested_at_s: float
     counter_revision: Revision
+    restores: int = 0
 
     def make_compares(self) -> list[Compare]:
         """Return the conditions: the duty is free and its counter is unchanged."""
@@ -132,8 +160,13 @@
     ----------
     fencing_number : FencingNumber
         Fencing number of the acquisition; 0 when this router is not the holder.
+    token : str
+        Nonce of the acquisition; empty when this router is not the holder.
     revision : Revision
         Revision of the duty's store key, a condition of each write by the holder.
+    restores : int
+        How often the store had been restored when it last confirmed the acquisition.
+        After another restore the lease, the revision and the number may be a peer's.
     valid_until_s : float
         Monotonic time until which this router is certain to be the only holder.
     exclusive_from_s : float
@@ -151,7 +184,9 @@
     bounds: LeaseBounds = field(default_factory=LeaseBounds)
     fencing_number: FencingNumber = FencingNumber(0)
     lease: int = 0
+    token: str = ""
     revision: Revision = Revision(0)
+    restores: int = 0
     valid_until_s: float = float("-inf")
     exclusive_from_s: float = float("inf")
     renewal_requested_at_s: float = float("-inf")
@@ -203,8 +238,10 @@
         """Record a successful acquisition."""
         self.fencing_number = FencingNumber(attempt.record.fencing)
         self.lease = attempt.lease
+        self.token = attempt.record.token
         self.failures = 0
         self.revision = revision
+        self.restores = attempt.restores
         self.free_since_s = None
         self.exclusive_from_s = now_s + self.bounds.compute_takeover_wait_s()
         self.record_renewal(attempt.requested_at_s)
@@ -217,6 +254,7 @@
     def step_down(self) -> None:
         """Stop being the holder."""
         self.fencing_number = FencingNumber(0)
+        self.token = ""
         self.valid_until_s = float("-inf")
         self.exclusive_from_s = float("inf")
         self.free_since_s = None
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -91,6 +91,8 @@
 class _Response:
     status: int
     body: bytes
+    # How often the store had been restored when it answered.
+    restores: int
 
 
 def _read_restores(headers: Iterable[tuple[bytes, bytes]]) -> int:
@@ -171,8 +173,12 @@
         if response.status in REFUSED:
             reason = f"refused with status {response.status}"
             return Unavailable(Step.HEADERS, self.address, reason)
-        self.restores = max(self.restores, _read_restores(response.headers))
-        return _Response(response.status, b"".join(parts))
+        restores = _read_restores(response.headers)
+        if 0 < restores < self.restores:
+            reason = "the store has been restored since it answered"
+            return Ambiguous(Step.HEADERS, self.address, reason)
+        self.restores = max(self.restores, restores)
+        return _Response(response.status, b"".join(parts), restores)
 
     async def _read(
         self, path: str, schema: type[T], wait_s: float = 0.0
@@ -247,7 +253,7 @@
         result = _decode(response, _TransactionResult)
         if isinstance(result, Unavailable):
             return Ambiguous(result.step, self.address, result.reason)
-        return Applied(Revision(result.revision))
+        return Applied(Revision(result.revision), response.restores)
 
     def _decode_conflict(self, response: _Response) -> Conflict:
         conflict = _decode(response, _ConflictItems)
@@ -308,7 +314,7 @@
         granted = self._decode_lease(response)
         if granted is None:
             return self._make_unavailable(response)
-        return LeaseGranted(lease, granted.ttl_s)
+        return LeaseGranted(lease, granted.ttl_s, granted.restores)
 
     def _decode_lease(
         self, response: _Response | Unavailable | Ambiguous
@@ -318,7 +324,7 @@
         granted = _decode(response, _Lease)
         if isinstance(granted, Unavailable):
             return None
-        return LeaseGranted(granted.lease, granted.ttl_ms * MS)
+        return LeaseGranted(granted.lease, granted.ttl_ms * MS, response.restores)
 
     def _make_unavailable(
         self, response: _Response | Unavailable | Ambiguous
--- a/primrosepier/store.py
+++ b/primrosepier/store.py
@@ -102,9 +102,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """The transaction took effect at a revision."""
+    """The transaction took effect at a revision.
+
+    Parameters
+    ----------
+    restores : int
+        As in a snapshot.
+    """
 
     revision: Revision
+    restores: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,10 +152,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseGranted:
-    """A lease with its time to live, seconds."""
+    """A lease with its time to live, seconds.
+
+    Parameters
+    ----------
+    restores : int
+        As in a snapshot.
+    """
 
     lease: int
     ttl_s: float
+    restores: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -410,7 +424,7 @@
             return LeaseLost(error.args[0])
         self.notify()
         if result.succeeded:
-            return Applied(self.revision)
+            return Applied(self.revision, self.restores)
         ranges = [r for r in result.results if isinstance(r, RangeResult)]
         items = [make_item(record) for part in ranges for record in part.records]
         return Conflict(self.revision, {item.key: item for item in items})
@@ -449,7 +463,9 @@
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Return a new lease."""
         failure = await self._apply_faults()
-        return failure or LeaseGranted(self.state.grant_lease(ttl_s), ttl_s)
+        if failure is not None:
+            return failure
+        return LeaseGranted(self.state.grant_lease(ttl_s), ttl_s, self.restores)
 
     async def keep_alive(self, lease: int) -> LeaseGranted | LeaseLost | Unavailable:
         """Renew a lease."""
@@ -457,7 +473,9 @@
         if failure is not None:
             return failure
         ttl_s = self.state.keep_alive(lease)
-        return LeaseGranted(lease, ttl_s) if ttl_s > 0 else LeaseLost(lease)
+        if ttl_s <= 0:
+            return LeaseLost(lease)
+        return LeaseGranted(lease, ttl_s, self.restores)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
--- a/tests/test_entry_weights.py
+++ b/tests/test_entry_weights.py
@@ -60,12 +60,14 @@
     async def check(fleet):
         first = fleet.routers[0]
         await fleet.wait_until(lambda: first.weights_controller.duty.fencing_number)
+        first_number = first.weights_controller.duty.fencing_number
         async with fleet.open_router("front-2") as second:
             await first.weights_controller.stop(immediately=True)
             await fleet.wait_until(
                 lambda: second.weights_controller.duty.fencing_number
             )
-            assert second.weights_controller.duty.fencing_number == 2
+            second_number = second.weights_controller.duty.fencing_number
+            assert second_number == first_number + 1
             await anyio.sleep(0.5)
             assert not first.weights_controller.duty.fencing_number
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,3 +1,5 @@
+import copy
+
 import anyio
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -155,3 +157,140 @@
     clock.advance(3.0)
     anyio.run(LeaseHolder(store, clock).keep_alive, duty)
     assert not duty.fencing_number
+
+
+class RestoredStore(MemoryStore):
+    """Store that goes back to a copy just before one of its calls."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.copy = copy.deepcopy(self.state)
+        self.calls_before_restore = None
+
+    async def _apply_faults(self):
+        if self.calls_before_restore == 0:
+            self.restore(copy.deepcopy(self.copy))
+            self.calls_before_restore = None
+        elif self.calls_before_restore is not None:
+            self.calls_before_restore -= 1
+        return await super()._apply_faults()
+
+    def keep_copy(self):
+        """Keep the present state, to which the store may go back."""
+        self.copy = copy.deepcopy(self.state)
+
+
+def test_two_holders_never_share_a_fencing_number_after_a_restore():
+    """Guards against two holders that order with one number after a drill."""
+    store = RestoredStore(ManualClock())
+    first = acquire(store, "a")
+    store.restore(store.copy)
+    second = acquire(store, "b")
+    assert second.fencing_number > first.fencing_number
+
+
+def test_a_restore_before_any_call_of_an_acquisition_repeats_no_number():
+    """Guards against a number whose counter a restore took back half-way."""
+    for calls in range(4):
+        store = RestoredStore(ManualClock())
+        anyio.run(store.revoke_lease, acquire(store, "a").lease)
+        store.keep_copy()
+        first = acquire(store, "a")
+        anyio.run(store.revoke_lease, first.lease)
+        store.calls_before_restore = calls
+        second = Duty("d", "b", BOUNDS)
+        anyio.run(LeaseHolder(store, store.state.clock).acquire, second)
+        third = second if second.fencing_number else acquire_next(store, "b")
+        assert third.fencing_number > first.fencing_number
+
+
+def acquire_next(store, host):
+    """Acquire once the lease of an attempt that failed half-way has ended."""
+    store.state.clock.advance(BOUNDS.ttl_s + 1.0)
+    return acquire(store, host)
+
+
+def test_a_holder_whose_lease_a_restore_gave_to_a_peer_steps_down():
+    """Guards against two holders that keep one lease alive after a drill."""
+    store = RestoredStore(ManualClock())
+    first = acquire(store, "a")
+    store.restore(store.copy)
+    second = acquire(store, "b")
+    assert second.lease == first.lease
+    anyio.run(LeaseHolder(store, store.state.clock).keep_alive, first)
+    assert not first.fencing_number
+
+
+def test_a_holder_that_a_restore_has_kept_remains_the_holder():
+    clock = ManualClock()
+    store = RestoredStore(clock)
+    duty = acquire(store, "a")
+    store.keep_copy()
+    store.restore(store.copy)
+    clock.advance(4.0)
+    anyio.run(LeaseHolder(store, clock).keep_alive, duty)
+    clock.advance(5.0)
+    assert duty.fencing_number
+    assert duty.may_order(True, clock())
+
+
+class RestoredLeaseMachine(RuleBasedStateMachine):
+    """Hosts beside a store that goes back to earlier copies at any call."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.store = RestoredStore(self.clock)
+        self.lease_holder = LeaseHolder(self.store, self.clock)
+        self.duties = [Duty("rollout/s", f"h{n}", BOUNDS) for n in range(2)]
+        self.last_fencing_number = 0
+
+    @rule(index=HOSTS, calls=st.sampled_from([None, 0, 1, 2, 3]), lost=st.booleans())
+    def step(self, index, calls, lost):
+        self.store.calls_before_restore = calls
+        self.store.faults.lose_answers = int(lost)
+        duty = self.duties[index]
+        holder = self.store.items.get(make_duty_key(duty.name))
+        action = duty.decide(holder, frozenset(), self.clock())
+        if action is DutyAction.ACQUIRE:
+            anyio.run(self.lease_holder.acquire, duty)
+            if duty.fencing_number:
+                assert duty.fencing_number > self.last_fencing_number
+                self.last_fencing_number = duty.fencing_number
+        elif action is DutyAction.KEEP_ALIVE:
+            anyio.run(self.lease_holder.keep_alive, duty)
+        elif action is DutyAction.STEP_DOWN:
+            duty.step_down()
+        self.store.faults.lose_answers = 0
+
+    @rule()
+    def keep_copy(self):
+        self.store.keep_copy()
+
+    @rule()
+    def restore(self):
+        self.store.restore(copy.deepcopy(self.store.copy))
+
+    @rule(index=HOSTS)
+    def release(self, index):
+        if self.duties[index].fencing_number:
+            anyio.run(self.lease_holder.release, self.duties[index])
+
+    @rule(index=HOSTS)
+    def restart(self, index):
+        self.duties[index] = Duty("rollout/s", f"h{index}", BOUNDS)
+
+    @rule(seconds=st.sampled_from([0.1, 3.0, 7.5, 11.0]))
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def holders_have_numbers_of_their_own(self):
+        held = [d.fencing_number for d in self.duties if d.fencing_number]
+        assert len(held) == len(set(held))
+
+
+RestoredLeaseMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=100, stateful_step_count=40
+)
+test_fencing_numbers_rise_whatever_the_store_forgets = RestoredLeaseMachine.TestCase
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -19,6 +19,7 @@
     LeaseGranted,
     LeaseLost,
     Put,
+    Snapshot,
     Unavailable,
 )
 
@@ -230,3 +231,20 @@
             group.cancel_scope.cancel()
 
     run_store(check)
+
+
+def test_an_answer_from_before_a_restore_changes_nothing():
+    """Guards against a delayed answer taken for the state after a drill."""
+
+    async def check(client, service):
+        service.put("state/a", b"1")
+        service.memory.restore(copy.deepcopy(service.memory.state))
+        assert isinstance(await client.read("state/"), Snapshot)
+        service.memory.restores = 0
+        assert isinstance(await client.read("state/"), Unavailable)
+        outcome = await client.transact([], [Put("state/b", b"2")])
+        assert isinstance(outcome, Ambiguous)
+        assert isinstance(await client.grant_lease(5.0), Unavailable)
+        assert client.restores == 2
+
+    run_store(check)
