Count a connection that ends before its socket is set up as a failed connect

Cause: a replica at its limit resets a connection between the connect and the options of the socket. By then asyncio has closed the socket, and the OSError of setsockopt was outside of the part that handles errors. No user of the client expects it; in a background task it ends the router.

Change: the options are set when the transport is made, and a failure there counts as a lost connection. A connection that has ended when the connect returns is a failed connect, as no byte of the call was sent. All users share this path: calls, probes, orders, the store.

Why it works: connection_made runs before the transport reads, so no reset can have closed the socket yet.

--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -41,7 +41,13 @@
         self.received_at_s = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        try:
+            _enable_keepalive_probes(transport)
+        except OSError as error:
+            self.error = error
+            transport.abort()
 
     def data_received(self, data: bytes) -> None:
         self.received += data
@@ -226,11 +232,15 @@
         return None
 
 
-def _enable_keepalive_probes(buffer: _ReceiveBuffer) -> None:
-    """Let the kernel close a connection whose peer vanished without closing it."""
-    if buffer.transport is None:
-        return
-    sock = buffer.transport.get_extra_info("socket")
+def _enable_keepalive_probes(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel close a connection whose peer vanished without closing it.
+
+    Raises
+    ------
+    OSError
+        The socket is already closed.
+    """
+    sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
@@ -258,7 +268,15 @@
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
     ) -> TcpStream:
-        """Open a connection."""
+        """Open a connection.
+
+        Raises
+        ------
+        httpcore.ConnectTimeout
+            The connection is not open in time.
+        httpcore.ConnectError
+            It is refused, or the peer has closed it at once.
+        """
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(_ReceiveBuffer, host, port)
         try:
@@ -267,8 +285,13 @@
             raise httpcore.ConnectTimeout(f"{host}:{port}") from cause
         except OSError as cause:
             raise httpcore.ConnectError(str(cause)) from cause
-        _enable_keepalive_probes(buffer)
-        return TcpStream(buffer, self.splits_heads)
+        stream = TcpStream(buffer, self.splits_heads)
+        if buffer.ended or buffer.error is not None:
+            stream.abort()
+            raise httpcore.ConnectError(
+                f"{host}:{port} closed the connection at once: {buffer.error!r}"
+            )
+        return stream
 
     async def sleep(self, seconds: float) -> None:
         """Wait."""
--- a/tests/raw_replicas.py
+++ b/tests/raw_replicas.py
@@ -1,5 +1,6 @@
 """Replicas that answer with fixed bytes, over real sockets."""
 
+import asyncio
 import contextlib
 import socket
 import struct
@@ -90,3 +91,34 @@
         yield
         group.cancel_scope.cancel()
     await listener.aclose()
+
+
+@contextlib.asynccontextmanager
+async def open_full_replica(end):
+    """Serve a replica that ends each connection at once; yield its address."""
+
+    def refuse(reader, writer):
+        if end is ConnectionEnd.RESET:
+            linger = struct.pack("ii", 1, 0)
+            raw_socket = writer.get_extra_info("socket")
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    server = await asyncio.start_server(refuse, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+
+
+def delay_connects(monkeypatch, delay_s=0.03):
+    """Let connects return only after the peer has ended the connection, if it does."""
+    connect = asyncio.BaseEventLoop.create_connection
+
+    async def connect_late(loop, factory, host, port):
+        transport, protocol = await connect(loop, factory, host, port)
+        with anyio.move_on_after(delay_s):
+            while not protocol.ended:
+                await anyio.sleep(0.001)
+        return transport, protocol
+
+    monkeypatch.setattr(asyncio.BaseEventLoop, "create_connection", connect_late)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import anyio.abc
 import httpcore
 import pytest
+from raw_replicas import ConnectionEnd, delay_connects, open_full_replica
 
 from primrosepier.asgi import open_server, send_bytes, send_chunk, start_response
 from primrosepier.endpoint_client import EndpointCall, HttpEndpointClient
@@ -239,3 +240,21 @@
 )
 def test_framing_without_end_is_given_up(head):
     assert read_endless(head, LINE) < MAX_ENDLESS_BYTES
+
+
+@pytest.mark.parametrize("end", ConnectionEnd)
+def test_a_connection_that_the_peer_ends_at_once_raises_a_connect_error(
+    monkeypatch, end
+):
+    """Guards against an error that no caller handles and that ends the router."""
+    delay_connects(monkeypatch)
+
+    async def run():
+        async with open_full_replica(end) as address:
+            client = HttpEndpointClient()
+            with pytest.raises(httpcore.ConnectError):
+                await fetch(client, address)
+            assert not await client.probe(address, 1.0)
+            assert not any(client.idle.values())
+
+    anyio.run(run)
