Know the other routers through outages and restores of the store

Cause: the extra retries are divided by the number of routers whose entries are in the store. A restore takes these entries back, and an outage lets them lapse; each router then counts itself alone and takes half of the extra. So do routers that start together.

Change: entries that disappear around an outage or a restore count for as long as that of a failed router; a router whose entry has disappeared registers again at once; one that has just registered takes no extra retries until the others are known. The list of replicas takes a restore for an outage, too. Shares of the store's rates, permits and keepers of origins use the same list.

Why it works: the number of routers no longer falls while they live.

--- a/primrosepier/forwarding/fleet.py
+++ b/primrosepier/forwarding/fleet.py
@@ -79,13 +79,17 @@
     missing : dict of EndpointId to Replica
         Replicas kept although their entries have disappeared.
     reconnected_at_s : float
-        End of the last outage of the store, seconds.
+        End of the last outage of the store, or when it was seen to be restored from a
+        copy, seconds.
+    restores : int or None
+        How often the store had been restored when it was last read; None before that.
     """
 
     entries: dict[EndpointId, Replica] = field(default_factory=dict)
     missing: dict[EndpointId, Replica] = field(default_factory=dict)
     reconnected_at_s: float = float("-inf")
     is_disconnected: bool = False
+    restores: int | None = None
 
     def record_contact(self, is_connected: bool, now_s: float) -> None:
         """Record whether the store responds."""
@@ -93,6 +97,19 @@
             self.reconnected_at_s = now_s
         self.is_disconnected = not is_connected
 
+    def record_restores(self, restores: int, now_s: float) -> None:
+        """Record how often the store was restored, with entries that may be missing."""
+        if self.restores is not None and restores != self.restores:
+            self.reconnected_at_s = now_s
+        self.restores = restores
+
+    def compute_recovery_s(self, now_s: float) -> float:
+        """Return the time since the store last lost or may have lost entries, seconds.
+
+        It is 0 during an outage, and infinite if there was none.
+        """
+        return 0.0 if self.is_disconnected else now_s - self.reconnected_at_s
+
     def replace(self, replicas: Iterable[Replica], now_s: float) -> None:
         """Replace the entries with the replicas that the store lists now."""
         current = {replica.id: replica for replica in replicas}
@@ -103,10 +120,7 @@
         self._prune_missing(now_s)
 
     def _prune_missing(self, now_s: float) -> None:
-        in_grace_period = (
-            self.is_disconnected or now_s < self.reconnected_at_s + RENEWAL_GRACE_S
-        )
-        if not in_grace_period:
+        if self.compute_recovery_s(now_s) >= RENEWAL_GRACE_S:
             self.missing.clear()
         addresses = {replica.address for replica in self.entries.values()}
         self.missing = {
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -11,8 +11,10 @@
 use the same socket.
 """
 
+import math
 import random
 import secrets
+import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -89,6 +91,9 @@
 # that is reported at once: about what several engines together prefill in a
 # millisecond.
 MIN_REPORTED_TOKENS = 1000
+# Time after a registration in which other routers that start together register and
+# are read from the store, seconds.
+SETTLING_S = 2.0
 # Routers that are no longer registered whose entries are kept.
 MAX_FORMER = 256
 
@@ -192,6 +197,11 @@
     """Ignore a peer's loading record."""
 
 
+def never_recovers() -> float:
+    """Return infinity; used where the store loses no entries."""
+    return math.inf
+
+
 def ignore_key(key: str) -> None:
     """Do nothing; used where no one follows unreadable entries."""
 
@@ -209,8 +219,14 @@
 class PeerDirectory:
     """Registers this router in the store and lists its peers.
 
+    Entries that disappear around an outage or a restore of the store may belong to
+    routers that could not renew them. These count as peers for as long as the entry of
+    a router that has failed.
+
     Parameters
     ----------
+    compute_recovery_s : callable
+        Returns the time since the store last lost or may have lost entries, seconds.
     notify_unreadable : callable
         Called with the key of an entry that can't be read.
     failure_domain : FailureDomain or None
@@ -223,6 +239,12 @@
         Last entries of routers that are no longer registered, the newest last.
     plan : ReportPlan or None
         Whom this router reports to; None if all report to each other.
+    listed : dict of HostId to PeerEntry
+        The other routers whose entries are in the store.
+    registered_at_s : float
+        Time at which this router's entry was first seen in the store, seconds.
+    unlisted : anyio.Event
+        Set when the entry of this router has disappeared from the store.
     """
 
     host: HostId
@@ -237,6 +259,11 @@
     former: dict[HostId, PeerEntry] = field(default_factory=dict)
     failure_domain: FailureDomain | None = None
     plan: ReportPlan | None = None
+    compute_recovery_s: Callable[[], float] = never_recovers
+    clock: Clock = time.monotonic
+    listed: dict[HostId, PeerEntry] = field(default_factory=dict)
+    registered_at_s: float = math.inf
+    unlisted: anyio.Event = field(default_factory=anyio.Event)
 
     def update(self, mirror: Mirror) -> None:
         """Update the peers from the entries of the store."""
@@ -247,12 +274,25 @@
                 entry = self._decode(item)
             decoded[key] = item, entry
         self.decoded = decoded
-        peers = {
+        self.listed = {
             HostId(key[len(ROUTERS_PREFIX) :]): entry
             for key, (_, entry) in decoded.items()
             if entry is not None
         }
-        self.is_registered = peers.pop(self.host, None) is not None
+        is_listed = self.listed.pop(self.host, None) is not None
+        if is_listed:
+            self.registered_at_s = min(self.registered_at_s, self.clock())
+        elif self.is_registered:
+            self.unlisted.set()
+        self.is_registered = is_listed or (self.is_registered and self._is_recovering())
+        self.refresh()
+
+    def _is_recovering(self) -> bool:
+        return self.compute_recovery_s() < ENTRY_TTL_S
+
+    def refresh(self) -> None:
+        """Drop the peers that have not registered again in time."""
+        peers = {**self.peers, **self.listed} if self._is_recovering() else self.listed
         former = {**self.former, **self.peers}
         names = [host for host in former if host not in peers][-MAX_FORMER:]
         self.former = {host: former[host] for host in names}
@@ -260,7 +300,7 @@
             domains = {host: entry.failure_domain for host, entry in peers.items()}
             domains[self.host] = self.failure_domain
             self.plan = plan_reports(self.host, domains)
-        self.peers = peers
+        self.peers = dict(peers)
 
     def find(self, host: HostId) -> PeerEntry | None:
         """Return a router's entry, also if it has expired.
@@ -280,6 +320,10 @@
         """Return the number of known routers, including this one."""
         return 1 + len(self.peers)
 
+    def is_settled(self) -> bool:
+        """Return whether routers that started with this one are known by now."""
+        return self.clock() >= self.registered_at_s + SETTLING_S
+
     def list_addresses(self) -> dict[HostId, PeerAddress]:
         """Return where the other routers accept calls that are passed on to them."""
         return {
@@ -299,7 +343,7 @@
             if isinstance(granted, LeaseGranted) and await self._register(
                 granted.lease
             ):
-                await self._renew(granted.lease)
+                await self._renew(granted)
             await anyio.sleep(RETRY_INTERVAL_S * self.rng.uniform(0.5, 1.5))
 
     async def _register(self, lease: int) -> bool:
@@ -309,11 +353,19 @@
         put = Put(ROUTERS_PREFIX + self.host, value, lease)
         return isinstance(await self.store.transact([], [put]), Applied)
 
-    async def _renew(self, lease: int) -> None:
-        """Renew the lease of the entry until it is lost."""
-        while True:
-            await anyio.sleep(RENEWAL_INTERVAL_S)
-            if isinstance(await self.store.keep_alive(lease), LeaseLost):
+    async def _renew(self, granted: LeaseGranted) -> None:
+        """Renew the lease of the entry until the entry or the lease is lost."""
+        self.unlisted = anyio.Event()
+        while not self.unlisted.is_set():
+            with anyio.move_on_after(RENEWAL_INTERVAL_S):
+                await self.unlisted.wait()
+            renewed = await self.store.keep_alive(granted.lease)
+            if isinstance(renewed, LeaseLost):
+                return
+            if isinstance(renewed, LeaseGranted) and (
+                renewed.restores != granted.restores
+            ):
+                # The lease may have been granted to a peer since.
                 return
 
 
--- a/primrosepier/forwarding/retries.py
+++ b/primrosepier/forwarding/retries.py
@@ -14,8 +14,8 @@
 # Retries per window that are always allowed, so that a router that has just started can
 # retry a call; far fewer than the extra retries that routers share.
 MIN_RETRIES = 1
-# Share of the extra retries that is used, since routers that have just started may not
-# know of each other yet.
+# Share of the extra retries that is used, since a router that is cut off from the store
+# may count others that have left, and they no longer count it.
 EXTRA_RETRY_SHARE = 0.5
 
 
@@ -47,6 +47,8 @@
         Retries per window in addition to the ratio, over all routers.
     count_routers : callable
         Returns the number of routers that share the extra retries.
+    knows_routers : callable
+        Returns whether that number is known. There are no extra retries before.
     window_s : float
         Length of the time spans in which the ratio holds, seconds.
     """
@@ -55,6 +57,7 @@
     extra: float = 0.0
     count_routers: Callable[[], int] = lambda: 1
     window_s: float = 10.0
+    knows_routers: Callable[[], bool] = lambda: True
     services: dict[ServiceId, ServiceRetries] = field(default_factory=dict)
 
     def record_call(self, service: ServiceId, now_s: float) -> None:
@@ -64,7 +67,9 @@
     def has_left(self, service: ServiceId, now_s: float) -> bool:
         """Return whether a retry is left."""
         recent = self._get_recent(service, now_s)
-        share = EXTRA_RETRY_SHARE * self.extra / self.count_routers()
+        share = 0.0
+        if self.knows_routers():
+            share = EXTRA_RETRY_SHARE * self.extra / self.count_routers()
         allowed = max(MIN_RETRIES, share + self.ratio * len(recent.first_attempts))
         return len(recent.retries) + 1 <= allowed
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -163,6 +163,8 @@
         while True:
             await anyio.sleep(REFRESH_INTERVAL_S)
             self.store_view.refresh()
+            self.peers.directory.refresh()
+            _record_hosts(self.app.forwarder, self.peers.directory)
             await self.app.forwarder.origins.record_versions(
                 self.store_view.list_origins()
             )
@@ -219,6 +221,14 @@
             await anyio.sleep(DRAIN_POLL_S)
 
 
+def _record_hosts(forwarder: Forwarder, directory: PeerDirectory) -> None:
+    """Tell the parts that ask other routers which ones there are."""
+    hosts = directory.list_hosts()
+    forwarder.notices.permits.record_hosts(hosts)
+    forwarder.origins.record_hosts(hosts)
+    forwarder.links.record_hosts(hosts)
+
+
 def make_entry_router(
     settings: EntrySettings, platform: EntryPlatform, log: Log
 ) -> EntryRouter:
@@ -239,6 +249,8 @@
     mirror_controller = _make_mirror_controller(settings, platform, store_view)
     directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
     directory.failure_domain = settings.failure_domain
+    directory.clock = clock
+    directory.compute_recovery_s = lambda: store_view.fleet.compute_recovery_s(clock())
     directory.notify_unreadable = lambda key: log.emit(
         EntryUnreadable(key, "malformed entry of a router")
     )
@@ -306,9 +318,7 @@
     listeners = (
         store_view.update,
         directory.update,
-        lambda mirror: forwarder.notices.permits.record_hosts(directory.list_hosts()),
-        lambda mirror: forwarder.origins.record_hosts(directory.list_hosts()),
-        lambda mirror: forwarder.links.record_hosts(directory.list_hosts()),
+        lambda mirror: _record_hosts(forwarder, directory),
         lambda mirror: _retain_leaving(forwarder, store_view),
         weights_controller.read_loading_record,
         lambda mirror: forwarder.withdrawals.update_deadlines(),
@@ -412,6 +422,7 @@
         settings.repeat_extra,
         directory.count_routers,
         settings.repeat_window_s,
+        directory.is_settled,
     )
     rng = random.Random(settings.host)
     forwarder = make_forwarder(
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -148,6 +148,7 @@
 
     def update(self, mirror: Mirror) -> None:
         """Decode the store entries in the mirror and publish what changed."""
+        self.fleet.record_restores(mirror.restores, self.clock())
         self._apply_declaration(mirror.items.get(self.layout.declaration_key))
         weights = mirror.select(self.layout.weights_prefix)
         self._apply_weights(weights, mirror.changed_after_s)
