Believe no answer without an id on a connection that was used before

Cause: only an answer with another call's id was rejected; one without an id was taken for that of the call in progress.

Change: on a connection that was used before, an answer without an id leaves the outcome unknown. On a new one no earlier call can have left it, and there full replicas name none.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -160,6 +160,9 @@
     record_begun : callable
         Called before the first event of a stream is sent to its caller; returns where
         the stream must go on.
+    requires_call_id : bool
+        Whether a response on a connection that was used before must name its call. It
+        may be one that a faulty replica sent to an earlier call too often.
     """
 
     client: EndpointClient
@@ -167,6 +170,7 @@
     clock: Clock = time.monotonic
     plan_cache_use: CachePlanner = plan_local_cache_use
     record_begun: RecordBegun = ignore_begun
+    requires_call_id: bool = True
 
     async def send(
         self,
@@ -231,8 +235,9 @@
     ) -> Outcome | ErrorResponse:
         head = self.dialect.read_head(response.status, response.headers)
         delivery.is_framed = response.is_framed
-        if head.call_id and head.call_id != call.id:
-            reason = f"the response carries the id of another call: {head.call_id}"
+        may_be_stale = self.requires_call_id and not response.is_first_use
+        if head.call_id != call.id and (head.call_id or may_be_stale):
+            reason = f"the response is for call {head.call_id or 'unknown'}"
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
         recorder.record_response(head, self.clock())
         if head.is_leaving and call.is_passed_on:
--- a/primrosepier/forwarding/peer_relay.py
+++ b/primrosepier/forwarding/peer_relay.py
@@ -202,4 +202,5 @@
     client: EndpointClient, dialect: EndpointDialect, log: Log, clock: Clock
 ) -> PeerRelay:
     """Return a relay that knows no other router yet."""
-    return PeerRelay(CallSender(client, _PeerDialect(dialect), clock), log, clock)
+    sender = CallSender(client, _PeerDialect(dialect), clock, requires_call_id=False)
+    return PeerRelay(sender, log, clock)
--- a/tests/raw_replicas.py
+++ b/tests/raw_replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from primrosepier.platform.standins import StandinReplica
 
 HEAD_END = b"\r\n\r\n"
+ID_LINE = re.compile(rb"attempt-id:", re.IGNORECASE)
 
 
 class ConnectionEnd(Enum):
@@ -72,12 +74,52 @@
         return start + proof + self.headers + b"\r\n"
 
 
+@dataclass
+class StaleReplica:
+    """Answers calls on kept connections, from the second on after a stale answer.
+
+    Parameters
+    ----------
+    stale : bytes
+        Answer to no call, sent before the answer to a call.
+    misled : list of bytes
+        Heads of the calls that got a stale answer.
+    """
+
+    stale: bytes
+    misled: list[bytes] = field(default_factory=list)
+
+    async def serve(self, stream):
+        async with stream:
+            received, answers = b"", 0
+            while True:
+                try:
+                    while HEAD_END not in received:
+                        received += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                head, _, received = received.partition(HEAD_END)
+                received = b""
+                if answers:
+                    self.misled.append(head)
+                    await stream.send(self.stale)
+                answers += 1
+                call_id = next(x for x in head.split(b"\r\n") if ID_LINE.match(x))
+                await stream.send(make_answer(call_id + b"\r\n", b"sound"))
+
+
+def make_answer(headers, body, status=200):
+    """Return an answer with a length."""
+    start = b"HTTP/1.1 %d Status\r\nServer-Stamp: 1.2.3\r\n" % status
+    return start + headers + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 @contextlib.asynccontextmanager
-async def open_raw_replica(fleet, name, replica):
+async def open_raw_replica(fleet, name, replica, service="writers"):
     """Serve a replica in place of the fleet's replica of the same name."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    entry = StandinReplica(name).make_entry("writers", f"127.0.0.1:{port}")
+    entry = StandinReplica(name).make_entry(service, f"127.0.0.1:{port}")
     store_view = fleet.routers[0].store_view
     async with anyio.create_task_group() as group:
         group.start_soon(listener.serve, replica.serve)
@@ -85,7 +127,7 @@
         await fleet.wait_until(
             lambda: any(
                 listed.address == entry["address"]
-                for listed in store_view.replicas.value.list_replicas("writers")
+                for listed in store_view.replicas.value.list_replicas(service)
             )
         )
         yield
