End a stream that had begun at any answer that is no stream

Cause: whether a response is relayed as events or as a whole was decided by its status alone, not by what the caller had received. The body of a 404 was appended to the events, and a 204 ended them as complete. An error of another router, to which a stream was passed on after it had begun, was sent with a head of its own.

Change: once a stream has begun, any response but a stream ends the attempt as interrupted, of replicas and of other routers alike. After a 5xx the stream may go on elsewhere, within the budget of retries.

Evidence: seven of eleven new tests failed before, with the error's text after the events. A test of our own interface, which ends such streams with an error event, passed before.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -258,6 +258,10 @@
                 f"status {head.status} does not show whether the replica ran the call"
             )
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
+        if delivery.status and not is_stream:
+            reason = f"the replica answered the resumed stream with {head.status}"
+            is_resumable = head.status >= HTTP_SERVER_ERROR
+            return Interrupted(Step.HEADERS, replica.id, reason, is_resumable)
         if head.status >= HTTP_SERVER_ERROR:
             body = await read_whole_body(response, MAX_ERROR_BYTES)
             if body is None:
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -3,9 +3,10 @@
 import anyio
 import httpcore
 import pytest
-from entry_fleet import run_entry
+from entry_fleet import HOST, KEY, run_entry
 from raw_replicas import ConnectionEnd, RawReplica, open_raw_replica
 
+from primrosepier.endpoint_client import EndpointCall
 from primrosepier.platform.orders import PlatformOrders
 
 pytestmark = pytest.mark.sockets
@@ -133,3 +134,84 @@
         assert replica.sent < MAX_ENDLESS_BYTES
 
     run_with_replicas(check, w1=replica)
+
+
+ERROR = b"data: an error\n\n"
+
+
+@pytest.mark.parametrize("status", [204, 206, 301, 400, 404, 409, 500, 502, 504])
+def test_an_error_of_the_next_replica_is_no_part_of_a_stream(status):
+    """Guards against an error's text, or its head, within a stream that had begun."""
+    length = b"" if status == 204 else b"Content-Length: %d\r\n" % len(ERROR)
+    failing = RawReplica(b"" if status == 204 else ERROR, length, status=status)
+
+    async def check(fleet):
+        replica = RawReplica(BROKEN)
+        async with (
+            open_raw_replica(fleet, "w1", replica),
+            open_raw_replica(fleet, "w2", failing),
+        ):
+            while not replica.runs or not failing.runs:
+                replica.runs.clear()
+                failing.runs.clear()
+                received = await receive_stream(fleet)
+        whole = EVENTS[: EVENTS.rindex(b"id:")]
+        assert received == (whole, False)
+
+    run_entry(check, names=("w1", "w2"), repeat_ratio=1.0, repeat_extra=100.0)
+
+
+async def receive_stream(fleet, path="/stream/queries/1"):
+    """Return the bytes of a stream's body, and whether it ended as complete."""
+    parts = []
+    router = fleet.routers[0]
+    headers = {"Host": HOST, "Attempt-Id": "a1", "Authorization": f"Bearer {KEY}"}
+    call = EndpointCall(
+        router.callers_address,
+        "POST",
+        path,
+        (*headers.items(), ("Deadline-Ms", "2000")),
+        b"",
+        1.0,
+        3.0,
+    )
+    try:
+        async with fleet.client.open(call) as response:
+            async for part in response.aiter_stream():
+                parts.append(part)
+    except BROKEN_OFF:
+        return b"".join(parts), False
+    return b"".join(parts), True
+
+
+@pytest.mark.parametrize("status", [404, 500])
+def test_an_error_of_another_router_is_no_part_of_a_stream(status):
+    """Guards against an error's head in a stream that is passed on after it began."""
+    failing = RawReplica(ERROR, b"Content-Length: %d\r\n" % len(ERROR), status=status)
+
+    async def check(fleet):
+        replica = RawReplica(BROKEN)
+        links = fleet.routers[0].app.forwarder.links
+        async with (
+            fleet.open_router("front-2"),
+            open_raw_replica(fleet, "w1", replica),
+            open_raw_replica(fleet, "w2", failing),
+        ):
+            await fleet.wait_until(lambda: fleet.routers[0].peers.directory.peers)
+            serve = replica.serve
+
+            async def serve_and_cut(stream):
+                links.helpers = {"front-2": anyio.current_time()}
+                await serve(stream)
+                links.is_cut = True
+
+            replica.serve = serve_and_cut
+            while not replica.runs or not failing.runs:
+                replica.runs.clear()
+                failing.runs.clear()
+                links.is_cut = False
+                received = await receive_stream(fleet)
+        whole = EVENTS[: EVENTS.rindex(b"id:")]
+        assert received == (whole, False)
+
+    run_entry(check, names=("w1", "w2"), repeat_ratio=1.0, repeat_extra=100.0)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -300,6 +300,33 @@
     run_with_demo(check)
 
 
+class ModelsOfOneRequest(frozenset):
+    """Models that engines serve until one of them has taken a request."""
+
+    taken = False
+
+    def __contains__(self, model):
+        was_taken, self.taken = self.taken, True
+        return not was_taken and super().__contains__(model)
+
+
+@pytest.mark.sockets
+def test_a_refusal_after_a_stream_began_ends_it_with_an_error_event():
+    """Guards against a second head, and a stream that breaks off without a reason."""
+
+    async def check(demo, send):
+        models = ModelsOfOneRequest({MODEL})
+        for engine in demo.engines.values():
+            engine.faults.crash_after_tokens = 2
+            engine.models = models
+        reply = await send("POST", "/v1/completions", make_body(stream=True))
+        assert reply.status == 200
+        assert b"event: error\n" in reply.body and b"[DONE]" not in reply.body
+        assert b"stream_interrupted" in reply.body
+
+    run_with_demo(check)
+
+
 @pytest.mark.sockets
 def test_a_request_that_crashes_engines_gets_an_answer():
     async def check(demo, send):
