--- a/tests/raw_replicas.py
+++ b/tests/raw_replicas.py
@@ -22,6 +22,13 @@
     RESET = "reset"
 
 
+def reset(stream):
+    """Let the connection of a stream be reset when it is closed."""
+    linger = struct.pack("ii", 1, 0)
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 @dataclass
 class RawReplica:
     """Answers each call with the same body and ends the connection.
@@ -61,9 +68,7 @@
                     self.sent += len(self.endless)
             if self.end is ConnectionEnd.RESET:
                 await anyio.sleep(0.05)
-                linger = struct.pack("ii", 1, 0)
-                raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                reset(stream)
 
     def _make_head(self, request_head):
         lines = request_head.split(b"\r\n")
