Confirm a replica's software after a lost connection before a stream goes on there

Cause: the version was taken from the router's copy of the store, which is up to half a second older than the process at the other end of a new connection. A replica that starts again under its id with other software was used as the one before.

Change: a lost or refused connection makes a replica's software unknown until the store has confirmed it; a stream that goes on over a new connection is confirmed in any case while the store answers. A stream that begins is recorded with the version that the store tells.

Why it works: the store is read after the replica has answered, and a replica registers before it serves.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -69,6 +69,7 @@
     [RequestId, tuple[ServiceId, ...], StreamOrigin], Awaitable[StreamOrigin | None]
 ]
 RecordHead = Callable[[ResponseHead, bool], None]
+FindOrigin = Callable[[Replica, bool], Awaitable[StreamOrigin | None]]
 
 
 def ignore_head(head: ResponseHead, is_new_connection: bool) -> None:
@@ -160,6 +161,10 @@
     record_begun : callable
         Called before the first event of a stream is sent to its caller; returns where
         the stream must go on.
+    find_origin : callable or None
+        Returns the origin of streams at a replica that has answered, or None if it is
+        not known; called with whether the store must confirm it. None where another
+        router takes care of it.
     requires_call_id : bool
         Whether a response on a connection that was used before must name its call. It
         may be one that a faulty replica sent to an earlier call too often.
@@ -170,6 +175,7 @@
     clock: Clock = time.monotonic
     plan_cache_use: CachePlanner = plan_local_cache_use
     record_begun: RecordBegun = ignore_begun
+    find_origin: FindOrigin | None = None
     requires_call_id: bool = True
 
     async def send(
@@ -284,6 +290,14 @@
         recorder: "AttemptRecorder",
     ) -> Outcome:
         is_resumable = call.route.retry_policy is RetryPolicy.RESUME
+        origin: StreamOrigin | None = replica.origin
+        if is_resumable and self.find_origin is not None:
+            # A new connection may lead to a process that no entry shows yet.
+            must_confirm = delivery.origin is not None and recorder.is_new_connection
+            origin = await self.find_origin(replica, must_confirm)
+            if delivery.origin is not None and origin != delivery.origin:
+                reason = "the replica may have started again with other software"
+                return Interrupted(Step.HEADERS, replica.id, reason, resumable=True)
         delivery.merger.begin()
         delivery.boundary = EventBoundaryTracker()
         async for data in response.aiter_stream():
@@ -297,7 +311,7 @@
             if is_resumable and delivery.origin is None:
                 services = call.route.list_services()
                 delivery.origin = await self.record_begun(
-                    call.id, services, replica.origin
+                    call.id, services, origin or replica.origin
                 )
             if not delivery.status:
                 await delivery.begin(head.status, head.headers, self.clock())
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -57,6 +57,7 @@
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
+from .software_checks import SoftwareChecks
 from .start_forecasts import SentCall, StartForecasts
 from .withdrawals import WaitingCall, Withdrawals
 
@@ -139,6 +140,9 @@
         Passes calls on while it does not.
     forecasts : StartForecasts
         When calls begin at a replica.
+    software_checks : SoftwareChecks or None
+        Replicas that may run other software than their entries say; None where no
+        stream is resumed.
     withdrawals : Withdrawals
         Withdraws calls that would begin on old weights too late.
     """
@@ -161,6 +165,7 @@
     knows_request_ages: Callable[[Sequence[Replica]], bool] = know_request_ages
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
     suspects: SuspectTable = field(default_factory=SuspectTable)
+    software_checks: SoftwareChecks | None = None
 
     async def forward(self, call: Call, delivery: Delivery) -> Outcome:
         """Serve a call and send the response through the delivery.
@@ -478,6 +483,8 @@
         if tried or not self.retries.has_left(service, now_s):
             # The call could not be retried again if such a replica refused it.
             replicas = self.notices.select_proven(replicas, now_s)
+        if origin is not None and self.software_checks is not None:
+            replicas = self.software_checks.select_confirmed(replicas) or replicas
         ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
         return replicas, AvoidedReplicas(ejected, outdated)
 
@@ -655,6 +662,11 @@
         """Update load and ejection state of a replica after an attempt."""
         endpoint = replica.id
         now_s = self.clock()
+        is_unconnected = isinstance(outcome, NotRun) and outcome.step is Step.CONNECT
+        if self.software_checks is not None and (
+            is_unconnected or getattr(outcome, "lost", False)
+        ):
+            self.software_checks.record_lost(endpoint)
         if isinstance(outcome, NotRun):
             if outcome.step is Step.CONNECT:
                 self._record_unreachable(replica, now_s)
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -57,6 +57,7 @@
 from .retries import RetryBudget
 from .settings import EntrySettings
 from .shutdown import make_shutdown_schedule
+from .software_checks import make_software_checks
 from .start_forecasts import StartForecasts
 from .store_limits import choose_batching_delay_s, limit_store
 from .store_view import StoreLayout, StoreView, make_store_view
@@ -181,6 +182,8 @@
                 registered, self.platform.clock()
             )
             self.app.forwarder.links.monitor.retain(registered)
+            if self.app.forwarder.software_checks is not None:
+                self.app.forwarder.software_checks.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
     def reload(self, read_settings: Callable[[], EntrySettings]) -> None:
@@ -304,6 +307,10 @@
         platform.store, platform.layout, clock
     )
     forwarder.origins.read_registered = registered_versions.get
+    forwarder.software_checks = make_software_checks(
+        platform.store, platform.layout, clock, lambda: store_view.is_connected
+    )
+    forwarder.sender.find_origin = forwarder.software_checks.find_origin
     version_recorder = VersionRecorder(
         platform.store,
         mirror_controller.mirror,
