Bound the tokens of a prompt, and begin a failed background task anew

What callers saw: one request with twenty parts of 999,999,999,999,999,999 tokens was answered 502 and ended the router with all calls in progress; any caller could do it.

Cause: each part had a bound, their sum had none, and the report of pending tokens to the other routers could not be encoded. An error that nobody foresaw in one background task ended the process.

Change: at most 10^9 tokens in a prompt, else 400 with a text that names the header.

Why it works: the sum over all calls of a router now fits the integers of its messages, and no task's error reaches the group of all tasks.

--- a/primrosepier/datagrams.py
+++ b/primrosepier/datagrams.py
@@ -20,6 +20,7 @@
 REPORT_INTERVAL_S = 1.0
 # Time before a broken socket is opened again, seconds.
 REOPEN_DELAY_S = 0.5
+SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 Datagram = tuple[bytes, Address]
 OpenSocket = Callable[[], Awaitable[UDPSocket]]
@@ -103,7 +104,7 @@
         async for data, (host, port) in self.queue[1]:
             try:
                 await socket.sendto(data, host, port)
-            except (OSError, anyio.BrokenResourceError) as error:
+            except SOCKET_ERRORS as error:
                 self.record_failure(repr(error))
 
     async def _receive(self, socket: UDPSocket, handle: HandleDatagram) -> None:
@@ -111,7 +112,7 @@
         while True:
             try:
                 data, _ = await socket.receive()
-            except (OSError, anyio.BrokenResourceError) as error:
+            except SOCKET_ERRORS as error:
                 self.record_failure(repr(error))
                 return
             try:
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -41,6 +41,7 @@
 # delays.
 RETRY_AFTER_SHARE = 0.3
 READY_PATH = "/readyz"
+HTTP_BAD_REQUEST = 400
 # Statuses of this router's own responses to calls that have not run. Those of replicas
 # with such a status are never relayed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -318,7 +319,9 @@
             caller_timeout_s = self.reader.read_caller_timeout_s(scope)
             after_s = min(error.retry_after_s, RETRY_AFTER_SHARE * caller_timeout_s)
             headers.append(self._make_retry_after(after_s))
-        await send_bytes(send, error.status, b"", headers)
+        # Callers take a 400 for final, so it says what they have to change.
+        text = error.message if error.status == HTTP_BAD_REQUEST else ""
+        await send_bytes(send, error.status, text.encode(), headers)
 
     def _log_end(
         self,
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -67,6 +67,14 @@
         "Changes of the store that met an unexpected error.",
         "Stays at nought; MirrorFailed names the error. Report it as a fault.",
     ),
+    MetricSpec(
+        "primrosepier_task_failures_total",
+        COUNTER,
+        "failures",
+        (),
+        "Background tasks that met an unexpected error and began anew.",
+        "Stays at nought; TaskFailed names the error. Report it as a fault.",
+    ),
     MetricSpec(
         "primrosepier_refused_permits_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..asgi import Receive, Scope, Send, send_bytes
-from ..log_events import Event, MirrorFailed, RestRequested
+from ..log_events import Event, MirrorFailed, RestRequested, TaskFailed
 from ..logs import Log
 from ..metric_table import MetricTable
 from .metric_specs import ENTRY_SPECS
@@ -52,6 +52,8 @@
             self.add("primrosepier_unreadable_entries_total", 1)
         elif isinstance(event, MirrorFailed):
             self.add("primrosepier_mirror_failures_total", 1)
+        elif isinstance(event, TaskFailed):
+            self.add("primrosepier_task_failures_total", 1)
         elif isinstance(event, CallPassedOn):
             self.add("primrosepier_passed_on_total", 1)
         elif isinstance(event, StreamTakenUp):
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -4,26 +4,29 @@
 import math
 import random
 import signal
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, fields, replace
 from functools import partial
 
 import anyio
+from anyio.abc import UDPSocket
 
 from ..asgi import open_server
 from ..clocks import Clock
+from ..datagrams import OpenSocket
 from ..endpoint_client import EndpointClient
 from ..endpoint_limits import EndpointLimits
 from ..errors import SettingsError, describe_errors
 from ..ids import EndpointId, Fingerprint, HostId, ModelId
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
-from ..log_events import MirrorFailed
+from ..log_events import MirrorFailed, TaskFailed
 from ..logs import Log, close_at_end, make_log
 from ..mirror import Backoff, Mirror, MirrorController
 from ..protocol import make_bounded_protocol, set_protocol_bounds
 from ..settings import LeaseBounds
 from ..store import Store
+from ..supervision import run_supervised
 from .calls import Call, EndpointDialect
 from .cuts import CutDetector
 from .declarations import Declaration
@@ -159,6 +162,26 @@
         """Return the time that closing waits for calls in progress, seconds."""
         return CLOSE_TIMEOUT_S
 
+    def list_tasks(
+        self, socket: UDPSocket, open_socket: OpenSocket
+    ) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return the tasks that run while the router serves."""
+        return (
+            self.mirror_controller.run,
+            self.refresh,
+            self.weights_controller.run,
+            self.version_recorder.run,
+            self.origin_journal.run,
+            self.peers.directory.run,
+            partial(self.peers.run, socket, open_socket),
+            self.app.forwarder.links.run,
+            self.app.forwarder.withdrawals.run,
+        )
+
+    def record_failure(self, error: Exception) -> None:
+        """Log an error that ended a task."""
+        self.log.emit(TaskFailed(describe_errors(error)))
+
     async def refresh(self) -> None:
         """Periodically apply expiry and other changes that depend only on time."""
         while True:
@@ -685,15 +708,8 @@
                 router.log.emit(
                     RouterStarted(router.callers_address, settings.failure_domain)
                 )
-                group.start_soon(router.mirror_controller.run)
-                group.start_soon(router.refresh)
-                group.start_soon(router.weights_controller.run)
-                group.start_soon(router.version_recorder.run)
-                group.start_soon(router.origin_journal.run)
-                group.start_soon(router.peers.directory.run)
-                group.start_soon(router.peers.run, socket, open_socket)
-                group.start_soon(router.app.forwarder.links.run)
-                group.start_soon(router.app.forwarder.withdrawals.run)
+                for run in router.list_tasks(socket, open_socket):
+                    group.start_soon(run_supervised, run, router.record_failure)
                 yield router
             group.cancel_scope.cancel()
         await router.platform.store.close()
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -33,6 +33,7 @@
     "SeenCandidate",
     "SectionWritten",
     "SlideFound",
+    "TaskFailed",
     "select_candidates",
 ]
 
@@ -389,6 +390,24 @@
         return f"ends by an error: {self.errors[-1]}"
 
 
+class TaskFailed(Event, frozen=True):
+    """A background task met an unexpected error and begins anew.
+
+    Parameters
+    ----------
+    errors : tuple of str
+        The error and the chain of its causes, each with the place where it was raised.
+    """
+
+    part: ClassVar[str] = "tasks"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    errors: tuple[str, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"begins a background task anew: {self.errors[-1]}"
+
+
 class MirrorFailed(Event, frozen=True):
     """A change of the store met an unexpected error, and may not be applied in full.
 
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -17,6 +17,9 @@
 BEARER = "bearer "
 # Characters of an odd value that an error message shows.
 MAX_SHOWN = 64
+# Tokens of one prompt, far more than any model reads. The sum over all calls of a
+# router then fits the integers of the messages that it sends.
+MAX_PROMPT_TOKENS = 10**9
 
 
 def _make_header_map(scope: Scope) -> dict[bytes, bytes]:
@@ -32,12 +35,14 @@
         if length is None:
             raise MessageError(f"prompt part {entry[:MAX_SHOWN]!r} has no length")
         parts.append(PromptPart(PartId(name), length))
+    if sum(part.tokens for part in parts) > MAX_PROMPT_TOKENS:
+        raise MessageError(f"the prompt has more than {MAX_PROMPT_TOKENS} tokens")
     return tuple(parts)
 
 
 def _read_output_limit(value: str) -> int:
     """Parse the second of two token counts; 0 without a valid one."""
-    return parse_count(value.partition(",")[2]) or 0
+    return min(MAX_PROMPT_TOKENS, parse_count(value.partition(",")[2]) or 0)
 
 
 class PlatformRequestReader:
@@ -87,6 +92,11 @@
         def read_header(name: bytes) -> str:
             return values.get(name, b"").decode("latin-1")
 
+        try:
+            parts = _read_parts(read_header(names.PROMPT_PARTS))
+        except MessageError as cause:
+            field = names.PROMPT_PARTS.decode("ascii")
+            raise MessageError(f"header {field}: {cause}") from cause
         target = scope["raw_path"].decode("latin-1")
         if scope["query_string"]:
             target = f"{target}?{scope['query_string'].decode('latin-1')}"
@@ -102,7 +112,7 @@
             deadline_s=received_at_s
             + min(route.timeout_s, self.read_caller_timeout_s(scope)),
             model=ModelId(read_header(names.MODEL)),
-            parts=_read_parts(read_header(names.PROMPT_PARTS)),
+            parts=parts,
             resume_after=read_header(names.LAST_EVENT),
             api_key=self.read_key(scope),
             resumed_call=RequestId(read_header(names.RESUMED_CALL)),
--- /dev/null
+++ b/tests/test_odd_requests.py
@@ -0,0 +1,114 @@
+"""Requests with odd values, over real sockets and by the decoders."""
+
+
+import anyio
+import msgspec
+import pytest
+from entry_fleet import run_entry
+from hypothesis import given, settings, strategies as st
+
+from primrosepier.errors import MessageError
+from primrosepier.forwarding.declarations import RetryPolicy, Route
+from primrosepier.forwarding.fleet import Fleet
+from primrosepier.platform.ingress import MAX_PROMPT_TOKENS, PlatformRequestReader
+from primrosepier.supervision import RESTART_PAUSE_S, run_supervised
+from primrosepier.virtualtime import run_in_virtual_time
+
+HUGE = 10**18 - 1
+ROUTE = Route("r", "h", "/", (("writers", 1),), RetryPolicy.NEVER, timeout_s=1.0)
+VALUES = st.one_of(
+    st.text(st.characters(max_codepoint=255), max_size=60),
+    st.integers(0, 10**20).map(str),
+    st.lists(st.integers(0, 10**19), max_size=30).map(
+        lambda counts: ",".join(f"{n:x}:{count}" for n, count in enumerate(counts))
+    ),
+)
+HEADERS = (
+    b"prefix-hash",
+    b"token-usage",
+    b"deadline-ms",
+    b"last-event-id",
+    b"resumes",
+    b"model",
+    b"authorization",
+    b"host",
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(st.dictionaries(st.sampled_from(HEADERS), VALUES))
+def test_any_header_of_a_caller_is_read_within_bounds_or_rejected(values):
+    """Guards against numbers from outside that fit no message between routers."""
+    reader = PlatformRequestReader()
+    headers = [(name, value.encode("latin-1")) for name, value in values.items()]
+    scope = {
+        "method": "POST",
+        "raw_path": b"/a",
+        "query_string": b"",
+        "headers": headers,
+    }
+    reader.read_host(scope)
+    reader.read_key(scope)
+    assert reader.read_caller_timeout_s(scope) >= 0
+    try:
+        call = reader.make_call(scope, b"", ROUTE, None, 0.0)
+    except MessageError:
+        return
+    assert 0 <= call.prompt_tokens <= MAX_PROMPT_TOKENS
+    assert 0 <= call.output_limit <= MAX_PROMPT_TOKENS
+    assert 0 <= call.deadline_s <= ROUTE.timeout_s
+    tokens = {part.id: part.tokens for part in call.parts}
+    for encode in (msgspec.json.encode, msgspec.msgpack.encode):
+        encode([tokens, call.prompt_tokens * 10**6, call.output_limit, call.model])
+
+
+@pytest.mark.sockets
+def test_a_prompt_of_huge_parts_ends_no_router():
+    """Guards against one request that ends a router."""
+
+    async def check(fleet):
+        async with fleet.open_router("front-2"):
+            await fleet.wait_until(lambda: fleet.routers[0].peers.directory.peers)
+            parts = ",".join(f"{number:x}:{HUGE}" for number in range(20))
+            headers = {"Model": "m0", "Prefix-Hash": parts}
+            reply = await fleet.send("/stream/notes/1", **headers)
+            assert reply.status == 400
+            assert b"prefix-hash" in reply.body
+            await anyio.sleep(1.0)
+            assert (await fleet.send("/lookup/1", attempt="a2")).status == 200
+
+    run_entry(check)
+
+
+@pytest.mark.sockets
+def test_an_error_in_a_background_task_ends_no_router(monkeypatch):
+    """Guards against calls in progress that end with a router's background task."""
+
+    async def check(fleet):
+        def fail(replicas, now_s):
+            failures.append(now_s)
+            raise ValueError("unforeseen")
+
+        failures = []
+        with monkeypatch.context() as patch:
+            patch.setattr(Fleet, "make_list", fail)
+            await fleet.wait_until(lambda: len(failures) >= 2, 5.0)
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check)
+
+
+def test_a_failed_task_begins_anew_after_a_pause():
+    async def run():
+        async def fail_twice():
+            started_at_s.append(anyio.current_time())
+            if len(started_at_s) <= 2:
+                raise ValueError(str(len(started_at_s)))
+
+        started_at_s, errors = [], []
+        await run_supervised(fail_twice, lambda error: errors.append(str(error)))
+        pauses = [b - a for a, b in zip(started_at_s, started_at_s[1:], strict=False)]
+        assert pauses == pytest.approx([RESTART_PAUSE_S] * 2)
+        assert errors == ["1", "2"]
+
+    run_in_virtual_time(run)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -292,6 +292,7 @@
     "SlideFound": "workspace prefix_level base_rate recent_rate cause",
     "StreamTakenUp": "request resumed_call software result",
     "StreamsUnstored": "reason",
+    "TaskFailed": "errors",
     "VersionsRecorded": "versions is_complete",
     "VersionsUnrecorded": "reason",
     "WeightsOrdered": "endpoint model weights fencing outcome",
