Send a request's target byte for byte, and refuse upgrades with a body

Cause: the target was taken apart by the server and again by the client's URL, and what looked empty was left out. The server's parser stops at the head of a request with Upgrade.

Change: the server keeps the target as received; both interfaces send it unchanged. A request for another protocol with a body is refused with 400 before it is forwarded.

Two new tests failed before, one over eight targets.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -24,6 +24,7 @@
     "open_server",
     "read_body",
     "read_json",
+    "read_target",
     "send_bytes",
     "send_chunk",
     "send_json",
@@ -120,6 +121,17 @@
     await send({"type": "http.response.body", "body": data, "more_body": more})
 
 
+def read_target(scope: Scope) -> bytes:
+    """Return a request's path and query, byte for byte if the server tells them."""
+    target: bytes = scope.get("target", b"")
+    if target.startswith(b"/") and b"#" not in target:
+        return target
+    # It names the scheme and the host as well, or a fragment.
+    path: bytes = scope["raw_path"]
+    query = scope.get("query_string", b"")
+    return b"%b?%b" % (path, query) if query else path
+
+
 async def send_bytes(
     send: Send, status: int, data: bytes, headers: Headers = ()
 ) -> None:
--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -163,7 +163,7 @@
         call.record_connected()
         if call.repeatable:
             self.repeatable[call.address].add(stream)
-        url = httpcore.URL(f"http://{call.address}{call.path}")
+        url = _make_url(call)
         connection = httpcore.AsyncHTTP11Connection(url.origin, stream)
         timeout = {"read": call.request_s, "write": call.request_s}
         request = httpcore.Request(
@@ -277,6 +277,20 @@
         raise httpcore.ConnectError("the idle connection was closed") from cause
 
 
+def _make_url(call: EndpointCall) -> httpcore.URL:
+    """Return the URL of a call, with its target as it was given.
+
+    A URL that is parsed from text loses an empty query and the parameters of its path.
+    """
+    host, _, port = call.address.rpartition(":")
+    return httpcore.URL(
+        scheme=b"http",
+        host=host.encode("ascii"),
+        port=int(port),
+        target=call.path.encode("latin-1"),
+    )
+
+
 def _complete_headers(
     call: EndpointCall, origin: httpcore.Origin
 ) -> list[tuple[bytes, bytes]]:
--- a/primrosepier/plain.py
+++ b/primrosepier/plain.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from .asgi import Scope, Send, send_bytes
+from .asgi import Scope, Send, read_target, send_bytes
 from .candidates import REST_REASON, Candidates
 from .clocks import Clock
 from .configuration import Configuration, Endpoint, Service, ServiceKind, Workspace
@@ -161,10 +161,9 @@
 
 
 def _make_target(scope: Scope, service: Service) -> str:
-    raw_path = scope["raw_path"].decode("ascii")
-    _, _, subpath = raw_path.removeprefix(PATH_PREFIX).partition("/")
-    query = scope.get("query_string", b"").decode("latin-1")
-    target = f"/{subpath}" + (f"?{query}" if query else "")
+    path, separator, query = read_target(scope).decode("latin-1").partition("?")
+    _, _, subpath = path.removeprefix(PATH_PREFIX).partition("/")
+    target = f"/{subpath}{separator}{query}"
     if not target.isascii():
         raise RequestError(400, "invalid_path", "The query is not percent-encoded.")
     return target
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from ..asgi import Scope
+from ..asgi import Scope, read_target
 from ..decoding import parse_count
 from ..errors import MessageError
 from ..forwarding.calls import Call, PartId, PromptPart
@@ -97,13 +97,10 @@
         except MessageError as cause:
             field = names.PROMPT_PARTS.decode("ascii")
             raise MessageError(f"header {field}: {cause}") from cause
-        target = scope["raw_path"].decode("latin-1")
-        if scope["query_string"]:
-            target = f"{target}?{scope['query_string'].decode('latin-1')}"
         return Call(
             id=self.read_id(scope),
             method=scope["method"],
-            target=target,
+            target=read_target(scope).decode("latin-1"),
             headers=tuple(_select_forwarded(scope["headers"])),
             body=body,
             route=route,
--- a/primrosepier/protocol.py
+++ b/primrosepier/protocol.py
@@ -13,8 +13,20 @@
 )
 
 
+UPGRADE_WITH_BODY_RESPONSE = (
+    b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n"
+    b"A request that asks for another protocol can't have a body.\n"
+)
+BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
+
 class _BoundedProtocol(HttpToolsProtocol):
-    """Protocol that refuses a request head that is too large or too slow."""
+    """Protocol that refuses a request head that is too large or too slow.
+
+    It adds the request's target, as it was received, to the scope. The parser stops
+    at the head of a request that asks for another protocol, so such a request is
+    refused if it has a body.
+    """
 
     limit_bytes = 0
     limit_s = 0.0
@@ -46,8 +58,25 @@
 
     def on_headers_complete(self) -> None:
         self._stop_timer()
+        if self.parser.should_upgrade() and self._has_body():
+            self._refuse(UPGRADE_WITH_BODY_RESPONSE)
+            return
+        self.scope["target"] = self.url  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
 
+    def _has_body(self) -> bool:
+        return any(
+            name in BODY_HEADERS and value != b"0" for name, value in self.headers
+        )
+
+    def on_body(self, body: bytes) -> None:
+        if not self.transport.is_closing():
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        if not self.transport.is_closing():
+            super().on_message_complete()
+
     def _start_timer(self) -> None:
         self.head_bytes = 0
         self.head_timer = self.loop.call_later(
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -1,11 +1,13 @@
 """Requests with odd values, over real sockets and by the decoders."""
 
+import contextlib
 
 import anyio
 import msgspec
 import pytest
-from entry_fleet import run_entry
+from entry_fleet import HOST, KEY, run_entry
 from hypothesis import given, settings, strategies as st
+from raw_replicas import RawReplica, open_raw_replica
 
 from primrosepier.errors import MessageError
 from primrosepier.forwarding.declarations import RetryPolicy, Route
@@ -112,3 +114,67 @@
         assert errors == ["1", "2"]
 
     run_in_virtual_time(run)
+
+
+TARGETS = (
+    "/lookup/a;version=2",
+    "/lookup/litter;a=1/7;b",
+    "/lookup/a?",
+    "/lookup/a??b=?",
+    "/lookup/a;x?y;z",
+    "/lookup/%41%2f%3B?%00&a=%20+",
+    "/lookup/a//b/./../c",
+    "/lookup/~!$&'()*+,=:@",
+)
+
+
+@pytest.mark.sockets
+def test_a_replica_gets_the_target_that_the_caller_sent():
+    """Guards against a replica that runs another request than was sent."""
+
+    async def check(fleet):
+        replica = RawReplica(b"", b"Content-Length: 0\r\n")
+        async with open_raw_replica(fleet, "app1", replica, "app"):
+            for number, target in enumerate(TARGETS):
+                reply = await send_raw(fleet, target, f"a{number}")
+                assert reply.startswith(b"HTTP/1.1 200 ")
+        seen = [head.split(b" ")[1].decode() for head in replica.runs]
+        assert seen == list(TARGETS)
+
+    run_entry(check, names=("app1",))
+
+
+async def send_raw(fleet, target, attempt, headers=(), body=b""):
+    """Send a request on a connection of its own; return the bytes of its answer."""
+    lines = [
+        f"POST {target} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Authorization: Bearer {KEY}",
+        f"Attempt-Id: {attempt}",
+        "Deadline-Ms: 2000",
+        f"Content-Length: {len(body)}",
+        *(headers or ["Connection: close"]),
+    ]
+    host, _, port = fleet.routers[0].callers_address.rpartition(":")
+    received = b""
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+        with anyio.move_on_after(2.0), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                received += await stream.receive()
+    return received
+
+
+@pytest.mark.sockets
+def test_a_request_for_another_protocol_runs_with_its_body_or_not_at_all():
+    """Guards against a request that runs with an empty body."""
+
+    async def check(fleet):
+        upgrade = ["Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c"]
+        reply = await send_raw(fleet, "/booking/1", "a1", upgrade, b"book")
+        assert reply.startswith(b"HTTP/1.1 400 ")
+        assert not fleet.list_runs()
+        await send_raw(fleet, "/booking/1", "a2", upgrade)
+        assert [run["attempt-id"] for run in fleet.list_runs()] == ["a2"]
+
+    run_entry(check)
