Close idle connections at their end, when they expire and when a replica has left

Cause: idle connections were closed only by the next call to their address, and a connection that the peer had closed kept its socket.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -4,8 +4,9 @@
 import ssl
 import time
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import httpcore
@@ -126,6 +127,9 @@
     async def probe(self, address: str, connect_s: float) -> bool:
         """Return whether an address accepts a connection; keep it for the next call."""
 
+    def prune(self, addresses: Collection[str]) -> None:
+        """Close idle connections that have expired, or that lead to other addresses."""
+
     async def close(self) -> None:
         """Close all idle connections."""
 
@@ -205,7 +209,7 @@
         for stream in unresponsive:
             stream.abort()
         for connection in self.idle.pop(address, []):
-            connection.stream.abort()
+            self._drop(address, connection)
         return len(unresponsive)
 
     def _take_idle(self, call: EndpointCall) -> TcpStream | None:
@@ -218,8 +222,9 @@
                 connection.expires_at_s, connection.idle_since_s + call.idle_s
             )
             if is_fresh and not connection.stream.get_extra_info("is_readable"):
+                connection.stream.watch_idle(None)
                 return connection.stream
-            connection.stream.abort()
+            self._drop(call.address, connection)
         return None
 
     async def _connect(self, address: str, connect_s: float) -> TcpStream:
@@ -245,14 +250,34 @@
             await stream.aclose()
             return
         now_s = self.clock()
-        idle.append(_IdleConnection(stream, now_s, now_s + keep_alive_s))
+        connection = _IdleConnection(stream, now_s, now_s + keep_alive_s)
+        idle.append(connection)
+        stream.watch_idle(partial(self._drop, address, connection))
+
+    def _drop(self, address: str, connection: _IdleConnection) -> None:
+        """Close an idle connection on which bytes or the end have arrived."""
+        connection.stream.watch_idle(None)
+        connection.stream.abort()
+        idle = self.idle.get(address, [])
+        if connection in idle:
+            idle.remove(connection)
+
+    def prune(self, addresses: Collection[str]) -> None:
+        """Close idle connections that have expired, or that lead to other addresses."""
+        now_s = self.clock()
+        for address, idle in list(self.idle.items()):
+            is_used = address in addresses
+            for connection in list(idle):
+                if not is_used or now_s >= connection.expires_at_s:
+                    self._drop(address, connection)
+            if not is_used:
+                del self.idle[address]
+                if not self.repeatable.get(address):
+                    self.repeatable.pop(address, None)
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for idle in self.idle.values():
-            for connection in idle:
-                await connection.stream.aclose()
-        self.idle.clear()
+        self.prune(())
 
 
 async def _send_request(
--- a/primrosepier/fault_engines.py
+++ b/primrosepier/fault_engines.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import hashlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -113,6 +113,9 @@
     async def close(self) -> None:
         """Do nothing; there are no connections."""
 
+    def prune(self, addresses: Collection[str]) -> None:
+        """Do nothing; no connection is kept."""
+
     def abort_unresponsive(self, address: str, receive_gap_s: float) -> int:
         """Return 0, because calls to a crashed fake engine fail at once."""
         return 0
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -204,11 +204,18 @@
             self.app.forwarder.notices.permits.windows.retain(
                 registered, self.platform.clock()
             )
+            self.platform.client.prune(self._list_addresses())
             self.app.forwarder.links.monitor.retain(registered)
             if self.app.forwarder.software_checks is not None:
                 self.app.forwarder.software_checks.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
+    def _list_addresses(self) -> set[str]:
+        """Return the addresses of the registered replicas and the other routers."""
+        replicas = self.store_view.fleet.list_registered()
+        peers = self.peers.directory.list_addresses().values()
+        return {x.address for x in replicas} | {x.address for x in peers}
+
     def reload(self, read_settings: Callable[[], EntrySettings]) -> None:
         """Reread the settings file and log the differences.
 
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import httpcore
@@ -38,6 +38,8 @@
         self.deadline_s = float("inf")
         self.timer: asyncio.TimerHandle | None = None
         self.write_waiter: asyncio.Future[None] | None = None
+        # Called when something happens on the connection while no call uses it.
+        self.notify_idle: Callable[[], None] | None = None
         self.received_at_s = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,6 +83,8 @@
             self.write_waiter = asyncio.get_running_loop().create_future()
 
     def _wake_reader(self) -> None:
+        if self.notify_idle is not None:
+            self.notify_idle()
         if self.read_waiter is not None and not self.read_waiter.done():
             self.read_waiter.set_result(None)
 
@@ -216,6 +220,10 @@
         if self.buffer.transport is not None:
             self.buffer.transport.abort()
 
+    def watch_idle(self, notify: Callable[[], None] | None) -> None:
+        """Call a function when bytes or the end arrive; None ends that."""
+        self.buffer.notify_idle = notify
+
     def compute_receive_gap_s(self) -> float:
         """Return the time in seconds since the last received byte or the connect."""
         return self.buffer.loop.time() - self.buffer.received_at_s
--- a/tests/crash_cluster.py
+++ b/tests/crash_cluster.py
@@ -301,6 +301,9 @@
             headers.append((b"server-limit", b"%g" % self.limits[engine.number]))
         yield EngineResponse(headers, self._generate(engine, crashed))
 
+    def prune(self, addresses):
+        pass
+
     def abort_unresponsive(self, address, receive_gap_s):
         """Abort nothing: engines here are up or refuse connections."""
         return 0
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,4 +1,5 @@
 import contextlib
+import os
 
 import anyio
 import anyio.abc
@@ -258,3 +259,61 @@
             assert not any(client.idle.values())
 
     anyio.run(run)
+
+
+def count_descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_an_idle_connection_that_the_peer_closes_gives_up_its_socket():
+    """Guards against sockets of replicas that have left, up to the limit of all."""
+
+    async def run():
+        client = HttpEndpointClient()
+        async with open_server(serve, "127.0.0.1:0") as address:
+            for _ in range(3):
+                assert await fetch(client, address) == b"ok"
+            before = count_descriptors()
+            assert len(client.idle[address]) == 1
+        await anyio.sleep(0.1)
+        assert not client.idle[address]
+        # The connection, its other end and the listening socket.
+        assert count_descriptors() <= before - 3
+
+    anyio.run(run)
+
+
+def test_idle_connections_to_other_addresses_and_expired_ones_are_closed():
+    async def check(client, address):
+        now_s = [0.0]
+        client.clock = lambda: now_s[0]
+        assert await fetch(client, address) == b"ok"
+        client.prune({address})
+        assert len(client.idle[address]) == 1
+        client.prune({"127.0.0.1:1"})
+        assert address not in client.idle
+        assert await fetch(client, address) == b"ok"
+        now_s[0] += 60.0
+        client.prune({address})
+        assert not client.idle[address]
+
+    run_calls(check)
+
+
+def test_replacements_of_replicas_leave_no_descriptors():
+    """Guards against a router without descriptors after many replacements."""
+
+    async def run():
+        client = HttpEndpointClient()
+        counts = []
+        for _ in range(100):
+            async with open_server(serve, "127.0.0.1:0") as address:
+                async with anyio.create_task_group() as group:
+                    for _ in range(8):
+                        group.start_soon(fetch, client, address)
+                client.prune({address})
+            counts.append(count_descriptors())
+        await anyio.sleep(0.1)
+        assert max(counts) - counts[0] <= 16
+
+    anyio.run(run)
