--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -89,3 +89,19 @@
     assert platform.store.clock is read_boot_clock
     before_s = time.clock_gettime(time.CLOCK_BOOTTIME)
     assert before_s <= read_boot_clock() <= time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+EARLY = """
+import runpy, signal, sys, types
+import primrosepier
+cli = types.ModuleType("primrosepier.cli")
+cli.main = lambda: int(signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN)
+sys.modules["primrosepier.cli"] = cli
+sys.argv = ["primrosepier", "entry-router"]
+runpy.run_module("primrosepier", run_name="__main__")
+"""
+
+
+def test_sighup_is_ignored_before_the_modules_are_imported():
+    """Guards against a change of the settings that ends a router as it starts."""
+    assert subprocess.run([sys.executable, "-c", EARLY]).returncode == 0
