Hold no stream up that begins during an outage of the store

- A stream that begins at a replica with a lost connection does not wait for a store that does not answer; one that goes on there is refused as before.
- A stream taken up by its caller that can't go on at the replica ends with 502 in place of a closed connection, as no byte was sent.
- A router whose entry has disappeared registers again once, not again at each change of the store until its new entry is shown (new test).

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -69,7 +69,7 @@
     [RequestId, tuple[ServiceId, ...], StreamOrigin], Awaitable[StreamOrigin | None]
 ]
 RecordHead = Callable[[ResponseHead, bool], None]
-FindOrigin = Callable[[Replica, bool], Awaitable[StreamOrigin | None]]
+FindOrigin = Callable[[Replica, bool, bool], Awaitable[StreamOrigin | None]]
 
 
 def ignore_head(head: ResponseHead, is_new_connection: bool) -> None:
@@ -163,8 +163,8 @@
         the stream must go on.
     find_origin : callable or None
         Returns the origin of streams at a replica that has answered, or None if it is
-        not known; called with whether the store must confirm it. None where another
-        router takes care of it.
+        not known; called with whether a stream goes on there, and whether the
+        connection is new. None where another router takes care of it.
     requires_call_id : bool
         Whether a response on a connection that was used before must name its call. It
         may be one that a faulty replica sent to an earlier call too often.
@@ -292,11 +292,13 @@
         is_resumable = call.route.retry_policy is RetryPolicy.RESUME
         origin: StreamOrigin | None = replica.origin
         if is_resumable and self.find_origin is not None:
-            # A new connection may lead to a process that no entry shows yet.
-            must_confirm = delivery.origin is not None and recorder.is_new_connection
-            origin = await self.find_origin(replica, must_confirm)
-            if delivery.origin is not None and origin != delivery.origin:
+            is_resumed = delivery.origin is not None
+            is_new = recorder.is_new_connection
+            origin = await self.find_origin(replica, is_resumed, is_new)
+            if is_resumed and origin != delivery.origin:
                 reason = "the replica may have started again with other software"
+                if not delivery.status:
+                    return UnknownOutcome(Step.HEADERS, replica.id, reason)
                 return Interrupted(Step.HEADERS, replica.id, reason, resumable=True)
         delivery.merger.begin()
         delivery.boundary = EventBoundaryTracker()
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -241,6 +241,8 @@
         Whom this router reports to; None if all report to each other.
     listed : dict of HostId to PeerEntry
         The other routers whose entries are in the store.
+    is_listed : bool
+        Whether this router's entry is in the store.
     registered_at_s : float
         Time at which this router's entry was first seen in the store, seconds.
     unlisted : anyio.Event
@@ -262,6 +264,7 @@
     compute_recovery_s: Callable[[], float] = never_recovers
     clock: Clock = time.monotonic
     listed: dict[HostId, PeerEntry] = field(default_factory=dict)
+    is_listed: bool = False
     registered_at_s: float = math.inf
     unlisted: anyio.Event = field(default_factory=anyio.Event)
 
@@ -282,8 +285,9 @@
         is_listed = self.listed.pop(self.host, None) is not None
         if is_listed:
             self.registered_at_s = min(self.registered_at_s, self.clock())
-        elif self.is_registered:
+        elif self.is_listed:
             self.unlisted.set()
+        self.is_listed = is_listed
         self.is_registered = is_listed or (self.is_registered and self._is_recovering())
         self.refresh()
 
--- a/primrosepier/forwarding/software_checks.py
+++ b/primrosepier/forwarding/software_checks.py
@@ -78,23 +78,30 @@
         return [x for x in replicas if x.id not in self.losses]
 
     async def find_origin(
-        self, replica: Replica, must_confirm: bool
+        self, replica: Replica, is_resumed: bool, is_new_connection: bool
     ) -> StreamOrigin | None:
         """Return the origin of streams that begin at a replica that has answered.
 
-        It is None if a connection was lost since and the store does not tell.
+        It is None if a connection was lost before and the store does not tell.
 
         Parameters
         ----------
-        must_confirm : bool
-            Whether to read the store, if it answers, although no connection was lost.
+        is_resumed : bool
+            Whether a stream goes on at the replica. It may then have to wait for the
+            store, and be refused; one that begins is not held up by an outage.
+        is_new_connection : bool
+            Whether the replica answered on a new connection, which may lead to a
+            process that no entry shows yet.
         """
         losses = self.losses.get(replica.id)
-        if losses is None and not (must_confirm and self.is_connected()):
+        is_known = losses is None
+        if not self.is_connected():
+            return replica.origin if is_known or not is_resumed else None
+        if is_known and not (is_resumed and is_new_connection):
             return replica.origin
         origins = await self.shared_read.get()
         if origins is None:
-            return replica.origin if losses is None else None
+            return replica.origin if is_known else None
         origin = origins.get(replica.id)
         if origin == replica.origin and self.losses.get(replica.id) == losses:
             self.losses.pop(replica.id, None)
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -158,13 +158,27 @@
     host, _, port = fleet.routers[0].callers_address.rpartition(":")
     received = b""
     async with await anyio.connect_tcp(host, int(port)) as stream:
-        await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+        await stream.send("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
         with anyio.move_on_after(2.0), contextlib.suppress(anyio.EndOfStream):
             while True:
                 received += await stream.receive()
     return received
 
 
+@pytest.mark.sockets
+def test_a_target_that_is_not_ascii_is_rejected_and_costs_no_replica():
+    """Guards against a caller's odd byte that counts as a failure of replicas."""
+
+    async def check(fleet):
+        for number in range(6):
+            reply = await send_raw(fleet, "/lookup/a?b=\xff", f"a{number}")
+            assert reply.startswith(b"HTTP/1.1 400 ")
+        assert not fleet.routers[0].app.forwarder.software_checks.losses
+        assert (await fleet.send("/lookup/1")).status == 200
+
+    run_entry(check)
+
+
 @pytest.mark.sockets
 def test_a_request_for_another_protocol_runs_with_its_body_or_not_at_all():
     """Guards against a request that runs with an empty body."""
--- a/tests/test_peer_directory.py
+++ b/tests/test_peer_directory.py
@@ -135,6 +135,18 @@
     assert directory.list_hosts() == set(HOSTS[1:])
 
 
+def test_a_router_is_told_once_that_its_entry_has_disappeared():
+    installation = Installation()
+    installation.show(HOSTS)
+    directory = installation.directories[0]
+    installation.show(HOSTS[1:], restores=1)
+    assert directory.unlisted.is_set()
+    directory.unlisted = anyio.Event()
+    installation.show(HOSTS[2:], restores=1)
+    assert directory.is_registered
+    assert not directory.unlisted.is_set()
+
+
 @pytest.mark.sockets
 def test_routers_register_again_soon_after_a_restore_and_count_each_other():
     """Guards against routers that stop sharing what they share after a drill."""
