--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -241,8 +241,7 @@
     ) -> Outcome | ErrorResponse:
         head = self.dialect.read_head(response.status, response.headers)
         delivery.is_framed = response.is_framed
-        may_be_stale = self.requires_call_id and not response.is_first_use
-        if head.call_id != call.id and (head.call_id or may_be_stale):
+        if not self._is_for_call(call, head, response):
             reason = f"the response is for call {head.call_id or 'unknown'}"
             return UnknownOutcome(Step.HEADERS, replica.id, reason)
         recorder.record_response(head, self.clock())
@@ -280,6 +279,33 @@
             )
         return await self._relay_buffered(replica, response, head, delivery)
 
+    def _is_for_call(
+        self, call: Call, head: ResponseHead, response: EndpointResponse
+    ) -> bool:
+        """Return whether a response is surely the one to a call."""
+        if head.call_id or not self.requires_call_id:
+            return head.call_id in ("", call.id)
+        return response.is_first_use
+
+    async def _find_origin(
+        self, replica: Replica, delivery: Delivery, recorder: "AttemptRecorder"
+    ) -> StreamOrigin | Interrupted | UnknownOutcome:
+        """Return the origin of a stream that may be resumed, at a replica's answer.
+
+        It is an outcome if the stream, which began elsewhere, can't go on there.
+        """
+        if self.find_origin is None:
+            return replica.origin
+        is_resumed = delivery.origin is not None
+        is_new = recorder.is_new_connection
+        origin = await self.find_origin(replica, is_resumed, is_new)
+        if not is_resumed or origin == delivery.origin:
+            return origin or replica.origin
+        reason = "the replica may have started again with other software"
+        if not delivery.status:
+            return UnknownOutcome(Step.HEADERS, replica.id, reason)
+        return Interrupted(Step.HEADERS, replica.id, reason, resumable=True)
+
     async def _relay_events(
         self,
         call: Call,
@@ -290,16 +316,12 @@
         recorder: "AttemptRecorder",
     ) -> Outcome:
         is_resumable = call.route.retry_policy is RetryPolicy.RESUME
-        origin: StreamOrigin | None = replica.origin
-        if is_resumable and self.find_origin is not None:
-            is_resumed = delivery.origin is not None
-            is_new = recorder.is_new_connection
-            origin = await self.find_origin(replica, is_resumed, is_new)
-            if is_resumed and origin != delivery.origin:
-                reason = "the replica may have started again with other software"
-                if not delivery.status:
-                    return UnknownOutcome(Step.HEADERS, replica.id, reason)
-                return Interrupted(Step.HEADERS, replica.id, reason, resumable=True)
+        origin = replica.origin
+        if is_resumable:
+            found = await self._find_origin(replica, delivery, recorder)
+            if not isinstance(found, StreamOrigin):
+                return found
+            origin = found
         delivery.merger.begin()
         delivery.boundary = EventBoundaryTracker()
         async for data in response.aiter_stream():
@@ -312,9 +334,7 @@
                 continue
             if is_resumable and delivery.origin is None:
                 services = call.route.list_services()
-                delivery.origin = await self.record_begun(
-                    call.id, services, origin or replica.origin
-                )
+                delivery.origin = await self.record_begun(call.id, services, origin)
             if not delivery.status:
                 await delivery.begin(head.status, head.headers, self.clock())
             await send_chunk(delivery.send, forwarded)
