--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -16,6 +16,7 @@
 import primrosepier.forwarding.records  # noqa: F401
 from primrosepier.claims import ClaimRecord
 from primrosepier.configuration import encode_configuration, load_configuration
+from primrosepier.decoding import parse_count
 from primrosepier.demo import find_example
 from primrosepier.drift import MissCause
 from primrosepier.drift_controller import DayEntry
@@ -52,6 +53,7 @@
 from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 from primrosepier.leases import (
     DutyRecord,
+    compute_next_fencing,
     decode_duty,
     make_duty_key,
     make_fencing_key,
@@ -670,3 +672,20 @@
 def test_settings_files_of_the_last_landing_keep_their_meaning():
     settings = parse_entry_settings(last_landing.SETTINGS_TEXT.encode(), "node.toml")
     assert asdict(settings).items() >= last_landing.SETTINGS.items()
+
+
+def test_fencing_numbers_after_restores_are_read_by_both_builds():
+    """Guards against a number that a build of the last landing can't go on from."""
+    number = compute_next_fencing(3, 1000)
+    assert number > compute_next_fencing(compute_next_fencing(3, 999), 999)
+    # JSON readers represent integers up to 2^53 exactly.
+    assert number < 2**53
+    # The last landing read a counter of up to 18 digits, and added one.
+    assert len(str(number)) <= 18
+    assert parse_count(str(number).encode()) == number
+    assert compute_next_fencing(number + 1, 1000) == number + 2
+    duty = msgspec.json.encode(DutyRecord("entry-1", "token", number))
+    assert msgspec.json.decode(duty, type=last_landing.DutyRecord).fencing == number
+    loading = msgspec.json.encode(WeightsLoadingRecord(number, ["w1"], 2.0, 4))
+    last = msgspec.json.decode(loading, type=last_landing.LoadingRecord)
+    assert last.fencing == number
