Exclude what earlier test modules left from collections

Cause: a full collection of the process that runs the tests. It traverses all that earlier modules left, and stops routers, callers and replicas of a test at once. A router's own process freezes the objects of its start and collects rarely, so no router is stopped like this.

The product's answer needs no change, and the bound stays.

Before each module, what is left is collected once and the rest frozen.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,4 @@
+import gc
 from pathlib import Path
 
 import pytest
@@ -15,6 +16,18 @@
     return entries
 
 
+@pytest.fixture(scope="module", autouse=True)
+def freeze_older_objects():
+    """Exclude what earlier modules left from collections, as a router's process does.
+
+    A full collection that traverses it stops the process for longer than the time
+    bounds of some tests allow.
+    """
+    gc.unfreeze()
+    gc.collect()
+    gc.freeze()
+
+
 def pytest_collection_modifyitems(items):
     entries = read_known_red()
     for item in items:
