Take a router's lost connections for no outage of the store

Cause: a router took its own reset connections for an outage, and kept a replica whose entry had been removed for two seconds and more after its watch was answered again.

Contact that was lost for less than an entry takes to expire is no outage; the first answer of a watch is not held; a lost or overdue answer is asked for again on a new connection.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -23,6 +23,7 @@
     "EndpointClient",
     "EndpointResponse",
     "HttpEndpointClient",
+    "KEEPALIVE_S",
     "RELAY_ERRORS",
     "classify_error",
     "is_connection_lost",
--- a/primrosepier/forwarding/fleet.py
+++ b/primrosepier/forwarding/fleet.py
@@ -17,6 +17,10 @@
 
 # Time after the store is reachable again in which replicas renew expired entries.
 RENEWAL_GRACE_S = 2.0
+# Time without contact after which the entry of a replica that lives may have expired,
+# as intervals of its renewals: an entry expires three after the last renewal, which was
+# at most one, and some jitter, before the contact was lost.
+EXPIRY_INTERVALS = 1.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +74,13 @@
 
     An entry that disappears during an outage of the store, or just after, may belong
     to a replica that could not renew it. The replica is kept until the grace period is
-    over.
+    over. If contact is lost for too short a time for that, as when a connection is
+    reset, an entry that disappears was removed.
+
+    Parameters
+    ----------
+    renewal_interval_s : float
+        Interval at which replicas renew their entries, seconds; 0 if unknown.
 
     Attributes
     ----------
@@ -79,24 +89,48 @@
     missing : dict of EndpointId to Replica
         Replicas kept although their entries have disappeared.
     reconnected_at_s : float
-        End of the last outage of the store, or when it was seen to be restored from a
-        copy, seconds.
+        End of the last outage of the store in which entries may have expired, or when
+        it was seen to be restored from a copy, seconds.
+    contact_at_s : float
+        When the store last answered, seconds.
+    regained_at_s : float
+        When it first answered after contact had been lost, seconds.
+    lost_at_s : float
+        When it last answered before contact was lost, seconds. Short contacts between,
+        in which not all replicas can have renewed their entries, do not count.
     restores : int or None
         How often the store had been restored when it was last read; None before that.
     """
 
+    renewal_interval_s: float = 0.0
     entries: dict[EndpointId, Replica] = field(default_factory=dict)
     missing: dict[EndpointId, Replica] = field(default_factory=dict)
     reconnected_at_s: float = float("-inf")
+    contact_at_s: float = float("-inf")
+    regained_at_s: float = float("-inf")
+    lost_at_s: float = float("-inf")
     is_disconnected: bool = False
     restores: int | None = None
 
     def record_contact(self, is_connected: bool, now_s: float) -> None:
         """Record whether the store responds."""
         if is_connected and self.is_disconnected:
-            self.reconnected_at_s = now_s
+            self._record_regained(now_s)
+        if is_connected:
+            self.contact_at_s = now_s
+        elif not self.is_disconnected:
+            self._record_lost()
         self.is_disconnected = not is_connected
 
+    def _record_lost(self) -> None:
+        if self.contact_at_s >= self.regained_at_s + self.renewal_interval_s:
+            self.lost_at_s = self.contact_at_s
+
+    def _record_regained(self, now_s: float) -> None:
+        self.regained_at_s = now_s
+        if now_s - self.lost_at_s >= EXPIRY_INTERVALS * self.renewal_interval_s:
+            self.reconnected_at_s = now_s
+
     def record_restores(self, restores: int, now_s: float) -> None:
         """Record how often the store was restored, with entries that may be missing."""
         if self.restores is not None and restores != self.restores:
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -279,6 +279,7 @@
     )
     platform = replace(platform, store=store)
     store_view = make_store_view(platform.layout, log, clock)
+    store_view.fleet.renewal_interval_s = settings.heartbeat_s
     mirror_controller = _make_mirror_controller(settings, platform, store_view)
     directory = PeerDirectory(settings.host, platform.store, settings.peers_address)
     directory.failure_domain = settings.failure_domain
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -14,6 +14,7 @@
 from ..decoding import Count, DurationMs, decode_json, parse_count
 from ..endpoint_client import (
     CONNECT_ERRORS,
+    KEEPALIVE_S,
     RELAY_ERRORS,
     EndpointCall,
     HttpEndpointClient,
@@ -44,6 +45,10 @@
 CONNECT_TIMEOUT_S = 0.5
 # The service responds in milliseconds; one second allows for a lost packet.
 CALL_TIMEOUT_S = 1.0
+# Time by which the answer of a held watch may be late before it is asked for on another
+# connection, seconds: the service answers in milliseconds, and a connection may be dead
+# without a sign of it.
+OVERDUE_S = 0.15
 # Default time-out of a watch, seconds: well below the time within which a revoked key
 # must stop working (5 s by default), since each response confirms that the local copy
 # is current.
@@ -148,9 +153,22 @@
         self.client = HttpEndpointClient()
 
     async def _call(
-        self, method: str, path: str, body: Any = None, wait_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        idle_s: float = KEEPALIVE_S,
     ) -> _Response | Unavailable | Ambiguous:
-        """Send a call; return ``Ambiguous`` if its response is lost."""
+        """Send a call; return ``Ambiguous`` if its response is lost.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to wait for the response once connected, seconds.
+        idle_s : float
+            Longest idle time after which a connection is still reused, seconds.
+        """
         data = b"" if body is None else msgspec.json.encode(body)
         headers = (("Content-Type", "application/json"),) if data else ()
         call = EndpointCall(
@@ -160,10 +178,11 @@
             headers,
             data,
             CONNECT_TIMEOUT_S,
-            CALL_TIMEOUT_S + wait_s,
+            timeout_s,
+            idle_s=idle_s,
         )
         try:
-            with anyio.fail_after(CALL_TIMEOUT_S + CONNECT_TIMEOUT_S + wait_s):
+            with anyio.fail_after(CONNECT_TIMEOUT_S + timeout_s):
                 async with self.client.open(call) as response:
                     parts = [part async for part in response.aiter_stream()]
         except CONNECT_ERRORS as error:
@@ -180,14 +199,12 @@
         self.restores = max(self.restores, restores)
         return _Response(response.status, b"".join(parts), restores)
 
-    async def _read(
-        self, path: str, schema: type[T], wait_s: float = 0.0
-    ) -> T | Unavailable:
+    async def _read(self, path: str, schema: type[T]) -> T | Unavailable:
         """Send a read-only call and decode the response.
 
         A lost response is returned as ``Unavailable``, since the call changes nothing.
         """
-        response = await self._call("GET", path, wait_s=wait_s)
+        response = await self._call("GET", path)
         if isinstance(response, Ambiguous):
             return Unavailable(response.step, response.peer, response.reason)
         if isinstance(response, Unavailable):
@@ -269,20 +286,19 @@
         The iterator ends when a call on the service fails, and after an event that
         reports a compacted revision. A watch that times out without changes yields an
         empty event, so that the reader knows that the service still responds.
+
+        The first answer is not held, so that a reader that lost its connection knows
+        at once what it has missed. An answer that is lost or overdue is asked for once
+        more, on a new connection.
         """
         position = int(revision) - 1
+        hold_s = 0.0
         while True:
             requested_at_s = self.clock()
-            query = urlencode(
-                {
-                    "pathPrefix": prefix,
-                    "after": position,
-                    "waitMs": int(self.watch_s / MS),
-                }
-            )
-            response = await self._call(
-                "GET", f"/kv-watch?{query}", wait_s=self.watch_s
-            )
+            response = await self._poll(prefix, position, hold_s)
+            if isinstance(response, Ambiguous) and hold_s:
+                hold_s = 0.0
+                continue
             if isinstance(response, Ambiguous | Unavailable):
                 return
             if response.status == GONE:
@@ -296,9 +312,25 @@
                 Revision(position),
                 ((i.key, None if i.deleted else _make_item(i)) for i in changes.events),
                 requested_at_s,
-                self.watch_s,
+                hold_s,
                 self.restores,
             )
+            hold_s = self.watch_s
+
+    async def _poll(
+        self, prefix: str, position: int, hold_s: float
+    ) -> _Response | Unavailable | Ambiguous:
+        """Ask for the changes after a revision; wait up to ``hold_s`` for one.
+
+        An answer that is not held is asked for on a new connection.
+        """
+        query = urlencode(
+            {"pathPrefix": prefix, "after": position, "waitMs": int(hold_s / MS)}
+        )
+        path = f"/kv-watch?{query}"
+        if not hold_s:
+            return await self._call("GET", path, idle_s=0.0)
+        return await self._call("GET", path, timeout_s=hold_s + OVERDUE_S)
 
     async def grant_lease(self, ttl_s: float) -> LeaseGranted | Unavailable:
         """Create a lease."""
--- a/tests/test_forwarding_fleet.py
+++ b/tests/test_forwarding_fleet.py
@@ -12,6 +12,8 @@
     plan_weights_loads,
 )
 
+RENEWAL_INTERVAL_S = 1.2
+
 
 def make_replica(name, service="writers", weights=1, **changes):
     weights = {"m0": weights}
@@ -46,6 +48,32 @@
     assert list_ids(fleet, 5.0) == ["r0"]
 
 
+def test_entry_removed_while_a_router_reconnects_is_dropped_at_once():
+    """Guards against calls to a replica that has left, after a reset connection."""
+    fleet = Fleet(renewal_interval_s=RENEWAL_INTERVAL_S)
+    fleet.record_contact(True, 0.0)
+    fleet.replace(make_replicas(2), 0.0)
+    fleet.record_contact(False, 2.0)
+    fleet.record_contact(True, 2.1)
+    fleet.replace(make_replicas(1), 2.1)
+    assert list_ids(fleet, 2.1) == ["r0"]
+
+
+@pytest.mark.parametrize("contact_s", [0.1, 1.0])
+def test_entry_that_expires_between_short_contacts_is_kept(contact_s):
+    fleet = Fleet(renewal_interval_s=RENEWAL_INTERVAL_S)
+    fleet.record_contact(True, 0.0)
+    fleet.replace(make_replicas(2), 0.0)
+    fleet.record_contact(False, 0.1)
+    fleet.record_contact(True, 2.0)
+    fleet.record_contact(True, 2.0 + contact_s)
+    fleet.record_contact(False, 2.1 + contact_s)
+    fleet.record_contact(True, 4.0)
+    fleet.replace(make_replicas(1), 4.0)
+    assert list_ids(fleet, 5.9) == ["r0", "r1"]
+    assert list_ids(fleet, 6.1) == ["r0"]
+
+
 def test_missing_entries_are_dropped_when_draining_or_replaced():
     fleet = Fleet()
     fleet.replace([make_replica("r0"), make_replica("r1", draining=True)], 0.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from primrosepier.asgi import open_server
+from primrosepier.forwarding.freshness import STORE_RESPONSE_S
 from primrosepier.mirror import Backoff, Mirror, MirrorController
 from primrosepier.platform.standins import PAGE_ITEMS, StandinStore
 from primrosepier.platform.store import make_platform_store
@@ -26,9 +27,10 @@
 pytestmark = pytest.mark.sockets
 
 
-def run_store(check):
+def run_store(check, service=None):
+    service = service or StandinStore()
+
     async def run():
-        service = StandinStore()
         async with open_server(service, "127.0.0.1:0") as address:
             client = make_platform_store(address)
             with anyio.fail_after(30):
@@ -171,6 +173,78 @@
     run_store(check)
 
 
+class SilentStore(StandinStore):
+    """Store that answers nothing more on the connections that are open."""
+
+    def __init__(self):
+        super().__init__()
+        self.open, self.silent = set(), set()
+
+    async def __call__(self, scope, receive, send):
+        connection = tuple(scope["client"])
+        self.open.add(connection)
+
+        async def send_unless_silent(message):
+            if connection in self.silent:
+                await anyio.sleep_forever()
+            await send(message)
+
+        await super().__call__(scope, receive, send_unless_silent)
+
+    def fall_silent(self):
+        self.silent |= self.open
+
+
+def test_a_change_is_seen_soon_after_all_connections_have_fallen_silent():
+    """Guards against replicas that are used although they have left."""
+
+    async def check(client, service):
+        client.watch_s = 0.5
+        events = client.watch("op/", (await client.read("")).revision + 1)
+        assert not (await anext(events)).changes
+        seen = []
+
+        async def watch():
+            seen.append(await anext(events))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await anyio.sleep(0.1)
+            service.fall_silent()
+            service.put("op/a", b"1")
+            with anyio.fail_after(client.watch_s + STORE_RESPONSE_S):
+                while not seen:
+                    await anyio.sleep(0.01)
+        assert "op/a" in seen[0].changes
+        await events.aclose()
+
+    run_store(check, SilentStore())
+
+
+def test_a_watch_of_a_slow_store_yields_its_changes():
+    async def check(client, service):
+        client.watch_s = 0.1
+        events = client.watch("op/", (await client.read("")).revision + 1)
+        service.delay_s = 0.4
+        for number in range(3):
+            service.put(f"op/{number}", b"1")
+            while f"op/{number}" not in (await anext(events)).changes:
+                pass
+        await events.aclose()
+
+    run_store(check, SlowStore())
+
+
+class SlowStore(StandinStore):
+    """Store that answers each call late."""
+
+    delay_s = 0.0
+
+    async def __call__(self, scope, receive, send):
+        await anyio.sleep(self.delay_s)
+        await super().__call__(scope, receive, send)
+
+
 @pytest.mark.parametrize("is_held", [True, False])
 def test_a_change_between_two_watches_is_not_taken_for_one_made_at_its_arrival(is_held):
     async def check(client, service):
