Bound the memory of the bodies in progress

Callers of a router that is killed for its memory lose all their calls: twenty bodies of 4 MB at once, which the declared limit allows, were enough.

Cause: each body had a limit, their sum had none.

One that finds no room is refused at once with a time to come back; it is not left unread, as its caller can go to another router and bodies that wait for each other's room would all be late. A declared length beyond the limit of a body is refused before the body is read. Bodies are written in parts, since asyncio copies what it can't send at once.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -20,6 +20,7 @@
     "Scope",
     "Send",
     "abort_connection",
+    "check_size",
     "find_header",
     "open_server",
     "read_body",
@@ -55,11 +56,31 @@
     return ""
 
 
+def check_size(size: int, limit_bytes: int) -> None:
+    """Raise ``RequestError`` if a body has more bytes than are allowed."""
+    if size > limit_bytes:
+        text = f"The body is larger than {limit_bytes} bytes."
+        raise RequestError(413, "body_too_large", text)
+
+
+def admit_all(size: int) -> None:
+    """Do nothing; used where only the size of a single body is limited."""
+
+
 async def read_body(
-    receive: Receive, limit_bytes: int, limit_s: float | None = None
+    receive: Receive,
+    limit_bytes: int,
+    limit_s: float | None = None,
+    admit: Callable[[int], None] = admit_all,
 ) -> bytes:
     """Read a request body.
 
+    Parameters
+    ----------
+    admit : callable
+        Called with the size so far, bytes, as parts arrive; raises ``RequestError`` if
+        the body is to be read no further.
+
     Raises
     ------
     RequestError
@@ -67,13 +88,15 @@
     """
     try:
         with anyio.fail_after(limit_s):
-            return await _read_parts(receive, limit_bytes)
+            return await _read_parts(receive, limit_bytes, admit)
     except TimeoutError as cause:
         text = f"The body did not arrive within {limit_s} s."
         raise RequestError(408, "body_too_slow", text) from cause
 
 
-async def _read_parts(receive: Receive, limit_bytes: int) -> bytes:
+async def _read_parts(
+    receive: Receive, limit_bytes: int, admit: Callable[[int], None]
+) -> bytes:
     parts = []
     size = 0
     while True:
@@ -82,9 +105,8 @@
             raise RequestError(400, "incomplete_body", "The body ended early.")
         part = message.get("body", b"")
         size += len(part)
-        if size > limit_bytes:
-            text = f"The body is larger than {limit_bytes} bytes."
-            raise RequestError(413, "body_too_large", text)
+        check_size(size, limit_bytes)
+        admit(size)
         parts.append(part)
         if not message.get("more_body", False):
             return b"".join(parts)
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -3,7 +3,7 @@
 import hmac
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 import anyio
@@ -13,12 +13,16 @@
     Scope,
     Send,
     abort_connection,
+    check_size,
     close_connection_after,
+    find_header,
     read_body,
     send_bytes,
     wait_for_disconnect,
 )
+from ..byte_budget import ByteBudget, Reservation
 from ..clocks import Clock
+from ..decoding import parse_count
 from ..errors import MessageError, RequestError
 from ..ids import RequestId
 from ..logs import Log
@@ -40,6 +44,9 @@
 # Largest Retry-After as a share of the caller's remaining time. Callers ignore longer
 # delays.
 RETRY_AFTER_SHARE = 0.3
+# Range of the Retry-After of a call that was refused for want of memory, seconds. Calls
+# with large bodies take about this long, and not all of them come back at once.
+MEMORY_RETRY_AFTER_S = (0.5, 1.5)
 READY_PATH = "/readyz"
 HTTP_BAD_REQUEST = 400
 # Statuses of this router's own responses to calls that have not run. Those of replicas
@@ -111,6 +118,8 @@
         Port on which only calls that other routers pass on are served.
     peers_token : str
         Token that these calls carry.
+    body_budget : ByteBudget
+        Memory for the bodies of the requests in progress.
 
     Attributes
     ----------
@@ -131,6 +140,7 @@
     ready_port: int
     peers_port: int
     peers_token: str
+    body_budget: ByteBudget = field(default_factory=ByteBudget)
     shutdown: ShutdownSchedule | None = None
     in_progress: int = 0
     last_call_at_s: float = float("-inf")
@@ -204,19 +214,58 @@
         route = self._find_route(scope, declaration)
         self._require_time_before_stop(scope, route)
         workspace = self._find_workspace(scope, declaration, route)
-        max_body_bytes = declaration.limits.body_bytes or DEFAULT_BODY_BYTES
-        body = await read_body(receive, max_body_bytes, route.timeout_s)
+        with self.body_budget.open() as reservation:
+            max_bytes = declaration.limits.body_bytes or DEFAULT_BODY_BYTES
+            body = await self._read_body(
+                scope, receive, max_bytes, route.timeout_s, reservation
+            )
+            call = self._make_call(scope, body, route, workspace, received_at_s)
+            delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
+            outcome = await self._forward(call, delivery, receive)
+            if outcome is not None:
+                await self._send_error_or_abort(call, outcome, delivery)
+        self._log_end(call, outcome, delivery, declaration)
+
+    async def _read_body(
+        self,
+        scope: Scope,
+        receive: Receive,
+        max_bytes: int,
+        limit_s: float,
+        reservation: Reservation,
+    ) -> bytes:
+        """Read a body for which there is memory.
+
+        One that finds no room is refused rather than left unread: its caller can go to
+        another router, and bodies that wait for each other's room would all be late.
+        """
+
+        def admit(size: int) -> None:
+            if not reservation.try_grow(size):
+                text = "The router has no memory for the body."
+                after_s = self.forwarder.rng.uniform(*MEMORY_RETRY_AFTER_S)
+                raise RequestError(503, "memory_full", text, retry_after_s=after_s)
+
+        declared = parse_count(find_header(scope, "content-length")) or 0
+        check_size(declared, max_bytes)
+        admit(declared)
+        return await read_body(receive, max_bytes, limit_s, admit)
+
+    def _make_call(
+        self,
+        scope: Scope,
+        body: bytes,
+        route: Route,
+        workspace: Workspace | None,
+        received_at_s: float,
+    ) -> Call:
         try:
             call = self.reader.make_call(scope, body, route, workspace, received_at_s)
         except MessageError as error:
             raise RequestError(400, "unreadable_header", str(error)) from error
         if self._is_passed_on(scope):
             call = replace(call, is_passed_on=True)
-        delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
-        outcome = await self._forward(call, delivery, receive)
-        if outcome is not None:
-            await self._send_error_or_abort(call, outcome, delivery)
-        self._log_end(call, outcome, delivery, declaration)
+        return call
 
     def _require_declaration(self) -> Declaration:
         """Return the declaration in force; refuse the call if there is none yet."""
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -1,5 +1,6 @@
 """Settings of a router on the users' platform."""
 
+import math
 from dataclasses import dataclass
 
 from ..ids import FailureDomain, HostId
@@ -42,6 +43,8 @@
         Time for which a draining replica still serves.
     heartbeat_s : float
         Interval at which a replica renews its registration.
+    memory_bytes : float
+        Memory that the process may use; infinite for no limit.
     is_first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -66,5 +69,6 @@
     apply_s: float = 2.0
     drain_s: float = 2.0
     heartbeat_s: float = 1.2
+    memory_bytes: float = math.inf
     is_first_start: bool = False
     logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file."""
 
+import math
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -21,6 +22,7 @@
 SETTINGS_VARIABLE = "PRIMROSEPIER_CONFIG"
 STORE_FORM = "kv"
 MS = 0.001
+MIB = 1024 * 1024
 # Port for metrics: the default of OpenTelemetry's Prometheus exporter, since the
 # settings file contains none. Must match deploy/system.toml.
 METRICS_PORT = 9464
@@ -52,6 +54,12 @@
     version_ms: float = 12000.0
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    """What a process may use. One that uses more memory is killed."""
+
+    memory_mb: float = math.inf
+
+
 class _Store(msgspec.Struct, rename="camel"):
     address: str
     form: str = STORE_FORM
@@ -70,6 +78,7 @@
     listen: _Listen
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     heartbeat_ms: float = 1200.0
     # Whether the whole system starts for the first time.
     first_start: bool = False
@@ -131,5 +140,6 @@
         drain_s=bounds.drain_ms * MS,
         weights_s=bounds.version_ms * MS,
         heartbeat_s=file_settings.heartbeat_ms * MS,
+        memory_bytes=file_settings.limits.memory_mb * MIB,
         is_first_start=file_settings.first_start,
     )
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -11,6 +11,8 @@
 
 HEAD_END = b"\r\n\r\n"
 HIGH_WATER_BYTES = 256 * 1024
+# Bytes that are written at once: asyncio copies what it can't send at once.
+WRITE_BYTES = 64 * 1024
 # Limit on all heads before a response's body: httpcore limits each, but not how many
 # interim responses come before the final one.
 MAX_HEADS_BYTES = 256 * 1024
@@ -203,7 +205,17 @@
         if not buffer:
             return
         self.has_written = True
-        state.transport.write(buffer)
+        if len(buffer) <= WRITE_BYTES:
+            await self._write_part(buffer, timeout)
+            return
+        for start in range(0, len(buffer), WRITE_BYTES):
+            await self._write_part(buffer[start : start + WRITE_BYTES], timeout)
+
+    async def _write_part(self, data: bytes, timeout: float | None) -> None:
+        state = self.buffer
+        if state.transport is None or state.transport.is_closing():
+            raise httpcore.WriteError("the connection is closed")
+        state.transport.write(data)
         if state.write_waiter is not None:
             try:
                 await asyncio.wait_for(asyncio.shield(state.write_waiter), timeout)
