Route a request by its path with reserved characters left encoded

A caller's /lookup%2Fa/b was routed as /lookup/a/b and forwarded as it came, so that the router and the replica could see two paths. On our own interface a call of /services/NAME%2Fpath was checked for a claim by its decoded path, and the endpoint got another one.

Cause: the server decodes the path before it is compared with prefixes. The users' pages say that a prefix begins the path and that the path is forwarded unchanged; RFC 3986, section 2.2, says that an encoded slash differs from a slash. Reserved characters are now left encoded for the comparison; others are decoded, as they are equivalent (section 6.2.2.2).

Both tests of the encoded slash failed before. Property tests compare arbitrary targets over first sends, sends through another router and streams that go on; they passed before this change.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -1,6 +1,7 @@
 """ASGI helpers shared by the router and the stand-ins."""
 
 import contextlib
+import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from typing import Any
@@ -25,6 +26,7 @@
     "open_server",
     "read_body",
     "read_json",
+    "read_path",
     "read_target",
     "send_bytes",
     "send_chunk",
@@ -45,6 +47,9 @@
 DATE_INTERVAL_S = 1.0
 SHUTDOWN_GRACE_S = 1.0
 JSON_TYPE = ("content-type", "application/json")
+ENCODED = re.compile(rb"%([0-9A-Fa-f]{2})")
+# Reserved characters of RFC 3986, section 2.2, and the percent sign itself.
+RESERVED = b":/?#[]@!$&'()*+,;=%"
 
 
 def find_header(scope: Scope, name: str) -> str:
@@ -143,6 +148,23 @@
     await send({"type": "http.response.body", "body": data, "more_body": more})
 
 
+def read_path(scope: Scope) -> str:
+    """Return a request's path for comparison with declared prefixes.
+
+    Characters that RFC 3986 reserves stay encoded if they were sent so: an encoded
+    slash separates no segments (section 2.2). A server need not tell what was sent.
+    """
+    raw_path: bytes | None = scope.get("raw_path")
+    if raw_path is None:
+        return str(scope["path"])
+
+    def decode(match: re.Match[bytes]) -> bytes:
+        byte = bytes([int(match[1], 16)])
+        return match[0].upper() if byte in RESERVED else byte
+
+    return ENCODED.sub(decode, raw_path).decode("utf-8", "replace")
+
+
 def read_target(scope: Scope) -> bytes:
     """Return a request's path and query, byte for byte if the server tells them."""
     target: bytes = scope.get("target", b"")
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -15,6 +15,7 @@
     find_header,
     read_body,
     read_json,
+    read_path,
     send_bytes,
     send_chunk,
     send_json,
@@ -111,7 +112,7 @@
     async def _route(
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        path = scope["path"]
+        path = read_path(scope)
         if path == "/healthz":
             await send_bytes(send, 200, b"ok\n")
         elif path == "/readyz":
@@ -238,7 +239,7 @@
         self, request: RequestId, scope: Scope, receive: Receive, send: Send
     ) -> None:
         configuration, workspace = self._authenticate(scope)
-        service = find_plain_service(configuration, scope["path"])
+        service = find_plain_service(configuration, read_path(scope))
         with self._track_in_progress():
             body = await read_body(receive, self.limits.body_bytes, self.limits.body_s)
             validated = make_plain_request(request, workspace, service, scope, body)
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -17,6 +17,7 @@
     close_connection_after,
     find_header,
     read_body,
+    read_path,
     send_bytes,
     wait_for_disconnect,
 )
@@ -285,7 +286,7 @@
             raise RequestError(503, "stopping", text, retry_after_s=RETRY_AFTER_S)
 
     def _find_route(self, scope: Scope, declaration: Declaration) -> Route:
-        route = declaration.find_route(self.reader.read_host(scope), scope["path"])
+        route = declaration.find_route(self.reader.read_host(scope), read_path(scope))
         if route is not None:
             return route
         self._require_fresh_keys()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -139,6 +139,21 @@
     run_with_demo(check)
 
 
+@pytest.mark.sockets
+def test_an_encoded_slash_names_no_service():
+    """Guards against a call that is checked by another path than the endpoint sees."""
+
+    async def check(demo, send):
+        for path in (
+            "/services%2Froster-app/handovers",
+            "/services/roster-app%2Fhandovers",
+        ):
+            assert (await send("POST", path, {}, [KEY])).status == 404
+        assert not any(app.calls for app in demo.standins.plain.values())
+
+    run_with_demo(check)
+
+
 @pytest.mark.sockets
 def test_a_not_repeatable_call_whose_answer_is_lost_has_an_unknown_outcome():
     async def check(demo, send):
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 from entry_fleet import HOST, KEY, run_entry
-from hypothesis import given, settings, strategies as st
+from hypothesis import Phase, given, settings, strategies as st
 from raw_replicas import RawReplica, open_raw_replica
 
 from primrosepier.errors import MessageError
@@ -144,6 +144,107 @@
     run_entry(check, names=("app1",))
 
 
+PATH_CHARACTERS = st.one_of(
+    st.sampled_from("abzAZ09-._~!$&'()*+,;=:@/"),
+    st.integers(0, 255).map("%{:02x}".format),
+    st.integers(0, 255).map("%{:02X}".format),
+)
+SUFFIXES = st.builds(
+    lambda path, queries: "?".join(["".join(path), *map("".join, queries)]),
+    st.lists(PATH_CHARACTERS, max_size=12),
+    st.lists(st.lists(PATH_CHARACTERS, max_size=8), max_size=2),
+)
+# Shrinking would open the fleet hundreds of times.
+MANY_TARGETS = settings(
+    derandomize=True, deadline=None, max_examples=3, phases=[Phase.generate]
+)
+
+
+def list_targets(replicas):
+    """Return the target that replicas got by call id."""
+    targets = {}
+    for head in [head for replica in replicas for head in replica.runs]:
+        fields = dict(x.lower().split(b": ", 1) for x in head.split(b"\r\n")[1:])
+        call_id = fields[b"attempt-id"].decode()
+        targets.setdefault(call_id, set()).add(head.split(b" ")[1].decode())
+    return targets
+
+
+@pytest.mark.sockets
+@pytest.mark.parametrize("is_passed_on", [False, True])
+@MANY_TARGETS
+@given(suffixes=st.lists(SUFFIXES, min_size=40, max_size=40))
+def test_any_target_reaches_a_replica_byte_for_byte(suffixes, is_passed_on):
+    """Guards against a replica that runs another request than was sent."""
+
+    async def check(fleet):
+        replica = RawReplica(b"", b"Content-Length: 0\r\n")
+        async with (
+            fleet.open_router("front-2"),
+            open_raw_replica(fleet, "app1", replica, "app"),
+        ):
+            first, second = fleet.routers
+            await fleet.wait_until(
+                lambda: (
+                    first.peers.directory.peers
+                    and second.store_view.replicas.value
+                    == first.store_view.replicas.value
+                    and second.store_view.declaration.value is not None
+                )
+            )
+            if is_passed_on:
+                first.app.forwarder.links.is_cut = True
+                first.app.forwarder.links.helpers[second.settings.host] = None
+            for number, suffix in enumerate(suffixes):
+                reply = await send_raw(fleet, f"/lookup/{suffix}", f"a{number}")
+                assert reply.startswith(b"HTTP/1.1 200 ")
+        expected = {f"a{n}": {f"/lookup/{x}"} for n, x in enumerate(suffixes)}
+        assert list_targets([replica]) == expected
+
+    run_entry(check, names=("app1",))
+
+
+@pytest.mark.sockets
+@MANY_TARGETS
+@given(suffixes=st.lists(SUFFIXES, min_size=20, max_size=20))
+def test_a_stream_goes_on_with_the_target_that_the_caller_sent(suffixes):
+    async def check(fleet):
+        event = b"f\r\nid: 1\ndata: a\n\n\r\n"
+        headers = b"Transfer-Encoding: chunked\r\n"
+        breaking = RawReplica(event, headers)
+        whole = RawReplica(event + b"0\r\n\r\n", headers)
+        targets = [f"/stream/queries/{n}/{x}" for n, x in enumerate(suffixes)]
+        async with (
+            open_raw_replica(fleet, "w1", breaking),
+            open_raw_replica(fleet, "w2", whole),
+        ):
+            for number, target in enumerate(targets):
+                reply = await send_raw(fleet, target, f"a{number}")
+                assert reply.endswith(b"0\r\n\r\n")
+        expected = {f"a{number}": {target} for number, target in enumerate(targets)}
+        assert list_targets([breaking, whole]) == expected
+        assert breaking.runs
+
+    run_entry(check, names=("w1", "w2"), repeat_ratio=10.0)
+
+
+@pytest.mark.sockets
+def test_an_encoded_slash_separates_no_segments_of_a_path():
+    """Guards against a call that is routed by another path than the replica sees."""
+
+    async def check(fleet):
+        for target, status in (
+            ("/lookup%2Fa/b", 404),
+            ("/lookup%2fa/b", 404),
+            ("/%6cookup/a%2Fb", 200),
+            ("/lookup/%2Fb", 200),
+        ):
+            reply = await send_raw(fleet, target, "a1")
+            assert reply.startswith(b"HTTP/1.1 %d " % status)
+
+    run_entry(check)
+
+
 async def send_raw(fleet, target, attempt, headers=(), body=b""):
     """Send a request on a connection of its own; return the bytes of its answer."""
     lines = [
