Supervise the tasks of our own interface's router, and close its expired connections

An error that nobody foresaw in a background task of this router ended it with all calls in progress, and connections to endpoints that had left stayed open until the other side closed them.

The tasks of the router and of its peering begin anew after a second, which is logged and counted. Once a second idle connections are closed that have expired or that lead to no endpoint.

Two tests that failed before: an error in a round of gossip, and an idle connection that leads to no endpoint.

--- a/primrosepier/fault_cluster.py
+++ b/primrosepier/fault_cluster.py
@@ -223,7 +223,7 @@
                 process.task_group = group
                 group.start_soon(process.router.mirror.run)
                 group.start_soon(process.router.claims.run)
-                process.peering.start(group)
+                process.peering.start(group.start_soon)
                 group.start_soon(process.router.prepare)
         process.alive = False
 
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -4,7 +4,7 @@
 import math
 import random
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, fields, replace
 from functools import partial
 
@@ -27,7 +27,7 @@
 from ..protocol import make_bounded_protocol, set_protocol_bounds
 from ..settings import LeaseBounds
 from ..store import Store
-from ..supervision import run_supervised
+from ..supervision import RunTask, run_supervised
 from .calls import Call, EndpointDialect
 from .cuts import CutDetector
 from .declarations import Declaration
@@ -168,7 +168,7 @@
 
     def list_tasks(
         self, socket: UDPSocket, open_socket: OpenSocket
-    ) -> tuple[Callable[[], Awaitable[None]], ...]:
+    ) -> tuple[RunTask, ...]:
         """Return the tasks that run while the router serves."""
         return (
             self.mirror_controller.run,
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -139,6 +139,14 @@
         "Changes of the store that met an unexpected error.",
         "Stays at nought; MirrorFailed names the error. Report it as a fault.",
     ),
+    MetricSpec(
+        "primrosepier_task_failures_total",
+        MetricKind.COUNTER,
+        "failures",
+        (),
+        "Background tasks that met an unexpected error and began anew.",
+        "Stays at nought; TaskFailed names the error. Report it as a fault.",
+    ),
     MetricSpec(
         "primrosepier_resting_endpoints",
         MetricKind.GAUGE,
--- a/primrosepier/metrics.py
+++ b/primrosepier/metrics.py
@@ -15,6 +15,7 @@
     RetryChosen,
     ReuseObserved,
     SlideFound,
+    TaskFailed,
 )
 from .logs import Log
 from .metric_specs import SPECS, Promise
@@ -62,6 +63,8 @@
             self.add("primrosepier_rests_total", 1)
         elif isinstance(event, MirrorFailed):
             self.add("primrosepier_mirror_failures_total", 1)
+        elif isinstance(event, TaskFailed):
+            self.add("primrosepier_task_failures_total", 1)
         elif isinstance(event, ClaimSettled):
             self.add("primrosepier_claims_total", 1, result=event.result)
         elif isinstance(event, RequestRefused):
--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import TaskGroup
 
 from .attempt import AttemptRunner
 from .board import Board
@@ -21,6 +20,7 @@
 from .peers import PeerTransport, bind_listener, make_transport, open_peer_server
 from .settings import RouterSettings
 from .sharing import Sharing
+from .supervision import StartTask
 
 __all__ = ["RouterComponents", "Peering", "make_peering", "open_peering"]
 
@@ -66,12 +66,11 @@
             group.start_soon(self.loads.poll)
         self.leaving.update(self.leaving.clock())
 
-    def start(self, group: TaskGroup) -> None:
-        """Run the controllers in a task group."""
+    def start(self, start: StartTask) -> None:
+        """Start the controllers."""
         self.gossip.on_round += [self.sharing.update, self.leaving.update]
-        group.start_soon(self.gossip.run)
-        group.start_soon(self.leaving.run)
-        group.start_soon(self.loads.run)
+        for run in (self.gossip.run, self.leaving.run, self.loads.run):
+            start(run)
 
 
 def _make_leaving(components: RouterComponents, gossip: Gossip) -> LeavingController:
@@ -135,16 +134,22 @@
 
 @contextlib.asynccontextmanager
 async def open_peering(
-    components: RouterComponents, group: TaskGroup
+    components: RouterComponents, start: StartTask
 ) -> AsyncIterator[Peering]:
-    """Run the controllers while the context is open, then leave the fleet."""
+    """Run the controllers while the context is open, then leave the fleet.
+
+    Parameters
+    ----------
+    start : callable
+        Starts a task that runs while the router serves.
+    """
     listener = bind_listener(components.settings.peers_address)
     host, port = listener.getsockname()[:2]
     transport = make_transport(components.settings.peer_key)
     peering = make_peering(components, f"{host}:{port}", transport)
     gossip, codec = peering.gossip, transport.codec
     async with open_peer_server(gossip, codec, listener, components.log):
-        peering.start(group)
+        peering.start(start)
         yield peering
         await peering.gossip.leave()
     transport.close()
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -20,7 +20,7 @@
 from .endpoint_client import EndpointClient, make_endpoint_client
 from .errors import describe_errors
 from .etcd import make_etcd_store
-from .log_events import MirrorFailed, SlideFound
+from .log_events import MirrorFailed, SlideFound, TaskFailed
 from .logs import Log, close_at_end, make_log
 from .metric_table import MetricTable
 from .metrics import Metrics, make_metrics
@@ -35,6 +35,7 @@
 from .rollout_controller import RolloutController, make_rollout_controller
 from .settings import RouterSettings
 from .store import Store
+from .supervision import RunTask, run_supervised
 
 __all__ = [
     "Platform",
@@ -47,6 +48,8 @@
 ABORT_GRACE_S = 1.0
 PREPARE_TIMEOUT_S = 0.5
 PREPARE_POLL_S = 0.01
+# Time between two rounds in which idle connections are closed, seconds.
+PRUNE_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +102,29 @@
             await self.peering.load_leaving_state()
         self.app.prepared = True
 
+    async def prune_connections(self) -> None:
+        """Close idle connections that have expired or lead to no endpoint."""
+        while True:
+            await anyio.sleep(PRUNE_INTERVAL_S)
+            configuration = self.board.configuration.value
+            if configuration is not None:
+                endpoints = configuration.endpoints.values()
+                self.platform.client.prune({x.address for x in endpoints})
+
+    def list_tasks(self) -> tuple[RunTask, ...]:
+        """Return the tasks that run while the router serves, but those of peering."""
+        return (
+            self.mirror.run,
+            self.claims.run,
+            self.rollouts.run,
+            self.drift.run,
+            self.prune_connections,
+        )
+
+    def record_failure(self, error: Exception) -> None:
+        """Log an error that ended a task."""
+        self.app.log.emit(TaskFailed(describe_errors(error)))
+
     def compute_grace(self) -> float:
         """Return the time in seconds that requests in progress may take at shutdown."""
         return self.settings.stop_streams_s if self.app.stopping else ABORT_GRACE_S
@@ -231,18 +257,20 @@
     protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
     with close_at_end(router.app.log):
         async with anyio.create_task_group() as group:
-            group.start_soon(router.mirror.run)
-            group.start_soon(router.claims.run)
-            group.start_soon(router.rollouts.run)
-            group.start_soon(router.drift.run)
+
+            def start(run: RunTask) -> None:
+                group.start_soon(run_supervised, run, router.record_failure)
+
+            for run in router.list_tasks():
+                start(run)
             async with (
-                open_peering(make_router_components(router), group) as router.peering,
+                open_peering(make_router_components(router), start) as router.peering,
                 open_server(
                     router.app, settings.callers_address, router.compute_grace, protocol
                 ) as router.callers_address,
             ):
                 router.peers_address = router.peering.address
-                group.start_soon(router.prepare)
+                start(router.prepare)
                 yield router
             group.cancel_scope.cancel()
         await router.platform.client.close()
--- a/primrosepier/supervision.py
+++ b/primrosepier/supervision.py
@@ -1,17 +1,21 @@
 """Background tasks that begin anew after an error that nobody foresaw."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import anyio
 
-__all__ = ["RESTART_PAUSE_S", "run_supervised"]
+__all__ = ["RESTART_PAUSE_S", "RunTask", "StartTask", "run_supervised"]
 
 # Pause before a failed task begins anew, seconds, so that a lasting error costs little.
 RESTART_PAUSE_S = 1.0
 
+RunTask = Callable[[], Coroutine[Any, Any, None]]
+StartTask = Callable[[RunTask], object]
+
 
 async def run_supervised(
-    run: Callable[[], Awaitable[None]], notify_failure: Callable[[Exception], None]
+    run: RunTask, notify_failure: Callable[[Exception], None]
 ) -> None:
     """Run a background task to its end, and begin anew after each error.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,3 +1,5 @@
+import re
+
 import anyio
 import msgspec
 import pytest
@@ -139,6 +141,48 @@
     run_with_demo(check)
 
 
+@pytest.mark.sockets
+def test_an_error_in_a_background_task_ends_no_router():
+    """Guards against calls in progress that end with a router's background task."""
+
+    async def check(demo, send):
+        def fail(now_s):
+            failures.append(now_s)
+            raise ValueError("unforeseen")
+
+        failures = []
+        listeners = demo.routers[0].peering.gossip.on_round
+        listeners.append(fail)
+        with anyio.fail_after(5.0):
+            while len(failures) < 2:
+                await anyio.sleep(0.05)
+        listeners.remove(fail)
+        assert (await send("POST", "/v1/completions", make_body())).status == 200
+        metrics = (await send("GET", "/metrics")).body.decode()
+        (line,) = re.findall(
+            r"^primrosepier_task_failures_total.* (\d+)", metrics, re.M
+        )
+        assert int(line) >= 1
+
+    run_with_demo(check)
+
+
+@pytest.mark.sockets
+def test_an_idle_connection_that_leads_to_no_endpoint_is_closed():
+    """Guards against descriptors that are kept for endpoints that have left."""
+
+    async def check(demo, send):
+        client = demo.routers[0].platform.client
+        address = demo.routers[1].callers_address
+        assert await client.probe(address, 1.0)
+        assert client.idle[address]
+        with anyio.fail_after(3.0):
+            while client.idle.get(address):
+                await anyio.sleep(0.05)
+
+    run_with_demo(check)
+
+
 @pytest.mark.sockets
 def test_an_encoded_slash_names_no_service():
     """Guards against a call that is checked by another path than the endpoint sees."""
