Log and count an unexpected error in a call

A call in which the router met an error that nobody foresaw ended with 500 and no line that tells why: the HTTP server's own log is off.

CallFailed names the call and the chain of errors, a counter shows it, and explain tells that the outcome is unknown.

The test fails before, as the event does not exist.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -5,6 +5,7 @@
 
 from .forwarding.records import (
     CallEnded,
+    CallFailed,
     CallLost,
     CallPassedOn,
     CallPlaced,
@@ -49,7 +50,7 @@
 # Time before a request for which changes of its router's links are shown, seconds.
 LINKS_BEFORE_S = 5.0
 LINKS_EVENTS = LinksChanged | HelperGivenUp
-END_EVENTS = RequestEnded | RequestRefused | CallEnded | CallRejected
+END_EVENTS = RequestEnded | RequestRefused | CallEnded | CallFailed | CallRejected
 
 
 @dataclass(slots=True)
@@ -162,6 +163,9 @@
             f"  Declaration {event.declaration} was in force; last contact with the "
             f"store {event.heard_age_s:.1f} s before."
         )
+    elif isinstance(event, CallFailed):
+        yield "The router met an unexpected error, so its outcome is unknown:"
+        yield from (f"  {error}" for error in event.errors)
     elif isinstance(event, CallPlaced):
         yield (
             f"Chose {event.endpoint} of {event.candidates} candidates of "
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -24,7 +24,7 @@
 from ..byte_budget import ByteBudget, Reservation
 from ..clocks import Clock
 from ..decoding import parse_count
-from ..errors import MessageError, RequestError
+from ..errors import MessageError, RequestError, describe_errors
 from ..ids import RequestId
 from ..logs import Log
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Refused, Step
@@ -35,7 +35,7 @@
 from .forwarder import Forwarder
 from .freshness import Freshness
 from .peer_headers import NOT_RUN_HEADER, TOKEN_HEADER, is_routers_header
-from .records import CallEnded, CallRejected
+from .records import CallEnded, CallFailed, CallRejected
 from .shutdown import ShutdownSchedule
 
 __all__ = ["EntryApp", "RequestReader"]
@@ -165,6 +165,11 @@
             await self._serve(scope, receive, send, server_send, received_at_s)
         except RequestError as error:
             await self._reject(scope, send, error)
+        except Exception as error:
+            self.log.emit(
+                CallFailed(self.reader.read_id(scope), describe_errors(error))
+            )
+            raise
         finally:
             self.in_progress -= 1
 
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -75,6 +75,14 @@
         "Background tasks that met an unexpected error and began anew.",
         "Stays at nought; TaskFailed names the error. Report it as a fault.",
     ),
+    MetricSpec(
+        "primrosepier_call_failures_total",
+        COUNTER,
+        "failures",
+        (),
+        "Calls in which the router met an unexpected error.",
+        "Stays at nought; CallFailed names call and error. Report it as a fault.",
+    ),
     MetricSpec(
         "primrosepier_refused_permits_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -9,6 +9,7 @@
 from .metric_specs import ENTRY_SPECS
 from .records import (
     CallEnded,
+    CallFailed,
     CallLost,
     CallPassedOn,
     CallPlaced,
@@ -54,6 +55,8 @@
             self.add("primrosepier_mirror_failures_total", 1)
         elif isinstance(event, TaskFailed):
             self.add("primrosepier_task_failures_total", 1)
+        elif isinstance(event, CallFailed):
+            self.add("primrosepier_call_failures_total", 1)
         elif isinstance(event, CallPassedOn):
             self.add("primrosepier_passed_on_total", 1)
         elif isinstance(event, StreamTakenUp):
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -11,11 +11,12 @@
     SoftwareVersion,
     WorkspaceId,
 )
-from ..log_events import Event
+from ..log_events import Event, LogLevel
 from .declarations import RouteId
 
 __all__ = [
     "CallEnded",
+    "CallFailed",
     "CallLost",
     "CallPassedOn",
     "CallPlaced",
@@ -342,6 +343,25 @@
         return f"refused {self.request} with status {self.status}: {self.code}"
 
 
+class CallFailed(Event, frozen=True):
+    """The router met an unexpected error in a call, which it does not answer.
+
+    Parameters
+    ----------
+    errors : tuple of str
+        The error and the chain of its causes, each with the place where it was raised.
+    """
+
+    part: ClassVar[str] = "forward"
+    level: ClassVar[LogLevel] = LogLevel.ERROR
+    request: RequestId
+    errors: tuple[str, ...]
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"call {self.request} ends by an error: {self.errors[-1]}"
+
+
 class ReplicaGivenUp(Event, frozen=True):
     """Retryable calls were aborted on an unresponsive replica."""
 
@@ -702,6 +722,7 @@
 FORWARDING_EVENT = (
     BrittlenessChanged
     | CallEnded
+    | CallFailed
     | CallLost
     | CallPassedOn
     | CallPlaced
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -12,6 +12,10 @@
 from primrosepier.errors import MessageError
 from primrosepier.forwarding.declarations import RetryPolicy, Route
 from primrosepier.forwarding.fleet import Fleet
+from primrosepier.forwarding.forwarder import Forwarder
+from primrosepier.forwarding.metrics import EntryMetrics
+from primrosepier.forwarding.records import CallFailed
+from primrosepier.logs import Log
 from primrosepier.platform.ingress import MAX_PROMPT_TOKENS, PlatformRequestReader
 from primrosepier.supervision import RESTART_PAUSE_S, run_supervised
 from primrosepier.virtualtime import run_in_virtual_time
@@ -100,6 +104,29 @@
     run_entry(check)
 
 
+@pytest.mark.sockets
+def test_an_unexpected_error_in_a_call_is_logged_and_counted(monkeypatch):
+    """Guards against calls that fail without a line that tells why."""
+
+    async def check(fleet):
+        def fail(forwarder, call, delivery):
+            raise ValueError("unforeseen")
+
+        router, events = fleet.routers[0], []
+        monkeypatch.setattr(Forwarder, "forward", fail)
+        monkeypatch.setattr(Log, "emit", lambda log, event: events.append(event))
+        assert (await fleet.send("/lookup/1", attempt="a7")).status == 500
+        (failed,) = [event for event in events if isinstance(event, CallFailed)]
+        assert failed.request == "a7"
+        assert any("unforeseen" in error for error in failed.errors)
+        metrics = EntryMetrics()
+        metrics.observe(failed)
+        assert "primrosepier_call_failures_total" in metrics.render().decode()
+        assert router.app.in_progress == 0
+
+    run_entry(check)
+
+
 def test_a_failed_task_begins_anew_after_a_pause():
     async def run():
         async def fail_twice():
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -238,6 +238,7 @@
         "prompt_tokens first_byte_s duration_s declaration heard_age_s "
         "output_limit last_event framed within_event"
     ),
+    "CallFailed": "request errors",
     "CallLost": "request attempt endpoint duration_s fingerprints",
     "CallPassedOn": "request attempt peer",
     "CallPlaced": (
