Give the time-out of idle connections in an answer's head a range

A replica's Keep-Alive header with 309 digits or more ended the call with 500 of the router's own, though the replica had run and answered it. In an answer of the store it would have kept a router from reading its configuration.

Cause: the number was converted and multiplied without a bound, and the error is none of those that users of the client handle. It is now parsed like all counts; a longer one is taken for none.

--- a/primrosepier/streamed.py
+++ b/primrosepier/streamed.py
@@ -11,6 +11,7 @@
 import httpcore
 import httptools
 
+from .decoding import parse_count
 from .transport import TcpStream
 
 __all__ = ["StreamedResponse"]
@@ -109,8 +110,9 @@
             self.is_framed = True
         elif name == b"keep-alive":
             match = KEEP_ALIVE_TIMEOUT.search(value)
-            if match:
-                self.keep_alive_s = int(match[1]) * KEEP_ALIVE_FRACTION
+            timeout_s = parse_count(match[1]) if match else None
+            if timeout_s is not None:
+                self.keep_alive_s = timeout_s * KEEP_ALIVE_FRACTION
 
     def is_reusable(self) -> bool:
         """Return whether the connection can be reused for another request."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -173,6 +173,20 @@
     run_store(check)
 
 
+def test_a_store_that_names_an_extreme_keep_alive_time_is_read():
+    """Guards against a router that reads no configuration for a header's sake."""
+
+    class ExtremeStore(StandinStore):
+        def _list_headers(self):
+            return [*super()._list_headers(), ("Keep-Alive", "timeout=" + "9" * 400)]
+
+    async def check(client, service):
+        service.put("op/a", b"1")
+        assert "op/a" in (await client.read("")).items
+
+    run_store(check, ExtremeStore())
+
+
 class SilentStore(StandinStore):
     """Store that answers nothing more on the connections that are open."""
 
