Begin no call whose caller has left by the time its request is read

Callers that leave while a router stands still, or before one that starts has read their request, had left for long when it reached a replica.

Cause: a request and the end of its connection that arrive together are read in two turns of the event loop, and the call begins between them. With an idle connection to a replica it is sent at once.

The loop now runs once before a call begins, and a call whose connection is being closed is not begun, on both interfaces. A router that serves a call for another one can also abort the connection again: the function that finds it was given a wrapped one.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 import uvicorn
+from anyio.lowlevel import checkpoint
 
 from .decoding import decode_json
 from .errors import MessageError, RequestError
@@ -23,6 +24,7 @@
     "abort_connection",
     "check_size",
     "find_header",
+    "has_disconnected",
     "open_server",
     "read_body",
     "read_json",
@@ -198,12 +200,33 @@
     send : callable
         The ``send`` that uvicorn passed to the app.
     """
-    cycle = getattr(send, "__self__", None)
-    transport = getattr(cycle, "transport", None)
+    transport = _find_transport(send)
     if transport is not None:
         transport.abort()
 
 
+async def has_disconnected(send: Send) -> bool:
+    """Return whether the caller has closed its connection by now.
+
+    The event loop runs once, since an end that arrived together with the request is
+    read after it.
+
+    Parameters
+    ----------
+    send : callable
+        The ``send`` that uvicorn passed to the app.
+    """
+    await checkpoint()
+    transport = _find_transport(send)
+    return transport is not None and transport.is_closing()
+
+
+def _find_transport(send: Send) -> Any:
+    """Return the transport of the connection, or None if the server tells none."""
+    cycle = getattr(send, "__self__", None)
+    return getattr(cycle, "transport", None)
+
+
 def close_connection_after(send: Send) -> Send:
     """Return a ``send`` that adds ``connection: close`` to the response."""
 
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -13,6 +13,7 @@
     Send,
     close_connection_after,
     find_header,
+    has_disconnected,
     read_body,
     read_json,
     read_path,
@@ -194,9 +195,10 @@
             with record_request(
                 validated, timed_send, validated.prompt.tokens
             ) as record:
-                record.outcome = await self._run_model(
-                    validated, key, receive, timed_send
-                )
+                if not await has_disconnected(send):
+                    record.outcome = await self._run_model(
+                        validated, key, receive, timed_send
+                    )
                 if record.outcome is not None:
                     await self._send_outcome(
                         request, validated, record.outcome, timed_send
@@ -249,7 +251,9 @@
                 raise RequestError(400, "idempotency_key_missing", text)
             timed_send = TimedSend(send)
             with record_request(validated, timed_send) as record:
-                outcome = await self._run_plain(validated, key, receive, timed_send)
+                outcome: Outcome | None = None
+                if not await has_disconnected(send):
+                    outcome = await self._run_plain(validated, key, receive, timed_send)
                 record.outcome = outcome
                 if isinstance(outcome, NotRun | UnknownOutcome):
                     await send_failure(request, outcome, timed_send)
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -16,6 +16,7 @@
     check_size,
     close_connection_after,
     find_header,
+    has_disconnected,
     read_body,
     read_path,
     send_bytes,
@@ -151,6 +152,7 @@
         if scope["server"][1] == self.ready_port:
             await self._answer_readiness(scope, send)
             return
+        server_send = send
         if self._is_passed_on(scope):
             if not self._remove_routers_headers(scope):
                 await send_bytes(send, 403, b"")
@@ -159,7 +161,6 @@
         received_at_s = self.clock()
         self.last_call_at_s = received_at_s
         self.in_progress += 1
-        server_send = send
         send = self._close_when_stopping(send)
         try:
             await self._serve(scope, receive, send, server_send, received_at_s)
@@ -227,7 +228,9 @@
             )
             call = self._make_call(scope, body, route, workspace, received_at_s)
             delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
-            outcome = await self._forward(call, delivery, receive)
+            outcome: Outcome | None = None
+            if not await has_disconnected(server_send):
+                outcome = await self._forward(call, delivery, receive)
             if outcome is not None:
                 await self._send_error_or_abort(call, outcome, delivery)
         self._log_end(call, outcome, delivery, declaration)
