Keep fencing numbers writable wherever the store counts its restores from

The store's count of restores rises by one with each, but nothing says where it begins. Beyond 5.9e10, as with a time in milliseconds, the fencing number that is made of it would have had more digits than the counter's reader accepts: each holder would have had the same number, and orders could not have been encoded.

Only the last 29 bits count, so that all numbers are below 2**53. Numbers for small counts are the same as before.

--- a/primrosepier/leases.py
+++ b/primrosepier/leases.py
@@ -40,6 +40,9 @@
 # Fencing numbers between two restores of the store: more than the acquisitions of many
 # months, and few enough that JSON readers represent the numbers exactly.
 FENCING_NUMBERS_PER_RESTORE = 2**24
+# Restores that the numbers tell apart, as the count may begin anywhere. All numbers are
+# then below 2**53, which JSON readers represent exactly.
+DISTINCT_RESTORES = 2**29
 
 
 class DutyRecord(msgspec.Struct, frozen=True):
@@ -88,9 +91,10 @@
     counter : int
         Last fencing number according to the store; 0 without one.
     restores : int
-        How often the store was restored; 0 if it does not tell.
+        Rises by one with each restore of the store; 0 if the store does not tell.
     """
-    return max(counter, restores * FENCING_NUMBERS_PER_RESTORE) + 1
+    start = restores % DISTINCT_RESTORES * FENCING_NUMBERS_PER_RESTORE
+    return max(counter, start) + 1
 
 
 def compute_rank(name: str, host: HostId, peers: frozenset[HostId]) -> int:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,12 +1,21 @@
 import copy
 
 import anyio
-from hypothesis import settings, strategies as st
+from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from primrosepier.clocks import ManualClock
+from primrosepier.decoding import MAX_DIGITS, parse_count
 from primrosepier.lease_holder import LeaseHolder
-from primrosepier.leases import Duty, DutyAction, make_duty_key, make_fencing_key
+from primrosepier.leases import (
+    DISTINCT_RESTORES,
+    FENCING_NUMBERS_PER_RESTORE,
+    Duty,
+    DutyAction,
+    compute_next_fencing,
+    make_duty_key,
+    make_fencing_key,
+)
 from primrosepier.settings import LeaseBounds
 from primrosepier.store import MemoryStore
 
@@ -180,6 +189,22 @@
         self.copy = copy.deepcopy(self.state)
 
 
+@settings(derandomize=True)
+@given(st.integers(0, 10**MAX_DIGITS - 1), st.integers(0, 1000))
+def test_fencing_numbers_can_be_written_wherever_the_store_counts_from(
+    restores, acquisitions
+):
+    """Guards against a number that no order, and no counter in the store, can hold."""
+    first = compute_next_fencing(0, restores)
+    number = first + acquisitions
+    assert number < 2**53
+    assert parse_count(str(number)) == number
+    assert compute_next_fencing(number, restores) == number + 1
+    if (restores + 1) % DISTINCT_RESTORES:
+        following = compute_next_fencing(0, restores + 1)
+        assert following == first + FENCING_NUMBERS_PER_RESTORE
+
+
 def test_two_holders_never_share_a_fencing_number_after_a_restore():
     """Guards against two holders that order with one number after a drill."""
     store = RestoredStore(ManualClock())
