Bound the memory of the bodies in progress on our own interface too

A router of our own interface took up to 4,000 bodies of 4 MiB at once, whatever the memory of its process; the same cause as on the users' platform.

Where the settings name a memory, the bodies in progress share a fifth of it, and one that finds no room is refused with a time to come back. Both interfaces read bodies in one place now (bodies.py).

The test failed before: the requests were served, as there was no bound.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -23,6 +23,7 @@
     "Send",
     "abort_connection",
     "check_size",
+    "decode_object",
     "find_header",
     "has_disconnected",
     "open_server",
@@ -123,7 +124,17 @@
     receive: Receive, limit_bytes: int, limit_s: float | None = None
 ) -> dict[str, Any]:
     """Read a request body that holds a JSON object."""
-    body = await read_body(receive, limit_bytes, limit_s)
+    return decode_object(await read_body(receive, limit_bytes, limit_s))
+
+
+def decode_object(body: bytes) -> dict[str, Any]:
+    """Decode a request body that holds a JSON object.
+
+    Raises
+    ------
+    RequestError
+        It holds something else.
+    """
     try:
         return decode_json(body or b"{}", dict[str, Any])
     except MessageError as cause:
--- a/primrosepier/byte_budget.py
+++ b/primrosepier/byte_budget.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-__all__ = ["ByteBudget", "Reservation"]
+__all__ = ["ByteBudget", "Reservation", "make_byte_budget"]
 
 # Size up to which a body is small, bytes: as much as the server reads ahead of any
 # request.
 SMALL_BYTES = 64 * 1024
+# Share of the process's memory for the bodies of requests in progress. A body may take
+# this twice while its parts are joined; the rest is for the process and for responses.
+MEMORY_SHARE = 0.2
 # Share of the budget that large bodies may fill, so that they keep no small ones out.
 LARGE_SHARE = 0.8
 
@@ -64,3 +67,8 @@
         self.budget.used_bytes += added
         self.size += added
         return True
+
+
+def make_byte_budget(memory_bytes: float) -> ByteBudget:
+    """Return the budget of a process that may use so much memory."""
+    return ByteBudget(MEMORY_SHARE * memory_bytes)
--- a/primrosepier/callers.py
+++ b/primrosepier/callers.py
@@ -3,7 +3,7 @@
 import contextlib
 import math
 from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -12,10 +12,9 @@
     Scope,
     Send,
     close_connection_after,
+    decode_object,
     find_header,
     has_disconnected,
-    read_body,
-    read_json,
     read_path,
     send_bytes,
     send_chunk,
@@ -24,6 +23,8 @@
 )
 from .at_most_once import claim_key, run_claimed
 from .board import Board
+from .bodies import read_admitted_body
+from .byte_budget import ByteBudget, Reservation
 from .claims import Claimed, Claims
 from .configuration import Configuration, Workspace, find_workspace
 from .dispatch import Dispatcher
@@ -75,6 +76,8 @@
     in_progress : int
         Number of requests in progress.
     metrics : Metrics
+    body_budget : ByteBudget
+        Memory for the bodies of the requests in progress.
     """
 
     board: Board
@@ -84,6 +87,7 @@
     claims: Claims
     plain: PlainDispatcher
     metrics: Metrics
+    body_budget: ByteBudget = field(default_factory=ByteBudget)
     stopping: bool = False
     prepared: bool = True
     in_progress: int = 0
@@ -186,8 +190,8 @@
             raise RequestError(405, "method_not_allowed", "Use POST.")
         configuration, workspace = self._authenticate(scope)
         key = read_idempotency_key(scope)
-        with self._track_in_progress():
-            body = await read_json(receive, self.limits.body_bytes, self.limits.body_s)
+        with self._track_in_progress(), self.body_budget.open() as reservation:
+            body = decode_object(await self._read_body(scope, receive, reservation))
             validated = make_model_request(
                 request, configuration, workspace, scope, body
             )
@@ -204,6 +208,14 @@
                         request, validated, record.outcome, timed_send
                     )
 
+    async def _read_body(
+        self, scope: Scope, receive: Receive, reservation: Reservation
+    ) -> bytes:
+        limits, rng = self.limits, self.dispatcher.rng
+        return await read_admitted_body(
+            scope, receive, limits.body_bytes, limits.body_s, reservation, rng
+        )
+
     async def _run_model(
         self, validated: ModelRequest, key: str, receive: Receive, send: Send
     ) -> Outcome | None:
@@ -242,8 +254,8 @@
     ) -> None:
         configuration, workspace = self._authenticate(scope)
         service = find_plain_service(configuration, read_path(scope))
-        with self._track_in_progress():
-            body = await read_body(receive, self.limits.body_bytes, self.limits.body_s)
+        with self._track_in_progress(), self.body_budget.open() as reservation:
+            body = await self._read_body(scope, receive, reservation)
             validated = make_plain_request(request, workspace, service, scope, body)
             key = read_idempotency_key(scope)
             if validated.needs_claim and not key:
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -13,18 +13,15 @@
     Scope,
     Send,
     abort_connection,
-    check_size,
     close_connection_after,
-    find_header,
     has_disconnected,
-    read_body,
     read_path,
     send_bytes,
     wait_for_disconnect,
 )
-from ..byte_budget import ByteBudget, Reservation
+from ..bodies import read_admitted_body
+from ..byte_budget import ByteBudget
 from ..clocks import Clock
-from ..decoding import parse_count
 from ..errors import MessageError, RequestError, describe_errors
 from ..ids import RequestId
 from ..logs import Log
@@ -46,9 +43,6 @@
 # Largest Retry-After as a share of the caller's remaining time. Callers ignore longer
 # delays.
 RETRY_AFTER_SHARE = 0.3
-# Range of the Retry-After of a call that was refused for want of memory, seconds. Calls
-# with large bodies take about this long, and not all of them come back at once.
-MEMORY_RETRY_AFTER_S = (0.5, 1.5)
 READY_PATH = "/readyz"
 HTTP_BAD_REQUEST = 400
 # Statuses of this router's own responses to calls that have not run. Those of replicas
@@ -223,8 +217,9 @@
         workspace = self._find_workspace(scope, declaration, route)
         with self.body_budget.open() as reservation:
             max_bytes = declaration.limits.body_bytes or DEFAULT_BODY_BYTES
-            body = await self._read_body(
-                scope, receive, max_bytes, route.timeout_s, reservation
+            rng, limit_s = self.forwarder.rng, route.timeout_s
+            body = await read_admitted_body(
+                scope, receive, max_bytes, limit_s, reservation, rng
             )
             call = self._make_call(scope, body, route, workspace, received_at_s)
             delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
@@ -235,31 +230,6 @@
                 await self._send_error_or_abort(call, outcome, delivery)
         self._log_end(call, outcome, delivery, declaration)
 
-    async def _read_body(
-        self,
-        scope: Scope,
-        receive: Receive,
-        max_bytes: int,
-        limit_s: float,
-        reservation: Reservation,
-    ) -> bytes:
-        """Read a body for which there is memory.
-
-        One that finds no room is refused rather than left unread: its caller can go to
-        another router, and bodies that wait for each other's room would all be late.
-        """
-
-        def admit(size: int) -> None:
-            if not reservation.try_grow(size):
-                text = "The router has no memory for the body."
-                after_s = self.forwarder.rng.uniform(*MEMORY_RETRY_AFTER_S)
-                raise RequestError(503, "memory_full", text, retry_after_s=after_s)
-
-        declared = parse_count(find_header(scope, "content-length")) or 0
-        check_size(declared, max_bytes)
-        admit(declared)
-        return await read_body(receive, max_bytes, limit_s, admit)
-
     def _make_call(
         self,
         scope: Scope,
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -12,7 +12,7 @@
 from anyio.abc import UDPSocket
 
 from ..asgi import open_server
-from ..byte_budget import ByteBudget
+from ..byte_budget import make_byte_budget
 from ..clocks import Clock
 from ..datagrams import OpenSocket
 from ..endpoint_client import EndpointClient
@@ -111,9 +111,6 @@
 # Extra delay of each further candidate for a free duty, seconds: enough for the
 # previous candidate to acquire the duty, since the store responds in milliseconds.
 CANDIDATE_DELAY_S = 0.05
-# Share of the process's memory for the bodies of requests in progress. A body may take
-# this twice while its parts are joined; the rest is for the process and for responses.
-BODY_MEMORY_SHARE = 0.2
 # Names no model, so that all models of a replica count.
 ANY_MODEL = ModelId("")
 
@@ -304,7 +301,7 @@
         int(settings.readiness_address.rpartition(":")[2]),
         int(settings.peers_address.rpartition(":")[2]),
         directory.token,
-        ByteBudget(BODY_MEMORY_SHARE * settings.memory_bytes),
+        make_byte_budget(settings.memory_bytes),
     )
     weights_controller = _make_weights_controller(
         settings, platform, store_view, mirror_controller, load_table
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -1,6 +1,7 @@
 """The router process: its controllers and its servers."""
 
 import contextlib
+import math
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, replace
@@ -10,6 +11,7 @@
 from .asgi import open_server
 from .attempt import AttemptRunner
 from .board import Board, make_board
+from .byte_budget import make_byte_budget
 from .callers import CallersApp
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
@@ -145,6 +147,7 @@
     )
     metrics = make_metrics(board, log, platform.clock)
     app = CallersApp(board, dispatcher, limits, log, claims, plain, metrics)
+    app.body_budget = make_byte_budget(limits.memory_bytes or math.inf)
     app.prepared = False
     writer = board.configuration.take_writer("configuration")
     controller = ConfigurationController(writer, platform.clock)
--- a/primrosepier/settings.py
+++ b/primrosepier/settings.py
@@ -31,6 +31,8 @@
     ----------
     body_bytes, header_bytes : int
         Maximum sizes of a request's body and of its headers.
+    memory_bytes : int
+        Memory that the process may use; 0 for no limit.
     streams : int
         Maximum number of requests in progress at this router.
     request_s : float
@@ -47,6 +49,7 @@
 
     body_bytes: int = 4 * MIB
     header_bytes: int = 32 * 1024
+    memory_bytes: int = 0
     streams: int = 4000
     request_s: float = 600.0
     connect_s: float = 2.0
@@ -231,6 +234,7 @@
     return Limits(
         body_bytes=reader.read_int("body_bytes", defaults.body_bytes, minimum=1),
         header_bytes=reader.read_int("header_bytes", defaults.header_bytes, minimum=1),
+        memory_bytes=reader.read_int("memory_bytes", defaults.memory_bytes),
         streams=reader.read_int("streams", defaults.streams, minimum=1),
         request_s=reader.read_float("request_s", defaults.request_s, minimum=0.1),
         connect_s=reader.read_float("connect_s", defaults.connect_s, minimum=0.01),
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -141,6 +141,24 @@
     run_with_demo(check)
 
 
+@pytest.mark.sockets
+def test_a_body_without_room_is_refused_with_a_time_to_come_back():
+    """Guards against a router that is killed for its memory, with all its requests."""
+
+    async def check(demo, send):
+        budget = demo.routers[0].app.body_budget
+        budget.limit_bytes = 1000.0
+        for path in ("/v1/completions", "/services/roster-app/walkers"):
+            reply = await send("POST", path, make_body(), [KEY])
+            assert (reply.status, read_code(reply)) == (503, "memory_full")
+            assert int(reply.headers["retry-after"]) >= 1
+        assert budget.used_bytes == 0
+        budget.limit_bytes = 10_000.0
+        assert (await send("POST", "/v1/completions", make_body())).status == 200
+
+    run_with_demo(check)
+
+
 @pytest.mark.sockets
 def test_an_error_in_a_background_task_ends_no_router():
     """Guards against calls in progress that end with a router's background task."""
