--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -9,29 +9,15 @@
 import time
 
 import pytest
-from ports import find_free_port
+from node_settings import make_node_settings
 
 from primrosepier.forwarding.entry import read_boot_clock
 from primrosepier.platform.router import make_entry_platform
 from primrosepier.platform.settings import parse_entry_settings
 
-SETTINGS = """
-nodeName = "front-1"
-ip = "127.0.0.1"
-zone = "rennes"
-internalPorts = [{ports[0]}, {ports[0]}]
-[listen]
-frontend = "127.0.0.1:{ports[1]}"
-readiness = "127.0.0.1:{ports[2]}"
-[bounds]
-graceS = 2.0
-[platform]
-address = "127.0.0.1:1"
-"""
-
 
 def make_settings():
-    return SETTINGS.format(ports=[find_free_port() for _ in range(3)])
+    return make_node_settings(tables="[bounds]\ngraceS = 2.0")[0]
 
 
 def wait_for(path, text, limit_s=10.0):
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -10,7 +10,7 @@
 import pytest
 from clients import call
 from entry_fleet import HOST, KEY, make_configuration, run_entry
-from ports import find_free_port
+from node_settings import make_node_settings
 
 from primrosepier.asgi import open_server
 from primrosepier.endpoint_client import HttpEndpointClient
@@ -20,19 +20,6 @@
 MEMORY_MB = 150
 MIB = 1024 * 1024
 BODY_BYTES = 4 * MIB
-SETTINGS = """
-nodeName = "front-1"
-ip = "127.0.0.1"
-zone = "rennes"
-internalPorts = [{ports[0]}, {ports[0]}]
-[listen]
-frontend = "127.0.0.1:{ports[1]}"
-readiness = "127.0.0.1:{ports[2]}"
-[limits]
-memoryMb = {memory_mb}
-[platform]
-address = "{store}"
-"""
 
 
 class SlowReplica(StandinReplica):
@@ -95,11 +82,11 @@
             replica = SlowReplica(name, events=100)
             entry = replica.make_entry(service, await serve(replica), slots=64)
             store.put(f"servers/{name}", entry)
-        ports = [find_free_port() for _ in range(3)]
-        settings = folder / "node.toml"
-        settings.write_text(
-            SETTINGS.format(ports=ports, memory_mb=MEMORY_MB, store=await serve(store))
+        text, ports = make_node_settings(
+            await serve(store), f"[limits]\nmemoryMb = {MEMORY_MB}"
         )
+        settings = folder / "node.toml"
+        settings.write_text(text)
         process = await anyio.open_process(
             [sys.executable, "-m", "primrosepier", "entry-router"],
             env={**os.environ, "PRIMROSEPIER_CONFIG": str(settings)},
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,7 +11,7 @@
 import pytest
 from clients import call
 from entry_fleet import HOST, KEY, make_configuration, make_route, run_entry
-from ports import find_free_port
+from node_settings import make_node_settings
 
 from primrosepier.forwarding.loading_record import LOADING_RECORD_KEY
 from primrosepier.forwarding.origin_journal import STREAMS_PREFIX
@@ -200,29 +200,15 @@
     run_entry(check, apply_s=0.1)
 
 
-SETTINGS = """
-nodeName = "front-9"
-ip = "127.0.0.1"
-zone = "rennes"
-internalPorts = [{ports[0]}, {ports[0]}]
-[listen]
-frontend = "127.0.0.1:{ports[1]}"
-readiness = "127.0.0.1:{ports[2]}"
-[platform]
-address = "{store}"
-"""
-
-
 def test_a_router_process_starts_and_stays_beside_odd_entries(tmp_path):
     async def check(fleet):
         for key, value in NESTED_ENTRIES.items():
             fleet.store.put(key, value)
         for number, value in enumerate(ODD_REPLICAS.values()):
             fleet.store.put(f"servers/w9{number}", value)
-        ports = [find_free_port() for _ in range(3)]
+        text, ports = make_node_settings(fleet.settings.store_address)
         settings = tmp_path / "node.toml"
-        store = fleet.settings.store_address
-        settings.write_text(SETTINGS.format(ports=ports, store=store))
+        settings.write_text(text)
         environment = {**os.environ, "PRIMROSEPIER_CONFIG": str(settings)}
         command = [sys.executable, "-m", "primrosepier", "entry-router"]
         output = tmp_path / "output"
