--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,7 +12,13 @@
 from primrosepier.endpoint_client import EndpointCall, HttpEndpointClient
 from primrosepier.errors import RequestError
 from primrosepier.plain import is_not_repeatable, normalize_path
-from primrosepier.request_checks import check_chat_body, check_completion_body
+from primrosepier.request_checks import (
+    check_chat_body,
+    check_completion_body,
+    check_headers,
+    read_idempotency_key,
+    read_resume_position,
+)
 from primrosepier.standin_engine import CRASH_MARKER, make_output_tokens
 
 MODEL = "armor-note-8b"
@@ -458,3 +464,31 @@
             check(dict(body), model)
         except RequestError as error:
             assert 400 <= error.status < 500 and error.code
+
+
+HEADER_NAMES = [b"idempotency-key", b"last-event-id", b"content-length", b"x-trace"]
+HEADER_VALUES = st.one_of(
+    st.binary(max_size=40),
+    st.integers(0, 10**20).map(lambda number: str(number).encode()),
+    st.integers(0, 10**20).map(lambda number: b"%x-%d" % (number, number)),
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from(HEADER_NAMES), HEADER_VALUES), max_size=5))
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_arbitrary_headers_are_accepted_or_refused(headers):
+    """Guards against values of headers that no wire can hold."""
+    scope = {"headers": headers}
+    reads = (
+        lambda scope: check_headers(scope, 100),
+        read_idempotency_key,
+        read_resume_position,
+    )
+    for read in reads:
+        try:
+            value = read(scope)
+        except RequestError as error:
+            assert 400 <= error.status < 500 and error.code
+        else:
+            msgspec.json.encode(value)
+            msgspec.msgpack.encode(value)
