--- a/tests/test_left_callers.py
+++ b/tests/test_left_callers.py
@@ -18,24 +18,19 @@
 Authorization: Bearer {key}
 Attempt-Id: a{number}
 Deadline-Ms: 2000
-Content-Type: application/json
-Content-Length: {length}
+Content-Length: 0
 {more}
 """
 CALLERS = 40
 PATH = "/services/roster-app/walkers"
 
 
-def send_and_leave(
-    address, number, is_reset=False, path="/lookup/1", key=KEY, body=b"", more=""
-):
+def send_and_leave(address, number, is_reset=False, path="/lookup/1", key=KEY, more=""):
     """Send a request and close the connection before the router can read it."""
     host, _, port = address.rpartition(":")
-    text = REQUEST.format(
-        path=path, number=number, host=HOST, key=key, length=len(body), more=more
-    )
+    text = REQUEST.format(path=path, number=number, host=HOST, key=key, more=more)
     with socket.create_connection((host, int(port))) as connection:
-        connection.sendall(text.replace("\n", "\r\n").encode() + body)
+        connection.sendall(text.replace("\n", "\r\n").encode())
         if is_reset:
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
