Let parts of a router add sections to its reports

A report without sections keeps its bytes; earlier builds ignore the sections, and a receiver ignores those that it does not know.

--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -17,7 +17,6 @@
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any
 
 import anyio
 import msgspec
@@ -26,12 +25,12 @@
 from ..addresses import parse_address
 from ..clocks import Clock
 from ..datagrams import DatagramPort, OpenSocket
-from ..decoding import decode_json, decode_msgpack
+from ..decoding import decode_json
 from ..endpoint_limits import SharedLimit
 from ..endpoint_windows import SharedBrittleness
 from ..errors import MessageError
 from ..ids import EndpointId, FailureDomain, HostId
-from ..loss_log import LossLog, LossReport
+from ..loss_log import LossLog
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, Item, LeaseGranted, LeaseLost, Put, Store
@@ -45,8 +44,16 @@
 )
 from .origins import OriginExchange
 from .peer_relay import PeerAddress
+from .peer_reports import (
+    PeerReport,
+    ReportSection,
+    apply_sections,
+    decode_report,
+    encode_report,
+    make_sections,
+)
 from .permits import PermitExchange, PermitMessage
-from .prefixes import PrefixIndex, PrefixUpdate
+from .prefixes import PrefixIndex
 from .replica_load import MS, PeerLoad, ReplicaLoadTable
 from .report_groups import (
     CollectedReports,
@@ -62,9 +69,7 @@
     "PeerDirectory",
     "PeerEntry",
     "PeerExchange",
-    "PeerReport",
     "decode_peer_entry",
-    "decode_report",
 ]
 
 ROUTERS_PREFIX = STATE_PREFIX + "routers/"
@@ -117,72 +122,6 @@
     failure_domain: FailureDomain | None = None
 
 
-class PeerReport(msgspec.Struct, frozen=True, array_like=True):
-    """Report of one router to a peer.
-
-    Parameters
-    ----------
-    token : str
-        The receiver's token, from its entry in the store.
-    tokens : Mapping of EndpointId to int
-        The sender's pending prompt tokens at each replica.
-    prefixes : sequence of PrefixUpdate
-        Prefixes that replicas compute or have cached for the sender's calls.
-    loading_record : LoadingRecord or None
-        Replicas that are loading weights on the sender's orders; None if the sender
-        does not hold the weights duty.
-    decoding : Mapping of EndpointId to int
-        The sender's calls whose output each replica generates.
-    losses : LossReport or None
-        Calls that were lost with their replicas; None if there is nothing to report.
-    limits : Mapping of EndpointId to SharedLimit
-        Limits of replicas that have changed.
-    brittle : Mapping of EndpointId to SharedBrittleness
-        Replicas that became or ceased to be brittle.
-    waits_ms : Mapping of EndpointId to int
-        How long the sender's calls wait at replicas with old weights, milliseconds.
-    """
-
-    token: str
-    sender: HostId
-    tokens: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
-    prefixes: Sequence[PrefixUpdate] = ()
-    loading_record: LoadingRecord | None = None
-    decoding: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
-    losses: LossReport | None = None
-    limits: Mapping[EndpointId, SharedLimit] = msgspec.field(default_factory=dict)
-    brittle: Mapping[EndpointId, SharedBrittleness] = msgspec.field(
-        default_factory=dict
-    )
-    waits_ms: Mapping[EndpointId, int] = msgspec.field(default_factory=dict)
-
-
-def decode_report(data: bytes) -> tuple[PeerReport, list[str]]:
-    """Return a report, and the names of its parts that can't be read.
-
-    These are left out of the report, since a later build may have changed them.
-
-    Raises
-    ------
-    MessageError
-        The data is no report, or its token or sender can't be read.
-    """
-    try:
-        return decode_msgpack(data, PeerReport), []
-    except MessageError:
-        parts = decode_msgpack(data, list[msgspec.Raw])
-    read: dict[str, Any] = {}
-    unreadable = []
-    for part, raw in zip(msgspec.structs.fields(PeerReport), parts, strict=False):
-        try:
-            read[part.name] = decode_msgpack(bytes(raw), part.type)
-        except MessageError:
-            unreadable.append(part.name)
-    if not {"token", "sender"} <= read.keys():
-        raise MessageError("the token or the sender can't be read")
-    return PeerReport(**read), unreadable
-
-
 def make_no_loading_record() -> LoadingRecord | None:
     """Return None: this router never holds the weights duty."""
     return None
@@ -393,6 +332,8 @@
         None where no router is asked about its links.
     list_waits : callable
         Returns how long calls wait at replicas with old weights, seconds.
+    sections : sequence of ReportSection
+        Parts that add a section to each report.
 
     Attributes
     ----------
@@ -423,6 +364,7 @@
     origins: OriginExchange | None = None
     cuts: CutDetector | None = None
     list_waits: Callable[[], Mapping[EndpointId, float]] = list_no_waits
+    sections: Sequence[ReportSection] = ()
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
     reported_sort_key: tuple[int, int] = (0, 0)
     informed_tokens: set[str] = field(default_factory=set)
@@ -468,6 +410,8 @@
             return True
         if self.prefixes.pending_updates or self.loss_log.must_report(self.clock()):
             return True
+        if any(part.must_report(self.clock()) for part in self.sections):
+            return True
         if self.permits is not None and (
             self.permits.limits.must_report() or self.permits.windows.must_report()
         ):
@@ -564,7 +508,7 @@
             None,
             self.list_decoding(),
         )
-        data = msgspec.msgpack.encode(report)
+        data = encode_report(report, make_sections(self.sections, self.clock()))
         for host in plan.collectors:
             await self.send_message(host, GroupReport(data))
         if plan.is_collector:
@@ -628,6 +572,7 @@
         )
         all_brittle = self._list_brittle()
         waits_ms = {x: int(wait_s / MS) for x, wait_s in self.list_waits().items()}
+        sections = make_sections(self.sections, now_s)
         reports = []
         for entry in self.directory.peers.values():
             report = PeerReport(
@@ -642,7 +587,7 @@
                 all_brittle if entry.token in uninformed else brittle,
                 waits_ms,
             )
-            reports.append((entry, msgspec.msgpack.encode(report)))
+            reports.append((entry, encode_report(report, sections)))
         return reports
 
     async def send_message(self, host: HostId, message: PeerMessage) -> bool:
@@ -714,9 +659,10 @@
 
     def _apply(self, report: PeerReport, unreadable: Sequence[str]) -> None:
         """Apply the readable parts of a report."""
+        now_s = self.clock()
+        unreadable = [*unreadable, *apply_sections(self.sections, report, now_s)]
         if unreadable:
             self.port.record_failure(f"unreadable in a report: {', '.join(unreadable)}")
-        now_s = self.clock()
         peer_load = PeerLoad(report.tokens, now_s, report.decoding, report.waits_ms)
         self.loads.record_peer_load(report.sender, peer_load)
         self.prefixes.apply_updates(report.prefixes, now_s)
--- a/primrosepier/platform/router.py
+++ b/primrosepier/platform/router.py
@@ -2,8 +2,8 @@
 
 from ..endpoint_client import make_endpoint_client
 from ..forwarding.entry import read_boot_clock
+from ..forwarding.entry_platform import EntryPlatform
 from ..forwarding.freshness import compute_batching_delay_s, compute_watch_timeout_s
-from ..forwarding.router import EntryPlatform
 from ..forwarding.settings import EntrySettings
 from ..forwarding.store_view import StoreLayout
 from . import names
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -20,7 +20,8 @@
 from primrosepier.forwarding.events import EventStreamMerger
 from primrosepier.forwarding.loading_record import decode_loading_record
 from primrosepier.forwarding.messages import decode_peer_datagram
-from primrosepier.forwarding.peers import decode_peer_entry, decode_report
+from primrosepier.forwarding.peer_reports import decode_report
+from primrosepier.forwarding.peers import decode_peer_entry
 from primrosepier.forwarding.version_recorder import decode_version_record
 from primrosepier.hosts import decode_hosts
 from primrosepier.leases import decode_duty
--- a/tests/test_forwarding_decisions.py
+++ b/tests/test_forwarding_decisions.py
@@ -21,12 +21,8 @@
     compute_batching_delay_s,
     compute_watch_timeout_s,
 )
-from primrosepier.forwarding.peers import (
-    PeerDirectory,
-    PeerEntry,
-    PeerExchange,
-    PeerReport,
-)
+from primrosepier.forwarding.peer_reports import PeerReport
+from primrosepier.forwarding.peers import PeerDirectory, PeerEntry, PeerExchange
 from primrosepier.forwarding.prefixes import PrefillTracker, PrefixIndex
 from primrosepier.forwarding.replica_choice import (
     Choice,
--- a/tests/test_forwarding_replica_choice.py
+++ b/tests/test_forwarding_replica_choice.py
@@ -14,7 +14,8 @@
     make_replicas,
 )
 
-from primrosepier.forwarding.peers import PeerDirectory, PeerExchange, PeerReport
+from primrosepier.forwarding.peer_reports import PeerReport
+from primrosepier.forwarding.peers import PeerDirectory, PeerExchange
 from primrosepier.forwarding.prefixes import PrefillTracker, PrefixIndex, list_prefixes
 from primrosepier.forwarding.replica_choice import ChoiceKind
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
--- a/tests/test_landing_fb72097.py
+++ b/tests/test_landing_fb72097.py
@@ -10,12 +10,8 @@
 from primrosepier.forwarding.messages import PeerDatagram, decode_peer_datagram
 from primrosepier.forwarding.origin_journal import encode_origins
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
-from primrosepier.forwarding.peers import (
-    PeerEntry,
-    PeerReport,
-    decode_peer_entry,
-    decode_report,
-)
+from primrosepier.forwarding.peer_reports import PeerReport, decode_report
+from primrosepier.forwarding.peers import PeerEntry, decode_peer_entry
 from primrosepier.forwarding.permits import (
     Brittleness,
     PermitRelease,
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -22,6 +22,7 @@
 from primrosepier.drift_controller import DayEntry
 from primrosepier.endpoint_limits import SharedLimit
 from primrosepier.endpoint_windows import Brittleness, SharedBrittleness
+from primrosepier.errors import MessageError
 from primrosepier.forwarding.calls import Call
 from primrosepier.forwarding.cuts import LinksReply, LinksRequest
 from primrosepier.forwarding.declarations import RetryPolicy, Route
@@ -35,12 +36,16 @@
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
 from primrosepier.forwarding.peer_headers import NOT_RUN_HEADER, TOKEN_HEADER
 from primrosepier.forwarding.peer_relay import make_peer_relay
+from primrosepier.forwarding.peer_reports import (
+    PeerReport,
+    decode_report,
+    encode_report,
+)
 from primrosepier.forwarding.peers import (
     ROUTERS_PREFIX,
     PeerDirectory,
     PeerEntry,
     PeerExchange,
-    PeerReport,
 )
 from primrosepier.forwarding.permits import (
     PermitRelease,
@@ -364,6 +369,52 @@
     )
 
 
+def test_reports_and_routers_that_know_no_sections_read_each_other():
+    report = PeerReport("token", "front-1", {}, [], LOADING, {"w1": 3}, None, {})
+    assert encode_report(report, {}) == msgspec.msgpack.encode(report)
+    data = encode_report(report, {"x": b"content"})
+    assert msgspec.msgpack.decode(data, type=PeerReport) == report
+    assert decode_report(msgspec.msgpack.encode(report)) == (report, [])
+
+
+class CountingSection:
+    """Section that counts the contents it was given, and can't read some of them."""
+
+    name = "x"
+
+    def __init__(self):
+        self.applied = []
+
+    def must_report(self, now_s):
+        return not self.applied
+
+    def make(self, now_s):
+        return b"content"
+
+    def apply(self, sender, content, now_s):
+        if content == b"odd":
+            raise MessageError("odd")
+        self.applied.append((sender, content))
+
+
+def test_unknown_and_unreadable_sections_leave_the_rest_of_a_report():
+    section = CountingSection()
+    exchange = PeerExchange(
+        PeerDirectory("front-1", None, "127.0.0.1:1", "token"),
+        ReplicaLoadTable(),
+        PrefixIndex(),
+        lambda: 0.0,
+        sections=(section,),
+    )
+    assert exchange.must_report({})
+    for sections in ({"x": b"odd"}, {"y": b"unknown"}, {"x": b"content"}):
+        report = PeerReport("token", "front-2", {"w1": 2000})
+        exchange.receive(encode_report(report, sections))
+        assert exchange.loads.count_peer_tokens("w1", 0.0) == 2000
+    assert section.applied == [("front-2", b"content")]
+    assert exchange.loads.rejected_reports == 0
+
+
 def test_requests_for_windows_ask_earlier_routers_for_a_permit():
     request = PermitRequest(
         "front-1",
