Keep a prefix in the cache store of its first preferred replica's domain

The first declared store served all failure domains: a third of the capacity and of the links was used, and most transfers crossed domains. All routers now agree on a store by rendezvous hashing over the registered replicas.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -235,7 +235,8 @@
     store_view: StoreView, load_table: ReplicaLoadTable, call: Call, choice: Choice
 ) -> CachePlan:
     """Return how a call uses KV cache, with the weights that are requested now."""
-    cache_store = find_cache_store(store_view.declaration.value)
+    replicas = store_view.replicas.value.list_replicas(choice.replica.service)
+    cache_store = find_cache_store(store_view.declaration.value, call, replicas)
     reported_version = load_table.get_or_create(choice.replica.id).weights
     return plan_cache_use(
         call, choice, reported_version, store_view.requested_weights.value, cache_store
--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -36,6 +36,7 @@
     "ChoiceKind",
     "ReplicaChooser",
     "compute_preference_key",
+    "compute_preference_rank",
     "list_shared_parts",
     "make_call_scope",
     "make_scope",
@@ -208,6 +209,11 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
+def compute_preference_rank(key: int, endpoint: EndpointId) -> int:
+    """Return a replica's rank for a key; the highest one is preferred first."""
+    return mix_hash(key, xxhash.xxh64_intdigest(endpoint.encode()))
+
+
 @dataclass(slots=True)
 class ReplicaChooser:
     """Chooses replicas without I/O.
@@ -377,7 +383,7 @@
 
     def _rank_preferred(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
         def compute_rank(replica: Replica) -> int:
-            return mix_hash(key, xxhash.xxh64_intdigest(replica.id.encode()))
+            return compute_preference_rank(key, replica.id)
 
         return sorted(replicas, key=compute_rank, reverse=True)[
             : len(PREFERENCE_DISCOUNTS)
--- a/primrosepier/forwarding/transfers.py
+++ b/primrosepier/forwarding/transfers.py
@@ -2,16 +2,30 @@
 
 Transferring the cache of a long shared prefix takes a fraction of the time to compute
 it, and computing it would delay the other calls at the replica.
+
+Each failure domain may have a cache store. A prefix is kept in the one of the domain of
+its first preferred replica, so that all routers agree on it, the stores share the
+load, and most transfers stay within a domain.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from ..ids import ModelId, ServiceId
+import xxhash
+
+from ..hash_ring import mix_hash
+from ..ids import ModelId
 from .calls import Call, WeightsVersionNumber
-from .declarations import CacheStore, Declaration, Service
+from .declarations import CacheStore, Declaration
+from .fleet import Replica
 from .prefixes import MIN_PREFIX_TOKENS
-from .replica_choice import Choice, list_shared_parts, make_call_scope
+from .replica_choice import (
+    Choice,
+    compute_preference_key,
+    compute_preference_rank,
+    list_shared_parts,
+    make_call_scope,
+)
 from .store_view import WeightsHistory
 
 __all__ = ["CachePlan", "find_cache_store", "plan_cache_use"]
@@ -38,13 +52,43 @@
     save_to: str = ""
 
 
-def find_cache_store(declaration: Declaration | None) -> CacheStore | None:
-    """Return the declared KV cache store, or None."""
+def _list_cache_stores(declaration: Declaration | None) -> list[CacheStore]:
     if declaration is None:
+        return []
+    services = declaration.services.values()
+    return [s.cache_store for s in services if s.cache_store is not None]
+
+
+def _count_shared_tokens(call: Call) -> int:
+    return sum(part.tokens for part in list_shared_parts(call.parts))
+
+
+def find_cache_store(
+    declaration: Declaration | None, call: Call, replicas: Sequence[Replica]
+) -> CacheStore | None:
+    """Return the KV cache store of a call's shared prefix, or None.
+
+    It depends only on the prefix and on what is registered, and not on loads, failures
+    or the replica that serves the call: a prefix is looked for where it was saved.
+
+    Parameters
+    ----------
+    replicas : sequence of Replica
+        The registered replicas of the call's service.
+    """
+    if _count_shared_tokens(call) < MIN_PREFIX_TOKENS:
         return None
-    services: Mapping[ServiceId, Service] = declaration.services
-    return next(
-        (s.cache_store for s in services.values() if s.cache_store is not None), None
+    stores = _list_cache_stores(declaration)
+    if len(stores) <= 1:
+        return stores[0] if stores else None
+    key = compute_preference_key(make_call_scope(call), list_shared_parts(call.parts))
+    if replicas:
+        first = max(replicas, key=lambda x: compute_preference_rank(key, x.id))
+        domain = first.failure_domain
+        stores = [s for s in stores if s.failure_domain == domain] or stores
+    return max(
+        stores,
+        key=lambda s: mix_hash(key, xxhash.xxh64_intdigest(s.address.encode())),
     )
 
 
@@ -68,9 +112,8 @@
         Newest version that the replica's responses named.
     """
     scope = make_call_scope(call)
-    shared_tokens = sum(part.tokens for part in list_shared_parts(call.parts))
     registered_version = choice.replica.weights.get(call.model)
-    if shared_tokens < MIN_PREFIX_TOKENS or registered_version is None:
+    if _count_shared_tokens(call) < MIN_PREFIX_TOKENS or registered_version is None:
         return CachePlan(scope)
     weights = WeightsVersionNumber(max(registered_version, reported_version or 0))
     history = requested_weights.get(call.model)
