Probe replicas at once after a failure, and report lost ones to the other routers

A router detected a replica without power when the kernel gave up a waiting call, after 3 s, and each router by itself. One failed or lost connection now leads to a probe, two failures move the calls that may run again, and section u of the reports lets the other routers probe the replica, too. A lost replica is probed before its backoff ends, so that calls do not try it. The event counts stay as they were: ReplicaGivenUp tells of aborted calls.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -15,6 +15,7 @@
 from ..log_events import MirrorFailed
 from ..mirror import Backoff, Mirror, MirrorController
 from ..settings import LeaseBounds
+from ..supervision import RunTask
 from .calls import Call
 from .cuts import CutDetector
 from .entry_platform import EntryPlatform
@@ -54,6 +55,7 @@
 
 __all__ = [
     "knows_request_ages",
+    "list_forwarding_tasks",
     "make_connected_forwarder",
     "make_mirror_controller",
     "make_peer_exchange",
@@ -83,6 +85,11 @@
 ANY_MODEL = ModelId("")
 
 
+def list_forwarding_tasks(forwarder: Forwarder) -> tuple[RunTask, ...]:
+    """Return the tasks of the forwarder that run while the router serves."""
+    return forwarder.links.run, forwarder.withdrawals.run, forwarder.losses.run
+
+
 def retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
     """Forget the leaving replicas that are no longer registered."""
     registered = store_view.fleet.list_registered()
@@ -113,6 +120,8 @@
     peers.cuts = forwarder.links
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
+    forwarder.losses.request_report = peers.request_report
+    peers.sections = (*peers.sections, forwarder.losses)
     weights_controller.notify = peers.request_report
     return peers
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -40,6 +40,7 @@
 from .cuts import CutDetector
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
+from .losses.detector import LossDetector, make_loss_detector
 from .notices import ReplicaNotices
 from .origins import OriginExchange
 from .peer_relay import PeerRelay
@@ -51,7 +52,6 @@
     CallRepeated,
     CallWithdrawn,
     PermitRefused,
-    ReplicaGivenUp,
     StreamTakenUp,
 )
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
@@ -71,12 +71,6 @@
 # Time for which one call may ask for permits of brittle replicas, over all attempts,
 # seconds: a call that gets none is refused soon, even if datagrams are lost.
 MAX_ASKING_S = 0.08
-# Consecutive connection failures after which a replica counts as terminated. Its
-# unresponsive calls are then aborted, to be retried on other replicas.
-UNREACHABLE_FAILURES = 2
-# Time without a received byte after which such a call counts as unresponsive: far above
-# the pause between the events of a stream.
-UNRESPONSIVE_S = 0.8
 # Tokens added to a prompt's uncached tokens when latency per token is computed. They
 # stand for the fixed cost of an engine step, so that short prompts do not look slow.
 PREFILL_BASE_TOKENS = 512
@@ -140,6 +134,8 @@
         Passes calls on while it does not.
     forecasts : StartForecasts
         When calls begin at a replica.
+    losses : LossDetector
+        Replicas that are lost.
     software_checks : SoftwareChecks or None
         Replicas that may run other software than their entries say; None where no
         stream is resumed.
@@ -159,6 +155,7 @@
     links: CutDetector
     relay: PeerRelay
     forecasts: StartForecasts
+    losses: LossDetector
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
@@ -636,21 +633,8 @@
         return UnknownOutcome(Step.HEADERS, endpoint, "the call's deadline passed")
 
     def _record_unreachable(self, replica: Replica, now_s: float) -> None:
-        """Record a connection failure; abort calls if the replica counts as terminated.
-
-        Retryable calls on a terminated replica would otherwise hang until their
-        deadlines.
-        """
-        self.loads.record_unreachable(replica.id, now_s)
-        self.links.record_failed(replica.id)
-        if (
-            self.loads.get_or_create(replica.id).connection_failures
-            < UNREACHABLE_FAILURES
-        ):
-            return
-        aborted = self.sender.client.abort_unresponsive(replica.address, UNRESPONSIVE_S)
-        if aborted:
-            self.log.emit(ReplicaGivenUp(replica.id, aborted))
+        """Record a connection failure; abort calls if the replica counts as lost."""
+        self.losses.record_failed(replica, now_s)
 
     def _record_outcome(
         self,
@@ -677,6 +661,8 @@
             self.ejections.record_failure(endpoint, now_s)
             if getattr(outcome, "lost", False) and recorder.responded_at_s is None:
                 self._record_unreachable(replica, now_s)
+            elif getattr(outcome, "lost", False):
+                self.losses.suspect(replica)
         elif recorder.responded_at_s is not None:
             wait_s = recorder.responded_at_s - started_s
             per_token_s = wait_s / (recorder.uncached_tokens + PREFILL_BASE_TOKENS)
@@ -723,5 +709,6 @@
         links,
         relay,
         StartForecasts(chooser.loads, clock),
+        make_loss_detector(client, chooser.loads, links, log, clock, chooser.rng),
         clock,
     )
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -43,6 +43,22 @@
         "Attempts whose connection was lost before the end of the answer.",
         "Many at once: replicas crash; look for CallLost and QuarantineChanged.",
     ),
+    MetricSpec(
+        "primrosepier_lost_replicas_total",
+        COUNTER,
+        "replicas",
+        ("source",),
+        "Replicas to which connections failed; report: another router said so first.",
+        "Many at once: a host or a failure domain is down; look for ReplicaLost.",
+    ),
+    MetricSpec(
+        "primrosepier_unconfirmed_losses_total",
+        COUNTER,
+        "reports",
+        (),
+        "Losses of replicas that other routers reported and a probe did not confirm.",
+        "Rises: a router's links are bad; LossUnconfirmed names router and replica.",
+    ),
     MetricSpec(
         "primrosepier_withdrawn_attempts_total",
         COUNTER,
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -6,6 +6,7 @@
 from ..log_events import Event, MirrorFailed, RestRequested, TaskFailed
 from ..logs import Log
 from ..metric_table import MetricTable
+from .losses.records import LossUnconfirmed, ReplicaLost
 from .metric_specs import ENTRY_SPECS
 from .records import (
     CallEnded,
@@ -43,6 +44,11 @@
             self.add("primrosepier_repeats_total", 1, outcome=event.outcome)
         elif isinstance(event, CallLost):
             self.add("primrosepier_lost_attempts_total", 1)
+        elif isinstance(event, ReplicaLost):
+            source = "report" if event.reporter else "own"
+            self.add("primrosepier_lost_replicas_total", 1, source=source)
+        elif isinstance(event, LossUnconfirmed):
+            self.add("primrosepier_unconfirmed_losses_total", 1)
         elif isinstance(event, CallWithdrawn):
             self.add("primrosepier_withdrawn_attempts_total", 1)
         elif isinstance(event, PermitRefused):
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -21,6 +21,7 @@
 from ..supervision import RunTask, run_supervised
 from .components import (
     knows_request_ages,
+    list_forwarding_tasks,
     make_connected_forwarder,
     make_mirror_controller,
     make_peer_exchange,
@@ -111,8 +112,7 @@
             self.origin_journal.run,
             self.peers.directory.run,
             partial(self.peers.run, socket, open_socket),
-            self.app.forwarder.links.run,
-            self.app.forwarder.withdrawals.run,
+            *list_forwarding_tasks(self.app.forwarder),
         )
 
     def record_failure(self, error: Exception) -> None:
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -278,6 +278,9 @@
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
     "ReplicaGivenUp": "endpoint calls",
+    "LossUnconfirmed": "endpoint reporter",
+    "ReplicaLost": "endpoint born_ms reporter",
+    "ReplicaReached": "endpoint lost_s",
     "ReplicaLeaving": "endpoint service born_ms",
     "RequestEnded": (
         "request workspace service outcome step peer reason prompt_tokens "
