--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -15,6 +15,7 @@
 from ..log_events import MirrorFailed
 from ..mirror import Backoff, Mirror, MirrorController
 from ..settings import LeaseBounds
+from ..supervision import RunTask
 from .calls import Call
 from .cuts import CutDetector
 from .entry_platform import EntryPlatform
@@ -36,7 +37,13 @@
 from .settings import EntrySettings
 from .start_forecasts import StartForecasts
 from .store_view import StoreView
-from .transfers import CachePlan, find_cache_store, plan_cache_use
+from .transfers import (
+    CachePlan,
+    find_cache_store,
+    has_several_cache_stores,
+    must_save,
+    plan_cache_use,
+)
 from .weights import (
     MAX_CURRENT_LAG_S,
     START_MARGIN_S,
@@ -48,6 +55,7 @@
 
 __all__ = [
     "knows_request_ages",
+    "list_forwarding_tasks",
     "make_connected_forwarder",
     "make_mirror_controller",
     "make_peer_exchange",
@@ -77,6 +85,11 @@
 ANY_MODEL = ModelId("")
 
 
+def list_forwarding_tasks(forwarder: Forwarder) -> tuple[RunTask, ...]:
+    """Return the tasks of the forwarder that run while the router serves."""
+    return forwarder.links.run, forwarder.withdrawals.run, forwarder.losses.run
+
+
 def retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
     """Forget the leaving replicas that are no longer registered."""
     registered = store_view.fleet.list_registered()
@@ -107,6 +120,8 @@
     peers.cuts = forwarder.links
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
+    forwarder.losses.request_report = peers.request_report
+    peers.sections = (*peers.sections, forwarder.losses)
     weights_controller.notify = peers.request_report
     return peers
 
@@ -235,10 +250,19 @@
     store_view: StoreView, load_table: ReplicaLoadTable, call: Call, choice: Choice
 ) -> CachePlan:
     """Return how a call uses KV cache, with the weights that are requested now."""
-    cache_store = find_cache_store(store_view.declaration.value)
+    replicas = store_view.replicas.value.list_replicas(choice.replica.service)
+    declaration = store_view.declaration.value
+    cache_store = find_cache_store(declaration, call, replicas)
+    # With a single store, each call names it, as in earlier releases.
+    saves = not has_several_cache_stores(declaration) or must_save(call, choice)
     reported_version = load_table.get_or_create(choice.replica.id).weights
     return plan_cache_use(
-        call, choice, reported_version, store_view.requested_weights.value, cache_store
+        call,
+        choice,
+        reported_version,
+        store_view.requested_weights.value,
+        cache_store,
+        saves,
     )
 
 
