Weigh the cost of a call by the slowness that its replica reports

The reader of Instance-Load took exactly three figures, so a replica that reports a fourth one, how long work takes there, had no load at all. It now reads the fourth figure and ignores later ones. SpeedTable keeps an estimate for each replica, and costs in the choice of a replica are times instead of tokens. Where replicas report no fourth figure, choices are as before.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -184,6 +184,8 @@
             f"routers have {event.peer_tokens} prompt tokens pending there, and "
             f"{event.decoding} outputs are generated."
         )
+        if event.slowness != 1.0:
+            yield f"  Work was expected to take {event.slowness:.2f} times as long."
         if event.weights_lag_s is not None:
             yield (
                 f"  Its weights had been outdated for {event.weights_lag_s:.3f} s; the "
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -171,11 +171,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Load of an endpoint as reported in a response."""
+    """Load of an endpoint as reported in a response.
+
+    Parameters
+    ----------
+    slowness : float or None
+        Time that work takes there, as a multiple of the usual time; None if the
+        response states none.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -499,7 +499,6 @@
         now_s = self.clock()
         endpoint = choice.replica.id
         load = self.loads.get_or_create(endpoint)
-        has_report = load.reported is not None
         registered = self.read_replicas().list_replicas(service)
         self.log.emit(
             CallPlaced(
@@ -511,9 +510,10 @@
                 candidates=candidates,
                 outstanding=load.outstanding,
                 pending_tokens=load.pending_tokens,
-                report_age_s=now_s - load.reported_at_s if has_report else None,
+                report_age_s=load.compute_report_age_s(now_s),
                 remaining_s=call.deadline_s - now_s,
                 uncached_tokens=choice.uncached_tokens,
+                slowness=choice.slowness,
                 peer_tokens=self.loads.count_peer_tokens(endpoint, now_s),
                 decoding=self.loads.count_decoding(endpoint, now_s),
                 software=choice.replica.software,
--- a/primrosepier/forwarding/records.py
+++ b/primrosepier/forwarding/records.py
@@ -60,8 +60,7 @@
     kind : str
         A value of ``ChoiceKind``.
     candidates : int
-        Replicas that may serve the call and were not tried before, including ejected
-        ones and those in backoff.
+        Untried replicas that may serve the call, ejected ones and backoff included.
     outstanding, pending_tokens : int
         This router's other calls in progress at the replica, and the uncached prompt
         tokens of those that have not received the head of a response.
@@ -76,17 +75,17 @@
     software : SoftwareVersion
         Version of the replica's software.
     resumed_call : RequestId
-        Id of the call that brought the first event of the stream that this one resumes;
-        empty for none.
+        Id of the call that began the stream that this one resumes; empty for none.
     weights_lag_s : float or None
-        Time for which the replica has been missing requested weights; None if it has
-        them, or if they may have been requested at any time.
+        Time for which the replica is known to have missed weights, or None.
     forecast_wait_s : float or None
         Expected time until the call's output begins.
     backoff_s : float
         Time for which the replica should have been avoided, seconds; 0 for none.
     resting : int
         Replicas of the service that were left out since they had asked for rest.
+    slowness : float
+        Estimate of the replica's slowness that was used; 1 is as usual.
     """
 
     part: ClassVar[str] = "forward"
@@ -109,6 +108,7 @@
     forecast_wait_s: float | None = None
     backoff_s: float = 0.0
     resting: int = 0
+    slowness: float = 1.0
 
     def describe(self) -> str:
         """Return the event as one short sentence."""
--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -113,6 +113,8 @@
         are unknown.
     weights : WeightsVersionNumber
         Version of the replica's weights; 0 when unknown.
+    slowness : float
+        Estimated slowness of the replica; 1 is as usual.
     """
 
     replica: Replica
@@ -121,6 +123,7 @@
     fetch_from: Replica | None = None
     prefixes: Sequence[Prefix] = ()
     weights: WeightsVersionNumber = WeightsVersionNumber(0)
+    slowness: float = 1.0
 
 
 _CacheFormat = tuple[WeightsVersionNumber, SoftwareVersion]
@@ -239,9 +242,9 @@
         if not usable:
             return None
         if not call.parts:
-            return Choice(
-                self._find_least_loaded(usable, now_s), ChoiceKind.LEAST_LOADED
-            )
+            replica = self._find_least_loaded(usable, now_s)
+            slowness = self.loads.speeds.get_slowness(replica.id, now_s)
+            return Choice(replica, ChoiceKind.LEAST_LOADED, slowness=slowness)
         return self._choose_by_cost(call, scope, usable, avoided.outdated, now_s)
 
     def _list_usable(
@@ -263,9 +266,10 @@
 
     def _find_least_loaded(self, replicas: Sequence[Replica], now_s: float) -> Replica:
         def compute_utilization(replica: Replica) -> tuple[float, float]:
-            utilization = (
-                self.loads.get_or_create(replica.id).count_calls(now_s) / replica.slots
-            )
+            calls = self.loads.get_or_create(replica.id).count_calls(now_s)
+            slowness = self.loads.speeds.get_slowness(replica.id, now_s)
+            # The call itself takes longer as well, so an idle slow replica costs more.
+            utilization = (slowness * calls + slowness - 1.0) / replica.slots
             if replica.failure_domain != self.failure_domain:
                 utilization += REMOTE_DOMAIN_UTILIZATION
             return utilization, self.rng.random()
@@ -310,6 +314,7 @@
             estimate.fetch_from,
             prefixes if candidates[best].weights else (),
             candidates[best].weights,
+            self.loads.speeds.get_slowness(replicas[best].id, now_s),
         )
 
     def _compute_cost(
@@ -320,13 +325,17 @@
         outdated: frozenset[EndpointId],
         now_s: float,
     ) -> float:
-        """Return the whole cost of a call at a replica, in tokens to compute."""
+        """Return the whole cost of a call at a replica.
+
+        Costs are times, in tokens that a replica of usual speed computes meanwhile.
+        """
         cost = estimate.cost + self._compute_pending_work(replica, now_s)
         output_delay = min(
             estimate.uncached_tokens, MAX_OUTPUT_DELAY_PROMPTS * self.loads.mean_tokens
         )
         decoding = self.loads.count_decoding(replica.id, now_s)
         cost += OUTPUT_DELAY_SHARE * decoding * output_delay
+        cost *= self.loads.speeds.get_slowness(replica.id, now_s)
         if replica.id in outdated:
             cost += OUTDATED_COST_SHARE * call.prompt_tokens
         if replica.failure_domain != self.failure_domain:
--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -13,6 +13,7 @@
 
 from ..ids import EndpointId, HostId
 from .calls import ReportedLoad, ResponseHead, WeightsVersionNumber
+from .speeds import SpeedTable
 
 __all__ = ["MS", "PeerLoad", "ReplicaLoad", "ReplicaLoadTable"]
 
@@ -88,6 +89,10 @@
             return self.outstanding
         return max(self.outstanding, report.running + report.waiting)
 
+    def compute_report_age_s(self, now_s: float) -> float | None:
+        """Return the age of the reported load, seconds; None if there is none."""
+        return None if self.reported is None else now_s - self.reported_at_s
+
 
 @dataclass(frozen=True, slots=True)
 class PeerLoad:
@@ -144,6 +149,8 @@
         Set when there may be a change to report to peers.
     rejected_reports : int
         Peers' reports that were malformed or carried a wrong token.
+    speeds : SpeedTable
+        How slow the replicas are.
     """
 
     loads: dict[EndpointId, ReplicaLoad] = field(default_factory=dict)
@@ -152,6 +159,7 @@
     peer_totals: PeerTotals = field(default_factory=PeerTotals)
     changed: anyio.Event = field(default_factory=anyio.Event)
     rejected_reports: int = 0
+    speeds: SpeedTable = field(default_factory=SpeedTable)
 
     def get_or_create(self, endpoint: EndpointId) -> ReplicaLoad:
         """Return a replica's load, adding an empty one for an unknown replica."""
@@ -177,7 +185,11 @@
         if not head.not_run:
             load.refusals = 0
         if head.weights is not None:
+            if load.weights is not None and head.weights > load.weights:
+                self.speeds.forget(endpoint)
             load.weights = max(head.weights, load.weights or head.weights)
+        if head.load is not None and not head.misdirected:
+            self.speeds.record_figure(endpoint, head.load.slowness, now_s)
 
     def end_prefill(self, endpoint: EndpointId, tokens: int) -> None:
         """Record the end of a call's prefill."""
@@ -210,6 +222,7 @@
             UNREACHABLE_CAP_S, UNREACHABLE_BASE_S * 2**load.connection_failures
         )
         load.connection_failures += 1
+        self.speeds.forget(endpoint)
         load.avoid_until_s = now_s + period_s
 
     def end_backoff(self) -> None:
@@ -279,6 +292,7 @@
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
         """Keep only the given replicas and those with a call in progress."""
         registered = set(endpoints)
+        self.speeds.retain(registered)
         for endpoint in list(self.loads):
             if endpoint not in registered and not self.loads[endpoint].outstanding:
                 del self.loads[endpoint]
--- /dev/null
+++ b/primrosepier/forwarding/speeds/__init__.py
@@ -0,0 +1,5 @@
+"""Speeds of replicas that do not all perform alike."""
+
+from .slowness import SpeedTable
+
+__all__ = ["SpeedTable"]
--- a/primrosepier/platform/replicas.py
+++ b/primrosepier/platform/replicas.py
@@ -36,6 +36,11 @@
 UNAVAILABLE = 503
 LEAVING_VALUE = b"1"
 MAX_SLOTS = 10**9
+# Figures of a reported load that are read: calls that run and that wait, slots, and
+# the time that work takes, in percent of the usual time.
+LOAD_FIGURES = 4
+PERCENT = 100.0
+MAX_SLOWNESS_PERCENT = 100 * PERCENT
 # Characters of an odd value that a log line shows.
 MAX_SHOWN = 64
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -177,11 +182,21 @@
 
 
 def _read_load(value: bytes) -> ReportedLoad | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(INTEGER.fullmatch(part.strip()) for part in parts):
+    """Return the reported load; figures after the fourth are ignored."""
+    parts = [part.strip() for part in value.split(b",", LOAD_FIGURES)]
+    if len(parts) < 3 or not all(INTEGER.fullmatch(part) for part in parts[:3]):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running, waiting, slots)
+    running, waiting, slots = (int(part) for part in parts[:3])
+    slowness = _read_slowness(parts[3]) if len(parts) > 3 else None
+    return ReportedLoad(running, waiting, slots, slowness)
+
+
+def _read_slowness(value: bytes) -> float | None:
+    """Return a slowness given in percent; None if it is not a valid figure."""
+    percent = _read_number(value)
+    if percent is None or not 0 < percent <= MAX_SLOWNESS_PERCENT:
+        return None
+    return percent / PERCENT
 
 
 def _read_rate(value: bytes) -> float | None:
--- a/tests/test_platform_files.py
+++ b/tests/test_platform_files.py
@@ -142,6 +142,7 @@
         forecast_wait_s=0.75,
         backoff_s=0.25,
         resting=3,
+        slowness=1.5,
     )
 
 
@@ -198,6 +199,7 @@
     assert "3700 tokens of the prompt are to be computed" in explanation
     assert "41000 prompt tokens pending" in explanation
     assert "in backoff for another 0.250 s" in explanation
+    assert "expected to take 1.50 times as long" in explanation
     assert "3 other replicas had asked for rest" in explanation
     assert "software is v1.1" in explanation
     assert "began with a0" in explanation
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -250,7 +250,7 @@
         "request attempt service endpoint kind candidates outstanding "
         "pending_tokens report_age_s remaining_s uncached_tokens "
         "peer_tokens decoding software resumed_call weights_lag_s forecast_wait_s "
-        "backoff_s resting"
+        "backoff_s resting slowness"
     ),
     "CallRejected": "request status code declaration heard_age_s",
     "CallRepeated": "request attempt endpoint outcome reason",
