Let slow replicas be homes of fewer prefixes, and observe their speed

Homes came from unweighted hashing, so a replica that is slow for long had as many as others. Waits of long prompts, divided by the reported slowness, correct replicas that report false figures or none.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -34,6 +34,7 @@
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
 from .settings import EntrySettings
+from .speeds import ObservedSpeeds, SpeedTable
 from .start_forecasts import StartForecasts
 from .store_view import StoreView
 from .transfers import CachePlan, find_cache_store, plan_cache_use
@@ -167,11 +168,13 @@
         directory.is_settled,
     )
     rng = random.Random(settings.host)
+    # Only replicas of the same service compute the same prompts in the same time.
+    speeds = SpeedTable(observed=ObservedSpeeds(store_view.find_service))
     forwarder = make_forwarder(
         platform.client,
         platform.dialect,
         lambda: store_view.replicas.value,
-        ReplicaChooser(settings.failure_domain, ReplicaLoadTable(), rng),
+        ReplicaChooser(settings.failure_domain, ReplicaLoadTable(speeds=speeds), rng),
         retries,
         store_view.log,
         PermitExchange(settings.host, EndpointLimits(), platform.clock),
--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -17,7 +17,6 @@
 
 import xxhash
 
-from ..hash_ring import mix_hash
 from ..ids import (
     EndpointId,
     FailureDomain,
@@ -29,6 +28,7 @@
 from .fleet import Replica
 from .prefixes import Prefix, PrefixIndex, list_prefixes
 from .replica_load import ReplicaLoadTable
+from .speeds import HomeWeights, rank_homes
 
 __all__ = [
     "AvoidedReplicas",
@@ -222,12 +222,15 @@
     loads : ReplicaLoadTable
     rng : random.Random
         Breaks ties, so that routers do not all choose the same replica.
+    homes : HomeWeights
+        Weights of the replicas in the ranking of preferred ones.
     """
 
     failure_domain: FailureDomain
     loads: ReplicaLoadTable
     rng: random.Random = field(default_factory=random.Random)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    homes: HomeWeights = field(default_factory=HomeWeights)
 
     def choose(
         self,
@@ -284,6 +287,7 @@
         outdated: frozenset[EndpointId],
         now_s: float,
     ) -> Choice:
+        self.homes.update(self.loads.speeds, now_s)
         shared = list_shared_parts(call.parts)
         prefixes = list_prefixes(scope, shared)
         candidates = [
@@ -385,12 +389,8 @@
         return _CostEstimate(cost + uncached_tokens, uncached_tokens, kind, fetch_from)
 
     def _rank_preferred(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
-        def compute_rank(replica: Replica) -> int:
-            return mix_hash(key, xxhash.xxh64_intdigest(replica.id.encode()))
-
-        return sorted(replicas, key=compute_rank, reverse=True)[
-            : len(PREFERENCE_DISCOUNTS)
-        ]
+        ranked = rank_homes(key, [x.id for x in replicas], self.homes)
+        return [replicas[index] for index in ranked[: len(PREFERENCE_DISCOUNTS)]]
 
     def _compute_pending_work(self, replica: Replica, now_s: float) -> float:
         """Estimate the work queued ahead of a new call, in tokens to compute."""
--- a/primrosepier/forwarding/speeds/slowness.py
+++ b/primrosepier/forwarding/speeds/slowness.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from ...ids import EndpointId
+from .observed import ObservedSpeeds
 
 __all__ = ["MAX_SLOWNESS", "USUAL", "ReplicaSpeed", "SpeedTable"]
 
@@ -27,7 +28,7 @@
 # Time constants of the means, seconds. The recent mean has to follow loads that come
 # and go within ten seconds; the lasting one has to average over several of them.
 RECENT_S = 1.5
-LASTING_S = 30.0
+LASTING_S = 60.0
 # Half-lives of the differences between the last figure, the recent mean, the lasting
 # mean and the usual slowness, seconds.
 FIGURE_HALF_LIFE_S = 0.5
@@ -94,17 +95,20 @@
             + (self.recent - self.lasting) * 0.5 ** (age_s / RECENT_HALF_LIFE_S)
             + (self.figure - self.recent) * 0.5 ** (age_s / FIGURE_HALF_LIFE_S)
         )
-        return min(max(estimate, MIN_ESTIMATE), MAX_ESTIMATE)
+        return _limit(estimate)
 
 
 @dataclass(slots=True)
 class SpeedTable:
-    """Slowness of all replicas, from their reports.
+    """Slowness of all replicas, from their reports and from the waits of calls.
 
-    A replica without reports has the usual slowness.
+    A replica of which neither is known has the usual slowness. Waits are compared with
+    those at other replicas after division by the reported slowness, so what they add is
+    only what the replica does not report, or reports falsely.
     """
 
     speeds: dict[EndpointId, ReplicaSpeed] = field(default_factory=dict)
+    observed: ObservedSpeeds = field(default_factory=ObservedSpeeds)
 
     def record_figure(
         self, endpoint: EndpointId, figure: float | None, now_s: float
@@ -113,19 +117,34 @@
         if figure is not None and 0 < figure <= MAX_SLOWNESS:
             self.speeds.setdefault(endpoint, ReplicaSpeed()).record(figure, now_s)
 
+    def record_wait(
+        self, endpoint: EndpointId, tokens: float, wait_s: float, now_s: float
+    ) -> None:
+        """Record how long a replica took to compute prompts, seconds."""
+        speed = self.speeds.get(endpoint)
+        reported = USUAL if speed is None else speed.recent
+        self.observed.record(endpoint, tokens, wait_s / reported, now_s)
+
     def get_slowness(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the factor by which work that begins now takes longer than usual."""
         speed = self.speeds.get(endpoint)
-        return USUAL if speed is None else speed.estimate(now_s)
+        reported = USUAL if speed is None else speed.estimate(now_s)
+        return _limit(reported * self.observed.get_ratio(endpoint))
 
     def get_lasting_slowness(self, endpoint: EndpointId) -> float:
         """Return the factor by which work usually takes longer at this replica."""
         speed = self.speeds.get(endpoint)
-        return USUAL if speed is None else speed.lasting
+        reported = USUAL if speed is None else speed.lasting
+        return _limit(reported * self.observed.get_ratio(endpoint))
+
+    def list_endpoints(self) -> set[EndpointId]:
+        """Return the replicas that may differ from the usual slowness."""
+        return self.speeds.keys() | self.observed.ratios.keys()
 
     def forget(self, endpoint: EndpointId) -> None:
         """Forget a replica that may have been restarted or changed."""
         self.speeds.pop(endpoint, None)
+        self.observed.forget(endpoint)
 
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
         """Keep only the given replicas."""
@@ -133,3 +152,8 @@
         for endpoint in list(self.speeds):
             if endpoint not in registered:
                 del self.speeds[endpoint]
+        self.observed.retain(registered)
+
+
+def _limit(slowness: float) -> float:
+    return min(max(slowness, MIN_ESTIMATE), MAX_ESTIMATE)
--- a/primrosepier/forwarding/start_forecasts.py
+++ b/primrosepier/forwarding/start_forecasts.py
@@ -113,9 +113,11 @@
 
     def record_begun(self, call: SentCall) -> None:
         """Record that the output of a call begins."""
-        waits = self.replicas.get(call.endpoint)
-        if waits is not None:
-            waits.end(call, call.tokens, self.clock())
+        waits, now_s = self.replicas.get(call.endpoint), self.clock()
+        if waits is not None and call in waits.waiting:
+            waits.end(call, call.tokens, now_s)
+            wait_s = now_s - call.sent_at_s
+            self.loads.speeds.record_wait(call.endpoint, call.tokens, wait_s, now_s)
 
     def record_ended(self, call: SentCall) -> None:
         """Record the end of a call, which may have waited in vain."""
--- a/primrosepier/forwarding/store_view.py
+++ b/primrosepier/forwarding/store_view.py
@@ -7,7 +7,7 @@
 from ..board import Section, SectionWriter
 from ..clocks import Clock
 from ..errors import MessageError, UnknownStateError
-from ..ids import EndpointId, ModelId, Revision
+from ..ids import EndpointId, ModelId, Revision, ServiceId
 from ..logs import Log
 from ..mirror import Mirror
 from ..store import Item
@@ -248,6 +248,11 @@
         """Return a registered replica, draining or not, or None."""
         return self.fleet.entries.get(endpoint)
 
+    def find_service(self, endpoint: EndpointId) -> ServiceId | None:
+        """Return the service of a registered replica, or None."""
+        replica = self.find_replica(endpoint)
+        return None if replica is None else replica.service
+
 
 def _list_ids(listed: ReplicaList) -> set[EndpointId]:
     return {r.id for replicas in listed.by_service.values() for r in replicas}
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -1,5 +1,6 @@
 """Slowness of replicas, from their responses to the choice of a replica."""
 
+import math
 import random
 
 import pytest
@@ -12,7 +13,7 @@
 )
 
 from primrosepier.forwarding.calls import ReportedLoad, ResponseHead
-from primrosepier.forwarding.speeds import SpeedTable
+from primrosepier.forwarding.speeds import HomeWeights, SpeedTable, rank_homes
 from primrosepier.forwarding.speeds.slowness import MAX_ESTIMATE
 from primrosepier.platform.replicas import PlatformDialect
 
@@ -140,3 +141,71 @@
             record_slowness(chooser, endpoint, figure, now_s)
             if is_computed:
                 chooser.loads.end_prefill(endpoint, choices[0].uncached_tokens)
+
+
+def record_waits(table, slow, reported, factor=4.0, count=20):
+    """Record calls at nine replicas, of which one takes ``factor`` times as long."""
+    rng = random.Random(3)
+    for number in range(9 * count):
+        endpoint, now_s = f"r{number % 9}", number * 0.05
+        time_s = 0.02 * rng.uniform(0.8, 1.6)
+        if endpoint == slow:
+            time_s *= factor
+            table.record_figure(endpoint, reported, now_s)
+        table.record_wait(endpoint, 3000, time_s, now_s)
+    return now_s
+
+
+@pytest.mark.parametrize("reported", [None, 1.0, 4.0])
+def test_slow_replica_is_found_whether_it_reports_so_or_not(reported):
+    """Guards against replicas that report false figures, or none."""
+    table = SpeedTable()
+    now_s = record_waits(table, "r4", reported)
+    assert 2.5 < table.get_slowness("r4", now_s) < 6.0
+    assert 2.5 < table.get_lasting_slowness("r4") < 6.0
+    assert table.get_slowness("r5", now_s) == 1.0
+
+
+def test_replica_that_falsely_reports_slowness_counts_as_usual():
+    table = SpeedTable()
+    now_s = record_waits(table, "r4", reported=5.0, factor=1.0, count=40)
+    assert 0.6 < table.get_slowness("r4", now_s) < 1.6
+
+
+def find_homes(weights):
+    ids = [f"r{number}" for number in range(24)]
+    return [rank_homes(key * 7919, ids, weights)[0] for key in range(4000)]
+
+
+def test_homes_follow_lasting_speed_and_few_prefixes_move():
+    """Load of harvest: 24 replicas, one of which becomes half as fast."""
+    table, weights = SpeedTable(), HomeWeights()
+    before = find_homes(weights)
+    for step in range(400):
+        table.record_figure("r3", 2.0, step * 0.5)
+    weights.update(table, 200.0)
+    after = find_homes(weights)
+    moved = [b for b, a in zip(before, after, strict=True) if b != a]
+    assert set(moved) == {3}
+    assert 0.3 < len(moved) / before.count(3) < 0.75
+
+
+def test_homes_stay_while_load_of_the_machines_comes_in_waves():
+    """Load of harvest: waves of 13 s, a figure every 3 s, with noise.
+
+    Guards against homes that follow each wave, so that prefixes are computed again.
+    """
+    table, weights = SpeedTable(), HomeWeights()
+    rng = random.Random(4)
+    homes, moved = find_homes(weights), 0
+    for step in range(960):
+        now_s = step * 0.125
+        index = rng.randrange(24)
+        wave = 0.5 * math.sin(2 * math.pi * (now_s / 13 + (index % 3) / 3))
+        figure = (1.3 + wave) * rng.lognormvariate(0, 0.3)
+        table.record_figure(f"r{index}", figure, now_s)
+        weights.update(table, now_s)
+        if step % 40 == 0:
+            previous, homes = homes, find_homes(weights)
+            moved += sum(b != a for b, a in zip(previous, homes, strict=True))
+    assert moved / len(homes) < 0.5
