--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -17,7 +17,6 @@
 
 import xxhash
 
-from ..hash_ring import mix_hash
 from ..ids import (
     EndpointId,
     FailureDomain,
@@ -29,6 +28,7 @@
 from .fleet import Replica
 from .prefixes import Prefix, PrefixIndex, list_prefixes
 from .replica_load import ReplicaLoadTable
+from .speeds import HomeWeights, rank_homes
 
 __all__ = [
     "AvoidedReplicas",
@@ -114,6 +114,8 @@
         are unknown.
     weights : WeightsVersionNumber
         Version of the replica's weights; 0 when unknown.
+    slowness : float
+        Estimated slowness of the replica; 1 is as usual.
     """
 
     replica: Replica
@@ -122,6 +124,7 @@
     fetch_from: Replica | None = None
     prefixes: Sequence[Prefix] = ()
     weights: WeightsVersionNumber = WeightsVersionNumber(0)
+    slowness: float = 1.0
 
 
 _CacheFormat = tuple[WeightsVersionNumber, SoftwareVersion]
@@ -225,12 +228,15 @@
     loads : ReplicaLoadTable
     rng : random.Random
         Breaks ties, so that routers do not all choose the same replica.
+    homes : HomeWeights
+        Weights of the replicas in the ranking of preferred ones.
     """
 
     failure_domain: FailureDomain
     loads: ReplicaLoadTable
     rng: random.Random = field(default_factory=random.Random)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    homes: HomeWeights = field(default_factory=HomeWeights)
 
     def choose(
         self,
@@ -245,9 +251,9 @@
         if not usable:
             return None
         if not call.parts:
-            return Choice(
-                self._find_least_loaded(usable, now_s), ChoiceKind.LEAST_LOADED
-            )
+            replica = self._find_least_loaded(usable, now_s)
+            slowness = self.loads.speeds.get_slowness(replica.id, now_s)
+            return Choice(replica, ChoiceKind.LEAST_LOADED, slowness=slowness)
         return self._choose_by_cost(call, scope, usable, avoided.outdated, now_s)
 
     def _list_usable(
@@ -269,9 +275,10 @@
 
     def _find_least_loaded(self, replicas: Sequence[Replica], now_s: float) -> Replica:
         def compute_utilization(replica: Replica) -> tuple[float, float]:
-            utilization = (
-                self.loads.get_or_create(replica.id).count_calls(now_s) / replica.slots
-            )
+            calls = self.loads.get_or_create(replica.id).count_calls(now_s)
+            slowness = self.loads.speeds.get_slowness(replica.id, now_s)
+            # The call itself takes longer as well, so an idle slow replica costs more.
+            utilization = (slowness * calls + slowness - 1.0) / replica.slots
             if replica.failure_domain != self.failure_domain:
                 utilization += REMOTE_DOMAIN_UTILIZATION
             return utilization, self.rng.random()
@@ -286,6 +293,7 @@
         outdated: frozenset[EndpointId],
         now_s: float,
     ) -> Choice:
+        self.homes.update(self.loads.speeds, now_s)
         shared = list_shared_parts(call.parts)
         prefixes = list_prefixes(scope, shared)
         candidates = [
@@ -316,6 +324,7 @@
             estimate.fetch_from,
             prefixes if candidates[best].weights else (),
             candidates[best].weights,
+            self.loads.speeds.get_slowness(replicas[best].id, now_s),
         )
 
     def _compute_cost(
@@ -326,13 +335,17 @@
         outdated: frozenset[EndpointId],
         now_s: float,
     ) -> float:
-        """Return the whole cost of a call at a replica, in tokens to compute."""
+        """Return the whole cost of a call at a replica.
+
+        Costs are times, in tokens that a replica of usual speed computes meanwhile.
+        """
         cost = estimate.cost + self._compute_pending_work(replica, now_s)
         output_delay = min(
             estimate.uncached_tokens, MAX_OUTPUT_DELAY_PROMPTS * self.loads.mean_tokens
         )
         decoding = self.loads.count_decoding(replica.id, now_s)
         cost += OUTPUT_DELAY_SHARE * decoding * output_delay
+        cost *= self.loads.speeds.get_slowness(replica.id, now_s)
         if replica.id in outdated:
             cost += OUTDATED_COST_SHARE * call.prompt_tokens
         if replica.failure_domain != self.failure_domain:
@@ -382,12 +395,8 @@
         return _CostEstimate(cost + uncached_tokens, uncached_tokens, kind, fetch_from)
 
     def _rank_preferred(self, key: int, replicas: Sequence[Replica]) -> list[Replica]:
-        def compute_rank(replica: Replica) -> int:
-            return compute_preference_rank(key, replica.id)
-
-        return sorted(replicas, key=compute_rank, reverse=True)[
-            : len(PREFERENCE_DISCOUNTS)
-        ]
+        ranked = rank_homes(key, [x.id for x in replicas], self.homes)
+        return [replicas[index] for index in ranked[: len(PREFERENCE_DISCOUNTS)]]
 
     def _compute_pending_work(self, replica: Replica, now_s: float) -> float:
         """Estimate the work queued ahead of a new call, in tokens to compute."""
