Grant long prompts permits for replicas of engines

Long prompts of several routers met at one replica, since reports of load are older than the prefills they tell of, and made short ones late. The first-ranked router of each replica now grants them, by datagram, as many prompt tokens at a time as leave short prompts within the smallest target; refused calls ask up to three replicas, then wait in order of urgency and deadline, and are rejected when they would miss it.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -120,6 +120,8 @@
         Where the stream began, once the caller has received an event; None before.
     asking_s : float
         Time for which permits of brittle replicas were asked for, seconds.
+    refusal : NotRun or None
+        Why no replica has room for the call; None before that is known.
     """
 
     send: Send
@@ -133,6 +135,7 @@
     boundary: EventBoundaryTracker = field(default_factory=EventBoundaryTracker)
     origin: StreamOrigin | None = None
     asking_s: float = 0.0
+    refusal: NotRun | None = None
 
     async def begin(self, status: int, headers: CallHeaders, now_s: float) -> None:
         """Send the status and the headers."""
--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from functools import partial
+from typing import get_args
 
 from ..clocks import Clock
 from ..endpoint_limits import EndpointLimits
@@ -16,11 +17,11 @@
 from ..mirror import Backoff, Mirror, MirrorController
 from ..settings import LeaseBounds
 from .calls import Call
-from .cuts import CutDetector
+from .cuts import CutDetector, LinksMessage
 from .entry_platform import EntryPlatform
 from .fleet import Replica
 from .forwarder import Forwarder, make_forwarder
-from .origins import OriginExchange
+from .origins import OriginExchange, OriginMessage
 from .peer_relay import make_peer_relay
 from .peers import PeerDirectory, PeerExchange
 from .permits import PermitExchange
@@ -33,6 +34,9 @@
 from .replica_choice import Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
+from .room.bounds import DeclaredBounds
+from .room.exchange import ReplicaRoom
+from .room.messages import PrefillMessage
 from .settings import EntrySettings
 from .start_forecasts import StartForecasts
 from .store_view import StoreView
@@ -78,9 +82,10 @@
 
 
 def retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
-    """Forget the leaving replicas that are no longer registered."""
+    """Forget leaving replicas, and room at replicas, that are no longer registered."""
     registered = store_view.fleet.list_registered()
     forwarder.notices.leaving.retain(registered, forwarder.clock())
+    forwarder.permitted.room.retain({replica.id for replica in registered})
 
 
 def make_peer_exchange(
@@ -100,11 +105,16 @@
     peers.port.notify_failure = lambda reason, count: forwarder.log.emit(
         DatagramsDropped(reason, count)
     )
-    peers.origins = forwarder.origins
     peers.list_waits = partial(
         _list_outdated_waits, forwarder, weights_controller.store_view
     )
-    peers.cuts = forwarder.links
+    room = forwarder.permitted.room
+    peers.receivers = {
+        **dict.fromkeys(get_args(OriginMessage), forwarder.origins.receive),
+        **dict.fromkeys(get_args(LinksMessage), forwarder.links.receive),
+        **dict.fromkeys(get_args(PrefillMessage), room.receive),
+    }
+    room.send = peers.post_message
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
     weights_controller.notify = peers.request_report
@@ -180,6 +190,12 @@
         make_peer_relay(
             platform.client, platform.dialect, store_view.log, platform.clock
         ),
+        ReplicaRoom(
+            settings.host,
+            platform.clock,
+            DeclaredBounds(lambda: store_view.declaration.value),
+            directory.list_hosts,
+        ),
         platform.clock,
     )
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -44,19 +44,20 @@
 from .origins import OriginExchange
 from .peer_relay import PeerRelay
 from .permits import PermitExchange
+from .permitted_choice import Candidates, PermittedChoice, PermittedChooser
 from .prefixes import PrefillTracker
 from .records import (
     CallLost,
     CallPlaced,
     CallRepeated,
     CallWithdrawn,
-    PermitRefused,
     ReplicaGivenUp,
     StreamTakenUp,
 )
-from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
+from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
+from .room.exchange import PrefillTurn, ReplicaRoom
 from .software_checks import SoftwareChecks
 from .start_forecasts import SentCall, StartForecasts
 from .withdrawals import WaitingCall, Withdrawals
@@ -68,9 +69,6 @@
 MAX_ATTEMPTS = 4
 # Minimum remaining time for another attempt, seconds: no replica responds faster.
 MIN_REMAINING_S = 0.005
-# Time for which one call may ask for permits of brittle replicas, over all attempts,
-# seconds: a call that gets none is refused soon, even if datagrams are lost.
-MAX_ASKING_S = 0.08
 # Consecutive connection failures after which a replica counts as terminated. Its
 # unresponsive calls are then aborted, to be retried on other replicas.
 UNREACHABLE_FAILURES = 2
@@ -140,6 +138,7 @@
         Passes calls on while it does not.
     forecasts : StartForecasts
         When calls begin at a replica.
+    permitted : PermittedChooser
     software_checks : SoftwareChecks or None
         Replicas that may run other software than their entries say; None where no
         stream is resumed.
@@ -159,6 +158,7 @@
     links: CutDetector
     relay: PeerRelay
     forecasts: StartForecasts
+    permitted: PermittedChooser
     clock: Clock = time.monotonic
     rng: random.Random = field(default_factory=random.Random)
     select_replicas: SelectReplicas = select_all
@@ -216,7 +216,7 @@
         A router that has just started uses no replica that is missing weights, since
         it can't tell for how long.
         """
-        refusal = self._make_refusal(service, delivery.origin)
+        refusal = delivery.refusal or self._make_refusal(service, delivery.origin)
         at_origin = self._list_at_origin(service, delivery.origin)
         if call.is_passed_on or self.knows_request_ages(at_origin):
             return refusal
@@ -321,47 +321,14 @@
         service: ServiceId,
         tried: set[EndpointId],
         delivery: Delivery,
-    ) -> Choice | None:
-        """Choose a replica that takes calls now; return None if there is none.
-
-        Each replica is asked once, since the first may have room again before the last
-        has refused.
-        """
-        asked: set[EndpointId] = set()
-        permits = self.notices.permits
-        while True:
-            now_s = self.clock()
-            replicas, avoided = self._list_candidates(
-                service, tried | asked, delivery.origin, now_s
-            )
-            scope = make_call_scope(call)
-            choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
-            if choice is None:
-                return None
-            endpoint = choice.replica.id
-            asked.add(endpoint)
-            if permits.windows.get_brittleness(endpoint) is None:
-                wait_s = await permits.acquire(endpoint)
-            else:
-                wait_s = await self._acquire_soon(endpoint, delivery)
-            if wait_s > 0:
-                rate_per_s = permits.limits.get_rate(endpoint)
-                self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
-            elif self.notices.rests.try_begin_request(endpoint, self.clock()):
-                attempt = len(tried) + 1
-                self._log_choice(call, service, choice, attempt, len(replicas))
-                return choice
-
-    async def _acquire_soon(self, endpoint: EndpointId, delivery: Delivery) -> float:
-        """Ask for a permit until the call has asked for long enough in all."""
-        remaining_s = MAX_ASKING_S - delivery.asking_s
-        wait_s = RETRY_AFTER_S
-        if remaining_s > 0:
-            started_s = self.clock()
-            with anyio.move_on_after(remaining_s):
-                wait_s = await self.notices.permits.acquire(endpoint)
-            delivery.asking_s += self.clock() - started_s
-        return wait_s
+    ) -> PermittedChoice | None:
+        """Choose a replica that takes calls now; return None if there is none."""
+        list_candidates = partial(self._list_candidates, service, delivery.origin)
+        permitted = await self.permitted.choose(call, tried, delivery, list_candidates)
+        if permitted is not None:
+            candidates, attempt = permitted.candidates, len(tried) + 1
+            self._log_choice(call, service, permitted.choice, attempt, candidates)
+        return permitted
 
     async def _try_replicas(
         self, call: Call, service: ServiceId, delivery: Delivery
@@ -383,8 +350,8 @@
                 outcome = await self._pass_on(call, delivery, helpers)
                 outcome = merge_outcomes(previous, outcome)
                 break
-            choice = await self._choose_permitted(call, service, tried, delivery)
-            if choice is None:
+            permitted = await self._choose_permitted(call, service, tried, delivery)
+            if permitted is None:
                 refusing.append(service)
                 other = self._choose_other_service(call, refusing, delivery)
                 if other is not None:
@@ -394,9 +361,10 @@
                     call, service, delivery
                 )
                 break
+            choice = permitted.choice
             tried.add(choice.replica.id)
             delivery.attempts += 1
-            result = await self._attempt(call, fingerprints, choice, delivery)
+            result = await self._attempt(call, fingerprints, permitted, delivery)
             if isinstance(result, ErrorResponse):
                 error_response = result
                 outcome = Refused(
@@ -468,10 +436,10 @@
     def _list_candidates(
         self,
         service: ServiceId,
-        tried: set[EndpointId],
         origin: StreamOrigin | None,
+        tried: set[EndpointId],
         now_s: float,
-    ) -> tuple[Sequence[Replica], AvoidedReplicas]:
+    ) -> Candidates:
         """Return the replicas that a call may be sent to, and those to avoid."""
         selected, outdated = self.select_replicas(self._list_at_origin(service, origin))
         replicas: Sequence[Replica] = [
@@ -533,9 +501,10 @@
         self,
         call: Call,
         fingerprints: Fingerprints,
-        choice: Choice,
+        permitted: PermittedChoice,
         delivery: Delivery,
     ) -> Outcome | ErrorResponse:
+        choice, prefill_turn = permitted.choice, permitted.prefill
         endpoint = choice.replica.id
         index = self.chooser.prefixes
         prefill = PrefillTracker(index, choice.prefixes, endpoint, choice.weights)
@@ -556,13 +525,17 @@
                 anyio.move_on_after(call.deadline_s - started_s) as timeout_scope,
                 self.withdrawals.watch(choice.replica, call.model) as waiting,
             ):
-                recorder.record_begun = partial(self._record_begun, sent, waiting)
+                recorder.record_begun = partial(
+                    self._record_begun, sent, waiting, prefill_turn
+                )
                 outcome = await self.sender.send(call, choice, delivery, recorder)
             if timeout_scope.cancelled_caught:
                 outcome = self._make_timeout_outcome(endpoint, delivery)
         finally:
             recorder.end(self.clock())
             self.forecasts.record_ended(sent)
+            if prefill_turn is not None:
+                prefill_turn.end(recorder.lacked_room)
             await self.notices.permits.release(endpoint, recorder.lacked_room)
         if waiting.is_withdrawn and not timeout_scope.cancelled_caught:
             self._log_withdrawal(call, waiting, delivery, sent)
@@ -581,8 +554,12 @@
             delivery.runs += 1
         return outcome
 
-    def _record_begun(self, sent: SentCall, waiting: WaitingCall) -> None:
+    def _record_begun(
+        self, sent: SentCall, waiting: WaitingCall, prefill: PrefillTurn | None
+    ) -> None:
         """Record that a replica's output begins."""
+        if prefill is not None:
+            prefill.record_begun()
         self.forecasts.record_begun(sent)
         self.withdrawals.record_begun(waiting)
 
@@ -701,6 +678,7 @@
     origins: OriginExchange,
     links: CutDetector,
     relay: PeerRelay,
+    room: ReplicaRoom,
     clock: Clock = time.monotonic,
 ) -> Forwarder:
     """Return a forwarder with empty state."""
@@ -723,5 +701,6 @@
         links,
         relay,
         StartForecasts(chooser.loads, clock),
+        PermittedChooser(chooser, notices, room, log, clock, chooser.rng),
         clock,
     )
--- a/primrosepier/forwarding/messages.py
+++ b/primrosepier/forwarding/messages.py
@@ -8,6 +8,7 @@
 from .origins import OriginMessage
 from .permits import PermitMessage
 from .report_groups import CollectedReports, GroupReport
+from .room.messages import PrefillMessage
 
 __all__ = ["PeerDatagram", "PeerMessage", "decode_peer_datagram", "is_peer_datagram"]
 
@@ -15,7 +16,12 @@
 MAP_PREFIXES = frozenset(bytes([prefix]) for prefix in range(0x80, 0x90))
 
 PeerMessage = (
-    PermitMessage | OriginMessage | LinksMessage | GroupReport | CollectedReports
+    PermitMessage
+    | OriginMessage
+    | LinksMessage
+    | GroupReport
+    | CollectedReports
+    | PrefillMessage
 )
 
 
--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -15,8 +15,9 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import msgspec
@@ -34,7 +35,6 @@
 from ..mirror import Mirror
 from ..revisions import STATE_PREFIX
 from ..store import Applied, Item, LeaseGranted, LeaseLost, Put, Store
-from .cuts import CutDetector, LinksReply, LinksRequest
 from .loading_record import LoadingRecord
 from .messages import (
     PeerDatagram,
@@ -42,7 +42,6 @@
     decode_peer_datagram,
     is_peer_datagram,
 )
-from .origins import OriginExchange
 from .peer_relay import PeerAddress
 from .peer_reports import (
     PeerReport,
@@ -102,6 +101,8 @@
 # Routers that are no longer registered whose entries are kept.
 MAX_FORMER = 256
 
+ReceiveMessage = Callable[[Any], Awaitable[None]]
+
 
 class PeerEntry(msgspec.Struct, frozen=True, omit_defaults=True):
     """A router's entry in the store.
@@ -326,10 +327,8 @@
     loss_log : LossLog
     permits : PermitExchange or None
         None where no replica names a limit.
-    origins : OriginExchange or None
-        None where no stream is taken up at another router.
-    cuts : CutDetector or None
-        None where no router is asked about its links.
+    receivers : Mapping of type to callable
+        Called with the messages of their types; others are ignored.
     list_waits : callable
         Returns how long calls wait at replicas with old weights, seconds.
     sections : sequence of ReportSection
@@ -361,8 +360,7 @@
     apply_loading_record: Callable[[LoadingRecord], None] = ignore_loading_record
     loss_log: LossLog = field(default_factory=LossLog)
     permits: PermitExchange | None = None
-    origins: OriginExchange | None = None
-    cuts: CutDetector | None = None
+    receivers: Mapping[type, ReceiveMessage] = field(default_factory=dict)
     list_waits: Callable[[], Mapping[EndpointId, float]] = list_no_waits
     sections: Sequence[ReportSection] = ()
     reported_tokens: dict[EndpointId, int] = field(default_factory=dict)
@@ -592,6 +590,10 @@
 
     async def send_message(self, host: HostId, message: PeerMessage) -> bool:
         """Send a message to a peer; return whether it is on its way."""
+        return self.post_message(host, message)
+
+    def post_message(self, host: HostId, message: PeerMessage) -> bool:
+        """Send a message to a peer without waiting."""
         entry = self.directory.find(host)
         if entry is None:
             return False
@@ -609,16 +611,13 @@
         elif isinstance(message, PermitMessage):
             if self.permits is not None:
                 await self.permits.receive(message)
-        elif isinstance(message, LinksRequest | LinksReply):
-            if self.cuts is not None:
-                await self.cuts.receive(message)
         elif isinstance(message, GroupReport):
             self._receive_passed_on(message.report)
             self._collect(message.report)
         elif isinstance(message, CollectedReports):
             self._receive_collected(message)
-        elif self.origins is not None:
-            await self.origins.receive(message)
+        elif type(message) in self.receivers:
+            await self.receivers[type(message)](message)
 
     def _receive_collected(self, message: CollectedReports) -> None:
         """Apply the reports that a collector passes on, and pass them on if asked."""
--- /dev/null
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -0,0 +1,262 @@
+"""Choice of a replica for which a call has all permits that it needs."""
+
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import anyio
+
+from ..clocks import Clock
+from ..ids import EndpointId
+from ..logs import Log
+from ..outcomes import NotRun, Step
+from ..rest_periods import spread_return
+from .attempts import RETRY_AFTER_S, Delivery
+from .calls import Call
+from .fleet import Replica
+from .notices import ReplicaNotices
+from .records import PermitRefused
+from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
+from .room.exchange import PrefillTurn, ReplicaRoom
+from .room.granter import Demand
+from .room.records import PrefillRejected, PrefillWaited
+
+__all__ = ["Candidates", "ListCandidates", "PermittedChoice", "PermittedChooser"]
+
+# Time for which one call may ask for permits of brittle replicas, over all attempts,
+# seconds: a call that gets none is refused soon, even if datagrams are lost.
+MAX_ASKING_S = 0.08
+# Replicas whose granters a call with a long prompt asks before it waits.
+MAX_ASKED = 3
+# Interval at which a waiting call looks for a replica that has cached its prompt since,
+# seconds: shorter than the prefill of a long prompt.
+RECHECK_INTERVAL_S = 0.05
+# Longest time before a waiting call repeats its request, seconds: a granter forgets
+# those that it does not hear of.
+REPEAT_INTERVAL_S = 0.4
+ROOM_REASON = "no replica has room for the prompt before the call's deadline"
+
+Candidates = tuple[Sequence[Replica], AvoidedReplicas]
+ListCandidates = Callable[[set[EndpointId], float], Candidates]
+
+
+@dataclass(frozen=True, slots=True)
+class PermittedChoice:
+    """A replica that a call may be sent to now.
+
+    Parameters
+    ----------
+    candidates : int
+        Replicas among which it was chosen.
+    prefill : PrefillTurn or None
+        The permit of a long prompt, to be given back; None for others.
+    """
+
+    choice: Choice
+    candidates: int
+    prefill: PrefillTurn | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _RefusedPrefill:
+    """A replica that has no room for a long prompt yet."""
+
+    choice: Choice
+    demand: Demand
+    turn_at_s: float
+
+
+@dataclass(slots=True)
+class PermittedChooser:
+    """Chooses replicas, asks for the permits that they require, and waits for room.
+
+    Parameters
+    ----------
+    room : ReplicaRoom
+        Permits for long prompts.
+    """
+
+    chooser: ReplicaChooser
+    notices: ReplicaNotices
+    room: ReplicaRoom
+    log: Log
+    clock: Clock
+    rng: random.Random
+
+    async def choose(
+        self,
+        call: Call,
+        tried: set[EndpointId],
+        delivery: Delivery,
+        list_candidates: ListCandidates,
+    ) -> PermittedChoice | None:
+        """Choose a replica that takes calls now; return None if there is none.
+
+        Each replica is asked once, since the first may have room again before the last
+        has refused.
+        """
+        asked: set[EndpointId] = set()
+        refused: list[_RefusedPrefill] = []
+        while True:
+            chosen = None
+            if len(refused) < MAX_ASKED:
+                chosen = self._choose(call, tried | asked, list_candidates)
+            if chosen is not None:
+                asked.add(chosen.choice.replica.id)
+                demand = self.room.find_demand(call, chosen.choice)
+                if demand is not None:
+                    chosen = await self._acquire_room(chosen, demand, refused)
+            elif refused:
+                chosen = await self._wait_for_room(
+                    call, tried, delivery, refused, list_candidates
+                )
+                refused = []
+                if chosen is None:
+                    return None
+                asked.add(chosen.choice.replica.id)
+            else:
+                return None
+            if chosen is not None and await self._may_send(call, chosen, delivery):
+                return chosen
+
+    def _choose(
+        self, call: Call, excluded: set[EndpointId], list_candidates: ListCandidates
+    ) -> PermittedChoice | None:
+        now_s = self.clock()
+        replicas, avoided = list_candidates(excluded, now_s)
+        scope = make_call_scope(call)
+        choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
+        return None if choice is None else PermittedChoice(choice, len(replicas))
+
+    async def _may_send(
+        self, call: Call, chosen: PermittedChoice, delivery: Delivery
+    ) -> bool:
+        """Take the permits that a replica requires itself; return whether it did."""
+        endpoint, permits = chosen.choice.replica.id, self.notices.permits
+        may_send = False
+        try:
+            if permits.windows.get_brittleness(endpoint) is None:
+                wait_s = await permits.acquire(endpoint)
+            else:
+                wait_s = await self._acquire_soon(endpoint, delivery)
+            if wait_s > 0:
+                rate_per_s = permits.limits.get_rate(endpoint)
+                self.log.emit(PermitRefused(call.id, endpoint, rate_per_s, wait_s))
+            else:
+                may_send = self.notices.rests.try_begin_request(endpoint, self.clock())
+        finally:
+            if chosen.prefill is not None and not may_send:
+                chosen.prefill.end()
+        return may_send
+
+    async def _acquire_soon(self, endpoint: EndpointId, delivery: Delivery) -> float:
+        """Ask for a permit until the call has asked for long enough in all."""
+        remaining_s = MAX_ASKING_S - delivery.asking_s
+        wait_s = RETRY_AFTER_S
+        if remaining_s > 0:
+            started_s = self.clock()
+            with anyio.move_on_after(remaining_s):
+                wait_s = await self.notices.permits.acquire(endpoint)
+            delivery.asking_s += self.clock() - started_s
+        return wait_s
+
+    async def _acquire_room(
+        self, chosen: PermittedChoice, demand: Demand, refused: list[_RefusedPrefill]
+    ) -> PermittedChoice | None:
+        """Ask for room for a long prompt; return None, and add to those that refused.
+
+        Parameters
+        ----------
+        refused : list of _RefusedPrefill
+            Replicas that have refused the call.
+        """
+        choice = chosen.choice
+        with self.room.open_turn(choice, demand) as turn:
+            wait_s = await turn.ask(waits=False)
+        if wait_s <= 0:
+            return PermittedChoice(choice, chosen.candidates, turn)
+        refused.append(_RefusedPrefill(choice, demand, self.clock() + wait_s))
+        return None
+
+    async def _wait_for_room(
+        self,
+        call: Call,
+        tried: set[EndpointId],
+        delivery: Delivery,
+        refused: Sequence[_RefusedPrefill],
+        list_candidates: ListCandidates,
+    ) -> PermittedChoice | None:
+        """Wait until a replica has room, or another one has cached the prompt.
+
+        Returns None, with the refusal in the delivery, if the call would begin too late
+        to make its deadline.
+        """
+        started_s = self.clock()
+        first = min(refused, key=lambda x: x.turn_at_s)
+        latest_s = self.room.compute_latest_s(call, first.demand)
+        with self.room.open_turn(first.choice, first.demand) as turn:
+            while True:
+                turn_at_s = self.clock() + await turn.ask(waits=True)
+                if turn.granted_at_s is not None:
+                    break
+                if turn_at_s > latest_s:
+                    self._reject(call, delivery, first, turn_at_s)
+                    return None
+                until_s = min(turn_at_s, self.clock() + REPEAT_INTERVAL_S)
+                chosen = await self._wait_until(
+                    turn, until_s, call, tried, list_candidates
+                )
+                if chosen is not None:
+                    return chosen
+                if turn.granted_at_s is not None:
+                    break
+                turn.demand = self.room.find_demand(call, first.choice) or turn.demand
+        wait_s = self.clock() - started_s
+        tokens, endpoint = first.demand.tokens, turn.endpoint
+        self.log.emit(PrefillWaited(call.id, endpoint, tokens, wait_s, len(refused)))
+        choice = self._refresh(call, first.choice)
+        return PermittedChoice(choice, len(refused), turn)
+
+    async def _wait_until(
+        self,
+        turn: PrefillTurn,
+        until_s: float,
+        call: Call,
+        tried: set[EndpointId],
+        list_candidates: ListCandidates,
+    ) -> PermittedChoice | None:
+        """Wait for a turn; return a replica that needs no permit if there is one."""
+        while self.clock() < until_s:
+            timeout_s = min(RECHECK_INTERVAL_S, until_s - self.clock())
+            if await turn.wait(timeout_s):
+                return None
+            chosen = self._choose(call, tried, list_candidates)
+            if chosen is not None and (
+                self.room.find_demand(call, chosen.choice) is None
+            ):
+                return chosen
+        return None
+
+    def _refresh(self, call: Call, choice: Choice) -> Choice:
+        """Return a choice with what its replica has cached by now."""
+        scope, replicas = make_call_scope(call), [choice.replica]
+        avoided, now_s = AvoidedReplicas(), self.clock()
+        refreshed = self.chooser.choose(call, scope, replicas, avoided, now_s)
+        return choice if refreshed is None else refreshed
+
+    def _reject(
+        self,
+        call: Call,
+        delivery: Delivery,
+        first: _RefusedPrefill,
+        turn_at_s: float,
+    ) -> None:
+        """Record that a call would begin too late, and when there is room."""
+        now_s = self.clock()
+        wait_s = turn_at_s - now_s
+        endpoint, tokens = first.choice.replica.id, first.demand.tokens
+        remaining_s = call.deadline_s - now_s
+        self.log.emit(PrefillRejected(call.id, endpoint, tokens, wait_s, remaining_s))
+        after_s = spread_return(wait_s, self.rng) if wait_s < math.inf else wait_s
+        delivery.refusal = NotRun(Step.PLACE, "-", ROOM_REASON, after_s)
--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .forwarding.records import FORWARDING_EVENT
+from .forwarding.room.records import ROOM_EVENT
 from .log_events import ANY_EVENT, Event
 
 __all__ = ["LogLine", "LogReader", "decode_event"]
@@ -71,7 +72,7 @@
 
 
 LINE_DECODER = msgspec.json.Decoder(LogLine)
-EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT)
+EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT | ROOM_EVENT)
 
 
 def decode_event(line: LogLine) -> Event | None:
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -275,6 +275,8 @@
     "LimitChanged": "endpoint rate_per_s",
     "LinksChanged": "is_cut lost helpers",
     "PermitRefused": "request endpoint rate_per_s wait_s",
+    "PrefillRejected": "request endpoint tokens wait_s remaining_s",
+    "PrefillWaited": "request endpoint tokens wait_s asked",
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
     "ReplicaGivenUp": "endpoint calls",
