--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -17,6 +17,7 @@
 
 import xxhash
 
+from ..hash_ring import mix_hash
 from ..ids import (
     EndpointId,
     FailureDomain,
--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -9,6 +9,7 @@
 
 from .forwarding.losses.records import LOSS_EVENT
 from .forwarding.records import FORWARDING_EVENT
+from .forwarding.room.records import ROOM_EVENT
 from .log_events import ANY_EVENT, Event
 
 __all__ = ["LogLine", "LogReader", "decode_event"]
@@ -72,7 +73,9 @@
 
 
 LINE_DECODER = msgspec.json.Decoder(LogLine)
-EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT | LOSS_EVENT)
+EVENT_DECODER = msgspec.json.Decoder(
+    ANY_EVENT | FORWARDING_EVENT | LOSS_EVENT | ROOM_EVENT
+)
 
 
 def decode_event(line: LogLine) -> Event | None:
