Hold workspaces' quotas over all routers by reported totals

Workspaces may now have a rate and a burst for all routers together. Each router decides on calls by its own calls and the totals in the others' reports, so that no call waits for a query. Rejected calls get 429 with a time to retry.

--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from .forwarding.quotas.records import QuotaExceeded
 from .forwarding.records import (
     CallEnded,
     CallFailed,
@@ -215,6 +216,16 @@
             f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
             f"and has room in {event.wait_s * 1000:.0f} ms."
         )
+    elif isinstance(event, QuotaExceeded):
+        yield (
+            f"Its workspace {event.workspace} requested {event.asked_per_s:.0f}/s of a "
+            f"quota of {event.rate_per_s:.0f}/s; {event.probability:.1%} of its calls "
+            f"were admitted."
+        )
+        yield (
+            f"  The call cost {event.cost:.0f} and the bucket held "
+            f"{event.available:.0f}; retry in {event.retry_after_s:.3f} s."
+        )
     elif isinstance(event, CallPassedOn):
         yield (
             f"This router had no replica that it could use: attempt {event.attempt} "
--- a/primrosepier/forwarding/calls.py
+++ b/primrosepier/forwarding/calls.py
@@ -79,6 +79,9 @@
         Key that the caller sent; empty for none.
     is_passed_on : bool
         Whether another router, which could use no replica, passed the call on.
+    stated_tokens : int or None
+        Length of the prompt and limit on the output together, as the caller states
+        them, tokens; None if it states neither.
     """
 
     id: RequestId
@@ -97,6 +100,7 @@
     resumed_call: RequestId = RequestId("")
     api_key: str = field(default="", repr=False)
     is_passed_on: bool = False
+    stated_tokens: int | None = None
 
     @property
     def is_resumed(self) -> bool:
--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -17,13 +17,16 @@
 from ..settings import LeaseBounds
 from .calls import Call
 from .cuts import CutDetector
+from .entry import EntryApp
 from .entry_platform import EntryPlatform
 from .fleet import Replica
 from .forwarder import Forwarder, make_forwarder
 from .origins import OriginExchange
 from .peer_relay import make_peer_relay
-from .peers import PeerDirectory, PeerExchange
+from .peers import SETTLING_S, PeerDirectory, PeerExchange
 from .permits import PermitExchange
+from .quotas.bucket import QuotaBounds
+from .quotas.quotas import RouterList, make_quotas
 from .records import (
     DatagramsDropped,
     HelperGivenUp,
@@ -84,11 +87,13 @@
 
 
 def make_peer_exchange(
+    settings: EntrySettings,
     directory: PeerDirectory,
-    forwarder: Forwarder,
+    app: EntryApp,
     weights_controller: WeightsController,
 ) -> PeerExchange:
     """Return the exchange of reports, connected to the parts that take part in it."""
+    forwarder = app.forwarder
     prefixes, clock = forwarder.chooser.prefixes, forwarder.clock
     callbacks = (
         weights_controller.make_loading_record,
@@ -108,9 +113,35 @@
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
     weights_controller.notify = peers.request_report
+    bounds = QuotaBounds(
+        settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
+    )
+    app.quotas = make_quotas(
+        settings.host,
+        bounds,
+        clock(),
+        partial(_list_routers, directory, clock(), settings.quota_window_s),
+        app.read_declaration,
+        forwarder.log.emit,
+    )
+    peers.sections = (*peers.sections, app.quotas)
     return peers
 
 
+def _list_routers(
+    directory: PeerDirectory, started_at_s: float, window_s: float
+) -> RouterList:
+    """Return the other routers, and the part of the quotas that may be used.
+
+    It grows until routers that start together have read each other's entries, and in a
+    window where this router can't register.
+    """
+    now_s = directory.clock()
+    registered_s = (now_s - directory.registered_at_s) / SETTLING_S
+    settled = max(registered_s, (now_s - started_at_s) / window_s)
+    return RouterList(directory.peers.keys(), max(0.0, min(1.0, settled)))
+
+
 def _list_outdated_waits(
     forwarder: Forwarder, store_view: StoreView
 ) -> dict[EndpointId, float]:
--- a/primrosepier/forwarding/declarations.py
+++ b/primrosepier/forwarding/declarations.py
@@ -13,6 +13,7 @@
     "Declaration",
     "DeclarationVersion",
     "EngineShape",
+    "Quota",
     "RetryPolicy",
     "Route",
     "RouteId",
@@ -116,6 +117,28 @@
     cache_store: CacheStore | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """What a workspace may use over all routers together, as a token bucket.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Fill rate, tokens or requests per second.
+    burst : float
+        Capacity of the bucket, tokens or requests.
+    counts_tokens : bool
+        Whether calls cost their tokens; otherwise each costs 1.
+    default_tokens : int
+        Cost of a call that does not state its tokens.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool = False
+    default_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Workspace:
     """A customer, identified by one of its keys.
@@ -126,11 +149,14 @@
         Takes precedence over the route's priority.
     isolated : bool
         Whether other workspaces may not use its cached prompts.
+    quota : Quota or None
+        None for no limit.
     """
 
     id: WorkspaceId
     priority: int | None = None
     isolated: bool = False
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -33,6 +33,7 @@
 from .forwarder import Forwarder
 from .freshness import Freshness
 from .peer_headers import NOT_RUN_HEADER, TOKEN_HEADER, is_routers_header
+from .quotas.quotas import Quotas
 from .records import CallEnded, CallFailed, CallRejected
 from .shutdown import ShutdownSchedule
 
@@ -116,6 +117,8 @@
         Token that these calls carry.
     body_budget : ByteBudget
         Memory for the bodies of the requests in progress.
+    quotas : Quotas or None
+        Quotas of the workspaces; None where there are none.
 
     Attributes
     ----------
@@ -137,6 +140,7 @@
     peers_port: int
     peers_token: str
     body_budget: ByteBudget = field(default_factory=ByteBudget)
+    quotas: Quotas | None = None
     shutdown: ShutdownSchedule | None = None
     in_progress: int = 0
     last_call_at_s: float = float("-inf")
@@ -224,8 +228,12 @@
             call = self._make_call(scope, body, route, workspace, received_at_s)
             delivery = Delivery(send, EventStreamMerger(call.resume_after), server_send)
             outcome: Outcome | None = None
-            if not await has_disconnected(server_send):
-                outcome = await self._forward(call, delivery, receive)
+            cost = self._charge(call)
+            try:
+                if not await has_disconnected(server_send):
+                    outcome = await self._forward(call, delivery, receive)
+            finally:
+                self._settle(call, cost, outcome, delivery)
             if outcome is not None:
                 await self._send_error_or_abort(call, outcome, delivery)
         self._log_end(call, outcome, delivery, declaration)
@@ -246,6 +254,22 @@
             call = replace(call, is_passed_on=True)
         return call
 
+    def _charge(self, call: Call) -> float:
+        """Charge a call to its workspace's quota; return what it was charged."""
+        return 0.0 if self.quotas is None else self.quotas.admit(call, self.clock())
+
+    def _settle(
+        self, call: Call, cost: float, outcome: Outcome | None, delivery: Delivery
+    ) -> None:
+        """Correct the charge at the end of a call, by the replicas where it ran.
+
+        The attempt of a call that its caller left may have run.
+        """
+        if self.quotas is not None:
+            is_unfinished = outcome is None and delivery.attempts > 0
+            runs = delivery.runs + int(is_unfinished)
+            self.quotas.settle(call, cost, runs, self.clock())
+
     def _require_declaration(self) -> Declaration:
         """Return the declaration in force; refuse the call if there is none yet."""
         declaration = self.read_declaration()
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -31,6 +31,11 @@
     table.set("primrosepier_quarantined", quarantined)
     table.set("primrosepier_duty_held", int(bool(duty.fencing_number)), duty=duty.name)
     table.set("primrosepier_cut_off", int(app.forwarder.links.is_cut))
+    if app.quotas is not None:
+        table.set("primrosepier_quota_share", app.quotas.share)
+        limited = len(app.quotas.limits)
+        table.set("primrosepier_quota_limited_workspaces", limited)
+        table.set("primrosepier_quota_silent_routers", app.quotas.silent)
     versions = app.forwarder.origins.versions
     for service, seen_at_s in versions.seen_at_s.items():
         table.set("primrosepier_software_versions", len(seen_at_s), service=service)
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -7,6 +7,7 @@
 from ..logs import Log
 from ..metric_table import MetricTable
 from .metric_specs import ENTRY_SPECS
+from .quotas.records import QuotaExceeded
 from .records import (
     CallEnded,
     CallFailed,
@@ -47,6 +48,9 @@
             self.add("primrosepier_withdrawn_attempts_total", 1)
         elif isinstance(event, PermitRefused):
             self.add("primrosepier_refused_permits_total", 1)
+        elif isinstance(event, QuotaExceeded):
+            self.add("primrosepier_quota_rejections_total", 1)
+            self.add("primrosepier_quota_rejected_cost_total", event.cost)
         elif isinstance(event, RestRequested):
             self.add("primrosepier_rests_total", 1)
         elif isinstance(event, EntryUnreadable):
--- /dev/null
+++ b/primrosepier/forwarding/quotas/__init__.py
@@ -0,0 +1,3 @@
+"""Quotas of workspaces over all routers together."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/primrosepier/forwarding/quotas/bucket.py
@@ -0,0 +1,300 @@
+"""The token bucket of one workspace, as one router estimates it.
+
+The bucket is shared by all routers. Each router knows its own calls at once and those
+of its peers from reports that are up to 0.7 s old, so the bucket is a feedback loop
+with a delay. Calls are admitted at random, with a probability that all routers compute
+from the same reports and that is the same for calls of any size.
+"""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from ...ids import HostId
+from ..declarations import Quota
+
+__all__ = ["PeerUsage", "QuotaBounds", "WorkspaceBucket"]
+
+# Time for which the requested rate is averaged, seconds: the average must follow a
+# workspace whose rate rises within a second, and still hold several long calls.
+AVERAGING_S = 0.5
+# Time within which a difference of the level from its reference is made up, seconds:
+# longer than reports take, so that the loop does not oscillate.
+CORRECTION_S = 1.0
+# Time that a report takes after it was made, seconds: about half of the 0.3 s to 0.7 s
+# after which a call is known to the peers at 66 routers.
+REPORT_DELAY_S = 0.3
+# Tokens that are admitted too many before a rise of the requested rate is known, in
+# seconds of the fill rate: 8 times the usual rate of 0.55 is 3.4 above the fill rate,
+# for the 0.6 s that most reports take.
+SURGE_S = 2.0
+# Part of the bucket that is kept back for such a rise where a window may exceed the
+# quota by too little. With more, the bucket would often be full and tokens be lost.
+MAX_KEPT_BACK = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """How far calls may exceed a quota.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the windows in which the quota is checked, seconds.
+    overshoot : float
+        Share by which a window may exceed it.
+    slack : float
+        Tokens or requests by which a window may exceed it in addition.
+    """
+
+    window_s: float = 8.0
+    overshoot: float = 0.1
+    slack: float = 0.0
+
+    def compute_allowance(self, quota: Quota) -> float:
+        """Return by how much a window may exceed the quota, tokens or requests."""
+        allowed = quota.rate_per_s * self.window_s + quota.burst
+        return self.overshoot * allowed + self.slack
+
+
+@dataclass(slots=True)
+class PeerUsage:
+    """What another router has reported of a workspace.
+
+    Parameters
+    ----------
+    admitted, asked : float
+        Totals since its start.
+    admitted_per_s, asked_per_s : float
+        Rates that are assumed until its next report.
+    is_first : bool
+        Whether no earlier totals are known, so that the rates are not known either.
+    """
+
+    admitted: float
+    asked: float
+    admitted_per_s: float = 0.0
+    asked_per_s: float = 0.0
+    is_first: bool = False
+
+
+@dataclass(slots=True)
+class WorkspaceBucket:
+    """Estimated token bucket of a workspace, and this router's totals.
+
+    Parameters
+    ----------
+    quota : Quota
+    bounds : QuotaBounds
+    rng : random.Random
+    updated_at_s : float
+        Time up to which the bucket was filled, seconds.
+    level : float
+        Tokens or requests in the bucket. It may be negative.
+    share : float
+        Part of the quota that the routers that hear each other may use.
+
+    Attributes
+    ----------
+    admitted, asked : float
+        This router's totals since its start.
+    asked_per_s : float
+        Average requested rate of this router.
+    peers : dict of HostId to PeerUsage
+        Routers that have had calls of the workspace in their last report.
+    peer_admitted_per_s, peer_asked_per_s : float
+        Sums of their rates.
+    is_alone : bool
+        Whether this router hears no other one.
+    credit : float
+        What it may then admit.
+    """
+
+    quota: Quota
+    bounds: QuotaBounds
+    rng: random.Random
+    updated_at_s: float
+    level: float = 0.0
+    share: float = 1.0
+    admitted: float = 0.0
+    asked: float = 0.0
+    asked_per_s: float = 0.0
+    peers: dict[HostId, PeerUsage] = field(default_factory=dict)
+    peer_admitted_per_s: float = 0.0
+    peer_asked_per_s: float = 0.0
+    is_alone: bool = False
+    credit: float = 0.0
+
+    def change_quota(self, quota: Quota) -> None:
+        """Apply another quota; the level is cut to the new capacity."""
+        self.quota = quota
+        self.level = min(self.level, self.share * quota.burst)
+        self.credit = min(self.credit, self._compute_max_credit())
+
+    def advance(self, now_s: float, share: float, is_alone: bool) -> None:
+        """Fill the bucket up to a time, and apply the part that may be used from then.
+
+        Calls of the peers since their last reports are extrapolated.
+        """
+        duration_s = max(0.0, now_s - self.updated_at_s)
+        self.updated_at_s = max(now_s, self.updated_at_s)
+        filled_per_s = self.share * self.quota.rate_per_s
+        self.level += duration_s * (filled_per_s - self.peer_admitted_per_s)
+        self.level = min(self.level, self._compute_max_level())
+        self.credit = min(
+            self.credit + duration_s * filled_per_s, self._compute_max_credit()
+        )
+        self.asked_per_s *= math.exp(-duration_s / AVERAGING_S)
+        if share < self.share:
+            self.level *= share / self.share
+        self.share = share
+        if is_alone and not self.is_alone:
+            self.credit = 0.0
+        self.is_alone = is_alone
+
+    def _compute_max_level(self) -> float:
+        """Return the level of a full bucket, with what peers have yet to report."""
+        unreported = REPORT_DELAY_S * self.peer_admitted_per_s
+        return self.share * self.quota.burst + unreported
+
+    def _compute_max_credit(self) -> float:
+        """Return what all routers may use at once, for the share of this one.
+
+        Half of what a window may exceed the quota by is left to chance, as routers that
+        do not hear each other admit calls at random.
+        """
+        allowance = self.bounds.compute_allowance(self.quota)
+        return self.share * (self.quota.burst + allowance / 2)
+
+    def compute_reference(self) -> float:
+        """Return the level that is aimed at while more is requested than the quota.
+
+        What a window may exceed the quota by covers the calls that are admitted before
+        a rise of the requested rate is known. The rest of it is used up, or, if it does
+        not suffice, a part of the bucket is kept back.
+        """
+        quota = self.quota
+        allowance = self.bounds.compute_allowance(quota)
+        surge = SURGE_S * quota.rate_per_s
+        largest = MAX_KEPT_BACK * quota.burst
+        kept_back = max(-allowance / 2, min(largest, surge - allowance))
+        return self.share * kept_back
+
+    def compute_allowed_rate(self) -> float:
+        """Return the rate that all routers together may admit, per second."""
+        level = self.level - REPORT_DELAY_S * self.peer_admitted_per_s
+        missing = self.compute_reference() - level
+        return max(0.0, self.share * self.quota.rate_per_s - missing / CORRECTION_S)
+
+    def compute_asked_rate(self) -> float:
+        """Return the rate that is requested of all routers together, per second."""
+        return self.asked_per_s + self.peer_asked_per_s
+
+    def compute_probability(self, cost: float) -> float:
+        """Return the probability with which a call is admitted now."""
+        if self.is_alone:
+            return min(1.0, self.credit / cost) if cost > 0 else 1.0
+        allowed_per_s, asked_per_s = (
+            self.compute_allowed_rate(),
+            self.compute_asked_rate(),
+        )
+        if allowed_per_s <= 0:
+            return 0.0
+        return min(1.0, allowed_per_s / asked_per_s) if asked_per_s else 1.0
+
+    def admit(self, cost: float) -> bool:
+        """Decide on a call, and charge it if it is admitted.
+
+        The call itself does not count in the requested rate that decides on it, as long
+        calls would otherwise be admitted less often than short ones. A router that is
+        alone uses up credit whether or not the call is admitted, so that it admits as
+        much as the credit on average also where a call costs more.
+        """
+        is_admitted = self.rng.random() < self.compute_probability(cost)
+        self.asked += cost
+        self.asked_per_s += cost / AVERAGING_S
+        if self.is_alone:
+            self.credit -= min(self.credit, cost)
+        if is_admitted:
+            self.charge(cost)
+        return is_admitted
+
+    def charge(self, cost: float) -> None:
+        """Charge a call of this router; a negative cost returns a charge."""
+        self.admitted += cost
+        self.level -= cost
+
+    def compute_retry_after(self, cost: float, max_s: float) -> float:
+        """Return when a rejected call may be retried, seconds.
+
+        The time is chosen at random, up to twice the time in which what was requested
+        lately is admitted, so that a wave of rejected calls comes back spread out.
+        """
+        rate_per_s = self.share * self.quota.rate_per_s
+        if rate_per_s <= 0:
+            return max_s * self.rng.uniform(0.5, 1.0)
+        if self.is_alone:
+            mean_s = max(0.0, cost - self.credit) / rate_per_s
+        else:
+            missing = max(0.0, self.compute_reference() - self.level)
+            excess_per_s = max(0.0, self.compute_asked_rate() - rate_per_s)
+            mean_s = (missing + excess_per_s * CORRECTION_S) / rate_per_s
+        longest_s = min(max_s, 2 * max(AVERAGING_S, mean_s))
+        return self.rng.uniform(0.25, 1.0) * longest_s
+
+    def record_usage(
+        self,
+        host: HostId,
+        usage: PeerUsage,
+        interval_s: float,
+        age_s: float,
+    ) -> None:
+        """Apply the totals that a peer reports.
+
+        Parameters
+        ----------
+        usage : PeerUsage
+            Its totals.
+        interval_s : float
+            Time between its last two reports, by its clock, seconds.
+        age_s : float
+            Time for which its calls were extrapolated since the last one, seconds.
+        """
+        previous = self.peers.get(host)
+        if previous is None:
+            previous = PeerUsage(usage.admitted, usage.asked)
+        admitted = usage.admitted - previous.admitted
+        self.level -= admitted - previous.admitted_per_s * age_s
+        self.level = min(self.level, self._compute_max_level())
+        kept = 0.0 if previous.is_first else math.exp(-interval_s / AVERAGING_S)
+        new_per_s = (1 - kept) / interval_s
+        asked = max(0.0, usage.asked - previous.asked)
+        ran = max(0.0, admitted)
+        usage.admitted_per_s = previous.admitted_per_s * kept + ran * new_per_s
+        usage.asked_per_s = previous.asked_per_s * kept + asked * new_per_s
+        self.peer_admitted_per_s += usage.admitted_per_s - previous.admitted_per_s
+        self.peer_asked_per_s += usage.asked_per_s - previous.asked_per_s
+        self.peers[host] = usage
+
+    def add_base(self, host: HostId, base: PeerUsage) -> None:
+        """Take the totals of a peer from before its first call of late."""
+        self.peers.setdefault(host, base)
+
+    def remove_peer(self, host: HostId, age_s: float = 0.0) -> None:
+        """Forget a peer that has had no calls of late, or is silent.
+
+        Parameters
+        ----------
+        age_s : float
+            Time for which calls were extrapolated that it did not have, seconds.
+        """
+        usage = self.peers.pop(host, None)
+        if usage is None:
+            return
+        refunded = self.level + usage.admitted_per_s * age_s
+        self.level = min(refunded, self._compute_max_level())
+        self.peer_admitted_per_s -= usage.admitted_per_s
+        self.peer_asked_per_s -= usage.asked_per_s
+        if not self.peers:
+            # Ends the rounding errors of the sums.
+            self.peer_admitted_per_s = self.peer_asked_per_s = 0.0
--- /dev/null
+++ b/primrosepier/forwarding/quotas/reports.py
@@ -0,0 +1,67 @@
+"""What routers report to each other of the calls that count against quotas."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ...decoding import decode_msgpack
+from ...errors import MessageError
+from ...ids import WorkspaceId
+
+__all__ = ["QuotaReport", "WorkspaceTotals", "decode_quota_report"]
+
+# Beyond all totals of a router; larger numbers would lose units in additions.
+MAX_TOTAL = 2.0**53
+
+
+class WorkspaceTotals(msgspec.Struct, frozen=True, array_like=True):
+    """A router's totals of one workspace since its start, tokens or requests.
+
+    Parameters
+    ----------
+    admitted, asked : float
+    base_admitted, base_asked : float or None
+        Totals before its first call of late; None once they were reported for long
+        enough.
+    """
+
+    workspace: WorkspaceId
+    admitted: float
+    asked: float
+    base_admitted: float | None = None
+    base_asked: float | None = None
+
+
+class QuotaReport(msgspec.Struct, frozen=True, array_like=True):
+    """The section of a router's report on quotas.
+
+    Parameters
+    ----------
+    run : int
+        Number of this run of the router's process, chosen at random.
+    uptime_ms : int
+        Age of the run; it orders the reports.
+    totals : sequence of WorkspaceTotals
+        Workspaces that have had calls of late.
+    """
+
+    run: int
+    uptime_ms: int
+    totals: Sequence[WorkspaceTotals] = ()
+
+
+def decode_quota_report(content: bytes) -> QuotaReport:
+    """Decode the section.
+
+    Raises
+    ------
+    MessageError
+        The content is malformed, or a number in it is not a total.
+    """
+    report = decode_msgpack(content, QuotaReport)
+    for entry in report.totals:
+        values = (entry.admitted, entry.asked)
+        bases = (entry.base_admitted or 0.0, entry.base_asked or 0.0)
+        if not all(abs(x) <= MAX_TOTAL for x in (*values, *bases)):
+            raise MessageError("a total is out of bounds")
+    return report
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -303,7 +303,7 @@
         version_recorder.read,
     )
     mirror_controller.mirror.listeners.extend(listeners)
-    peers = make_peer_exchange(directory, forwarder, weights_controller)
+    peers = make_peer_exchange(settings, directory, app, weights_controller)
     components = (
         store_view,
         mirror_controller,
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -47,6 +47,12 @@
         Memory that the process may use; infinite for no limit.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    quota_window_s : float
+        Length of the windows in which quotas are checked.
+    quota_overshoot : float
+        Share by which a window may exceed the quota.
+    quota_slack : float
+        Tokens or requests by which a window may exceed it in addition.
     """
 
     host: HostId
@@ -71,4 +77,7 @@
     heartbeat_s: float = 1.2
     memory_bytes: float = math.inf
     is_first_start: bool = False
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
     logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .forwarding.quotas.records import QUOTA_EVENT
 from .forwarding.records import FORWARDING_EVENT
 from .log_events import ANY_EVENT, Event
 
@@ -71,7 +72,7 @@
 
 
 LINE_DECODER = msgspec.json.Decoder(LogLine)
-EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT)
+EVENT_DECODER = msgspec.json.Decoder(ANY_EVENT | FORWARDING_EVENT | QUOTA_EVENT)
 
 
 def decode_event(line: LogLine) -> Event | None:
--- a/primrosepier/platform/declarations.py
+++ b/primrosepier/platform/declarations.py
@@ -14,6 +14,7 @@
     Declaration,
     DeclarationVersion,
     EngineShape,
+    Quota,
     RetryPolicy,
     Route,
     RouteId,
@@ -25,9 +26,11 @@
 __all__ = ["decode_declaration", "decode_weights"]
 
 MS = 0.001
+TOKENS_UNIT = "tokens"
 STREAMING = "streaming"
 IDEMPOTENT = "idempotent"
 
+Rate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COUNT)]
 Priority = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 
 
@@ -81,6 +84,12 @@
     api_keys: list[str] = []
     priority: Priority | None = None
     isolated: bool = False
+    # A quota over all routers together; none if the rate is 0.
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
+    unit: HeaderText = ""
+    # Cost of a call without the header of token counts.
+    uncached_tokens: Count = 0
 
 
 class _Configuration(msgspec.Struct):
@@ -216,11 +225,20 @@
         return None
     by_key = {}
     for entry in entries:
-        workspace = Workspace(WorkspaceId(entry.name), entry.priority, entry.isolated)
+        workspace = Workspace(
+            WorkspaceId(entry.name), entry.priority, entry.isolated, _make_quota(entry)
+        )
         by_key.update(dict.fromkeys(entry.api_keys, workspace))
     return by_key
 
 
+def _make_quota(entry: _Workspace) -> Quota | None:
+    if not entry.rate_per_s:
+        return None
+    counts_tokens = entry.unit == TOKENS_UNIT
+    return Quota(entry.rate_per_s, entry.burst, counts_tokens, entry.uncached_tokens)
+
+
 def decode_weights(value: bytes) -> tuple[ModelId, WeightsVersionNumber]:
     """Return a model and the weights version that operators request for it.
 
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -45,6 +45,13 @@
     return min(MAX_PROMPT_TOKENS, parse_count(value.partition(",")[2]) or 0)
 
 
+def _read_total_tokens(value: str) -> int | None:
+    """Parse the sum of two token counts; None without a valid one."""
+    counts = [parse_count(text) for text in value.split(",")[:2]]
+    known = [count for count in counts if count is not None]
+    return min(MAX_PROMPT_TOKENS, sum(known)) if known else None
+
+
 class PlatformRequestReader:
     """Reads callers' requests in the platform's format."""
 
@@ -114,6 +121,7 @@
             api_key=self.read_key(scope),
             resumed_call=RequestId(read_header(names.RESUMED_CALL)),
             output_limit=_read_output_limit(read_header(names.TOKEN_COUNTS)),
+            stated_tokens=_read_total_tokens(read_header(names.TOKEN_COUNTS)),
         )
 
     def write_retry_after(self, after_s: float) -> tuple[bytes, bytes]:
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -52,6 +52,11 @@
     lease_ms: float = 3000.0
     # Time within which a weights version that operators request must be in use.
     version_ms: float = 12000.0
+    # In each window, calls of a workspace may cost its quota for the window, more by
+    # this ratio and by the slack.
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -142,4 +147,7 @@
         heartbeat_s=file_settings.heartbeat_ms * MS,
         memory_bytes=file_settings.limits.memory_mb * MIB,
         is_first_start=file_settings.first_start,
+        quota_window_s=bounds.quota_window_s,
+        quota_overshoot=bounds.quota_overshoot,
+        quota_slack=bounds.quota_slack,
     )
--- /dev/null
+++ b/tests/quota_fleet.py
@@ -0,0 +1,212 @@
+"""Fleet of routers in virtual time, over the real decision code of quotas."""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from primrosepier.errors import RequestError
+from primrosepier.forwarding.calls import Call
+from primrosepier.forwarding.declarations import Declaration, Quota, Route, Workspace
+from primrosepier.forwarding.quotas.bucket import QuotaBounds
+from primrosepier.forwarding.quotas.quotas import RouterList, make_quotas
+
+BOUNDS = QuotaBounds(8.0, 0.1, 190_000)
+ROUTE = Route("notes", "h", "/", (("writers", 1),))
+LONG, SHORT = 17_020, 400
+# Part of the tokens that long calls request.
+LONG_SHARE = 0.5
+REPORT_S = 0.25
+DEADLINE_S = 6.0
+
+
+def make_declaration(version=1, **rates):
+    """Return a declaration of workspaces with a rate each; a burst lasts a second."""
+    workspaces = {
+        name: Workspace(name, quota=Quota(rate, rate, True, 200))
+        for name, rate in rates.items()
+    }
+    return Declaration(version, (), {}, workspaces=workspaces)
+
+
+def make_quota_call(workspace, cost, now_s=0.0, **options):
+    deadline_s = now_s + DEADLINE_S
+    args = ("a", "POST", "/", (), b"", ROUTE, workspace, now_s, deadline_s)
+    return Call(*args, stated_tokens=cost, **options)
+
+
+@dataclass
+class Tally:
+    """Costs of the calls of one kind."""
+
+    asked: float = 0.0
+    admitted: float = 0.0
+    first: float = 0.0
+    served: float = 0.0
+
+
+@dataclass
+class QuotaFleet:
+    """Routers that exchange the sections of their reports.
+
+    A report takes 0.05 to 0.45 s and is sent every 0.25 s, so that calls are known to
+    the peers after 0.05 to 0.7 s.
+    """
+
+    count: int
+    declaration: Declaration
+    seed: int = 1
+    loss: float = 0.02
+    delay_s: tuple = (0.05, 0.45)
+    now_s: float = 0.0
+    runs: dict = field(default_factory=dict)
+    tallies: dict = field(default_factory=dict)
+    retries_s: list = field(default_factory=list)
+    parts: dict = field(default_factory=dict)
+    silent: set = field(default_factory=set)
+    frozen: set = field(default_factory=set)
+    previous_build: set = field(default_factory=set)
+
+    def __post_init__(self):
+        self.rng = random.Random(self.seed)
+        self.events, self.numbers = [], itertools.count()
+        self.hosts = [f"front-{number}" for number in range(self.count)]
+        self.registered = set(self.hosts)
+        self.routers, self.declared = {}, {}
+        for host in self.hosts:
+            self.start(host)
+            self.schedule(self.rng.random() * REPORT_S, self.report, host)
+
+    def schedule(self, after_s, action, *args):
+        event = (self.now_s + after_s, next(self.numbers), action, args)
+        heapq.heappush(self.events, event)
+
+    def start(self, host):
+        """Start a router, or restart it with nothing but the store's state."""
+
+        def list_routers():
+            return RouterList(self.registered - {host})
+
+        self.routers[host] = make_quotas(
+            host,
+            BOUNDS,
+            self.now_s,
+            list_routers,
+            lambda: self.declared[host],
+            lambda event: None,
+        )
+        self.declared[host] = self.declaration
+
+    def hears(self, receiver, sender):
+        return (
+            receiver in self.routers
+            and receiver not in self.previous_build
+            and self.parts.get(receiver) == self.parts.get(sender)
+        )
+
+    def report(self, host):
+        self.schedule(REPORT_S * self.rng.uniform(0.9, 1.1), self.report, host)
+        if host in self.frozen | self.previous_build:
+            return
+        content = self.routers[host].make(self.now_s)
+        if not content:
+            return
+        for receiver in self.hosts:
+            if receiver != host and self.hears(receiver, host):
+                for _ in range(2 if self.rng.random() < 0.05 else 1):
+                    if self.rng.random() >= self.loss:
+                        delay_s = self.rng.uniform(*self.delay_s)
+                        self.schedule(delay_s, self.receive, receiver, host, content)
+
+    def receive(self, receiver, sender, content):
+        if receiver in self.frozen:
+            self.schedule(0.1, self.receive, receiver, sender, content)
+        else:
+            self.routers[receiver].apply(sender, content, self.now_s)
+
+    def call(self, name, cost, host, runs=1, attempt=0):
+        """Send a call; a rejected one is retried twice."""
+        if host in self.frozen:
+            return
+        workspace = self.declared[host].workspaces[name]
+        call = make_quota_call(workspace, cost, self.now_s)
+        tally = self.tallies.setdefault((name, cost), Tally())
+        tally.asked += cost
+        tally.first += 0 if attempt else cost
+        try:
+            if host in self.previous_build:
+                charge = 0.0
+            else:
+                charge = self.routers[host].admit(call, self.now_s)
+        except RequestError as error:
+            assert error.status == 429
+            self.retries_s.append(self.now_s + error.retry_after_s)
+            if attempt < 2:
+                args = (name, cost, host, runs, attempt + 1)
+                self.schedule(error.retry_after_s, self.call, *args)
+            return
+        tally.admitted += cost
+        if runs:
+            tally.served += cost
+            self.runs.setdefault(name, []).append((self.now_s, cost * runs))
+        if charge:
+            self.routers[host].settle(call, charge, runs, self.now_s)
+
+    def load(self, name, tokens_per_s, weights=None):
+        """Request a rate from now on, as a function of the time."""
+
+        def arrive():
+            rate = tokens_per_s(self.now_s)
+            if rate <= 0:
+                self.schedule(0.1, arrive)
+                return
+            long_per_s = LONG_SHARE * rate / LONG
+            short_per_s = (1 - LONG_SHARE) * rate / SHORT
+            total = long_per_s + short_per_s
+            # The rate may rise before the next call.
+            gap_s = self.rng.expovariate(total)
+            if gap_s > 0.05:
+                self.schedule(0.05, arrive)
+                return
+            self.schedule(gap_s, send, long_per_s / total)
+
+        def send(long_part):
+            cost = LONG if self.rng.random() < long_part else SHORT
+            hosts = self.hosts
+            values = None if weights is None else weights(self.now_s)
+            self.call(name, cost, self.rng.choices(hosts, values)[0])
+            arrive()
+
+        self.schedule(0.0, arrive)
+
+    def run(self, until_s):
+        while self.events and self.events[0][0] <= until_s:
+            self.now_s, _, action, args = heapq.heappop(self.events)
+            action(*args)
+        self.now_s = until_s
+
+    def measure_excess(self, name, rate, from_s=0.0, bounds=BOUNDS):
+        """Return the cost of the worst window, as a part of what is allowed."""
+        allowed = (rate * bounds.window_s + rate) * (1 + bounds.overshoot)
+        allowed += bounds.slack
+        window, total, worst = deque(), 0.0, 0.0
+        for at_s, cost in sorted(self.runs.get(name, ())):
+            if at_s < from_s:
+                continue
+            window.append((at_s, cost))
+            total += cost
+            while window[0][0] < at_s - bounds.window_s:
+                total -= window.popleft()[1]
+            worst = max(worst, total)
+        return worst / allowed
+
+    def sum_runs(self, name, from_s, until_s):
+        return sum(c for at_s, c in self.runs.get(name, ()) if from_s <= at_s < until_s)
+
+    def compute_admitted_share(self, name, cost=None):
+        """Return the part of the first attempts' cost that ran."""
+        kinds = [t for (n, c), t in self.tallies.items() if n == name]
+        if cost is not None:
+            kinds = [self.tallies[name, cost]]
+        return sum(t.served for t in kinds) / sum(t.first for t in kinds)
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -277,6 +277,12 @@
     "PermitRefused": "request endpoint rate_per_s wait_s",
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
+    "QuotaExceeded": (
+        "request workspace cost probability asked_per_s rate_per_s available "
+        "retry_after_s"
+    ),
+    "QuotaLimitChanged": "workspace is_limited rejected",
+    "QuotaShareChanged": "share routers silent",
     "ReplicaGivenUp": "endpoint calls",
     "ReplicaLeaving": "endpoint service born_ms",
     "RequestEnded": (
