--- a/primrosepier/log_lines.py
+++ b/primrosepier/log_lines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .forwarding.losses.records import LOSS_EVENT
+from .forwarding.quotas.records import QUOTA_EVENT
 from .forwarding.records import FORWARDING_EVENT
 from .forwarding.room.records import ROOM_EVENT
 from .log_events import ANY_EVENT, Event
@@ -74,7 +75,7 @@
 
 LINE_DECODER = msgspec.json.Decoder(LogLine)
 EVENT_DECODER = msgspec.json.Decoder(
-    ANY_EVENT | FORWARDING_EVENT | LOSS_EVENT | ROOM_EVENT
+    ANY_EVENT | FORWARDING_EVENT | LOSS_EVENT | QUOTA_EVENT | ROOM_EVENT
 )
 
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -279,6 +279,12 @@
     "PrefillWaited": "request endpoint tokens wait_s asked",
     "PromiseBroken": "promise request reason",
     "QuarantineChanged": "added ended",
+    "QuotaExceeded": (
+        "request workspace cost probability asked_per_s rate_per_s available "
+        "retry_after_s"
+    ),
+    "QuotaLimitChanged": "workspace is_limited rejected",
+    "QuotaShareChanged": "share routers silent",
     "ReplicaGivenUp": "endpoint calls",
     "LossUnconfirmed": "endpoint reporter",
     "ReplicaLost": "endpoint born_ms reporter",
