Let calls wait for full engines instead of trying four of them

A replica that rejected a call got the next one after 0.1 s, and one call was rejected by four replicas in turn. It now gets none while its queue drains at the measured rate; a second rejection refuses the call, and a call that finds all replicas full waits in its router, or is refused at once if its deadline is sooner.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -122,6 +122,8 @@
         Time for which permits of brittle replicas were asked for, seconds.
     refusal : NotRun or None
         Why no replica has room for the call; None before that is known.
+    rejections : int
+        Replicas of engines that rejected the call for lack of capacity.
     """
 
     send: Send
@@ -136,6 +138,7 @@
     origin: StreamOrigin | None = None
     asking_s: float = 0.0
     refusal: NotRun | None = None
+    rejections: int = 0
 
     async def begin(self, status: int, headers: CallHeaders, now_s: float) -> None:
         """Send the status and the headers."""
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -388,6 +388,8 @@
             selected, _ = self.select_replicas(at_origin)
             wait_s, _ = self.notices.find_first_return(selected)
             wait_s = max(wait_s, outcome.retry_after_s)
+            if delivery.rejections:
+                wait_s = max(wait_s, self.permitted.compute_return_s(selected))
             outcome = replace(outcome, retry_after_s=wait_s)
         if error_response is not None and not delivery.status:
             return await self._finish_with_error(error_response, outcome, delivery)
@@ -416,8 +418,11 @@
             return False
         route = call.route
         if isinstance(outcome, NotRun):
-            unsent = outcome.step is Step.CONNECT
-            return unsent or self.retries.try_acquire(service, now_s)
+            if outcome.step is Step.CONNECT:
+                return True
+            if not self.permitted.may_retry_rejected(delivery):
+                return False
+            return self.retries.try_acquire(service, now_s)
         if delivery.runs >= route.max_runs:
             return False
         if isinstance(outcome, Interrupted):
@@ -543,7 +548,7 @@
                 return NotRun(Step.CONNECT, endpoint, WITHDRAWN_REASON, RETRY_AFTER_S)
             delivery.runs += 1
             return self._make_withdrawn_outcome(call, endpoint, delivery)
-        self._record_outcome(choice.replica, outcome, started_s, recorder)
+        self._record_outcome(choice.replica, outcome, started_s, recorder, delivery)
         if isinstance(outcome, Completed) and recorder.responded_at_s is not None:
             self.suspects.loss_log.record_answer(
                 fingerprints, endpoint, recorder.responded_at_s, self.clock()
@@ -635,6 +640,7 @@
         outcome: Outcome | ErrorResponse,
         started_s: float,
         recorder: AttemptRecorder,
+        delivery: Delivery,
     ) -> None:
         """Update load and ejection state of a replica after an attempt."""
         endpoint = replica.id
@@ -650,6 +656,8 @@
             elif self.notices.rests.compute_wait_s(endpoint, now_s) <= 0:
                 # A replica that has named a time needs no backoff.
                 self.loads.record_refusal(endpoint, now_s)
+                if recorder.lacked_room:
+                    self.permitted.record_rejection(replica, delivery, now_s)
         elif isinstance(outcome, UnknownOutcome | Interrupted | ErrorResponse):
             self.ejections.record_failure(endpoint, now_s)
             if getattr(outcome, "lost", False) and recorder.responded_at_s is None:
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -35,7 +35,16 @@
 # Longest time before a waiting call repeats its request, seconds: a granter forgets
 # those that it does not hear of.
 REPEAT_INTERVAL_S = 0.4
+# Longest time for which a replica that rejected a call gets none, seconds: the reports
+# of what it has yet to compute may be out of date.
+MAX_DRAIN_S = 0.8
+# Replicas that may reject a call for lack of capacity before it is refused. The second
+# one is chosen without those that this router knows to be full.
+MAX_REJECTIONS = 2
+# Time over which calls that wait for a full replica are spread, seconds.
+RETURN_SPREAD_S = 0.05
 ROOM_REASON = "no replica has room for the prompt before the call's deadline"
+FULL_REASON = "all replicas have rejected calls for lack of capacity"
 
 Candidates = tuple[Sequence[Replica], AvoidedReplicas]
 ListCandidates = Callable[[set[EndpointId], float], Candidates]
@@ -102,6 +111,12 @@
             chosen = None
             if len(refused) < MAX_ASKED:
                 chosen = self._choose(call, tried | asked, list_candidates)
+            if chosen is not None and not self._is_ready(chosen):
+                if not await self._wait_until_ready(
+                    call, tried | asked, delivery, list_candidates
+                ):
+                    return None
+                continue
             if chosen is not None:
                 asked.add(chosen.choice.replica.id)
                 demand = self.room.find_demand(call, chosen.choice)
@@ -129,6 +144,68 @@
         choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
         return None if choice is None else PermittedChoice(choice, len(replicas))
 
+    def _is_ready(self, chosen: PermittedChoice) -> bool:
+        """Return whether a replica has not just rejected a call for lack of capacity.
+
+        The replicas of services without an engine count as ready.
+        """
+        replica, loads = chosen.choice.replica, self.chooser.loads
+        load = loads.get_or_create(replica.id)
+        if not load.refusals or load.avoid_until_s <= self.clock():
+            return True
+        return self.room.bounds.get(replica.service) is None
+
+    async def _wait_until_ready(
+        self,
+        call: Call,
+        excluded: set[EndpointId],
+        delivery: Delivery,
+        list_candidates: ListCandidates,
+    ) -> bool:
+        """Wait until a full replica may take calls; return False if that is too late.
+
+        The chooser chooses a full replica only if there is no other.
+        """
+        replicas, avoided = list_candidates(excluded, self.clock())
+        healthy = [x for x in replicas if x.id not in avoided.ejected]
+        wait_s = self._compute_ready_s(healthy or replicas)
+        if self.clock() + wait_s + RETURN_SPREAD_S >= call.deadline_s:
+            after_s = spread_return(wait_s, self.rng)
+            delivery.refusal = NotRun(Step.PLACE, "-", FULL_REASON, after_s)
+            return False
+        await anyio.sleep(wait_s + self.rng.uniform(0.0, RETURN_SPREAD_S))
+        return True
+
+    def _compute_ready_s(self, replicas: Sequence[Replica]) -> float:
+        """Return the time until a replica may take calls again, seconds."""
+        ready_at_s = min(
+            (self.chooser.loads.get_or_create(x.id).avoid_until_s for x in replicas),
+            default=-math.inf,
+        )
+        return max(0.0, ready_at_s - self.clock())
+
+    def record_rejection(
+        self, replica: Replica, delivery: Delivery, now_s: float
+    ) -> None:
+        """Avoid a replica that rejected a call until its queue is drained."""
+        loads = self.chooser.loads
+        tokens = loads.count_pending_tokens(replica.id, now_s)
+        drain_s = self.room.compute_drain_s(replica, tokens)
+        if drain_s is None:
+            return
+        delivery.rejections += 1
+        load = loads.get_or_create(replica.id)
+        until_s = now_s + min(MAX_DRAIN_S, drain_s)
+        load.avoid_until_s = max(load.avoid_until_s, until_s)
+
+    def may_retry_rejected(self, delivery: Delivery) -> bool:
+        """Return whether a call that replicas rejected may go to another one."""
+        return delivery.rejections < MAX_REJECTIONS
+
+    def compute_return_s(self, replicas: Sequence[Replica]) -> float:
+        """Return when a caller whose call was rejected may return, seconds."""
+        return spread_return(self._compute_ready_s(replicas), self.rng)
+
     async def _may_send(
         self, call: Call, chosen: PermittedChoice, delivery: Delivery
     ) -> bool:
--- a/primrosepier/forwarding/room/bounds.py
+++ b/primrosepier/forwarding/room/bounds.py
@@ -11,6 +11,7 @@
 # Part of the smallest target that a short prompt takes at most for its own prefill. The
 # rest is left to the long ones ahead of it.
 SHORT_SHARE = 0.25
+RESERVE_SHARE = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,7 @@
     @property
     def budget_s(self) -> float:
         """Time that a short prompt may wait behind long ones, seconds."""
-        return (1.0 - SHORT_SHARE) * self.target_s
+        return (1.0 - RESERVE_SHARE) * self.target_s
 
     def compute_short_tokens(self, tokens_per_s: float) -> float:
         """Return the length up to which a prompt needs no permit, tokens.
--- a/primrosepier/forwarding/room/exchange.py
+++ b/primrosepier/forwarding/room/exchange.py
@@ -9,6 +9,7 @@
 from ...endpoint_limits import rank_granters
 from ...ids import EndpointId, HostId
 from ..calls import Call
+from ..fleet import Replica
 from ..peer_requests import PeerRequests, PendingRequest
 from ..replica_choice import Choice
 from .bounds import DeclaredBounds
@@ -171,6 +172,19 @@
     silent_until_s: dict[HostId, float] = field(default_factory=dict)
     unanswered: int = 0
 
+    def compute_drain_s(self, replica: Replica, tokens: float) -> float | None:
+        """Return how long a replica takes for its queue, seconds; None if unknown.
+
+        Parameters
+        ----------
+        tokens : float
+            Prompt tokens that it has yet to compute.
+        """
+        if self.bounds.get(replica.service) is None:
+            return None
+        rate = self.rates.get(replica.service, replica.id)
+        return tokens / rate if rate else 0.0
+
     def find_demand(self, call: Call, choice: Choice) -> Demand | None:
         """Return what a call asks of its replica; None if it needs no permit."""
         replica = choice.replica
