Place short prompts by a router's own calls where reports arrive late

Reports that collectors pass on tell of long prompts that have been computed since, and replicas blocked by a long prompt report few outputs: all routers sent their short prompts there. Where permits keep long prompts apart, short ones now go by this router's own pending calls, and long ones no longer by outputs.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -195,10 +195,12 @@
             platform.clock,
             DeclaredBounds(lambda: store_view.declaration.value),
             directory.list_hosts,
+            has_late_reports=lambda: directory.plan is not None,
         ),
         platform.clock,
     )
 
+    forwarder.chooser.find_short_tokens = forwarder.permitted.room.find_short_tokens
     _connect_links(forwarder, store_view, platform, directory)
 
     def log_causes(
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -30,7 +30,8 @@
 # Replicas whose granters a call with a long prompt asks before it waits.
 MAX_ASKED = 3
 # Interval at which a waiting call looks for a replica that has cached its prompt since,
-# seconds: shorter than the prefill of a long prompt.
+# seconds: shorter than the prefill of a long prompt. Its request is not repeated sooner,
+# since the granter sends the permit when it is the call's turn.
 RECHECK_INTERVAL_S = 0.05
 # Longest time before a waiting call repeats its request, seconds: a granter forgets
 # those that it does not hear of.
@@ -280,7 +281,9 @@
                 if turn_at_s > latest_s:
                     self._reject(call, delivery, first, turn_at_s)
                     return None
-                until_s = min(turn_at_s, self.clock() + REPEAT_INTERVAL_S)
+                earliest_s = self.clock() + RECHECK_INTERVAL_S
+                until_s = max(earliest_s, turn_at_s)
+                until_s = min(until_s, self.clock() + REPEAT_INTERVAL_S)
                 chosen = await self._wait_until(
                     turn, until_s, call, tried, list_candidates
                 )
--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -11,7 +11,7 @@
 """
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -208,6 +208,11 @@
     return xxhash.xxh64_intdigest(text.encode())
 
 
+def find_no_length(replica: Replica) -> float | None:
+    """Return None; used where prompts need no permits."""
+    return None
+
+
 @dataclass(slots=True)
 class ReplicaChooser:
     """Chooses replicas without I/O.
@@ -219,12 +224,16 @@
     loads : ReplicaLoadTable
     rng : random.Random
         Breaks ties, so that routers do not all choose the same replica.
+    find_short_tokens : callable
+        Returns the length up to which a prompt needs no permit at a replica, tokens;
+        None where prompts need none, or where the other routers' reports are recent.
     """
 
     failure_domain: FailureDomain
     loads: ReplicaLoadTable
     rng: random.Random = field(default_factory=random.Random)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    find_short_tokens: Callable[[Replica], float | None] = find_no_length
 
     def choose(
         self,
@@ -321,18 +330,35 @@
         now_s: float,
     ) -> float:
         """Return the whole cost of a call at a replica, in tokens to compute."""
-        cost = estimate.cost + self._compute_pending_work(replica, now_s)
-        output_delay = min(
-            estimate.uncached_tokens, MAX_OUTPUT_DELAY_PROMPTS * self.loads.mean_tokens
-        )
-        decoding = self.loads.count_decoding(replica.id, now_s)
-        cost += OUTPUT_DELAY_SHARE * decoding * output_delay
+        cost = estimate.cost + self._compute_work(replica, estimate, now_s)
         if replica.id in outdated:
             cost += OUTDATED_COST_SHARE * call.prompt_tokens
         if replica.failure_domain != self.failure_domain:
             cost += REMOTE_DOMAIN_COST_SHARE * self.loads.mean_tokens
         return cost
 
+    def _compute_work(
+        self, replica: Replica, estimate: _CostEstimate, now_s: float
+    ) -> float:
+        """Return the cost of a replica's other calls, in tokens to compute.
+
+        Late reports tell of long prompts that have been computed since, and show few
+        outputs where prompts wait: all routers would send short prompts to the same
+        replicas. These therefore go by this router's own calls, since permits keep long
+        prompts from meeting at one replica.
+        """
+        short_tokens = self.find_short_tokens(replica)
+        if short_tokens is not None:
+            if estimate.uncached_tokens <= short_tokens:
+                return self.loads.get_or_create(replica.id).pending_tokens
+            return self._compute_pending_work(replica, now_s)
+        output_delay = min(
+            estimate.uncached_tokens, MAX_OUTPUT_DELAY_PROMPTS * self.loads.mean_tokens
+        )
+        decoding = self.loads.count_decoding(replica.id, now_s)
+        work = self._compute_pending_work(replica, now_s)
+        return work + OUTPUT_DELAY_SHARE * decoding * output_delay
+
     def _make_candidate(
         self, prefixes: Sequence[Prefix], replica: Replica, model: ModelId, now_s: float
     ) -> _Candidate:
--- a/primrosepier/forwarding/room/bounds.py
+++ b/primrosepier/forwarding/room/bounds.py
@@ -8,9 +8,11 @@
 
 __all__ = ["DeclaredBounds", "RoomBounds", "make_bounds"]
 
-# Part of the smallest target that a short prompt takes at most for its own prefill. The
-# rest is left to the long ones ahead of it.
-SHORT_SHARE = 0.25
+# Part of the smallest target up to which a prefill counts as short. Without permits,
+# prompts of a quarter of the target met at the replicas that had cached their prefix.
+SHORT_SHARE = 0.125
+# Part of the smallest target that is left to the short prompt itself, to other short
+# ones ahead of it, to steps of outputs and to the network.
 RESERVE_SHARE = 0.25
 
 
--- a/primrosepier/forwarding/room/exchange.py
+++ b/primrosepier/forwarding/room/exchange.py
@@ -36,6 +36,11 @@
     return False
 
 
+def has_none() -> bool:
+    """Return False; used where the other routers' reports are recent."""
+    return False
+
+
 def list_no_hosts() -> Collection[HostId]:
     """Return no router; used by a router without peers."""
     return ()
@@ -145,6 +150,9 @@
         Returns the registered routers.
     send : callable
         Sends a message to a router; returns whether it is on its way.
+    has_late_reports : callable
+        Returns whether the other routers' reports are passed on by collectors, so that
+        they are older than most prefills.
 
     Attributes
     ----------
@@ -163,6 +171,7 @@
     bounds: DeclaredBounds = field(default_factory=DeclaredBounds)
     read_hosts: Callable[[], Collection[HostId]] = list_no_hosts
     send: SendMessage = send_nowhere
+    has_late_reports: Callable[[], bool] = has_none
     granter: PrefillGranter = field(default_factory=PrefillGranter)
     own_calls: PrefillGranter = field(
         default_factory=lambda: PrefillGranter(is_single=True)
@@ -172,6 +181,17 @@
     silent_until_s: dict[HostId, float] = field(default_factory=dict)
     unanswered: int = 0
 
+    def find_short_tokens(self, replica: Replica) -> float | None:
+        """Return the length up to which a prompt needs no permit, tokens.
+
+        Returns None where prompts need none, or where reports are recent.
+        """
+        bounds = self.bounds.get(replica.service)
+        if bounds is None or not self.has_late_reports():
+            return None
+        rate = self.rates.get(replica.service, replica.id)
+        return bounds.compute_short_tokens(rate)
+
     def compute_drain_s(self, replica: Replica, tokens: float) -> float | None:
         """Return how long a replica takes for its queue, seconds; None if unknown.
 
--- a/tests/room_model.py
+++ b/tests/room_model.py
@@ -156,7 +156,10 @@
         permits = PermitExchange(host, EndpointLimits(), clock)
         notices = ReplicaNotices(permits, chooser.loads, lambda: None, log, clock)
         bounds = DeclaredBounds(lambda: DECLARATION if self.has_permits else None)
-        room = ReplicaRoom(host, clock, bounds, lambda: self.hosts, self._send)
+        room = ReplicaRoom(
+            host, clock, bounds, lambda: self.hosts, self._send, lambda: True
+        )
+        chooser.find_short_tokens = room.find_short_tokens
         return PermittedChooser(chooser, notices, room, log, clock, chooser.rng)
 
     def _send(self, host: str, message) -> bool:
