--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -17,6 +17,7 @@
     PermitRefused,
     StreamTakenUp,
 )
+from .forwarding.room.records import PrefillRejected, PrefillWaited
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -215,6 +216,8 @@
             f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
             f"and has room in {event.wait_s * 1000:.0f} ms."
         )
+    elif isinstance(event, PrefillWaited | PrefillRejected):
+        yield f"Long prompt: {event.describe()}."
     elif isinstance(event, CallPassedOn):
         yield (
             f"This router had no replica that it could use: attempt {event.attempt} "
--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -19,6 +19,11 @@
     table.set("primrosepier_declaration_version", version)
     table.set("primrosepier_declaration_age_seconds", age_s)
     notices = app.forwarder.notices
+    room = app.forwarder.permitted.room
+    permits, waiting = room.granter.count()
+    table.set("primrosepier_prefill_permits", permits)
+    table.set("primrosepier_prefill_permits_awaited", waiting)
+    table.set("primrosepier_silent_granters_total", room.unanswered)
     limited = len(notices.permits.limits.list_limited())
     table.set("primrosepier_limited_replicas", limited)
     resting = notices.rests.count_resting(app.clock())
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -20,6 +20,7 @@
     PermitRefused,
     StreamTakenUp,
 )
+from .room.records import PrefillRejected, PrefillWaited
 
 __all__ = ["EntryMetrics", "make_entry_metrics"]
 
@@ -47,6 +48,11 @@
             self.add("primrosepier_withdrawn_attempts_total", 1)
         elif isinstance(event, PermitRefused):
             self.add("primrosepier_refused_permits_total", 1)
+        elif isinstance(event, PrefillWaited):
+            self.add("primrosepier_prefill_waits_total", 1)
+            self.observe_value("primrosepier_prefill_wait_seconds", event.wait_s)
+        elif isinstance(event, PrefillRejected):
+            self.add("primrosepier_prefill_rejections_total", 1)
         elif isinstance(event, RestRequested):
             self.add("primrosepier_rests_total", 1)
         elif isinstance(event, EntryUnreadable):
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -30,7 +30,7 @@
 # Replicas whose granters a call with a long prompt asks before it waits.
 MAX_ASKED = 3
 # Interval at which a waiting call looks for a replica that has cached its prompt since,
-# seconds: shorter than the prefill of a long prompt. Its request is not repeated sooner,
+# seconds: shorter than the prefill of a long prompt. It repeats its request no sooner,
 # since the granter sends the permit when it is the call's turn.
 RECHECK_INTERVAL_S = 0.05
 # Longest time before a waiting call repeats its request, seconds: a granter forgets
@@ -108,6 +108,7 @@
         """
         asked: set[EndpointId] = set()
         refused: list[_RefusedPrefill] = []
+        delivery.refusal = None
         while True:
             chosen = None
             if len(refused) < MAX_ASKED:
@@ -128,9 +129,12 @@
                     call, tried, delivery, refused, list_candidates
                 )
                 refused = []
-                if chosen is None:
+                if chosen is None and delivery.refusal is not None:
                     return None
-                asked.add(chosen.choice.replica.id)
+                if chosen is None:
+                    asked.clear()
+                else:
+                    asked.add(chosen.choice.replica.id)
             else:
                 return None
             if chosen is not None and await self._may_send(call, chosen, delivery):
@@ -267,8 +271,8 @@
     ) -> PermittedChoice | None:
         """Wait until a replica has room, or another one has cached the prompt.
 
-        Returns None, with the refusal in the delivery, if the call would begin too late
-        to make its deadline.
+        Returns None if the replica may no longer receive the call, and with the refusal
+        in the delivery if the call would begin too late to make its deadline.
         """
         started_s = self.clock()
         first = min(refused, key=lambda x: x.turn_at_s)
@@ -291,6 +295,9 @@
                     return chosen
                 if turn.granted_at_s is not None:
                     break
+                replicas, _ = list_candidates(tried, self.clock())
+                if all(x.id != turn.endpoint for x in replicas):
+                    return None
                 turn.demand = self.room.find_demand(call, first.choice) or turn.demand
         wait_s = self.clock() - started_s
         tokens, endpoint = first.demand.tokens, turn.endpoint
