--- a/tests/room_model.py
+++ b/tests/room_model.py
@@ -8,6 +8,7 @@
 """
 
 import random
+import sys
 from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 
@@ -34,6 +35,7 @@
 from primrosepier.forwarding.room.exchange import ReplicaRoom
 from primrosepier.logs import make_log
 from primrosepier.settings import LogSettings
+from primrosepier.virtualtime import run_in_virtual_time
 
 SLOTS = 12
 CACHE_TOKENS = 139_993
@@ -47,7 +49,7 @@
 FETCH_S = 0.04
 LINK_S = 0.0005
 REPORT_INTERVAL_S = 0.5
-MAX_REPORT_DELAY_S = 0.3
+REPORT_DELAYS_S = (0.1, 0.3)
 SHORT = Route("short", "h", "/s/", (("writers", 1),), target_s=0.423, timeout_s=2.0)
 LONG = Route("long", "h", "/l/", (("writers", 1),), target_s=1.563, timeout_s=6.253)
 ENGINE = EngineShape(SLOTS, CACHE_TOKENS)
@@ -132,8 +134,10 @@
     short_per_s: float = 875.0
     long_per_s: float = 62.0
     seed: int = 1
+    report_delays_s: tuple[float, float] = REPORT_DELAYS_S
     results: Counter = field(default_factory=Counter)
     most_at_once: Counter = field(default_factory=Counter)
+    work: Counter = field(default_factory=Counter)
     long_waits: list = field(default_factory=list)
     datagrams: int = 0
 
@@ -196,7 +200,7 @@
             await anyio.sleep(REPORT_INTERVAL_S)
 
     async def _apply_report(self, sender: str, report) -> None:
-        await anyio.sleep(self.rng.uniform(0.1, MAX_REPORT_DELAY_S))
+        await anyio.sleep(self.rng.uniform(*self.report_delays_s))
         tokens, decoding, updates = report
         now_s = anyio.current_time()
         for host, router in self.routers.items():
@@ -267,6 +271,8 @@
                 engine.keep(prefix)
             work = Prefill(call.parts[-1].tokens, prefix)
             engine.submit(work)
+            second = int(anyio.current_time())
+            self.work[second, endpoint] += work.tokens
             if prefix and prefix not in engine.cached:
                 self.long_tokens[endpoint] += call.prompt_tokens
                 most = max(self.most_at_once[endpoint], self.long_tokens[endpoint])
@@ -317,7 +323,24 @@
         )
         return "\n".join(lines)
 
+    def find_peaks(self, from_s: int, until_s: int) -> dict[str, list[float]]:
+        """Return each replica's work in each second, as a multiple of the mean."""
+        peaks: dict[str, list[float]] = {x.id: [] for x in self.replicas}
+        for second in range(from_s, until_s):
+            total = sum(self.work[second, x] for x in peaks)
+            for endpoint, shares in peaks.items():
+                shares.append(self.work[second, endpoint] * len(peaks) / total)
+        return peaks
+
     def compute_share(self, kind: str) -> float:
         """Return the share of the calls of one kind that met their target."""
         total = sum(y for (x, _), y in self.results.items() if x == kind)
         return self.results[kind, "in time"] / total
+
+
+if __name__ == "__main__":
+    for has_permits in (False, True):
+        model = RoomModel(has_permits, long_per_s=float(sys.argv[1]))
+        run_in_virtual_time(model.run, float(sys.argv[2]))
+        print("with permits:" if has_permits else "without permits:")
+        print(model.describe())
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -1,5 +1,7 @@
 """Permits for long prompts, over the real decision code in virtual time."""
 
+from itertools import pairwise
+
 import anyio
 import pytest
 from forwarding_samples import LONG_PROMPT, make_call, make_chooser, make_replica
@@ -191,6 +193,24 @@
     assert make_chooser().find_short_tokens(REPLICA) is None
 
 
+def test_late_reports_do_not_make_routers_send_all_calls_to_the_same_replicas():
+    """Guards against synchronized oscillation.
+
+    66 routers, 27 replicas, 875 short and 62 long calls a second for 5 s, and reports
+    that are 0.5 to 3 s old.
+    """
+    busiest = {}
+    for has_permits in (False, True):
+        model = RoomModel(has_permits, report_delays_s=(0.5, 2.5))
+        run_in_virtual_time(model.run, 5.0)
+        peaks = model.find_peaks(1, 5)
+        busiest[has_permits] = max(map(max, peaks.values()))
+        if has_permits:
+            for shares in peaks.values():
+                assert all(min(pair) <= 2 for pair in pairwise(shares))
+    assert busiest[True] < 2.5 < busiest[False]
+
+
 def test_short_and_long_prompts_meet_their_targets_on_the_same_replicas():
     """Guards against long prompts that delay short ones, and short ones that herd.
 
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -14,6 +14,7 @@
 import pytest
 
 import primrosepier.forwarding.records  # noqa: F401
+import primrosepier.forwarding.room.records  # noqa: F401
 from primrosepier.claims import ClaimRecord
 from primrosepier.configuration import encode_configuration, load_configuration
 from primrosepier.decoding import parse_count
@@ -55,6 +56,11 @@
 )
 from primrosepier.forwarding.prefixes import PrefixIndex, PrefixUpdate
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
+from primrosepier.forwarding.room.messages import (
+    PrefillRelease,
+    PrefillReply,
+    PrefillRequest,
+)
 from primrosepier.forwarding.version_recorder import VERSIONS_KEY
 from primrosepier.leases import (
     DutyRecord,
@@ -173,6 +179,34 @@
         "82a5746f6b656ea5746f6b656ea76d65737361676583a474797065a57265706c79a66e756d62"
         "657207a6776169745f73cb3fd0000000000000",
     ),
+    (
+        PeerDatagram(
+            "token",
+            PrefillRequest("front-1", 7, "w1", 17020, 317, 1200, 1, True, 48200.0),
+        ),
+        "82a5746f6b656ea5746f6b656ea76d6573736167658aa474797065af70726566696c6c5f7265"
+        "7175657374a673656e646572a766726f6e742d31a66e756d62657207a8656e64706f696e74a2"
+        "7731a6746f6b656e73cd427ca96275646765745f6d73cd013da66475655f6d73cd04b0a77572"
+        "67656e637901a57761697473c3ac746f6b656e735f7065725f73cb40e7890000000000",
+    ),
+    (
+        PeerDatagram(
+            "token",
+            PrefillReply(7, 0.25, 48200.0),
+        ),
+        "82a5746f6b656ea5746f6b656ea76d65737361676584a474797065ad70726566696c6c5f7265"
+        "706c79a66e756d62657207a6776169745f73cb3fd0000000000000ac746f6b656e735f706572"
+        "5f73cb40e7890000000000",
+    ),
+    (
+        PeerDatagram(
+            "token",
+            PrefillRelease("front-1", 7, "w1", 353, False),
+        ),
+        "82a5746f6b656ea5746f6b656ea76d65737361676586a474797065af70726566696c6c5f7265"
+        "6c65617365a673656e646572a766726f6e742d31a66e756d62657207a8656e64706f696e74a2"
+        "7731aa70726566696c6c5f6d73cd0161ab6c61636b65645f726f6f6dc2",
+    ),
     (
         PeerDatagram("token", LinksRequest("front-1", 7, ("w1",), 250)),
         "82a5746f6b656ea5746f6b656ea76d65737361676585a474797065a56c696e6b73a673656e64"
