--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -18,6 +18,7 @@
     PermitRefused,
     StreamTakenUp,
 )
+from .forwarding.room.records import PrefillRejected, PrefillWaited
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -228,6 +229,8 @@
             f"  The call cost {event.cost:.0f} and the bucket held "
             f"{event.available:.0f}; retry in {event.retry_after_s:.3f} s."
         )
+    elif isinstance(event, PrefillWaited | PrefillRejected):
+        yield f"Long prompt: {event.describe()}."
     elif isinstance(event, CallPassedOn):
         yield (
             f"This router had no replica that it could use: attempt {event.attempt} "
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -22,6 +22,7 @@
     PermitRefused,
     StreamTakenUp,
 )
+from .room.records import PrefillRejected, PrefillWaited
 
 __all__ = ["EntryMetrics", "make_entry_metrics"]
 
@@ -57,6 +58,11 @@
         elif isinstance(event, QuotaExceeded):
             self.add("primrosepier_quota_rejections_total", 1)
             self.add("primrosepier_quota_rejected_cost_total", event.cost)
+        elif isinstance(event, PrefillWaited):
+            self.add("primrosepier_prefill_waits_total", 1)
+            self.observe_value("primrosepier_prefill_wait_seconds", event.wait_s)
+        elif isinstance(event, PrefillRejected):
+            self.add("primrosepier_prefill_rejections_total", 1)
         elif isinstance(event, RestRequested):
             self.add("primrosepier_rests_total", 1)
         elif isinstance(event, EntryUnreadable):
--- a/primrosepier/forwarding/room/exchange.py
+++ b/primrosepier/forwarding/room/exchange.py
@@ -9,6 +9,7 @@
 from ...endpoint_limits import rank_granters
 from ...ids import EndpointId, HostId
 from ..calls import Call
+from ..fleet import Replica
 from ..peer_requests import PeerRequests, PendingRequest
 from ..replica_choice import Choice
 from .bounds import DeclaredBounds
@@ -35,6 +36,11 @@
     return False
 
 
+def has_none() -> bool:
+    """Return False; used where the other routers' reports are recent."""
+    return False
+
+
 def list_no_hosts() -> Collection[HostId]:
     """Return no router; used by a router without peers."""
     return ()
@@ -144,6 +150,9 @@
         Returns the registered routers.
     send : callable
         Sends a message to a router; returns whether it is on its way.
+    has_late_reports : callable
+        Returns whether the other routers' reports are passed on by collectors, so that
+        they are older than most prefills.
 
     Attributes
     ----------
@@ -162,6 +171,7 @@
     bounds: DeclaredBounds = field(default_factory=DeclaredBounds)
     read_hosts: Callable[[], Collection[HostId]] = list_no_hosts
     send: SendMessage = send_nowhere
+    has_late_reports: Callable[[], bool] = has_none
     granter: PrefillGranter = field(default_factory=PrefillGranter)
     own_calls: PrefillGranter = field(
         default_factory=lambda: PrefillGranter(is_single=True)
@@ -171,6 +181,30 @@
     silent_until_s: dict[HostId, float] = field(default_factory=dict)
     unanswered: int = 0
 
+    def find_short_tokens(self, replica: Replica) -> float | None:
+        """Return the length up to which a prompt needs no permit, tokens.
+
+        Returns None where prompts need none, or where reports are recent.
+        """
+        bounds = self.bounds.get(replica.service)
+        if bounds is None or not self.has_late_reports():
+            return None
+        rate = self.rates.get(replica.service, replica.id)
+        return bounds.compute_short_tokens(rate)
+
+    def compute_drain_s(self, replica: Replica, tokens: float) -> float | None:
+        """Return how long a replica takes for its queue, seconds; None if unknown.
+
+        Parameters
+        ----------
+        tokens : float
+            Prompt tokens that it has yet to compute.
+        """
+        if self.bounds.get(replica.service) is None:
+            return None
+        rate = self.rates.get(replica.service, replica.id)
+        return tokens / rate if rate else 0.0
+
     def find_demand(self, call: Call, choice: Choice) -> Demand | None:
         """Return what a call asks of its replica; None if it needs no permit."""
         replica = choice.replica
