Reserve the shares of late routers, so that calls that rise in a partition stay in bounds

Both sides of a partition admitted most of a burst for two seconds. Routers now count a router's share as used after 1.2 s without a report, start below an empty bucket, and leave credit for long calls while they hear no other router.

--- a/primrosepier/forwarding/quotas/bucket.py
+++ b/primrosepier/forwarding/quotas/bucket.py
@@ -18,6 +18,8 @@
 # Time for which the requested rate is averaged, seconds: the average must follow a
 # workspace whose rate rises within a second, and still hold several long calls.
 AVERAGING_S = 0.5
+# The same for the calls of a single router, which may see a long one in 40 s, seconds.
+LONG_AVERAGING_S = 40.0
 # Time within which a difference of the level from its reference is made up, seconds:
 # longer than reports take, so that the loop does not oscillate.
 CORRECTION_S = 1.0
@@ -31,6 +33,10 @@
 # Part of the bucket that is kept back for such a rise where a window may exceed the
 # quota by too little. With more, the bucket would often be full and tokens be lost.
 MAX_KEPT_BACK = 0.25
+# Part of what a window may exceed the quota by that is used up while more is requested.
+# The rest is for chance, since a few long calls are a second of a small quota, and for
+# routers that are cut off from each other.
+MAX_USED_UP = 1 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +106,8 @@
         This router's totals since its start.
     asked_per_s : float
         Average requested rate of this router.
+    long_asked_per_s : float
+        The same, averaged for as long as a single router needs.
     peers : dict of HostId to PeerUsage
         Routers that have had calls of the workspace in their last report.
     peer_admitted_per_s, peer_asked_per_s : float
@@ -119,6 +127,7 @@
     admitted: float = 0.0
     asked: float = 0.0
     asked_per_s: float = 0.0
+    long_asked_per_s: float = 0.0
     peers: dict[HostId, PeerUsage] = field(default_factory=dict)
     peer_admitted_per_s: float = 0.0
     peer_asked_per_s: float = 0.0
@@ -145,6 +154,7 @@
             self.credit + duration_s * filled_per_s, self._compute_max_credit()
         )
         self.asked_per_s *= math.exp(-duration_s / AVERAGING_S)
+        self.long_asked_per_s *= math.exp(-duration_s / LONG_AVERAGING_S)
         if share < self.share:
             self.level *= share / self.share
         self.share = share
@@ -177,7 +187,8 @@
         allowance = self.bounds.compute_allowance(quota)
         surge = SURGE_S * quota.rate_per_s
         largest = MAX_KEPT_BACK * quota.burst
-        kept_back = max(-allowance / 2, min(largest, surge - allowance))
+        kept_back = min(largest, surge - allowance)
+        kept_back = max(-MAX_USED_UP * allowance, kept_back)
         return self.share * kept_back
 
     def compute_allowed_rate(self) -> float:
@@ -193,7 +204,7 @@
     def compute_probability(self, cost: float) -> float:
         """Return the probability with which a call is admitted now."""
         if self.is_alone:
-            return min(1.0, self.credit / cost) if cost > 0 else 1.0
+            return self._compute_offer(cost) / cost if cost > 0 else 1.0
         allowed_per_s, asked_per_s = (
             self.compute_allowed_rate(),
             self.compute_asked_rate(),
@@ -202,6 +213,18 @@
             return 0.0
         return min(1.0, allowed_per_s / asked_per_s) if asked_per_s else 1.0
 
+    def _compute_offer(self, cost: float) -> float:
+        """Return the credit for a call of a router that is alone.
+
+        While more is requested than its share, a call gets at most that part of its
+        cost, so that short calls leave credit for the long ones.
+        """
+        share_per_s = self.share * self.quota.rate_per_s
+        part = 1.0
+        if self.long_asked_per_s > share_per_s:
+            part = share_per_s / self.long_asked_per_s
+        return min(self.credit, part * cost)
+
     def admit(self, cost: float) -> bool:
         """Decide on a call, and charge it if it is admitted.
 
@@ -211,10 +234,11 @@
         much as the credit on average also where a call costs more.
         """
         is_admitted = self.rng.random() < self.compute_probability(cost)
+        if self.is_alone:
+            self.credit -= self._compute_offer(cost)
         self.asked += cost
         self.asked_per_s += cost / AVERAGING_S
-        if self.is_alone:
-            self.credit -= min(self.credit, cost)
+        self.long_asked_per_s += cost / LONG_AVERAGING_S
         if is_admitted:
             self.charge(cost)
         return is_admitted
--- a/primrosepier/forwarding/quotas/quotas.py
+++ b/primrosepier/forwarding/quotas/quotas.py
@@ -21,6 +21,11 @@
 # Time without a report after which a router's share is reserved for it, and after which
 # a router that was frozen knows nothing of the others, seconds.
 SILENCE_S = 2.0
+# Time without a report after which a router's share is not used by the others, although
+# its rates still count, seconds. Calls that rise while routers are cut off from each
+# other would otherwise be admitted by both sides until they count as silent. Reports
+# without loss are at most 0.9 s apart.
+LATE_S = 1.2
 # Times between two reports with and without new calls, seconds. Reports without any
 # show that a router is not cut off.
 CALLS_INTERVAL_S = 0.1
@@ -262,17 +267,17 @@
     def _open_bucket(self, workspace: WorkspaceId, now_s: float) -> WorkspaceBucket:
         """Return a workspace's bucket, up to date.
 
-        It is empty at first, since the burst may have been used before, and was filled
-        since the quota is known.
+        When the quota becomes known, all that the workspace may use beyond it may have
+        been used before; the bucket has been filled since then.
         """
         bucket = self.buckets.get(workspace)
         if bucket is None:
             quota = self.quotas[workspace]
             known_at_s = max(self.known_at_s[workspace], self.started_at_s)
-            level = min(quota.burst, (now_s - known_at_s) * quota.rate_per_s)
             bucket = self.buckets[workspace] = WorkspaceBucket(
-                quota, self.bounds, self.rng, now_s, self.share * level, self.share
+                quota, self.bounds, self.rng, known_at_s, share=self.share
             )
+            bucket.level = min(0.0, bucket.compute_reference())
         self._advance(bucket, now_s)
         return bucket
 
@@ -313,7 +318,7 @@
             self._silence(host, peer)
         for bucket in self.buckets.values():
             self._advance(bucket, now_s)
-            bucket.level = min(0.0, bucket.level)
+            bucket.level = min(0.0, bucket.level, bucket.compute_reference())
             bucket.credit = 0.0
         self.share_at_s = float("-inf")
 
@@ -336,10 +341,12 @@
             if host in hosts or now_s > gone_at_s + self.bounds.window_s:
                 del self.gone_at_s[host]
         heard = set()
+        late = 0
         for host, peer in list(self.peers.items()):
             if now_s - peer.heard_at_s <= SILENCE_S:
                 if peer.reports >= KNOWN_REPORTS:
                     heard.add(host)
+                    late += now_s - peer.heard_at_s > LATE_S
                 continue
             for workspace in peer.workspaces & self.buckets.keys():
                 self._advance(self.buckets[workspace], now_s)
@@ -349,7 +356,7 @@
         known = hosts | self.gone_at_s.keys() | heard
         self.routers = 1 + len(known)
         self.silent = len(known - heard)
-        self.share = (1 + len(heard)) / self.routers * listed.settled
+        self.share = (1 + len(heard) - late) / self.routers * listed.settled
         self.is_alone = self.routers > 1 and not heard
         if self.quotas and self.silent != self.logged_silent:
             self.logged_silent = self.silent
--- a/primrosepier/forwarding/quotas/reports.py
+++ b/primrosepier/forwarding/quotas/reports.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ...decoding import decode_msgpack
+from ...decoding import Count, decode_msgpack
 from ...errors import MessageError
 from ...ids import WorkspaceId
 
@@ -46,7 +46,7 @@
     """
 
     run: int
-    uptime_ms: int
+    uptime_ms: Count
     totals: Sequence[WorkspaceTotals] = ()
 
 
