Renew a router's entry every 3 s instead of 2, and sooner after a failure

A quiet router made 75 calls to the store a minute: 30 renewals of its entry, 41 watches and 4 reads. Two watches have to fit into the age up to which keys are trusted, and the reads are the only sign of a stalled watch, so that neither can be fewer. A renewal that fails is now repeated after 1 s, so that the entry outlives one that takes 1.5 s to fail, as before.

--- a/primrosepier/forwarding/peers.py
+++ b/primrosepier/forwarding/peers.py
@@ -74,10 +74,10 @@
 
 ROUTERS_PREFIX = STATE_PREFIX + "routers/"
 TOKEN_BYTES = 8
-# Time to live of a router's entry. Once the entry of a failed router has expired, the
-# others divide its part of the store's call rates and of the extra retries.
+# Time to live of a router's entry. Once it has expired, the others divide the router's
+# part of call rates and retries. A renewal that fails after 1.5 s is repeated in time.
 ENTRY_TTL_S = 6.0
-RENEWAL_INTERVAL_S = 2.0
+RENEWAL_INTERVAL_S = 3.0
 RETRY_INTERVAL_S = 1.0
 # Routers that start together register at random times within this interval, which is
 # short enough that all are registered before callers connect.
@@ -298,18 +298,18 @@
 
     async def _renew(self, granted: LeaseGranted) -> None:
         """Renew the lease of the entry until the entry or the lease is lost."""
-        self.unlisted = anyio.Event()
+        self.unlisted, pause_s = anyio.Event(), RENEWAL_INTERVAL_S
         while not self.unlisted.is_set():
-            with anyio.move_on_after(RENEWAL_INTERVAL_S):
+            with anyio.move_on_after(pause_s):
                 await self.unlisted.wait()
             renewed = await self.store.keep_alive(granted.lease)
             if isinstance(renewed, LeaseLost):
                 return
-            if isinstance(renewed, LeaseGranted) and (
-                renewed.restores != granted.restores
-            ):
-                # The lease may have been granted to a peer since.
-                return
+            pause_s = RETRY_INTERVAL_S
+            if isinstance(renewed, LeaseGranted):
+                if renewed.restores != granted.restores:
+                    return  # The lease may have been granted to a peer since.
+                pause_s = RENEWAL_INTERVAL_S
 
 
 @dataclass(slots=True)
