--- a/primrosepier/forwarding/losses/detector.py
+++ b/primrosepier/forwarding/losses/detector.py
@@ -101,6 +101,10 @@
         avoid_until_s = self.loads.get_or_create(endpoint).avoid_until_s
         self.table.schedule_probe(endpoint, avoid_until_s - PROBE_AHEAD_S)
 
+    def _end_backoff(self, endpoint: EndpointId, now_s: float) -> None:
+        load = self.loads.get_or_create(endpoint)
+        load.avoid_until_s = min(load.avoid_until_s, now_s)
+
     def _abort_calls(self, replica: Replica) -> None:
         aborted = self.client.abort_unresponsive(replica.address, UNRESPONSIVE_S)
         if aborted:
@@ -130,7 +134,9 @@
         if now_s < self.updated_at_s + ABORT_INTERVAL_S:
             return
         self.updated_at_s = now_s
-        self.table.expire(self._list_registered(), now_s)
+        for endpoint in self.table.expire(self._list_registered(), now_s):
+            self.loads.get_or_create(endpoint).connection_failures = 0
+            self._end_backoff(endpoint, now_s)
         for endpoint, lost in list(self.table.lost.items()):
             load = self.loads.loads.get(endpoint)
             if load is None:
@@ -161,6 +167,7 @@
         elif result is ProbeResult.STILL_LOST:
             self._schedule_probe(replica.id)
         elif result is ProbeResult.REACHED and lost is not None:
+            self._end_backoff(replica.id, now_s)
             self.log.emit(ReplicaReached(replica.id, now_s - lost.lost_at_s))
         elif result is ProbeResult.ACCEPTED and reporter:
             self.log.emit(LossUnconfirmed(replica.id, reporter))
--- a/primrosepier/forwarding/losses/table.py
+++ b/primrosepier/forwarding/losses/table.py
@@ -244,11 +244,18 @@
         """Remove and return a lost replica, as it has answered."""
         return self.lost.pop(endpoint, None)
 
-    def expire(self, replicas: Mapping[EndpointId, Replica], now_s: float) -> None:
+    def expire(
+        self, replicas: Mapping[EndpointId, Replica], now_s: float
+    ) -> list[EndpointId]:
         """Drop what no longer concerns a registered process.
 
         A lost replica is kept after its entry has disappeared, as calls may still wait
         for it, but not once another process has registered in its place.
+
+        Returns
+        -------
+        list of EndpointId
+            The lost replicas that have another process now.
         """
 
         def is_replaced(replica: Replica) -> bool:
@@ -257,12 +264,14 @@
         for endpoint, suspect in list(self.suspects.items()):
             if is_replaced(suspect.replica):
                 del self.suspects[endpoint]
+        replaced = [x for x, lost in self.lost.items() if is_replaced(lost.replica)]
         for endpoint, lost in list(self.lost.items()):
-            if is_replaced(lost.replica) or now_s >= lost.lost_at_s + LOST_TTL_S:
+            if endpoint in replaced or now_s >= lost.lost_at_s + LOST_TTL_S:
                 del self.lost[endpoint]
         for endpoint, heard_at_s in list(self.heard_at_s.items()):
             if now_s >= heard_at_s + HEARD_PAUSE_S:
                 del self.heard_at_s[endpoint]
+        return replaced
 
     def clear(self) -> None:
         """Forget everything: this router is cut off, so that no failure counts."""
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -6,10 +6,13 @@
 """
 
 import random
+from dataclasses import replace
 
 import anyio
 import pytest
+from entry_fleet import run_entry
 from forwarding_samples import DOMAINS
+from ports import find_free_port
 
 from primrosepier.errors import MessageError
 from primrosepier.forwarding.cuts import CutDetector
@@ -274,6 +277,27 @@
     fleet.run(play)
 
 
+def test_a_process_that_registers_in_place_of_a_lost_one_gets_calls_at_once():
+    """Guards against a backoff of seconds after a replica has started again."""
+    fleet = Fleet(1)
+    (router,) = fleet.routers
+
+    async def play():
+        fleet.dead = {"r0"}
+        router.wait_at(REPLICAS[0])
+        await router.connect(REPLICAS[0])
+        await anyio.sleep(2.0)
+        load = router.loads.get_or_create("r0")
+        assert load.avoid_until_s > anyio.current_time() + 0.5
+        fleet.dead = set()
+        fleet.replicas[0] = replace(REPLICAS[0], born_ms=5000)
+        await anyio.sleep(0.2)
+        assert load.avoid_until_s <= anyio.current_time()
+        assert not router.detector.table.lost
+
+    fleet.run(play)
+
+
 def test_the_section_ignores_fields_that_it_does_not_know():
     """Guards against a later build whose losses have more fields."""
     losses = [ReportedLoss("r0", 5)]
@@ -282,3 +306,31 @@
     assert encode_losses([]) == b""
     with pytest.raises(MessageError):
         decode_losses(b"\x91\x05")
+
+
+@pytest.mark.sockets
+def test_routers_tell_each_other_of_a_replica_that_refuses_connections():
+    """Guards against a section that does not reach the other routers."""
+
+    async def check(fleet):
+        async with fleet.open_router("front-2") as second:
+            first = fleet.routers[0]
+            directories = [first.peers.directory, second.peers.directory]
+            await fleet.wait_until(lambda: all(x.peers for x in directories))
+            first_events, second_events = [], []
+            first.log.observers.append(first_events.append)
+            second.log.observers.append(second_events.append)
+            fleet.addresses["app1"] = f"127.0.0.1:{find_free_port()}"
+            fleet.register("app1")
+            address = fleet.addresses["app1"]
+            for router in (first, second):
+                find = router.store_view.find_replica
+                await fleet.wait_until(
+                    lambda find=find: find("app1").address == address
+                )
+            while not any(isinstance(x, ReplicaLost) for x in first_events):
+                assert (await fleet.send("/lookup/1", router=first)).status == 200
+            lost = ReplicaLost("app1", fleet.replicas["app1"].born, "front-1")
+            await fleet.wait_until(lambda: lost in second_events, 2.0)
+
+    run_entry(check)
