Fetch a prefix from a holder in the replica's failure domain

The first holder in the order of ids served all fetches, in two of three cases across domains, where a transfer takes twice as long. Any holder of as many tokens serves now, one in the same domain if there is one.

--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -198,6 +198,22 @@
     return coverage
 
 
+def _list_nearest_holders(
+    candidates: Sequence[_Candidate], best: _Candidate, domain: FailureDomain
+) -> Sequence[Replica]:
+    """Return who has cached as much as the best holder, in a failure domain if any.
+
+    A transfer between failure domains takes twice as long as one within a domain.
+    """
+    holders = [
+        candidate.replica
+        for candidate in candidates
+        if candidate.cache_format == best.cache_format
+        and candidate.cached_tokens == best.cached_tokens
+    ]
+    return [x for x in holders if x.failure_domain == domain] or holders
+
+
 def list_shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
     """Return the parts that other calls may share: all but the last."""
     return parts[:-1]
@@ -309,11 +325,17 @@
 
         best = min(range(len(replicas)), key=compute_total_cost)
         estimate = estimates[best]
+        fetch_from = estimate.fetch_from
+        if fetch_from is not None:
+            holder = coverage_by_format[candidates[best].cache_format].best_holder
+            domain = replicas[best].failure_domain
+            nearest = _list_nearest_holders(candidates, holder, domain)
+            fetch_from = self.rng.choice(nearest)
         return Choice(
             replicas[best],
             estimate.kind,
             estimate.uncached_tokens,
-            estimate.fetch_from,
+            fetch_from,
             prefixes if candidates[best].weights else (),
             candidates[best].weights,
         )
--- a/tests/test_cache_transfers.py
+++ b/tests/test_cache_transfers.py
@@ -11,6 +11,7 @@
 from forwarding_samples import DOMAINS, choose, make_call, make_chooser, make_replica
 
 from primrosepier.forwarding.declarations import CacheStore, Declaration, Service
+from primrosepier.forwarding.prefixes import list_prefixes
 from primrosepier.forwarding.replica_choice import Choice, ChoiceKind
 from primrosepier.forwarding.transfers import (
     SAVED_AGAIN,
@@ -116,3 +117,25 @@
     choice = Choice(REPLICAS[0], ChoiceKind.HOLDER, 3_720)
     plan = plan_cache_use(make_long_call(0), choice, None, {}, store, saves=False)
     assert (plan.fetch_from, plan.save_to) == (store.address, "")
+
+
+def find_source(holders, seed):
+    """Return the chosen replica and the one that it fetches a prefix from."""
+    chooser, call = make_chooser(seed=seed), make_long_call(0)
+    for prefix in list_prefixes("m0/", call.parts[:-1]):
+        for number in holders:
+            chooser.prefixes.record(prefix.key, f"r{number}", 1, True, 0.0)
+    for number in holders:
+        chooser.loads.begin_call(f"r{number}", 200_000)
+    choice = choose(chooser, call, REPLICAS)
+    assert choice.kind is ChoiceKind.FETCH
+    return choice.replica, choice.fetch_from
+
+
+def test_a_prefix_is_fetched_from_any_of_its_holders_in_the_same_domain():
+    """Guards against transfers across domains, and one holder that serves them all."""
+    sources = [find_source((1, 2, 3, 4, 6), seed) for seed in range(40)]
+    assert all(a.failure_domain == b.failure_domain for a, b in sources)
+    assert len({source.id for _, source in sources}) >= 2
+    _, source = find_source((1,), 0)
+    assert source.id == "r1"
