Do not hold calls that move from a silent host against their requests

Nine replicas that lose power at once lose calls with the same prefix one after the other; the faster these move, the sooner the prefix would be taken for the cause of crashes and refused on all routers. A process that crashes closes its connections, so that calls which have to be aborted tell nothing of their requests.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -572,7 +572,7 @@
             self.suspects.loss_log.record_answer(
                 fingerprints, endpoint, recorder.responded_at_s, self.clock()
             )
-        elif getattr(outcome, "lost", False) and not self.links.is_cut:
+        elif getattr(outcome, "lost", False) and not self.losses.explains(endpoint):
             self._record_lost_call(call, fingerprints, endpoint, started_s, delivery)
         if not isinstance(outcome, NotRun):
             delivery.runs += 1
--- a/primrosepier/forwarding/losses/detector.py
+++ b/primrosepier/forwarding/losses/detector.py
@@ -34,6 +34,9 @@
 # Time before the end of a lost replica's backoff at which it is probed, seconds: the
 # time-out of the probe and a margin, so that no call is sent to it before the result.
 PROBE_AHEAD_S = 0.35
+# Time after calls at a replica were given up in which others that end there count as
+# lost in the same way, seconds: a few times the time between two searches.
+GIVEN_UP_S = 0.5
 
 
 def ignore_request() -> None:
@@ -58,6 +61,8 @@
         Set when a replica is to be probed or is lost.
     updated_at_s : float
         When calls at lost replicas were last looked for, seconds.
+    given_up_at_s : dict of EndpointId to float
+        When calls at each replica were last aborted, seconds.
     """
 
     client: EndpointClient
@@ -70,6 +75,7 @@
     name: SectionName = SectionName("u")
     wake: anyio.Event = field(default_factory=anyio.Event)
     updated_at_s: float = float("-inf")
+    given_up_at_s: dict[EndpointId, float] = field(default_factory=dict)
 
     def record_failed(self, replica: Replica, now_s: float) -> None:
         """Record that a call could not reach a replica, or lost it without a response.
@@ -108,8 +114,18 @@
     def _abort_calls(self, replica: Replica) -> None:
         aborted = self.client.abort_unresponsive(replica.address, UNRESPONSIVE_S)
         if aborted:
+            self.given_up_at_s[replica.id] = self.clock()
             self.log.emit(ReplicaGivenUp(replica.id, aborted))
 
+    def explains(self, endpoint: EndpointId) -> bool:
+        """Return whether a call that was lost says nothing about its request.
+
+        A process that crashes closes its connections. Calls that have to be aborted
+        were at a host that answers nothing, or this router is cut off.
+        """
+        given_up_at_s = self.given_up_at_s.get(endpoint, float("-inf"))
+        return self.links.is_cut or self.clock() < given_up_at_s + GIVEN_UP_S
+
     async def run(self) -> None:
         """Probe replicas and abort the calls of lost ones, until cancelled."""
         self.table.probing.clear()
@@ -134,6 +150,9 @@
         if now_s < self.updated_at_s + ABORT_INTERVAL_S:
             return
         self.updated_at_s = now_s
+        for endpoint, given_up_at_s in list(self.given_up_at_s.items()):
+            if now_s >= given_up_at_s + GIVEN_UP_S:
+                del self.given_up_at_s[endpoint]
         for endpoint in self.table.expire(self._list_registered(), now_s):
             self.loads.get_or_create(endpoint).connection_failures = 0
             self._end_backoff(endpoint, now_s)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -137,7 +137,8 @@
     """Guards against calls that wait for the kernel's keep-alive probes, for 3 s.
 
     The second counts from the first failed connect; a call sent just before that may
-    have been silent for too short a time.
+    have been silent for too short a time. Calls that move are not held against their
+    requests, as if these had crashed the replica.
     """
     fleet = Fleet(1)
     (router,) = fleet.routers
@@ -151,7 +152,11 @@
         router.wait_at(lost)
         await router.connect(lost)
         failed_at_s = anyio.current_time()
-        await anyio.sleep(1.0)
+        assert not router.detector.explains(lost.id)
+        await anyio.sleep(0.5)
+        assert router.detector.explains(lost.id)
+        assert not router.detector.explains(other.id)
+        await anyio.sleep(0.5)
         assert [address for address, _ in router.moved] == [lost.address] * 2
         assert router.moved[-1][1] < failed_at_s + 1.0
         assert router.list_events(ReplicaLost) == [ReplicaLost("r0", 100)]
