Bound what callers' connections make a router's process hold

The parser read whole sockets ahead of the responses and kept trailers with the head, so that legal requests without end used up the memory. Now one request of a connection is parsed and served at a time, in pieces and by turns; trailers are counted and discarded; and heads, bodies, unread responses and connections of all listening addresses are charged to one budget. Beyond it, the connection that holds most is closed; beyond the number of connections that the descriptors allow (limits.maxFds), the one that has waited longest for its caller. Streams read 64 KiB at a time from replicas instead of 256.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -46,6 +46,11 @@
 
 START_POLL_S = 0.005
 KEEP_ALIVE_S = 30
+# Connections that each listener accepts in one iteration of the event loop, before the
+# protocol can close any of them for their number.
+ACCEPTS_PER_TURN = 16
+# Connections that the kernel keeps until they are accepted.
+LISTEN_BACKLOG = 2048
 # Resolution of the date of responses, seconds (RFC 9110, section 5.6.7).
 DATE_INTERVAL_S = 1.0
 SHUTDOWN_GRACE_S = 1.0
@@ -105,19 +110,19 @@
 async def _read_parts(
     receive: Receive, limit_bytes: int, admit: Callable[[int], None]
 ) -> bytes:
-    parts = []
-    size = 0
+    # One buffer: parts of a few bytes would cost ten times their size as objects.
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise RequestError(400, "incomplete_body", "The body ended early.")
         part = message.get("body", b"")
-        size += len(part)
+        size = len(body) + len(part)
         check_size(size, limit_bytes)
         admit(size)
-        parts.append(part)
+        body += part
         if not message.get("more_body", False):
-            return b"".join(parts)
+            return bytes(body)
 
 
 async def read_json(
@@ -285,6 +290,7 @@
         loop="asyncio",
         http=protocol,
         ws="none",
+        backlog=ACCEPTS_PER_TURN,
         timeout_graceful_shutdown=1,
         timeout_keep_alive=KEEP_ALIVE_S,
     )
@@ -339,6 +345,9 @@
             if server.should_exit:
                 raise OSError(f"cannot listen on {address}")
             await anyio.sleep(START_POLL_S)
+        for listener in sockets:
+            # The server has set the backlog to the connections of one turn.
+            listener.listen(LISTEN_BACKLOG)
         bound = sockets[0].getsockname()
         try:
             yield f"{bound[0]}:{bound[1]}"
--- a/primrosepier/forwarding/metric_specs.py
+++ b/primrosepier/forwarding/metric_specs.py
@@ -1,6 +1,6 @@
 """Names, units and meanings of an entry router's metrics."""
 
-from ..metric_specs import MetricKind, MetricSpec
+from ..metric_specs import CALLER_SPECS, MetricKind, MetricSpec
 
 __all__ = ["ENTRY_SPECS"]
 
@@ -11,6 +11,7 @@
 )
 
 ENTRY_SPECS = (
+    *CALLER_SPECS,
     MetricSpec(
         "primrosepier_calls_total",
         COUNTER,
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -17,8 +17,8 @@
 from ..log_events import TaskFailed
 from ..logs import Log, close_at_end, make_log
 from ..mirror import MirrorController
-from ..protocol import make_bounded_protocol, set_protocol_bounds
 from ..supervision import RunTask, run_supervised
+from .callers_protocol import apply_limits, make_callers_protocol
 from .components import (
     knows_request_ages,
     make_connected_forwarder,
@@ -30,7 +30,6 @@
     retain_leaving,
     select_replicas,
 )
-from .declarations import Declaration
 from .entry import EntryApp
 from .entry_platform import EntryPlatform
 from .forwarder import Forwarder
@@ -60,13 +59,6 @@
 __all__ = ["EntryRouter", "make_entry_router", "run_entry_router"]
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-# Limits on a request's head and on idle connections where the declaration sets none.
-DEFAULT_HEADER_BYTES = 32 * 1024
-DEFAULT_HEADER_S = 10.0
-DEFAULT_IDLE_S = 30.0
-# Added to the declared idle time-out, so that the router does not close a connection
-# that a caller may still reuse.
-IDLE_MARGIN_S = 1.0
 # Time without a new call after which a stopping router may end early, seconds.
 IDLE_BEFORE_STOP_S = 0.6
 # Time for which the HTTP server waits for calls in progress when it is closed, seconds:
@@ -317,28 +309,15 @@
     return EntryRouter(settings, platform, log, *components)
 
 
-def _apply_limits(
-    protocol: type, read_declaration: Callable[[], Declaration | None]
-) -> None:
-    declaration = read_declaration()
-    if declaration is None:
-        return
-    limits = declaration.limits
-    set_protocol_bounds(
-        protocol,
-        limits.header_bytes or DEFAULT_HEADER_BYTES,
-        limits.header_s or DEFAULT_HEADER_S,
-        (limits.idle_s or DEFAULT_IDLE_S) + IDLE_MARGIN_S,
-    )
-
-
 @contextlib.asynccontextmanager
-async def _open_metrics(router: EntryRouter) -> AsyncIterator[None]:
+async def _open_metrics(router: EntryRouter, protocol: type) -> AsyncIterator[None]:
     """Serve the metrics while the context is open, if the address can be bound."""
     address = router.settings.metrics_address
     async with contextlib.AsyncExitStack() as stack:
         if address:
-            server = open_server(router.metrics, address, lambda: CLOSE_TIMEOUT_S)
+            server = open_server(
+                router.metrics, address, router.compute_grace, protocol
+            )
             try:
                 await stack.enter_async_context(server)
             except (OSError, ExceptionGroup) as error:
@@ -350,9 +329,9 @@
 async def open_entry_router(router: EntryRouter) -> AsyncIterator[EntryRouter]:
     """Run a router while the context is open."""
     settings = router.settings
-    protocol = make_bounded_protocol(DEFAULT_HEADER_BYTES, DEFAULT_HEADER_S)
+    protocol = make_callers_protocol(settings, router.log, router.metrics)
     router.mirror_controller.mirror.listeners.append(
-        lambda mirror: _apply_limits(protocol, router.app.read_declaration)
+        lambda mirror: apply_limits(protocol, router.app.read_declaration)
     )
     host, _, port = settings.peers_address.rpartition(":")
     open_socket = partial(
@@ -362,7 +341,7 @@
         async with (
             await open_socket() as socket,
             anyio.create_task_group() as group,
-            _open_metrics(router),
+            _open_metrics(router, protocol),
         ):
             async with open_server(
                 router.app,
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -45,6 +45,8 @@
         Interval at which a replica renews its registration.
     memory_bytes : float
         Memory that the process may use; infinite for no limit.
+    max_fds : float
+        Descriptors that the process may open; infinite for the system's limit.
     is_first_start : bool
         Whether the whole system starts for the first time.
     """
@@ -70,5 +72,6 @@
     drain_s: float = 2.0
     heartbeat_s: float = 1.2
     memory_bytes: float = math.inf
+    max_fds: float = math.inf
     is_first_start: bool = False
     logs: LogSettings = LogSettings(level="info", sink="stdout")
--- a/primrosepier/log_events.py
+++ b/primrosepier/log_events.py
@@ -15,6 +15,7 @@
     "AttemptEnded",
     "AttemptStarted",
     "ClaimSettled",
+    "ConnectionsLimited",
     "DecisionMade",
     "EngineAnswered",
     "Event",
@@ -408,6 +409,30 @@
         return f"begins a background task anew: {self.errors[-1]}"
 
 
+class ConnectionsLimited(Event, frozen=True):
+    """Connections of callers were closed because of a limit.
+
+    Parameters
+    ----------
+    reason : str
+        The limit.
+    count : int
+        Connections that were closed because of it since the last such event.
+    connections, held_bytes : int
+        Open connections of all callers, and the memory that they hold.
+    """
+
+    part: ClassVar[str] = "callers"
+    reason: str
+    count: int
+    connections: int
+    held_bytes: int
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        return f"closed {self.count} connections: {self.reason}"
+
+
 class MirrorFailed(Event, frozen=True):
     """A change of the store met an unexpected error, and may not be applied in full.
 
@@ -472,6 +497,7 @@
     AttemptEnded
     | AttemptStarted
     | ClaimSettled
+    | ConnectionsLimited
     | DecisionMade
     | EngineAnswered
     | EventsDropped
--- a/primrosepier/metric_specs.py
+++ b/primrosepier/metric_specs.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["SPECS", "MetricKind", "MetricSpec", "Promise", "render_metrics_page"]
+__all__ = [
+    "CALLER_SPECS",
+    "SPECS",
+    "MetricKind",
+    "MetricSpec",
+    "Promise",
+    "render_metrics_page",
+]
 
 
 class MetricKind(Enum):
@@ -50,7 +57,36 @@
     action: str
 
 
+# Metrics of callers' connections, the same for both interfaces.
+CALLER_SPECS = (
+    MetricSpec(
+        "primrosepier_limited_connections_total",
+        MetricKind.COUNTER,
+        "connections",
+        ("reason",),
+        "Callers' connections that were closed because of a limit.",
+        "See operators/abusive-callers.md for each reason.",
+    ),
+    MetricSpec(
+        "primrosepier_caller_connections",
+        MetricKind.GAUGE,
+        "connections",
+        (),
+        "Open connections of callers, at all listening addresses.",
+        "Near half of the descriptors: find who opens them.",
+    ),
+    MetricSpec(
+        "primrosepier_caller_memory_bytes",
+        MetricKind.GAUGE,
+        "bytes",
+        (),
+        "Memory that callers' connections hold, as estimated for the budget.",
+        "Near the memory of the process less 56 MiB: connections are closed.",
+    ),
+)
+
 SPECS = (
+    *CALLER_SPECS,
     MetricSpec(
         "primrosepier_prompt_tokens_total",
         MetricKind.COUNTER,
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -58,6 +58,7 @@
     """What a process may use. One that uses more memory is killed."""
 
     memory_mb: float = math.inf
+    max_fds: float = math.inf
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -141,5 +142,6 @@
         weights_s=bounds.version_ms * MS,
         heartbeat_s=file_settings.heartbeat_ms * MS,
         memory_bytes=file_settings.limits.memory_mb * MIB,
+        max_fds=file_settings.limits.max_fds,
         is_first_start=file_settings.first_start,
     )
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -12,6 +12,7 @@
 from .attempt import AttemptRunner
 from .board import Board, make_board
 from .byte_budget import make_byte_budget
+from .caller_limits import make_caller_budget
 from .callers import CallersApp
 from .claim_writer import StoreClaims, make_store_claims
 from .clocks import Clock
@@ -257,7 +258,10 @@
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
     limits = settings.limits
-    protocol = make_bounded_protocol(limits.header_bytes, limits.header_s)
+    memory_bytes = limits.memory_bytes or math.inf
+    budget = make_caller_budget(memory_bytes, notify=router.app.log.emit)
+    router.app.metrics.register_callback(budget.set_gauges)
+    protocol = make_bounded_protocol(limits.header_bytes, limits.header_s, budget)
     with close_at_end(router.app.log):
         async with anyio.create_task_group() as group:
 
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -10,7 +10,10 @@
 __all__ = ["TcpBackend", "TcpStream"]
 
 HEAD_END = b"\r\n\r\n"
-HIGH_WATER_BYTES = 256 * 1024
+# Received bytes beyond which a connection is not read further, and bytes that are read
+# at once: a caller that does not read its stream makes the process hold both.
+HIGH_WATER_BYTES = 64 * 1024
+READ_BYTES = 64 * 1024
 # Bytes that are written at once: asyncio copies what it can't send at once.
 WRITE_BYTES = 64 * 1024
 # Limit on all heads before a response's body: httpcore limits each, but not how many
@@ -26,10 +29,17 @@
 USER_TIMEOUT_MS = 1000
 
 
-class _ReceiveBuffer(asyncio.Protocol):
-    """Protocol that buffers received bytes until they are read."""
+class _ReceiveBuffer(asyncio.BufferedProtocol):
+    """Protocol that buffers received bytes until they are read.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    read_buffer : memoryview
+        Shared by connections: it is copied before the event loop reads the next one.
+    """
+
+    def __init__(self, read_buffer: memoryview) -> None:
+        self.read_buffer = read_buffer
         self.transport: asyncio.Transport | None = None
         self.loop = asyncio.get_running_loop()
         self.received = bytearray()
@@ -53,8 +63,11 @@
             self.error = error
             transport.abort()
 
-    def data_received(self, data: bytes) -> None:
-        self.received += data
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.received += self.read_buffer[:nbytes]
         self.received_at_s = self.loop.time()
         if len(self.received) > HIGH_WATER_BYTES and self.transport is not None:
             self.transport.pause_reading()
@@ -279,6 +292,7 @@
 
     def __init__(self, splits_heads: bool = False):
         self.splits_heads = splits_heads
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
 
     async def connect_tcp(
         self,
@@ -298,7 +312,9 @@
             It is refused, or the peer has closed it at once.
         """
         loop = asyncio.get_running_loop()
-        connecting = loop.create_connection(_ReceiveBuffer, host, port)
+        connecting = loop.create_connection(
+            lambda: _ReceiveBuffer(self.read_buffer), host, port
+        )
         try:
             _, buffer = await asyncio.wait_for(connecting, timeout)
         except TimeoutError as cause:
--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -256,6 +256,7 @@
     "CallRepeated": "request attempt endpoint outcome reason",
     "CallWithdrawn": "request attempt endpoint wait_s weights_lag_s",
     "ClaimSettled": "request workspace result duration_s",
+    "ConnectionsLimited": "reason count connections held_bytes",
     "ContactChanged": "in_touch reason",
     "DecisionMade": (
         "request workspace service attempt endpoint prefix_blocks anchor_level "
