--- a/primrosepier/caller_limits.py
+++ b/primrosepier/caller_limits.py
@@ -204,7 +204,7 @@
 
     Each may have a call, which needs a connection to a replica.
     """
-    return max(LEAST_CONNECTIONS, (max_fds - RESERVED_FDS) // FDS_PER_CONNECTION)
+    return max(LEAST_CONNECTIONS, (max_fds - RESERVED_FDS) / FDS_PER_CONNECTION)
 
 
 def make_caller_budget(
--- a/primrosepier/logs.py
+++ b/primrosepier/logs.py
@@ -47,6 +47,8 @@
 TRACE_HEADER = "x-trace"
 TRACE_PATTERN = re.compile(r"[0-9a-f-]{36}@(?:/[0-9]{1,6}){1,12}")
 MAX_QUEUED_EVENTS = 20_000
+# Characters of callers' request ids in queued lines: ids may be as long as a head.
+MAX_QUEUED_ID_CHARACTERS = 4 * 1024 * 1024
 MAX_BATCH_LINES = 500
 FLUSH_INTERVAL_S = 0.05
 JOIN_TIMEOUT_S = 2.0
@@ -75,6 +77,9 @@
     owns_stream: bool
     queue: deque[dict[str, Any]] = field(default_factory=deque)
     lost_lines: int = 0
+    # Characters of ids; each counter is changed by one thread.
+    queued_characters: int = 0
+    written_characters: int = 0
     stopping: threading.Event = field(default_factory=threading.Event)
     has_lines: threading.Event = field(default_factory=threading.Event)
     thread: threading.Thread = field(init=False)
@@ -85,8 +90,10 @@
 
     def add(self, line: dict[str, Any]) -> bool:
         """Queue a line; return False if the queue is full."""
-        if len(self.queue) >= MAX_QUEUED_EVENTS:
+        waiting = self.queued_characters - self.written_characters
+        if len(self.queue) >= MAX_QUEUED_EVENTS or waiting > MAX_QUEUED_ID_CHARACTERS:
             return False
+        self.queued_characters += _count_characters(line)
         self.queue.append(line)
         if not self.has_lines.is_set():
             self.has_lines.set()
@@ -101,7 +108,11 @@
     def _drain(self) -> None:
         while self.queue:
             count = min(len(self.queue), MAX_BATCH_LINES)
-            lines = [_encode_line(self.queue.popleft()) for _ in range(count)]
+            taken = [self.queue.popleft() for _ in range(count)]
+            characters = sum(map(_count_characters, taken))
+            lines = [_encode_line(line) for line in taken]
+            del taken
+            self.written_characters += characters
             try:
                 self.stream.write(b"".join(lines))
                 self.stream.flush()
@@ -118,6 +129,11 @@
                 self.stream.close()
 
 
+def _count_characters(line: dict[str, Any]) -> int:
+    """Return the length of the request's id in a line."""
+    return len(getattr(line.get(EVENT_FIELD), "request", ""))
+
+
 def _encode_line(line: dict[str, Any]) -> bytes:
     event = line.pop(EVENT_FIELD, None)
     if event is not None:
