Count only rejections for lack of capacity when calls wait for full engines

Any refusal, as while weights are loaded, made calls wait for the replica's backoff, and brittle replicas, whose permits tell when they have room, stayed idle meanwhile.

--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -389,7 +389,7 @@
             wait_s, _ = self.notices.find_first_return(selected)
             wait_s = max(wait_s, outcome.retry_after_s)
             if delivery.rejections:
-                wait_s = max(wait_s, self.permitted.compute_return_s(selected))
+                wait_s = self.permitted.compute_return_s(selected, wait_s)
             outcome = replace(outcome, retry_after_s=wait_s)
         if error_response is not None and not delivery.status:
             return await self._finish_with_error(error_response, outcome, delivery)
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -85,6 +85,12 @@
     ----------
     room : ReplicaRoom
         Permits for long prompts.
+
+    Attributes
+    ----------
+    full_until_s : dict of EndpointId to float
+        Time until which a replica that rejected a call for lack of capacity gets no
+        other, seconds.
     """
 
     chooser: ReplicaChooser
@@ -93,6 +99,7 @@
     log: Log
     clock: Clock
     rng: random.Random
+    full_until_s: dict[EndpointId, float] = field(default_factory=dict)
 
     async def choose(
         self,
@@ -113,12 +120,15 @@
             chosen = None
             if len(refused) < MAX_ASKED:
                 chosen = self._choose(call, tried | asked, list_candidates)
-            if chosen is not None and not self._is_ready(chosen):
-                if not await self._wait_until_ready(
+            if chosen is not None and self._is_full(chosen):
+                if refused:
+                    chosen = None
+                elif not await self._wait_until_ready(
                     call, tried | asked, delivery, list_candidates
                 ):
                     return None
-                continue
+                else:
+                    continue
             if chosen is not None:
                 asked.add(chosen.choice.replica.id)
                 demand = self.room.find_demand(call, chosen.choice)
@@ -149,16 +159,10 @@
         choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
         return None if choice is None else PermittedChoice(choice, len(replicas))
 
-    def _is_ready(self, chosen: PermittedChoice) -> bool:
-        """Return whether a replica has not just rejected a call for lack of capacity.
-
-        The replicas of services without an engine count as ready.
-        """
-        replica, loads = chosen.choice.replica, self.chooser.loads
-        load = loads.get_or_create(replica.id)
-        if not load.refusals or load.avoid_until_s <= self.clock():
-            return True
-        return self.room.bounds.get(replica.service) is None
+    def _is_full(self, chosen: PermittedChoice) -> bool:
+        """Return whether a replica has just rejected a call for lack of capacity."""
+        until_s = self.full_until_s.get(chosen.choice.replica.id, -math.inf)
+        return until_s > self.clock()
 
     async def _wait_until_ready(
         self,
@@ -192,24 +196,36 @@
     def record_rejection(
         self, replica: Replica, delivery: Delivery, now_s: float
     ) -> None:
-        """Avoid a replica that rejected a call until its queue is drained."""
+        """Avoid a replica that rejected a call until its queue is drained.
+
+        Does nothing for services without an engine, and for brittle replicas, whose
+        permits count the calls that they have.
+        """
         loads = self.chooser.loads
         tokens = loads.count_pending_tokens(replica.id, now_s)
         drain_s = self.room.compute_drain_s(replica, tokens)
-        if drain_s is None:
+        windows = self.notices.permits.windows
+        if drain_s is None or windows.get_brittleness(replica.id) is not None:
             return
         delivery.rejections += 1
         load = loads.get_or_create(replica.id)
         until_s = now_s + min(MAX_DRAIN_S, drain_s)
         load.avoid_until_s = max(load.avoid_until_s, until_s)
+        self.full_until_s = {
+            endpoint: full_until_s
+            for endpoint, full_until_s in self.full_until_s.items()
+            if full_until_s > now_s
+        }
+        self.full_until_s[replica.id] = load.avoid_until_s
 
     def may_retry_rejected(self, delivery: Delivery) -> bool:
         """Return whether a call that replicas rejected may go to another one."""
         return delivery.rejections < MAX_REJECTIONS
 
-    def compute_return_s(self, replicas: Sequence[Replica]) -> float:
+    def compute_return_s(self, replicas: Sequence[Replica], least_s: float) -> float:
         """Return when a caller whose call was rejected may return, seconds."""
-        return spread_return(self._compute_ready_s(replicas), self.rng)
+        wait_s = max(least_s, self._compute_ready_s(replicas))
+        return spread_return(wait_s, self.rng)
 
     async def _may_send(
         self, call: Call, chosen: PermittedChoice, delivery: Delivery
--- a/tests/test_entry_room.py
+++ b/tests/test_entry_room.py
@@ -49,3 +49,37 @@
             assert [room.granter.count() for room in rooms] == [(0, 0)] * 2
 
     run_entry(check)
+
+
+def test_a_call_is_not_sent_to_one_full_replica_after_the_other():
+    """Guards against calls that four full replicas reject in turn."""
+
+    async def check(fleet):
+        for replica in fleet.replicas.values():
+            replica.faults.refuse = True
+        reply = await fleet.send("/stream/notes/1", limit_ms=2000, **LONG)
+        assert reply.status == 503
+        assert 0 < float(reply.headers["retry-after"]) <= 0.6
+        assert fleet.count_arrivals() == 2
+
+    run_entry(check, names=("w1", "w2", "w3", "w4"), repeat_ratio=1.0)
+
+
+def test_a_call_that_finds_all_replicas_full_waits_for_the_first_with_room():
+    """Guards against rejections although a replica has room before the deadline."""
+
+    async def check(fleet):
+        forwarder = fleet.routers[0].app.forwarder
+        full_until_s = forwarder.clock() + 0.6
+        for name in fleet.replicas:
+            load = forwarder.loads.get_or_create(name)
+            load.avoid_until_s = forwarder.permitted.full_until_s[name] = full_until_s
+        reply = await fleet.send("/stream/notes/1", attempt="b1", limit_ms=100, **LONG)
+        assert reply.status == 503
+        assert fleet.count_arrivals() == 0
+        reply = await fleet.send("/stream/notes/1", attempt="b2", **LONG)
+        assert reply.status == 200
+        assert forwarder.clock() >= full_until_s
+        assert fleet.count_arrivals() == 1
+
+    run_entry(check, names=("w1", "w2"), repeat_ratio=1.0)
