Weigh figures by their age, and compare lasting speeds within a service

Two decaying means needed five time constants. One mean of all figures, with weights that fall with age beside the lasting mean, needs two. The lasting mean starts from the usual speed for about one wave, and weights of homes follow only differences between the replicas of a service: a load that all shared moved homes.

--- a/primrosepier/forwarding/replica_choice.py
+++ b/primrosepier/forwarding/replica_choice.py
@@ -287,7 +287,8 @@
         outdated: frozenset[EndpointId],
         now_s: float,
     ) -> Choice:
-        self.homes.update(self.loads.speeds, now_s)
+        endpoints = [replica.id for replica in replicas]
+        self.homes.update(replicas[0].service, endpoints, self.loads.speeds, now_s)
         shared = list_shared_parts(call.parts)
         prefixes = list_prefixes(scope, shared)
         candidates = [
--- a/primrosepier/forwarding/speeds/homes.py
+++ b/primrosepier/forwarding/speeds/homes.py
@@ -1,13 +1,14 @@
 """Preferred replicas of prefixes, weighted by the lasting speed of the replicas."""
 
 import math
+import statistics
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
 
 from ...hash_ring import HASH_RANGE, mix_hash
-from ...ids import EndpointId
+from ...ids import EndpointId, ServiceId
 from .slowness import SpeedTable
 
 __all__ = ["HomeWeights", "rank_homes"]
@@ -34,27 +35,38 @@
         Exponents of the weights that are not 1; greater ones are slower.
     changes : int
         Number of weights that have changed.
+    updated_at_s : dict of ServiceId to float
+        Times at which the weights of the services' replicas might change, seconds.
     """
 
     steps: dict[EndpointId, int] = field(default_factory=dict)
     changes: int = 0
-    updated_at_s: float = -math.inf
-
-    def update(self, speeds: SpeedTable, now_s: float) -> None:
-        """Adapt the weights to the lasting slowness, if they may change again."""
-        if now_s < self.updated_at_s + UPDATE_INTERVAL_S:
+    updated_at_s: dict[ServiceId, float] = field(default_factory=dict)
+
+    def update(
+        self,
+        service: ServiceId,
+        endpoints: Sequence[EndpointId],
+        speeds: SpeedTable,
+        now_s: float,
+    ) -> None:
+        """Adapt the weights of a service's replicas, if they may change again.
+
+        Only differences between them count: a load that all of them share moves none.
+        """
+        if now_s < self.updated_at_s.get(service, -math.inf) + UPDATE_INTERVAL_S:
             return
-        self.updated_at_s = now_s
-        steps = {}
-        for endpoint in speeds.list_endpoints():
-            step = self._choose_step(
-                self.steps.get(endpoint, 0), speeds.get_lasting_slowness(endpoint)
-            )
-            if step:
-                steps[endpoint] = step
-        changed = self.steps.items() ^ steps.items()
-        self.changes += len({endpoint for endpoint, _ in changed})
-        self.steps = steps
+        self.updated_at_s[service] = now_s
+        slowness = {x: speeds.get_lasting_slowness(x) for x in endpoints}
+        median = statistics.median(slowness.values())
+        known = speeds.list_known()
+        steps = {x: step for x, step in self.steps.items() if x in known}
+        for endpoint in endpoints:
+            current = self.steps.get(endpoint, 0)
+            step = self._choose_step(current, slowness[endpoint] / median)
+            self.changes += step != current
+            steps[endpoint] = step
+        self.steps = {endpoint: step for endpoint, step in steps.items() if step}
 
     def _choose_step(self, current: int, slowness: float) -> int:
         exact = math.log(slowness) / math.log(STEP_FACTOR)
--- a/primrosepier/forwarding/speeds/slowness.py
+++ b/primrosepier/forwarding/speeds/slowness.py
@@ -17,85 +17,85 @@
 USUAL = 1.0
 # Figures above this are taken for errors.
 MAX_SLOWNESS = 100.0
-# Bounds of a figure, as multiples of the mean of recent figures: one that lasts less
-# than a prefill must not exclude a replica, nor attract the calls of all routers. A
-# trial within these bounds reduced late long prompts from 1,145 to 973 (harvest).
+# Bounds of a figure, as multiples of the estimate before it: one that lasts less than a
+# prefill must not exclude a replica, nor attract the calls of all routers. A trial
+# within these bounds reduced late long prompts from 1,145 to 973 (harvest).
 MIN_FIGURE_FACTOR = 0.5
 MAX_FIGURE_FACTOR = 3.0
 # Bounds of an estimate. A replica that is slower still gets too few calls to tell.
 MIN_ESTIMATE = 0.25
 MAX_ESTIMATE = 10.0
-# Time constants of the means, seconds. The recent mean has to follow loads that come
-# and go within ten seconds; the lasting one has to average over several of them.
-RECENT_S = 1.5
+# Time constant of the weights of figures, seconds: figures change many times a second,
+# and the load behind them within a few seconds.
+RECENT_S = 0.7
+# Weight of the lasting mean beside the figures, of which a current one has the weight
+# 1: without others, a figure counts half when it is two seconds old.
+LASTING_WEIGHT = 0.05
+# Time constant of the lasting mean, seconds, which has to average over several periods
+# of a load that comes in waves.
 LASTING_S = 60.0
-# Half-lives of the differences between the last figure, the recent mean, the lasting
-# mean and the usual slowness, seconds.
-FIGURE_HALF_LIFE_S = 0.5
-RECENT_HALF_LIFE_S = 3.0
+# Time for which a replica counts as usual before its lasting mean, seconds: about one
+# period of such a load, so that a part of it does not move homes.
+LASTING_PRIOR_S = 10.0
+# Longest time that one figure stands for, seconds.
+MAX_ELAPSED_S = 10.0
+# Half-life of the lasting mean of a replica without figures, seconds.
 LASTING_HALF_LIFE_S = 60.0
 
 
 @dataclass(slots=True)
 class ReplicaSpeed:
-    """Slowness of one replica.
+    """Reported slowness of one replica.
 
     Parameters
     ----------
     figure : float
-        The last reported slowness, within its bounds.
-    recent, lasting : float
-        Means over seconds and over many seconds.
-    count : int
-        Number of reports.
+        The last figure, within its bounds.
+    lasting : float
+        Mean over many seconds.
     recorded_at_s : float
-        Time of the last report, seconds.
+        Time of the last update, seconds.
+    known_s : float
+        Time for which there have been figures, seconds.
+    total, weight : float
+        Weighted sum of the figures, and the sum of their weights, at the last update.
     """
 
     figure: float = USUAL
-    recent: float = USUAL
     lasting: float = USUAL
-    count: int = 0
     recorded_at_s: float = -math.inf
+    known_s: float = 0.0
+    total: float = 0.0
+    weight: float = 0.0
 
     def record(self, figure: float, now_s: float) -> None:
         """Record a reported slowness."""
-        elapsed_s = max(0.0, now_s - self.recorded_at_s)
-        self.count += 1
-        lowest, highest = (
-            MIN_FIGURE_FACTOR * self.recent,
-            MAX_FIGURE_FACTOR * self.recent,
-        )
-        self.figure = figure = min(max(figure, lowest), highest)
-        self.recent += self._compute_weight(elapsed_s, RECENT_S) * (
-            figure - self.recent
-        )
-        self.lasting += self._compute_weight(elapsed_s, LASTING_S) * (
-            figure - self.lasting
-        )
-        self.recorded_at_s = now_s
-
-    def _compute_weight(self, elapsed_s: float, mean_s: float) -> float:
-        """Return the weight of a new figure in a mean.
-
-        It depends on the time that the figure stands for. The first figures count
-        equally, together with the usual slowness.
-        """
-        initial_weight = 1.0 / (self.count + 1)
-        if not math.isfinite(elapsed_s):
-            return initial_weight
-        return max(initial_weight, 1.0 - math.exp(-elapsed_s / mean_s))
+        estimate = self.estimate(now_s)
+        highest = MAX_FIGURE_FACTOR * estimate
+        self.figure = min(max(figure, MIN_FIGURE_FACTOR * estimate), highest)
+        decay = self._compute_decay(now_s)
+        self.total = decay * self.total + self.figure
+        self.weight = decay * self.weight + 1.0
+        if math.isfinite(self.recorded_at_s):
+            elapsed_s = min(max(0.0, now_s - self.recorded_at_s), MAX_ELAPSED_S)
+            share = elapsed_s / (LASTING_PRIOR_S + min(self.known_s, LASTING_S))
+            self.lasting += min(1.0, share) * (self.figure - self.lasting)
+            self.known_s += elapsed_s
+        self.recorded_at_s = max(now_s, self.recorded_at_s)
+
+    def _compute_decay(self, now_s: float) -> float:
+        return math.exp(-max(0.0, now_s - self.recorded_at_s) / RECENT_S)
 
     def estimate(self, now_s: float) -> float:
-        """Return the estimated slowness, in which older figures count less."""
+        """Return the mean of the figures, in which older ones count less."""
+        if not self.weight:
+            return USUAL
         age_s = max(0.0, now_s - self.recorded_at_s)
-        estimate = (
-            USUAL
-            + (self.lasting - USUAL) * 0.5 ** (age_s / LASTING_HALF_LIFE_S)
-            + (self.recent - self.lasting) * 0.5 ** (age_s / RECENT_HALF_LIFE_S)
-            + (self.figure - self.recent) * 0.5 ** (age_s / FIGURE_HALF_LIFE_S)
-        )
-        return _limit(estimate)
+        remaining = 0.5 ** (age_s / LASTING_HALF_LIFE_S)
+        lasting = USUAL + remaining * (self.lasting - USUAL)
+        decay = self._compute_decay(now_s)
+        total = decay * self.total + LASTING_WEIGHT * lasting
+        return _limit(total / (decay * self.weight + LASTING_WEIGHT))
 
 
 @dataclass(slots=True)
@@ -115,14 +115,15 @@
     ) -> None:
         """Record the slowness in a response; None if it states none that is valid."""
         if figure is not None and 0 < figure <= MAX_SLOWNESS:
-            self.speeds.setdefault(endpoint, ReplicaSpeed()).record(figure, now_s)
+            speed = self.speeds.setdefault(endpoint, ReplicaSpeed())
+            speed.record(figure, now_s)
 
     def record_wait(
         self, endpoint: EndpointId, tokens: float, wait_s: float, now_s: float
     ) -> None:
         """Record how long a replica took to compute prompts, seconds."""
         speed = self.speeds.get(endpoint)
-        reported = USUAL if speed is None else speed.recent
+        reported = USUAL if speed is None else speed.estimate(now_s)
         self.observed.record(endpoint, tokens, wait_s / reported, now_s)
 
     def get_slowness(self, endpoint: EndpointId, now_s: float) -> float:
@@ -137,7 +138,7 @@
         reported = USUAL if speed is None else speed.lasting
         return _limit(reported * self.observed.get_ratio(endpoint))
 
-    def list_endpoints(self) -> set[EndpointId]:
+    def list_known(self) -> set[EndpointId]:
         """Return the replicas that may differ from the usual slowness."""
         return self.speeds.keys() | self.observed.ratios.keys()
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -160,7 +160,7 @@
 def test_slow_replica_is_found_whether_it_reports_so_or_not(reported):
     """Guards against replicas that report false figures, or none."""
     table = SpeedTable()
-    now_s = record_waits(table, "r4", reported)
+    now_s = record_waits(table, "r4", reported, count=80)
     assert 2.5 < table.get_slowness("r4", now_s) < 6.0
     assert 2.5 < table.get_lasting_slowness("r4") < 6.0
     assert table.get_slowness("r5", now_s) == 1.0
@@ -172,9 +172,11 @@
     assert 0.6 < table.get_slowness("r4", now_s) < 1.6
 
 
+HOMES = [f"r{number}" for number in range(24)]
+
+
 def find_homes(weights):
-    ids = [f"r{number}" for number in range(24)]
-    return [rank_homes(key * 7919, ids, weights)[0] for key in range(4000)]
+    return [rank_homes(key * 7919, HOMES, weights)[0] for key in range(4000)]
 
 
 def test_homes_follow_lasting_speed_and_few_prefixes_move():
@@ -183,7 +185,7 @@
     before = find_homes(weights)
     for step in range(400):
         table.record_figure("r3", 2.0, step * 0.5)
-    weights.update(table, 200.0)
+    weights.update("writers", HOMES, table, 200.0)
     after = find_homes(weights)
     moved = [b for b, a in zip(before, after, strict=True) if b != a]
     assert set(moved) == {3}
@@ -204,7 +206,7 @@
         wave = 0.5 * math.sin(2 * math.pi * (now_s / 13 + (index % 3) / 3))
         figure = (1.3 + wave) * rng.lognormvariate(0, 0.3)
         table.record_figure(f"r{index}", figure, now_s)
-        weights.update(table, now_s)
+        weights.update("writers", HOMES, table, now_s)
         if step % 40 == 0:
             previous, homes = homes, find_homes(weights)
             moved += sum(b != a for b, a in zip(previous, homes, strict=True))
