Keep the estimate of slowness steady while figures alternate, and show it

With 24 replicas that report every 3 s, figures that alternate gave the busiest replica 1.28 times the mean work. The mean beside the last figures now covers 10 s and weighs more; the mean for homes starts slower. Gauges show the estimated and reported slowness, a counter the changes of home weights.

--- a/primrosepier/forwarding/gauges.py
+++ b/primrosepier/forwarding/gauges.py
@@ -3,6 +3,7 @@
 from ..leases import Duty
 from ..metric_table import MetricTable
 from .entry import EntryApp
+from .speeds import set_speed_gauges
 from .store_view import StoreView
 
 __all__ = ["set_gauges"]
@@ -34,5 +35,7 @@
     versions = app.forwarder.origins.versions
     for service, seen_at_s in versions.seen_at_s.items():
         table.set("primrosepier_software_versions", len(seen_at_s), service=service)
+    chooser = app.forwarder.chooser
+    set_speed_gauges(table, chooser.loads.speeds, chooser.homes, app.clock())
     for service, replicas in store_view.replicas.value.by_service.items():
         table.set("primrosepier_replicas", len(replicas), service=service)
--- a/primrosepier/forwarding/speeds/homes.py
+++ b/primrosepier/forwarding/speeds/homes.py
@@ -19,7 +19,7 @@
 MIN_STEP, MAX_STEP = -2, 4
 # A weight is kept until the lasting slowness is this many steps away from it; half a
 # step would let weights alternate.
-HYSTERESIS_STEPS = 0.75
+HYSTERESIS_STEPS = 0.85
 # Interval at which weights may change, seconds: a prefix whose home moves is computed
 # or fetched again, so it has to be used for some time before it may move once more.
 UPDATE_INTERVAL_S = 5.0
--- a/primrosepier/forwarding/speeds/slowness.py
+++ b/primrosepier/forwarding/speeds/slowness.py
@@ -28,19 +28,23 @@
 # Time constant of the weights of figures, seconds: figures change many times a second,
 # and the load behind them within a few seconds.
 RECENT_S = 0.7
-# Weight of the lasting mean beside the figures, of which a current one has the weight
-# 1: without others, a figure counts half when it is two seconds old.
-LASTING_WEIGHT = 0.05
+# Weight of the mean beside the figures, of which a current one has the weight 1:
+# without others, a figure counts half when it is 0.6 s old.
+MEAN_WEIGHT = 0.4
+# Time constant of the mean, and time for which a replica counts as usual before it,
+# seconds.
+MEAN_S = 10.0
+MEAN_PRIOR_S = 1.0
 # Time constant of the lasting mean, seconds, which has to average over several periods
 # of a load that comes in waves.
 LASTING_S = 60.0
-# Time for which a replica counts as usual before its lasting mean, seconds: about one
+# Time for which a replica counts as usual before its lasting mean, seconds: over one
 # period of such a load, so that a part of it does not move homes.
-LASTING_PRIOR_S = 10.0
+LASTING_PRIOR_S = 30.0
 # Longest time that one figure stands for, seconds.
 MAX_ELAPSED_S = 10.0
-# Half-life of the lasting mean of a replica without figures, seconds.
-LASTING_HALF_LIFE_S = 60.0
+# Half-life of the mean of a replica without figures, seconds.
+MEAN_HALF_LIFE_S = 60.0
 
 
 @dataclass(slots=True)
@@ -51,8 +55,8 @@
     ----------
     figure : float
         The last figure, within its bounds.
-    lasting : float
-        Mean over many seconds.
+    mean, lasting : float
+        Means over seconds, and over many seconds.
     recorded_at_s : float
         Time of the last update, seconds.
     known_s : float
@@ -62,6 +66,7 @@
     """
 
     figure: float = USUAL
+    mean: float = USUAL
     lasting: float = USUAL
     recorded_at_s: float = -math.inf
     known_s: float = 0.0
@@ -78,11 +83,19 @@
         self.weight = decay * self.weight + 1.0
         if math.isfinite(self.recorded_at_s):
             elapsed_s = min(max(0.0, now_s - self.recorded_at_s), MAX_ELAPSED_S)
-            share = elapsed_s / (LASTING_PRIOR_S + min(self.known_s, LASTING_S))
-            self.lasting += min(1.0, share) * (self.figure - self.lasting)
+            self.mean += self._compute_share(elapsed_s, MEAN_PRIOR_S, MEAN_S) * (
+                self.figure - self.mean
+            )
+            self.lasting += self._compute_share(
+                elapsed_s, LASTING_PRIOR_S, LASTING_S
+            ) * (self.figure - self.lasting)
             self.known_s += elapsed_s
         self.recorded_at_s = max(now_s, self.recorded_at_s)
 
+    def _compute_share(self, elapsed_s: float, prior_s: float, mean_s: float) -> float:
+        """Return the weight of a figure in a mean that begins with the usual speed."""
+        return min(1.0, elapsed_s / (prior_s + min(self.known_s, mean_s)))
+
     def _compute_decay(self, now_s: float) -> float:
         return math.exp(-max(0.0, now_s - self.recorded_at_s) / RECENT_S)
 
@@ -91,11 +104,10 @@
         if not self.weight:
             return USUAL
         age_s = max(0.0, now_s - self.recorded_at_s)
-        remaining = 0.5 ** (age_s / LASTING_HALF_LIFE_S)
-        lasting = USUAL + remaining * (self.lasting - USUAL)
+        mean = USUAL + 0.5 ** (age_s / MEAN_HALF_LIFE_S) * (self.mean - USUAL)
         decay = self._compute_decay(now_s)
-        total = decay * self.total + LASTING_WEIGHT * lasting
-        return _limit(total / (decay * self.weight + LASTING_WEIGHT))
+        total = decay * self.total + MEAN_WEIGHT * mean
+        return _limit(total / (decay * self.weight + MEAN_WEIGHT))
 
 
 @dataclass(slots=True)
