--- a/primrosepier/forwarding/speeds/slowness.py
+++ b/primrosepier/forwarding/speeds/slowness.py
@@ -1,8 +1,8 @@
 """Slowness of replicas: how long work takes there, as a multiple of the usual time.
 
 Replicas that share their machines with other workloads report their slowness in
-responses. It has parts that change at different rates: one that changes many times a
-second, one that follows the load of the machine over seconds, and one that lasts.
+responses. It changes many times a second, follows the load of the machine over seconds,
+and has a part that lasts.
 """
 
 import math
@@ -54,7 +54,7 @@
     Parameters
     ----------
     figure : float
-        The last figure, within its bounds.
+        The last figure, as reported.
     mean, lasting : float
         Means over seconds, and over many seconds.
     recorded_at_s : float
@@ -76,19 +76,20 @@
     def record(self, figure: float, now_s: float) -> None:
         """Record a reported slowness."""
         estimate = self.estimate(now_s)
+        self.figure = figure
         highest = MAX_FIGURE_FACTOR * estimate
-        self.figure = min(max(figure, MIN_FIGURE_FACTOR * estimate), highest)
+        figure = min(max(figure, MIN_FIGURE_FACTOR * estimate), highest)
         decay = self._compute_decay(now_s)
-        self.total = decay * self.total + self.figure
+        self.total = decay * self.total + figure
         self.weight = decay * self.weight + 1.0
         if math.isfinite(self.recorded_at_s):
             elapsed_s = min(max(0.0, now_s - self.recorded_at_s), MAX_ELAPSED_S)
             self.mean += self._compute_share(elapsed_s, MEAN_PRIOR_S, MEAN_S) * (
-                self.figure - self.mean
+                figure - self.mean
             )
             self.lasting += self._compute_share(
                 elapsed_s, LASTING_PRIOR_S, LASTING_S
-            ) * (self.figure - self.lasting)
+            ) * (figure - self.lasting)
             self.known_s += elapsed_s
         self.recorded_at_s = max(now_s, self.recorded_at_s)
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -106,6 +106,11 @@
     assert speeds.get_slowness("r0", 0.0) > 1.0
     chooser.loads.record_unreachable("r0", 0.0)
     assert speeds.get_slowness("r0", 0.0) == 1.0
+    for weights, slowness in ((1, 3.0), (2, None)):
+        load = ReportedLoad(0, 0, 4, slowness)
+        head = ResponseHead(200, (), load=load, weights=weights)
+        chooser.loads.record_response("r0", head, 0.0)
+    assert speeds.get_slowness("r0", 0.0) == 1.0
     record_slowness(chooser, "r0", 3.0)
     chooser.loads.retain([])
     assert not speeds.speeds
