--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -13,6 +13,7 @@
 from entry_fleet import run_entry
 from forwarding_samples import DOMAINS
 from ports import find_free_port
+from test_cut_routers import Links, cut_links
 
 from primrosepier.errors import MessageError
 from primrosepier.forwarding.cuts import CutDetector
@@ -339,3 +340,50 @@
             await fleet.wait_until(lambda: lost in second_events, 2.0)
 
     run_entry(check)
+
+
+@pytest.mark.sockets
+def test_calls_of_a_real_router_leave_a_replica_that_lost_power():
+    """Guards against waiting calls that end only when the kernel gives up, after 3 s.
+
+    Two routers; only the first one sends further calls to the lost replica.
+    """
+
+    async def check(fleet):
+        async with fleet.open_router("front-2") as second:
+            routers = (fleet.routers[0], second)
+            directories = [x.peers.directory for x in routers]
+            await fleet.wait_until(lambda: all(x.peers for x in directories))
+            await fleet.wait_until(lambda: second.store_view.declaration.value)
+            lost = fleet.replicas["app1"]
+            lost.faults.delay_s = 30.0
+            backends = [cut_links(fleet, router) for router in routers]
+            for backend in backends:
+                backend.addresses = {fleet.addresses["app1"]}
+            statuses, ended_at_s = [], []
+
+            async def send(number, router):
+                reply = await fleet.send(
+                    f"/lookup/{number}",
+                    router=router,
+                    attempt=f"a{number}",
+                    limit_ms=6000,
+                )
+                statuses.append(reply.status)
+                ended_at_s.append(anyio.current_time())
+
+            async with anyio.create_task_group() as group:
+                for number in range(8):
+                    group.start_soon(send, number, routers[number % 2])
+                await fleet.wait_until(lambda: len(fleet.list_runs()) == 8)
+                assert lost.runs
+                await anyio.sleep(0.5)
+                cut_at_s = anyio.current_time()
+                for backend in backends:
+                    backend.begin(Links.HANG)
+                for number in range(8, 16):
+                    group.start_soon(send, number, routers[0])
+            assert statuses == [200] * 16
+            assert max(ended_at_s) < cut_at_s + 2.5
+
+    run_entry(check, repeat_ratio=2.0)
