Divide replicas between short and long prompts under contention

Engines compute prompts in the order of arrival, so that with more long prompts than the replicas compute all short ones were late as well. Routers report the demand; beyond it, short prompts get replicas of their own, and long ones wait in their routers. Rates of replicas are medians: the upper quartile counted prompts that were cached unnoticed.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -298,7 +298,9 @@
 
 def _listen(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # With the protocol named, asyncio sets TCP_NODELAY on accepted connections. Without
+    # it, a body written after its head waits for the caller's delayed acknowledgement.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, int(port)))
--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -10,7 +10,7 @@
 from ..clocks import Clock
 from ..endpoint_limits import EndpointLimits
 from ..errors import describe_errors
-from ..ids import EndpointId, Fingerprint, HostId, ModelId
+from ..ids import EndpointId, Fingerprint, HostId, ModelId, ServiceId
 from ..lease_holder import LeaseHolder
 from ..leases import Duty
 from ..log_events import MirrorFailed
@@ -19,6 +19,7 @@
 from ..supervision import RunTask
 from .calls import Call
 from .cuts import CutDetector, LinksMessage
+from .declarations import Declaration
 from .entry import EntryApp
 from .entry_platform import EntryPlatform
 from .fleet import Replica
@@ -39,8 +40,11 @@
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
 from .room.bounds import DeclaredBounds
+from .room.demand import PromptDemand
+from .room.division import ReplicaDivision
 from .room.exchange import ReplicaRoom
 from .room.messages import PrefillMessage
+from .room.records import ReplicasDivided
 from .settings import EntrySettings
 from .speeds import ObservedSpeeds, SpeedTable
 from .start_forecasts import StartForecasts
@@ -137,7 +141,8 @@
     forwarder.notices.permits.send = forwarder.origins.send = peers.send_message
     forwarder.links.send = peers.send_message
     forwarder.losses.request_report = peers.request_report
-    peers.sections = (*peers.sections, forwarder.losses)
+    demand = forwarder.permitted.division.demand
+    peers.sections = (*peers.sections, forwarder.losses, demand)
     weights_controller.notify = peers.request_report
     bounds = QuotaBounds(
         settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
@@ -226,6 +231,32 @@
     rng = random.Random(settings.host)
     # Only replicas of the same service compute the same prompts in the same time.
     speeds = SpeedTable(observed=ObservedSpeeds(store_view.find_service))
+
+    def read_engines() -> Declaration | None:
+        # Replicas that report how slow they are share their machines, so that prompts
+        # compete there for time that the declaration does not show.
+        is_limited = settings.limits_prefills or bool(speeds.speeds)
+        return store_view.declaration.value if is_limited else None
+
+    room = ReplicaRoom(
+        settings.host,
+        platform.clock,
+        DeclaredBounds(read_engines),
+        directory.list_hosts,
+        has_late_reports=lambda: directory.plan is not None,
+    )
+
+    def log_division(
+        service: ServiceId,
+        short: int,
+        replicas: int,
+        short_per_s: float,
+        long_per_s: float,
+    ) -> None:
+        store_view.log.emit(
+            ReplicasDivided(service, short, replicas, short_per_s, long_per_s)
+        )
+
     forwarder = make_forwarder(
         platform.client,
         platform.dialect,
@@ -239,13 +270,8 @@
         make_peer_relay(
             platform.client, platform.dialect, store_view.log, platform.clock
         ),
-        ReplicaRoom(
-            settings.host,
-            platform.clock,
-            DeclaredBounds(lambda: store_view.declaration.value),
-            directory.list_hosts,
-            has_late_reports=lambda: directory.plan is not None,
-        ),
+        room,
+        ReplicaDivision(PromptDemand(room.rates.get_default), log_division),
         platform.clock,
     )
 
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -57,6 +57,7 @@
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
+from .room.division import ReplicaDivision
 from .room.exchange import PrefillTurn, ReplicaRoom
 from .software_checks import SoftwareChecks
 from .start_forecasts import SentCall, StartForecasts
@@ -673,6 +674,7 @@
     links: CutDetector,
     relay: PeerRelay,
     room: ReplicaRoom,
+    division: ReplicaDivision,
     clock: Clock = time.monotonic,
 ) -> Forwarder:
     """Return a forwarder with empty state."""
@@ -696,6 +698,6 @@
         relay,
         StartForecasts(chooser.loads, clock),
         make_loss_detector(client, chooser.loads, links, log, clock, chooser.rng),
-        PermittedChooser(chooser, notices, room, log, clock, chooser.rng),
+        PermittedChooser(chooser, notices, room, division, log, clock, chooser.rng),
         clock,
     )
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -18,6 +18,7 @@
 from .notices import ReplicaNotices
 from .records import PermitRefused
 from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser, make_call_scope
+from .room.division import ReplicaDivision
 from .room.exchange import PrefillTurn, ReplicaRoom
 from .room.granter import Demand
 from .room.records import PrefillRejected, PrefillWaited
@@ -85,6 +86,8 @@
     ----------
     room : ReplicaRoom
         Permits for long prompts.
+    division : ReplicaDivision
+        Replicas that short and long prompts may use.
 
     Attributes
     ----------
@@ -96,6 +99,7 @@
     chooser: ReplicaChooser
     notices: ReplicaNotices
     room: ReplicaRoom
+    division: ReplicaDivision
     log: Log
     clock: Clock
     rng: random.Random
@@ -116,10 +120,14 @@
         asked: set[EndpointId] = set()
         refused: list[_RefusedPrefill] = []
         delivery.refusal = None
+        is_counted = bool(tried)
         while True:
             chosen = None
             if len(refused) < MAX_ASKED:
                 chosen = self._choose(call, tried | asked, list_candidates)
+            if chosen is not None and not is_counted:
+                is_counted = True
+                self._count_demand(call, chosen.choice)
             if chosen is not None and self._is_full(chosen):
                 if refused:
                     chosen = None
@@ -155,10 +163,26 @@
     ) -> PermittedChoice | None:
         now_s = self.clock()
         replicas, avoided = list_candidates(excluded, now_s)
+        is_long = self._is_long(call, replicas)
+        if is_long is not None:
+            replicas = self.division.select(is_long, replicas, now_s)
         scope = make_call_scope(call)
         choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
         return None if choice is None else PermittedChoice(choice, len(replicas))
 
+    def _is_long(self, call: Call, replicas: Sequence[Replica]) -> bool | None:
+        """Return whether a call has a long prompt; None where that does not matter."""
+        if not replicas or not call.parts:
+            return None
+        short_tokens = self.room.find_short_tokens(replicas[0])
+        return None if short_tokens is None else call.prompt_tokens > short_tokens
+
+    def _count_demand(self, call: Call, choice: Choice) -> None:
+        is_long = self._is_long(call, [choice.replica])
+        if is_long is not None:
+            service, tokens = choice.replica.service, choice.uncached_tokens
+            self.division.demand.add(service, tokens, is_long, self.clock())
+
     def _is_full(self, chosen: PermittedChoice) -> bool:
         """Return whether a replica has just rejected a call for lack of capacity."""
         until_s = self.full_until_s.get(chosen.choice.replica.id, -math.inf)
--- a/primrosepier/forwarding/room/rates.py
+++ b/primrosepier/forwarding/room/rates.py
@@ -12,9 +12,11 @@
 MAX_SAMPLES = 16
 # Prefills after which a replica's own rate counts.
 MIN_SAMPLES = 3
-# Quantile of the samples that counts. Most prefills also wait for other work, so that
-# the lower rates say little; the highest come from prompts that were cached unnoticed.
-SAMPLE_QUANTILE = 0.75
+# Quantile of the samples that counts. The lowest rates come from prefills that waited
+# for other work, the highest from prompts that were cached unnoticed, which at the
+# holders of popular prefixes are many: with the upper quartile, such a replica counted
+# as several times as fast and was given several long prompts at a time.
+SAMPLE_QUANTILE = 0.5
 # Quantile of the replicas' rates that counts for one that is not known: a low one,
 # since more prompts than a replica can compute make short ones late.
 SERVICE_QUANTILE = 0.25
@@ -63,6 +65,10 @@
             return 0.0
         return known.get(endpoint) or self.defaults.get(service, 0.0)
 
+    def get_default(self, service: ServiceId) -> float:
+        """Return a rate that suits the replicas of a service; 0 if unknown."""
+        return self.defaults.get(service, 0.0)
+
     def retain(self, endpoints: set[EndpointId]) -> None:
         """Keep only the given replicas."""
         for service, rates in self.services.items():
--- a/primrosepier/forwarding/room/records.py
+++ b/primrosepier/forwarding/room/records.py
@@ -2,10 +2,10 @@
 
 from typing import ClassVar
 
-from ...ids import EndpointId, RequestId
+from ...ids import EndpointId, RequestId, ServiceId
 from ...log_events import Event
 
-__all__ = ["ROOM_EVENT", "PrefillRejected", "PrefillWaited"]
+__all__ = ["ROOM_EVENT", "PrefillRejected", "PrefillWaited", "ReplicasDivided"]
 
 
 class PrefillWaited(Event, frozen=True):
@@ -63,4 +63,32 @@
         )
 
 
-ROOM_EVENT = PrefillRejected | PrefillWaited
+class ReplicasDivided(Event, frozen=True):
+    """The number of a service's replicas that are left to short prompts has changed.
+
+    Parameters
+    ----------
+    short : int
+        Replicas for short prompts alone; 0 if both kinds use all.
+    short_per_s, long_per_s : float
+        Prompt tokens to compute per second, over all routers.
+    """
+
+    part: ClassVar[str] = "forward"
+    service: ServiceId
+    short: int
+    replicas: int
+    short_per_s: float
+    long_per_s: float
+
+    def describe(self) -> str:
+        """Return the event as one short sentence."""
+        if not self.short:
+            return f"short and long prompts use all replicas of {self.service}"
+        return (
+            f"leaves {self.short} of {self.replicas} replicas of {self.service} to"
+            f" short prompts: {self.short_per_s:.0f} and {self.long_per_s:.0f} tokens/s"
+        )
+
+
+ROOM_EVENT = PrefillRejected | PrefillWaited | ReplicasDivided
--- a/primrosepier/forwarding/settings.py
+++ b/primrosepier/forwarding/settings.py
@@ -45,6 +45,10 @@
         Interval at which a replica renews its registration.
     memory_bytes : float
         Memory that the process may use; infinite for no limit.
+    limits_prefills : bool
+        Whether long prompts need permits where replicas are engines, and replicas are
+        divided between short and long prompts under contention; they are also where
+        replicas report their slowness.
     max_fds : float
         Descriptors that the process may open; infinite for the system's limit.
     is_first_start : bool
@@ -78,6 +82,7 @@
     drain_s: float = 2.0
     heartbeat_s: float = 1.2
     memory_bytes: float = math.inf
+    limits_prefills: bool = True
     max_fds: float = math.inf
     is_first_start: bool = False
     quota_window_s: float = 8.0
--- a/primrosepier/platform/settings.py
+++ b/primrosepier/platform/settings.py
@@ -21,6 +21,8 @@
 
 SETTINGS_VARIABLE = "PRIMROSEPIER_CONFIG"
 STORE_FORM = "kv"
+# Rules where replicas have too little room for their calls at times.
+PRESSURE = "pressure"
 MS = 0.001
 MIB = 1024 * 1024
 # Port for metrics: the default of OpenTelemetry's Prometheus exporter, since the
@@ -86,6 +88,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     heartbeat_ms: float = 1200.0
+    # Parts of the rules that are in force.
+    contracts: list[str] = []
     # Whether the whole system starts for the first time.
     first_start: bool = False
 
@@ -147,6 +151,7 @@
         weights_s=bounds.version_ms * MS,
         heartbeat_s=file_settings.heartbeat_ms * MS,
         memory_bytes=file_settings.limits.memory_mb * MIB,
+        limits_prefills=PRESSURE in file_settings.contracts,
         max_fds=file_settings.limits.max_fds,
         is_first_start=file_settings.first_start,
         quota_window_s=bounds.quota_window_s,
--- a/tests/room_model.py
+++ b/tests/room_model.py
@@ -32,6 +32,8 @@
 from primrosepier.forwarding.replica_choice import AvoidedReplicas
 from primrosepier.forwarding.replica_load import PeerLoad
 from primrosepier.forwarding.room.bounds import DeclaredBounds
+from primrosepier.forwarding.room.demand import PromptDemand
+from primrosepier.forwarding.room.division import ReplicaDivision
 from primrosepier.forwarding.room.exchange import ReplicaRoom
 from primrosepier.logs import make_log
 from primrosepier.settings import LogSettings
@@ -126,9 +128,12 @@
     ----------
     has_permits : bool
         Whether the declaration names the engine.
+    has_division : bool
+        Whether the rate is known with which replicas are divided under contention.
     """
 
     has_permits: bool
+    has_division: bool = True
     replica_count: int = 27
     router_count: int = 66
     short_per_s: float = 875.0
@@ -140,6 +145,7 @@
     work: Counter = field(default_factory=Counter)
     long_waits: list = field(default_factory=list)
     datagrams: int = 0
+    counts_from_s: float = 1.0
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -164,7 +170,13 @@
             host, clock, bounds, lambda: self.hosts, self._send, lambda: True
         )
         chooser.find_short_tokens = room.find_short_tokens
-        return PermittedChooser(chooser, notices, room, log, clock, chooser.rng)
+        division = ReplicaDivision(PromptDemand(self._make_get_rate(room)))
+        return PermittedChooser(
+            chooser, notices, room, division, log, clock, chooser.rng
+        )
+
+    def _make_get_rate(self, room: ReplicaRoom):
+        return room.rates.get_default if self.has_division else lambda service: 0.0
 
     def _send(self, host: str, message) -> bool:
         self.datagrams += 1
@@ -176,14 +188,13 @@
         await self.routers[host].room.receive(message)
 
     async def run(self, duration_s: float) -> None:
-        """Play the load; the calls of the first second are not counted."""
+        """Play the load; the calls before `counts_from_s` are not counted."""
         async with anyio.create_task_group() as self.group:
             for engine in self.engines.values():
                 self.group.start_soon(engine.run)
             for host in self.hosts:
                 self.group.start_soon(self._report, host)
             async with anyio.create_task_group() as calls:
-                self.counts_from_s = 1.0
                 calls.start_soon(self._arrive, calls, True, duration_s)
                 calls.start_soon(self._arrive, calls, False, duration_s)
             self.group.cancel_scope.cancel()
@@ -195,19 +206,22 @@
             loads = chooser.loads.loads.items()
             tokens = {x: y.pending_tokens for x, y in loads if y.pending_tokens >= 1000}
             decoding = {x: y.decoding for x, y in loads if y.decoding}
-            report = tokens, decoding, chooser.prefixes.take_updates()
+            demand = self.routers[host].division.demand.make(anyio.current_time())
+            report = tokens, decoding, chooser.prefixes.take_updates(), demand
             self.group.start_soon(self._apply_report, host, report)
             await anyio.sleep(REPORT_INTERVAL_S)
 
     async def _apply_report(self, sender: str, report) -> None:
         await anyio.sleep(self.rng.uniform(*self.report_delays_s))
-        tokens, decoding, updates = report
+        tokens, decoding, updates, demand = report
         now_s = anyio.current_time()
         for host, router in self.routers.items():
             if host != sender:
                 load = PeerLoad(tokens, now_s, decoding)
                 router.chooser.loads.record_peer_load(sender, load)
                 router.chooser.prefixes.apply_updates(updates, now_s)
+                if demand:
+                    router.division.demand.apply(sender, demand, now_s)
 
     async def _arrive(self, calls: TaskGroup, is_long: bool, duration_s: float) -> None:
         per_s = self.long_per_s if is_long else self.short_per_s
@@ -339,8 +353,11 @@
 
 
 if __name__ == "__main__":
-    for has_permits in (False, True):
-        model = RoomModel(has_permits, long_per_s=float(sys.argv[1]))
+    for name, parts in (
+        ("neither", (False, False)),
+        ("permits", (True, False)),
+        ("permits and division", (True, True)),
+    ):
+        model = RoomModel(*parts, long_per_s=float(sys.argv[1]))
         run_in_virtual_time(model.run, float(sys.argv[2]))
-        print("with permits:" if has_permits else "without permits:")
-        print(model.describe())
+        print(f"{name}:\n{model.describe()}")
