--- a/primrosepier/capacity_page.py
+++ b/primrosepier/capacity_page.py
@@ -66,6 +66,31 @@
         "its lease and the marks of replicas that load",
         "keeps a lease alive, reads the states of its replicas, sends orders",
     ),
+    (
+        "router, quotas",
+        "totals of each router with recent calls of a workspace, per workspace",
+        "a section in its reports, each 0.1 s to 0.45 s",
+    ),
+    (
+        "granter of a replica, a router",
+        "permits, waiting calls and rates of its replicas",
+        "3 datagrams for each long prompt that is not cached",
+    ),
+    (
+        "router, division of replicas",
+        "rates of short and long prompts of each router, per service",
+        "a section in its reports, each 0.5 s",
+    ),
+    (
+        "router, speeds",
+        "two averages for each replica, 16 waits for each that computes long prompts",
+        "none; the figures ride on answers",
+    ),
+    (
+        "router, losses",
+        "replicas that accept no connections, while they do not",
+        "a section in three reports for each loss, and a probe by each router",
+    ),
     (
         "operator's apply",
         "none",
@@ -86,6 +111,9 @@
     "TCP and IP headers, and memory outside of Python's allocator (socket buffers)",
     "links between regions, and the processors of the users' hosts",
     "exchanges at 940 processes: a node was measured with a table of 940 and one peer",
+    "quotas, permits, division of replicas, speeds and losses beyond 83 routers in "
+    "days and 195 in tests: every router reads the sections of all reports, so that "
+    "their cost grows with the routers, and that of quotas with the workspaces in use",
 )
 
 
