Apply the quota totals of other routers at half the processor time

A report of 16 workspaces took 115 us, and 66 routers sent each other one four times a second: 0.03 cores of each router, half of what it used before. Reports are sent twice a second, a bucket is advanced once for the reports of 20 ms, and the range of totals is checked as they are decoded: 63 us a report.

--- a/primrosepier/forwarding/quotas/quotas.py
+++ b/primrosepier/forwarding/quotas/quotas.py
@@ -28,7 +28,7 @@
 LATE_S = 1.2
 # Times between two reports with and without new calls, seconds. Each report costs all
 # routers processor time. Reports without calls show that a router is not cut off.
-CALLS_INTERVAL_S = 0.25
+CALLS_INTERVAL_S = 0.45
 IDLE_INTERVAL_S = 0.45
 # Time for which a workspace is reported after its last call, seconds: a router that
 # receives none of these reports counts this one as silent.
@@ -45,6 +45,9 @@
 MS = 0.001
 # Reports of a run after which the rates of its calls are known.
 KNOWN_REPORTS = 2
+# Time within which a bucket is not advanced again for another report, seconds. With 66
+# routers there are hundreds of reports a second, each for all workspaces in use.
+ADVANCE_INTERVAL_S = 0.02
 
 
 def ignore_event(event: Event) -> None:
@@ -474,7 +477,9 @@
             if entry.workspace not in self.quotas:
                 continue
             listed.add(entry.workspace)
-            bucket = self._open_bucket(entry.workspace, now_s)
+            bucket = self.buckets.get(entry.workspace)
+            if bucket is None or now_s >= bucket.updated_at_s + ADVANCE_INTERVAL_S:
+                bucket = self._open_bucket(entry.workspace, now_s)
             usage = PeerUsage(entry.admitted, entry.asked)
             if was_known and entry.base_admitted is not None:
                 base = PeerUsage(entry.base_admitted, entry.base_asked or 0.0)
--- a/primrosepier/forwarding/quotas/reports.py
+++ b/primrosepier/forwarding/quotas/reports.py
@@ -1,11 +1,11 @@
 """What routers report to each other of the calls that count against quotas."""
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
 from ...decoding import Count, decode_msgpack
-from ...errors import MessageError
 from ...ids import WorkspaceId
 
 __all__ = ["QuotaReport", "WorkspaceTotals", "decode_quota_report"]
@@ -13,6 +13,8 @@
 # Beyond all totals of a router; larger numbers would lose units in additions.
 MAX_TOTAL = 2.0**53
 
+Total = Annotated[float, msgspec.Meta(ge=-MAX_TOTAL, le=MAX_TOTAL)]
+
 
 class WorkspaceTotals(msgspec.Struct, frozen=True, array_like=True):
     """A router's totals of one workspace since its start, tokens or requests.
@@ -26,10 +28,10 @@
     """
 
     workspace: WorkspaceId
-    admitted: float
-    asked: float
-    base_admitted: float | None = None
-    base_asked: float | None = None
+    admitted: Total
+    asked: Total
+    base_admitted: Total | None = None
+    base_asked: Total | None = None
 
 
 class QuotaReport(msgspec.Struct, frozen=True, array_like=True):
@@ -58,10 +60,4 @@
     MessageError
         The content is malformed, or a number in it is not a total.
     """
-    report = decode_msgpack(content, QuotaReport)
-    for entry in report.totals:
-        values = (entry.admitted, entry.asked)
-        bases = (entry.base_admitted or 0.0, entry.base_asked or 0.0)
-        if not all(abs(x) <= MAX_TOTAL for x in (*values, *bases)):
-            raise MessageError("a total is out of bounds")
-    return report
+    return decode_msgpack(content, QuotaReport)
