Bound the numbers of a request for a prefill permit

A workspace or route of extreme priority or target ended calls with long prompts by an error, since the request could not be encoded (test_extreme_entries).

--- a/primrosepier/forwarding/room/exchange.py
+++ b/primrosepier/forwarding/room/exchange.py
@@ -27,6 +27,8 @@
 MS = 0.001
 # Bounds of the remaining time in a request, milliseconds.
 MAX_DUE_MS = 10**6
+# Largest number of tokens in a request.
+MAX_TOKENS = 10**9
 
 SendMessage = Callable[[HostId, PrefillMessage], bool]
 
@@ -265,10 +267,10 @@
             self.host,
             turn.pending.number,
             turn.endpoint,
-            demand.tokens,
-            round(demand.budget_s / MS),
+            min(MAX_TOKENS, demand.tokens),
+            min(MAX_DUE_MS, round(demand.budget_s / MS)),
             max(-MAX_DUE_MS, min(MAX_DUE_MS, due_ms)),
-            demand.urgency,
+            max(0, demand.urgency),
             waits,
             demand.tokens_per_s,
         )
@@ -297,7 +299,9 @@
             )
             self._notify(endpoint, granted)
             return
-        prefill_ms = None if prefill_s is None else round(prefill_s / MS)
+        prefill_ms = (
+            None if prefill_s is None else min(MAX_DUE_MS, round(prefill_s / MS))
+        )
         release = PrefillRelease(self.host, number, endpoint, prefill_ms, lacked_room)
         self.send(turn.granter, release)
 
