--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -222,7 +222,7 @@
     def read_engines() -> Declaration | None:
         # Replicas that report how slow they are share their machines, so that prompts
         # compete there for time that the declaration does not show.
-        is_limited = settings.limits_prefills or bool(speeds.speeds)
+        is_limited = settings.limits_prefills or speeds.has_figures
         return store_view.declaration.value if is_limited else None
 
     room = ReplicaRoom(
--- a/primrosepier/forwarding/speeds/slowness.py
+++ b/primrosepier/forwarding/speeds/slowness.py
@@ -131,6 +131,11 @@
             speed = self.speeds.setdefault(endpoint, ReplicaSpeed())
             speed.record(figure, now_s)
 
+    @property
+    def has_figures(self) -> bool:
+        """Whether any replica has reported its slowness."""
+        return bool(self.speeds)
+
     def record_wait(
         self, endpoint: EndpointId, tokens: float, wait_s: float, now_s: float
     ) -> None:
--- a/primrosepier/forwarding/start_forecasts.py
+++ b/primrosepier/forwarding/start_forecasts.py
@@ -116,8 +116,11 @@
         waits, now_s = self.replicas.get(call.endpoint), self.clock()
         if waits is not None and call in waits.waiting:
             waits.end(call, call.tokens, now_s)
-            wait_s = now_s - call.sent_at_s
-            self.loads.speeds.record_wait(call.endpoint, call.tokens, wait_s, now_s)
+            wait_s, speeds = now_s - call.sent_at_s, self.loads.speeds
+            # Where no replica reports its slowness, differences between waits come from
+            # queues and cached prompts rather than from the replicas' machines.
+            if speeds.has_figures:
+                speeds.record_wait(call.endpoint, call.tokens, wait_s, now_s)
 
     def record_ended(self, call: SentCall) -> None:
         """Record the end of a call, which may have waited in vain."""
--- a/tests/test_start_forecasts.py
+++ b/tests/test_start_forecasts.py
@@ -139,3 +139,20 @@
     assert not waits.forecasts.replicas
     waits.forecasts.record_begun(sent)
     assert waits.forecast() == 0.0
+
+
+@pytest.mark.parametrize("has_figures", [False, True])
+def test_waits_tell_of_speeds_only_where_replicas_report_them(has_figures):
+    """Guards against replicas that count as slow for their queues and caches."""
+    waits = Waits()
+    if has_figures:
+        waits.loads.speeds.record_figure("w1", 1.0, 0.0)
+    for _ in range(30):
+        for endpoint, time_s in (("w1", 0.4), ("w2", 0.02), ("w3", 0.02), ("w4", 0.02)):
+            waits.loads.begin_call(endpoint, 3000)
+            sent = waits.forecasts.record_sent(endpoint)
+            waits.now_s += time_s
+            waits.loads.end_prefill(endpoint, 3000)
+            waits.forecasts.record_begun(sent)
+    slowness = waits.loads.speeds.get_slowness("w1", waits.now_s)
+    assert (slowness > 2.0) is has_figures
