Bound the rates of demand that other routers report

An infinite rate would have ended the calls of all routers that read it, as the number of replicas can't be computed from it. It is refused as it is decoded (the test reads five odd values).

--- a/primrosepier/forwarding/room/demand.py
+++ b/primrosepier/forwarding/room/demand.py
@@ -8,6 +8,7 @@
 import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
@@ -29,6 +30,9 @@
 # Services that are read from one report.
 MAX_SERVICES = 100
 
+# An infinite or negative rate of one router would decide for all.
+TokenRate = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+
 
 class ServiceRates(msgspec.Struct, frozen=True, array_like=True):
     """Rates at which prompts of one service arrive, in tokens to compute per second.
@@ -40,9 +44,9 @@
     """
 
     service: ServiceId
-    short_per_s: float
-    long_per_s: float
-    replica_per_s: float = 0.0
+    short_per_s: TokenRate
+    long_per_s: TokenRate
+    replica_per_s: TokenRate = 0.0
 
 
 @dataclass(slots=True)
@@ -154,7 +158,7 @@
         known = [x.replica_per_s for x in listed if x.replica_per_s > 0]
         return ServiceRates(
             service,
-            sum(max(0.0, x.short_per_s) for x in listed),
-            sum(max(0.0, x.long_per_s) for x in listed),
+            sum(x.short_per_s for x in listed),
+            sum(x.long_per_s for x in listed),
             statistics.median(known) if known else 0.0,
         )
--- a/tests/test_room_division.py
+++ b/tests/test_room_division.py
@@ -1,5 +1,8 @@
 """Division of replicas between short and long prompts, without a network."""
 
+import math
+
+import msgspec
 import pytest
 from forwarding_samples import make_replicas
 from room_model import RoomModel
@@ -81,8 +84,18 @@
     assert demand.compute_total(SERVICE, 0.2).replica_per_s == RATE
     assert demand.compute_total(SERVICE, 0.2 + REPORT_TTL_S).long_per_s == 0
     assert not demand.must_report(0.0) and demand.make(0.0) == b""
+
+
+@pytest.mark.parametrize("rate", [math.inf, -math.inf, math.nan, -1.0, 1e300])
+def test_odd_rates_of_another_router_are_not_read(rate):
+    """Guards against one router whose report ends the calls of all others."""
+    demand = PromptDemand(lambda service: RATE)
     with pytest.raises(MessageError):
         demand.apply("front-2", b"odd", 0.0)
+    for odd in ([SERVICE, rate, 1.0], [SERVICE, 1.0, rate], [SERVICE, 1.0, 1.0, rate]):
+        with pytest.raises(MessageError):
+            demand.apply("front-2", msgspec.msgpack.encode([odd]), 0.0)
+    assert demand.compute_total(SERVICE, 0.0).long_per_s == 0
 
 
 def test_short_prompts_meet_their_target_while_long_ones_exceed_the_replicas():
