--- a/tests/test_stored_formats.py
+++ b/tests/test_stored_formats.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import importlib
 from dataclasses import asdict, replace
 
 import anyio
@@ -32,6 +33,7 @@
     LoadingRecord as WeightsLoadingRecord,
     decode_loading_record,
 )
+from primrosepier.forwarding.losses.messages import ReportedLoss
 from primrosepier.forwarding.messages import PeerDatagram
 from primrosepier.forwarding.origin_journal import STREAMS_PREFIX, StoredStreams
 from primrosepier.forwarding.origins import OriginReply, OriginRequest, StreamsBegun
@@ -55,7 +57,9 @@
     WindowRequest,
 )
 from primrosepier.forwarding.prefixes import PrefixIndex, PrefixUpdate
+from primrosepier.forwarding.quotas.reports import QuotaReport, WorkspaceTotals
 from primrosepier.forwarding.replica_load import ReplicaLoadTable
+from primrosepier.forwarding.room.demand import ServiceRates
 from primrosepier.forwarding.room.messages import (
     PrefillRelease,
     PrefillReply,
@@ -424,6 +428,35 @@
     assert decode_report(msgspec.msgpack.encode(report)) == (report, [])
 
 
+@pytest.mark.parametrize(
+    ("content", "text"),
+    [
+        (
+            QuotaReport(5, 1200, [WorkspaceTotals("litter", 400, 900, 10, 20)]),
+            "9305cd04b09195a66c6974746572cd0190cd03840a14",
+        ),
+        ([ReportedLoss("w1", 1700)], "9192a27731cd06a4"),
+        (
+            [ServiceRates("writers", 300, 900, 48200)],
+            "9194a777726974657273cd012ccd0384cdbc48",
+        ),
+    ],
+    ids=["q", "u", "d"],
+)
+def test_sections_of_reports_keep_their_bytes(content, text):
+    """Guards against routers of two builds that misread each other's sections."""
+    data = msgspec.msgpack.encode(content)
+    assert data.hex() == text
+    schema = list[type(content[0])] if isinstance(content, list) else type(content)
+    read = msgspec.msgpack.decode(data, type=schema)
+    assert read == content
+    entries = msgspec.msgpack.decode(data)
+    last = entries[-1] if isinstance(content, list) else entries
+    last.append("from a later build")
+    longer = msgspec.msgpack.encode(entries)
+    assert msgspec.msgpack.decode(longer, type=schema) == content
+
+
 class CountingSection:
     """Section that counts the contents it was given, and can't read some of them."""
 
@@ -509,6 +542,8 @@
 
 
 def test_log_events_keep_their_names_and_fields():
+    # Imports the modules of all events; other tests need not have done so.
+    importlib.import_module("primrosepier.log_lines")
     found = {
         kind.__name__: " ".join(f.encode_name for f in msgspec.structs.fields(kind))
         for kind in list_events(Event)
