--- a/primrosepier/explain.py
+++ b/primrosepier/explain.py
@@ -3,22 +3,14 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from .forwarding.quotas.records import QuotaExceeded
+from .explain_calls import describe_call, describe_outcome
 from .forwarding.records import (
     CallEnded,
     CallFailed,
-    CallLost,
-    CallPassedOn,
-    CallPlaced,
     CallRejected,
-    CallRepeated,
-    CallWithdrawn,
     HelperGivenUp,
     LinksChanged,
-    PermitRefused,
-    StreamTakenUp,
 )
-from .forwarding.room.records import PrefillRejected, PrefillWaited
 from .log_events import (
     AttemptEnded,
     AttemptStarted,
@@ -37,17 +29,6 @@
 
 __all__ = ["Explanation", "explain_request", "list_requests", "render_explanation"]
 
-OUTCOME_DESCRIPTIONS = {
-    "Completed": "the whole answer was relayed",
-    "NotRun": "it did not run",
-    "Refused": "the endpoint refused it with a final error",
-    "UnknownOutcome": "it may have run; the answer was lost",
-    "Interrupted": "the answer began and broke off",
-    "CallerLeft": "the caller left before the end",
-    "RefusedByRouter": "the router refused it",
-    "RouterFailed": "the router failed on it",
-    "Cut": "the router stopped serving it",
-}
 LINKS_PART = LinksChanged.part
 # Time before a request for which changes of its router's links are shown, seconds.
 LINKS_BEFORE_S = 5.0
@@ -133,7 +114,7 @@
     if isinstance(event, DecisionMade):
         yield from _describe_decision(event)
     elif isinstance(event, RetryChosen):
-        outcome = OUTCOME_DESCRIPTIONS.get(event.after, event.after)
+        outcome = describe_outcome(event.after)
         yield f"Retry {event.attempt - 1}: {outcome} ({event.reason})."
     elif isinstance(event, AttemptStarted):
         yield f"Sent to {event.endpoint}."
@@ -154,128 +135,7 @@
     elif isinstance(event, RequestEnded):
         yield from _describe_end(event)
     else:
-        yield from _describe_call(event)
-
-
-def _describe_call(event: Event) -> Iterator[str]:
-    """Describe an event of a call of a declared route."""
-    if isinstance(event, CallRejected):
-        yield f"The router refused it: status {event.status}, {event.code}."
-        yield (
-            f"  Declaration {event.declaration} was in force; last contact with the "
-            f"store {event.heard_age_s:.1f} s before."
-        )
-    elif isinstance(event, CallFailed):
-        yield "The router met an unexpected error, so its outcome is unknown:"
-        yield from (f"  {error}" for error in event.errors)
-    elif isinstance(event, CallPlaced):
-        yield (
-            f"Chose {event.endpoint} of {event.candidates} candidates of "
-            f"{event.service}: {event.kind}; {event.remaining_s:.3f} s remained."
-        )
-        age = event.report_age_s
-        reported = (
-            "no load reported" if age is None else f"load reported {age:.1f} s ago"
-        )
-        yield (
-            f"  {event.outstanding} calls of this router in progress there, "
-            f"{event.pending_tokens} prompt tokens pending, {reported}."
-        )
-        yield (
-            f"  {event.uncached_tokens} tokens of the prompt are to be computed; other "
-            f"routers have {event.peer_tokens} prompt tokens pending there, and "
-            f"{event.decoding} outputs are generated."
-        )
-        if event.slowness != 1.0:
-            yield f"  Work was expected to take {event.slowness:.2f} times as long."
-        if event.weights_lag_s is not None:
-            yield (
-                f"  Its weights had been outdated for {event.weights_lag_s:.3f} s; the "
-                f"output was expected to begin in {event.forecast_wait_s or 0.0:.3f} s."
-            )
-        if event.backoff_s:
-            yield f"  It was in backoff for another {event.backoff_s:.3f} s."
-        if event.resting:
-            yield f"  {event.resting} other replicas had asked for rest."
-        if event.software:
-            yield f"  The replica's software is {event.software}."
-        if event.resumed_call:
-            yield f"  The stream began with {event.resumed_call}."
-    elif isinstance(event, CallLost):
-        shared = ", ".join(f"{fingerprint:016x}" for fingerprint in event.fingerprints)
-        yield (
-            f"Lost the connection to {event.endpoint} after "
-            f"{event.duration_s * 1000:.1f} ms; shared parts and request: {shared}."
-        )
-    elif isinstance(event, CallWithdrawn):
-        lag = "" if event.weights_lag_s is None else f" for {event.weights_lag_s:.3f} s"
-        yield (
-            f"Withdrawn from {event.endpoint}, where it had not begun after "
-            f"{event.wait_s:.3f} s: its weights had been outdated{lag}."
-        )
-    elif isinstance(event, PermitRefused):
-        rate = "" if event.rate_per_s is None else f" {event.rate_per_s:g} requests/s"
-        yield (
-            f"Not sent to {event.endpoint}: it limits all routers to{rate}, "
-            f"and has room in {event.wait_s * 1000:.0f} ms."
-        )
-    elif isinstance(event, QuotaExceeded):
-        yield (
-            f"Its workspace {event.workspace} requested {event.asked_per_s:.0f}/s of a "
-            f"quota of {event.rate_per_s:.0f}/s; {event.probability:.1%} of its calls "
-            f"were admitted."
-        )
-        yield (
-            f"  The call cost {event.cost:.0f} and the bucket held "
-            f"{event.available:.0f}; retry in {event.retry_after_s:.3f} s."
-        )
-    elif isinstance(event, PrefillWaited | PrefillRejected):
-        yield f"Long prompt: {event.describe()}."
-    elif isinstance(event, CallPassedOn):
-        yield (
-            f"This router had no replica that it could use: attempt {event.attempt} "
-            f"went to {event.peer}."
-        )
-    elif isinstance(event, LINKS_EVENTS):
-        yield f"The router's links to the replicas: {event.describe()}."
-    elif isinstance(event, StreamTakenUp):
-        software = event.software or "an unknown version"
-        yield (
-            f"Takes up the stream of {event.resumed_call}, which began at "
-            f"{software}: {event.result}."
-        )
-    elif isinstance(event, CallRepeated):
-        outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
-        where = f"Attempt {event.attempt} at {event.endpoint}"
-        yield f"{where}: {outcome} ({event.reason})."
-    elif isinstance(event, CallEnded):
-        yield from _describe_call_end(event)
-
-
-def _describe_call_end(event: CallEnded) -> Iterator[str]:
-    outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
-    reason = f" ({event.reason})" if event.reason else ""
-    status = f"status {event.status}" if event.status else "no answer"
-    yield (
-        f"End after {event.duration_s * 1000:.1f} ms and {event.attempts} attempts, "
-        f"{status}: {outcome}{reason}, at {event.peer}, step {event.step}."
-    )
-    if event.first_byte_s is not None:
-        yield f"  The first byte went out after {event.first_byte_s * 1000:.1f} ms."
-    if event.output_limit:
-        last_event = event.last_event or "unknown"
-        yield (
-            f"  It asked for up to {event.output_limit} tokens; the last event sent: "
-            f"{last_event}."
-        )
-    if event.framed is not None:
-        end = "a length or chunks" if event.framed else "its connection's close"
-        place = ", within an event" if event.within_event else ""
-        yield f"  The end of the replica's response was marked by {end}{place}."
-    yield (
-        f"  Declaration {event.declaration} was in force; last contact with the "
-        f"store {event.heard_age_s:.1f} s before."
-    )
+        yield from describe_call(event)
 
 
 def _describe_decision(event: DecisionMade) -> Iterator[str]:
@@ -304,7 +164,7 @@
 
 
 def _describe_attempt(event: AttemptEnded) -> str:
-    outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
+    outcome = describe_outcome(event.outcome)
     place = f" at step {event.step}" if event.step else ""
     reason = f": {event.reason}" if event.reason else ""
     return f"{event.endpoint}: {outcome}{place}{reason}."
@@ -318,7 +178,7 @@
 
 
 def _describe_end(event: RequestEnded) -> Iterator[str]:
-    outcome = OUTCOME_DESCRIPTIONS.get(event.outcome, event.outcome)
+    outcome = describe_outcome(event.outcome)
     reason = f" ({event.reason})" if event.reason else ""
     yield f"End after {event.duration_s * 1000:.1f} ms: {outcome}{reason}."
     if event.ttft_s is not None:
