Run the process tests of abusive callers alone, after the other tests

Cause: the tests of tests/test_abusive_callers.py load a whole process each, and ran beside two other workers of pytest-xdist: both sides were short of processor time.

Change: they have the marker `alone`. `make test` runs the tests without it in three workers, and then those with it in one process.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(PYTHON) -m ruff check --fix .
 
 test: lint
-	$(PYTHON) -m pytest -n 3 --dist loadfile
+	$(PYTHON) -m pytest -n 3 --dist loadfile -m "not alone"
+	$(PYTHON) -m pytest -m alone
 
 capacity: $(STAMP)
 	$(PYTHON) -m primrosepier bench scale --json > docs/capacity.json
--- a/tests/test_abusive_callers.py
+++ b/tests/test_abusive_callers.py
@@ -25,7 +25,8 @@
 from primrosepier.platform.settings import METRICS_PORT
 from primrosepier.platform.standins import StandinReplica, StandinStore
 
-pytestmark = pytest.mark.sockets
+# Beside other tests, the machine would be short of processor time for both.
+pytestmark = [pytest.mark.sockets, pytest.mark.alone]
 MEMORY_MB = 100
 MAX_FDS = 1000
 MIB = 1024 * 1024
