Bound the connections to all replicas together, kept ones included

Cause: the client keeps up to 64 idle connections to each address, however many addresses there are. Half of the descriptors remain for callers and half for their calls, but 694 calls (maxFds 1638) that move from replica to replica could leave 64 connections at each of 36 replicas, 2,304 in all, for 20 s.

Change: the client counts its connections, and closes the one that has been idle longest before it opens another beyond the limit. The limit is as high as that of callers' connections; a connection in use is never closed, since calls are as many as callers at most. The other interface takes the system's limit on descriptors.

The new test of test_transport.py has 6 addresses and a limit of 4: before, all 6 connections were kept.

--- a/primrosepier/caller_limits.py
+++ b/primrosepier/caller_limits.py
@@ -20,6 +20,7 @@
 __all__ = [
     "CallerBudget",
     "Limit",
+    "find_max_connections",
     "make_caller_budget",
 ]
 
@@ -202,11 +203,26 @@
 def compute_max_connections(max_fds: float) -> float:
     """Return how many callers may be connected to a process with so many descriptors.
 
-    Each may have a call, which needs a connection to a replica.
+    Each may have a call, which needs a connection to a replica. As many connections to
+    replicas may be open, in use or kept.
     """
     return max(LEAST_CONNECTIONS, (max_fds - RESERVED_FDS) / FDS_PER_CONNECTION)
 
 
+def find_max_connections(max_fds: float = math.inf) -> float:
+    """Return how many callers may be connected, and how many replicas as well.
+
+    Parameters
+    ----------
+    max_fds : float
+        Descriptors that the process may open; no more than the system's own limit.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit != resource.RLIM_INFINITY:
+        max_fds = min(max_fds, soft_limit)
+    return compute_max_connections(max_fds)
+
+
 def make_caller_budget(
     memory_bytes: float,
     max_fds: float = math.inf,
@@ -219,11 +235,8 @@
     max_fds : float
         Descriptors that the process may open; no more than the system's own limit.
     """
-    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft_limit != resource.RLIM_INFINITY:
-        max_fds = min(max_fds, soft_limit)
     return CallerBudget(
         compute_limit_bytes(memory_bytes),
-        compute_max_connections(max_fds),
+        find_max_connections(max_fds),
         notify=notify,
     )
--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -1,6 +1,7 @@
 """Calls to endpoints over HTTP."""
 
 import contextlib
+import math
 import ssl
 import time
 from collections import defaultdict
@@ -11,6 +12,7 @@
 
 import httpcore
 
+from .caller_limits import find_max_connections
 from .clocks import Clock
 from .outcomes import NotRun, Step, UnknownOutcome
 from .retry_after import RestRequest, parse_retry_after
@@ -135,7 +137,7 @@
         """Close all idle connections."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _IdleConnection:
     stream: TcpStream
     idle_since_s: float
@@ -152,11 +154,21 @@
     Parameters
     ----------
     clock : Clock
+    max_connections : float
+        Connections beyond which the one that has been idle longest is closed for a new
+        one; infinite for no limit.
     """
 
-    def __init__(self, clock: Clock = time.monotonic) -> None:
+    def __init__(
+        self, clock: Clock = time.monotonic, max_connections: float = math.inf
+    ) -> None:
         self.clock = clock
+        self.max_connections = max_connections
+        # Open connections, idle or in use, and those that are being opened.
+        self.connections = 0
         self.idle: dict[str, list[_IdleConnection]] = {}
+        # Addresses of the idle connections, the one that is idle longest first.
+        self.idle_addresses: dict[_IdleConnection, str] = {}
         self.repeatable: dict[str, set[TcpStream]] = defaultdict(set)
         self.backend = TcpBackend(splits_heads=True)
 
@@ -187,9 +199,9 @@
         finally:
             self.repeatable[call.address].discard(stream)
             if response is not None and response.is_reusable():
-                await self._release(call.address, stream, response.keep_alive_s)
+                self._release(call.address, stream, response.keep_alive_s)
             else:
-                await stream.aclose()
+                self._close(stream)
 
     def abort_unresponsive(self, address: str, receive_gap_s: float) -> int:
         """Abort repeatable calls to an unresponsive address; return how many.
@@ -219,6 +231,7 @@
         now_s = self.clock()
         while idle:
             connection = idle.pop()
+            self.idle_addresses.pop(connection)
             is_fresh = now_s < min(
                 connection.expires_at_s, connection.idle_since_s + call.idle_s
             )
@@ -229,8 +242,27 @@
         return None
 
     async def _connect(self, address: str, connect_s: float) -> TcpStream:
+        self._make_room()
         host, _, port = address.rpartition(":")
-        return await self.backend.connect_tcp(host, int(port), connect_s)
+        self.connections += 1
+        try:
+            return await self.backend.connect_tcp(host, int(port), connect_s)
+        except BaseException:
+            self.connections -= 1
+            raise
+
+    def _make_room(self) -> None:
+        """Close idle connections until another may be opened.
+
+        Calls in progress are not refused: their number is limited by their callers'.
+        """
+        while self.connections >= self.max_connections and self.idle_addresses:
+            connection, address = next(iter(self.idle_addresses.items()))
+            self._drop(address, connection)
+
+    def _close(self, stream: TcpStream) -> None:
+        self.connections -= 1
+        stream.abort()
 
     async def probe(self, address: str, connect_s: float) -> bool:
         """Return whether an address accepts a connection; keep it for the next call."""
@@ -238,27 +270,27 @@
             stream = await self._connect(address, connect_s)
         except CONNECT_ERRORS:
             return False
-        await self._release(address, stream, PROBE_IDLE_S)
+        self._release(address, stream, PROBE_IDLE_S)
         return True
 
-    async def _release(
-        self, address: str, stream: TcpStream, keep_alive_s: float
-    ) -> None:
+    def _release(self, address: str, stream: TcpStream, keep_alive_s: float) -> None:
         idle = self.idle.setdefault(address, [])
         if len(idle) >= MAX_IDLE_CONNECTIONS_PER_ADDRESS or stream.get_extra_info(
             "is_readable"
         ):
-            await stream.aclose()
+            self._close(stream)
             return
         now_s = self.clock()
         connection = _IdleConnection(stream, now_s, now_s + keep_alive_s)
         idle.append(connection)
+        self.idle_addresses[connection] = address
         stream.watch_idle(partial(self._drop, address, connection))
 
     def _drop(self, address: str, connection: _IdleConnection) -> None:
         """Close an idle connection on which bytes or the end have arrived."""
         connection.stream.watch_idle(None)
-        connection.stream.abort()
+        self._close(connection.stream)
+        self.idle_addresses.pop(connection, None)
         idle = self.idle.get(address, [])
         if connection in idle:
             idle.remove(connection)
@@ -363,6 +395,12 @@
     return not isinstance(error, httpcore.TimeoutException)
 
 
-def make_endpoint_client() -> HttpEndpointClient:
-    """Return a client with its own connection pool."""
-    return HttpEndpointClient()
+def make_endpoint_client(max_fds: float = math.inf) -> HttpEndpointClient:
+    """Return a client with its own connection pool.
+
+    Parameters
+    ----------
+    max_fds : float
+        Descriptors that the process may open; no more than the system's own limit.
+    """
+    return HttpEndpointClient(max_connections=find_max_connections(max_fds))
--- a/primrosepier/platform/router.py
+++ b/primrosepier/platform/router.py
@@ -27,7 +27,7 @@
 
 def make_entry_platform(settings: EntrySettings) -> EntryPlatform:
     """Return the platform's adapters for a router."""
-    client = make_endpoint_client()
+    client = make_endpoint_client(settings.max_fds)
     batching_delay_s = compute_batching_delay_s(settings.apply_s, settings.drain_s)
     watch_timeout_s = compute_watch_timeout_s(settings.revoke_s, batching_delay_s)
     return EntryPlatform(
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -54,6 +54,42 @@
     run_calls(check)
 
 
+def test_kept_connections_stay_within_the_limit_of_all_addresses_together():
+    """Guards against idle connections to many replicas that use up all descriptors."""
+
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            addresses = [
+                await stack.enter_async_context(open_server(serve, "127.0.0.1:0"))
+                for _ in range(6)
+            ]
+            client = HttpEndpointClient(max_connections=4)
+
+            def list_kept():
+                kept = [x for x, idle in client.idle.items() for _ in idle]
+                assert sorted(kept) == sorted(client.idle_addresses.values())
+                return sorted(kept)
+
+            for address in addresses:
+                await fetch(client, address)
+                assert client.connections == len(list_kept()) <= 4
+            assert list_kept() == sorted(addresses[2:])
+            async with client.open(make_call(addresses[5], "/slow")):
+                # It is in use: only idle ones are closed for others.
+                for address in addresses[:3]:
+                    await fetch(client, address)
+                    assert client.connections == 1 + len(list_kept()) <= 4
+                assert list_kept() == sorted(addresses[:3])
+            assert client.connections == 3
+            assert not await client.probe("127.0.0.1:1", 0.5)
+            assert await client.probe(addresses[3], 0.5)
+            assert client.connections == len(list_kept()) <= 4
+            await client.close()
+            assert client.connections == 0
+
+    anyio.run(run)
+
+
 def test_an_unresponsive_peer_times_out_and_its_connection_is_closed():
     async def check(client, address):
         with pytest.raises(httpcore.ReadTimeout):
