Bound what the connections of other routers hold at the other interface

Cause: the grpc listener limits the calls of a connection and the bytes of each, but neither the connections nor their memory together. It answers pings whose answers no one reads, reads and parses up to 256 KiB in one iteration, and accepts 100 connections in one. grpclib keeps ended calls until more follow, and then in reference cycles.

Change: the connections share the budget of callers' connections.

--- a/primrosepier/peering.py
+++ b/primrosepier/peering.py
@@ -9,6 +9,7 @@
 
 from .attempt import AttemptRunner
 from .board import Board
+from .caller_limits import CallerBudget
 from .clocks import Clock
 from .dispatch import Dispatcher
 from .endpoint_client import EndpointClient
@@ -134,7 +135,7 @@
 
 @contextlib.asynccontextmanager
 async def open_peering(
-    components: RouterComponents, start: StartTask
+    components: RouterComponents, start: StartTask, budget: CallerBudget | None = None
 ) -> AsyncIterator[Peering]:
     """Run the controllers while the context is open, then leave the fleet.
 
@@ -142,13 +143,15 @@
     ----------
     start : callable
         Starts a task that runs while the router serves.
+    budget : CallerBudget or None
+        What the connections of other routers may hold; None for no limit.
     """
     listener = bind_listener(components.settings.peers_address)
     host, port = listener.getsockname()[:2]
     transport = make_transport(components.settings.peer_key)
     peering = make_peering(components, f"{host}:{port}", transport)
     gossip, codec = peering.gossip, transport.codec
-    async with open_peer_server(gossip, codec, listener, components.log):
+    async with open_peer_server(gossip, codec, listener, components.log, budget):
         peering.start(start)
         yield peering
         await peering.gossip.leave()
--- a/primrosepier/peers.py
+++ b/primrosepier/peers.py
@@ -13,8 +13,8 @@
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server
 
+from .caller_limits import CallerBudget
 from .errors import MessageError
 from .grpc_traces import trace_channel, trace_server
 from .logs import Log
@@ -30,6 +30,7 @@
     StatusRequest,
 )
 from .outcomes import Step
+from .peer_protocol import BoundedServer, bind_listener
 
 __all__ = [
     "GrpcTransport",
@@ -256,25 +257,19 @@
         }
 
 
-def bind_listener(address: str) -> socket.socket:
-    """Return a socket that listens on ``IP:PORT``; port 0 selects a free port."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host.strip("[]"), int(port)), family=family)
-
-
 @contextlib.asynccontextmanager
 async def open_peer_server(
     handlers: PeerHandlers,
     codec: PeerCodec,
     listener: socket.socket,
     log: Log | None = None,
+    budget: CallerBudget | None = None,
 ) -> AsyncIterator[None]:
     """Serve the calls of other routers while the context is open."""
-    server = Server([_PeerService(handlers)], codec=codec)
+    server = BoundedServer([_PeerService(handlers)], codec, budget or CallerBudget())
     if log is not None:
         trace_server(server, log)
-    await server.start(sock=listener)
+    await server.start_on(listener)
     try:
         yield
     finally:
--- a/primrosepier/router.py
+++ b/primrosepier/router.py
@@ -257,9 +257,9 @@
 async def open_router(settings: RouterSettings) -> AsyncIterator[Router]:
     """Run a router while the context is open."""
     router = make_router(settings, make_platform(settings))
-    limits = settings.limits
-    memory_bytes = limits.memory_bytes or math.inf
-    budget = make_caller_budget(memory_bytes, notify=router.app.log.emit)
+    limits, emit = settings.limits, router.app.log.emit
+    components = make_router_components(router)
+    budget = make_caller_budget(limits.memory_bytes or math.inf, notify=emit)
     router.app.metrics.register_callback(budget.set_gauges)
     protocol = make_bounded_protocol(limits.header_bytes, limits.header_s, budget)
     with close_at_end(router.app.log):
@@ -271,7 +271,7 @@
             for run in router.list_tasks():
                 start(run)
             async with (
-                open_peering(make_router_components(router), start) as router.peering,
+                open_peering(components, start, budget) as router.peering,
                 open_server(
                     router.app, settings.callers_address, router.compute_grace, protocol
                 ) as router.callers_address,
