Bound buffers of responses for all calls together

Cause: a call buffers up to 256 KiB of a response, 128 KiB received from its replica and 64 KiB written to its caller, whether or not its caller reads.

Change: connections to replicas read 64 KiB at once while there are up to 64 of them, and down to 8 KiB with more, so that their sum is bounded. Responses that are buffered for a retry have 8 MiB for all calls; beyond, they are sent on. A caller's connection counts as unread from 16 KiB on.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -53,6 +53,8 @@
 # Responses up to this size are buffered completely before they are sent on, so that the
 # call can be retried if the response breaks off.
 MAX_BUFFERED_BYTES = 256 * 1024
+# The same for all responses together.
+MAX_ALL_BUFFERED_BYTES = 8 * 1024 * 1024
 # Limit on the body of an error, which is kept in memory while the call is retried.
 MAX_ERROR_BYTES = 1024 * 1024
 HTTP_OK = 200
@@ -174,6 +176,11 @@
     requires_call_id : bool
         Whether a response on a connection that was used before must name its call. It
         may be one that a faulty replica sent to an earlier call too often.
+
+    Attributes
+    ----------
+    buffered_bytes : int
+        Bytes of all responses that are not sent on yet.
     """
 
     client: EndpointClient
@@ -183,6 +190,7 @@
     record_begun: RecordBegun = ignore_begun
     find_origin: FindOrigin | None = None
     requires_call_id: bool = True
+    buffered_bytes: int = 0
 
     async def send(
         self,
@@ -358,21 +366,30 @@
         delivery: Delivery,
     ) -> Outcome:
         parts: list[bytes] = []
-        size = 0
-        async for data in response.aiter_stream():
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_BYTES:
-                if not delivery.status:
-                    await delivery.begin(head.status, head.headers, self.clock())
-                await send_chunk(delivery.send, b"".join(parts))
-                parts.clear()
-        if not delivery.status:
-            headers = _add_length(head.headers, size)
-            await delivery.begin(head.status, headers, self.clock())
-        await send_chunk(delivery.send, b"".join(parts), more=False)
+        size = buffered = 0
+        try:
+            async for data in response.aiter_stream():
+                parts.append(data)
+                size += len(data)
+                buffered += len(data)
+                self.buffered_bytes += len(data)
+                if size > MAX_BUFFERED_BYTES or self._has_buffered_too_much():
+                    if not delivery.status:
+                        await delivery.begin(head.status, head.headers, self.clock())
+                    self.buffered_bytes -= buffered
+                    buffered = 0
+                    await send_chunk(delivery.send, _take_all(parts))
+            if not delivery.status:
+                headers = _add_length(head.headers, size)
+                await delivery.begin(head.status, headers, self.clock())
+            await send_chunk(delivery.send, b"".join(parts), more=False)
+        finally:
+            self.buffered_bytes -= buffered
         return Completed(Step.RELAY, replica.id)
 
+    def _has_buffered_too_much(self) -> bool:
+        return self.buffered_bytes > MAX_ALL_BUFFERED_BYTES
+
 
 @dataclass(slots=True)
 class AttemptRecorder:
@@ -455,6 +472,13 @@
         self.loads.end_call(self.endpoint)
 
 
+def _take_all(parts: list[bytes]) -> bytes:
+    """Remove all parts; return them joined."""
+    body = b"".join(parts)
+    parts.clear()
+    return body
+
+
 def _add_length(headers: CallHeaders, size: int) -> CallHeaders:
     return (*headers, (b"content-length", str(size).encode("ascii")))
 
--- a/primrosepier/protocol.py
+++ b/primrosepier/protocol.py
@@ -40,6 +40,8 @@
 # Unparsed bytes beyond which a connection is not read further. Up to there it is, so
 # that the end of a connection is noticed while its call runs.
 UNPARSED_BYTES = 16 * 1024
+# Response bytes that wait at a connection before its app has to.
+WRITE_BYTES = 16 * 1024
 # Time after which a closed connection whose caller does not read the rest of its
 # response is aborted, seconds.
 LINGER_S = 5.0
@@ -113,6 +115,7 @@
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         self.flow = _Flow(self)
+        transport.set_write_buffer_limits(high=WRITE_BYTES)
         if self.idle_s is not None:
             self.timeout_keep_alive = self.idle_s  # type: ignore[assignment]
         self._start_timer()
--- a/primrosepier/transport.py
+++ b/primrosepier/transport.py
@@ -10,10 +10,12 @@
 __all__ = ["TcpBackend", "TcpStream"]
 
 HEAD_END = b"\r\n\r\n"
-# Received bytes beyond which a connection is not read further, and bytes that are read
-# at once: a caller that does not read its stream makes the process hold both.
-HIGH_WATER_BYTES = 64 * 1024
+# Bytes that are read at once, and beyond which a connection is not read further: a
+# caller that does not read its stream makes the process hold both. With many
+# connections, each reads fewer, so that all together hold a few times the total.
 READ_BYTES = 64 * 1024
+LEAST_READ_BYTES = 8 * 1024
+TOTAL_READ_BYTES = 4 * 1024 * 1024
 # Bytes that are written at once: asyncio copies what it can't send at once.
 WRITE_BYTES = 64 * 1024
 # Limit on all heads before a response's body: httpcore limits each, but not how many
@@ -29,16 +31,40 @@
 USER_TIMEOUT_MS = 1000
 
 
+class _ReadBuffer:
+    """Buffer into which connections read, and how much each reads at once.
+
+    They share it: what one has read is copied before the event loop reads the next.
+
+    Attributes
+    ----------
+    part : memoryview
+        What a connection reads into.
+    """
+
+    def __init__(self) -> None:
+        self.whole = memoryview(bytearray(READ_BYTES))
+        self.part = self.whole
+        self.connections = 0
+
+    def count(self, change: int) -> None:
+        """Add to the number of open connections."""
+        self.connections += change
+        share = TOTAL_READ_BYTES // max(1, self.connections)
+        size = min(READ_BYTES, max(LEAST_READ_BYTES, share))
+        if size != len(self.part):
+            self.part = self.whole[:size]
+
+
 class _ReceiveBuffer(asyncio.BufferedProtocol):
     """Protocol that buffers received bytes until they are read.
 
     Parameters
     ----------
-    read_buffer : memoryview
-        Shared by connections: it is copied before the event loop reads the next one.
+    read_buffer : _ReadBuffer
     """
 
-    def __init__(self, read_buffer: memoryview) -> None:
+    def __init__(self, read_buffer: _ReadBuffer) -> None:
         self.read_buffer = read_buffer
         self.transport: asyncio.Transport | None = None
         self.loop = asyncio.get_running_loop()
@@ -57,6 +83,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.read_buffer.count(1)
         try:
             _enable_keepalive_probes(transport)
         except OSError as error:
@@ -64,12 +91,15 @@
             transport.abort()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.read_buffer
+        return self.read_buffer.part
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.received += self.read_buffer[:nbytes]
+        self.received += self.read_buffer.whole[:nbytes]
         self.received_at_s = self.loop.time()
-        if len(self.received) > HIGH_WATER_BYTES and self.transport is not None:
+        if (
+            len(self.received) > len(self.read_buffer.part)
+            and self.transport is not None
+        ):
             self.transport.pause_reading()
             self.paused = True
         self._wake_reader()
@@ -80,6 +110,7 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.read_buffer.count(-1)
         self.ended = True
         self.error = self.error or exc
         if self.timer is not None:
@@ -292,7 +323,7 @@
 
     def __init__(self, splits_heads: bool = False):
         self.splits_heads = splits_heads
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.read_buffer = _ReadBuffer()
 
     async def connect_tcp(
         self,
--- a/tests/test_abusive_callers.py
+++ b/tests/test_abusive_callers.py
@@ -74,7 +74,12 @@
 
 
 class LargeReplica(StandinReplica):
-    """Replica whose streams are far longer than buffers."""
+    """Replica whose streams and responses are far longer than buffers."""
+
+    async def _run(self, scope, body, receive, send):
+        if scope["path"] == "/lookup/9":
+            body = bytes(BODY_BYTES)
+        await super()._run(scope, body, receive, send)
 
     async def _stream(self, headers, response_headers, send):
         async def send_large(message):
@@ -343,6 +348,18 @@
     )
 
 
+@pytest.mark.parametrize("path", ["/stream/notes/1", "/lookup/9"])
+def test_responses_to_many_callers_stay_within_the_memory(tmp_path, path):
+    """Guards against buffers that are bounded for each call, and add up."""
+    request = make_head(path, more="Content-Length: 0\r\n") + b"\r\n"
+    check_installation(
+        tmp_path,
+        lambda x, watch: flood(x.address, watch, 360, request),
+        LargeReplica,
+        events=400,
+    )
+
+
 @pytest.mark.parametrize("name", ["callers", "readiness", "peers", "metrics"])
 def test_idle_connections_leave_descriptors_for_calls(tmp_path, name):
     """Guards against callers that connect and send nothing until no call can."""
