Leave descriptors for the store and the listeners whatever the calls do

Cause: probes, orders and connections that are accepted in one iteration come on top of callers' connections and their calls, which share all descriptors but 250. Four listeners may hold 192 connections that the limit does not see yet or that are not closed yet, and the client's connections in use had no bound.

Change: a listener accepts 8 connections in one iteration instead of 16. The client refuses a call, as one that has not run, when 64 connections more than its limit are in use. The store's client keeps 16 connections.

The sum for N = (maxFds - 250) / 2: N callers, 96 of them not counted or not closed yet (4 listeners, 3 iterations), N + 64 to replicas and other routers, 16 to the store, 20 for files and listeners: 196 beside 2 N, below the 250 reserved.

--- a/primrosepier/asgi.py
+++ b/primrosepier/asgi.py
@@ -46,9 +46,9 @@
 
 START_POLL_S = 0.005
 KEEP_ALIVE_S = 30
-# Connections that each listener accepts in one iteration of the event loop, before the
-# protocol can close any of them for their number.
-ACCEPTS_PER_TURN = 16
+# Connections that each listener accepts in one iteration of the event loop. Those that
+# are too many are closed three iterations later.
+ACCEPTS_PER_TURN = 8
 # Connections that the kernel keeps until they are accepted.
 LISTEN_BACKLOG = 2048
 # Resolution of the date of responses, seconds (RFC 9110, section 5.6.7).
--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -48,6 +48,9 @@
 LEAVING_HEADER = b"x-endpoint-leaving"
 HTTP_UNAVAILABLE = 503
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
+# Connections beyond the limit for what is not a caller's call: probes and orders. Calls
+# are as many as callers' connections at most, whose limit is the same.
+SPARE_CONNECTIONS = 64
 KEEPALIVE_S = 20.0
 # Idle time after which a connection that a probe opened is not used, seconds.
 PROBE_IDLE_S = 0.5
@@ -156,7 +159,7 @@
     clock : Clock
     max_connections : float
         Connections beyond which the one that has been idle longest is closed for a new
-        one; infinite for no limit.
+        one; infinite for no limit. `SPARE_CONNECTIONS` more may be in use.
     """
 
     def __init__(
@@ -254,11 +257,16 @@
     def _make_room(self) -> None:
         """Close idle connections until another may be opened.
 
-        Calls in progress are not refused: their number is limited by their callers'.
+        Raises
+        ------
+        httpcore.PoolTimeout
+            All are in use, and so many more that other parts would lack descriptors.
         """
         while self.connections >= self.max_connections and self.idle_addresses:
             connection, address = next(iter(self.idle_addresses.items()))
             self._drop(address, connection)
+        if self.connections >= self.max_connections + SPARE_CONNECTIONS:
+            raise httpcore.PoolTimeout(f"{self.connections} connections are in use")
 
     def _close(self, stream: TcpStream) -> None:
         self.connections -= 1
--- a/primrosepier/platform/store.py
+++ b/primrosepier/platform/store.py
@@ -43,6 +43,8 @@
 
 MS = 0.001
 CONNECT_TIMEOUT_S = 0.5
+# Connections that are kept for the next calls.
+MAX_CONNECTIONS = 16
 # The service responds in milliseconds; one second allows for a lost packet.
 CALL_TIMEOUT_S = 1.0
 # Time by which the answer of a held watch may be late before it is asked for on another
@@ -150,7 +152,7 @@
         self.clock = clock
         self.watch_s = watch_s
         self.restores = 0
-        self.client = HttpEndpointClient()
+        self.client = HttpEndpointClient(max_connections=MAX_CONNECTIONS)
 
     async def _call(
         self,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -7,6 +7,7 @@
 import pytest
 from raw_replicas import ConnectionEnd, delay_connects, open_full_replica
 
+from primrosepier import endpoint_client
 from primrosepier.asgi import open_server, send_bytes, send_chunk, start_response
 from primrosepier.endpoint_client import EndpointCall, HttpEndpointClient
 
@@ -54,7 +55,7 @@
     run_calls(check)
 
 
-def test_kept_connections_stay_within_the_limit_of_all_addresses_together():
+def test_connections_stay_within_the_limit_of_all_addresses(monkeypatch):
     """Guards against idle connections to many replicas that use up all descriptors."""
 
     async def run():
@@ -84,6 +85,15 @@
             assert not await client.probe("127.0.0.1:1", 0.5)
             assert await client.probe(addresses[3], 0.5)
             assert client.connections == len(list_kept()) <= 4
+            monkeypatch.setattr(endpoint_client, "SPARE_CONNECTIONS", 1)
+            async with contextlib.AsyncExitStack() as calls:
+                for address in addresses[:5]:
+                    call = client.open(make_call(address, "/slow"))
+                    await calls.enter_async_context(call)
+                assert client.connections == 5
+                with pytest.raises(httpcore.PoolTimeout):
+                    await fetch(client, addresses[5])
+            assert client.connections == 0
             await client.close()
             assert client.connections == 0
 
