Count a connection as closed when its request can't be written

Cause: an error between opening a connection and sending the request, such as a header that can't be encoded, left the connection counted as in use.

Change: the request is built where an error closes the connection.

--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -180,21 +180,21 @@
         """Send a call; leaving the context cancels it if it is still in progress."""
         idle_stream = self._take_idle(call)
         stream = idle_stream or await self._connect(call.address, call.connect_s)
-        call.record_connected()
-        if call.repeatable:
-            self.repeatable[call.address].add(stream)
-        url = _make_url(call)
-        connection = httpcore.AsyncHTTP11Connection(url.origin, stream)
-        timeout = {"read": call.request_s, "write": call.request_s}
-        request = httpcore.Request(
-            call.method,
-            url,
-            headers=_complete_headers(call, url.origin),
-            content=call.body,
-            extensions={"timeout": timeout},
-        )
         response: StreamedResponse | None = None
         try:
+            call.record_connected()
+            if call.repeatable:
+                self.repeatable[call.address].add(stream)
+            url = _make_url(call)
+            connection = httpcore.AsyncHTTP11Connection(url.origin, stream)
+            timeout = {"read": call.request_s, "write": call.request_s}
+            request = httpcore.Request(
+                call.method,
+                url,
+                headers=_complete_headers(call, url.origin),
+                content=call.body,
+                extensions={"timeout": timeout},
+            )
             received = await _send_request(connection, request, stream)
             response = StreamedResponse(received, stream, call.request_s, call.method)
             response.is_first_use = idle_stream is None
