Admit small calls first within a workspace's quota

A hot workspace's calls were admitted at random with one probability. An exact token bucket nearly always admits small calls, so that most calls that it would have admitted and the routers rejected were small. Reports carry the requested totals of small calls in two more fields with a default. While the bucket is below its reference, small calls are held back half as fast or less (SMALL_CORRECTION_S).

--- a/primrosepier/forwarding/quotas/bucket.py
+++ b/primrosepier/forwarding/quotas/bucket.py
@@ -3,7 +3,7 @@
 The bucket is shared by all routers. Each router knows its own calls at once and those
 of its peers from reports that are up to 0.7 s old, so the bucket is a feedback loop
 with a delay. Calls are admitted at random, with a probability that all routers compute
-from the same reports and that is the same for calls of any size.
+from the same reports, one for small calls and one for large ones (`sharing.py`).
 """
 
 import math
@@ -12,6 +12,7 @@
 
 from ...ids import HostId
 from ..declarations import Quota
+from .sharing import AllowedRate, Demand, is_small
 
 __all__ = ["PeerUsage", "QuotaBounds", "WorkspaceBucket"]
 
@@ -23,6 +24,9 @@
 # Time within which a difference of the level from its reference is made up, seconds:
 # longer than reports take, so that the loop does not oscillate.
 CORRECTION_S = 1.0
+# The same for small calls while the level is below its reference, seconds: the large
+# calls that were admitted too many are made up for by large ones first.
+SMALL_CORRECTION_S = 3.0
 # Time that a report takes after it was made, seconds: about half of the 0.3 s to 0.7 s
 # after which a call is known to the peers at 66 routers.
 REPORT_DELAY_S = 0.3
@@ -31,8 +35,10 @@
 # for the 0.6 s that most reports take.
 SURGE_S = 2.0
 # Part of what a window may exceed the quota by that routers which do not hear each
-# other may admit at once, so that they do not reject the first calls after a restart.
-INITIAL_CREDIT = 0.25
+# other may admit at once, so that they do not reject the first small calls after a
+# restart. Routers that are all restarted several times get it each time: with 0.25,
+# random restarts and partitions exceeded the bound.
+INITIAL_CREDIT = 0.1
 # Part of the bucket that is kept back for such a rise where a window may exceed the
 # quota by too little. With more, the bucket would often be full and tokens be lost.
 MAX_KEPT_BACK = 0.25
@@ -72,9 +78,10 @@
 
     Parameters
     ----------
-    admitted, asked : float
-        Totals since its start.
-    admitted_per_s, asked_per_s : float
+    admitted, asked, asked_small : float
+        Totals since its start: admitted, requested, and requested by small calls.
+    admitted_per_s : float
+    demand : Demand
         Rates that are assumed until its next report.
     is_first : bool
         Whether no earlier totals are known, so that the rates are not known either.
@@ -82,8 +89,9 @@
 
     admitted: float
     asked: float
+    asked_small: float = 0.0
     admitted_per_s: float = 0.0
-    asked_per_s: float = 0.0
+    demand: Demand = field(default_factory=Demand)
     is_first: bool = False
 
 
@@ -105,15 +113,16 @@
 
     Attributes
     ----------
-    admitted, asked : float
+    admitted, asked, asked_small : float
         This router's totals since its start.
-    asked_per_s : float
-        Average requested rate of this router.
+    demand : Demand
+        Average requested rates of this router.
     long_asked_per_s : float
-        The same, averaged for as long as a single router needs.
+        Requested rate of all its calls, averaged for as long as a single router needs.
     peers : dict of HostId to PeerUsage
         Routers that have had calls of the workspace in their last report.
-    peer_admitted_per_s, peer_asked_per_s : float
+    peer_admitted_per_s : float
+    peer_demand : Demand
         Sums of their rates.
     is_alone : bool
         Whether this router hears no other one.
@@ -129,11 +138,12 @@
     share: float = 1.0
     admitted: float = 0.0
     asked: float = 0.0
-    asked_per_s: float = 0.0
+    asked_small: float = 0.0
+    demand: Demand = field(default_factory=Demand)
     long_asked_per_s: float = 0.0
     peers: dict[HostId, PeerUsage] = field(default_factory=dict)
     peer_admitted_per_s: float = 0.0
-    peer_asked_per_s: float = 0.0
+    peer_demand: Demand = field(default_factory=Demand)
     is_alone: bool = False
     credit: float = 0.0
 
@@ -156,14 +166,17 @@
         self.credit = min(
             self.credit + duration_s * filled_per_s, self._compute_max_credit()
         )
-        self.asked_per_s *= math.exp(-duration_s / AVERAGING_S)
+        self.demand = self.demand.scale(math.exp(-duration_s / AVERAGING_S))
         self.long_asked_per_s *= math.exp(-duration_s / LONG_AVERAGING_S)
         if share < self.share:
             self.level *= share / self.share
-        self.share = share
-        if is_alone and not self.is_alone:
+        if is_alone:
+            # The share of a router that has just started grows from 0.
+            grown = share - self.share if self.is_alone else share
+            kept = self.credit if self.is_alone else 0.0
             allowance = self.bounds.compute_allowance(self.quota)
-            self.credit = self.share * allowance * INITIAL_CREDIT
+            self.credit = kept + max(0.0, grown) * allowance * INITIAL_CREDIT
+        self.share = share
         self.is_alone = is_alone
 
     def _compute_max_level(self) -> float:
@@ -195,33 +208,33 @@
         kept_back = max(-MAX_USED_UP * allowance, kept_back)
         return self.share * kept_back
 
-    def compute_allowed_rate(self) -> float:
-        """Return the rate that all routers together may admit, per second."""
+    def compute_allowed_rate(self) -> AllowedRate:
+        """Return the rate that all routers together may admit."""
+        filled_per_s = self.share * self.quota.rate_per_s
         level = self.level - REPORT_DELAY_S * self.peer_admitted_per_s
         missing = self.compute_reference() - level
-        return max(0.0, self.share * self.quota.rate_per_s - missing / CORRECTION_S)
+        now_per_s = max(0.0, filled_per_s - missing / CORRECTION_S)
+        small_per_s = filled_per_s - missing / SMALL_CORRECTION_S
+        return AllowedRate(now_per_s, max(now_per_s, small_per_s))
 
     def compute_asked_rate(self) -> float:
         """Return the rate that is requested of all routers together, per second."""
-        return self.asked_per_s + self.peer_asked_per_s
+        return (self.demand + self.peer_demand).total_per_s
 
     def compute_probability(self, cost: float) -> float:
         """Return the probability with which a call is admitted now."""
         if self.is_alone:
             return self._compute_offer(cost) / cost if cost > 0 else 1.0
-        allowed_per_s, asked_per_s = (
-            self.compute_allowed_rate(),
-            self.compute_asked_rate(),
-        )
-        if allowed_per_s <= 0:
-            return 0.0
-        return min(1.0, allowed_per_s / asked_per_s) if asked_per_s else 1.0
+        demand = self.demand + self.peer_demand
+        small = is_small(cost, self.quota)
+        return self.compute_allowed_rate().compute_probability(demand, small)
 
     def _compute_offer(self, cost: float) -> float:
         """Return the credit for a call of a router that is alone.
 
         While more is requested than its share, a call gets at most that part of its
-        cost, so that short calls leave credit for the long ones.
+        cost, so that short calls leave credit for the long ones. The part is the same
+        for both: small calls that come first would keep the credit too low for them.
         """
         share_per_s = self.share * self.quota.rate_per_s
         part = 1.0
@@ -232,16 +245,19 @@
     def admit(self, cost: float) -> bool:
         """Decide on a call, and charge it if it is admitted.
 
-        The call itself does not count in the requested rate that decides on it, as long
-        calls would otherwise be admitted less often than short ones. A router that is
-        alone uses up credit whether or not the call is admitted, so that it admits as
-        much as the credit on average also where a call costs more.
+        The call itself does not count in the requested rate that decides on it, as few
+        calls would otherwise be admitted less often than many. A router that is alone
+        uses up credit whether or not the call is admitted, so that it admits as much as
+        the credit on average also where a call costs more.
         """
         is_admitted = self.rng.random() < self.compute_probability(cost)
         if self.is_alone:
             self.credit -= self._compute_offer(cost)
+        small_cost = cost if is_small(cost, self.quota) else 0.0
         self.asked += cost
-        self.asked_per_s += cost / AVERAGING_S
+        self.asked_small += small_cost
+        asked = Demand(cost, small_cost)
+        self.demand += asked.scale(1 / AVERAGING_S)
         self.long_asked_per_s += cost / LONG_AVERAGING_S
         if is_admitted:
             self.charge(cost)
@@ -256,7 +272,8 @@
         """Return when a rejected call may be retried, seconds.
 
         The time is chosen at random, up to twice the time in which what was requested
-        lately is admitted, so that a wave of rejected calls comes back spread out.
+        lately by calls of its kind, small or large, is admitted, so that a wave of
+        rejected calls comes back spread out.
         """
         rate_per_s = self.share * self.quota.rate_per_s
         if rate_per_s <= 0:
@@ -264,9 +281,15 @@
         if self.is_alone:
             mean_s = max(0.0, cost - self.credit) / rate_per_s
         else:
+            small = is_small(cost, self.quota)
+            demand = self.demand + self.peer_demand
+            allowed = AllowedRate(rate_per_s, rate_per_s)
+            admitted_per_s = allowed.divide(demand, small)
             missing = max(0.0, self.compute_reference() - self.level)
-            excess_per_s = max(0.0, self.compute_asked_rate() - rate_per_s)
-            mean_s = (missing + excess_per_s * CORRECTION_S) / rate_per_s
+            correction_s = SMALL_CORRECTION_S if small else CORRECTION_S
+            excess = max(0.0, demand.select(small) - admitted_per_s) * CORRECTION_S
+            excess += missing * CORRECTION_S / correction_s
+            mean_s = excess / admitted_per_s if admitted_per_s > 0 else max_s
         longest_s = min(max_s, 2 * max(AVERAGING_S, mean_s))
         return self.rng.uniform(0.25, 1.0) * longest_s
 
@@ -290,18 +313,21 @@
         """
         previous = self.peers.get(host)
         if previous is None:
-            previous = PeerUsage(usage.admitted, usage.asked)
+            previous = PeerUsage(usage.admitted, usage.asked, usage.asked_small)
         admitted = usage.admitted - previous.admitted
         self.level -= admitted - previous.admitted_per_s * age_s
         self.level = min(self.level, self._compute_max_level())
         kept = 0.0 if previous.is_first else math.exp(-interval_s / AVERAGING_S)
         new_per_s = (1 - kept) / interval_s
-        asked = max(0.0, usage.asked - previous.asked)
+        asked = Demand(
+            max(0.0, usage.asked - previous.asked),
+            max(0.0, usage.asked_small - previous.asked_small),
+        )
         ran = max(0.0, admitted)
         usage.admitted_per_s = previous.admitted_per_s * kept + ran * new_per_s
-        usage.asked_per_s = previous.asked_per_s * kept + asked * new_per_s
+        usage.demand = previous.demand.scale(kept) + asked.scale(new_per_s)
         self.peer_admitted_per_s += usage.admitted_per_s - previous.admitted_per_s
-        self.peer_asked_per_s += usage.asked_per_s - previous.asked_per_s
+        self.peer_demand += usage.demand - previous.demand
         self.peers[host] = usage
 
     def add_base(self, host: HostId, base: PeerUsage) -> None:
@@ -322,7 +348,8 @@
         refunded = self.level + usage.admitted_per_s * age_s
         self.level = min(refunded, self._compute_max_level())
         self.peer_admitted_per_s -= usage.admitted_per_s
-        self.peer_asked_per_s -= usage.asked_per_s
+        self.peer_demand -= usage.demand
         if not self.peers:
             # Ends the rounding errors of the sums.
-            self.peer_admitted_per_s = self.peer_asked_per_s = 0.0
+            self.peer_admitted_per_s = 0.0
+            self.peer_demand = Demand()
--- a/primrosepier/forwarding/quotas/quotas.py
+++ b/primrosepier/forwarding/quotas/quotas.py
@@ -13,8 +13,10 @@
 from ..declarations import Declaration, Quota
 from ..peer_reports import SectionName
 from .bucket import PeerUsage, QuotaBounds, WorkspaceBucket
+from .listings import Listings
+from .peer_runs import MS, PeerRun, make_peer_run
 from .records import QuotaExceeded, QuotaLimitChanged, QuotaShareChanged
-from .reports import QuotaReport, WorkspaceTotals, decode_quota_report
+from .reports import QuotaReport, decode_quota_report
 
 __all__ = ["Quotas", "RouterList", "compute_cost", "make_quotas"]
 
@@ -30,19 +32,11 @@
 # routers processor time. Reports without calls show that a router is not cut off.
 CALLS_INTERVAL_S = 0.45
 IDLE_INTERVAL_S = 0.45
-# Time for which a workspace is reported after its last call, seconds: a router that
-# receives none of these reports counts this one as silent.
-LISTED_S = 2.0
-# Workspaces in one report, the newest calls first, so that it fits a datagram.
-MAX_LISTED = 500
 # Interval at which the share of the routers is computed, seconds.
 SHARE_INTERVAL_S = 0.1
-# Largest drift of two hosts' clocks that is expected; part of the time between reports.
-CLOCK_DRIFT = 0.0005
 # Largest Retry-After as a share of the remaining time, which callers honour.
 RETRY_SHARE = 0.3
 MAX_RUN = 2**32
-MS = 0.001
 # Reports of a run after which the rates of its calls are known.
 KNOWN_REPORTS = 2
 # Time within which a bucket is not advanced again for another report, seconds. With 66
@@ -71,43 +65,6 @@
     settled: float = 1.0
 
 
-@dataclass(slots=True)
-class _Listing:
-    """A workspace in this router's reports, and its totals from before its calls."""
-
-    since_s: float
-    changed_at_s: float
-    base_admitted: float
-    base_asked: float
-
-
-@dataclass(slots=True)
-class _Peer:
-    """Another router.
-
-    Parameters
-    ----------
-    clock_base_s : float
-        Time at which its run began by this router's clock, if the fastest of its
-        reports took no time.
-    applied_at_s, heard_at_s : float
-        When its last report was received, and when it was sent.
-    reports : int
-        Reports that were received since it was silent.
-    former_run : int
-        The run before this one, whose delayed reports are ignored.
-    """
-
-    run: int
-    uptime_ms: int
-    clock_base_s: float
-    applied_at_s: float
-    heard_at_s: float
-    reports: int = 0
-    former_run: int = -1
-    workspaces: set[WorkspaceId] = field(default_factory=set)
-
-
 @dataclass(slots=True)
 class _Limit:
     """Rejections of a workspace in a row."""
@@ -161,8 +118,8 @@
     quotas: dict[WorkspaceId, Quota] = field(default_factory=dict)
     known_at_s: dict[WorkspaceId, float] = field(default_factory=dict)
     buckets: dict[WorkspaceId, WorkspaceBucket] = field(default_factory=dict)
-    listings: dict[WorkspaceId, _Listing] = field(default_factory=dict)
-    peers: dict[HostId, _Peer] = field(default_factory=dict)
+    listings: Listings = field(default_factory=Listings)
+    peers: dict[HostId, PeerRun] = field(default_factory=dict)
     limits: dict[WorkspaceId, _Limit] = field(default_factory=dict)
     hosts: set[HostId] = field(default_factory=set)
     gone_at_s: dict[HostId, float] = field(default_factory=dict)
@@ -197,7 +154,7 @@
         for workspace in self.known_at_s.keys() - self.quotas.keys():
             del self.known_at_s[workspace]
             self.buckets.pop(workspace, None)
-            self.listings.pop(workspace, None)
+            self.listings.remove(workspace)
 
     def admit(self, call: Call, now_s: float) -> float:
         """Charge a call to its workspace's quota; return what it was charged.
@@ -218,7 +175,8 @@
             return 0.0
         bucket = self._open_bucket(workspace.id, now_s)
         cost = compute_cost(call, quota)
-        self._list(workspace.id, bucket, now_s)
+        self.has_news = True
+        self.listings.add(workspace.id, bucket, now_s)
         probability = bucket.compute_probability(cost)
         if bucket.admit(cost):
             return cost
@@ -255,7 +213,8 @@
         bucket = self.buckets.get(call.workspace.id)
         if bucket is not None:
             self._advance(bucket, now_s)
-            self._list(call.workspace.id, bucket, now_s)
+            self.has_news = True
+            self.listings.add(call.workspace.id, bucket, now_s)
             bucket.charge((runs - 1) * cost)
 
     def _record_rejected(self, workspace: WorkspaceId, now_s: float) -> None:
@@ -287,19 +246,6 @@
     def _advance(self, bucket: WorkspaceBucket, now_s: float) -> None:
         bucket.advance(now_s, self.share, self.is_alone)
 
-    def _list(
-        self, workspace: WorkspaceId, bucket: WorkspaceBucket, now_s: float
-    ) -> None:
-        """Report a workspace from now on; called before its totals change."""
-        self.has_news = True
-        listing = self.listings.get(workspace)
-        if listing is None:
-            self.listings[workspace] = _Listing(
-                now_s, now_s, bucket.admitted, bucket.asked
-            )
-        else:
-            listing.changed_at_s = now_s
-
     def _tick(self, now_s: float) -> None:
         """Apply what has changed since the last call.
 
@@ -325,7 +271,7 @@
             bucket.credit = 0.0
         self.share_at_s = float("-inf")
 
-    def _silence(self, host: HostId, peer: _Peer) -> None:
+    def _silence(self, host: HostId, peer: PeerRun) -> None:
         """Forget the rates of a peer that is not heard."""
         for workspace in peer.workspaces:
             if workspace in self.buckets:
@@ -386,30 +332,10 @@
             return b""
         self.reported_at_s = now_s
         self.has_news = False
-        self.listings = {
-            workspace: listing
-            for workspace, listing in self.listings.items()
-            if now_s <= listing.changed_at_s + LISTED_S
-        }
-        listed = sorted(self.listings.items(), key=lambda x: -x[1].changed_at_s)
-        totals = [self._make_totals(*entry, now_s) for entry in listed[:MAX_LISTED]]
+        totals = self.listings.make_totals(self.buckets, now_s)
         uptime_ms = int((now_s - self.born_at_s) / MS)
         return msgspec.msgpack.encode(QuotaReport(self.run, uptime_ms, totals))
 
-    def _make_totals(
-        self, workspace: WorkspaceId, listing: _Listing, now_s: float
-    ) -> WorkspaceTotals:
-        # Whole numbers take half the bytes; reports cross failure domains.
-        bucket = self.buckets[workspace]
-        totals = WorkspaceTotals(workspace, round(bucket.admitted), round(bucket.asked))
-        if now_s > listing.since_s + LISTED_S:
-            return totals
-        return msgspec.structs.replace(
-            totals,
-            base_admitted=round(listing.base_admitted),
-            base_asked=round(listing.base_asked),
-        )
-
     def apply(self, sender: HostId, content: bytes, now_s: float) -> None:
         """Apply another router's totals.
 
@@ -430,21 +356,15 @@
         elif report.uptime_ms <= peer.uptime_ms:
             return
         was_known = peer.reports > 0
-        started_at_s = now_s - report.uptime_ms * MS
-        drift_s = CLOCK_DRIFT * (now_s - peer.applied_at_s)
-        peer.clock_base_s = min(peer.clock_base_s + drift_s, started_at_s)
-        peer.heard_at_s = peer.clock_base_s + report.uptime_ms * MS
-        interval_s = (report.uptime_ms - peer.uptime_ms) * MS
-        age_s = now_s - peer.applied_at_s
-        peer.uptime_ms, peer.applied_at_s = report.uptime_ms, now_s
+        interval_s, age_s = peer.record_report(report.uptime_ms, now_s)
         if now_s - peer.heard_at_s > SILENCE_S:
             return
         peer.reports += 1
         self._apply_totals(sender, peer, report, was_known, interval_s, age_s, now_s)
 
     def _record_run(
-        self, sender: HostId, former: _Peer | None, report: QuotaReport, now_s: float
-    ) -> _Peer:
+        self, sender: HostId, former: PeerRun | None, report: QuotaReport, now_s: float
+    ) -> PeerRun:
         """Return the state of a router that is heard for the first time in its run."""
         former_run = -1
         if former is not None:
@@ -452,16 +372,14 @@
                 self._advance(self.buckets[workspace], now_s)
             self._silence(sender, former)
             former_run = former.run
-        started_at_s = now_s - report.uptime_ms * MS
-        peer = _Peer(report.run, report.uptime_ms, started_at_s, now_s, now_s)
-        peer.former_run = former_run
+        peer = make_peer_run(report, former_run, now_s)
         self.peers[sender] = peer
         return peer
 
     def _apply_totals(
         self,
         sender: HostId,
-        peer: _Peer,
+        peer: PeerRun,
         report: QuotaReport,
         was_known: bool,
         interval_s: float,
@@ -480,9 +398,11 @@
             bucket = self.buckets.get(entry.workspace)
             if bucket is None or now_s >= bucket.updated_at_s + ADVANCE_INTERVAL_S:
                 bucket = self._open_bucket(entry.workspace, now_s)
-            usage = PeerUsage(entry.admitted, entry.asked)
+            usage = PeerUsage(entry.admitted, entry.asked, entry.asked_small)
             if was_known and entry.base_admitted is not None:
-                base = PeerUsage(entry.base_admitted, entry.base_asked or 0.0)
+                base = PeerUsage(
+                    entry.base_admitted, entry.base_asked or 0.0, entry.base_asked_small
+                )
                 bucket.add_base(sender, base)
             if was_known:
                 bucket.record_usage(sender, usage, max(MS, interval_s), age_s)
--- a/primrosepier/forwarding/quotas/reports.py
+++ b/primrosepier/forwarding/quotas/reports.py
@@ -25,6 +25,9 @@
     base_admitted, base_asked : float or None
         Totals before its first call of late; None once they were reported for long
         enough.
+    asked_small, base_asked_small : float
+        The requested totals of small calls. Earlier builds report none, so that their
+        calls count as large.
     """
 
     workspace: WorkspaceId
@@ -32,6 +35,8 @@
     asked: Total
     base_admitted: Total | None = None
     base_asked: Total | None = None
+    asked_small: Total = 0
+    base_asked_small: Total = 0
 
 
 class QuotaReport(msgspec.Struct, frozen=True, array_like=True):
