Estimate the costs of replicas without changing state

A report on where a call would go needs the same estimates as the choice itself, but the choice dropped expired reports, added empty loads and moved the weights of homes while it estimated.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -320,7 +320,7 @@
     cache_store = find_cache_store(declaration, call, replicas)
     # With a single store, each call names it, as in earlier releases.
     saves = not has_several_cache_stores(declaration) or must_save(call, choice)
-    reported_version = load_table.get_or_create(choice.replica.id).weights
+    reported_version = load_table.read(choice.replica.id).weights
     return plan_cache_use(
         call,
         choice,
@@ -380,7 +380,7 @@
     if model in current.weights:
         current = replace(current, weights={model: current.weights[model]})
     requested_weights = weights_controller.store_view.requested_weights.value
-    reported_version = load_table.get_or_create(replica.id).weights
+    reported_version = load_table.read(replica.id).weights
     return compute_lag_s(current, reported_version, requested_weights, clock())
 
 
@@ -427,7 +427,7 @@
     usable = []
     outdated = set()
     for replica in replicas:
-        reported_version = forecasts.loads.get_or_create(replica.id).weights
+        reported_version = forecasts.loads.read(replica.id).weights
         lag_s = compute_lag_s(replica, reported_version, requested_weights, now_s)
         if lag_s is not None:
             start_lag_s = lag_s + forecasts.forecast_wait_s(replica.id)
--- a/primrosepier/forwarding/notices.py
+++ b/primrosepier/forwarding/notices.py
@@ -82,9 +82,7 @@
     ) -> Sequence[Replica]:
         """Leave out replicas whose rest has just ended, if another one takes calls."""
         proven = [x for x in replicas if not self.rests.is_unproven(x.id, now_s)]
-        takes_calls = any(
-            self.loads.get_or_create(x.id).avoid_until_s <= now_s for x in proven
-        )
+        takes_calls = any(self.loads.read(x.id).avoid_until_s <= now_s for x in proven)
         return proven if takes_calls else replicas
 
     def count_resting(self, replicas: Sequence[Replica], now_s: float) -> int:
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -213,7 +213,7 @@
     def _compute_ready_s(self, replicas: Sequence[Replica]) -> float:
         """Return the time until a replica may take calls again, seconds."""
         ready_at_s = min(
-            (self.chooser.loads.get_or_create(x.id).avoid_until_s for x in replicas),
+            (self.chooser.loads.read(x.id).avoid_until_s for x in replicas),
             default=-math.inf,
         )
         return max(0.0, ready_at_s - self.clock())
--- a/primrosepier/forwarding/replica_load.py
+++ b/primrosepier/forwarding/replica_load.py
@@ -165,6 +165,10 @@
         """Return a replica's load, adding an empty one for an unknown replica."""
         return self.loads.setdefault(endpoint, ReplicaLoad())
 
+    def read(self, endpoint: EndpointId) -> ReplicaLoad:
+        """Return a replica's load, or an empty one that is not kept."""
+        return self.loads.get(endpoint) or ReplicaLoad()
+
     def begin_call(self, endpoint: EndpointId, tokens: int) -> None:
         """Record that a call is sent whose uncached prompt has ``tokens`` tokens."""
         load = self.get_or_create(endpoint)
@@ -251,18 +255,26 @@
         if peer_load is not None:
             self.peer_totals.add(peer_load, -1)
 
-    def _drop_expired(self, now_s: float) -> None:
-        """Drop reports that are too old; the oldest come first."""
-        while self.peer_loads:
-            host, peer_load = next(iter(self.peer_loads.items()))
-            if now_s - peer_load.received_at_s < PEER_REPORT_TTL_S:
-                return
+    def drop_expired(self, now_s: float) -> None:
+        """Drop reports that are too old."""
+        for host in self._list_expired(now_s):
             self._drop_peer_load(host)
 
+    def _list_expired(self, now_s: float) -> list[HostId]:
+        """Return the hosts whose reports are too old; the oldest come first."""
+        expired = []
+        for host, peer_load in self.peer_loads.items():
+            if now_s - peer_load.received_at_s < PEER_REPORT_TTL_S:
+                break
+            expired.append(host)
+        return expired
+
     def count_peer_tokens(self, endpoint: EndpointId, now_s: float) -> int:
         """Return the pending prompt tokens of all peers at a replica."""
-        self._drop_expired(now_s)
-        return self.peer_totals.pending_tokens[endpoint]
+        tokens = self.peer_totals.pending_tokens[endpoint]
+        for host in self._list_expired(now_s):
+            tokens -= self.peer_loads[host].pending_tokens.get(endpoint, 0)
+        return tokens
 
     def count_pending_tokens(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the prompt tokens that a replica has yet to prefill for all callers.
@@ -270,7 +282,7 @@
         Calls that it reports as waiting, and that no router reports, count as average
         ones.
         """
-        load = self.get_or_create(endpoint)
+        load = self.read(endpoint)
         report = load.read_report(now_s)
         waiting = 0 if report is None else report.waiting
         other_waiting = max(0, waiting - load.outstanding)
@@ -279,14 +291,18 @@
 
     def count_decoding(self, endpoint: EndpointId, now_s: float) -> int:
         """Return the calls of all routers whose output a replica generates."""
-        self._drop_expired(now_s)
-        peers_decoding = self.peer_totals.decoding[endpoint]
-        return self.get_or_create(endpoint).decoding + peers_decoding
+        decoding = self.read(endpoint).decoding + self.peer_totals.decoding[endpoint]
+        for host in self._list_expired(now_s):
+            decoding -= self.peer_loads[host].decoding.get(endpoint, 0)
+        return decoding
 
     def find_peer_wait_s(self, endpoint: EndpointId, now_s: float) -> float:
         """Return the longest wait at a replica that a peer reports, seconds."""
-        self._drop_expired(now_s)
-        waits_ms = (x.waits_ms.get(endpoint, 0) for x in self.peer_loads.values())
+        waits_ms = (
+            x.waits_ms.get(endpoint, 0)
+            for x in self.peer_loads.values()
+            if now_s - x.received_at_s < PEER_REPORT_TTL_S
+        )
         return MS * max(waits_ms, default=0)
 
     def retain(self, endpoints: Iterable[EndpointId]) -> None:
--- a/primrosepier/forwarding/speeds/homes.py
+++ b/primrosepier/forwarding/speeds/homes.py
@@ -50,23 +50,36 @@
         speeds: SpeedTable,
         now_s: float,
     ) -> None:
-        """Adapt the weights of a service's replicas, if they may change again.
+        """Adapt the weights of a service's replicas, if they may change again."""
+        updated = self.compute_update(service, endpoints, speeds, now_s)
+        self.steps, self.changes = updated.steps, updated.changes
+        self.updated_at_s = updated.updated_at_s
+
+    def compute_update(
+        self,
+        service: ServiceId,
+        endpoints: Sequence[EndpointId],
+        speeds: SpeedTable,
+        now_s: float,
+    ) -> "HomeWeights":
+        """Return the weights that hold from now on; the same if they may not change.
 
         Only differences between them count: a load that all of them share moves none.
         """
         if now_s < self.updated_at_s.get(service, -math.inf) + UPDATE_INTERVAL_S:
-            return
-        self.updated_at_s[service] = now_s
+            return self
         slowness = {x: speeds.get_lasting_slowness(x) for x in endpoints}
         median = statistics.median(slowness.values())
         known = speeds.list_known()
         steps = {x: step for x, step in self.steps.items() if x in known}
+        changes = self.changes
         for endpoint in endpoints:
             current = self.steps.get(endpoint, 0)
             step = self._choose_step(current, slowness[endpoint] / median)
-            self.changes += step != current
+            changes += step != current
             steps[endpoint] = step
-        self.steps = {endpoint: step for endpoint, step in steps.items() if step}
+        steps = {endpoint: step for endpoint, step in steps.items() if step}
+        return HomeWeights(steps, changes, {**self.updated_at_s, service: now_s})
 
     def _choose_step(self, current: int, slowness: float) -> int:
         exact = math.log(slowness) / math.log(STEP_FACTOR)
