Read divisions, ejections, retries and quarantines without changing state

A report on where a call would go has to read what the choice reads, but these parts pruned and updated their tables while they answered.

ReplicaDivision.preview, Ejections.find_ejected, RetryBudget.has_left_after and LossLog.find_quarantine_s decide; the methods that calls use apply the changes around them. Rates of demand are decayed without storing the result.

--- a/primrosepier/ejection.py
+++ b/primrosepier/ejection.py
@@ -104,18 +104,27 @@
     ) -> frozenset[EndpointId]:
         """Return the endpoints that are ejected now.
 
-        At most `MAX_EJECTED_SHARE` of the endpoints are ejected, those with the longest
-        remaining time first. An endpoint whose ejection ended is probed with requests.
+        An endpoint whose ejection ended is probed with requests from then on.
         """
-        excluded = []
         for endpoint in self.ejected:
-            if endpoint not in endpoints:
-                continue
             health = self.health[endpoint]
-            if health.ejected_until_s > now_s:
-                excluded.append(endpoint)
-            else:
+            if endpoint in endpoints and health.ejected_until_s <= now_s:
                 health.probing = True
+        return self.find_ejected(endpoints, now_s)
+
+    def find_ejected(
+        self, endpoints: Collection[EndpointId], now_s: float
+    ) -> frozenset[EndpointId]:
+        """Return the endpoints that are ejected now, and change nothing.
+
+        At most `MAX_EJECTED_SHARE` of the endpoints are ejected, those with the longest
+        remaining time first.
+        """
+        excluded = [
+            endpoint
+            for endpoint in self.ejected
+            if endpoint in endpoints and self.health[endpoint].ejected_until_s > now_s
+        ]
         max_ejected = int(MAX_EJECTED_SHARE * len(endpoints))
         excluded.sort(
             key=lambda endpoint: (-self.health[endpoint].ejected_until_s, endpoint)
--- a/primrosepier/forwarding/retries.py
+++ b/primrosepier/forwarding/retries.py
@@ -66,12 +66,18 @@
 
     def has_left(self, service: ServiceId, now_s: float) -> bool:
         """Return whether a retry is left."""
-        recent = self._get_recent(service, now_s)
+        return self.has_left_after(service, 0, now_s)
+
+    def has_left_after(self, service: ServiceId, calls: int, now_s: float) -> bool:
+        """Return whether a retry is left after further calls, and change nothing."""
+        recent = self.services.get(service) or ServiceRetries()
+        oldest_s = now_s - self.window_s
+        calls += _count_since(recent.first_attempts, oldest_s)
         share = 0.0
         if self.knows_routers():
             share = EXTRA_RETRY_SHARE * self.extra / self.count_routers()
-        allowed = max(MIN_RETRIES, share + self.ratio * len(recent.first_attempts))
-        return len(recent.retries) + 1 <= allowed
+        allowed = max(MIN_RETRIES, share + self.ratio * calls)
+        return _count_since(recent.retries, oldest_s) + 1 <= allowed
 
     def try_acquire(self, service: ServiceId, now_s: float) -> bool:
         """Count a retry and return True, or return False if none is left."""
@@ -86,3 +92,13 @@
             while times and times[0] <= now_s - self.window_s:
                 times.popleft()
         return recent
+
+
+def _count_since(times: deque[float], oldest_s: float) -> int:
+    """Return how many of the times, the oldest of which come first, are recent."""
+    expired = 0
+    for at_s in times:
+        if at_s > oldest_s:
+            break
+        expired += 1
+    return len(times) - expired
--- a/primrosepier/forwarding/room/demand.py
+++ b/primrosepier/forwarding/room/demand.py
@@ -57,10 +57,13 @@
     short_per_s: float = 0.0
     long_per_s: float = 0.0
 
-    def decay(self, now_s: float) -> None:
+    def compute_rates(self, now_s: float) -> tuple[float, float]:
+        """Return the rates of short and of long prompts at a time."""
         kept = math.exp(-max(0.0, now_s - self.updated_at_s) / AVERAGING_S)
-        self.short_per_s *= kept
-        self.long_per_s *= kept
+        return kept * self.short_per_s, kept * self.long_per_s
+
+    def decay(self, now_s: float) -> None:
+        self.short_per_s, self.long_per_s = self.compute_rates(now_s)
         self.updated_at_s = max(now_s, self.updated_at_s)
 
 
@@ -101,13 +104,13 @@
     def _list_own(self, now_s: float) -> list[ServiceRates]:
         rates = []
         for service, average in self.own.items():
-            average.decay(now_s)
-            if average.short_per_s + average.long_per_s >= MIN_RATE:
+            short_per_s, long_per_s = average.compute_rates(now_s)
+            if short_per_s + long_per_s >= MIN_RATE:
                 rates.append(
                     ServiceRates(
                         service,
-                        round(average.short_per_s),
-                        round(average.long_per_s),
+                        round(short_per_s),
+                        round(long_per_s),
                         round(self.get_replica_rate(service)),
                     )
                 )
@@ -138,21 +141,24 @@
         rates = decode_msgpack(content, list[ServiceRates])
         self.peers[sender] = now_s, tuple(rates[:MAX_SERVICES])
 
-    def compute_total(self, service: ServiceId, now_s: float) -> ServiceRates:
-        """Return the demand of all routers, and the median of what a replica computes.
-
-        All routers come to about the same result, so that they divide replicas alike.
-        """
+    def drop_expired(self, now_s: float) -> None:
+        """Drop the rates of routers whose last report is too old."""
         self.peers = {
             host: (received_at_s, rates)
             for host, (received_at_s, rates) in self.peers.items()
             if now_s - received_at_s < REPORT_TTL_S
         }
+
+    def compute_total(self, service: ServiceId, now_s: float) -> ServiceRates:
+        """Return the demand of all routers, and the median of what a replica computes.
+
+        All routers come to about the same result, so that they divide replicas alike.
+        """
         listed = [
             entry
-            for _, rates in self.peers.values()
+            for received_at_s, rates in self.peers.values()
             for entry in rates
-            if entry.service == service
+            if entry.service == service and now_s - received_at_s < REPORT_TTL_S
         ]
         listed += [x for x in self._list_own(now_s) if x.service == service]
         known = [x.replica_per_s for x in listed if x.replica_per_s > 0]
--- a/primrosepier/forwarding/room/division.py
+++ b/primrosepier/forwarding/room/division.py
@@ -96,10 +96,18 @@
 
         All routers rank the replicas alike, and a change of their number moves few.
         """
+        if replicas:
+            self._update(replicas[0].service, len(replicas), now_s)
+        return self.preview(is_long, replicas, now_s)
+
+    def preview(
+        self, is_long: bool, replicas: Sequence[Replica], now_s: float
+    ) -> Sequence[Replica]:
+        """Return what `select` would, and change nothing."""
         if not replicas:
             return replicas
         service = replicas[0].service
-        short = self._update(service, len(replicas), now_s)
+        short, _ = self._compute_short(service, len(replicas), now_s)
         if not 0 < short < len(replicas):
             return replicas
         key = xxhash.xxh64_intdigest(service.encode())
@@ -110,14 +118,23 @@
         ranked = sorted(replicas, key=compute_rank)
         return ranked[short:] if is_long else ranked[:short]
 
-    def _update(self, service: ServiceId, replicas: int, now_s: float) -> int:
-        division = self.services.setdefault(service, _Division())
+    def _compute_short(
+        self, service: ServiceId, replicas: int, now_s: float
+    ) -> tuple[int, ServiceRates | None]:
+        """Return the replicas for short prompts, and the demand if it decides anew."""
+        division = self.services.get(service) or _Division()
         if now_s < division.updated_at_s + UPDATE_INTERVAL_S:
-            return division.short
-        division.updated_at_s = now_s
+            return division.short, None
         total = self.demand.compute_total(service, now_s)
-        short = count_short_replicas(replicas, total, division.short > 0)
+        return count_short_replicas(replicas, total, division.short > 0), total
+
+    def _update(self, service: ServiceId, replicas: int, now_s: float) -> None:
+        short, total = self._compute_short(service, replicas, now_s)
+        if total is None:
+            return
+        self.demand.drop_expired(now_s)
+        division = self.services.setdefault(service, _Division())
+        division.updated_at_s = now_s
         if short != division.short:
             division.short = short
             self.record(service, short, replicas, total.short_per_s, total.long_per_s)
-        return short
--- a/primrosepier/loss_log.py
+++ b/primrosepier/loss_log.py
@@ -165,6 +165,12 @@
     ) -> float | None:
         """Return for how long a request must not run; None if it may run."""
         self.refresh(now_s)
+        return self.find_quarantine_s(fingerprints, now_s)
+
+    def find_quarantine_s(
+        self, fingerprints: Fingerprints, now_s: float
+    ) -> float | None:
+        """Return the same by the causes that are known, and change nothing."""
         if not self.causes:
             return None
         ends = [self.causes.get(f, now_s) for f in fingerprints.list_all()]
