--- a/primrosepier/forwarding/notices.py
+++ b/primrosepier/forwarding/notices.py
@@ -65,7 +65,15 @@
 
         The time, in seconds, is 0 if one may now; the end of a rest is spread.
         """
-        now_s = self.clock()
+        wait_s, reason = self.compute_first_return(replicas, self.clock())
+        if reason == REST_REASON:
+            wait_s = spread_return(wait_s, self.rng)
+        return wait_s, reason
+
+    def compute_first_return(
+        self, replicas: Sequence[Replica], now_s: float
+    ) -> tuple[float, str]:
+        """Return the same without the spread."""
         if not replicas:
             return 0.0, ""
         first = min(replicas, key=lambda x: self.compute_wait_s(x.id, now_s)).id
@@ -75,7 +83,7 @@
         rest_wait_s = self.rests.compute_wait_s(first, now_s)
         if rest_wait_s <= limit_wait_s:
             return limit_wait_s, LIMIT_REASON
-        return spread_return(rest_wait_s, self.rng), REST_REASON
+        return rest_wait_s, REST_REASON
 
     def select_proven(
         self, replicas: Sequence[Replica], now_s: float
--- a/primrosepier/forwarding/quotas/bucket.py
+++ b/primrosepier/forwarding/quotas/bucket.py
@@ -13,7 +13,7 @@
 from ...ids import HostId
 from ..declarations import Quota
 
-__all__ = ["PeerUsage", "QuotaBounds", "WorkspaceBucket"]
+__all__ = ["PeerUsage", "QuotaBounds", "WorkspaceBucket", "make_bucket"]
 
 # Time for which the requested rate is averaged, seconds: the average must follow a
 # workspace whose rate rises within a second, and still hold several long calls.
@@ -255,12 +255,19 @@
     def compute_retry_after(self, cost: float, max_s: float) -> float:
         """Return when a rejected call may be retried, seconds.
 
-        The time is chosen at random, up to twice the time in which what was requested
-        lately is admitted, so that a wave of rejected calls comes back spread out.
+        The time is chosen at random, so that a wave of rejected calls comes back spread
+        out.
+        """
+        return self.rng.uniform(*self.compute_retry_range(cost, max_s))
+
+    def compute_retry_range(self, cost: float, max_s: float) -> tuple[float, float]:
+        """Return the earliest and the latest time of a retry, seconds.
+
+        The latest is twice the time in which what was requested lately is admitted.
         """
         rate_per_s = self.share * self.quota.rate_per_s
         if rate_per_s <= 0:
-            return max_s * self.rng.uniform(0.5, 1.0)
+            return 0.5 * max_s, max_s
         if self.is_alone:
             mean_s = max(0.0, cost - self.credit) / rate_per_s
         else:
@@ -268,7 +275,12 @@
             excess_per_s = max(0.0, self.compute_asked_rate() - rate_per_s)
             mean_s = (missing + excess_per_s * CORRECTION_S) / rate_per_s
         longest_s = min(max_s, 2 * max(AVERAGING_S, mean_s))
-        return self.rng.uniform(0.25, 1.0) * longest_s
+        return 0.25 * longest_s, longest_s
+
+    def reset(self) -> None:
+        """Assume that all that may be used beyond the quota has been used."""
+        self.level = min(0.0, self.level, self.compute_reference())
+        self.credit = 0.0
 
     def record_usage(
         self,
@@ -326,3 +338,20 @@
         if not self.peers:
             # Ends the rounding errors of the sums.
             self.peer_admitted_per_s = self.peer_asked_per_s = 0.0
+
+
+def make_bucket(
+    quota: Quota,
+    bounds: QuotaBounds,
+    rng: random.Random,
+    known_at_s: float,
+    share: float,
+) -> WorkspaceBucket:
+    """Return the bucket of a workspace whose quota becomes known at a time, seconds.
+
+    All that the workspace may use beyond it may have been used before; the bucket is
+    filled from then on.
+    """
+    bucket = WorkspaceBucket(quota, bounds, rng, known_at_s, share=share)
+    bucket.reset()
+    return bucket
--- a/primrosepier/forwarding/quotas/quotas.py
+++ b/primrosepier/forwarding/quotas/quotas.py
@@ -12,11 +12,12 @@
 from ..calls import Call
 from ..declarations import Declaration, Quota
 from ..peer_reports import SectionName
-from .bucket import PeerUsage, QuotaBounds, WorkspaceBucket
+from .bucket import PeerUsage, QuotaBounds, WorkspaceBucket, make_bucket
+from .costs import compute_cost, compute_max_retry_s
 from .records import QuotaExceeded, QuotaLimitChanged, QuotaShareChanged
 from .reports import QuotaReport, WorkspaceTotals, decode_quota_report
 
-__all__ = ["Quotas", "RouterList", "compute_cost", "make_quotas"]
+__all__ = ["SILENCE_S", "Quotas", "RouterList", "compute_cost", "make_quotas"]
 
 # Time without a report after which a router's share is reserved for it, and after which
 # a router that was frozen knows nothing of the others, seconds.
@@ -39,8 +40,6 @@
 SHARE_INTERVAL_S = 0.1
 # Largest drift of two hosts' clocks that is expected; part of the time between reports.
 CLOCK_DRIFT = 0.0005
-# Largest Retry-After as a share of the remaining time, which callers honour.
-RETRY_SHARE = 0.3
 MAX_RUN = 2**32
 MS = 0.001
 # Reports of a run after which the rates of its calls are known.
@@ -222,8 +221,7 @@
         probability = bucket.compute_probability(cost)
         if bucket.admit(cost):
             return cost
-        max_s = RETRY_SHARE * max(0.0, call.deadline_s - now_s)
-        after_s = bucket.compute_retry_after(cost, max_s)
+        after_s = bucket.compute_retry_after(cost, compute_max_retry_s(call, now_s))
         self._record_rejected(workspace.id, now_s)
         self.emit(
             QuotaExceeded(
@@ -268,19 +266,14 @@
         limit.last_at_s = now_s
 
     def _open_bucket(self, workspace: WorkspaceId, now_s: float) -> WorkspaceBucket:
-        """Return a workspace's bucket, up to date.
-
-        When the quota becomes known, all that the workspace may use beyond it may have
-        been used before; the bucket has been filled since then.
-        """
+        """Return a workspace's bucket, up to date."""
         bucket = self.buckets.get(workspace)
         if bucket is None:
             quota = self.quotas[workspace]
             known_at_s = max(self.known_at_s[workspace], self.started_at_s)
-            bucket = self.buckets[workspace] = WorkspaceBucket(
-                quota, self.bounds, self.rng, known_at_s, share=self.share
+            bucket = self.buckets[workspace] = make_bucket(
+                quota, self.bounds, self.rng, known_at_s, self.share
             )
-            bucket.level = min(0.0, bucket.compute_reference())
         self._advance(bucket, now_s)
         return bucket
 
@@ -321,8 +314,7 @@
             self._silence(host, peer)
         for bucket in self.buckets.values():
             self._advance(bucket, now_s)
-            bucket.level = min(0.0, bucket.level, bucket.compute_reference())
-            bucket.credit = 0.0
+            bucket.reset()
         self.share_at_s = float("-inf")
 
     def _silence(self, host: HostId, peer: _Peer) -> None:
@@ -496,15 +488,6 @@
         peer.workspaces = listed
 
 
-def compute_cost(call: Call, quota: Quota) -> float:
-    """Return what a call costs in the unit of the quota."""
-    if not quota.counts_tokens:
-        return 1.0
-    if call.stated_tokens is None:
-        return float(quota.default_tokens)
-    return float(call.stated_tokens)
-
-
 def make_quotas(
     host: HostId,
     bounds: QuotaBounds,
--- a/primrosepier/forwarding/room/exchange.py
+++ b/primrosepier/forwarding/room/exchange.py
@@ -234,7 +234,7 @@
     @contextlib.contextmanager
     def open_turn(self, choice: Choice, demand: Demand) -> Iterator[PrefillTurn]:
         """Provide a turn, given back unless its permit is held at the end."""
-        granter = self._find_granter(choice.replica.id)
+        granter = self.find_granter(choice.replica.id)
         with self.requests.open() as pending:
             turn = PrefillTurn(self, choice, demand, granter, pending)
             is_kept = False
@@ -245,13 +245,21 @@
                 if not is_kept:
                     turn.end()
 
-    def _find_granter(self, endpoint: EndpointId) -> HostId | None:
+    def find_granter(self, endpoint: EndpointId) -> HostId | None:
         """Return the router to ask; None if it did not reply recently."""
         host = rank_granters(endpoint, {*self.read_hosts(), self.host})[0]
         if self.silent_until_s.get(host, -math.inf) > self.clock():
             return None
         return host
 
+    def preview_grant(self, endpoint: EndpointId, demand: Demand) -> Grant | None:
+        """Return the reply to a request that is not made; None if another decides."""
+        host = self.find_granter(endpoint)
+        if host not in (None, self.host):
+            return None
+        granter = self.own_calls if host is None else self.granter
+        return granter.preview(endpoint, demand, self.clock())
+
     def record_silent(self, host: HostId) -> None:
         """Record that a granter did not reply."""
         self.unanswered += 1
--- a/primrosepier/forwarding/room/granter.py
+++ b/primrosepier/forwarding/room/granter.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from ...ids import EndpointId, HostId
@@ -36,6 +36,10 @@
     number: int
 
 
+# Name of the request of a preview; requests are numbered from 0.
+PREVIEW_NAME = PermitName(HostId(""), -1)
+
+
 @dataclass(frozen=True, slots=True)
 class Demand:
     """What a call asks of a replica.
@@ -130,6 +134,48 @@
             return 0.0
         return demand.budget_s * (self.rates.tokens_per_s or demand.tokens_per_s)
 
+    def copy(self) -> "_ReplicaPrefills":
+        """Return a copy whose changes leave this one as it is."""
+        return replace(
+            self,
+            permits={name: replace(permit) for name, permit in self.permits.items()},
+            waiting=dict(self.waiting),
+            ended=dict(self.ended),
+        )
+
+    def request(
+        self, name: PermitName, demand: Demand, waits: bool, now_s: float
+    ) -> tuple[Grant, list[PermitName]]:
+        """Grant a permit or tell when; also return waiting calls that now have theirs.
+
+        Parameters
+        ----------
+        waits : bool
+            Whether the call takes a place among the waiting ones if it is refused.
+        """
+        self.expire(now_s)
+        rate = self.rates.tokens_per_s
+        if name in self.ended:
+            return Grant(MIN_WAIT_S, rate), []
+        if name in self.permits:
+            return Grant(0.0, rate), []
+        if waits:
+            self.waiting[name] = _Waiting(demand, now_s)
+        granted = self.grant_waiting(now_s)
+        if name in granted:
+            granted.remove(name)
+            return Grant(0.0, rate), granted
+        own_rank = demand.urgency, demand.due_at_s
+        ahead = sorted(
+            (x for y, x in self.waiting.items() if y != name and x.rank <= own_rank),
+            key=lambda waiting: waiting.rank,
+        )
+        if not waits and not ahead and self.fits(demand, now_s):
+            self.grant(name, demand, now_s)
+            return Grant(0.0, rate), granted
+        turn_s = self.compute_turn_s(demand, [x.demand for x in ahead], now_s)
+        return Grant(min(MAX_WAIT_S, turn_s - now_s), rate), granted
+
     def fits(self, demand: Demand, now_s: float) -> bool:
         """Return whether a call may begin now."""
         if now_s < self.paused_until_s:
@@ -221,31 +267,18 @@
         """
         replica = self.replicas.get(endpoint)
         if replica is None:
-            single_s = math.inf if self.is_single else demand.compute_duration_s(0.0)
-            replica = _ReplicaPrefills(single_until_s=now_s + single_s)
-            self.replicas[endpoint] = replica
-        replica.expire(now_s)
-        rate = replica.rates.tokens_per_s
-        if name in replica.ended:
-            return Grant(MIN_WAIT_S, rate), []
-        if name in replica.permits:
-            return Grant(0.0, rate), []
-        if waits:
-            replica.waiting[name] = _Waiting(demand, now_s)
-        granted = replica.grant_waiting(now_s)
-        if name in granted:
-            granted.remove(name)
-            return Grant(0.0, rate), granted
-        own_rank = demand.urgency, demand.due_at_s
-        ahead = sorted(
-            (x for y, x in replica.waiting.items() if y != name and x.rank <= own_rank),
-            key=lambda waiting: waiting.rank,
-        )
-        if not waits and not ahead and replica.fits(demand, now_s):
-            replica.grant(name, demand, now_s)
-            return Grant(0.0, rate), granted
-        turn_s = replica.compute_turn_s(demand, [x.demand for x in ahead], now_s)
-        return Grant(min(MAX_WAIT_S, turn_s - now_s), rate), granted
+            replica = self.replicas[endpoint] = self._make_replica(demand, now_s)
+        return replica.request(name, demand, waits, now_s)
+
+    def _make_replica(self, demand: Demand, now_s: float) -> _ReplicaPrefills:
+        single_s = math.inf if self.is_single else demand.compute_duration_s(0.0)
+        return _ReplicaPrefills(single_until_s=now_s + single_s)
+
+    def preview(self, endpoint: EndpointId, demand: Demand, now_s: float) -> Grant:
+        """Return the reply to a request that is not made."""
+        replica = self.replicas.get(endpoint) or self._make_replica(demand, now_s)
+        grant, _ = replica.copy().request(PREVIEW_NAME, demand, False, now_s)
+        return grant
 
     def release(
         self,
--- a/primrosepier/rest_periods.py
+++ b/primrosepier/rest_periods.py
@@ -11,7 +11,7 @@
 from .ids import EndpointId
 from .retry_after import RestRequest
 
-__all__ = ["RestPeriod", "RestPeriods", "spread_return"]
+__all__ = ["RestPeriod", "RestPeriods", "compute_return_spread_s", "spread_return"]
 
 # Added to each rest, seconds, for clocks that tick differently.
 MARGIN_S = 0.01
@@ -32,8 +32,12 @@
 
     Callers that are refused during one rest would otherwise all return at its end.
     """
-    spread_s = max(MIN_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
-    return wait_s + rng.uniform(0, spread_s)
+    return wait_s + rng.uniform(0, compute_return_spread_s(wait_s))
+
+
+def compute_return_spread_s(wait_s: float) -> float:
+    """Return the longest time that is added to the time before a return, seconds."""
+    return max(MIN_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * wait_s)
 
 
 @dataclass(slots=True)
