List the candidates of a call in a module without state

A report on where a call would go needs the services and the replicas that a call may use, but Forwarder began probes of ejected replicas and looked into the retry budget while it listed them.

--- a/primrosepier/ejection.py
+++ b/primrosepier/ejection.py
@@ -106,11 +106,15 @@
 
         An endpoint whose ejection ended is probed with requests from then on.
         """
+        self.begin_probes(endpoints, now_s)
+        return self.find_ejected(endpoints, now_s)
+
+    def begin_probes(self, endpoints: Collection[EndpointId], now_s: float) -> None:
+        """Probe those of the endpoints whose ejection has ended."""
         for endpoint in self.ejected:
             health = self.health[endpoint]
             if endpoint in endpoints and health.ejected_until_s <= now_s:
                 health.probing = True
-        return self.find_ejected(endpoints, now_s)
 
     def find_ejected(
         self, endpoints: Collection[EndpointId], now_s: float
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """Forwards a call to a replica, and retries it on others if an attempt fails."""
 
-import math
 import random
 import time
 from collections.abc import Callable, Collection, Sequence
@@ -37,6 +36,14 @@
     deliver_error_response,
 )
 from .calls import Call, EndpointDialect, ResponseHead
+from .candidates import (
+    Candidates,
+    SelectReplicas,
+    compute_service_wait_s,
+    list_at_origin,
+    list_candidates,
+    list_service_options,
+)
 from .cuts import CutDetector
 from .declarations import RetryPolicy, Route
 from .fleet import Replica, ReplicaList
@@ -45,7 +52,7 @@
 from .origins import OriginExchange
 from .peer_relay import PeerRelay
 from .permits import PermitExchange
-from .permitted_choice import Candidates, PermittedChoice, PermittedChooser
+from .permitted_choice import PermittedChoice, PermittedChooser
 from .prefixes import PrefillTracker
 from .records import (
     CallLost,
@@ -54,7 +61,7 @@
     CallWithdrawn,
     StreamTakenUp,
 )
-from .replica_choice import AvoidedReplicas, Choice, ReplicaChooser
+from .replica_choice import Choice, ReplicaChooser
 from .replica_load import ReplicaLoadTable
 from .retries import RetryBudget
 from .room.division import ReplicaDivision
@@ -86,12 +93,10 @@
 UNKNOWN_STREAM_REASON = "the software version that began the stream is not known"
 ABSENT_VERSION_REASON = "the software version that began the stream no longer serves"
 WITHDRAWN_REASON = "the replica's weights are too old and the call had not begun"
+UNAVAILABLE_REASON = "no replica is available"
+UNREGISTERED_REASON = "no replica is registered for the route's services"
 QUARANTINE_REASON = "the request or a part of its prompt crashed the replicas it ran on"
 
-SelectReplicas = Callable[
-    [Sequence[Replica]], tuple[Sequence[Replica], frozenset[EndpointId]]
-]
-
 
 def select_all(
     replicas: Sequence[Replica],
@@ -215,7 +220,7 @@
         it can't tell for how long.
         """
         refusal = delivery.refusal or self._make_refusal(service, delivery.origin)
-        at_origin = self._list_at_origin(service, delivery.origin)
+        at_origin = list_at_origin(self, service, delivery.origin)
         if call.is_passed_on or self.knows_request_ages(at_origin):
             return refusal
         outcome = await self._pass_on(call, delivery, tuple(self.relay.read_peers()))
@@ -237,27 +242,9 @@
 
         If none may, the one that may first is chosen.
         """
-        replicas, now_s = self.read_replicas(), self.clock()
-        registered = [
-            (service, replicas.list_replicas(service[0]))
-            for service in route.services
-            if service[1] and service[0] not in excluded
-        ]
-        options = [
-            s for s, known in registered if self.notices.leaving.select_staying(known)
-        ]
-        if not options:
-            options = [
-                s
-                for s, known in registered
-                if self.notices.leaving.select(known, now_s)
-            ]
+        options = list_service_options(self, route, excluded)
         if not options:
             return None
-        if len(options) > 1:
-            waits_s = {s: self._compute_service_wait_s(s, now_s) for s, _ in options}
-            shortest_s = min(waits_s.values())
-            options = [option for option in options if waits_s[option[0]] <= shortest_s]
         weights = [weight for _, weight in options]
         return self.rng.choices(options, weights)[0][0]
 
@@ -268,22 +255,16 @@
         if call.is_resumed or delivery.origin is not None or delivery.status:
             return None
         service = self._choose_service(call.route, refusing)
-        if service is None or self._compute_service_wait_s(service, self.clock()) > 0:
+        if service is None or compute_service_wait_s(self, service, self.clock()) > 0:
             return None
         return service
 
-    def _compute_service_wait_s(self, service: ServiceId, now_s: float) -> float:
-        """Return the time before any replica of a service may receive calls."""
-        selected, _ = self.select_replicas(self._list_at_origin(service, None))
-        waits_s = (self.notices.compute_wait_s(x.id, now_s) for x in selected)
-        return min(waits_s, default=math.inf)
-
     def _make_unserved(self, route: Route) -> NotRun:
         """Return why no service of a route may receive a call."""
         replicas = self.read_replicas()
         if any(replicas.list_replicas(s) for s in route.list_services()):
             return NotRun(Step.PLACE, "-", LEAVING_REASON, LEAVING_RETRY_AFTER_S)
-        return self._make_not_run("no replica is registered for the route's services")
+        return self._make_not_run(UNREGISTERED_REASON)
 
     def _make_not_run(self, reason: str) -> NotRun:
         return NotRun(Step.PLACE, "-", reason, RETRY_AFTER_S)
@@ -295,24 +276,15 @@
 
     def _make_refusal(self, service: ServiceId, origin: StreamOrigin | None) -> NotRun:
         """Return why no replica may receive a call, and when one may again."""
-        if origin is not None and not self._list_at_origin(service, origin):
+        if origin is not None and not list_at_origin(self, service, origin):
             is_final = self.origins.is_lost(origin)
             return self._make_unresumed(ABSENT_VERSION_REASON, is_final)
-        selected, _ = self.select_replicas(self._list_at_origin(service, origin))
+        selected, _ = self.select_replicas(list_at_origin(self, service, origin))
         wait_s, reason = self.notices.find_first_return(selected)
         if wait_s <= 0:
-            return self._make_not_run("no replica is available")
+            return self._make_not_run(UNAVAILABLE_REASON)
         return NotRun(Step.PLACE, "-", reason, wait_s)
 
-    def _list_at_origin(
-        self, service: ServiceId, origin: StreamOrigin | None
-    ) -> Sequence[Replica]:
-        """Return the replicas that a call may use, at its stream's software version."""
-        replicas = self.read_replicas().list_replicas(service)
-        if origin is not None:
-            replicas = tuple(x for x in replicas if x.software == origin.software)
-        return self.notices.leaving.select(replicas, self.clock())
-
     async def _choose_permitted(
         self,
         call: Call,
@@ -382,7 +354,7 @@
             and outcome.step is not Step.PLACE
             and not self.links.is_cut
         ):
-            at_origin = self._list_at_origin(service, delivery.origin)
+            at_origin = list_at_origin(self, service, delivery.origin)
             selected, _ = self.select_replicas(at_origin)
             wait_s, _ = self.notices.find_first_return(selected)
             wait_s = max(wait_s, outcome.retry_after_s)
@@ -443,21 +415,11 @@
         tried: set[EndpointId],
         now_s: float,
     ) -> Candidates:
-        """Return the replicas that a call may be sent to, and those to avoid."""
-        selected, outdated = self.select_replicas(self._list_at_origin(service, origin))
-        replicas: Sequence[Replica] = [
-            replica
-            for replica in selected
-            if replica.id not in tried
-            and self.notices.compute_wait_s(replica.id, now_s) <= 0
-        ]
-        if tried or not self.retries.has_left(service, now_s):
-            # The call could not be retried again if such a replica refused it.
-            replicas = self.notices.select_proven(replicas, now_s)
-        if origin is not None and self.software_checks is not None:
-            replicas = self.software_checks.select_confirmed(replicas) or replicas
-        ejected = self.ejections.list_ejected([r.id for r in selected], now_s)
-        return replicas, AvoidedReplicas(ejected, outdated)
+        """Return the candidates of a call, which probes those ejected before."""
+        if self.ejections.ejected:
+            selected, _ = self.select_replicas(list_at_origin(self, service, origin))
+            self.ejections.begin_probes([x.id for x in selected], now_s)
+        return list_candidates(self, service, origin, tried, now_s)
 
     def _log_choice(
         self,
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -14,6 +14,7 @@
 from ..rest_periods import spread_return
 from .attempts import RETRY_AFTER_S, Delivery
 from .calls import Call
+from .candidates import Candidates
 from .fleet import Replica
 from .notices import ReplicaNotices
 from .records import PermitRefused
@@ -23,7 +24,7 @@
 from .room.granter import Demand
 from .room.records import PrefillRejected, PrefillWaited
 
-__all__ = ["Candidates", "ListCandidates", "PermittedChoice", "PermittedChooser"]
+__all__ = ["ListCandidates", "PermittedChoice", "PermittedChooser"]
 
 # Time for which one call may ask for permits of brittle replicas, over all attempts,
 # seconds: a call that gets none is refused soon, even if datagrams are lost.
@@ -49,7 +50,6 @@
 ROOM_REASON = "no replica has room for the prompt before the call's deadline"
 FULL_REASON = "all replicas have rejected calls for lack of capacity"
 
-Candidates = tuple[Sequence[Replica], AvoidedReplicas]
 ListCandidates = Callable[[set[EndpointId], float], Candidates]
 
 
