Report where a call would go now, and why

Operators could only see where a call went, from its log lines, and not where one would go at this moment.

The metrics address serves GET /placement: the quota's answer, the replicas in order with the parts of their cost and the age of its inputs, those that are not used and why, the permits that would be asked for, and the final answer. The command placement prints it.

--- a/primrosepier/cli.py
+++ b/primrosepier/cli.py
@@ -32,6 +32,7 @@
     "entry-router": "commands_entry:EntryRouterCommand",
     "explain": "commands_explain:ExplainCommand",
     "metrics-page": "commands_metrics:MetricsPageCommand",
+    "placement": "commands_placement:PlacementCommand",
     "router": "commands_operate:RouterCommand",
     "standin engine": "commands_standin:StandinEngineCommand",
     "standin hosts": "commands_standin:StandinHostsCommand",
--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -75,7 +75,6 @@
     "make_weights_controller",
     "make_withdrawals",
     "plan_replica_cache_use",
-    "retain_leaving",
     "select_replicas",
 ]
 
@@ -103,13 +102,6 @@
     return forwarder.links.run, forwarder.withdrawals.run, forwarder.losses.run
 
 
-def retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
-    """Forget leaving replicas, and room at replicas, that are no longer registered."""
-    registered = store_view.fleet.list_registered()
-    forwarder.notices.leaving.retain(registered, forwarder.clock())
-    forwarder.permitted.room.retain({replica.id for replica in registered})
-
-
 def make_peer_exchange(
     settings: EntrySettings,
     directory: PeerDirectory,
--- a/primrosepier/forwarding/entry.py
+++ b/primrosepier/forwarding/entry.py
@@ -27,7 +27,7 @@
 from ..logs import Log
 from ..outcomes import Completed, Interrupted, NotRun, Outcome, Refused, Step
 from .attempts import RETRY_AFTER_S, Delivery
-from .calls import NO_WORKSPACE, Call
+from .calls import NO_WORKSPACE, Call, PromptPart
 from .declarations import Declaration, Route, Workspace
 from .events import EventStreamMerger
 from .forwarder import Forwarder
@@ -37,7 +37,7 @@
 from .records import CallEnded, CallFailed, CallRejected
 from .shutdown import ShutdownSchedule
 
-__all__ = ["EntryApp", "RequestReader"]
+__all__ = ["EntryApp", "RequestReader", "limit_retry_after"]
 
 # Limit on a request's body where the declaration sets none.
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
@@ -51,6 +51,11 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+def limit_retry_after(after_s: float, remaining_s: float) -> float:
+    """Return a Retry-After that a caller with the remaining time honours, seconds."""
+    return min(after_s, RETRY_AFTER_SHARE * remaining_s)
+
+
 def add_header_to_refusals(send: Send) -> Send:
     """Wrap ``send`` to tell another router of responses to calls that have not run."""
 
@@ -78,6 +83,15 @@
     def read_caller_timeout_s(self, scope: Scope) -> float:
         """Return the time-out that a caller sent, seconds; infinity if it sent none."""
 
+    def read_prompt(self, text: str) -> tuple[PromptPart, ...]:
+        """Return the parts of a prompt from the text that names them.
+
+        Raises
+        ------
+        MessageError
+            The text is malformed.
+        """
+
     def make_call(
         self,
         scope: Scope,
@@ -215,9 +229,10 @@
         server_send: Send,
         received_at_s: float,
     ) -> None:
-        declaration = self._require_declaration()
-        route = self._find_route(scope, declaration)
-        self._require_time_before_stop(scope, route)
+        declaration = self.require_declaration()
+        route = self.find_route(scope, declaration)
+        caller_timeout_s = self.reader.read_caller_timeout_s(scope)
+        self.require_time_before_stop(min(route.timeout_s, caller_timeout_s))
         workspace = self._find_workspace(scope, declaration, route)
         with self.body_budget.open() as reservation:
             max_bytes = declaration.limits.body_bytes or DEFAULT_BODY_BYTES
@@ -270,7 +285,7 @@
             runs = delivery.runs + int(is_unfinished)
             self.quotas.settle(call, cost, runs, self.clock())
 
-    def _require_declaration(self) -> Declaration:
+    def require_declaration(self) -> Declaration:
         """Return the declaration in force; refuse the call if there is none yet."""
         declaration = self.read_declaration()
         if declaration is None:
@@ -278,20 +293,20 @@
             raise RequestError(503, "not_configured", text, retry_after_s=RETRY_AFTER_S)
         return declaration
 
-    def _require_time_before_stop(self, scope: Scope, route: Route) -> None:
+    def require_time_before_stop(self, timeout_s: float) -> None:
         """Refuse a call that the shutdown schedule no longer accepts."""
-        timeout_s = min(route.timeout_s, self.reader.read_caller_timeout_s(scope))
         if self.shutdown is not None and not self.shutdown.accepts(
             self.clock(), timeout_s
         ):
             text = "The router is about to stop."
             raise RequestError(503, "stopping", text, retry_after_s=RETRY_AFTER_S)
 
-    def _find_route(self, scope: Scope, declaration: Declaration) -> Route:
+    def find_route(self, scope: Scope, declaration: Declaration) -> Route:
+        """Return the route of a request; refuse it if there is none."""
         route = declaration.find_route(self.reader.read_host(scope), read_path(scope))
         if route is not None:
             return route
-        self._require_fresh_keys()
+        self.require_fresh_keys()
         raise RequestError(404, "no_route", "No route serves this path.")
 
     def _find_workspace(
@@ -299,13 +314,13 @@
     ) -> Workspace | None:
         if route.public or declaration.workspaces is None:
             return None
-        self._require_fresh_keys()
+        self.require_fresh_keys()
         workspace = declaration.workspaces.get(self.reader.read_key(scope))
         if workspace is None:
             raise RequestError(401, "unknown_key", "The key is not known.")
         return workspace
 
-    def _require_fresh_keys(self) -> None:
+    def require_fresh_keys(self) -> None:
         """Refuse the call if the store view is too old to check keys against."""
         if not self.freshness.may_trust_keys(self.clock()):
             text = "The store does not answer, so keys can't be checked."
@@ -342,7 +357,7 @@
             return
         if isinstance(outcome, NotRun):
             remaining_s = max(0.0, call.deadline_s - self.clock())
-            after_s = min(outcome.retry_after_s, RETRY_AFTER_SHARE * remaining_s)
+            after_s = limit_retry_after(outcome.retry_after_s, remaining_s)
             delivery.status = 503
             headers = [self._make_retry_after(after_s)]
             await send_bytes(delivery.send, 503, b"", headers)
@@ -369,7 +384,7 @@
         headers = []
         if error.retry_after_s:
             caller_timeout_s = self.reader.read_caller_timeout_s(scope)
-            after_s = min(error.retry_after_s, RETRY_AFTER_SHARE * caller_timeout_s)
+            after_s = limit_retry_after(error.retry_after_s, caller_timeout_s)
             headers.append(self._make_retry_after(after_s))
         # Callers take a 400 for final, so it says what they have to change.
         text = error.message if error.status == HTTP_BAD_REQUEST else ""
--- a/primrosepier/forwarding/forwarder.py
+++ b/primrosepier/forwarding/forwarder.py
@@ -192,7 +192,7 @@
         else:
             service = self._choose_service(call.route)
         if service is None:
-            return self._make_unserved(call.route)
+            return self.make_unserved(call.route)
         self.retries.record_call(service, self.clock())
         outcome = await self._try_replicas(call, service, delivery)
         if delivery.origin is not None and isinstance(outcome, Completed):
@@ -259,7 +259,7 @@
             return None
         return service
 
-    def _make_unserved(self, route: Route) -> NotRun:
+    def make_unserved(self, route: Route) -> NotRun:
         """Return why no service of a route may receive a call."""
         replicas = self.read_replicas()
         if any(replicas.list_replicas(s) for s in route.list_services()):
--- a/primrosepier/forwarding/metrics.py
+++ b/primrosepier/forwarding/metrics.py
@@ -1,8 +1,9 @@
 """Metrics of an entry router, served over HTTP."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
-from ..asgi import Receive, Scope, Send, send_bytes
+from ..asgi import App, Receive, Scope, Send, send_bytes
 from ..log_events import Event, MirrorFailed, RestRequested, TaskFailed
 from ..logs import Log
 from ..metric_table import MetricTable
@@ -27,14 +28,22 @@
 __all__ = ["EntryMetrics", "make_entry_metrics"]
 
 METRICS_PATH = "/metrics"
+NO_PAGES: Mapping[str, App] = MappingProxyType({})
 CONTENT_TYPE = ("content-type", "text/plain; version=0.0.4")
 
 
 class EntryMetrics(MetricTable):
-    """Metrics updated by log events and store calls; an ASGI app that serves them."""
+    """Metrics updated by log events and store calls; an ASGI app that serves them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    pages : Mapping of str to App
+        Other pages for operators that are served at the same address, by their paths.
+    """
+
+    def __init__(self, pages: Mapping[str, App] = NO_PAGES) -> None:
         super().__init__(ENTRY_SPECS)
+        self.pages = pages
 
     def observe(self, event: Event) -> None:
         """Update the metrics for one log event."""
@@ -97,7 +106,11 @@
         self.observe_value("primrosepier_store_wait_seconds", wait_s)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve the metrics page."""
+        """Serve the metrics page, or another page for operators."""
+        page = self.pages.get(scope["path"])
+        if page is not None:
+            await page(scope, receive, send)
+            return
         if scope["path"] != METRICS_PATH:
             await send_bytes(send, 404, b"")
             return
@@ -105,7 +118,9 @@
 
 
 def make_entry_metrics(
-    log: Log, set_gauges: Callable[[MetricTable], None]
+    log: Log,
+    set_gauges: Callable[[MetricTable], None],
+    pages: Mapping[str, App] = NO_PAGES,
 ) -> EntryMetrics:
     """Return the metrics of a router.
 
@@ -113,8 +128,10 @@
     ----------
     set_gauges : callable
         Sets the gauges; called before each response.
+    pages : Mapping of str to App
+        Other pages that are served at the same address.
     """
-    metrics = EntryMetrics()
+    metrics = EntryMetrics(pages)
     log.observers.append(metrics.observe)
 
     def count_dropped(table: MetricTable) -> None:
--- a/primrosepier/forwarding/permits.py
+++ b/primrosepier/forwarding/permits.py
@@ -185,7 +185,11 @@
         self.hosts = current
         self.windows.retain_holders({*current, *self.departed, self.host})
 
-    def _rank_granters(self, endpoint: EndpointId, now_s: float) -> list[HostId]:
+    def rank_granters_now(self, endpoint: EndpointId, now_s: float) -> list[HostId]:
+        """Return the routers that grant permits for an endpoint, the first one first.
+
+        Some of them may no longer be registered.
+        """
         departed = {
             host
             for host, departed_at_s in self.departed.items()
@@ -234,7 +238,7 @@
             return
         now_s = self.clock()
         held = self.count_calls(endpoint) + self.windows.asking.get(endpoint, 0)
-        for host in self._rank_granters(endpoint, now_s):
+        for host in self.rank_granters_now(endpoint, now_s):
             if host == self.host:
                 self.windows.record_end(endpoint, host, held, was_refused, now_s)
             elif host in self.hosts:
@@ -277,7 +281,7 @@
 
         Returns None if it does not reply in time, or none is responsive.
         """
-        for rank, host in enumerate(self._rank_granters(endpoint, self.clock())):
+        for rank, host in enumerate(self.rank_granters_now(endpoint, self.clock())):
             if host == self.host:
                 request = self._make_window_request(endpoint, held)
                 return self._grant(endpoint, rank, host, request)
--- a/primrosepier/forwarding/permitted_choice.py
+++ b/primrosepier/forwarding/permitted_choice.py
@@ -129,7 +129,7 @@
             if chosen is not None and not is_counted:
                 is_counted = True
                 self._count_demand(call, chosen.choice)
-            if chosen is not None and self._is_full(chosen):
+            if chosen is not None and self.is_full(chosen.choice.replica.id):
                 if refused:
                     chosen = None
                 elif not await self._wait_until_ready(
@@ -164,14 +164,14 @@
     ) -> PermittedChoice | None:
         now_s = self.clock()
         replicas, avoided = list_candidates(excluded, now_s)
-        is_long = self._is_long(call, replicas)
+        is_long = self.is_long(call, replicas)
         if is_long is not None:
             replicas = self.division.select(is_long, replicas, now_s)
         scope = make_call_scope(call)
         choice = self.chooser.choose(call, scope, replicas, avoided, now_s)
         return None if choice is None else PermittedChoice(choice, len(replicas))
 
-    def _is_long(self, call: Call, replicas: Sequence[Replica]) -> bool | None:
+    def is_long(self, call: Call, replicas: Sequence[Replica]) -> bool | None:
         """Return whether a call has a long prompt; None where that does not matter."""
         if not replicas or not call.parts:
             return None
@@ -179,14 +179,14 @@
         return None if short_tokens is None else call.prompt_tokens > short_tokens
 
     def _count_demand(self, call: Call, choice: Choice) -> None:
-        is_long = self._is_long(call, [choice.replica])
+        is_long = self.is_long(call, [choice.replica])
         if is_long is not None:
             service, tokens = choice.replica.service, choice.uncached_tokens
             self.division.demand.add(service, tokens, is_long, self.clock())
 
-    def _is_full(self, chosen: PermittedChoice) -> bool:
+    def is_full(self, endpoint: EndpointId) -> bool:
         """Return whether a replica has just rejected a call for lack of capacity."""
-        until_s = self.full_until_s.get(chosen.choice.replica.id, -math.inf)
+        until_s = self.full_until_s.get(endpoint, -math.inf)
         return until_s > self.clock()
 
     async def _wait_until_ready(
@@ -200,16 +200,27 @@
 
         The chooser chooses a full replica only if there is no other.
         """
-        replicas, avoided = list_candidates(excluded, self.clock())
-        healthy = [x for x in replicas if x.id not in avoided.ejected]
-        wait_s = self._compute_ready_s(healthy or replicas)
-        if self.clock() + wait_s + RETURN_SPREAD_S >= call.deadline_s:
+        candidates = list_candidates(excluded, self.clock())
+        wait_s, is_late = self.compute_full_wait_s(call, candidates)
+        if is_late:
             after_s = spread_return(wait_s, self.rng)
             delivery.refusal = NotRun(Step.PLACE, "-", FULL_REASON, after_s)
             return False
         await anyio.sleep(wait_s + self.rng.uniform(0.0, RETURN_SPREAD_S))
         return True
 
+    def compute_full_wait_s(
+        self, call: Call, candidates: Candidates
+    ) -> tuple[float, bool]:
+        """Return the time until a full replica is ready, and whether that is too late.
+
+        The time is in seconds.
+        """
+        replicas, avoided = candidates
+        healthy = [x for x in replicas if x.id not in avoided.ejected]
+        wait_s = self._compute_ready_s(healthy or replicas)
+        return wait_s, self.clock() + wait_s + RETURN_SPREAD_S >= call.deadline_s
+
     def _compute_ready_s(self, replicas: Sequence[Replica]) -> float:
         """Return the time until a replica may take calls again, seconds."""
         ready_at_s = min(
--- /dev/null
+++ b/primrosepier/forwarding/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Report on where a call would go now, and why, without sending it."""
--- a/primrosepier/forwarding/router.py
+++ b/primrosepier/forwarding/router.py
@@ -28,18 +28,18 @@
     make_weights_controller,
     make_withdrawals,
     plan_replica_cache_use,
-    retain_leaving,
     select_replicas,
 )
 from .entry import EntryApp
 from .entry_platform import EntryPlatform
-from .forwarder import Forwarder
 from .freshness import Freshness
 from .gauges import set_gauges
 from .leaving import LeavingReplicas
 from .metrics import EntryMetrics, make_entry_metrics
 from .origin_journal import OriginJournal
 from .peers import PeerDirectory, PeerExchange
+from .placement.page import PlacementPage
+from .placement.report import PLACEMENT_PATH
 from .records import (
     EntryUnreadable,
     MetricsUnserved,
@@ -49,6 +49,7 @@
     SettingsRead,
 )
 from .registered_versions import make_registered_versions
+from .retention import record_hosts, retain_leaving, retain_registered
 from .settings import EntrySettings
 from .shutdown import make_shutdown_schedule
 from .software_checks import make_software_checks
@@ -117,26 +118,12 @@
             await anyio.sleep(REFRESH_INTERVAL_S)
             self.store_view.refresh()
             self.peers.directory.refresh()
-            _record_hosts(self.app.forwarder, self.peers.directory)
+            record_hosts(self.app.forwarder, self.peers.directory)
             await self.app.forwarder.origins.record_versions(
                 self.store_view.list_origins()
             )
-            replica_lists = self.store_view.replicas.value.by_service.values()
-            registered = {
-                replica.id for replicas in replica_lists for replica in replicas
-            }
-            self.app.forwarder.loads.retain(registered)
-            self.app.forwarder.forecasts.retain(registered)
-            self.app.forwarder.notices.permits.limits.retain(registered)
-            self.app.forwarder.notices.rests.retain(registered, self.platform.clock())
-            retain_leaving(self.app.forwarder, self.store_view)
-            self.app.forwarder.notices.permits.windows.retain(
-                registered, self.platform.clock()
-            )
+            retain_registered(self.app.forwarder, self.store_view)
             self.platform.client.prune(self._list_addresses())
-            self.app.forwarder.links.monitor.retain(registered)
-            if self.app.forwarder.software_checks is not None:
-                self.app.forwarder.software_checks.retain(registered)
             self.app.forwarder.chooser.prefixes.prune(self.platform.clock())
 
     def _list_addresses(self) -> set[str]:
@@ -183,21 +170,15 @@
             await anyio.sleep(DRAIN_POLL_S)
 
 
-def _record_hosts(forwarder: Forwarder, directory: PeerDirectory) -> None:
-    """Tell the parts that ask other routers which ones there are."""
-    hosts = directory.list_hosts()
-    forwarder.notices.permits.record_hosts(hosts)
-    forwarder.origins.record_hosts(hosts)
-    forwarder.links.record_hosts(hosts)
-
-
 def make_entry_router(
     settings: EntrySettings, platform: EntryPlatform, log: Log
 ) -> EntryRouter:
     """Return a router that is not serving yet."""
     clock = platform.clock
     metrics = make_entry_metrics(
-        log, lambda table: set_gauges(table, store_view, app, weights_controller.duty)
+        log,
+        lambda table: set_gauges(table, store_view, app, weights_controller.duty),
+        {PLACEMENT_PATH: PlacementPage(settings.host, lambda: app)},
     )
     store = limit_store(
         settings,
@@ -288,7 +269,7 @@
     listeners = (
         store_view.update,
         directory.update,
-        lambda mirror: _record_hosts(forwarder, directory),
+        lambda mirror: record_hosts(forwarder, directory),
         lambda mirror: retain_leaving(forwarder, store_view),
         weights_controller.read_loading_record,
         lambda mirror: forwarder.withdrawals.update_deadlines(),
--- a/primrosepier/platform/ingress.py
+++ b/primrosepier/platform/ingress.py
@@ -79,6 +79,16 @@
         remaining_ms = parse_count(value)
         return math.inf if remaining_ms is None else remaining_ms * MS
 
+    def read_prompt(self, text: str) -> tuple[PromptPart, ...]:
+        """Return the parts of a prompt from a comma-separated list of ``ID:TOKENS``.
+
+        Raises
+        ------
+        MessageError
+            A part has no length, or the prompt is too long.
+        """
+        return _read_parts(text)
+
     def make_call(
         self,
         scope: Scope,
