--- a/primrosepier/forwarding/placement/replicas.py
+++ b/primrosepier/forwarding/placement/replicas.py
@@ -173,12 +173,16 @@
     full_until_s = forwarder.permitted.full_until_s.get(replica.id, -math.inf)
     choice, held = row.choice, row.held
     source = None if row.estimate is None else row.estimate.fetch_from
+    # A call without a prompt costs more than the others' work at a slow replica.
+    own_cost = (cost.total - cost.remote) / cost.slowness - cost.work
+    if row.estimate is not None:
+        own_cost = row.estimate.cost
     return CandidateReport(
         endpoint=replica.id,
         failure_domain=replica.failure_domain,
         kind=choice.kind.value,
         cost=cost.total,
-        own_cost=0.0 if row.estimate is None else row.estimate.cost,
+        own_cost=own_cost,
         work=cost.work,
         slowness=cost.slowness,
         outdated=cost.outdated,
--- a/tests/test_placement_report.py
+++ b/tests/test_placement_report.py
@@ -143,7 +143,9 @@
     loads.begin_call("app1", 0)
     loads.get_or_create("app1").reported = ReportedLoad(3, 1, 4)
     loads.get_or_create("app1").reported_at_s = router.clock() - 0.5
+    loads.speeds.record_figure("app1", 2.0, router.clock())
     report = router.report(LOOKUP)
+    rows = list(report.candidates)
     assert report.answer.kind is AnswerKind.REPLICA
     assert report.answer.replicas == ("app2",)
     busy = report.candidates[1]
@@ -155,7 +157,7 @@
         loads.record_peer_load(f"front-{name}", peers)
     report = router.report(f"{NOTES}&prompt=secret-a:300,b:9")
     assert report.answer.replicas == ("w0",)
-    for row in report.candidates:
+    for row in (*rows, *report.candidates):
         scaled = (row.own_cost + row.work) * row.slowness
         assert row.cost == pytest.approx(scaled + row.outdated + row.remote)
     assert report.candidates[-1].pending_tokens == 4000
