Merge the report of where a call would go

The decisions that changed state while they decided are split into a part without side effects and the change. primrosepier placement reads the report from a running router; nothing is charged, asked for or drawn.

--- a/primrosepier/forwarding/components.py
+++ b/primrosepier/forwarding/components.py
@@ -75,7 +75,6 @@
     "make_weights_controller",
     "make_withdrawals",
     "plan_replica_cache_use",
-    "retain_leaving",
     "select_replicas",
 ]
 
@@ -103,13 +102,6 @@
     return forwarder.links.run, forwarder.withdrawals.run, forwarder.losses.run
 
 
-def retain_leaving(forwarder: Forwarder, store_view: StoreView) -> None:
-    """Forget leaving replicas, and room at replicas, that are no longer registered."""
-    registered = store_view.fleet.list_registered()
-    forwarder.notices.leaving.retain(registered, forwarder.clock())
-    forwarder.permitted.room.retain({replica.id for replica in registered})
-
-
 def make_peer_exchange(
     settings: EntrySettings,
     directory: PeerDirectory,
@@ -320,7 +312,7 @@
     cache_store = find_cache_store(declaration, call, replicas)
     # With a single store, each call names it, as in earlier releases.
     saves = not has_several_cache_stores(declaration) or must_save(call, choice)
-    reported_version = load_table.get_or_create(choice.replica.id).weights
+    reported_version = load_table.read(choice.replica.id).weights
     return plan_cache_use(
         call,
         choice,
@@ -380,7 +372,7 @@
     if model in current.weights:
         current = replace(current, weights={model: current.weights[model]})
     requested_weights = weights_controller.store_view.requested_weights.value
-    reported_version = load_table.get_or_create(replica.id).weights
+    reported_version = load_table.read(replica.id).weights
     return compute_lag_s(current, reported_version, requested_weights, clock())
 
 
@@ -427,7 +419,7 @@
     usable = []
     outdated = set()
     for replica in replicas:
-        reported_version = forecasts.loads.get_or_create(replica.id).weights
+        reported_version = forecasts.loads.read(replica.id).weights
         lag_s = compute_lag_s(replica, reported_version, requested_weights, now_s)
         if lag_s is not None:
             start_lag_s = lag_s + forecasts.forecast_wait_s(replica.id)
