--- a/primrosepier/forwarding/quotas/records.py
+++ b/primrosepier/forwarding/quotas/records.py
@@ -16,7 +16,8 @@
     cost : float
         Tokens, or 1 where the quota counts requests.
     probability : float
-        Share of the workspace's calls that this router admitted then.
+        Share of the workspace's calls of this kind, small or large, that this router
+        admitted then.
     asked_per_s : float
         Requested rate over all routers, as far as this one knows.
     rate_per_s : float
