--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -258,3 +258,85 @@
         if cost is not None:
             kinds = [self.tallies[name, cost]]
         return sum(t.served for t in kinds) / sum(t.first for t in kinds)
+
+
+FAULTS = ("wait",) * 5 + ("load",) * 4 + ("mix",) * 2 + ("restart",) * 2
+FAULTS += ("restart_all", "freeze", "resume", "resume", "cut", "heal", "heal", "lower")
+
+
+@dataclass
+class RandomFaults:
+    """Routers with random loads and faults, drawn from a seed, for 40 s."""
+
+    count: int
+    rate: int
+    seed: int
+    factor: float = 1.0
+    binds_at_s: float | None = None
+
+    def __post_init__(self):
+        self.rng = rng = random.Random(self.seed * 7919 + self.count)
+        self.fleet = QuotaFleet(
+            self.count,
+            make_declaration(w=self.rate),
+            self.seed,
+            loss=0.1,
+            short=rng.choice([383, 400]),
+            long_share=rng.choice([0.0, 0.25, 0.5, 0.75, 1.0]),
+            settling_s=rng.choice([0, 1.0]),
+        )
+
+    def play(self):
+        """Return the cost of the worst window, as a part of what is allowed."""
+        fleet, rng = self.fleet, self.rng
+        fleet.load("w", lambda now: 0.55 * self.rate * self.factor)
+        if rng.random() < 0.5:
+            fleet.run(rng.uniform(0, 4))
+        while fleet.now_s < 40:
+            fault, host = rng.choice(FAULTS), rng.choice(fleet.hosts)
+            fleet.run(fleet.now_s + self._bring_about(fault, host))
+        worst = fleet.measure_excess("w", self.rate)
+        if self.binds_at_s is not None:
+            lowered = fleet.measure_excess("w", self.rate / 2, self.binds_at_s)
+            worst = max(worst, lowered)
+        return worst
+
+    def _bring_about(self, fault, host):
+        """Bring a fault about; return for how long to wait, seconds."""
+        fleet, rng = self.fleet, self.rng
+        if fault == "wait":
+            return rng.choice([0.1, 0.5, 1.0, 3.0])
+        if fault == "load":
+            self.factor = rng.choice([0, 0.5, 1, 1.6, 2, 4, 8])
+            return 0.5
+        if fault == "cut":
+            cut_off = max(1, self.count // rng.choice([2, 3, 9]))
+            fleet.parts = dict.fromkeys(rng.sample(fleet.hosts, cut_off), "c")
+            return 0.5
+        if fault == "mix":
+            fleet.long_share = rng.choice([0.0, 0.1, 0.25, 0.5, 0.75, 1.0])
+        elif fault == "restart":
+            fleet.frozen.discard(host)
+            fleet.start(host)
+        elif fault == "restart_all":
+            for each in fleet.hosts:
+                fleet.frozen.discard(each)
+                fleet.schedule(fleet.rng.uniform(0, 0.3), fleet.start, each)
+        elif fault == "freeze":
+            fleet.frozen.add(host)
+        elif fault == "resume":
+            fleet.frozen.clear()
+        elif fault == "heal":
+            fleet.parts = {}
+        elif self.binds_at_s is None and rng.random() < 0.3:
+            self._halve()
+        return 0.0
+
+    def _halve(self):
+        """Halve the limit; routers read it within 3 s."""
+        self.binds_at_s = self.fleet.now_s + 3
+        self.fleet.declaration = declaration = make_declaration(2, w=self.rate / 2)
+        for host in self.fleet.hosts:
+            delay_s = self.fleet.rng.uniform(0, 3)
+            declared = self.fleet.declared
+            self.fleet.schedule(delay_s, declared.__setitem__, host, declaration)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -17,6 +17,7 @@
     ROUTE,
     SHORT,
     QuotaFleet,
+    RandomFaults,
     make_declaration,
     make_quota_call,
 )
@@ -435,3 +436,9 @@
 TestQuotaMachine.settings = settings(
     max_examples=40, stateful_step_count=25, deadline=None
 )
+
+
+@pytest.mark.parametrize("seed", [41, 58])
+def test_random_loads_and_faults_stay_within_the_quota(seed):
+    """Guards against sequences of faults that admit more than a window may cost."""
+    assert RandomFaults(9, 400_000, seed).play() <= 1.0
