Base Retry-After on what a kind of call may have, not on what it requests

A lone small call far below the bucket's reference was told to wait for up to the longest time (18 s), though it would be admitted after 2 s: the missing level was divided by the requested rate of its kind. Found by a review; the test failed before.

--- a/primrosepier/forwarding/quotas/bucket.py
+++ b/primrosepier/forwarding/quotas/bucket.py
@@ -291,12 +291,12 @@
             small = is_small(cost, self.quota)
             demand = self.demand + self.peer_demand
             allowed = AllowedRate(rate_per_s, rate_per_s)
-            admitted_per_s = allowed.divide(demand, small)
+            limit_per_s = allowed.find_limit(demand, small)
             missing = max(0.0, self.compute_reference() - self.level)
             correction_s = SMALL_CORRECTION_S if small else CORRECTION_S
-            excess = max(0.0, demand.select(small) - admitted_per_s) * CORRECTION_S
+            excess = max(0.0, demand.select(small) - limit_per_s) * CORRECTION_S
             excess += missing * CORRECTION_S / correction_s
-            mean_s = excess / admitted_per_s if admitted_per_s > 0 else max_s
+            mean_s = excess / limit_per_s
         longest_s = min(max_s, 2 * max(AVERAGING_S, mean_s))
         return 0.25 * longest_s, longest_s
 
--- a/primrosepier/forwarding/quotas/sharing.py
+++ b/primrosepier/forwarding/quotas/sharing.py
@@ -74,15 +74,15 @@
     now_per_s: float
     small_now_per_s: float
 
-    def divide(self, demand: Demand, small: bool) -> float:
-        """Return the rate at which small calls or large ones are admitted."""
+    def find_limit(self, demand: Demand, small: bool) -> float:
+        """Return the rate up to which small calls or large ones are admitted."""
         large_per_s = max(0.0, demand.select(False))
         reserved_per_s = min(large_per_s, LARGE_PART * self.small_now_per_s)
-        small_per_s = min(demand.small_per_s, self.small_now_per_s - reserved_per_s)
+        small_limit_per_s = self.small_now_per_s - reserved_per_s
         if small:
-            return small_per_s
-        left_per_s = max(LARGE_PART * self.now_per_s, self.now_per_s - small_per_s)
-        return min(large_per_s, left_per_s)
+            return small_limit_per_s
+        left_per_s = self.now_per_s - min(demand.small_per_s, small_limit_per_s)
+        return max(LARGE_PART * self.now_per_s, left_per_s)
 
     def compute_probability(self, demand: Demand, small: bool) -> float:
         """Return the part of small calls or of large ones that is admitted."""
@@ -91,4 +91,4 @@
         asked_per_s = demand.select(small)
         if asked_per_s <= 0:
             return 1.0
-        return min(1.0, self.divide(demand, small) / asked_per_s)
+        return min(1.0, self.find_limit(demand, small) / asked_per_s)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -1,5 +1,6 @@
 """Quotas over the real decision code, in virtual time."""
 
+import random
 from typing import get_args
 
 import msgspec
@@ -27,6 +28,7 @@
 from primrosepier.forwarding.declarations import Quota
 from primrosepier.forwarding.metrics import make_entry_metrics
 from primrosepier.forwarding.quotas import records
+from primrosepier.forwarding.quotas.bucket import QuotaBounds, make_bucket
 from primrosepier.forwarding.quotas.reports import (
     QuotaReport,
     WorkspaceTotals,
@@ -438,6 +440,19 @@
 )
 
 
+@pytest.mark.parametrize("cost", [383.0, 1000.0])
+def test_a_lone_call_is_asked_back_as_soon_as_the_bucket_is_refilled(cost):
+    """Load of one call after a surge. Guards against waits several times too long."""
+    bounds = QuotaBounds(8.0, 0.1, 190_000)
+    quota = Quota(47_000, 47_000, True, 200)
+    bucket = make_bucket(quota, bounds, random.Random(1), 0.0, 1.0)
+    bucket.advance(1.0, 1.0, False)
+    bucket.level = bucket.compute_reference() - 2 * quota.rate_per_s
+    bucket.admit(cost)
+    _, latest_s = bucket.compute_retry_range(cost, 18.0)
+    assert latest_s <= 2 * 2.1
+
+
 @pytest.mark.parametrize("seed", [41, 58])
 def test_random_loads_and_faults_stay_within_the_quota(seed):
     """Guards against sequences of faults that admit more than a window may cost."""
