--- a/primrosepier/endpoint_client.py
+++ b/primrosepier/endpoint_client.py
@@ -244,8 +244,10 @@
             self._drop(call.address, connection)
         return None
 
-    async def _connect(self, address: str, connect_s: float) -> TcpStream:
-        self._make_room()
+    async def _connect(
+        self, address: str, connect_s: float, is_limited: bool = True
+    ) -> TcpStream:
+        self._make_room(is_limited)
         host, _, port = address.rpartition(":")
         self.connections += 1
         try:
@@ -254,9 +256,14 @@
             self.connections -= 1
             raise
 
-    def _make_room(self) -> None:
+    def _make_room(self, is_limited: bool) -> None:
         """Close idle connections until another may be opened.
 
+        Parameters
+        ----------
+        is_limited : bool
+            Whether the connection is refused if too many are in use.
+
         Raises
         ------
         httpcore.PoolTimeout
@@ -265,7 +272,8 @@
         while self.connections >= self.max_connections and self.idle_addresses:
             connection, address = next(iter(self.idle_addresses.items()))
             self._drop(address, connection)
-        if self.connections >= self.max_connections + SPARE_CONNECTIONS:
+        limit = self.max_connections + SPARE_CONNECTIONS
+        if is_limited and self.connections >= limit:
             raise httpcore.PoolTimeout(f"{self.connections} connections are in use")
 
     def _close(self, stream: TcpStream) -> None:
@@ -275,7 +283,9 @@
     async def probe(self, address: str, connect_s: float) -> bool:
         """Return whether an address accepts a connection; keep it for the next call."""
         try:
-            stream = await self._connect(address, connect_s)
+            # Refused for this router's own limit, the replica would count as lost. The
+            # probes are few.
+            stream = await self._connect(address, connect_s, is_limited=False)
         except CONNECT_ERRORS:
             return False
         self._release(address, stream, PROBE_IDLE_S)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -100,6 +100,20 @@
     anyio.run(run)
 
 
+def test_a_probe_is_not_refused_for_the_limit_of_connections(monkeypatch):
+    """Guards against sound replicas that count as lost since too many calls run."""
+    monkeypatch.setattr(endpoint_client, "SPARE_CONNECTIONS", 0)
+
+    async def check(client, address):
+        client.max_connections = 1
+        async with client.open(make_call(address, "/slow")):
+            with pytest.raises(httpcore.PoolTimeout):
+                await fetch(client, address)
+            assert await client.probe(address, 0.5)
+
+    run_calls(check)
+
+
 def test_an_unresponsive_peer_times_out_and_its_connection_is_closed():
     async def check(client, address):
         with pytest.raises(httpcore.ReadTimeout):
