Leave small responses their retry while others' callers do not read

A response is sent on early only if it has more than its share. Expired loads of other routers are dropped also where no call is placed.

--- a/primrosepier/forwarding/attempts.py
+++ b/primrosepier/forwarding/attempts.py
@@ -179,8 +179,8 @@
 
     Attributes
     ----------
-    buffered_bytes : int
-        Bytes of all responses that are not sent on yet.
+    buffered_bytes, buffered_responses : int
+        Bytes of all responses that are not sent on yet, and the number of these.
     """
 
     client: EndpointClient
@@ -191,6 +191,7 @@
     find_origin: FindOrigin | None = None
     requires_call_id: bool = True
     buffered_bytes: int = 0
+    buffered_responses: int = 0
 
     async def send(
         self,
@@ -367,13 +368,14 @@
     ) -> Outcome:
         parts: list[bytes] = []
         size = buffered = 0
+        self.buffered_responses += 1
         try:
             async for data in response.aiter_stream():
                 parts.append(data)
                 size += len(data)
                 buffered += len(data)
                 self.buffered_bytes += len(data)
-                if size > MAX_BUFFERED_BYTES or self._has_buffered_too_much():
+                if size > MAX_BUFFERED_BYTES or self._exceeds_share(buffered):
                     if not delivery.status:
                         await delivery.begin(head.status, head.headers, self.clock())
                     self.buffered_bytes -= buffered
@@ -385,10 +387,16 @@
             await send_chunk(delivery.send, b"".join(parts), more=False)
         finally:
             self.buffered_bytes -= buffered
+            self.buffered_responses -= 1
         return Completed(Step.RELAY, replica.id)
 
-    def _has_buffered_too_much(self) -> bool:
-        return self.buffered_bytes > MAX_ALL_BUFFERED_BYTES
+    def _exceeds_share(self, size: int) -> bool:
+        """Return whether a response has more than its share while all have too much.
+
+        Others whose callers do not read then leave a small response its retry.
+        """
+        share = MAX_ALL_BUFFERED_BYTES / self.buffered_responses
+        return self.buffered_bytes > MAX_ALL_BUFFERED_BYTES and size > share
 
 
 @dataclass(slots=True)
--- a/primrosepier/forwarding/retention.py
+++ b/primrosepier/forwarding/retention.py
@@ -28,6 +28,7 @@
     replica_lists = store_view.replicas.value.by_service.values()
     registered = {replica.id for replicas in replica_lists for replica in replicas}
     forwarder.loads.retain(registered)
+    forwarder.loads.drop_expired(now_s)
     forwarder.forecasts.retain(registered)
     notices.permits.limits.retain(registered)
     notices.rests.retain(registered, now_s)
