--- a/review/setup_2.py
+++ b/review/setup_2.py
@@ -239,6 +239,59 @@
     writer.transport.abort()
 
 
+class Cut:
+    """Partitions routers from the replicas: their channels are reset.
+
+    A replica's stand-in tells by the kernel's list of sockets which router process has
+    opened a channel, as all of them come from one loopback address.
+    """
+
+    def __init__(self, routers, record):
+        self.routers = routers
+        self.record = record
+        self.names = set()
+        self.channels = {}
+
+    def begin(self, name):
+        self.record.write(f"{name} is partitioned from all replicas")
+        self.names.add(name)
+        for writer, owner in list(self.channels.items()):
+            if owner == name:
+                reset(writer)
+
+    def end(self, name):
+        self.record.write(f"{name} reaches the replicas again")
+        self.names.discard(name)
+
+    def admit(self, writer):
+        """Return whether a new channel is let through."""
+        owner = self._find_owner(writer.get_extra_info("peername")[1])
+        self.channels[writer] = owner
+        return owner not in self.names
+
+    def forget(self, writer):
+        self.channels.pop(writer, None)
+
+    def _find_owner(self, port):
+        local = f"0100007F:{port:04X}"
+        for line in Path("/proc/net/tcp").read_text(encoding="ascii").splitlines():
+            fields = line.split()
+            if fields[1] == local and fields[9] != "0":
+                return self._find_process(f"socket:[{fields[9]}]")
+        return None
+
+    def _find_process(self, link):
+        for router in self.routers:
+            if router.process is None or router.process.poll() is not None:
+                continue
+            folder = f"/proc/{router.process.pid}/fd"
+            for name in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    if os.readlink(f"{folder}/{name}") == link:
+                        return router.name
+        return None
+
+
 @dataclasses.dataclass(eq=False)
 class Replica:
     """A replica that answers at once, or with a stream of events."""
@@ -261,6 +314,7 @@
     model: str = "m0"
     orders: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
+    cut: Cut | None = None
     server: object = None
     writers: set = dataclasses.field(default_factory=set)
 
@@ -310,6 +364,9 @@
                 self.register()
 
     async def _serve(self, reader, writer):
+        if self.cut is not None and not self.cut.admit(writer):
+            reset(writer)
+            return
         self.writers.add(writer)
         try:
             while await self._answer(reader, writer):
@@ -318,6 +375,8 @@
             pass
         finally:
             self.writers.discard(writer)
+            if self.cut is not None:
+                self.cut.forget(writer)
             writer.transport.abort()
 
     async def _answer(self, reader, writer):
