--- a/review/setup_2.py
+++ b/review/setup_2.py
@@ -316,6 +316,7 @@
     runs: list = dataclasses.field(default_factory=list)
     cut: Cut | None = None
     server: object = None
+    beating: asyncio.Task | None = None
     writers: set = dataclasses.field(default_factory=set)
 
     async def start(self):
@@ -326,10 +327,12 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.record.write(f"{self.id} {self.version} starts at port {self.port}")
         self.register()
+        self.beating = asyncio.create_task(self._beat())
 
     def crash(self):
         """End the process: the port is closed and every channel is reset."""
         self.record.write(f"{self.id} {self.version} ends")
+        self.beating.cancel()
         self.server.close()
         for writer in list(self.writers):
             reset(writer)
@@ -356,12 +359,11 @@
         ):
             self.record.write(f"{self.id} {self.version} says {self.state}")
 
-    async def beat(self):
+    async def _beat(self):
         """Write a status report about every `HEARTBEAT_S`, until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
-            if self.server is not None and self.server.is_serving():
-                self.register()
+            self.register()
 
     async def _serve(self, reader, writer):
         if self.cut is not None and not self.cut.admit(writer):
