--- a/review/setup_2.py
+++ b/review/setup_2.py
@@ -136,28 +136,9 @@
         self.record = record
         self.address = ""
 
-    @property
-    def is_down(self):
-        return bool(self.app.faults.status)
-
     def put(self, key, value):
-        """Write as the operator or a replica; return whether it was acknowledged."""
-        if not self.is_down:
-            self.app.put(key, value)
-        return not self.is_down
-
-    def remove(self, key):
-        self.app.remove(key)
-
-    def stop(self):
-        """Answer every call with 503, those that wait too."""
-        self.record.write("the store is down")
-        self.app.faults.status = 503
-        self.app.memory.notify()
-
-    def start(self):
-        self.record.write("the store is up")
-        self.app.faults.status = 0
+        """Write as the operator or a replica."""
+        self.app.put(key, value)
 
     def copy(self):
         return copy.deepcopy(self.app.memory.state)
@@ -239,59 +220,6 @@
     writer.transport.abort()
 
 
-class Cut:
-    """Partitions routers from the replicas: their channels are reset.
-
-    A replica's stand-in tells by the kernel's list of sockets which router process has
-    opened a channel, as all of them come from one loopback address.
-    """
-
-    def __init__(self, routers, record):
-        self.routers = routers
-        self.record = record
-        self.names = set()
-        self.channels = {}
-
-    def begin(self, name):
-        self.record.write(f"{name} is partitioned from all replicas")
-        self.names.add(name)
-        for writer, owner in list(self.channels.items()):
-            if owner == name:
-                reset(writer)
-
-    def end(self, name):
-        self.record.write(f"{name} reaches the replicas again")
-        self.names.discard(name)
-
-    def admit(self, writer):
-        """Return whether a new channel is let through."""
-        owner = self._find_owner(writer.get_extra_info("peername")[1])
-        self.channels[writer] = owner
-        return owner not in self.names
-
-    def forget(self, writer):
-        self.channels.pop(writer, None)
-
-    def _find_owner(self, port):
-        local = f"0100007F:{port:04X}"
-        for line in Path("/proc/net/tcp").read_text(encoding="ascii").splitlines():
-            fields = line.split()
-            if fields[1] == local and fields[9] != "0":
-                return self._find_process(f"socket:[{fields[9]}]")
-        return None
-
-    def _find_process(self, link):
-        for router in self.routers:
-            if router.process is None or router.process.poll() is not None:
-                continue
-            folder = f"/proc/{router.process.pid}/fd"
-            for name in os.listdir(folder):
-                with contextlib.suppress(OSError):
-                    if os.readlink(f"{folder}/{name}") == link:
-                        return router.name
-        return None
-
-
 @dataclasses.dataclass(eq=False)
 class Replica:
     """A replica that answers at once, or with a stream of events."""
@@ -308,13 +236,11 @@
     state: str = "ready"
     born: int = 0
     port: int = 0
-    is_registered: bool = True
     is_leaving: bool = False
     weights: int = 1
     model: str = "m0"
     orders: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
-    cut: Cut | None = None
     server: object = None
     beating: asyncio.Task | None = None
     writers: set = dataclasses.field(default_factory=set)
@@ -354,10 +280,8 @@
         }
 
     def register(self):
-        if self.is_registered and self.store.put(
-            f"servers/{self.id}", self.make_entry()
-        ):
-            self.record.write(f"{self.id} {self.version} says {self.state}")
+        self.store.put(f"servers/{self.id}", self.make_entry())
+        self.record.write(f"{self.id} {self.version} says {self.state}")
 
     async def _beat(self):
         """Write a status report about every `HEARTBEAT_S`, until cancelled."""
@@ -366,9 +290,6 @@
             self.register()
 
     async def _serve(self, reader, writer):
-        if self.cut is not None and not self.cut.admit(writer):
-            reset(writer)
-            return
         self.writers.add(writer)
         try:
             while await self._answer(reader, writer):
@@ -377,8 +298,6 @@
             pass
         finally:
             self.writers.discard(writer)
-            if self.cut is not None:
-                self.cut.forget(writer)
             writer.transport.abort()
 
     async def _answer(self, reader, writer):
@@ -505,9 +424,6 @@
     def address(self):
         return self.ip, self.ports[0]
 
-    def count_lines(self, text):
-        return self.output.read_text(encoding="utf-8", errors="replace").count(text)
-
 
 @dataclasses.dataclass
 class Answer:
