--- a/review/setup_2.py
+++ b/review/setup_2.py
@@ -382,8 +382,11 @@
         )
         self.settings.write_text(text, encoding="utf-8")
         self.process = None
+        self.is_over = False
 
     def start(self):
+        if self.is_over:
+            return
         kept = ("PATH", "HOME", "LANG")
         environment = {k: os.environ[k] for k in kept if k in os.environ}
         environment["PRIMROSEPIER_CONFIG"] = str(self.settings)
@@ -400,7 +403,8 @@
         self.process.send_signal(number)
 
     def end(self):
-        """End the process if it runs."""
+        """End the process if it runs, and start no other."""
+        self.is_over = True
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -571,13 +575,21 @@
         store = Store(record)
         with tempfile.TemporaryDirectory() as temporary:
             async with open_server(store.app, "127.0.0.1:0") as store.address:
-                return await run_check(store, temporary)
-
+                try:
+                    return await run_check(store, temporary), None
+                # The server's task group would wrap it.
+                except Exception as error:
+                    return "", error
+
+    # Ends the routers as well when the script itself is ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        broken = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as error:
-        record.write(f"the case could not run: {error!r}")
-        print(f"could not run: {error!r}")
+        broken, failure = asyncio.run(run())
+    except (Exception, KeyboardInterrupt) as error:
+        broken, failure = "", error
+    if failure is not None:
+        record.write(f"the case could not run: {failure!r}")
+        print(f"could not run: {failure!r}")
         sys.exit(2)
     record.write(f"the rule is broken: {broken}" if broken else "the rule held")
     print(broken or "the rule held")
